config: documents, settings and result codes

Cause: every host must accept or reject a published revision alike, and every refusal needs a numbered code that says whether the request ran.

--- /dev/null
+++ b/config/check.go
@@ -0,0 +1,281 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Default values of the document, in the units of their fields.
+const (
+	DefaultBodyBytes      = 4 << 20
+	DefaultHeaderBytes    = 16 << 10
+	DefaultBodyReadMillis = 5000
+	DefaultConnections    = 4096
+	DefaultConcurrent     = 2048
+	DefaultRetryShare     = 0.1
+	DefaultMaxAttempts    = 4
+	DefaultLeaseMillis    = 3000
+	DefaultKeyKeepSeconds = 600
+	DefaultResultKeep     = 4000
+)
+
+func setInt(p *int, v int) {
+	if *p == 0 {
+		*p = v
+	}
+}
+
+func (d *Document) setDefaults() {
+	l := &d.Limits
+	if l.BodyBytes == 0 {
+		l.BodyBytes = DefaultBodyBytes
+	}
+	setInt(&l.HeaderBytes, DefaultHeaderBytes)
+	setInt(&l.BodyReadMillis, DefaultBodyReadMillis)
+	setInt(&l.Connections, DefaultConnections)
+	setInt(&l.Concurrent, DefaultConcurrent)
+	setInt(&l.MaxAttempts, DefaultMaxAttempts)
+	if l.RetryShare == 0 {
+		l.RetryShare = DefaultRetryShare
+	}
+	p := &d.Policy
+	if p.Mode == "" {
+		p.Mode = ModeOwner
+	}
+	if p.Forecast == "" {
+		p.Forecast = ForecastMargin
+	}
+	if p.KeyScope == "" {
+		p.KeyScope = KeysRegion
+	}
+	setInt(&p.LeaseMillis, DefaultLeaseMillis)
+	setInt(&p.KeyKeepSeconds, DefaultKeyKeepSeconds)
+	if d.Weights == (Weights{}) {
+		d.Weights = Weights{Goodput: 1, WastedPrefill: 1}
+	}
+	if d.Targets.Objective == 0 {
+		d.Targets.Objective = 0.95
+	}
+	for i := range d.Teams {
+		setInt(&d.Teams[i].Weight, 1)
+	}
+	for i := range d.Endpoints {
+		if d.Endpoints[i].Role == Prefill {
+			setInt(&d.Endpoints[i].ResultKeepMillis, DefaultResultKeep)
+		}
+	}
+}
+
+// checker gathers the faults of a document.
+type checker struct {
+	errs FieldErrors
+}
+
+func index(field string, i int) string { return field + "[" + strconv.Itoa(i) + "]" }
+
+func (c *checker) fail(field, value, cause string) {
+	c.errs = append(c.errs, &FieldError{Field: field, Value: value, Cause: cause})
+}
+
+const maxNameLen = 63
+
+// name asks for a short name of letters, digits, dots, dashes and underscores.
+func (c *checker) name(field, v string) {
+	if v == "" {
+		c.fail(field, `""`, "must be set")
+		return
+	}
+	bad := func(r rune) bool {
+		return !('a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || '0' <= r && r <= '9' || strings.ContainsRune("._-", r))
+	}
+	if len(v) > maxNameLen || strings.ContainsFunc(v, bad) {
+		c.fail(field, strconv.Quote(v), "want at most 63 letters, digits, '.', '_' or '-'")
+	}
+}
+
+func (c *checker) address(field, v string) {
+	if cause := checkAddress(v); cause != "" {
+		c.fail(field, strconv.Quote(v), cause)
+	}
+}
+
+func (c *checker) within(field string, v, lo, hi float64) {
+	if !(v >= lo && v <= hi) {
+		c.fail(field, fmt.Sprint(v), fmt.Sprintf("want %v to %v", lo, hi))
+	}
+}
+
+func (c *checker) oneOf(field, v string, allowed ...string) {
+	if !slices.Contains(allowed, v) {
+		c.fail(field, strconv.Quote(v), "want one of "+strings.Join(allowed, ", "))
+	}
+}
+
+func (c *checker) selector(field, v string) {
+	if _, err := ParseSelector(v); err != nil {
+		c.fail(field, strconv.Quote(v), err.Error())
+	}
+}
+
+// unique asks that no two rows carry the same name.
+func (c *checker) unique(seen map[string]bool, field, v string) {
+	if seen[v] {
+		c.fail(field, strconv.Quote(v), "is used twice")
+	}
+	seen[v] = true
+}
+
+func (d *Document) check() FieldErrors {
+	var c checker
+	domains := c.domains(d.Domains)
+	models := c.models(d.Models)
+	c.endpoints(d.Endpoints, domains, models)
+	c.routes(d.Routes)
+	c.teams(d.Teams)
+	c.within("targets.ttft_ms", float64(d.Targets.TTFTMillis), 1, 600_000)
+	c.within("targets.tpot_ms", float64(d.Targets.TPOTMillis), 1, 60_000)
+	c.within("targets.objective", d.Targets.Objective, 0.01, 0.99999)
+	c.within("weights.goodput", d.Weights.Goodput, 0, 1000)
+	c.within("weights.wasted_prefill", d.Weights.WastedPrefill, 0, 1000)
+	c.limits(d.Limits)
+	c.policy(d.Policy)
+	return c.errs
+}
+
+func (c *checker) domains(rows []Domain) map[string]bool {
+	seen := map[string]bool{}
+	for i, r := range rows {
+		f := index("failure_domains", i)
+		c.name(f+".name", r.Name)
+		c.name(f+".region", r.Region)
+		c.unique(seen, f+".name", r.Name)
+		c.within(f+".link_bytes_per_second", float64(r.LinkBytesPerSecond), 0, 1e15)
+	}
+	if len(rows) == 0 {
+		c.fail("failure_domains", "", "want at least one")
+	}
+	return seen
+}
+
+func (c *checker) models(rows []Model) map[string]Model {
+	byName := map[string]Model{}
+	seen := map[string]bool{}
+	for i, r := range rows {
+		f := index("models", i)
+		c.name(f+".name", r.Name)
+		c.name(f+".version", r.Version)
+		c.unique(seen, f+".name", r.Name)
+		c.within(f+".max_tokens", float64(r.MaxTokens), 1, 10_000_000)
+		c.within(f+".kv_bytes_per_token", float64(r.KVBytesPerToken), 1, 1e9)
+		for j, a := range r.Adapters {
+			c.name(index(f+".adapters", j), a)
+			c.unique(seen, index(f+".adapters", j), a)
+		}
+		byName[r.Name] = r
+	}
+	return byName
+}
+
+func (c *checker) endpoints(rows []Endpoint, domains map[string]bool, models map[string]Model) {
+	names, addrs := map[string]bool{}, map[string]bool{}
+	for i, r := range rows {
+		f := index("endpoints", i)
+		c.name(f+".name", r.Name)
+		c.unique(names, f+".name", r.Name)
+		c.address(f+".address", r.Address)
+		c.unique(addrs, f+".address", r.Address)
+		if !domains[r.Domain] {
+			c.fail(f+".failure_domain", strconv.Quote(r.Domain), "is not among failure_domains")
+		}
+		c.oneOf(f+".role", string(r.Role), string(Prefill), string(Decode), string(Service))
+		c.endpointSizes(f, r)
+		if r.Role == Service {
+			continue
+		}
+		m, ok := models[r.Model]
+		if !ok {
+			c.fail(f+".model", strconv.Quote(r.Model), "is not among models")
+		}
+		for j, a := range r.Adapters {
+			if !slices.Contains(m.Adapters, a) {
+				c.fail(index(f+".adapters", j), strconv.Quote(a), "is not an adapter of the model")
+			}
+		}
+	}
+}
+
+func (c *checker) endpointSizes(f string, r Endpoint) {
+	switch r.Role {
+	case Prefill:
+		c.within(f+".tokens_per_second", r.TokensPerSecond, 1, 1e9)
+		c.within(f+".result_keep_ms", float64(r.ResultKeepMillis), 1, 600_000)
+	case Decode:
+		c.within(f+".memory_tokens", float64(r.MemoryTokens), 1, 1e9)
+		c.within(f+".slots", float64(r.Slots), 1, 1e6)
+		c.within(f+".step_micros", float64(r.StepMicros), 1, 1e8)
+		c.within(f+".step_micros_each", float64(r.StepMicrosEach), 0, 1e8)
+		c.within(f+".link_bytes_per_second", float64(r.LinkBytesPerSecond), 1, 1e15)
+	case Service:
+		c.within(f+".slots", float64(r.Slots), 1, 1e6)
+	}
+}
+
+func (c *checker) routes(rows []Route) {
+	seen := map[string]bool{}
+	for i, r := range rows {
+		f := index("routes", i)
+		c.name(f+".name", r.Name)
+		c.unique(seen, f+".name", r.Name)
+		c.selector(f+".requests", r.Requests)
+		c.within(f+".priority", float64(r.Priority), 0, 9)
+		if r.Service != "" {
+			c.selector(f+".service", r.Service)
+			if r.Prefill != "" || r.Decode != "" {
+				c.fail(f+".service", strconv.Quote(r.Service), "can't stand beside prefill or decode")
+			}
+			continue
+		}
+		c.selector(f+".prefill", r.Prefill)
+		c.selector(f+".decode", r.Decode)
+	}
+}
+
+func (c *checker) teams(rows []Team) {
+	seen := map[string]bool{}
+	for i, r := range rows {
+		f := index("teams", i)
+		c.name(f+".name", r.Name)
+		c.unique(seen, f+".name", r.Name)
+		c.within(f+".weight", float64(r.Weight), 1, 1e6)
+		c.within(f+".max_concurrent", float64(r.MaxConcurrent), 0, 1e6)
+		if r.TokenSHA256 == "" {
+			continue
+		}
+		if b, err := hex.DecodeString(r.TokenSHA256); err != nil || len(b) != 32 {
+			c.fail(f+".token_sha256", strconv.Quote(r.TokenSHA256), "want 64 hex digits")
+		}
+	}
+}
+
+func (c *checker) limits(l Limits) {
+	c.within("limits.body_bytes", float64(l.BodyBytes), 1, 1<<30)
+	c.within("limits.header_bytes", float64(l.HeaderBytes), 512, 1<<20)
+	c.within("limits.body_read_ms", float64(l.BodyReadMillis), 1, 600_000)
+	c.within("limits.connections", float64(l.Connections), 1, 1e6)
+	c.within("limits.concurrent_requests", float64(l.Concurrent), 1, 1e6)
+	c.within("limits.retry_share", l.RetryShare, 0, 10)
+	c.within("limits.max_attempts", float64(l.MaxAttempts), 1, 20)
+}
+
+func (c *checker) policy(p Policy) {
+	c.oneOf("policy.mode", string(p.Mode), string(ModeOwner), string(ModeLagged), string(ModeShare),
+		string(ModeDispatcher), string(ModeRandom), string(ModeRoundRobin), string(ModeTwoChoices))
+	c.oneOf("policy.forecast", string(p.Forecast), string(ForecastHold), string(ForecastPlain), string(ForecastMargin))
+	c.within("policy.overbook", p.Overbook, 0, 2)
+	c.within("policy.lease_ms", float64(p.LeaseMillis), 100, 600_000)
+	c.oneOf("policy.key_scope", string(p.KeyScope), string(KeysRegion), string(KeysDomain))
+	c.within("policy.key_keep_s", float64(p.KeyKeepSeconds), 1, 86_400)
+}
--- /dev/null
+++ b/config/document.go
@@ -0,0 +1,183 @@
+// Package config defines what operators write: the configuration document
+// that the platform publishes, and the settings of one process.
+//
+// Both are JSON with comments. Parsing is a pure function of the bytes, so
+// every host accepts or rejects a revision alike. The package reads no files
+// and talks to no one.
+package config
+
+import "time"
+
+// Document is one revision of the published configuration.
+type Document struct {
+	Domains   []Domain   `json:"failure_domains"`
+	Models    []Model    `json:"models"`
+	Endpoints []Endpoint `json:"endpoints"`
+	Routes    []Route    `json:"routes"`
+	Teams     []Team     `json:"teams"`
+	Targets   Targets    `json:"targets"`
+	Weights   Weights    `json:"weights"`
+	Limits    Limits     `json:"limits"`
+	Policy    Policy     `json:"policy"`
+}
+
+// Domain is a failure domain and the region it lies in.
+type Domain struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	// LinkBytesPerSecond is the rate of the link into the domain that
+	// transfers from other domains share. 0: no transfer crosses it.
+	LinkBytesPerSecond int64 `json:"link_bytes_per_second"`
+}
+
+// Model is a model that requests may name, with its adapters.
+type Model struct {
+	Name            string   `json:"name"`
+	Version         string   `json:"version"`
+	Adapters        []string `json:"adapters"`
+	MaxTokens       int      `json:"max_tokens"` // prompt and answer together
+	KVBytesPerToken int64    `json:"kv_bytes_per_token"`
+	TypicalAnswer   int      `json:"typical_answer_tokens"` // forecast start; 0: half of max_tokens of the request
+}
+
+// Role says what an endpoint does.
+type Role string
+
+// The roles of endpoints.
+const (
+	Prefill Role = "prefill"
+	Decode  Role = "decode"
+	Service Role = "service"
+)
+
+// Endpoint is a model runner or an application runner.
+type Endpoint struct {
+	Name    string            `json:"name"`
+	Address string            `json:"address"` // IP:port
+	Domain  string            `json:"failure_domain"`
+	Role    Role              `json:"role"`
+	Labels  map[string]string `json:"labels"`
+	Model   string            `json:"model"`
+	// Version is the model version that orders bring the runner to; empty
+	// means the model's own version.
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+
+	MemoryTokens        int     `json:"memory_tokens"`         // decode: KV memory
+	Slots               int     `json:"slots"`                 // decode, service: requests at once
+	TokensPerSecond     float64 `json:"tokens_per_second"`     // prefill: rate of reading
+	StepMicros          int     `json:"step_micros"`           // decode: time of a step with one request
+	StepMicrosEach      int     `json:"step_micros_each"`      // decode: added by each further request
+	LinkBytesPerSecond  int64   `json:"link_bytes_per_second"` // decode: rate of the link into it
+	ResultKeepMillis    int     `json:"result_keep_ms"`        // prefill: how long an exported result is kept
+	ChecksFence         bool    `json:"checks_fence"`
+	Leaving             bool    `json:"leaving"`
+	NotRepeatableAllows bool    `json:"takes_not_repeatable"` // service: may be given calls that may not be repeated
+}
+
+// Route states which requests may go to which endpoints. The first route
+// whose request selector matches is taken.
+type Route struct {
+	Name     string `json:"name"`
+	Requests string `json:"requests"` // selector over request labels
+	Prefill  string `json:"prefill"`  // selector over endpoint labels
+	Decode   string `json:"decode"`
+	Service  string `json:"service"`
+	Priority int    `json:"priority"` // 0 is most urgent; a request may lower itself
+}
+
+// Team is a customer of the platform.
+type Team struct {
+	Name          string            `json:"name"`
+	Weight        int               `json:"weight"`         // share of a contended queue; 0 means 1
+	MaxConcurrent int               `json:"max_concurrent"` // on each entry host; 0: no limit
+	TokenSHA256   string            `json:"token_sha256"`   // hex; empty: no token asked
+	Labels        map[string]string `json:"labels"`
+}
+
+// Targets are the service levels that goodput is counted by.
+type Targets struct {
+	TTFTMillis int     `json:"ttft_ms"` // time to first token
+	TPOTMillis int     `json:"tpot_ms"` // time per output token after the first
+	Objective  float64 `json:"objective"`
+}
+
+// TTFT returns the target time to first token.
+func (t Targets) TTFT() time.Duration { return time.Duration(t.TTFTMillis) * time.Millisecond }
+
+// TPOT returns the target time per output token.
+func (t Targets) TPOT() time.Duration { return time.Duration(t.TPOTMillis) * time.Millisecond }
+
+// Weights state what a record keeper minds more. Only their ratio matters.
+type Weights struct {
+	Goodput       float64 `json:"goodput"`
+	WastedPrefill float64 `json:"wasted_prefill"`
+}
+
+// Limits bound what callers may ask of one entry host.
+type Limits struct {
+	BodyBytes      int64   `json:"body_bytes"`
+	HeaderBytes    int     `json:"header_bytes"`
+	BodyReadMillis int     `json:"body_read_ms"`
+	Connections    int     `json:"connections"`
+	Concurrent     int     `json:"concurrent_requests"`
+	RetryShare     float64 `json:"retry_share"` // retries for each recent success
+	MaxAttempts    int     `json:"max_attempts"`
+}
+
+// Policy chooses how decisions are made. Everything but Owner is a baseline
+// to measure against.
+type Policy struct {
+	Mode PolicyMode `json:"mode"`
+	// Forecast chooses how decode memory is reserved: ForecastHold,
+	// ForecastPlain or ForecastMargin.
+	Forecast Forecast `json:"forecast"`
+	// Overbook is the share of decode memory that reservations may exceed
+	// the forecast by. 0 takes it from the weights.
+	Overbook float64 `json:"overbook"`
+	// LeaseMillis is how long a reservation outlives its holder's last word.
+	LeaseMillis int `json:"lease_ms"`
+	// KeyScope says where an idempotency key's home is looked for.
+	KeyScope KeyScope `json:"key_scope"`
+	// KeyKeepSeconds is how long a key is remembered.
+	KeyKeepSeconds int `json:"key_keep_s"`
+}
+
+// PolicyMode is a way to decide.
+type PolicyMode string
+
+// The ways to decide. ModeLagged, ModeShare and ModeDispatcher are the ways
+// A, B and C of docs/DESIGN.md.
+const (
+	ModeOwner      PolicyMode = "owner"
+	ModeLagged     PolicyMode = "least_load"
+	ModeShare      PolicyMode = "fixed_share"
+	ModeDispatcher PolicyMode = "dispatcher"
+	ModeRandom     PolicyMode = "random"
+	ModeRoundRobin PolicyMode = "round_robin"
+	ModeTwoChoices PolicyMode = "two_choices"
+)
+
+// Reserves reports whether the mode reserves decode memory before prefill.
+func (m PolicyMode) Reserves() bool {
+	return m == ModeOwner || m == ModeShare || m == ModeDispatcher
+}
+
+// Forecast is a way to reserve decode memory for the moment it is needed.
+type Forecast string
+
+// The ways to reserve.
+const (
+	ForecastHold   Forecast = "hold"   // from now on
+	ForecastPlain  Forecast = "plain"  // for the moment the prefill ends
+	ForecastMargin Forecast = "margin" // the same, overbooked by a margin
+)
+
+// KeyScope says which failure domains share idempotency keys.
+type KeyScope string
+
+// The scopes of idempotency keys.
+const (
+	KeysRegion KeyScope = "region" // each key has one home domain in the region
+	KeysDomain KeyScope = "domain" // each domain keeps its own keys
+)
--- /dev/null
+++ b/config/parse.go
@@ -0,0 +1,198 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+)
+
+// FieldError says which field is at fault and why.
+type FieldError struct {
+	Field string // path such as endpoints[3].address
+	Value string // as written; empty where there is none
+	Cause string // what is allowed
+	Line  int    // 1-based; 0 where the position isn't known
+	Col   int
+}
+
+// Error implements the error interface.
+func (e *FieldError) Error() string {
+	var b strings.Builder
+	if e.Line > 0 {
+		fmt.Fprintf(&b, "%d:%d: ", e.Line, e.Col)
+	}
+	b.WriteString(e.Field)
+	if e.Value != "" {
+		fmt.Fprintf(&b, " = %s", e.Value)
+	}
+	b.WriteString(": " + e.Cause)
+	return b.String()
+}
+
+// FieldErrors is every fault found in a document, in order of field.
+type FieldErrors []*FieldError
+
+// Error implements the error interface.
+func (e FieldErrors) Error() string {
+	lines := make([]string, len(e))
+	for i, f := range e {
+		lines[i] = f.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// ParseDocument reads and checks a document. It is a pure function of the
+// bytes: the document is accepted whole or rejected whole, with FieldErrors
+// or a *FieldError that carries line and column.
+func ParseDocument(src []byte) (*Document, error) {
+	d := new(Document)
+	if err := parse(src, d); err != nil {
+		return nil, err
+	}
+	d.setDefaults()
+	if errs := d.check(); len(errs) > 0 {
+		locate(src, errs)
+		return nil, errs
+	}
+	return d, nil
+}
+
+// parse reads JSON with comments into v and refuses unknown fields with the
+// nearest known name.
+func parse(src []byte, v any) error {
+	std, err := hujson.Standardize(append([]byte(nil), src...))
+	if err != nil {
+		return &FieldError{Field: "document", Cause: err.Error()}
+	}
+	dec := json.NewDecoder(bytes.NewReader(std))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return explain(src, v, err, dec.InputOffset())
+	}
+	if dec.More() {
+		line, col := position(src, dec.InputOffset())
+		return &FieldError{Field: "document", Cause: "text after the end of the document", Line: line, Col: col}
+	}
+	return nil
+}
+
+// explain turns an error of encoding/json into a FieldError.
+func explain(src []byte, v any, err error, offset int64) error {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		line, col := position(src, wrong.Offset)
+		return &FieldError{Field: wrong.Field, Value: wrong.Value, Cause: "want " + wrong.Type.String(), Line: line, Col: col}
+	}
+	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		name = strings.Trim(name, `"`)
+		e := &FieldError{Field: name, Cause: "unknown field"}
+		if near := nearest(name, fieldNames(reflect.TypeOf(v))); near != "" {
+			e.Cause = fmt.Sprintf("unknown field; did you mean %q?", near)
+		}
+		if i := bytes.Index(src, []byte(`"`+name+`"`)); i >= 0 {
+			e.Line, e.Col = position(src, int64(i))
+		}
+		return e
+	}
+	line, col := position(src, offset)
+	return &FieldError{Field: "document", Cause: err.Error(), Line: line, Col: col}
+}
+
+func position(src []byte, offset int64) (line, col int) {
+	if offset > int64(len(src)) {
+		offset = int64(len(src))
+	}
+	head := src[:offset]
+	line = 1 + bytes.Count(head, []byte("\n"))
+	col = len(head) - bytes.LastIndexByte(head, '\n')
+	return line, col
+}
+
+// locate fills in positions of checked fields as well as hujson can find
+// them: by the JSON pointer that the field's path stands for.
+func locate(src []byte, errs FieldErrors) {
+	root, err := hujson.Parse(src)
+	if err != nil {
+		return
+	}
+	for _, e := range errs {
+		path := strings.NewReplacer(".", "/", "[", "/", "]", "").Replace(e.Field)
+		for ptr := "/" + path; ptr != ""; ptr = ptr[:strings.LastIndexByte(ptr, '/')] {
+			if at := root.Find(ptr); at != nil {
+				e.Line, e.Col = position(src, int64(at.StartOffset))
+				break
+			}
+		}
+	}
+}
+
+// fieldNames lists the JSON names of t and of the structs below it.
+func fieldNames(t reflect.Type) []string {
+	seen := map[reflect.Type]bool{}
+	var names []string
+	var walk func(reflect.Type)
+	walk = func(t reflect.Type) {
+		switch t.Kind() {
+		case reflect.Pointer, reflect.Slice, reflect.Map:
+			walk(t.Elem())
+			return
+		case reflect.Struct:
+		default:
+			return
+		}
+		if seen[t] {
+			return
+		}
+		seen[t] = true
+		for f := range t.Fields() {
+			name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+			if name != "" {
+				names = append(names, name)
+			}
+			walk(f.Type)
+		}
+	}
+	walk(t)
+	sort.Strings(names)
+	return names
+}
+
+// maxSuggestDistance is how many edits a typo may be away to be suggested.
+const maxSuggestDistance = 3
+
+func nearest(name string, known []string) string {
+	best, bestDist := "", maxSuggestDistance+1
+	for _, k := range known {
+		if d := editDistance(name, k); d < bestDist {
+			best, bestDist = k, d
+		}
+	}
+	return best
+}
+
+// editDistance is the Levenshtein distance in bytes.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		diag := row[0]
+		row[0] = i
+		for j := 1; j <= len(b); j++ {
+			cost := 1
+			if a[i-1] == b[j-1] {
+				cost = 0
+			}
+			next := min(row[j]+1, row[j-1]+1, diag+cost)
+			diag, row[j] = row[j], next
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/config/settings.go
@@ -0,0 +1,119 @@
+package config
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings are what one process is started with. Everything else comes from
+// the platform or from peers.
+type Settings struct {
+	Host     string `json:"host"`           // unique name of the entry host
+	Domain   string `json:"failure_domain"` // the failure domain it stands in
+	Region   string `json:"region"`
+	Callers  string `json:"callers_address"` // IP:port of the caller listener
+	Peers    string `json:"peers_address"`   // IP:port of the net/rpc listener
+	Admin    string `json:"admin_address"`   // IP:port of the admin listener
+	Platform string `json:"platform_address"`
+	// Seeds are peer addresses to ask before the platform's list is known.
+	Seeds []string `json:"seeds"`
+
+	HeartbeatMillis int    `json:"heartbeat_ms"`
+	SuspectMillis   int    `json:"suspect_ms"` // silence after which a host is taken for gone
+	PollMillis      int    `json:"poll_ms"`    // state polls of owned endpoints
+	ListMillis      int    `json:"list_ms"`    // polls of the endpoint's request list
+	GraceMillis     int    `json:"grace_ms"`   // before work of a gone host is cancelled
+	RPCMillis       int    `json:"rpc_timeout_ms"`
+	PauseMillis     int    `json:"pause_ms"` // a longer gap in a loop means the process was paused
+	DrainSeconds    int    `json:"drain_s"`
+	LameDuckMillis  int    `json:"lame_duck_ms"` // requests are still taken after readiness went
+	Workers         int    `json:"workers"`
+	LogLevel        string `json:"log_level"`
+	StallMillis     int    `json:"stall_ms"` // a transfer without progress for so long is stalled
+}
+
+// Default values of settings, in the units of their fields.
+const (
+	DefaultHeartbeatMillis = 500
+	DefaultSuspectMillis   = 2500
+	DefaultPollMillis      = 200
+	DefaultListMillis      = 1000
+	DefaultGraceMillis     = 1000
+	DefaultRPCMillis       = 250
+	DefaultPauseMillis     = 1500
+	DefaultDrainSeconds    = 60
+	DefaultLameDuckMillis  = 1000
+	DefaultWorkers         = 4
+	DefaultStallMillis     = 400
+)
+
+// ParseSettings reads and checks settings; errors are as for ParseDocument.
+func ParseSettings(src []byte) (*Settings, error) {
+	s := new(Settings)
+	if err := parse(src, s); err != nil {
+		return nil, err
+	}
+	s.SetDefaults()
+	if errs := s.Check(); len(errs) > 0 {
+		locate(src, errs)
+		return nil, errs
+	}
+	return s, nil
+}
+
+// SetDefaults fills in the fields that were left at zero.
+func (s *Settings) SetDefaults() {
+	setInt(&s.HeartbeatMillis, DefaultHeartbeatMillis)
+	setInt(&s.SuspectMillis, DefaultSuspectMillis)
+	setInt(&s.PollMillis, DefaultPollMillis)
+	setInt(&s.ListMillis, DefaultListMillis)
+	setInt(&s.GraceMillis, DefaultGraceMillis)
+	setInt(&s.RPCMillis, DefaultRPCMillis)
+	setInt(&s.PauseMillis, DefaultPauseMillis)
+	setInt(&s.DrainSeconds, DefaultDrainSeconds)
+	setInt(&s.LameDuckMillis, DefaultLameDuckMillis)
+	setInt(&s.Workers, DefaultWorkers)
+	setInt(&s.StallMillis, DefaultStallMillis)
+	if s.LogLevel == "" {
+		s.LogLevel = "info"
+	}
+}
+
+// Check returns every fault of s.
+func (s *Settings) Check() FieldErrors {
+	var c checker
+	c.name("host", s.Host)
+	c.name("failure_domain", s.Domain)
+	c.name("region", s.Region)
+	c.address("callers_address", s.Callers)
+	c.address("peers_address", s.Peers)
+	c.address("admin_address", s.Admin)
+	c.address("platform_address", s.Platform)
+	for i, a := range s.Seeds {
+		c.address(index("seeds", i), a)
+	}
+	c.within("heartbeat_ms", float64(s.HeartbeatMillis), 50, 60_000)
+	c.within("suspect_ms", float64(s.SuspectMillis), float64(3*s.HeartbeatMillis), 600_000)
+	c.within("poll_ms", float64(s.PollMillis), 10, 60_000)
+	c.within("list_ms", float64(s.ListMillis), 10, 60_000)
+	c.within("grace_ms", float64(s.GraceMillis), 10, 600_000)
+	c.within("rpc_timeout_ms", float64(s.RPCMillis), 5, 60_000)
+	c.within("pause_ms", float64(s.PauseMillis), 100, 600_000)
+	c.within("drain_s", float64(s.DrainSeconds), 1, 86_400)
+	c.within("lame_duck_ms", float64(s.LameDuckMillis), 1, 600_000)
+	c.within("workers", float64(s.Workers), 1, 256)
+	c.within("stall_ms", float64(s.StallMillis), 10, 60_000)
+	c.oneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
+	return c.errs
+}
+
+// Millis converts a field in milliseconds.
+func Millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// checkAddress reports why s is not an IP:port literal, or "".
+func checkAddress(s string) string {
+	if _, err := netip.ParseAddrPort(s); err != nil {
+		return "want IP:port with an IP number; host names are not allowed"
+	}
+	return ""
+}
--- /dev/null
+++ b/result/result.go
@@ -0,0 +1,149 @@
+// Package result holds the numbered result codes that embercove answers with.
+//
+// It is the only place where a code, its HTTP status and its meaning are
+// stated; docs/RESULT-CODES.md is generated from it. It doesn't decide which
+// code fits: the packages that meet the condition do.
+package result
+
+import (
+	"fmt"
+	"time"
+)
+
+// Code is a numbered outcome of a request. The number is stable: it is never
+// given a second meaning.
+type Code int
+
+// The result codes. 1xx: answered. 2xx: the request itself is at fault.
+// 3xx: refused for lack of room or reach, not run. 4xx: ran, or may have run,
+// without a whole answer. 5xx: events of the router, never sent to callers.
+const (
+	OK              Code = 100
+	BadBody         Code = 200
+	UnknownModel    Code = 201
+	PromptTooLong   Code = 202
+	UnknownTeam     Code = 203
+	BadCredentials  Code = 204
+	BadHeader       Code = 205
+	NoRoute         Code = 206
+	BodyTooLarge    Code = 207
+	KeyRunning      Code = 208
+	KeyAnswered     Code = 209
+	KeyMismatch     Code = 210
+	BodyTooSlow     Code = 211
+	UnknownService  Code = 212
+	TooLate         Code = 300
+	NoDecodeMemory  Code = 301
+	TeamLimit       Code = 302
+	NoEndpoint      Code = 303
+	Draining        Code = 304
+	KeyOutOfReach   Code = 305
+	NotReady        Code = 306
+	RetryBudget     Code = 307
+	EndpointRefused Code = 308
+	OutcomeUnknown  Code = 400
+	AnswerBroken    Code = 401
+	CallerGone      Code = 402
+	DeadlinePassed  Code = 403
+	PrefillWasted   Code = 404
+	InvariantBroken Code = 500
+	RevisionClash   Code = 501
+	RevisionInvalid Code = 502
+	ProcessPaused   Code = 503
+)
+
+// Info describes a code for callers and operators.
+type Info struct {
+	Code     Code
+	Name     string
+	Status   int    // HTTP status; 0 for codes that no caller sees
+	NotRun   bool   // the request is promised not to have run
+	Retry    bool   // sending it again later may succeed
+	Meaning  string // one sentence for callers
+	Operator string // what an operator does when it is frequent
+}
+
+var infos = []Info{
+	{OK, "ok", 200, false, false, "The whole answer was sent.", "Nothing."},
+	{BadBody, "bad_body", 400, true, false, "The body is not valid JSON for this path.", "Ask the team to mend its client."},
+	{UnknownModel, "unknown_model", 404, true, false, "No configured model or adapter has this name.", "Check models in the configuration."},
+	{PromptTooLong, "prompt_too_long", 413, true, false, "The prompt and the answer exceed the model's limit in tokens.", "Check max_prompt_tokens of the model."},
+	{UnknownTeam, "unknown_team", 403, true, false, "The team is not in the configuration.", "Publish the team, or ask who is calling."},
+	{BadCredentials, "bad_credentials", 401, true, false, "The bearer token is not the team's.", "Check token_sha256 of the team."},
+	{BadHeader, "bad_header", 400, true, false, "A request header has a value that is not allowed.", "Ask the team to mend its client."},
+	{NoRoute, "no_route", 403, true, false, "No route's selector takes this request.", "Run embercove explain with the request's labels."},
+	{BodyTooLarge, "body_too_large", 413, true, false, "The body is larger than the limit.", "Check limits.body_bytes."},
+	{KeyRunning, "key_running", 409, true, true, "Another attempt with this idempotency key is in progress.", "Nothing; the caller asks again later."},
+	{KeyAnswered, "key_answered", 409, true, false, "A request with this idempotency key was answered before.", "Nothing; the caller has had its answer."},
+	{KeyMismatch, "key_mismatch", 422, true, false, "The idempotency key was used before with another body.", "Ask the team to mend its client."},
+	{BodyTooSlow, "body_too_slow", 408, true, true, "The body did not arrive in time.", "Look for half-open callers."},
+	{UnknownService, "unknown_service", 404, true, false, "No route leads to a plain service of this name.", "Check the routes' service selectors."},
+	{TooLate, "too_late", 503, true, true, "The targets can't be met with the work already queued.", "Load is above capacity: add prefill runners."},
+	{NoDecodeMemory, "no_decode_memory", 503, true, true, "No decode memory will be free in time.", "Load is above capacity: add decode runners."},
+	{TeamLimit, "team_limit", 429, true, true, "The team has too many requests in progress on this host.", "Check max_concurrent of the team."},
+	{NoEndpoint, "no_endpoint", 503, true, true, "No endpoint that the route allows is in reach.", "Run embercove status; look for cut-off domains."},
+	{Draining, "draining", 503, true, true, "This host is stopping.", "Nothing; the balancer takes the host out."},
+	{KeyOutOfReach, "key_out_of_reach", 503, true, true, "The hosts that hold this idempotency key are out of reach.", "Look for a cut between domains."},
+	{NotReady, "not_ready", 503, true, true, "This host has no accepted configuration yet.", "Check that the platform or a peer is in reach."},
+	{RetryBudget, "retry_budget", 503, true, true, "The attempts failed before running and the retry budget is spent.", "Look for failing endpoints."},
+	{EndpointRefused, "endpoint_refused", 503, true, true, "The endpoint refused the request without running it.", "Look at the endpoint's own log."},
+	{OutcomeUnknown, "outcome_unknown", 502, false, false, "The request may have run; its answer is not known.", "Look for hosts or endpoints that died."},
+	{AnswerBroken, "answer_broken", 502, false, true, "The answer stopped part-way and could not be resumed.", "Look for endpoints that died."},
+	{CallerGone, "caller_gone", 499, false, false, "The caller left before its answer was whole.", "Nothing."},
+	{DeadlinePassed, "deadline_passed", 504, false, true, "The deadline passed while the request was running.", "Compare deadlines with the targets."},
+	{PrefillWasted, "prefill_wasted", 503, false, true, "The prompt was read but no decode engine took it in time.", "Lower policy.overbook, or add decode runners."},
+	{InvariantBroken, "invariant_broken", 0, false, false, "Something that must always hold did not.", "Report it as a bug with the log line."},
+	{RevisionClash, "revision_clash", 0, false, false, "Two documents carry the same revision; the one in force stays.", "Publish once more under a higher revision."},
+	{RevisionInvalid, "revision_invalid", 0, false, false, "A published revision was rejected; the one in force stays.", "Run embercove check on the document."},
+	{ProcessPaused, "process_paused", 0, false, false, "The process was paused; its beliefs were dropped.", "Look for an overcommitted host."},
+}
+
+var byCode = func() map[Code]Info {
+	m := make(map[Code]Info, len(infos))
+	for _, i := range infos {
+		m[i.Code] = i
+	}
+	return m
+}()
+
+// All returns every code's description in order of number.
+func All() []Info { return append([]Info(nil), infos...) }
+
+// Info returns the description of c. An unlisted code describes itself as
+// unknown, so that a log line never fails.
+func (c Code) Info() Info {
+	if i, ok := byCode[c]; ok {
+		return i
+	}
+	return Info{Code: c, Name: fmt.Sprintf("code_%d", int(c)), Status: 500}
+}
+
+// String returns the code's name.
+func (c Code) String() string { return c.Info().Name }
+
+// NotRun reports whether c promises that the request did not run.
+func (c Code) NotRun() bool { return c.Info().NotRun }
+
+// Error is a refusal or failure with its code. It is what packages return
+// when a caller must be told a numbered reason.
+type Error struct {
+	Code       Code
+	Detail     string        // names the field and cause; safe to show to callers
+	RetryAfter time.Duration // when to come back; 0 where retrying is no use
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%d %s: %s", int(e.Code), e.Code, e.Detail)
+}
+
+// Errorf returns an *Error with a formatted detail and no time to come back.
+func Errorf(c Code, format string, args ...any) *Error {
+	return &Error{Code: c, Detail: fmt.Sprintf(format, args...)}
+}
+
+// After returns e with the time after which a retry may succeed.
+func (e *Error) After(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
