--- /dev/null
+++ b/endpoint/client.go
@@ -0,0 +1,230 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Limits of what is read from an endpoint outside of answers.
+const (
+	maxReport  = 4 << 20
+	maxProblem = 4 << 10
+)
+
+// Dial opens a connection to an IP:port; tests put a network of their own
+// in its place.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Client calls endpoints. Its methods are safe for concurrent use.
+type Client struct {
+	hc *http.Client
+}
+
+// NewClient returns a client. A nil dial uses TCP.
+func NewClient(dial Dial) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
+	}
+	return &Client{hc: &http.Client{
+		Transport: &http.Transport{
+			DialContext: dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second,
+			DisableCompression: true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// CloseIdle closes connections that no call uses.
+func (c *Client) CloseIdle() { c.hc.CloseIdleConnections() }
+
+// CallError is a failed call. MayHaveRun is the point of it: it is false
+// only when nothing reached the endpoint or the endpoint vouches that it
+// didn't run the request.
+type CallError struct {
+	Address    string
+	Status     int // HTTP status; 0 without an answer
+	MayHaveRun bool
+	Cause      error
+}
+
+// Error implements the error interface.
+func (e *CallError) Error() string {
+	return fmt.Sprintf("endpoint %s: status %d, may have run %v: %v", e.Address, e.Status, e.MayHaveRun, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
+
+// MayHaveRun reports whether err leaves it open that the request ran.
+func MayHaveRun(err error) bool {
+	var ce *CallError
+	return err != nil && (!errors.As(err, &ce) || ce.MayHaveRun)
+}
+
+// do sends a request whose effect matters. The request is given no GetBody
+// and no idempotency header, because net/http would then send it again by
+// itself on a broken connection.
+func (c *Client) do(ctx context.Context, method, addr, path string, header http.Header, body []byte) (*http.Response, error) {
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method,
+		"http://"+addr+path, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, &CallError{Address: addr, Cause: err}
+	}
+	// The body is never http.NoBody: net/http sends a GET without a body
+	// again by itself, and some calls may not be repeated.
+	req.ContentLength = int64(len(body))
+	req.GetBody = nil
+	if header != nil {
+		req.Header = header
+	}
+	res, err := c.hc.Do(req)
+	if err != nil {
+		return nil, &CallError{Address: addr, MayHaveRun: sent.Load(), Cause: err}
+	}
+	return res, nil
+}
+
+// problem reads an error answer.
+func problem(addr string, res *http.Response) error {
+	defer res.Body.Close()
+	body, _ := io.ReadAll(io.LimitReader(res.Body, maxProblem))
+	p := Problem{}
+	if json.Unmarshal(body, &p) != nil {
+		p.Error = string(body)
+	}
+	return &CallError{Address: addr, Status: res.StatusCode, MayHaveRun: !p.NotRun, Cause: errors.New(p.Error)}
+}
+
+func callHeader(attempt, version string, repeatable bool) http.Header {
+	h := http.Header{"Content-Type": {"application/json"}, HeaderRequestID: {attempt}}
+	if version != "" {
+		h.Set(HeaderVersion, version)
+	}
+	if !repeatable {
+		h.Set(HeaderRepeatable, "false")
+	}
+	return h
+}
+
+// Call names one attempt at one endpoint.
+type Call struct {
+	Address    string
+	Attempt    string
+	Version    string // model version asked for; empty: any
+	Repeatable bool
+}
+
+// Prefill has the prompt read and its KV cache exported.
+func (c *Client) Prefill(ctx context.Context, call Call, comp Completion) (*PrefillAnswer, error) {
+	comp.MaxTokens, comp.Stream = 1, false
+	comp.Transfer = &Transfer{RemoteDecode: true}
+	body, err := json.Marshal(comp)
+	if err != nil {
+		return nil, &CallError{Address: call.Address, Cause: err}
+	}
+	res, err := c.do(ctx, http.MethodPost, call.Address, PathCompletions, callHeader(call.Attempt, call.Version, call.Repeatable), body)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode != http.StatusOK {
+		return nil, problem(call.Address, res)
+	}
+	defer res.Body.Close()
+	ans := new(PrefillAnswer)
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxReport)).Decode(ans); err != nil {
+		return nil, &CallError{Address: call.Address, Status: res.StatusCode, MayHaveRun: true, Cause: err}
+	}
+	if ans.ID != call.Attempt || ans.Transfer == nil {
+		return nil, &CallError{Address: call.Address, Status: res.StatusCode, MayHaveRun: true,
+			Cause: errors.Errorf("answer of %q for %q", ans.ID, call.Attempt)}
+	}
+	return ans, nil
+}
+
+// Service passes a call to a plain service and returns its answer. The
+// caller closes the body. An answer of any status counts as having run,
+// unless the service vouches otherwise.
+func (c *Client) Service(ctx context.Context, call Call, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	header = header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set(HeaderRequestID, call.Attempt)
+	if !call.Repeatable {
+		header.Set(HeaderRepeatable, "false")
+	}
+	res, err := c.do(ctx, method, call.Address, path, header, body)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode == http.StatusServiceUnavailable {
+		return nil, problem(call.Address, res)
+	}
+	return res, nil
+}
+
+// report gets or posts a small JSON document.
+func (c *Client) report(ctx context.Context, method, addr, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return errors.Wrap(err, path)
+		}
+	}
+	res, err := c.do(ctx, method, addr, path, nil, body)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
+		return problem(addr, res)
+	}
+	defer res.Body.Close()
+	if out == nil {
+		_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxReport))
+		return errors.Wrap(err, path)
+	}
+	return errors.Wrap(json.NewDecoder(io.LimitReader(res.Body, maxReport)).Decode(out), path)
+}
+
+// State asks for the endpoint's lagged report.
+func (c *Client) State(ctx context.Context, addr string) (*State, error) {
+	s := new(State)
+	return s, c.report(ctx, http.MethodGet, addr, PathState, nil, s)
+}
+
+// Requests asks for the endpoint's own list of what it holds.
+func (c *Client) Requests(ctx context.Context, addr string) ([]Running, error) {
+	var l RunningList
+	err := c.report(ctx, http.MethodGet, addr, PathRequests, nil, &l)
+	return l.Requests, err
+}
+
+// Abort gives up a request, or one attempt of it.
+func (c *Client) Abort(ctx context.Context, addr, id string) error {
+	return c.report(ctx, http.MethodPost, addr, PathAbort, Abort{ID: id}, nil)
+}
+
+// CacheEvents reads the event feed from a sequence number on.
+func (c *Client) CacheEvents(ctx context.Context, addr string, after uint64) (*CacheEvents, error) {
+	e := new(CacheEvents)
+	return e, c.report(ctx, http.MethodGet, addr, fmt.Sprintf("%s?after=%d", PathCacheEvents, after), nil, e)
+}
+
+// Order brings the endpoint to a state. A refused fence is a CallError with
+// status 409.
+func (c *Client) Order(ctx context.Context, addr string, o Order) error {
+	return c.report(ctx, http.MethodPost, addr, PathOrders, o, nil)
+}
--- /dev/null
+++ b/endpoint/stream.go
@@ -0,0 +1,101 @@
+package endpoint
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// Stream is a decode engine's answer in progress.
+type Stream struct {
+	addr    string
+	attempt string
+	body    io.ReadCloser
+	r       *bufio.Reader
+	done    bool
+}
+
+// maxEvent bounds one line of a stream.
+const maxEvent = 256 << 10
+
+// Decode starts an answer from an exported KV cache. The returned stream
+// must be closed; ctx ends it too.
+func (c *Client) Decode(ctx context.Context, call Call, comp Completion) (*Stream, error) {
+	comp.Stream = true
+	body, err := json.Marshal(comp)
+	if err != nil {
+		return nil, &CallError{Address: call.Address, Cause: err}
+	}
+	res, err := c.do(ctx, http.MethodPost, call.Address, PathCompletions, callHeader(call.Attempt, call.Version, call.Repeatable), body)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode != http.StatusOK {
+		return nil, problem(call.Address, res)
+	}
+	return &Stream{addr: call.Address, attempt: call.Attempt, body: res.Body, r: bufio.NewReaderSize(res.Body, 4096)}, nil
+}
+
+// ErrForeignAnswer is returned for a chunk that belongs to another attempt.
+var ErrForeignAnswer = errors.New("chunk of another attempt")
+
+// Next returns the next chunk. It returns io.EOF only after the engine's
+// mark of a whole answer; a stream that just ends is io.ErrUnexpectedEOF.
+func (s *Stream) Next() (*Chunk, error) {
+	for {
+		if s.done {
+			return nil, io.EOF
+		}
+		line, err := s.r.ReadSlice('\n')
+		if err == io.EOF {
+			return nil, s.fail(io.ErrUnexpectedEOF)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			line, err = s.longLine(line)
+		}
+		if err != nil {
+			return nil, s.fail(err)
+		}
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			s.done = true
+			continue
+		}
+		c := new(Chunk)
+		if err := json.Unmarshal(data, c); err != nil {
+			return nil, s.fail(errors.Wrap(err, "chunk"))
+		}
+		if c.ID != s.attempt {
+			return nil, s.fail(ErrForeignAnswer)
+		}
+		return c, nil
+	}
+}
+
+// longLine reads on to the end of a line that the buffer couldn't hold.
+func (s *Stream) longLine(head []byte) ([]byte, error) {
+	line := append([]byte(nil), head...)
+	for len(line) < maxEvent {
+		part, err := s.r.ReadSlice('\n')
+		line = append(line, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+	return nil, errors.New("event is too long")
+}
+
+func (s *Stream) fail(err error) error {
+	return &CallError{Address: s.addr, Status: http.StatusOK, MayHaveRun: true, Cause: err}
+}
+
+// Close ends the stream; an engine that still writes sees its caller gone.
+func (s *Stream) Close() error { return s.body.Close() }
--- /dev/null
+++ b/internal/fake/network.go
@@ -0,0 +1,168 @@
+package fake
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Network is a network inside one process, with zones that can be cut off
+// from each other and hosts that can be taken away. Addresses are names to
+// it; a zone is whatever the test calls a failure domain.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	zone      map[string]string // by address
+	cuts      map[[2]string]bool
+	healed    chan struct{}
+	Delay     func(fromZone, toZone string) time.Duration
+}
+
+// NewNetwork returns a network without cuts or delays.
+func NewNetwork() *Network {
+	return &Network{listeners: map[string]*listener{}, zone: map[string]string{}, cuts: map[[2]string]bool{}, healed: make(chan struct{})}
+}
+
+type listener struct {
+	n      *Network
+	addr   string
+	accept chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+type addr string
+
+func (a addr) Network() string { return "memory" }
+func (a addr) String() string  { return string(a) }
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.n.mu.Lock()
+		defer l.n.mu.Unlock()
+		if l.n.listeners[l.addr] == l {
+			delete(l.n.listeners, l.addr)
+		}
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return addr(l.addr) }
+
+// Listen opens an address in a zone.
+func (n *Network) Listen(zone, address string) net.Listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &listener{n: n, addr: address, accept: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = l
+	n.zone[address] = zone
+	return l
+}
+
+// Cut parts two zones, or heals the cut. Traffic between them hangs, as it
+// does on a real cut; it doesn't fail.
+func (n *Network) Cut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{a, b}] = cut
+	n.cuts[[2]string{b, a}] = cut
+	close(n.healed)
+	n.healed = make(chan struct{})
+}
+
+// blocked returns a channel that closes at the next change if the zones are
+// cut apart, else nil.
+func (n *Network) blocked(a, b string) chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cuts[[2]string{a, b}] {
+		return n.healed
+	}
+	return nil
+}
+
+// dialTimeout is how long a dial into a cut hangs.
+const dialTimeout = time.Second
+
+// Dialer returns a dial function for a process in the zone.
+func (n *Network) Dialer(zone string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		n.mu.Lock()
+		l, to := n.listeners[address], n.zone[address]
+		n.mu.Unlock()
+		deadline := time.NewTimer(dialTimeout)
+		defer deadline.Stop()
+		for {
+			healed := n.blocked(zone, to)
+			if healed == nil {
+				break
+			}
+			select {
+			case <-healed:
+			case <-deadline.C:
+				return nil, errors.Errorf("dial %s: timeout", address)
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+		if l == nil {
+			return nil, errors.Errorf("dial %s: refused", address)
+		}
+		a, b := net.Pipe()
+		near := &conn{Conn: a, n: n, from: zone, to: to, closed: make(chan struct{})}
+		far := &conn{Conn: b, n: n, from: to, to: zone, closed: make(chan struct{})}
+		select {
+		case l.accept <- far:
+			return near, nil
+		case <-l.closed:
+			return nil, errors.Errorf("dial %s: refused", address)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// conn is one end of a connection; its writes hang while the zones are cut.
+type conn struct {
+	net.Conn
+	n        *Network
+	from, to string
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	for {
+		healed := c.n.blocked(c.from, c.to)
+		if healed == nil {
+			break
+		}
+		select {
+		case <-healed:
+		case <-c.closed:
+			return 0, net.ErrClosed
+		}
+	}
+	if c.n.Delay != nil {
+		time.Sleep(c.n.Delay(c.from, c.to))
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/fake/runner.go
@@ -0,0 +1,319 @@
+package fake
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+)
+
+// Runner is a stand-in model engine: prefill or decode. Its sizes are those
+// of the endpoint in the configuration.
+type Runner struct {
+	spec   config.Endpoint
+	kvByte int64
+	dial   endpoint.Dial
+	peers  *http.Client
+	born   time.Time
+
+	faults faultBox
+	truth  truth
+	cache  *prefixCache
+
+	mu       sync.Mutex
+	fence    uint64
+	role     string
+	model    string
+	version  string
+	adapters []string
+	held     map[string]*holding
+	used     int // tokens of memory held
+	exports  map[string]*export
+	waiting  []*holding // prefill: not yet read
+	queued   int        // tokens of waiting prompts
+	report   endpoint.State
+	reported time.Time
+	steps    bool // the decode loop runs
+	reading  bool // the prefill loop runs
+	imports  int  // transfers in progress on the link
+	incarn   uint64
+}
+
+// holding is one attempt that the engine holds memory for.
+type holding struct {
+	attempt  string
+	prompt   string
+	tokens   int // memory
+	uncached int
+	priority int
+	since    time.Time
+	rec      *Record
+	gone     chan struct{} // closed when given up
+	once     sync.Once
+	done     chan struct{} // prefill: read; decode: closed at the end
+	out      chan int      // decode: numbers of tokens written
+	next     int
+	last     int
+}
+
+func (h *holding) abort() { h.once.Do(func() { close(h.gone) }) }
+
+// NewRunner returns a stand-in for the endpoint. dial is how it reaches the
+// source of a transfer; nil uses TCP.
+func NewRunner(spec config.Endpoint, kvBytesPerToken int64, version string, dial endpoint.Dial) *Runner {
+	tr := &http.Transport{DialContext: dial, IdleConnTimeout: 5 * time.Second}
+	return &Runner{spec: spec, kvByte: kvBytesPerToken, dial: dial, peers: &http.Client{Transport: tr},
+		born: time.Now(), cache: newPrefixCache(cacheBlocks(spec)), role: string(spec.Role), model: spec.Model,
+		version: version, adapters: spec.Adapters, held: map[string]*holding{}, exports: map[string]*export{},
+		incarn: uint64(time.Now().UnixMilli())}
+}
+
+// cacheTokens is the size of a prefill engine's prefix cache.
+const cacheTokens = 400_000
+
+func cacheBlocks(config.Endpoint) int { return cacheTokens / endpoint.BlockTokens }
+
+// Close drops the connections that the stand-in keeps to others.
+func (r *Runner) Close() { r.peers.CloseIdleConnections() }
+
+// SetFaults replaces the faults.
+func (r *Runner) SetFaults(f Faults) { r.faults.set(f) }
+
+// Truth returns what happened at the stand-in.
+func (r *Runner) Truth() []Record { return r.truth.list() }
+
+// Held returns the number of attempts that hold memory, and their tokens.
+func (r *Runner) Held() (attempts, tokens int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.held), r.used
+}
+
+// ServeHTTP speaks the engine's protocol and the control path.
+func (r *Runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	switch path := q.URL.Path; {
+	case path == endpoint.PathCompletions:
+		r.complete(w, q)
+	case path == endpoint.PathState:
+		writeJSON(w, http.StatusOK, r.lagged())
+	case path == endpoint.PathRequests:
+		writeJSON(w, http.StatusOK, r.list())
+	case path == endpoint.PathAbort:
+		r.abort(w, q)
+	case path == endpoint.PathCacheEvents:
+		after, _ := strconv.ParseUint(q.URL.Query().Get("after"), 10, 64)
+		writeJSON(w, http.StatusOK, r.cache.after(after))
+	case path == endpoint.PathOrders:
+		r.order(w, q)
+	case strings.HasPrefix(path, pathKV):
+		r.serveKV(w, q)
+	case path == "/control/faults":
+		controlFaults(&r.faults, w, q)
+	case path == "/control/truth":
+		writeJSON(w, http.StatusOK, r.Truth())
+	default:
+		http.NotFound(w, q)
+	}
+}
+
+func controlFaults(box *faultBox, w http.ResponseWriter, q *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(q.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	box.set(f)
+	writeJSON(w, http.StatusOK, f)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func refuse(w http.ResponseWriter, status int, cause string, notRun bool) {
+	writeJSON(w, status, endpoint.Problem{Error: cause, NotRun: notRun})
+}
+
+// hangUp closes the connection without an answer.
+func hangUp(w http.ResponseWriter) {
+	if hj, ok := w.(http.Hijacker); ok {
+		if c, _, err := hj.Hijack(); err == nil {
+			c.Close()
+		}
+	}
+}
+
+func (r *Runner) complete(w http.ResponseWriter, q *http.Request) {
+	var comp endpoint.Completion
+	if err := json.NewDecoder(q.Body).Decode(&comp); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error(), true)
+		return
+	}
+	if r.faults.take(func(f *Faults) *int { return &f.CutBefore }) {
+		hangUp(w)
+		return
+	}
+	f := r.faults.get()
+	if f.RefuseShare > 0 && rand.Float64() < f.RefuseShare {
+		refuse(w, http.StatusServiceUnavailable, "refused by fault", true)
+		return
+	}
+	if r.faults.take(func(f *Faults) *int { return &f.RefuseUnvouch }) {
+		refuse(w, http.StatusInternalServerError, "broken by fault", false)
+		return
+	}
+	if cause := r.mismatch(q.Header.Get(endpoint.HeaderVersion), comp); cause != "" {
+		refuse(w, http.StatusConflict, cause, true)
+		return
+	}
+	if comp.Transfer != nil && comp.Transfer.RemoteDecode {
+		r.prefill(w, q, comp)
+		return
+	}
+	r.decode(w, q, comp)
+}
+
+// mismatch says why the runner is in the wrong state for a call, or "".
+func (r *Runner) mismatch(version string, comp endpoint.Completion) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.currentVersion()
+	if version != "" && version != v {
+		return "version is " + v
+	}
+	if comp.Model != r.model && !slices.Contains(r.adapters, comp.Model) {
+		return "model is " + r.model
+	}
+	want := string(config.Decode)
+	if comp.Transfer != nil && comp.Transfer.RemoteDecode {
+		want = string(config.Prefill)
+	}
+	if r.role != want {
+		return "role is " + r.role
+	}
+	return ""
+}
+
+func (r *Runner) currentVersion() string {
+	if f := r.faults.get(); f.WrongState != "" {
+		return f.WrongState
+	}
+	return r.version
+}
+
+// hold takes memory for an attempt; the caller holds no lock.
+func (r *Runner) hold(q *http.Request, comp endpoint.Completion, tokens int) *holding {
+	h := &holding{attempt: q.Header.Get(endpoint.HeaderRequestID), prompt: comp.Prompt, tokens: tokens,
+		priority: comp.Priority, since: time.Now(), gone: make(chan struct{}), done: make(chan struct{})}
+	h.rec = r.truth.add(Record{ID: h.attempt, Role: string(r.spec.Role), Prompt: PromptHash(comp.Prompt), Ran: true,
+		Repeatable: q.Header.Get(endpoint.HeaderRepeatable) != "false", Leaving: r.faults.get().Leaving,
+		StartedMS: time.Now().UnixMilli()})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held[h.attempt] = h
+	r.used += tokens
+	return h
+}
+
+func (r *Runner) drop(h *holding) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.held[h.attempt] == h {
+		delete(r.held, h.attempt)
+		r.used -= h.tokens
+	}
+}
+
+// watch gives the attempt up when its caller disconnects.
+func (r *Runner) watch(q *http.Request, h *holding) {
+	select {
+	case <-q.Context().Done():
+		if !r.faults.get().LoseCancels {
+			h.abort()
+		}
+	case <-h.done:
+	case <-h.gone:
+	}
+}
+
+func (r *Runner) abort(w http.ResponseWriter, q *http.Request) {
+	var a endpoint.Abort
+	if err := json.NewDecoder(q.Body).Decode(&a); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error(), true)
+		return
+	}
+	if r.faults.get().LoseCancels && q.Header.Get("X-Reaper") == "" {
+		writeJSON(w, http.StatusOK, struct{}{})
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, h := range r.held {
+		if id == a.ID || strings.HasPrefix(id, a.ID+".") {
+			h.abort()
+		}
+	}
+	for _, e := range r.exports {
+		if e.attempt == a.ID || strings.HasPrefix(e.attempt, a.ID+".") {
+			r.dropExport(e)
+		}
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (r *Runner) order(w http.ResponseWriter, q *http.Request) {
+	var o endpoint.Order
+	if err := json.NewDecoder(io.LimitReader(q.Body, 1<<20)).Decode(&o); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error(), true)
+		return
+	}
+	if r.faults.take(func(f *Faults) *int { return &f.DropOrders }) {
+		writeJSON(w, http.StatusOK, struct{}{})
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	checks := r.spec.ChecksFence && !r.faults.get().IgnoreFences
+	if checks && o.Fence < r.fence {
+		refuse(w, http.StatusConflict, "fence is "+strconv.FormatUint(r.fence, 10), true)
+		return
+	}
+	r.fence, r.role, r.model, r.version, r.adapters = o.Fence, o.Role, o.Model, o.Version, o.Adapters
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// lagged returns the load as it was some time ago.
+func (r *Runner) lagged() endpoint.State {
+	f := r.faults.get()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lag := time.Duration(f.LagMillis) * time.Millisecond
+	if r.reported.IsZero() || time.Since(r.reported) >= lag {
+		r.reported = time.Now()
+		r.report = endpoint.State{MemoryUsed: r.used, Running: len(r.held), QueuedTokens: r.queued}
+	}
+	s := r.report
+	s.Engine, s.Incarnation, s.Role, s.Model = r.spec.Name, r.incarn, r.role, r.model
+	s.Version, s.Adapters, s.Fence, s.Leaving = r.currentVersion(), r.adapters, r.fence, f.Leaving
+	return s
+}
+
+func (r *Runner) list() endpoint.RunningList {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var l endpoint.RunningList
+	for id, h := range r.held {
+		l.Requests = append(l.Requests, endpoint.Running{ID: id, Tokens: h.tokens, AgeMillis: int(time.Since(h.since).Milliseconds())})
+	}
+	return l
+}
