--- /dev/null
+++ b/blackboard/board.go
@@ -0,0 +1,68 @@
+package blackboard
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/invariant"
+	"github.com/embercove/embercove/request"
+)
+
+// Board is the blackboard of one process.
+type Board struct {
+	Settings    *config.Settings
+	Number      uint32 // of this host
+	Incarnation uint64 // of this process, ms since 1970
+
+	Config    *ConfigTable
+	Hosts     *HostTable
+	Endpoints *EndpointTable
+	Requests  *RequestTable
+	Keys      *KeyTable
+	Invariant *invariant.Set
+	Pause     *Pause
+	Wake      *Wake
+
+	leaving  atomic.Bool
+	draining atomic.Bool
+	counter  atomic.Uint64
+}
+
+// New returns the empty board of a process.
+func New(s *config.Settings) *Board {
+	inv := new(invariant.Set)
+	b := &Board{
+		Settings: s, Number: request.HostNumber(s.Host), Incarnation: uint64(time.Now().UnixMilli()),
+		Config: newConfigTable(inv), Endpoints: newEndpointTable(), Requests: newRequestTable(inv),
+		Keys: newKeyTable(), Invariant: inv, Wake: newWake(),
+		Pause: NewPause(config.Millis(s.PauseMillis)),
+	}
+	b.Hosts = newHostTable(Host{
+		Name: s.Host, Number: b.Number, Domain: s.Domain, Region: s.Region, Peers: s.Peers,
+		Incarnation: b.Incarnation,
+	}, config.Millis(s.SuspectMillis), config.Millis(s.HeartbeatMillis))
+	return b
+}
+
+// NextID returns a new request id.
+func (b *Board) NextID() request.ID {
+	return request.ID{Host: b.Number, Incarnation: b.Incarnation, Counter: b.counter.Add(1)}
+}
+
+// SetLeaving takes readiness away and the endpoints to other owners, while
+// requests are still taken. It isn't undone.
+func (b *Board) SetLeaving() {
+	b.leaving.Store(true)
+	b.Hosts.SetLeaving()
+	b.Wake.All()
+}
+
+// Leaving reports whether the process is about to stop.
+func (b *Board) Leaving() bool { return b.leaving.Load() }
+
+// SetDraining has new requests refused. It isn't undone.
+func (b *Board) SetDraining() { b.draining.Store(true) }
+
+// Draining reports whether new requests are refused.
+func (b *Board) Draining() bool { return b.draining.Load() }
--- /dev/null
+++ b/blackboard/endpoints.go
@@ -0,0 +1,101 @@
+package blackboard
+
+import (
+	"sync"
+	"time"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/route"
+)
+
+// EndpointTable holds the digests of endpoints, in the order of the
+// configuration's list, ready for route to decide from.
+type EndpointTable struct {
+	mu       sync.RWMutex
+	view     *config.View
+	states   []route.State
+	byNumber map[uint32]int
+}
+
+func newEndpointTable() *EndpointTable {
+	return &EndpointTable{byNumber: map[uint32]int{}}
+}
+
+// Fit lays the table out for a revision, keeping what is known of endpoints
+// that stay.
+func (t *EndpointTable) Fit(v *config.View) {
+	states := route.Layout(v)
+	byNumber := make(map[uint32]int, len(states))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range states {
+		n := states[i].Number
+		byNumber[n] = i
+		if j, ok := t.byNumber[n]; ok {
+			states[i].Digest, states[i].At = t.states[j].Digest, t.states[j].At
+		}
+	}
+	t.view, t.states, t.byNumber = v, states, byNumber
+}
+
+// Learn takes in a digest that was age old when it came; the fresher one
+// stays. It reports whether the digest was taken.
+func (t *EndpointTable) Learn(d route.Digest, now time.Time) bool {
+	at := now.Add(-time.Duration(d.AgeMillis) * time.Millisecond)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i, ok := t.byNumber[d.Number]
+	if !ok || !at.After(t.states[i].At) {
+		return false
+	}
+	if d.Heads == nil {
+		d.Heads = t.states[i].Digest.Heads
+	}
+	t.states[i].Digest, t.states[i].At = d, at
+	return true
+}
+
+// Read calls f with the states. f must not keep or change them; it may be
+// called by many at once.
+func (t *EndpointTable) Read(f func(v *config.View, states []route.State)) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	f(t.view, t.states)
+}
+
+// Touch changes one state, for what this host itself has just sent.
+func (t *EndpointTable) Touch(i int, f func(s *route.State)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i < len(t.states) {
+		f(&t.states[i])
+	}
+}
+
+// Digests returns the digests that are younger than maxAge, with their age.
+func (t *EndpointTable) Digests(now time.Time, maxAge time.Duration, want func(s *route.State) bool) []route.Digest {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make([]route.Digest, 0, len(t.states))
+	for i := range t.states {
+		s := &t.states[i]
+		age := now.Sub(s.At)
+		if s.At.IsZero() || age > maxAge || !want(s) {
+			continue
+		}
+		d := s.Digest
+		d.AgeMillis = uint32(age.Milliseconds())
+		out = append(out, d)
+	}
+	return out
+}
+
+// Drop forgets every digest, after a pause of the process.
+func (t *EndpointTable) Drop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range t.states {
+		t.states[i].Digest = route.Digest{Number: t.states[i].Number, Heads: t.states[i].Digest.Heads}
+		t.states[i].At = time.Time{}
+	}
+}
--- /dev/null
+++ b/blackboard/hosts.go
@@ -0,0 +1,239 @@
+package blackboard
+
+import (
+	"encoding/binary"
+	"math/bits"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Host is what is known of one entry host.
+type Host struct {
+	Name        string
+	Number      uint32
+	Domain      string
+	Region      string
+	Peers       string // address of its net/rpc listener
+	Incarnation uint64
+	Beat        uint64 // heartbeats of this incarnation
+	Leaving     bool
+	Advanced    time.Time // when Beat was last seen to rise, by our clock
+	Doubted     bool      // a call to it failed and no heartbeat came since
+}
+
+// HostTable is the membership: who is live is judged by each process for
+// itself, from heartbeats that hosts hand on to each other.
+type HostTable struct {
+	suspect time.Duration
+	beat    time.Duration
+
+	mu    sync.RWMutex
+	self  Host
+	hosts map[uint32]*Host
+}
+
+func newHostTable(self Host, suspect, beat time.Duration) *HostTable {
+	t := &HostTable{suspect: suspect, beat: beat, self: self, hosts: map[uint32]*Host{}}
+	t.hosts[self.Number] = &t.self
+	return t
+}
+
+// Tick raises this host's own heartbeat.
+func (t *HostTable) Tick(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self.Beat++
+	t.self.Advanced = now
+}
+
+// SetLeaving marks this host as leaving, which takes its endpoints from it.
+func (t *HostTable) SetLeaving() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self.Leaving = true
+	t.self.Beat++
+}
+
+// Self returns this host's own row.
+func (t *HostTable) Self() Host {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.self
+}
+
+// Learn takes in what a peer or the platform says of a host. A row from the
+// platform's list has no incarnation and proves no life. Learn reports
+// whether the row changed what decisions are made from.
+func (t *HostTable) Learn(h Host, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h.Number == t.self.Number {
+		return false
+	}
+	cur := t.hosts[h.Number]
+	if cur == nil {
+		row := h
+		row.Advanced, row.Doubted = now, false
+		t.hosts[h.Number] = &row
+		return true
+	}
+	if h.Incarnation == 0 {
+		changed := h.Leaving && !cur.Leaving && cur.Incarnation == 0
+		cur.Leaving = cur.Leaving || (h.Leaving && cur.Incarnation == 0)
+		return changed
+	}
+	newer := h.Incarnation > cur.Incarnation || h.Incarnation == cur.Incarnation && h.Beat > cur.Beat
+	if !newer {
+		return false
+	}
+	changed := h.Incarnation != cur.Incarnation || h.Leaving != cur.Leaving || cur.Doubted
+	row := h
+	row.Advanced = now
+	*cur = row
+	return changed
+}
+
+// ListedLeaving marks a host that the platform lists as leaving. The list
+// lags, so the host's own word under a later incarnation overrides it.
+func (t *HostTable) ListedLeaving(number uint32, incarnation uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.hosts[number]; h != nil && h.Incarnation == incarnation && number != t.self.Number {
+		h.Leaving = true
+	}
+}
+
+// Doubt notes that a call to the host failed. A doubted host is passed over
+// until its heartbeat rises again, so that a frozen one costs one time-out
+// and not one for each request.
+func (t *HostTable) Doubt(number uint32) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.hosts[number]; h != nil && number != t.self.Number {
+		h.Doubted = true
+	}
+}
+
+// limit is the silence after which a host counts as gone. News travels by
+// way of other hosts in a number of rounds that grows with the logarithm of
+// their number.
+func (t *HostTable) limit() time.Duration {
+	return t.suspect + t.beat*time.Duration(bits.Len(uint(len(t.hosts)))/2)
+}
+
+func (t *HostTable) live(h *Host, now time.Time) bool {
+	return h.Number == t.self.Number || now.Sub(h.Advanced) <= t.limit()
+}
+
+// Get returns a host's row and whether it is live.
+func (t *HostTable) Get(number uint32, now time.Time) (h Host, live, known bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	row := t.hosts[number]
+	if row == nil {
+		return Host{}, false, false
+	}
+	return *row, t.live(row, now), true
+}
+
+// List returns every known host, ordered by name.
+func (t *HostTable) List() []Host {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make([]Host, 0, len(t.hosts))
+	for _, h := range t.hosts {
+		out = append(out, *h)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Live reports whether a row that List returned counts as live.
+func (t *HostTable) Live(h Host, now time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.live(&h, now)
+}
+
+// Forget drops hosts that have been silent for so long that nothing refers
+// to them any more, and that the platform doesn't list.
+func (t *HostTable) Forget(now time.Time, silence time.Duration, listed func(number uint32) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for n, h := range t.hosts {
+		if n != t.self.Number && now.Sub(h.Advanced) > silence && !listed(n) {
+			delete(t.hosts, n)
+		}
+	}
+}
+
+// Renew treats every host as just heard from. It is called after a pause of
+// this process: that nothing was heard then says nothing about the others.
+func (t *HostTable) Renew(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range t.hosts {
+		h.Advanced = now
+	}
+}
+
+// Order returns the live, not leaving hosts of a domain in rendezvous order
+// for a key: the first owns it, the next is its successor. Without any such
+// host the list is empty.
+func (t *HostTable) Order(key uint64, domain string, now time.Time) []Host {
+	type scored struct {
+		Host
+		score uint64
+	}
+	t.mu.RLock()
+	rows := make([]scored, 0, 8)
+	for _, h := range t.hosts {
+		if h.Domain == domain && !h.Leaving && t.live(h, now) {
+			rows = append(rows, scored{*h, rendezvous(key, h.Number)})
+		}
+	}
+	t.mu.RUnlock()
+	slices.SortFunc(rows, func(a, b scored) int {
+		if a.score > b.score {
+			return -1
+		}
+		return 1
+	})
+	out := make([]Host, len(rows))
+	for i, r := range rows {
+		out[i] = r.Host
+	}
+	return out
+}
+
+// First returns the first host of Order without building the list.
+func (t *HostTable) First(key uint64, domain string, now time.Time) (Host, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var best *Host
+	var top uint64
+	for _, h := range t.hosts {
+		if h.Domain != domain || h.Leaving || !t.live(h, now) {
+			continue
+		}
+		if s := rendezvous(key, h.Number); best == nil || s > top {
+			best, top = h, s
+		}
+	}
+	if best == nil {
+		return Host{}, false
+	}
+	return *best, true
+}
+
+// rendezvous is the weight of a host for a key (highest random weight).
+func rendezvous(key uint64, host uint32) uint64 {
+	var b [12]byte
+	binary.LittleEndian.PutUint64(b[:], key)
+	binary.LittleEndian.PutUint32(b[8:], host)
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/owner/book.go
@@ -0,0 +1,224 @@
+package owner
+
+import (
+	"sync"
+	"time"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/result"
+	"github.com/embercove/embercove/route"
+)
+
+// Book is what an owner knows of one endpoint: the ledger or the queue, the
+// last report, and what was learned. One lock guards it all.
+type Book struct {
+	mu     sync.Mutex
+	view   *config.View
+	spec   *config.Endpoint
+	number uint32
+
+	ledger *ledger // decode
+	queue  *queue  // prefill
+
+	ready   bool // the endpoint's own list was read since the tenure began
+	since   time.Time
+	state   endpoint.State
+	stateAt time.Time
+	fails   int // state polls that failed in a row
+	wrong   bool
+	ordered time.Time
+
+	slow   float64 // learned factor on the time of work
+	failed float64 // share of attempts that failed lately
+	trust  float64 // how far the cache feed proved true
+	heads  map[uint32]uint32
+	feed   uint64 // next sequence number of the cache feed
+
+	confirmed map[request.Attempt]time.Time // when the holder last claimed it
+	gone      map[request.Attempt]time.Time // since when its holder is gone
+	sighted   map[uint32]time.Time          // unknown hosts: when first seen
+
+	nextState, nextList, nextFeed time.Time
+	polling                       bool
+	used                          time.Time // when it last did something for anyone
+}
+
+func newBook(v *config.View, spec *config.Endpoint, share float64, now time.Time) *Book {
+	b := &Book{
+		view: v, spec: spec, number: route.Number(spec.Name), slow: 1, trust: startTrust,
+		heads: map[uint32]uint32{}, confirmed: map[request.Attempt]time.Time{}, gone: map[request.Attempt]time.Time{},
+		sighted: map[uint32]time.Time{}, since: now, used: now,
+	}
+	switch spec.Role {
+	case config.Decode:
+		b.ledger = newLedger(v, spec, share)
+	case config.Prefill:
+		b.queue = newQueue(newShares(b.teamWeight))
+	}
+	return b
+}
+
+// startTrust is how far a cache feed is believed before it was tried.
+const startTrust = 0.7
+
+// teamWeight returns the configured weight of a team's number.
+func (b *Book) teamWeight(team uint32) float64 {
+	if t := b.view.TeamByNumber[team]; t != nil {
+		return float64(t.Weight)
+	}
+	return 1
+}
+
+// fit takes over a new revision.
+func (b *Book) fit(v *config.View, share float64) {
+	spec := v.ByName[b.spec.Name]
+	if spec == nil || v == b.view {
+		return
+	}
+	b.view, b.spec = v, spec
+	if b.ledger != nil {
+		b.ledger.fit(v, spec, share)
+	}
+}
+
+// digest returns what others are told of the endpoint; the caller holds the
+// lock.
+func (b *Book) digest(now time.Time, reserves bool) route.Digest {
+	d := route.Digest{Number: b.number, SlowPct: uint16(min(2000, b.slow*100)), FailPct: uint8(min(1, b.failed) * 100),
+		TrustPct: uint8(b.trust * 100), Flags: b.flags()}
+	switch {
+	case b.queue != nil && reserves:
+		d.QueueMillis = uint32(b.queue.backlog(now).Milliseconds())
+	case b.queue != nil:
+		d.QueueMillis = uint32(float64(b.state.QueuedTokens) / b.spec.TokensPerSecond * 1000)
+	case b.ledger != nil && reserves:
+		tokens, slots, link := b.ledger.free(now)
+		d.FreeTokens, d.FreeSlots, d.LinkMillis = int32(tokens), int32(slots), uint32(link.Milliseconds())
+	case b.ledger != nil:
+		d.FreeTokens = int32(b.spec.MemoryTokens - b.state.MemoryUsed)
+		d.FreeSlots = int32(b.spec.Slots - b.state.Running)
+	}
+	if b.queue != nil {
+		d.Heads = b.topHeads()
+	}
+	return d
+}
+
+// downAfter is how many state polls in a row must fail before an endpoint
+// counts as down.
+const downAfter = 2
+
+func (b *Book) flags() uint8 {
+	var f uint8
+	if b.fails >= downAfter {
+		f |= route.FlagDown
+	}
+	if b.state.Leaving || b.spec.Leaving {
+		f |= route.FlagLeaving
+	}
+	if b.wrong {
+		f |= route.FlagWrong
+	}
+	return f
+}
+
+// maxHeads bounds how many prompt heads a digest tells of.
+const maxHeads = 24
+
+// minHead is the least cached prefix worth telling, in tokens.
+const minHead = 512
+
+func (b *Book) topHeads() []route.HeadDigest {
+	out := make([]route.HeadDigest, 0, maxHeads)
+	for h, n := range b.heads {
+		if n < minHead {
+			continue
+		}
+		if len(out) < maxHeads {
+			out = append(out, route.HeadDigest{Head: h, Tokens: n})
+			continue
+		}
+		least := 0
+		for i := range out {
+			if out[i].Tokens < out[least].Tokens {
+				least = i
+			}
+		}
+		if out[least].Tokens < n {
+			out[least] = route.HeadDigest{Head: h, Tokens: n}
+		}
+	}
+	return out
+}
+
+// uncached returns the tokens that the endpoint will have to read, and those
+// that its cache feed promised to be cached, before they are trusted.
+func (b *Book) uncached(tokens int, head uint32, hasHead bool) (read, promised int) {
+	if !hasHead {
+		return max(1, tokens), 0
+	}
+	promised = min(int(b.heads[head]), tokens)
+	return max(1, tokens-int(float64(promised)*b.trust)), promised
+}
+
+// reserve asks the ledger.
+func (b *Book) reserve(now time.Time, a ReserveArgs) (at time.Time, refusal *result.Error) {
+	if f := b.flags(); f != 0 {
+		return time.Time{}, result.Errorf(result.NoEndpoint, "%s is down, leaving or in the wrong state", b.spec.Name).After(time.Second)
+	}
+	return b.ledger.reserve(now, a, b.teamWeight)
+}
+
+// learnHeads takes in a stretch of the cache feed. A gap means that what is
+// known may be wrong, so it is trusted less until it proves true again.
+func (b *Book) learnHeads(e *endpoint.CacheEvents) {
+	if e.First > b.feed && b.feed > 0 {
+		b.trust /= 2
+	}
+	b.feed = e.Next
+	for _, ev := range e.Events {
+		if ev.Tokens == 0 {
+			delete(b.heads, ev.Head)
+			continue
+		}
+		b.heads[ev.Head] = uint32(ev.Tokens)
+	}
+}
+
+// release ends what an attempt holds and learns from how it went.
+func (b *Book) release(now time.Time, r Release) *item {
+	delete(b.confirmed, r.Attempt)
+	delete(b.gone, r.Attempt)
+	failure := 0.0
+	if r.Outcome == Failed {
+		failure = 1
+	}
+	if r.Outcome == Done || r.Outcome == Failed {
+		blend(&b.failed, failure, learnFailure)
+	}
+	if b.ledger != nil {
+		b.ledger.release(r)
+		return nil
+	}
+	if b.queue == nil {
+		return nil
+	}
+	if c, ok := b.queue.out[r.Attempt]; ok && r.Outcome == Done {
+		b.learnTrustFrom(c.promised, r.Cached)
+	}
+	if ratio := b.queue.done(now, r.Attempt, r.Outcome == Done); ratio > 0 {
+		blend(&b.slow, min(10, max(0.1, b.slow*ratio)), learnSlow)
+	}
+	return b.queue.cancel(r.Attempt)
+}
+
+// learnTrustFrom compares the cached tokens that the engine found with what
+// the feed had promised for the prompt.
+func (b *Book) learnTrustFrom(promised, found int) {
+	if promised < minHead {
+		return
+	}
+	blend(&b.trust, min(1, float64(found)/float64(promised)), learnTrust)
+}
--- /dev/null
+++ b/owner/handover.go
@@ -0,0 +1,85 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// HandOver tells the successors of this leaving host what it reserved that
+// the endpoints can't know of yet. Requests that wait in its queues are
+// called from here until none is left.
+func (o *Owner) HandOver(ctx context.Context) {
+	v := o.board.Config.View()
+	if v == nil || o.peers == nil {
+		return
+	}
+	now := time.Now()
+	o.mu.Lock()
+	books := make([]*Book, 0, len(o.books))
+	for _, b := range o.books {
+		books = append(books, b)
+	}
+	o.mu.Unlock()
+	for _, b := range books {
+		next, ok := Of(o.board, v, b.spec, now)
+		if b.ledger == nil || !ok || next.Number == o.board.Number {
+			continue
+		}
+		if err := o.peers.Handover(ctx, next, b.handover(now)); err != nil {
+			o.log.Warn("hand-over failed; the successor starts from the endpoint's list", zap.String("endpoint", b.spec.Name), zap.Error(err))
+		}
+	}
+}
+
+func (b *Book) handover(now time.Time) Handover {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := Handover{Endpoint: b.number}
+	for _, r := range b.ledger.rows {
+		if r.seen {
+			continue // the endpoint's list has it
+		}
+		h.Rows = append(h.Rows, HandoverRow{Attempt: r.attempt, Team: r.team, Tokens: r.tokens, MaxAnswer: r.maxAnswer,
+			Start: millis(r.start.Sub(now)), End: millis(r.end.Sub(now)), Lease: millis(r.lease.Sub(now))})
+	}
+	return h
+}
+
+// Accept takes in a predecessor's reservations.
+func (o *Owner) Accept(ctx context.Context, h Handover) error {
+	b, err := o.book(ctx, h.Endpoint)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ledger == nil {
+		return nil
+	}
+	for _, r := range h.Rows {
+		if b.ledger.rows[r.Attempt] != nil {
+			continue
+		}
+		b.ledger.rows[r.Attempt] = &row{attempt: r.Attempt, team: r.Team, tokens: r.Tokens, maxAnswer: r.MaxAnswer,
+			start: now.Add(duration(r.Start)), end: now.Add(duration(r.End)), lease: now.Add(duration(r.Lease))}
+	}
+	return nil
+}
+
+// Waiting returns how many requests wait in this host's queues.
+func (o *Owner) Waiting() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := 0
+	for _, b := range o.books {
+		b.mu.Lock()
+		if b.queue != nil {
+			n += len(b.queue.waiting)
+		}
+		b.mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/owner/owner.go
@@ -0,0 +1,334 @@
+// Package owner decides for the endpoints that this entry host owns: it keeps
+// the ledger of decode memory and the queue before prefill, polls the
+// endpoints, frees what is orphaned and sends orders.
+//
+// An endpoint's owner is the host of its failure domain that wins a
+// rendezvous hash over the live, not leaving hosts. Nobody elects it: hosts
+// that see the same members agree, and while they don't, two may own one
+// endpoint. That costs a refused admission at the engine and breaks no
+// promise, because no promise rests on the ledger.
+package owner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/result"
+	"github.com/embercove/embercove/route"
+)
+
+// Peers is what an owner asks of other entry hosts.
+type Peers interface {
+	// Claims asks a host which of the attempts it still holds.
+	Claims(ctx context.Context, host blackboard.Host, attempts []request.Attempt) ([]bool, error)
+	// Handover tells a host what its predecessor reserved.
+	Handover(ctx context.Context, host blackboard.Host, h Handover) error
+}
+
+// Owner holds the books of owned endpoints.
+type Owner struct {
+	board  *blackboard.Board
+	client *endpoint.Client
+	peers  Peers
+	log    *zap.Logger
+
+	mu    sync.Mutex
+	books map[uint32]*Book
+
+	nextAdopt time.Time
+
+	// Counters for metrics and tests.
+	Reaped   atomic.Uint64 // orphaned attempts that were cancelled
+	Orders   atomic.Uint64 // orders sent
+	Takeover atomic.Uint64 // endpoints taken over
+	Polls    atomic.Uint64 // calls to endpoints for control
+}
+
+// New returns an owner without books.
+func New(b *blackboard.Board, c *endpoint.Client, log *zap.Logger) *Owner {
+	o := &Owner{board: b, client: c, log: log, books: map[uint32]*Book{}}
+	b.Pause.OnWake(o.dropBeliefs)
+	return o
+}
+
+// SetPeers sets how other hosts are reached, before the owner is used.
+func (o *Owner) SetPeers(p Peers) { o.peers = p }
+
+// Of returns the host that owns an endpoint, by this host's view of the
+// members. ok is false when the domain has no live host.
+func Of(b *blackboard.Board, v *config.View, e *config.Endpoint, now time.Time) (blackboard.Host, bool) {
+	switch v.Doc.Policy.Mode {
+	case config.ModeShare:
+		return b.Hosts.Self(), true
+	case config.ModeDispatcher:
+		return b.Hosts.First(uint64(route.Number(string(e.Role))), v.Doc.Domains[0].Name, now)
+	}
+	return b.Hosts.First(uint64(route.Number(e.Name)), e.Domain, now)
+}
+
+// share is the part of an endpoint that this host's ledger may give out:
+// all of it, or under the fixed shares of baseline B one part for each host.
+func (o *Owner) share(v *config.View) float64 {
+	if v.Doc.Policy.Mode != config.ModeShare {
+		return 1
+	}
+	return 1 / float64(max(1, len(o.board.Hosts.List())))
+}
+
+// takeoverTimeout bounds the reading of an endpoint's list at a takeover.
+const takeoverTimeout = 300 * time.Millisecond
+
+// book returns the book of an endpoint, taking the endpoint over if need be:
+// a new owner starts from the endpoint's own list of what it runs.
+func (o *Owner) book(ctx context.Context, number uint32) (*Book, error) {
+	v := o.board.Config.View()
+	if v == nil {
+		return nil, result.Errorf(result.NotReady, "no configuration yet")
+	}
+	spec := v.ByNumber[number]
+	if spec == nil {
+		return nil, result.Errorf(result.NoEndpoint, "endpoint %d is not in revision %d", number, v.Revision)
+	}
+	now := time.Now()
+	o.mu.Lock()
+	b := o.books[number]
+	if b == nil || b.spec.Role != spec.Role {
+		b = newBook(v, spec, o.share(v), now)
+		o.books[number] = b
+		o.Takeover.Add(1)
+	}
+	o.mu.Unlock()
+	b.mu.Lock()
+	b.fit(v, o.share(v))
+	b.used = now
+	ready := b.ready
+	b.mu.Unlock()
+	if !ready {
+		o.takeOver(ctx, b)
+	}
+	return b, nil
+}
+
+// takeOver reads the endpoint's list. When that fails the book starts empty:
+// the engine's admission then corrects it.
+func (o *Owner) takeOver(ctx context.Context, b *Book) {
+	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
+	defer cancel()
+	list, err := o.client.Requests(ctx, b.spec.Address)
+	o.Polls.Add(1)
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err == nil {
+		o.takeList(b, now, list)
+	}
+	b.ready, b.since = true, now
+}
+
+// dropBeliefs forgets what was known before a pause of the process. Waiting
+// requests are refused: their callers have long gone elsewhere.
+func (o *Owner) dropBeliefs(now time.Time) {
+	o.mu.Lock()
+	books := o.books
+	o.books = map[uint32]*Book{}
+	o.mu.Unlock()
+	for _, b := range books {
+		b.mu.Lock()
+		if b.queue != nil {
+			for _, it := range b.queue.waiting {
+				it.answer <- result.Errorf(result.NoEndpoint, "the owner was paused").After(time.Second)
+			}
+			b.queue.waiting = nil
+		}
+		b.mu.Unlock()
+	}
+}
+
+// Reserve answers a ReserveArgs from this or another host.
+func (o *Owner) Reserve(ctx context.Context, a ReserveArgs) (ReserveReply, error) {
+	o.board.Pause.Check()
+	b, err := o.book(ctx, a.Endpoint)
+	if err != nil {
+		return ReserveReply{}, err
+	}
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ledger == nil {
+		return ReserveReply{}, result.Errorf(result.NoEndpoint, "%s is no decode endpoint", b.spec.Name)
+	}
+	at, refusal := b.reserve(now, a)
+	reply := ReserveReply{Code: result.OK, Digest: b.digest(now, true)}
+	if refusal != nil {
+		reply.Code, reply.Retry = refusal.Code, millis(refusal.RetryAfter)
+		return reply, nil
+	}
+	reply.InMillis = max(0, millis(at.Sub(now)))
+	return reply, nil
+}
+
+// Enqueue answers an EnqueueArgs: it returns when the engine is free for the
+// request, or as soon as it is clear that it won't be in time.
+func (o *Owner) Enqueue(ctx context.Context, a EnqueueArgs) (EnqueueReply, error) {
+	o.board.Pause.Check()
+	b, err := o.book(ctx, a.Endpoint)
+	if err != nil {
+		return EnqueueReply{}, err
+	}
+	it, reply := o.admit(b, a)
+	if it == nil {
+		return reply, nil
+	}
+	refusal := o.await(ctx, b, it)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reply = EnqueueReply{Code: result.OK, Digest: b.digest(time.Now(), true)}
+	if refusal != nil {
+		reply.Code, reply.Retry = refusal.Code, millis(refusal.RetryAfter)
+	}
+	return reply, nil
+}
+
+// admit puts a request into the queue; a nil item means that the reply is
+// final.
+func (o *Owner) admit(b *Book, a EnqueueArgs) (*item, EnqueueReply) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	refuse := func(e *result.Error) (*item, EnqueueReply) {
+		return nil, EnqueueReply{Code: e.Code, Retry: millis(e.RetryAfter), Digest: b.digest(now, true)}
+	}
+	if b.queue == nil || b.flags() != 0 {
+		return refuse(result.Errorf(result.NoEndpoint, "%s takes no prompts now", b.spec.Name).After(time.Second))
+	}
+	tokens, promised := b.uncached(a.Tokens, a.Head, a.HasHead)
+	work := time.Duration(float64(tokens) / b.spec.TokensPerSecond * b.slow * float64(time.Second))
+	it := &item{attempt: a.Attempt, team: a.Team, priority: a.Priority, work: work, promised: promised, came: now,
+		latest: now.Add(duration(a.Slack) - work), notYet: now.Add(duration(a.NotYet)), answer: make(chan *result.Error, 1)}
+	pushed, refusal := b.queue.admit(now, it)
+	if refusal != nil {
+		return refuse(refusal)
+	}
+	for _, p := range pushed {
+		p.answer <- result.Errorf(result.TooLate, "requests of higher rank or of teams with less use came").After(work + lookahead)
+	}
+	return it, EnqueueReply{}
+}
+
+// await runs the queue until the item is called or refused. Each waiting
+// request turns the queue itself, so that no busy worker can hold it up.
+func (o *Owner) await(ctx context.Context, b *Book, it *item) *result.Error {
+	for {
+		due := b.turn(time.Now())
+		var tick <-chan time.Time
+		if !due.IsZero() {
+			tick = time.After(max(time.Until(due), time.Millisecond))
+		}
+		select {
+		case refusal := <-it.answer:
+			return refusal
+		case <-tick:
+		case <-ctx.Done():
+			b.mu.Lock()
+			b.queue.take(it)
+			b.mu.Unlock()
+			return result.Errorf(result.CallerGone, "left the queue")
+		}
+	}
+}
+
+// turn calls the requests that are due and refuses those that came too late.
+func (b *Book) turn(now time.Time) (due time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	send, late := b.queue.next(now)
+	for _, it := range send {
+		it.answer <- nil
+	}
+	for _, it := range late {
+		it.answer <- result.Errorf(result.TooLate, "the engine fell behind").After(b.queue.backlog(now) + lookahead)
+	}
+	return b.queue.due(now)
+}
+
+// Release ends what attempts hold.
+func (o *Owner) Release(rs []Release) {
+	now := time.Now()
+	for _, r := range rs {
+		o.mu.Lock()
+		b := o.books[r.Endpoint]
+		o.mu.Unlock()
+		if b == nil {
+			continue
+		}
+		b.mu.Lock()
+		if it := b.release(now, r); it != nil {
+			it.answer <- result.Errorf(result.CallerGone, "given up while it waited")
+		}
+		b.mu.Unlock()
+		if b.queue != nil {
+			b.turn(now)
+		}
+	}
+}
+
+// Digests returns fresh digests of the endpoints that this host owns.
+func (o *Owner) Digests(now time.Time) []route.Digest {
+	v := o.board.Config.View()
+	if v == nil {
+		return nil
+	}
+	reserves := v.Doc.Policy.Mode.Reserves()
+	o.mu.Lock()
+	books := make([]*Book, 0, len(o.books))
+	for _, b := range o.books {
+		books = append(books, b)
+	}
+	o.mu.Unlock()
+	var out []route.Digest
+	for _, b := range books {
+		if !o.owns(v, b, now) {
+			continue
+		}
+		b.mu.Lock()
+		if b.ready {
+			out = append(out, b.digest(now, reserves))
+		}
+		b.mu.Unlock()
+	}
+	return out
+}
+
+// owns reports whether this host is the book's owner by its own view.
+func (o *Owner) owns(v *config.View, b *Book, now time.Time) bool {
+	spec := v.ByNumber[b.number]
+	if spec == nil {
+		return false
+	}
+	h, ok := Of(o.board, v, spec, now)
+	return ok && h.Number == o.board.Number
+}
+
+// Owned lists the names of the endpoints that this host owns.
+func (o *Owner) Owned(now time.Time) []string {
+	v := o.board.Config.View()
+	if v == nil {
+		return nil
+	}
+	var out []string
+	for i := range v.Doc.Endpoints {
+		e := &v.Doc.Endpoints[i]
+		if h, ok := Of(o.board, v, e, now); ok && h.Number == o.board.Number {
+			out = append(out, e.Name)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/owner/poll.go
@@ -0,0 +1,226 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/request"
+)
+
+// pollTimeout bounds a control call to an endpoint.
+const pollTimeout = 500 * time.Millisecond
+
+// feedEvery is how often the cache feed is read.
+const feedEvery = 500 * time.Millisecond
+
+// idleBook is how long a book is kept that this host doesn't own and that
+// nobody asks for.
+const idleBook = 5 * time.Second
+
+// Poller returns the controller that polls owned endpoints. It hands out one
+// endpoint at a time, so that several workers poll side by side and a frozen
+// endpoint holds up one of them.
+func (o *Owner) Poller() blackboard.Controller { return poller{o} }
+
+type poller struct{ o *Owner }
+
+// Next implements blackboard.Controller.
+func (p poller) Next(now time.Time) (func(context.Context), time.Time) {
+	o := p.o
+	v := o.board.Config.View()
+	if v == nil {
+		return nil, time.Time{}
+	}
+	o.adopt(v, now)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var again time.Time
+	for _, b := range o.books {
+		b.mu.Lock()
+		due := b.due()
+		if !b.polling && !due.After(now) {
+			b.polling = true
+			b.mu.Unlock()
+			return func(ctx context.Context) { o.poll(ctx, b) }, time.Time{}
+		}
+		busy := b.polling
+		b.mu.Unlock()
+		if !busy && (again.IsZero() || due.Before(again)) {
+			again = due
+		}
+	}
+	return nil, again
+}
+
+func (b *Book) due() time.Time {
+	t := b.nextState
+	if b.nextList.Before(t) {
+		t = b.nextList
+	}
+	if b.queue != nil && b.nextFeed.Before(t) {
+		t = b.nextFeed
+	}
+	return t
+}
+
+// adoptEvery is how often a host works out what it owns.
+const adoptEvery = 100 * time.Millisecond
+
+// adopt opens books for endpoints that this host now owns and drops those
+// that it no longer does.
+func (o *Owner) adopt(v *config.View, now time.Time) {
+	o.mu.Lock()
+	early := now.Before(o.nextAdopt)
+	if !early {
+		o.nextAdopt = now.Add(adoptEvery)
+	}
+	o.mu.Unlock()
+	if early || o.board.Leaving() {
+		return
+	}
+	for i := range v.Doc.Endpoints {
+		e := &v.Doc.Endpoints[i]
+		n := v.Numbers[i]
+		h, ok := Of(o.board, v, e, now)
+		own := ok && h.Number == o.board.Number
+		o.mu.Lock()
+		b := o.books[n]
+		switch {
+		case own && b == nil:
+			o.books[n] = newBook(v, e, o.share(v), now)
+			o.Takeover.Add(1)
+		case !own && b != nil && b.idle(now):
+			delete(o.books, n)
+		}
+		o.mu.Unlock()
+	}
+}
+
+// idle reports whether a book that isn't owned can go.
+func (b *Book) idle(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	busy := b.queue != nil && len(b.queue.waiting) > 0
+	return !busy && now.Sub(b.used) > idleBook
+}
+
+// poll does what is due for one endpoint.
+func (o *Owner) poll(ctx context.Context, b *Book) {
+	s := o.board.Settings
+	now := time.Now()
+	b.mu.Lock()
+	b.fit(o.board.Config.View(), o.share(o.board.Config.View()))
+	state, list, feed := !b.nextState.After(now), !b.nextList.After(now), b.queue != nil && !b.nextFeed.After(now)
+	next := func(t *time.Time, due bool, every time.Duration) {
+		if due {
+			*t = now.Add(every)
+		}
+	}
+	next(&b.nextState, state, config.Millis(s.PollMillis))
+	next(&b.nextList, list, config.Millis(s.ListMillis))
+	next(&b.nextFeed, feed, feedEvery)
+	b.mu.Unlock()
+	if state {
+		o.pollState(ctx, b)
+	}
+	if list && b.spec.Role != config.Service {
+		o.pollList(ctx, b)
+	}
+	if feed {
+		o.pollFeed(ctx, b)
+	}
+	b.mu.Lock()
+	b.polling = false
+	d := b.digest(time.Now(), o.board.Config.View().Doc.Policy.Mode.Reserves())
+	b.mu.Unlock()
+	o.board.Endpoints.Learn(d, time.Now())
+}
+
+func (o *Owner) pollState(ctx context.Context, b *Book) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	st, err := o.client.State(ctx, b.spec.Address)
+	o.Polls.Add(1)
+	now := time.Now()
+	b.mu.Lock()
+	if err != nil {
+		b.fails++
+		if b.fails == downAfter {
+			o.log.Warn("endpoint is down", zap.String("endpoint", b.spec.Name), zap.Error(err))
+		}
+		b.mu.Unlock()
+		return
+	}
+	if b.fails >= downAfter {
+		o.log.Info("endpoint is back", zap.String("endpoint", b.spec.Name))
+	}
+	restarted := b.state.Incarnation != 0 && st.Incarnation != b.state.Incarnation
+	b.fails, b.state, b.stateAt = 0, *st, now
+	if restarted {
+		b.heads, b.feed = map[uint32]uint32{}, 0
+		b.nextList = now
+	}
+	b.mu.Unlock()
+	o.correct(ctx, b, st)
+}
+
+func (o *Owner) pollList(ctx context.Context, b *Book) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	list, err := o.client.Requests(ctx, b.spec.Address)
+	o.Polls.Add(1)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	b.mu.Lock()
+	o.takeList(b, now, list)
+	b.ready = true
+	check := b.suspects(now, list)
+	b.mu.Unlock()
+	o.reap(ctx, b, now, check)
+}
+
+// lostAfter is how long a called prompt may stay unreported beyond twice its
+// forecast.
+const lostAfter = time.Second
+
+// takeList takes in the endpoint's own list; the caller holds the lock.
+func (o *Owner) takeList(b *Book, now time.Time, list []endpoint.Running) {
+	held := make(map[request.Attempt]int, len(list))
+	for _, r := range list {
+		a, err := request.ParseAttempt(r.ID)
+		if err != nil {
+			a = foreign(r.ID) // not ours, but it holds memory
+		}
+		held[a] = r.Tokens
+	}
+	if b.ledger != nil {
+		b.ledger.listed(now, held)
+	}
+	if b.queue != nil {
+		b.queue.lost(now, lostAfter)
+		b.queue.share.forget(now)
+	}
+}
+
+func (o *Owner) pollFeed(ctx context.Context, b *Book) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	b.mu.Lock()
+	after := b.feed
+	b.mu.Unlock()
+	e, err := o.client.CacheEvents(ctx, b.spec.Address, after)
+	o.Polls.Add(1)
+	if err != nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.learnHeads(e)
+}
--- /dev/null
+++ b/owner/queue.go
@@ -0,0 +1,242 @@
+package owner
+
+import (
+	"sort"
+	"time"
+
+	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/result"
+)
+
+// item is a request that waits for a prefill engine.
+type item struct {
+	attempt  request.Attempt
+	team     uint32
+	priority int
+	work     time.Duration // forecast of reading
+	promised int           // tokens that the cache feed said are cached
+	latest   time.Time     // latest start that keeps the target
+	notYet   time.Time     // reading should not end before
+	came     time.Time
+	answer   chan *result.Error // gets nil when called, or the refusal
+}
+
+// called is a request that was sent to the engine.
+type called struct {
+	work     time.Duration
+	promised int
+	since    time.Time
+}
+
+// queue orders the requests of one prefill engine. Requests wait here and
+// not in the engine, so that a refused one never ran, a late arrival of
+// higher rank goes first, and a caller that leaves costs nothing. It is not
+// safe for concurrent use; Book locks it.
+//
+// The order is by priority, then by latest start. A newcomer is admitted
+// only if everyone admitted keeps their latest start; if not, it may push out
+// requests of lower rank or of teams above their fair share.
+type queue struct {
+	waiting []*item
+	out     map[request.Attempt]called
+	busy    time.Time // when the engine will have read what was sent
+	share   *shares
+}
+
+func newQueue(s *shares) *queue {
+	return &queue{out: map[request.Attempt]called{}, share: s}
+}
+
+// lookahead is how much work is sent ahead of the engine, so that it never
+// waits for the owner.
+const lookahead = 60 * time.Millisecond
+
+// before is the order in which requests are called.
+func before(a, b *item) bool {
+	if a.priority != b.priority {
+		return a.priority < b.priority
+	}
+	return a.latest.Before(b.latest)
+}
+
+// free returns when the engine can begin with something new.
+func (q *queue) free(now time.Time) time.Time {
+	if q.busy.After(now) {
+		return q.busy
+	}
+	return now
+}
+
+// feasible reports whether every item keeps its latest start, and when the
+// last of them would be read.
+func (q *queue) feasible(now time.Time, items []*item) (bool, time.Time) {
+	t := q.free(now)
+	ok := true
+	for _, it := range items {
+		if t.After(it.latest) {
+			ok = false
+		}
+		t = t.Add(it.work)
+	}
+	return ok, t
+}
+
+// admit adds an item or refuses it. Items that it pushes out are returned;
+// they are refused as not run by the caller.
+func (q *queue) admit(now time.Time, it *item) (pushed []*item, refusal *result.Error) {
+	trial := append(append([]*item(nil), q.waiting...), it)
+	sort.SliceStable(trial, func(i, j int) bool { return before(trial[i], trial[j]) })
+	ok, end := q.feasible(now, trial)
+	for !ok {
+		k := q.victim(now, trial, it)
+		if k < 0 {
+			late := max(end.Sub(it.latest.Add(it.work)), 100*time.Millisecond)
+			return nil, result.Errorf(result.TooLate, "the prompt could be read %s too late", late.Round(time.Millisecond)).After(late)
+		}
+		pushed = append(pushed, trial[k])
+		trial = append(trial[:k], trial[k+1:]...)
+		ok, end = q.feasible(now, trial)
+	}
+	q.waiting = trial
+	q.share.wait(it.team, it.work)
+	for _, p := range pushed {
+		q.share.wait(p.team, -p.work)
+	}
+	return pushed, nil
+}
+
+// unfair is how far above the newcomer's a team's use must be for it to give
+// way.
+const unfair = 1.5
+
+// victim returns which item gives way to the newcomer: of lower rank first,
+// else of the team that is furthest above its share. -1: none.
+func (q *queue) victim(now time.Time, trial []*item, newcomer *item) int {
+	best, most := -1, 0.0
+	own := q.share.use(now, newcomer.team)
+	for k, it := range trial {
+		if it == newcomer {
+			continue
+		}
+		over := 0.0
+		if it.priority > newcomer.priority {
+			over = 1e6 * float64(it.priority-newcomer.priority)
+		} else if it.team != newcomer.team && it.priority == newcomer.priority {
+			if use := q.share.use(now, it.team); use > unfair*own {
+				over = use
+			}
+		}
+		if over > 0 && over >= most {
+			best, most = k, over
+		}
+	}
+	return best
+}
+
+// next takes the items that should be sent now. Items that can no longer be
+// in time are returned apart; they are refused as not run.
+func (q *queue) next(now time.Time) (send, late []*item) {
+	for len(q.waiting) > 0 {
+		it := q.waiting[0]
+		if q.free(now).After(it.latest.Add(graceLate)) {
+			late = append(late, it)
+			q.take(it)
+			continue
+		}
+		if q.free(now).Sub(now) > lookahead || it.notYet.Sub(q.free(now).Add(it.work)) > 0 && len(q.waiting) == 1 {
+			break
+		}
+		q.take(it)
+		send = append(send, it)
+		q.busy = q.free(now).Add(it.work)
+		q.out[it.attempt] = called{work: it.work, promised: it.promised, since: now}
+		q.share.add(now, it.team, it.work)
+	}
+	return send, late
+}
+
+// graceLate is how much later than its latest start an admitted request is
+// still sent: its forecast was a little off, and it has waited already.
+const graceLate = 100 * time.Millisecond
+
+// take removes an item that waits.
+func (q *queue) take(it *item) {
+	for i, w := range q.waiting {
+		if w == it {
+			q.waiting = append(q.waiting[:i:i], q.waiting[i+1:]...)
+			q.share.wait(it.team, -it.work)
+			return
+		}
+	}
+}
+
+// cancel removes a waiting attempt and returns it, or nil.
+func (q *queue) cancel(a request.Attempt) *item {
+	for _, it := range q.waiting {
+		if it.attempt == a {
+			q.take(it)
+			return it
+		}
+	}
+	return nil
+}
+
+// due returns when next has something to do again; zero: not by itself.
+func (q *queue) due(now time.Time) time.Time {
+	if len(q.waiting) == 0 {
+		return time.Time{}
+	}
+	t := q.free(now).Add(-lookahead)
+	if it := q.waiting[0]; len(q.waiting) == 1 {
+		if hold := it.notYet.Add(-it.work); hold.After(t) {
+			t = hold
+		}
+	}
+	return t
+}
+
+// done notes that the engine has read a request, or was told to forget it.
+// It returns how long the engine took against the forecast, 0 if unknown.
+func (q *queue) done(now time.Time, a request.Attempt, finished bool) (ratio float64) {
+	c, ok := q.out[a]
+	if !ok {
+		return 0
+	}
+	delete(q.out, a)
+	if len(q.out) == 0 {
+		if finished && c.work > minLearn {
+			ratio = float64(now.Sub(c.since)) / float64(c.work)
+		}
+		q.busy = now
+		return ratio
+	}
+	left := time.Duration(0)
+	for _, o := range q.out {
+		left += o.work
+	}
+	if t := now.Add(left); t.Before(q.busy) {
+		q.busy = t
+	}
+	return 0
+}
+
+// minLearn is the least work that the engine's rate is learned from.
+const minLearn = 20 * time.Millisecond
+
+// lost drops called requests that never reported back.
+func (q *queue) lost(now time.Time, limit time.Duration) {
+	for a, c := range q.out {
+		if now.Sub(c.since) > 2*c.work+limit {
+			delete(q.out, a)
+		}
+	}
+}
+
+// backlog returns the work ahead of a newcomer.
+func (q *queue) backlog(now time.Time) time.Duration {
+	d := q.free(now).Sub(now)
+	for _, it := range q.waiting {
+		d += it.work
+	}
+	return d
+}
--- /dev/null
+++ b/peer/exchange.go
@@ -0,0 +1,228 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/platform"
+	"github.com/embercove/embercove/request"
+)
+
+// Cadence of exchanges with hosts outside the own failure domain.
+const (
+	otherDomainEvery = 3 // exchanges
+	otherRegionEvery = 8
+)
+
+// forgetAfter is how long an unlisted host is remembered in silence.
+const forgetAfter = 5 * time.Minute
+
+// Exchanger returns the controller that exchanges knowledge with one random
+// peer at each heartbeat, by push and pull.
+func (r *Router) Exchanger() blackboard.Controller {
+	return blackboard.Every(config.Millis(r.board.Settings.HeartbeatMillis), func(ctx context.Context) {
+		now := time.Now()
+		r.board.Hosts.Tick(now)
+		r.board.Hosts.Forget(now, forgetAfter, r.isListed)
+		r.mu.Lock()
+		r.round++
+		round := r.round
+		r.mu.Unlock()
+		if h, ok := r.partner(round, now); ok {
+			r.exchangeWith(ctx, h)
+		}
+	})
+}
+
+func (r *Router) isListed(n uint32) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listed[n]
+}
+
+// partner picks whom to exchange with: mostly a host of the own domain, now
+// and then one of another domain or region. Now and then it is one that
+// counts as gone, so that a healed cut is noticed.
+func (r *Router) partner(round uint64, now time.Time) (blackboard.Host, bool) {
+	self := r.board.Hosts.Self()
+	var near, region, far []blackboard.Host
+	for _, h := range r.board.Hosts.List() {
+		switch {
+		case h.Number == self.Number || h.Peers == "":
+		case h.Domain == self.Domain:
+			near = append(near, h)
+		case h.Region == self.Region:
+			region = append(region, h)
+		default:
+			far = append(far, h)
+		}
+	}
+	pick := near
+	if round%otherDomainEvery == 0 && len(region) > 0 || len(near) == 0 {
+		pick = region
+	}
+	if round%otherRegionEvery == 0 && len(far) > 0 || len(pick) == 0 {
+		pick = far
+	}
+	if len(pick) == 0 {
+		return blackboard.Host{}, false
+	}
+	h := pick[rand.IntN(len(pick))]
+	for range 2 {
+		if r.board.Hosts.Live(h, now) && !h.Doubted {
+			break
+		}
+		h = pick[rand.IntN(len(pick))]
+	}
+	return h, true
+}
+
+// exchangeWith makes one exchange and fetches the revision if the other is
+// ahead.
+func (r *Router) exchangeWith(ctx context.Context, h blackboard.Host) {
+	args := r.tell(h.Region, nil)
+	args.Want = r.wanted()
+	var reply ExchangeReply
+	if err := r.pool.call(ctx, h.Peers, methodExchange, &args, &reply, r.timeout()); err != nil {
+		return
+	}
+	r.takeIn(reply, time.Now())
+}
+
+func (r *Router) wanted() []uint32 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []uint32
+	for n := range r.unknown {
+		out = append(out, n)
+	}
+	return out
+}
+
+// takeIn learns what another host told.
+func (r *Router) takeIn(e ExchangeReply, now time.Time) {
+	r.introduce(e.From, now)
+	for _, n := range e.Names {
+		r.introduce(n, now)
+	}
+	changed := false
+	for _, b := range e.Beats {
+		cur, _, known := r.board.Hosts.Get(b.Number, now)
+		if !known {
+			r.mu.Lock()
+			r.unknown[b.Number] = true
+			r.mu.Unlock()
+			continue
+		}
+		cur.Incarnation, cur.Beat, cur.Leaving, cur.Doubted = b.Incarnation, b.Beat, b.Leaving, false
+		changed = r.board.Hosts.Learn(cur, now) || changed
+	}
+	for _, d := range e.Digests {
+		r.board.Endpoints.Learn(d, now)
+	}
+	if e.Revision > r.board.Config.Revision() {
+		go r.fetch(e.From)
+	}
+	if changed {
+		r.board.Wake.All()
+	}
+}
+
+// introduce makes a host known by name. It proves no life.
+func (r *Router) introduce(n Name, now time.Time) {
+	if n.Name == "" {
+		return
+	}
+	num := request.HostNumber(n.Name)
+	r.mu.Lock()
+	delete(r.unknown, num)
+	r.mu.Unlock()
+	r.board.Hosts.Learn(blackboard.Host{Name: n.Name, Number: num, Domain: n.Domain, Region: n.Region, Peers: n.Peers}, now)
+}
+
+// fetch gets the newer revision from a peer, as it was published, and judges
+// it like one from the platform.
+func (r *Router) fetch(from Name) {
+	ctx, cancel := context.WithTimeout(context.Background(), 4*r.timeout())
+	defer cancel()
+	var reply FetchReply
+	args := FetchArgs{After: r.board.Config.Revision()}
+	if err := r.pool.call(ctx, from.Peers, methodFetch, &args, &reply, 4*r.timeout()); err != nil || reply.Revision == 0 {
+		return
+	}
+	r.Offer(reply.Revision, reply.Source, "peer "+from.Name)
+}
+
+// Offer offers a revision to the board and lays the tables out for it.
+func (r *Router) Offer(revision uint64, src []byte, from string) {
+	in, err := r.board.Config.Offer(revision, src)
+	if err != nil {
+		r.log.Warn("revision not accepted", zap.Uint64("revision", revision), zap.String("from", from), zap.Error(err))
+		return
+	}
+	if !in {
+		return
+	}
+	r.board.Endpoints.Fit(r.board.Config.View())
+	r.board.Wake.All()
+	r.log.Info("revision in force", zap.Uint64("revision", revision), zap.String("from", from))
+	r.spread()
+}
+
+// spreadTo is how many peers are told of a new revision at once, besides the
+// platform's watch and the ordinary exchange.
+const spreadTo = 2
+
+func (r *Router) spread() {
+	now := time.Now()
+	for i := range spreadTo {
+		if h, ok := r.partner(uint64(1+i), now); ok {
+			go r.exchangeWith(context.Background(), h)
+		}
+	}
+}
+
+// Seed exchanges with peers known by address only, until one answers. It is
+// for a host that starts while the platform is down.
+func (r *Router) Seed(ctx context.Context, addrs []string) {
+	for _, a := range addrs {
+		if a != r.board.Settings.Peers {
+			r.exchangeWith(ctx, blackboard.Host{Peers: a, Region: r.board.Settings.Region})
+		}
+	}
+}
+
+// Listed takes in the platform's list of hosts.
+func (r *Router) Listed(l *platform.HostList) {
+	now := time.Now()
+	listed := map[uint32]bool{}
+	for _, h := range l.Hosts {
+		n := request.HostNumber(h.Name)
+		listed[n] = true
+		r.board.Hosts.Learn(blackboard.Host{Name: h.Name, Number: n, Domain: h.Domain, Region: h.Region, Peers: h.Peers, Leaving: h.Leaving}, now)
+		if cur, _, known := r.board.Hosts.Get(n, now); known && h.Leaving {
+			r.board.Hosts.ListedLeaving(n, cur.Incarnation)
+		}
+	}
+	r.mu.Lock()
+	r.listed = listed
+	r.mu.Unlock()
+	r.board.Wake.All()
+}
+
+// Announce tells every live host of the domain about this host's state at
+// once; a leaving host does so before it waits for its requests to end.
+func (r *Router) Announce(ctx context.Context) {
+	now := time.Now()
+	self := r.board.Hosts.Self()
+	for _, h := range r.board.Hosts.List() {
+		if h.Number != self.Number && h.Domain == self.Domain && r.board.Hosts.Live(h, now) && h.Peers != "" {
+			r.exchangeWith(ctx, h)
+		}
+	}
+}
--- /dev/null
+++ b/peer/messages.go
@@ -0,0 +1,86 @@
+package peer
+
+import (
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/route"
+)
+
+// Names of the remote methods.
+const (
+	methodReserve  = "P.Reserve"
+	methodEnqueue  = "P.Enqueue"
+	methodRelease  = "P.Release"
+	methodExchange = "P.Exchange"
+	methodFetch    = "P.Fetch"
+	methodClaims   = "P.Claims"
+	methodHandover = "P.Handover"
+	methodKeyBegin = "P.KeyBegin"
+	methodKeyEnd   = "P.KeyEnd"
+)
+
+// Beat is a heartbeat of a host, handed on.
+type Beat struct {
+	Number      uint32
+	Incarnation uint64
+	Beat        uint64
+	Leaving     bool
+}
+
+// Name introduces a host whose number the other side doesn't know.
+type Name struct {
+	Name, Domain, Region, Peers string
+}
+
+// ExchangeArgs and ExchangeReply carry the same: what each side knows.
+type ExchangeArgs struct {
+	From     Name
+	Revision uint64
+	Beats    []Beat
+	Digests  []route.Digest
+	Names    []Name   // introductions that were asked for
+	Want     []uint32 // hosts to introduce
+}
+
+// ExchangeReply is the answer to ExchangeArgs.
+type ExchangeReply ExchangeArgs
+
+// FetchArgs asks for the revision in force.
+type FetchArgs struct{ After uint64 }
+
+// FetchReply carries a revision as it was published; 0: nothing newer.
+type FetchReply struct {
+	Revision uint64
+	Source   []byte
+}
+
+// ReleaseArgs carries several releases at once.
+type ReleaseArgs struct{ Rows []owner.Release }
+
+// ClaimsArgs asks which attempts a host still holds.
+type ClaimsArgs struct{ Attempts []request.Attempt }
+
+// ClaimsReply answers in the same order.
+type ClaimsReply struct{ Held []bool }
+
+// KeyArgs looks an idempotency key up and takes it, or ends it.
+type KeyArgs struct {
+	Record blackboard.KeyRecord
+	// AgeMillis is how long ago the caller first sent the key; 0: now.
+	AgeMillis int64
+	// Copy marks the second holder's copy; it asks nobody further.
+	Copy bool
+}
+
+// KeyReply is the state found; KeyNew means that the asker now holds it.
+type KeyReply struct {
+	State  blackboard.KeyState
+	Record blackboard.KeyRecord
+	// TenureMillis is how long the answering host has seen every key that
+	// it was asked about.
+	TenureMillis int64
+}
+
+// Nothing is an empty reply.
+type Nothing struct{}
--- /dev/null
+++ b/peer/pool.go
@@ -0,0 +1,141 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Dial opens a connection to an IP:port.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Traffic counts control traffic between hosts, in bytes of payload and in
+// writes. Headers of TCP and IP come on top: some 52 bytes a packet.
+type Traffic struct {
+	In, Out       atomic.Uint64
+	Reads, Writes atomic.Uint64
+	Calls         atomic.Uint64
+}
+
+type countedConn struct {
+	net.Conn
+	t *Traffic
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.t.In.Add(uint64(n))
+	c.t.Reads.Add(1)
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.t.Out.Add(uint64(n))
+	c.t.Writes.Add(1)
+	return n, err
+}
+
+// ErrOutOfReach is returned when a host didn't answer in time.
+var ErrOutOfReach = errors.New("host is out of reach")
+
+// pool keeps one connection to each peer.
+type pool struct {
+	dial    Dial
+	traffic *Traffic
+
+	mu    sync.Mutex
+	conns map[string]*rpc.Client
+	shut  bool
+}
+
+func newPool(dial Dial, t *Traffic) *pool {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return &pool{dial: dial, traffic: t, conns: map[string]*rpc.Client{}}
+}
+
+func (p *pool) get(ctx context.Context, addr string) (*rpc.Client, error) {
+	p.mu.Lock()
+	c := p.conns[addr]
+	p.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	conn, err := p.dial(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer")
+	}
+	c = rpc.NewClient(countedConn{conn, p.traffic})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.conns[addr]; old != nil || p.shut {
+		c.Close()
+		if old == nil {
+			return nil, ErrOutOfReach
+		}
+		return old, nil
+	}
+	p.conns[addr] = c
+	return c, nil
+}
+
+// drop closes a connection that hung or broke.
+func (p *pool) drop(addr string, c *rpc.Client) {
+	p.mu.Lock()
+	if p.conns[addr] == c {
+		delete(p.conns, addr)
+	}
+	p.mu.Unlock()
+	c.Close()
+}
+
+// call makes one call, bounded by the timeout. A connection that was broken
+// before the call is opened anew once; all methods may be repeated, since
+// their effect is keyed by attempt.
+func (p *pool) call(ctx context.Context, addr, method string, args, reply any, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for try := 0; ; try++ {
+		c, err := p.get(ctx, addr)
+		if err != nil {
+			return err
+		}
+		p.traffic.Calls.Add(1)
+		call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+		select {
+		case <-call.Done:
+			var remote rpc.ServerError
+			if call.Error == nil || errors.As(call.Error, &remote) {
+				return call.Error
+			}
+			p.drop(addr, c)
+			if try == 0 {
+				continue
+			}
+			return errors.Wrap(call.Error, "peer")
+		case <-ctx.Done():
+			if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+				p.drop(addr, c)
+				return ErrOutOfReach
+			}
+			return ctx.Err()
+		}
+	}
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	conns := p.conns
+	p.conns, p.shut = map[string]*rpc.Client{}, true
+	p.mu.Unlock()
+	for _, c := range conns {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/peer/router.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/route"
+)
+
+// Router takes calls to whoever owns an endpoint or a key: this host itself
+// or a peer.
+type Router struct {
+	Traffic Traffic
+
+	board *blackboard.Board
+	owner *owner.Owner
+	pool  *pool
+	log   *zap.Logger
+
+	mu       sync.Mutex
+	releases map[string][]owner.Release // by peer address
+	unknown  map[uint32]bool            // hosts to be introduced
+	listed   map[uint32]bool            // hosts on the platform's list
+	round    uint64
+}
+
+// NewRouter returns a router over the board and this host's own owner. A nil
+// dial uses TCP.
+func NewRouter(b *blackboard.Board, o *owner.Owner, dial Dial, log *zap.Logger) *Router {
+	r := &Router{board: b, owner: o, log: log, releases: map[string][]owner.Release{}, unknown: map[uint32]bool{}, listed: map[uint32]bool{}}
+	r.pool = newPool(dial, &r.Traffic)
+	o.SetPeers(r)
+	return r
+}
+
+// Close closes the connections to peers.
+func (r *Router) Close() { r.pool.close() }
+
+func (r *Router) timeout() time.Duration { return config.Millis(r.board.Settings.RPCMillis) }
+
+// ownerOf returns where an endpoint's owner is. It fails at once for an owner
+// that didn't answer lately.
+func (r *Router) ownerOf(spec *config.Endpoint) (h blackboard.Host, self bool, err error) {
+	h, ok := owner.Of(r.board, r.board.Config.View(), spec, time.Now())
+	if !ok || h.Doubted || h.Peers == "" {
+		return h, false, ErrOutOfReach
+	}
+	return h, h.Number == r.board.Number, nil
+}
+
+// fail notes that a host didn't answer.
+func (r *Router) fail(ctx context.Context, h blackboard.Host, err error) error {
+	if err != nil && ctx.Err() == nil {
+		r.board.Hosts.Doubt(h.Number)
+		r.log.Debug("peer failed", zap.String("host", h.Name), zap.Error(err))
+		return ErrOutOfReach
+	}
+	return err
+}
+
+// Reserve asks the endpoint's owner for decode memory.
+func (r *Router) Reserve(ctx context.Context, spec *config.Endpoint, a owner.ReserveArgs) (owner.ReserveReply, error) {
+	h, self, err := r.ownerOf(spec)
+	if err != nil {
+		return owner.ReserveReply{}, err
+	}
+	var reply owner.ReserveReply
+	if self {
+		reply, err = r.owner.Reserve(ctx, a)
+	} else if err = r.pool.call(ctx, h.Peers, methodReserve, &a, &reply, r.timeout()); err != nil {
+		return owner.ReserveReply{}, r.fail(ctx, h, err)
+	}
+	if err == nil {
+		r.board.Endpoints.Learn(reply.Digest, time.Now())
+	}
+	return reply, err
+}
+
+// Enqueue waits at the endpoint's owner for its turn. When the caller leaves
+// meanwhile, the owner is told so.
+func (r *Router) Enqueue(ctx context.Context, spec *config.Endpoint, a owner.EnqueueArgs) (owner.EnqueueReply, error) {
+	h, self, err := r.ownerOf(spec)
+	if err != nil {
+		return owner.EnqueueReply{}, err
+	}
+	var reply owner.EnqueueReply
+	if self {
+		reply, err = r.owner.Enqueue(ctx, a)
+	} else {
+		wait := r.timeout() + config.Millis(a.Slack)
+		err = r.pool.call(ctx, h.Peers, methodEnqueue, &a, &reply, wait)
+	}
+	if err != nil {
+		r.Release(spec, owner.Release{Attempt: a.Attempt, Endpoint: a.Endpoint, Outcome: owner.GivenUp})
+		return owner.EnqueueReply{}, r.fail(ctx, h, err)
+	}
+	r.board.Endpoints.Learn(reply.Digest, time.Now())
+	return reply, nil
+}
+
+// flushEvery is how long releases to a peer are gathered.
+const flushEvery = 40 * time.Millisecond
+
+// Release tells the endpoint's owner that an attempt has ended. It doesn't
+// wait; a release that is lost is made good by the endpoint's own list.
+func (r *Router) Release(spec *config.Endpoint, rel owner.Release) {
+	h, self, err := r.ownerOf(spec)
+	if err != nil {
+		return
+	}
+	if self {
+		r.owner.Release([]owner.Release{rel})
+		return
+	}
+	r.mu.Lock()
+	r.releases[h.Peers] = append(r.releases[h.Peers], rel)
+	r.mu.Unlock()
+	if rel.Outcome == owner.GivenUp {
+		go r.Flush(context.Background())
+	}
+}
+
+// Flush sends the gathered releases. It is a controller of its own, every
+// flushEvery.
+func (r *Router) Flush(ctx context.Context) {
+	r.mu.Lock()
+	batch := r.releases
+	r.releases = map[string][]owner.Release{}
+	r.mu.Unlock()
+	for addr, rows := range batch {
+		_ = r.pool.call(ctx, addr, methodRelease, &ReleaseArgs{Rows: rows}, &Nothing{}, r.timeout())
+	}
+}
+
+// Flusher returns the controller that sends gathered releases.
+func (r *Router) Flusher() blackboard.Controller { return blackboard.Every(flushEvery, r.Flush) }
+
+// Claims implements owner.Peers.
+func (r *Router) Claims(ctx context.Context, h blackboard.Host, attempts []request.Attempt) ([]bool, error) {
+	var reply ClaimsReply
+	err := r.pool.call(ctx, h.Peers, methodClaims, &ClaimsArgs{attempts}, &reply, r.timeout())
+	return reply.Held, err
+}
+
+// Handover implements owner.Peers.
+func (r *Router) Handover(ctx context.Context, h blackboard.Host, ho owner.Handover) error {
+	return r.pool.call(ctx, h.Peers, methodHandover, &ho, &Nothing{}, r.timeout())
+}
+
+// Touched notes that this host sent a request to an endpoint (n 1) or that
+// one ended (n -1), for the baselines that know no more.
+func (r *Router) Touched(i, n int) {
+	r.board.Endpoints.Touch(i, func(s *route.State) { s.Sent += n })
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,138 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/route"
+)
+
+// server answers other hosts. Its methods are the remote ones.
+type server struct {
+	r   *Router
+	ctx context.Context
+}
+
+func (s *server) Reserve(a *owner.ReserveArgs, reply *owner.ReserveReply) (err error) {
+	*reply, err = s.r.owner.Reserve(s.ctx, *a)
+	return err
+}
+
+func (s *server) Enqueue(a *owner.EnqueueArgs, reply *owner.EnqueueReply) (err error) {
+	*reply, err = s.r.owner.Enqueue(s.ctx, *a)
+	return err
+}
+
+func (s *server) Release(a *ReleaseArgs, _ *Nothing) error {
+	s.r.owner.Release(a.Rows)
+	return nil
+}
+
+func (s *server) Exchange(a *ExchangeArgs, reply *ExchangeReply) error {
+	s.r.takeIn(ExchangeReply(*a), time.Now())
+	*reply = ExchangeReply(s.r.tell(a.From.Region, a.Want))
+	return nil
+}
+
+func (s *server) Fetch(a *FetchArgs, reply *FetchReply) error {
+	if v := s.r.board.Config.View(); v != nil && v.Revision > a.After {
+		reply.Revision, reply.Source = v.Revision, v.Source
+	}
+	return nil
+}
+
+func (s *server) Claims(a *ClaimsArgs, reply *ClaimsReply) error {
+	for _, at := range a.Attempts {
+		reply.Held = append(reply.Held, s.r.board.Requests.Holds(at))
+	}
+	return nil
+}
+
+func (s *server) Handover(h *owner.Handover, _ *Nothing) error { return s.r.owner.Accept(s.ctx, *h) }
+
+func (s *server) KeyBegin(a *KeyArgs, reply *KeyReply) (err error) {
+	*reply, err = s.r.keyBegin(s.ctx, *a)
+	return err
+}
+
+func (s *server) KeyEnd(a *KeyArgs, _ *Nothing) error {
+	s.r.keyEnd(s.ctx, *a)
+	return nil
+}
+
+// Serve answers other hosts on the listener until ctx ends.
+func (r *Router) Serve(ctx context.Context, l net.Listener) error {
+	srv := rpc.NewServer()
+	if err := srv.RegisterName("P", &server{r: r, ctx: ctx}); err != nil {
+		return errors.Wrap(err, "peer")
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	open := map[net.Conn]bool{}
+	stop := context.AfterFunc(ctx, func() {
+		l.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for c := range open {
+			c.Close()
+		}
+	})
+	defer stop()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			wg.Wait()
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "peer listener")
+		}
+		mu.Lock()
+		open[c] = true
+		mu.Unlock()
+		if ctx.Err() != nil {
+			c.Close()
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			srv.ServeConn(countedConn{c, &r.Traffic})
+			mu.Lock()
+			defer mu.Unlock()
+			delete(open, c)
+		}()
+	}
+}
+
+// tell returns what this host knows, for a host of the region.
+func (r *Router) tell(region string, want []uint32) ExchangeArgs {
+	now := time.Now()
+	self := r.board.Hosts.Self()
+	a := ExchangeArgs{From: Name{self.Name, self.Domain, self.Region, self.Peers}, Revision: r.board.Config.Revision()}
+	for _, h := range r.board.Hosts.List() {
+		if h.Incarnation != 0 && r.board.Hosts.Live(h, now) {
+			a.Beats = append(a.Beats, Beat{h.Number, h.Incarnation, h.Beat, h.Leaving})
+		}
+	}
+	for _, n := range want {
+		if h, _, known := r.board.Hosts.Get(n, now); known {
+			a.Names = append(a.Names, Name{h.Name, h.Domain, h.Region, h.Peers})
+		}
+	}
+	if region == self.Region {
+		for _, d := range r.owner.Digests(now) {
+			r.board.Endpoints.Learn(d, now)
+		}
+		a.Digests = r.board.Endpoints.Digests(now, maxDigestAge, func(*route.State) bool { return true })
+	}
+	return a
+}
+
+// maxDigestAge is the age from which a digest isn't handed on.
+const maxDigestAge = 10 * time.Second
--- /dev/null
+++ b/route/explain.go
@@ -0,0 +1,76 @@
+package route
+
+import (
+	"math"
+	"sort"
+
+	"github.com/embercove/embercove/config"
+)
+
+// Candidate is one endpoint as a decision sees it.
+type Candidate struct {
+	Endpoint string      `json:"endpoint"`
+	Role     config.Role `json:"role"`
+	Domain   string      `json:"failure_domain"`
+	Cost     float64     `json:"cost_s"` // -1 when it is out of the question
+	Why      string      `json:"why,omitempty"`
+	Queue    float64     `json:"queue_s"`
+	Uncached int         `json:"uncached_tokens"`
+	Free     int32       `json:"free_tokens"`
+	Age      float64     `json:"digest_age_s"` // -1: never heard of
+	Chosen   bool        `json:"chosen"`
+}
+
+// Explain lists every endpoint that the route allows with its cost, the
+// cheapest first.
+func Explain(v *config.View, states []State, r *Request) []Candidate {
+	c := Pick(v, states, r)
+	var out []Candidate
+	for _, i := range append(append([]int{}, r.Route.Prefill...), r.Route.Decode...) {
+		s := &states[i]
+		row := Candidate{Endpoint: s.Spec.Name, Role: s.Role, Domain: s.Spec.Domain, Cost: -1, Why: why(v, s, r),
+			Queue: float64(s.Digest.QueueMillis) / 1000, Free: s.Digest.FreeTokens, Age: -1,
+			Chosen: i == c.Prefill || i == c.Decode}
+		if !s.At.IsZero() {
+			row.Age = math.Round(r.Now.Sub(s.At).Seconds()*1000) / 1000
+		}
+		if row.Why == "" {
+			row.Cost = decodeCost(v, s, r)
+			if s.Role == config.Prefill {
+				row.Cost = prefillCost(v, s, r)
+				row.Uncached = s.Uncached(r.Tokens, r.Head, r.HasHead)
+			}
+		}
+		out = append(out, row)
+	}
+	sort.SliceStable(out, func(i, j int) bool {
+		a, b := out[i], out[j]
+		if a.Role != b.Role {
+			return a.Role == config.Prefill
+		}
+		if (a.Cost < 0) != (b.Cost < 0) {
+			return b.Cost < 0
+		}
+		return a.Cost < b.Cost
+	})
+	return out
+}
+
+// why says what rules an endpoint out, or "".
+func why(v *config.View, s *State, r *Request) string {
+	switch {
+	case s.Leaving || s.Digest.Flags&FlagLeaving != 0:
+		return "leaving"
+	case s.Digest.Flags&FlagDown != 0:
+		return "out of reach of its owner"
+	case s.Digest.Flags&FlagWrong != 0:
+		return "not in the ordered state"
+	case s.Region != r.Region:
+		return "in another region"
+	case !v.Serves(s.Index, r.Model):
+		return "does not serve the model"
+	case r.Excluded(s.Index):
+		return "refused or failed this request before"
+	}
+	return ""
+}
--- /dev/null
+++ b/route/pick.go
@@ -0,0 +1,215 @@
+package route
+
+import (
+	"math"
+	"time"
+
+	"github.com/embercove/embercove/config"
+)
+
+// Request is what a decision depends on besides the states.
+type Request struct {
+	Route     *config.RouteView
+	Model     string
+	Tokens    int // of the prompt
+	MaxAnswer int
+	Head      uint32
+	HasHead   bool
+	Home      int    // index of the entry host's failure domain
+	Region    string // of the entry host
+	Now       time.Time
+	Seed      uint64 // spreads the choices of many hosts over near-equal endpoints
+	// FixedDecode is the index + 1 of a decode endpoint that is already
+	// reserved; 0: any.
+	FixedDecode int
+	Exclude     [8]int // endpoints that refused or failed, as index + 1; 0 ends the list
+}
+
+// Excluded reports whether endpoint i is out of the question.
+func (r *Request) Excluded(i int) bool {
+	for _, x := range r.Exclude {
+		if x == 0 {
+			return false
+		}
+		if x == i+1 {
+			return true
+		}
+	}
+	return false
+}
+
+// Drop excludes endpoint i; past the room for it nothing more is excluded.
+func (r *Request) Drop(i int) {
+	for k, x := range r.Exclude {
+		if x == 0 {
+			r.Exclude[k] = i + 1
+			return
+		}
+	}
+}
+
+// Choice is a chosen pair. An index below 0 means that there is none.
+type Choice struct {
+	Prefill, Decode int
+	Uncached        int           // tokens that the prefill engine will read
+	Wait            time.Duration // forecast of queueing before prefill
+	Read            time.Duration // forecast of the prefill itself
+	Move            time.Duration // forecast of the transfer, with waiting for the link
+}
+
+// Costs of a choice beyond its time, in seconds of time to first token.
+const (
+	costOtherDomain = 0.060 // leaving the own failure domain
+	costCrossLink   = 0.030 // a transfer between failure domains
+	costStale       = 0.400 // a digest that is older than staleAfter
+	costFull        = 0.600 // decode memory is full by the digest
+	costFill        = 0.080 // a full batch against an empty one
+	jitterShare     = 0.10  // of a cost, by which near-equal endpoints trade places
+)
+
+// staleAfter is the age from which a digest is little worth.
+const staleAfter = 3 * time.Second
+
+// beam is how many endpoints of each role are tried in pairs.
+const beam = 6
+
+type ranked struct {
+	cost [beam]float64
+	idx  [beam]int
+	n    int
+}
+
+// add keeps the beam cheapest.
+func (r *ranked) add(cost float64, i int) {
+	if r.n == beam && cost >= r.cost[beam-1] {
+		return
+	}
+	k := min(r.n, beam-1)
+	for k > 0 && r.cost[k-1] > cost {
+		r.cost[k], r.idx[k] = r.cost[k-1], r.idx[k-1]
+		k--
+	}
+	r.cost[k], r.idx[k] = cost, i
+	r.n = min(r.n+1, beam)
+}
+
+// Pick returns the pair with the least forecast time to first token, costs
+// included. It allocates nothing.
+func Pick(v *config.View, states []State, r *Request) Choice {
+	var pre, dec ranked
+	for _, i := range r.Route.Prefill {
+		if s := &states[i]; eligible(v, s, r) {
+			pre.add(prefillCost(v, s, r), i)
+		}
+	}
+	for _, i := range r.Route.Decode {
+		if r.FixedDecode != 0 && r.FixedDecode != i+1 {
+			continue
+		}
+		if s := &states[i]; eligible(v, s, r) {
+			dec.add(decodeCost(v, s, r), i)
+		}
+	}
+	best := Choice{Prefill: -1, Decode: -1}
+	least := math.Inf(1)
+	for a := range pre.n {
+		for b := range dec.n {
+			p, d := &states[pre.idx[a]], &states[dec.idx[b]]
+			cross := crossCost(v, p, d, r)
+			if cost := pre.cost[a] + dec.cost[b] + cross; cost < least {
+				least, best.Prefill, best.Decode = cost, p.Index, d.Index
+			}
+		}
+	}
+	if best.Prefill >= 0 {
+		best.fill(v, states, r)
+	}
+	return best
+}
+
+// fill works out the forecasts of a chosen pair.
+func (c *Choice) fill(v *config.View, states []State, r *Request) {
+	p, d := &states[c.Prefill], &states[c.Decode]
+	c.Uncached = p.Uncached(r.Tokens, r.Head, r.HasHead)
+	c.Wait = time.Duration(p.Digest.QueueMillis) * time.Millisecond
+	c.Read = p.PrefillTime(c.Uncached)
+	c.Move = LinkTime(d.Spec, kvBytes(v, d, r.Tokens))
+}
+
+func kvBytes(v *config.View, d *State, tokens int) int64 {
+	m := v.Models[d.Spec.Model]
+	if m == nil {
+		return 0
+	}
+	return int64(tokens) * m.KVBytesPerToken
+}
+
+// Open reports whether an endpoint of any role may be sent something: usable,
+// in the region, and not excluded.
+func Open(s *State, r *Request) bool {
+	return s.usable() && s.Region == r.Region && !r.Excluded(s.Index)
+}
+
+func eligible(v *config.View, s *State, r *Request) bool {
+	return Open(s, r) && v.Serves(s.Index, r.Model)
+}
+
+// prefillCost is the forecast time until the prompt is read, in seconds.
+// Work weighs more than waiting where wasted prefill is minded.
+func prefillCost(v *config.View, s *State, r *Request) float64 {
+	work := s.PrefillTime(s.Uncached(r.Tokens, r.Head, r.HasHead)).Seconds()
+	w := v.Doc.Weights
+	cost := float64(s.Digest.QueueMillis)/1000 + work*(1+w.WastedPrefill/(w.Goodput+w.WastedPrefill))
+	return placed(cost, s, r)
+}
+
+// decodeCost is the forecast time until decode can begin, in seconds.
+func decodeCost(v *config.View, s *State, r *Request) float64 {
+	cost := LinkTime(s.Spec, kvBytes(v, s, r.Tokens)).Seconds() + float64(s.Digest.LinkMillis)/1000
+	if !s.At.IsZero() {
+		need := r.Tokens + r.MaxAnswer
+		free := int(s.Digest.FreeTokens)
+		cost += costFill * (1 - float64(max(0, free))/float64(s.Spec.MemoryTokens))
+		cost += costFill * (1 - float64(max(0, s.Digest.FreeSlots))/float64(s.Spec.Slots))
+		if free < need || s.Digest.FreeSlots <= 0 {
+			cost += costFull * (1 + float64(need-min(free, need))/float64(s.Spec.MemoryTokens))
+		}
+	}
+	return placed(cost, s, r)
+}
+
+// placed adds what a choice costs by its place, its health and the age of
+// what is known. Failures raise the cost by degrees, so that an endpoint is
+// left gradually and a pool that fails as a whole keeps its order.
+func placed(cost float64, s *State, r *Request) float64 {
+	cost = (cost + 0.010) * (1 + 4*float64(s.Digest.FailPct)/100)
+	if s.Domain != r.Home {
+		cost += costOtherDomain
+	}
+	if !s.At.IsZero() && r.Now.Sub(s.At) > staleAfter {
+		cost += costStale
+	}
+	return cost * (1 + jitterShare*noise(r.Seed, s.Number))
+}
+
+// crossCost is what a transfer between failure domains adds; it is infinite
+// where no link joins them.
+func crossCost(v *config.View, p, d *State, r *Request) float64 {
+	if p.Domain == d.Domain {
+		return 0
+	}
+	rate := v.Doc.Domains[d.Domain].LinkBytesPerSecond
+	if rate == 0 {
+		return math.Inf(1)
+	}
+	return costCrossLink + float64(kvBytes(v, d, r.Tokens))/float64(rate)
+}
+
+// noise returns a number in [0, 1) that depends on both arguments alone.
+func noise(seed uint64, n uint32) float64 {
+	x := seed ^ uint64(n)*0x9e3779b97f4a7c15
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	return float64(x>>11) / (1 << 53)
+}
--- /dev/null
+++ b/route/state.go
@@ -0,0 +1,131 @@
+// Package route chooses the endpoints of a request: which prefill engine
+// reads the prompt and which decode engine writes the answer.
+//
+// Its functions are pure: they see a snapshot of states and a request, do no
+// I/O, take no lock and read no clock. They choose where to ask; whether the
+// chosen endpoint takes the request is its owner's decision, and in the end
+// its own.
+package route
+
+import (
+	"time"
+
+	"github.com/embercove/embercove/config"
+)
+
+// Flags of a digest.
+const (
+	FlagDown    = 1 << iota // the owner can't reach the endpoint
+	FlagLeaving             // the endpoint is leaving
+	FlagWrong               // not in the state that was ordered
+)
+
+// HeadDigest tells how many tokens an endpoint has cached of prompts that
+// begin with a block.
+type HeadDigest struct {
+	Head   uint32
+	Tokens uint32
+}
+
+// Digest is what an endpoint's owner tells others of it. Times are in ms,
+// sizes in tokens; ages instead of moments, because clocks differ.
+type Digest struct {
+	Number      uint32
+	AgeMillis   uint32
+	QueueMillis uint32 // prefill: work queued before a new request
+	FreeTokens  int32  // decode: memory that is neither held nor reserved
+	FreeSlots   int32
+	LinkMillis  uint32 // decode: until the link into it is free
+	SlowPct     uint16 // time of work against the configured; 0 stands for 100
+	FailPct     uint8  // share of recent attempts that failed
+	Flags       uint8
+	TrustPct    uint8 // how far Heads proved true
+	Heads       []HeadDigest
+}
+
+// State is an endpoint as one host sees it: its configuration and the last
+// digest.
+type State struct {
+	Number  uint32
+	Index   int // in the configuration's list
+	Domain  int // index in the configuration's list
+	Region  string
+	Role    config.Role
+	Spec    *config.Endpoint
+	Leaving bool // by the configuration
+	Digest  Digest
+	At      time.Time // when the digest was true; zero: never heard of
+	Sent    int       // sent by this host and not ended: the baselines' knowledge
+}
+
+// Number returns the number that stands for an endpoint's name in messages.
+func Number(name string) uint32 { return config.NameNumber(name) }
+
+// Layout returns the states of a revision, without digests.
+func Layout(v *config.View) []State {
+	domains := map[string]int{}
+	for i, d := range v.Doc.Domains {
+		domains[d.Name] = i
+	}
+	out := make([]State, len(v.Doc.Endpoints))
+	for i := range v.Doc.Endpoints {
+		e := &v.Doc.Endpoints[i]
+		n := Number(e.Name)
+		out[i] = State{Number: n, Index: i, Domain: domains[e.Domain], Region: v.Region[e.Domain], Role: e.Role,
+			Spec: e, Leaving: e.Leaving, Digest: Digest{Number: n}}
+	}
+	return out
+}
+
+// Slow returns the learned factor on the endpoint's time of work.
+func (s *State) Slow() float64 {
+	if s.Digest.SlowPct == 0 {
+		return 1
+	}
+	return float64(s.Digest.SlowPct) / 100
+}
+
+// usable reports whether new work may go to the endpoint at all.
+func (s *State) usable() bool { return !s.Leaving && s.Digest.Flags == 0 }
+
+// Uncached returns how many of the prompt's tokens the endpoint will have to
+// read. Cache events come late and with gaps, so the cached part counts only
+// as far as the feed proved true.
+func (s *State) Uncached(tokens int, head uint32, hasHead bool) int {
+	if !hasHead {
+		return tokens
+	}
+	for _, h := range s.Digest.Heads {
+		if h.Head == head {
+			hit := min(int(h.Tokens), tokens) * int(s.Digest.TrustPct) / 100
+			return max(1, tokens-hit)
+		}
+	}
+	return tokens
+}
+
+// PrefillTime returns the time that reading the tokens takes, without
+// waiting.
+func (s *State) PrefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / s.Spec.TokensPerSecond * s.Slow() * float64(time.Second))
+}
+
+// StepTime returns the time of a decode step with n requests in the batch.
+func StepTime(e *config.Endpoint, n int) time.Duration {
+	return time.Duration(e.StepMicros+max(0, n-1)*e.StepMicrosEach) * time.Microsecond
+}
+
+// BatchLimit returns how many requests may share a batch before a step takes
+// longer than the target, and no more than the slots.
+func BatchLimit(e *config.Endpoint, tpot time.Duration) int {
+	if e.StepMicrosEach <= 0 {
+		return e.Slots
+	}
+	n := 1 + (int(tpot.Microseconds())-e.StepMicros)/e.StepMicrosEach
+	return max(1, min(n, e.Slots))
+}
+
+// LinkTime returns the time that bytes take on the link into the endpoint.
+func LinkTime(e *config.Endpoint, bytes int64) time.Duration {
+	return time.Duration(float64(bytes) / float64(e.LinkBytesPerSecond) * float64(time.Second))
+}
