entry: the whole path, from caller to answer, as separate processes

Measured: TestWholePath serves a docket bundle of 20,000 tokens and a short question over separate processes, streamed and whole.

--- /dev/null
+++ b/cmd/embercove/main.go
@@ -0,0 +1,10 @@
+// Command embercove is the operators' tool.
+package main
+
+import (
+	"os"
+
+	"github.com/embercove/embercove/tool"
+)
+
+func main() { os.Exit(tool.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/entry/answer.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/embercove/embercove/result"
+)
+
+// answer writes a job's answer to its caller, as a stream or whole. It
+// counts the tokens, so that a resumed answer goes on where it stopped.
+type answer struct {
+	w      http.ResponseWriter
+	rc     *http.ResponseController
+	id     string
+	model  string
+	chat   bool
+	stream bool
+	prompt int // tokens
+
+	sent   int // tokens relayed or gathered
+	opened bool
+	text   strings.Builder // of an answer that is sent whole
+	finish string
+	first  time.Time
+	last   time.Time
+}
+
+func newAnswer(w http.ResponseWriter, j *job, chat bool) *answer {
+	return &answer{w: w, rc: http.NewResponseController(w), id: j.id.String(), model: j.body.Model, chat: chat,
+		stream: j.body.Stream, prompt: j.tokens}
+}
+
+// The shapes of the OpenAI API that callers' libraries read.
+type (
+	textChoice struct {
+		Index        int     `json:"index"`
+		Text         string  `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	}
+	chatChoice struct {
+		Index        int      `json:"index"`
+		Delta        *Message `json:"delta,omitempty"`
+		Message      *Message `json:"message,omitempty"`
+		FinishReason *string  `json:"finish_reason"`
+	}
+	usage struct {
+		PromptTokens     int `json:"prompt_tokens"`
+		CompletionTokens int `json:"completion_tokens"`
+		TotalTokens      int `json:"total_tokens"`
+	}
+	completion struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Model   string `json:"model"`
+		Choices any    `json:"choices"`
+		Usage   *usage `json:"usage,omitempty"`
+	}
+)
+
+func (a *answer) choices(text, finish string) any {
+	var fin *string
+	if finish != "" {
+		fin = &finish
+	}
+	if !a.chat {
+		return []textChoice{{Text: text, FinishReason: fin}}
+	}
+	m := &Message{Role: "assistant", Content: text}
+	if a.stream {
+		return []chatChoice{{Delta: m, FinishReason: fin}}
+	}
+	return []chatChoice{{Message: m, FinishReason: fin}}
+}
+
+func (a *answer) object() string {
+	switch {
+	case a.chat && a.stream:
+		return "chat.completion.chunk"
+	case a.chat:
+		return "chat.completion"
+	}
+	return "text_completion"
+}
+
+// open sends the head of a streamed answer, before its first event.
+func (a *answer) open() {
+	if a.opened {
+		return
+	}
+	a.opened = true
+	a.w.Header().Set("Content-Type", "text/event-stream")
+	a.w.Header().Set("Cache-Control", "no-store")
+	a.w.WriteHeader(http.StatusOK)
+}
+
+// token passes on the token with the number; finish is set on the last.
+func (a *answer) token(_ int, text, finish string) error {
+	now := time.Now()
+	if a.sent == 0 {
+		a.first = now
+	}
+	a.last = now
+	a.sent++
+	if !a.stream {
+		a.text.WriteString(text)
+		a.finish = finish
+		return nil
+	}
+	a.open()
+	return a.event("", completion{ID: a.id, Object: a.object(), Model: a.model, Choices: a.choices(text, finish)})
+}
+
+// event writes one server-sent event.
+func (a *answer) event(name string, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if name != "" {
+		fmt.Fprintf(a.w, "event: %s\n", name)
+	}
+	if _, err := fmt.Fprintf(a.w, "data: %s\n\n", b); err != nil {
+		return err
+	}
+	return a.rc.Flush()
+}
+
+// end closes a whole answer.
+func (a *answer) end() {
+	if a.stream {
+		a.open()
+		fmt.Fprint(a.w, "data: [DONE]\n\n")
+		_ = a.rc.Flush()
+		return
+	}
+	u := &usage{PromptTokens: a.prompt, CompletionTokens: a.sent, TotalTokens: a.prompt + a.sent}
+	writeJSON(a.w, http.StatusOK, completion{ID: a.id, Object: a.object(), Model: a.model, Choices: a.choices(a.text.String(), a.finish), Usage: u})
+}
+
+// fail tells the caller of a failure. A stream that has begun gets an error
+// event and then a cut connection, so that nothing takes it for whole.
+func (a *answer) fail(err *result.Error) {
+	if !a.opened {
+		writeError(a.w, err)
+		return
+	}
+	_ = a.event("error", problem(err))
+	panic(http.ErrAbortHandler)
+}
+
+// times returns the time to first token and the time per further token.
+func (a *answer) times(came time.Time) (ttft, tpot time.Duration) {
+	if a.sent == 0 {
+		return 0, 0
+	}
+	ttft = a.first.Sub(came)
+	if a.sent > 1 {
+		tpot = a.last.Sub(a.first) / time.Duration(a.sent-1)
+	}
+	return ttft, tpot
+}
+
+// Problem is the body of every refusal and error.
+type Problem struct {
+	Error ProblemDetail `json:"error"`
+}
+
+// ProblemDetail names the numbered code, whether the request ran and when to
+// come back.
+type ProblemDetail struct {
+	Code        int    `json:"code"`
+	Name        string `json:"name"`
+	Message     string `json:"message"`
+	NotRun      bool   `json:"not_run"`
+	RetryMillis int64  `json:"retry_after_ms"`
+}
+
+func problem(e *result.Error) Problem {
+	return Problem{ProblemDetail{Code: int(e.Code), Name: e.Code.String(), Message: e.Detail, NotRun: e.Code.NotRun(),
+		RetryMillis: e.RetryAfter.Milliseconds()}}
+}
+
+func writeError(w http.ResponseWriter, e *result.Error) {
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	writeJSON(w, e.Code.Info().Status, problem(e))
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/peer"
+	"github.com/embercove/embercove/report"
+	"github.com/embercove/embercove/result"
+)
+
+// Owners is what a request asks of endpoint owners and key holders.
+type Owners interface {
+	Reserve(ctx context.Context, spec *config.Endpoint, a owner.ReserveArgs) (owner.ReserveReply, error)
+	Enqueue(ctx context.Context, spec *config.Endpoint, a owner.EnqueueArgs) (owner.EnqueueReply, error)
+	Release(spec *config.Endpoint, rel owner.Release)
+	KeyBegin(ctx context.Context, a peer.KeyArgs) (peer.KeyReply, error)
+	KeyEnd(ctx context.Context, a peer.KeyArgs)
+	Touched(i, n int)
+}
+
+// Entry serves callers. Use New.
+type Entry struct {
+	board   *blackboard.Board
+	client  *endpoint.Client
+	owners  Owners
+	record  *report.Recorder
+	log     *zap.Logger
+	budgets budgets
+	turn    atomic.Uint64 // for round robin and seeds
+	logs    floodGate
+}
+
+// New returns an entry over the board.
+func New(b *blackboard.Board, c *endpoint.Client, o Owners, rec *report.Recorder, log *zap.Logger) *Entry {
+	return &Entry{board: b, client: c, owners: o, record: rec, log: log}
+}
+
+// Handler returns the callers' HTTP interface.
+func (e *Entry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.completions)
+	mux.HandleFunc("POST /v1/chat/completions", e.completions)
+	mux.HandleFunc("GET /v1/models", e.models)
+	mux.HandleFunc("/services/{name}/", e.service)
+	return mux
+}
+
+// ready returns the revision in force, or the refusal of a host that can't
+// serve.
+func (e *Entry) ready() (*config.View, *result.Error) {
+	e.board.Pause.Check()
+	if e.board.Draining() {
+		return nil, result.Errorf(result.Draining, "this host is stopping").After(time.Second)
+	}
+	v := e.board.Config.View()
+	if v == nil {
+		return nil, result.Errorf(result.NotReady, "no configuration yet").After(time.Second)
+	}
+	return v, nil
+}
+
+func (e *Entry) models(w http.ResponseWriter, _ *http.Request) {
+	v, refusal := e.ready()
+	if refusal != nil {
+		writeError(w, refusal)
+		return
+	}
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list"}
+	for _, m := range v.Doc.Models {
+		list.Data = append(list.Data, model{m.Name, "model"})
+		for _, a := range m.Adapters {
+			list.Data = append(list.Data, model{a, "model"})
+		}
+	}
+	writeJSON(w, http.StatusOK, list)
+}
--- /dev/null
+++ b/entry/finish.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/invariant"
+	"github.com/embercove/embercove/report"
+	"github.com/embercove/embercove/result"
+)
+
+// refuse answers a call that never became a job.
+func (e *Entry) refuse(w http.ResponseWriter, _ *config.View, err *result.Error) {
+	e.board.Requests.Refused(err.Code)
+	e.record.Record(report.Outcome{Code: err.Code, Team: unknownTeam}, time.Now())
+	if ok, lost := e.logs.allow(); ok {
+		e.log.Info("request refused", zap.Int("code", int(err.Code)), zap.String("name", err.Code.String()),
+			zap.String("detail", err.Detail), zap.Uint64("lines_left_out", lost))
+	}
+	writeError(w, err)
+}
+
+// unknownTeam stands for the team of calls that were refused before theirs
+// was known.
+const unknownTeam = "(none)"
+
+// finish ends a job: the caller's answer, the key, the row, the record and
+// the log line. began says that the job has a row.
+func (e *Entry) finish(j *job, err *result.Error, began bool) {
+	inv := e.board.Invariant
+	inv.Check(!err.Code.NotRun() || !j.ran, invariant.NotRunClean, "request %s ends as %s", j.id, err.Code)
+	o := j.outcome(err.Code)
+	v := e.record.Record(o, time.Now())
+	if j.out != nil && err.Code == result.OK {
+		j.out.end()
+	}
+	e.endKey(j, err.Code)
+	if began {
+		e.board.Requests.End(j.id, err.Code)
+	}
+	e.logEnd(j, o, v, err)
+	if err.Code != result.OK {
+		j.fail(err)
+	}
+}
+
+// logEnd writes the one line of a request's end. It never holds prompt text.
+func (e *Entry) logEnd(j *job, o report.Outcome, v report.Verdict, err *result.Error) {
+	ok, lost := e.logs.allow()
+	if !ok {
+		return
+	}
+	e.log.Info("request", zap.Stringer("id", j.id), zap.String("team", o.Team), zap.String("model", o.Model),
+		zap.Int("code", int(o.Code)), zap.String("name", o.Code.String()), zap.String("detail", err.Detail),
+		zap.Int("verdict", int(v)), zap.Duration("ttft", o.TTFT), zap.Duration("tpot", o.TPOT), zap.Int("prompt_tokens", j.tokens),
+		zap.Int("answer_tokens", o.Tokens), zap.Int("attempts", o.Attempts), zap.String("prefill", j.prefill),
+		zap.String("decode", j.decode), zap.Durations("phases", j.phases[:]), zap.Int("wasted_tokens", o.Wasted),
+		zap.Uint64("lines_left_out", lost))
+}
+
+// Log lines a second, and how many may come at once.
+const (
+	logRate  = 200
+	logBurst = 400
+)
+
+// floodGate bounds log lines and counts those left out.
+type floodGate struct {
+	once sync.Once
+	lim  *rate.Limiter
+	mu   sync.Mutex
+	lost uint64
+}
+
+func (g *floodGate) allow() (ok bool, lost uint64) {
+	g.once.Do(func() { g.lim = rate.NewLimiter(logRate, logBurst) })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.lim.Allow() {
+		g.lost++
+		return false, 0
+	}
+	lost, g.lost = g.lost, 0
+	return true, lost
+}
+
+// Limited wraps h in a server with the limits that hold for every caller.
+func Limited(h http.Handler, headerBytes int) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
+}
+
+// Times that a caller's connection may take to no purpose.
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,175 @@
+package load
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/internal/fake"
+	"github.com/embercove/embercove/report"
+	"github.com/embercove/embercove/result"
+)
+
+// Report sums up one run.
+type Report struct {
+	Name      string                `json:"name"`
+	Offered   int                   `json:"offered"`
+	Left      int                   `json:"left"`
+	Answered  int                   `json:"answered"`
+	Good      int                   `json:"good"`
+	Wrong     int                   `json:"wrong_or_broken"`
+	Goodput   float64               `json:"goodput_per_s"`
+	GoodShare float64               `json:"good_share"` // of the callers that stayed
+	Bound     int                   `json:"bound"`
+	TTFT      report.Quantiles      `json:"ttft"`
+	TPOT      report.Quantiles      `json:"tpot"`
+	Codes     map[string]int        `json:"codes"`
+	Kinds     map[string]KindReport `json:"kinds"`
+	Waste     Waste                 `json:"waste"`
+}
+
+// KindReport is the part of one class of requests, or of one team.
+type KindReport struct {
+	Offered int `json:"offered"`
+	Good    int `json:"good"`
+}
+
+// Waste is prompt work by the stand-ins' own truth, in tokens.
+type Waste struct {
+	Read      int     `json:"read_tokens"`
+	Leavers   int     `json:"wasted_for_leavers"` // the caller left: not all avoidable
+	Others    int     `json:"wasted_for_others"`
+	Share     float64 `json:"wasted_share_others"`
+	ShareLeft float64 `json:"wasted_share_leavers"`
+	Attempts  float64 `json:"attempts_per_request"` // prefill runs for each request that ran
+}
+
+// Sum makes the report of a run.
+func Sum(name string, rs []Result, truth []fake.Record, t config.Targets, span time.Duration) Report {
+	rep := Report{Name: name, Offered: len(rs), Codes: map[string]int{}, Kinds: map[string]KindReport{}}
+	ttft, tpot := hist(), hist()
+	for _, r := range rs {
+		good := r.Whole && r.Correct && r.TTFT <= t.TTFT() && r.TPOT <= t.TPOT()
+		for _, key := range []string{r.Kind, "team " + r.Team} {
+			k := rep.Kinds[key]
+			k.Offered++
+			if good {
+				k.Good++
+			}
+			rep.Kinds[key] = k
+		}
+		switch {
+		case good:
+			rep.Good++
+		case r.Left:
+			rep.Left++
+		}
+		if r.Whole {
+			rep.Answered++
+			_ = ttft.RecordValue(r.TTFT.Microseconds())
+			if r.TPOT > 0 {
+				_ = tpot.RecordValue(r.TPOT.Microseconds())
+			}
+		}
+		rep.Codes[codeName(r)]++
+		if !r.Left && (r.Code == 0 || r.Code == result.OK && !r.Correct) {
+			rep.Wrong++
+		}
+	}
+	rep.Goodput = float64(rep.Good) / span.Seconds()
+	rep.GoodShare = float64(rep.Good) / float64(max(1, rep.Offered-rep.Left))
+	rep.TTFT, rep.TPOT = quantiles(ttft), quantiles(tpot)
+	rep.Waste = waste(rs, truth)
+	return rep
+}
+
+func codeName(r Result) string {
+	switch {
+	case r.Left:
+		return "(left)"
+	case r.Code == 0:
+		return "(broken)"
+	}
+	return r.Code.String()
+}
+
+const (
+	leastMicros = 1
+	mostMicros  = 120_000_000
+	figures     = 3
+)
+
+func hist() *hdrhistogram.Histogram { return hdrhistogram.New(leastMicros, mostMicros, figures) }
+
+func quantiles(h *hdrhistogram.Histogram) report.Quantiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return report.Quantiles{P50: at(50), P95: at(95), P99: at(99)}
+}
+
+// waste adds up prompt work that no answer was written from.
+func waste(rs []Result, truth []fake.Record) Waste {
+	left := map[uint64]bool{}
+	for _, r := range rs {
+		if r.Left {
+			left[fake.PromptHash(r.Prompt)] = true
+		}
+	}
+	var w Waste
+	ran := map[uint64]int{}
+	for _, rec := range truth {
+		if rec.Role != string(config.Prefill) {
+			continue
+		}
+		w.Read += rec.Tokens
+		if rec.Finished {
+			ran[rec.Prompt]++
+		}
+		switch {
+		case rec.Used:
+		case left[rec.Prompt]:
+			w.Leavers += rec.Tokens
+		default:
+			w.Others += rec.Tokens
+		}
+	}
+	runs := 0
+	for _, n := range ran {
+		runs += n
+	}
+	w.Share = float64(w.Others) / float64(max(1, w.Read))
+	w.ShareLeft = float64(w.Leavers) / float64(max(1, w.Read))
+	w.Attempts = float64(runs) / float64(max(1, len(ran)))
+	return w
+}
+
+// Text returns the report for reading.
+func (r Report) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s\n", r.Name)
+	fmt.Fprintf(&b, "  offered %d, left %d, answered %d, good %d (%.1f%% of those that stayed, %.1f/s), wrong or broken %d\n",
+		r.Offered, r.Left, r.Answered, r.Good, 100*r.GoodShare, r.Goodput, r.Wrong)
+	fmt.Fprintf(&b, "  time to first token  p50 %7.1f ms  p95 %7.1f ms  p99 %7.1f ms\n", r.TTFT.P50, r.TTFT.P95, r.TTFT.P99)
+	fmt.Fprintf(&b, "  time per token       p50 %7.1f ms  p95 %7.1f ms  p99 %7.1f ms\n", r.TPOT.P50, r.TPOT.P95, r.TPOT.P99)
+	fmt.Fprintf(&b, "  prompt tokens read %d, wasted %.2f%% and for callers that left %.2f%%, prefills for each request run %.3f\n",
+		r.Waste.Read, 100*r.Waste.Share, 100*r.Waste.ShareLeft, r.Waste.Attempts)
+	for _, k := range sorted(r.Kinds) {
+		fmt.Fprintf(&b, "  %-22s good %d of %d\n", k, r.Kinds[k].Good, r.Kinds[k].Offered)
+	}
+	for _, k := range sorted(r.Codes) {
+		fmt.Fprintf(&b, "  %-22s %d\n", k, r.Codes[k])
+	}
+	return b.String()
+}
+
+func sorted[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
--- /dev/null
+++ b/load/send.go
@@ -0,0 +1,183 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/embercove/embercove/entry"
+	"github.com/embercove/embercove/internal/fake"
+	"github.com/embercove/embercove/result"
+)
+
+// Result is what the caller of one arrival saw.
+type Result struct {
+	Arrival
+	Code    result.Code // 0: the connection broke without a numbered answer
+	NotRun  bool
+	Left    bool // the caller left before its answer was whole
+	Whole   bool // a clean end was seen
+	Correct bool // the text is the whole right answer
+	Tokens  int
+	TTFT    time.Duration
+	TPOT    time.Duration
+	Retry   time.Duration // when the router said to come back
+	Took    time.Duration
+}
+
+// Sender sends arrivals to entry hosts.
+type Sender struct {
+	Addresses []string
+	Dial      func(ctx context.Context, network, address string) (net.Conn, error)
+	Model     string
+	Progress  func(done, started int) // called about once a second; may be nil
+}
+
+// Send sends every arrival at its time, whatever became of earlier ones, and
+// returns the results in order of arrival once all have ended.
+func (s *Sender) Send(ctx context.Context, arrivals []Arrival) []Result {
+	hc := &http.Client{Transport: &http.Transport{DialContext: s.Dial, MaxIdleConnsPerHost: 512}}
+	defer hc.CloseIdleConnections()
+	out := make([]Result, len(arrivals))
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	done := 0
+	start := time.Now()
+	told := start
+	for i, a := range arrivals {
+		if d := a.At - time.Since(start); d > 0 {
+			select {
+			case <-time.After(d):
+			case <-ctx.Done():
+				return out[:i]
+			}
+		}
+		if s.Progress != nil && time.Since(told) > time.Second {
+			told = time.Now()
+			mu.Lock()
+			s.Progress(done, i)
+			mu.Unlock()
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			out[i] = s.one(ctx, hc, a)
+			mu.Lock()
+			defer mu.Unlock()
+			done++
+		}()
+	}
+	wg.Wait()
+	return out
+}
+
+// patience bounds one call of the sender.
+const patience = 60 * time.Second
+
+func (s *Sender) one(ctx context.Context, hc *http.Client, a Arrival) Result {
+	res := Result{Arrival: a}
+	limit := patience
+	if a.Leaves > 0 {
+		limit = a.Leaves
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	began := time.Now()
+	s.call(ctx, hc, a, began, &res)
+	res.Took = time.Since(began)
+	res.Left = a.Leaves > 0 && !res.Whole && res.Code == 0
+	return res
+}
+
+func (s *Sender) call(ctx context.Context, hc *http.Client, a Arrival, began time.Time, res *Result) {
+	n := a.MaxTokens
+	body, _ := json.Marshal(entry.Body{Model: s.Model, Prompt: a.Prompt, MaxTokens: &n, Stream: true})
+	addr := s.Addresses[a.Host%len(s.Addresses)]
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	q.Header.Set("Content-Type", "application/json")
+	q.Header.Set(entry.HeaderTeam, a.Team)
+	if a.Once {
+		q.Header.Set(entry.HeaderRepeatable, "false")
+	}
+	if a.Key != "" {
+		q.Header.Set(entry.HeaderKey, a.Key)
+	}
+	w, err := hc.Do(q)
+	if err != nil {
+		return
+	}
+	defer w.Body.Close()
+	if w.StatusCode != http.StatusOK {
+		refused(w.Body, res)
+		return
+	}
+	readStream(w.Body, began, res)
+	res.Correct = res.Whole && res.Tokens == fake.AnswerLength(a.Prompt, a.MaxTokens)
+}
+
+func refused(r io.Reader, res *Result) {
+	var p entry.Problem
+	if json.NewDecoder(io.LimitReader(r, 1<<16)).Decode(&p) != nil {
+		return
+	}
+	res.Code, res.NotRun = result.Code(p.Error.Code), p.Error.NotRun
+	res.Retry = time.Duration(p.Error.RetryMillis) * time.Millisecond
+}
+
+// readStream reads an answer and checks each token against the right one.
+func readStream(r io.Reader, began time.Time, res *Result) {
+	sc := bufio.NewScanner(r)
+	hash := fake.PromptHash(res.Prompt)
+	var first, last time.Time
+	right, failed := true, false
+	for sc.Scan() {
+		line := sc.Text()
+		if line == "event: error" {
+			failed = true
+			continue
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		switch {
+		case !ok:
+			continue
+		case failed:
+			refused(strings.NewReader(data), res)
+			return
+		case data == "[DONE]":
+			res.Whole = right
+			res.Code = result.OK
+			continue
+		}
+		var c struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(data), &c) != nil || len(c.Choices) == 0 {
+			right = false
+			continue
+		}
+		right = right && c.Choices[0].Text == fake.Token(hash, res.Tokens)
+		res.Tokens++
+		last = time.Now()
+		if first.IsZero() {
+			first = last
+		}
+	}
+	if !first.IsZero() {
+		res.TTFT = first.Sub(began)
+	}
+	if res.Tokens > 1 {
+		res.TPOT = last.Sub(first) / time.Duration(res.Tokens-1)
+	}
+}
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	promexport "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// metrics are the node's OpenTelemetry instruments, read by Prometheus. All
+// of them observe the tables when they are read; none is kept apart. No
+// label holds a team, of which there may be many.
+type metrics struct {
+	provider *sdk.MeterProvider
+	handler  http.Handler
+}
+
+func newMetrics(n *Node) (*metrics, error) {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	exp, err := promexport.New(promexport.WithRegisterer(reg), promexport.WithNamespace("embercove"))
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	m := &metrics{provider: sdk.NewMeterProvider(sdk.WithReader(exp)), handler: promhttp.HandlerFor(reg, promhttp.HandlerOpts{})}
+	return m, errors.Wrap(observe(n, m.provider.Meter("embercove")), "metrics")
+}
+
+func (m *metrics) close() { _ = m.provider.Shutdown(context.Background()) }
+
+// gauge is one observed value without labels.
+type gauge struct {
+	name, help string
+	counter    bool
+	read       func() float64
+}
+
+func gauges(n *Node) []gauge {
+	return []gauge{
+		{"requests_in_progress", "requests in progress on this host", false, func() float64 { return float64(n.Board.Requests.Len()) }},
+		{"config_revision", "revision in force", false, func() float64 { return float64(n.Board.Config.Revision()) }},
+		{"keys_remembered", "idempotency keys remembered", false, func() float64 { return float64(n.Board.Keys.Len()) }},
+		{"control_bytes_in", "bytes received from peers", true, func() float64 { return float64(n.Router.Traffic.In.Load()) }},
+		{"control_bytes_out", "bytes sent to peers", true, func() float64 { return float64(n.Router.Traffic.Out.Load()) }},
+		{"control_calls", "calls made to peers", true, func() float64 { return float64(n.Router.Traffic.Calls.Load()) }},
+		{"endpoint_polls", "control calls made to endpoints", true, func() float64 { return float64(n.Owner.Polls.Load()) }},
+		{"orphans_cancelled", "orphaned attempts cancelled at endpoints", true, func() float64 { return float64(n.Owner.Reaped.Load()) }},
+		{"orders_sent", "orders sent to endpoints", true, func() float64 { return float64(n.Owner.Orders.Load()) }},
+		{"takeovers", "endpoints taken over", true, func() float64 { return float64(n.Owner.Takeover.Load()) }},
+		{"pauses", "pauses of the process that were noticed", true, func() float64 { return float64(n.Board.Pause.Count()) }},
+		{"requests_good", "requests answered within both targets", true, func() float64 { return float64(n.Record.Sum().Good) }},
+		{"requests_judged", "requests that count against the objective", true, func() float64 {
+			s := n.Record.Sum()
+			return float64(s.Good + s.Late + s.Bad)
+		}},
+		{"prefill_tokens", "prompt tokens read", true, func() float64 { return float64(n.Record.Sum().Prefilled) }},
+		{"prefill_tokens_wasted", "prompt tokens read for no answer", true, func() float64 { return float64(n.Record.Sum().Wasted) }},
+		{"answer_tokens", "tokens relayed to callers", true, func() float64 { return float64(n.Record.Sum().Tokens) }},
+	}
+}
+
+func observe(n *Node, meter metric.Meter) error {
+	for _, g := range gauges(n) {
+		cb := func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(g.read())
+			return nil
+		}
+		var err error
+		if g.counter {
+			_, err = meter.Float64ObservableCounter(g.name, metric.WithDescription(g.help), metric.WithFloat64Callback(cb))
+		} else {
+			_, err = meter.Float64ObservableGauge(g.name, metric.WithDescription(g.help), metric.WithFloat64Callback(cb))
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return observeLabelled(n, meter)
+}
+
+// observeLabelled registers the values with a label of few values.
+func observeLabelled(n *Node, meter metric.Meter) error {
+	_, err := meter.Float64ObservableCounter("requests_ended", metric.WithDescription("requests ended, by result code"),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for code, c := range n.Board.Requests.Ended() {
+				o.Observe(float64(c), metric.WithAttributes(attribute.String("code", code.String())))
+			}
+			return nil
+		}))
+	if err != nil {
+		return err
+	}
+	_, err = meter.Float64ObservableCounter("invariant_broken", metric.WithDescription("invariants found broken"),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for name, c := range n.Board.Invariant.Counts() {
+				o.Observe(float64(c), metric.WithAttributes(attribute.String("invariant", string(name))))
+			}
+			return nil
+		}))
+	if err != nil {
+		return err
+	}
+	_, err = meter.Float64ObservableGauge("latency_ms", metric.WithDescription("quantiles since the start of the process"),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			ttft, tpot := n.Record.Times()
+			for _, q := range []struct {
+				of, quantile string
+				v            float64
+			}{{"ttft", "0.5", ttft.P50}, {"ttft", "0.95", ttft.P95}, {"ttft", "0.99", ttft.P99},
+				{"tpot", "0.5", tpot.P50}, {"tpot", "0.95", tpot.P95}, {"tpot", "0.99", tpot.P99}} {
+				o.Observe(q.v, metric.WithAttributes(attribute.String("of", q.of), attribute.String("quantile", q.quantile)))
+			}
+			return nil
+		}))
+	return err
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,217 @@
+// Package node puts one entry host together: the tables, the controllers and
+// the three listeners. cmd/embercoved runs one; tests and trials run several
+// in a process.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/entry"
+	"github.com/embercove/embercove/invariant"
+	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/peer"
+	"github.com/embercove/embercove/platform"
+	"github.com/embercove/embercove/report"
+)
+
+// Node is one entry host.
+type Node struct {
+	Board  *blackboard.Board
+	Owner  *owner.Owner
+	Router *peer.Router
+	Record *report.Recorder
+
+	settings *config.Settings
+	client   *endpoint.Client
+	platform *platform.Client
+	entry    *entry.Entry
+	metrics  *metrics
+	log      *zap.Logger
+	listen   func(address string) (net.Listener, error)
+	dial     endpoint.Dial
+
+	pool    *blackboard.Pool
+	servers []*http.Server
+	wg      sync.WaitGroup
+	cancel  context.CancelFunc
+	failed  chan error
+}
+
+// Option changes how a node is put together.
+type Option func(*Node)
+
+// WithLog sets the logger; without it nothing is logged.
+func WithLog(l *zap.Logger) Option { return func(n *Node) { n.log = l } }
+
+// WithNetwork sets how the node listens and dials; without it TCP is used.
+func WithNetwork(listen func(address string) (net.Listener, error), dial endpoint.Dial) Option {
+	return func(n *Node) { n.listen, n.dial = listen, dial }
+}
+
+// WithFatal has broken invariants call f, for tests.
+func WithFatal(f func(msg string)) Option {
+	return func(n *Node) { n.Board.Invariant.Fatal = f }
+}
+
+// New returns a node that isn't running yet.
+func New(s *config.Settings, opts ...Option) (*Node, error) {
+	n := &Node{settings: s, Board: blackboard.New(s), Record: report.NewRecorder(), log: zap.NewNop(), failed: make(chan error, 4),
+		listen: func(a string) (net.Listener, error) { return net.Listen("tcp", a) }}
+	for _, o := range opts {
+		o(n)
+	}
+	n.log = n.log.With(zap.String("host", s.Host))
+	n.Board.Invariant.Log = n.log
+	n.client = endpoint.NewClient(n.dial)
+	n.Owner = owner.New(n.Board, n.client, n.log)
+	n.Router = peer.NewRouter(n.Board, n.Owner, peer.Dial(n.dial), n.log)
+	n.entry = entry.New(n.Board, n.client, n.Router, n.Record, n.log)
+	n.platform = platform.NewClient(s.Platform, n.dial)
+	m, err := newMetrics(n)
+	if err != nil {
+		return nil, err
+	}
+	n.metrics = m
+	n.pool = blackboard.NewPool(n.Board, n.Router.Flusher(), n.Owner.Poller(), n.Router.Exchanger(), n.Router.KeySweeper(),
+		blackboard.Every(time.Second, n.housekeeping))
+	n.Board.Pause.OnWake(n.dropBeliefs)
+	return n, nil
+}
+
+// dropBeliefs forgets what may have become false while the process was
+// paused. The owner's books are dropped by the owner itself.
+func (n *Node) dropBeliefs(now time.Time) {
+	n.log.Warn("the process was paused; beliefs are dropped", zap.Int("code", 503))
+	n.Board.Hosts.Renew(now)
+	n.Board.Endpoints.Drop()
+	n.Board.Keys.Restart(now)
+}
+
+// housekeeping takes over what a new revision changes outside the tables.
+func (n *Node) housekeeping(context.Context) {
+	if v := n.Board.Config.View(); v != nil {
+		n.Record.SetTargets(v.Doc.Targets)
+	}
+}
+
+// Start opens the listeners and starts the controllers. It returns at once;
+// Stop ends what it started.
+func (n *Node) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	peers, err := n.listen(n.settings.Peers)
+	if err != nil {
+		cancel()
+		return errors.Wrap(err, "peers_address")
+	}
+	n.goRun(func() error { return n.Router.Serve(ctx, peers) })
+	if err := n.serve(n.settings.Callers, "callers_address", n.entry.Handler()); err != nil {
+		return err
+	}
+	if err := n.serve(n.settings.Admin, "admin_address", n.admin()); err != nil {
+		return err
+	}
+	n.Router.Seed(ctx, n.settings.Seeds)
+	n.goRun(func() error { n.watchConfig(ctx); return nil })
+	n.goRun(func() error { n.watchHosts(ctx); return nil })
+	n.pool.Start(ctx, n.settings.Workers)
+	n.log.Info("started", zap.String("callers", n.settings.Callers), zap.String("failure_domain", n.settings.Domain))
+	return nil
+}
+
+func (n *Node) goRun(f func() error) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		if err := f(); err != nil {
+			select {
+			case n.failed <- err:
+			default:
+			}
+		}
+	}()
+}
+
+// Failed delivers the error of a listener that broke.
+func (n *Node) Failed() <-chan error { return n.failed }
+
+// maxHeaderBytes bounds a call's headers before any revision is known.
+const maxHeaderBytes = config.DefaultHeaderBytes
+
+func (n *Node) serve(address, field string, h http.Handler) error {
+	l, err := n.listen(address)
+	if err != nil {
+		n.cancel()
+		return errors.Wrap(err, field)
+	}
+	srv := entry.Limited(h, maxHeaderBytes)
+	n.servers = append(n.servers, srv)
+	n.goRun(func() error {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, field)
+		}
+		return nil
+	})
+	return nil
+}
+
+// drainTick is how often a stopping node looks whether it is empty.
+const drainTick = 20 * time.Millisecond
+
+// Drain is the planned stop: readiness goes first, owned endpoints are handed
+// over, requests in progress end, and then the node stops. It returns how
+// many requests were cut off, which is 0 unless drain_s ran out.
+func (n *Node) Drain() int {
+	n.Board.SetLeaving()
+	n.log.Info("leaving")
+	ctx, cancel := context.WithTimeout(context.Background(), config.Millis(n.settings.LameDuckMillis))
+	n.Router.Announce(ctx)
+	n.Owner.HandOver(ctx)
+	<-ctx.Done() // the balancer and the peers take the host out meanwhile
+	cancel()
+	n.Board.SetDraining()
+	deadline := time.Now().Add(time.Duration(n.settings.DrainSeconds) * time.Second)
+	for time.Now().Before(deadline) && n.Board.Requests.Len()+n.Owner.Waiting() > 0 {
+		time.Sleep(drainTick)
+	}
+	left := n.Board.Requests.Len()
+	n.Board.Invariant.Check(left == 0, invariant.DrainComplete, "%d requests in progress after drain_s", left)
+	n.Router.Flush(context.Background())
+	n.shutdown()
+	n.Stop()
+	return left
+}
+
+// shutdown lets handlers that have just ended write their last bytes.
+func (n *Node) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, s := range n.servers {
+		_ = s.Shutdown(ctx)
+	}
+}
+
+// Stop ends everything at once.
+func (n *Node) Stop() {
+	n.cancel()
+	for _, s := range n.servers {
+		s.Close()
+	}
+	n.Router.Close()
+	n.client.CloseIdle()
+	n.platform.Close()
+	n.pool.Wait()
+	n.wg.Wait()
+	n.client.CloseIdle()
+	n.metrics.close()
+}
