owner: forecast ends by the chance of each length

Cause: at twice the capacity 155 of 432 answers came late, nearly all between the end of the prefill and the first token (log phases: median 0.27 s, 90% at 1.72 s): the engine was full when the result came. Ends were forecast by the mean length, which is wrong on both sides for lengths that spread. Change: lengths are learned as a distribution; memory at a moment is the sum of chances, with a margin in standard deviations that the weights set. The remaining cause looks like rows whose request has not reached the engine yet being aged as if it had; next.

--- a/config/check.go
+++ b/config/check.go
@@ -274,7 +274,9 @@
 	c.oneOf("policy.mode", string(p.Mode), string(ModeOwner), string(ModeLagged), string(ModeShare),
 		string(ModeDispatcher), string(ModeRandom), string(ModeRoundRobin), string(ModeTwoChoices))
 	c.oneOf("policy.forecast", string(p.Forecast), string(ForecastHold), string(ForecastPlain), string(ForecastMargin))
-	c.within("policy.overbook", p.Overbook, 0, 2)
+	if p.MarginSD != nil {
+		c.within("policy.margin_sd", *p.MarginSD, -4, 4)
+	}
 	c.within("policy.lease_ms", float64(p.LeaseMillis), 100, 600_000)
 	c.oneOf("policy.key_scope", string(p.KeyScope), string(KeysRegion), string(KeysDomain))
 	c.within("policy.key_keep_s", float64(p.KeyKeepSeconds), 1, 86_400)
--- a/config/document.go
+++ b/config/document.go
@@ -132,9 +132,9 @@
 	// Forecast chooses how decode memory is reserved: ForecastHold,
 	// ForecastPlain or ForecastMargin.
 	Forecast Forecast `json:"forecast"`
-	// Overbook is the share of decode memory that reservations may exceed
-	// the forecast by. 0 takes it from the weights.
-	Overbook float64 `json:"overbook"`
+	// MarginSD is how many standard deviations of the forecast reservations
+	// keep free; below 0 they overbook. Left out, it comes from the weights.
+	MarginSD *float64 `json:"margin_sd,omitempty"`
 	// LeaseMillis is how long a reservation outlives its holder's last word.
 	LeaseMillis int `json:"lease_ms"`
 	// KeyScope says where an idempotency key's home is looked for.
@@ -170,7 +170,7 @@
 const (
 	ForecastHold   Forecast = "hold"   // from now on
 	ForecastPlain  Forecast = "plain"  // for the moment the prefill ends
-	ForecastMargin Forecast = "margin" // the same, overbooked by a margin
+	ForecastMargin Forecast = "margin" // by the chances of ending sooner or later, with a margin
 )
 
 // KeyScope says which failure domains share idempotency keys.
--- a/config/view.go
+++ b/config/view.go
@@ -149,16 +149,17 @@
 	return ""
 }
 
-// Overbook returns the share by which decode reservations may exceed the
-// forecast. It rises with the weight of goodput and falls with that of
-// wasted prefill, unless the document sets it.
-func (v *View) Overbook() float64 {
-	if v.Doc.Policy.Overbook != 0 {
-		return v.Doc.Policy.Overbook
+// Margin returns how many standard deviations of the forecast decode
+// reservations keep free. It falls with the weight of goodput and rises with
+// that of wasted prefill, unless the document sets it; below 0 the memory is
+// overbooked.
+func (v *View) Margin() float64 {
+	if m := v.Doc.Policy.MarginSD; m != nil {
+		return *m
 	}
 	w := v.Doc.Weights
-	return maxOverbook * w.Goodput / (w.Goodput + w.WastedPrefill)
+	return maxMargin * (w.WastedPrefill - w.Goodput) / (w.Goodput + w.WastedPrefill)
 }
 
-// maxOverbook is the margin of a document that minds goodput only.
-const maxOverbook = 0.3
+// maxMargin is the margin of a document that minds wasted prefill only.
+const maxMargin = 1.0
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -71,6 +71,12 @@
 	return err != nil && (!errors.As(err, &ce) || ce.MayHaveRun)
 }
 
+// Unreachable reports whether err means that no connection came about.
+func Unreachable(err error) bool {
+	var ce *CallError
+	return errors.As(err, &ce) && ce.Status == 0 && !ce.MayHaveRun
+}
+
 // do sends a request whose effect matters. The request is given no GetBody
 // and no idempotency header, because net/http would then send it again by
 // itself on a broken connection.
--- a/entry/job.go
+++ b/entry/job.go
@@ -31,11 +31,12 @@
 	pick    route.Request
 	teamNum uint32
 
-	ran      bool // some call may have run at an endpoint
-	started  bool // not repeatable: it was started
-	waste    int  // tokens read that no answer came of, so far
-	read     int  // tokens read in all
-	attempts int
+	ran      bool             // some call may have run at an endpoint
+	started  bool             // not repeatable: it was started
+	waste    int              // tokens read that no answer came of, so far
+	read     int              // tokens read in all
+	attempts int              // calls that may have run at an endpoint
+	tries    int              // passes of the whole way
 	phases   [5]time.Duration // for the log: since came, at the end of each
 	prefill  string
 	decode   string
--- a/entry/run.go
+++ b/entry/run.go
@@ -53,6 +53,7 @@
 func (e *Entry) run(ctx context.Context, j *job) *result.Error {
 	backoff := backoffStart
 	for {
+		j.tries++
 		err := e.try(ctx, j)
 		if err == nil {
 			return nil
@@ -90,7 +91,7 @@
 		return r.refusal
 	case r.mayHaveRun && !j.repeatable:
 		return result.Errorf(result.OutcomeUnknown, "%s", r.refusal.Detail)
-	case j.attempts >= j.view.Doc.Limits.MaxAttempts:
+	case j.tries >= j.view.Doc.Limits.MaxAttempts:
 		return r.refusal
 	case !e.budgets.take(j.team.Name, r.name):
 		if j.ran {
@@ -336,6 +337,7 @@
 	e.owners.Release(p.pre, rel)
 	if !endpoint.MayHaveRun(err) {
 		j.ran, j.started = ran, started
+		j.attempts--
 	} else {
 		e.abort(p.pre, p.readBy)
 	}
@@ -358,10 +360,10 @@
 		return owner.Done
 	case ctx.Err() != nil:
 		return owner.GivenUp
-	case !endpoint.MayHaveRun(err):
-		return owner.Rejected
+	case endpoint.MayHaveRun(err), endpoint.Unreachable(err):
+		return owner.Failed
 	}
-	return owner.Failed
+	return owner.Rejected
 }
 
 // failed makes a retryable of a call that failed at an endpoint.
--- a/entry/service.go
+++ b/entry/service.go
@@ -152,6 +152,7 @@
 	if err != nil {
 		if !endpoint.MayHaveRun(err) {
 			j.ran, j.started = ran, started
+			j.attempts--
 		}
 		return err
 	}
--- a/entry/write.go
+++ b/entry/write.go
@@ -37,6 +37,8 @@
 			return asResult(ctx.Err())
 		case j.out.sent > before: // tokens were relayed: the result is used up
 			return e.failed(p.Decode, p.dec, err)
+		case endpoint.Unreachable(err):
+			e.moveOn(ctx, j, p, true)
 		case !endpoint.MayHaveRun(err):
 			full++
 		case errors.As(err, &stalled) && !j.repeatable:
@@ -149,6 +151,9 @@
 			e.owners.Release(p.dec, owner.Release{Attempt: p.decodeBy, Endpoint: route.Number(p.dec.Name),
 				Outcome: outcomeOf(ctx, err), Answer: j.out.sent, Max: *j.body.MaxTokens})
 		}
+		if err != nil && !endpoint.MayHaveRun(err) {
+			j.attempts--
+		}
 		if err != nil && endpoint.MayHaveRun(err) {
 			e.abort(p.dec, p.decodeBy)
 			e.board.Requests.Close(p.decodeBy)
--- a/load/run.go
+++ b/load/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/examples"
 	"github.com/embercove/embercove/internal/fake"
@@ -26,6 +28,7 @@
 	Arrivals   []Arrival              // made from the seed when nil
 	Progress   func(done, started int)
 	Fatal      func(msg string)
+	Log        *zap.Logger // of every host; nil: none
 }
 
 // DefaultHosts is how many entry hosts a deployment of today has.
@@ -42,7 +45,7 @@
 	if hosts == 0 {
 		hosts = DefaultHosts
 	}
-	c, err := trial.Start(trial.Options{Document: examples.Document(r.Deployment), Hosts: hosts, Network: r.Network, Fatal: r.Fatal,
+	c, err := trial.Start(trial.Options{Document: examples.Document(r.Deployment), Hosts: hosts, Network: r.Network, Fatal: r.Fatal, Log: r.Log,
 		Faults: func(string) fake.Faults { return fake.Faults{LagMillis: r.LagMillis} },
 		Change: func(d *config.Document) {
 			if r.Mode != "" {
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -42,7 +42,7 @@
 			continue // the endpoint's list has it
 		}
 		h.Rows = append(h.Rows, HandoverRow{Attempt: r.attempt, Team: r.team, Tokens: r.tokens, MaxAnswer: r.maxAnswer,
-			Start: millis(r.start.Sub(now)), End: millis(r.end.Sub(now)), Lease: millis(r.lease.Sub(now))})
+			Start: millis(r.start.Sub(now)), Moved: millis(r.moved.Sub(now)), Lease: millis(r.lease.Sub(now))})
 	}
 	return h
 }
@@ -64,7 +64,7 @@
 			continue
 		}
 		b.ledger.rows[r.Attempt] = &row{attempt: r.Attempt, team: r.Team, tokens: r.Tokens, maxAnswer: r.MaxAnswer,
-			start: now.Add(duration(r.Start)), end: now.Add(duration(r.End)), lease: now.Add(duration(r.Lease))}
+			start: now.Add(duration(r.Start)), moved: now.Add(duration(r.Moved)), lease: now.Add(duration(r.Lease))}
 	}
 	return nil
 }
--- a/owner/ledger.go
+++ b/owner/ledger.go
@@ -1,7 +1,7 @@
 package owner
 
 import (
-	"sort"
+	"math"
 	"time"
 
 	"github.com/embercove/embercove/config"
@@ -16,9 +16,8 @@
 	team      uint32
 	tokens    int // prompt and the answer asked for
 	maxAnswer int
-	start     time.Time // when the engine's memory is taken
-	end       time.Time // forecast
-	moved     time.Time // end of the transfer; start is its beginning
+	start     time.Time // when the engine's memory is taken: the transfer begins
+	moved     time.Time // end of the transfer
 	lease     time.Time // until when it stands without being seen at the engine
 	seen      bool      // the engine's own list has it
 }
@@ -28,19 +27,20 @@
 //
 // What it grants is a forecast. The engine's admission is the last word.
 type ledger struct {
-	spec     *config.Endpoint
-	kvBytes  int64
-	slots    int     // that keep the time per token within its target
-	overbook float64 // share by which later moments may exceed the memory
-	mode     config.Forecast
-	share    float64 // of the engine that this ledger may give out
-	lease    time.Duration
-	rows     map[request.Attempt]*row
-	answers  answerForecast
+	spec    *config.Endpoint
+	kvBytes int64
+	slots   int     // that keep the time per token within its target
+	margin  float64 // standard deviations kept free of the forecast
+	mode    config.Forecast
+	share   float64 // of the engine that this ledger may give out
+	lease   time.Duration
+	slow    float64 // learned factor on the time of a step
+	rows    map[request.Attempt]*row
+	answers answerForecast
 }
 
 func newLedger(v *config.View, spec *config.Endpoint, share float64) *ledger {
-	l := &ledger{rows: map[request.Attempt]*row{}}
+	l := &ledger{rows: map[request.Attempt]*row{}, slow: 1}
 	l.fit(v, spec, share)
 	return l
 }
@@ -49,28 +49,13 @@
 func (l *ledger) fit(v *config.View, spec *config.Endpoint, share float64) {
 	l.spec, l.share = spec, share
 	l.slots = max(1, int(float64(route.BatchLimit(spec, v.Doc.Targets.TPOT()))*share))
-	l.mode = v.Doc.Policy.Forecast
-	l.overbook = 0
-	if l.mode == config.ForecastMargin {
-		l.overbook = v.Overbook()
-	}
+	l.mode, l.margin = v.Doc.Policy.Forecast, v.Margin()
 	l.lease = config.Millis(v.Doc.Policy.LeaseMillis)
 	if m := v.Models[spec.Model]; m != nil {
 		l.kvBytes = m.KVBytesPerToken
 	}
 }
 
-// overrun is how much longer a request is expected to last that has outlived
-// its forecast.
-const overrun = 250 * time.Millisecond
-
-func (r *row) ends(now time.Time) time.Time {
-	if late := now.Add(overrun); r.end.Before(late) && r.start.Before(now) {
-		return late
-	}
-	return r.end
-}
-
 // expire drops reservations that were never taken up. What the engine holds
 // stays, however long its holder has been silent.
 func (l *ledger) expire(now time.Time) {
@@ -81,54 +66,85 @@
 	}
 }
 
-// used returns the tokens and requests that hold memory at a moment.
-func (l *ledger) used(now, at time.Time) (tokens, n int) {
-	for _, r := range l.rows {
-		if !r.start.After(at) && r.ends(now).After(at) {
-			tokens += r.tokens
-			n++
-		}
-	}
-	return tokens, n
+// step is the time of a decode step as things are.
+func (l *ledger) step() time.Duration {
+	return time.Duration(float64(route.StepTime(l.spec, len(l.rows))) * l.slow)
+}
+
+// occupancy is what holds an engine at a moment: expected values, and the
+// variances around them.
+type occupancy struct {
+	tokens, tokensVar float64
+	n, nVar           float64
 }
 
-// room returns the limits for a moment: what the engine has now, more for
-// moments by which some requests will have ended sooner than forecast.
-func (l *ledger) room(now, at time.Time) (tokens, n int) {
-	factor := l.share
-	if at.Sub(now) > overrun/2 {
-		factor *= 1 + l.overbook
+// at returns the occupancy forecast for a moment.
+func (l *ledger) at(now, t time.Time) occupancy {
+	var o occupancy
+	step := l.step()
+	for _, r := range l.rows {
+		p := l.chance(r, now, t, step)
+		o.tokens += p * float64(r.tokens)
+		o.tokensVar += p * (1 - p) * float64(r.tokens) * float64(r.tokens)
+		o.n += p
+		o.nVar += p * (1 - p)
 	}
-	return int(float64(l.spec.MemoryTokens) * factor), max(1, int(float64(l.slots)*(factor/l.share)))
+	return o
 }
 
-// fits reports whether a request has room from start to end.
-func (l *ledger) fits(now, start, end time.Time, tokens int) bool {
-	if !l.fitsAt(now, start, tokens) {
-		return false
+// chance returns how likely a row is to hold memory at a moment.
+func (l *ledger) chance(r *row, now, t time.Time, step time.Duration) float64 {
+	if l.mode == config.ForecastHold {
+		return 1
 	}
-	for _, r := range l.rows {
-		if r.start.After(start) && r.start.Before(end) && !l.fitsAt(now, r.start, tokens) {
-			return false
+	if r.start.After(t) {
+		return 0
+	}
+	if !t.After(r.moved) || !t.After(now) {
+		return 1
+	}
+	written := func(t time.Time) float64 { return float64(t.Sub(r.moved)) / float64(step) }
+	if l.mode == config.ForecastPlain {
+		if written(t) < max(float64(l.answers.expect(r.maxAnswer)), written(now)+1) {
+			return 1
 		}
+		return 0
+	}
+	alive := 1.0
+	if now.After(r.moved) {
+		alive = l.answers.survive(written(now), r.maxAnswer)
 	}
-	return true
+	if alive < surelyOver {
+		// It has outlived its forecast; it ends any time now.
+		return math.Exp(-float64(t.Sub(now)) / float64(overrun))
+	}
+	return l.answers.survive(written(t), r.maxAnswer) / alive
 }
 
-func (l *ledger) fitsAt(now, at time.Time, tokens int) bool {
-	used, n := l.used(now, at)
-	room, slots := l.room(now, at)
-	return used+tokens <= room && n+1 <= slots
+const (
+	surelyOver = 0.01                   // chance below which the forecast says nothing more
+	overrun    = 300 * time.Millisecond // mean time to the end beyond the forecast
+)
+
+// fits reports whether the request has room at a moment.
+func (l *ledger) fits(now, t time.Time, tokens int) bool {
+	o := l.at(now, t)
+	z := 0.0
+	if l.mode == config.ForecastMargin {
+		z = l.margin
+	}
+	return o.tokens+z*math.Sqrt(o.tokensVar)+float64(tokens) <= float64(l.spec.MemoryTokens)*l.share &&
+		o.n+z*math.Sqrt(o.nVar)+1 <= float64(l.slots)
 }
 
 // linkFrom returns the first moment from t on at which the link into the
 // engine is free for d.
 func (l *ledger) linkFrom(t time.Time, d time.Duration) time.Time {
-	for moved := true; moved; {
-		moved = false
+	for again := true; again; {
+		again = false
 		for _, r := range l.rows {
 			if r.start.Before(t.Add(d)) && r.moved.After(t) && r.moved.After(r.start) {
-				t, moved = r.moved, true
+				t, again = r.moved, true
 			}
 		}
 	}
@@ -142,13 +158,12 @@
 // fair reports whether a team may take more at a moment: below crowded
 // anyone may, above it only who stays within the fair part of the teams that
 // are there.
-func (l *ledger) fair(now, at time.Time, team uint32, weight float64, tokens int, weights func(uint32) float64) bool {
-	used, _ := l.used(now, at)
-	room, _ := l.room(now, at)
-	if float64(used+tokens) <= crowded*float64(room) {
+func (l *ledger) fair(now, at time.Time, team uint32, tokens int, weights func(uint32) float64) bool {
+	room := float64(l.spec.MemoryTokens) * l.share
+	if l.at(now, at).tokens+float64(tokens) <= crowded*room {
 		return true
 	}
-	own, sum := tokens, weight
+	own, sum := tokens, weights(team)
 	seen := map[uint32]bool{team: true}
 	for _, r := range l.rows {
 		if r.team == team {
@@ -158,62 +173,45 @@
 			sum += weights(r.team)
 		}
 	}
-	return len(seen) == 1 || float64(own) <= float64(room)*weight/sum
+	return len(seen) == 1 || float64(own) <= room*weights(team)/sum
 }
 
-// reserve finds the first moment at which the request fits, or refuses. The
-// answer's time in the engine is forecast from what was learned.
+// searchStep is the grain in which a moment with room is looked for, and
+// searchBeyond how much further than the request can wait, to tell it when
+// to come back.
+const (
+	searchStep   = 40 * time.Millisecond
+	searchBeyond = 2 * time.Second
+)
+
+// reserve finds the first moment at which the request fits, or refuses with
+// the time after which it would.
 func (l *ledger) reserve(now time.Time, a ReserveArgs, weights func(uint32) float64) (time.Time, *result.Error) {
 	l.expire(now)
 	tokens := a.Tokens + a.MaxAnswer
 	wanted := now.Add(duration(a.InMillis))
 	latest := wanted.Add(duration(a.Slack))
 	move := route.LinkTime(l.spec, a.Bytes)
-	_, batch := l.used(now, wanted)
-	stay := move + time.Duration(l.answers.expect(a.MaxAnswer))*route.StepTime(l.spec, batch+1)
-	hold := func(at time.Time) time.Time {
-		if l.mode == config.ForecastHold {
-			return now
-		}
-		return at
-	}
-	var soonest time.Time
-	for _, t := range l.moments(now, wanted) {
+	for t := wanted; t.Before(latest.Add(searchBeyond)); t = t.Add(searchStep) {
 		at := l.linkFrom(t, move)
-		if !l.fits(now, hold(at), at.Add(stay), tokens) {
+		if !l.fits(now, at, tokens) {
 			continue
 		}
-		if soonest.IsZero() || at.Before(soonest) {
-			soonest = at
-		}
 		if at.After(latest) {
-			break
+			return time.Time{}, l.full(latest.Sub(now), at.Sub(latest))
 		}
-		if !l.fair(now, at, a.Team, weights(a.Team), tokens, weights) {
-			return time.Time{}, result.Errorf(result.NoDecodeMemory, "decode memory is crowded and the team is above its share").After(stay)
+		if !l.fair(now, at, a.Team, tokens, weights) {
+			return time.Time{}, result.Errorf(result.NoDecodeMemory, "decode memory is crowded and the team is above its share").After(searchBeyond)
 		}
-		l.rows[a.Attempt] = &row{attempt: a.Attempt, team: a.Team, tokens: tokens, maxAnswer: a.MaxAnswer, start: hold(at),
-			end: at.Add(stay), moved: at.Add(move), lease: at.Add(l.lease)}
+		l.rows[a.Attempt] = &row{attempt: a.Attempt, team: a.Team, tokens: tokens, maxAnswer: a.MaxAnswer, start: at,
+			moved: at.Add(move), lease: at.Add(l.lease)}
 		return at, nil
 	}
-	back := stay
-	if !soonest.IsZero() {
-		back = soonest.Sub(latest)
-	}
-	return time.Time{}, result.Errorf(result.NoDecodeMemory, "no decode memory on %s within %s", l.spec.Name, latest.Sub(now)).After(back)
+	return time.Time{}, l.full(latest.Sub(now), searchBeyond)
 }
 
-// moments lists when a request might start: when it wants to, and whenever
-// another is forecast to end.
-func (l *ledger) moments(now, wanted time.Time) []time.Time {
-	out := []time.Time{wanted}
-	for _, r := range l.rows {
-		if e := r.ends(now); e.After(wanted) {
-			out = append(out, e)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Before(out[j]) })
-	return out
+func (l *ledger) full(within, back time.Duration) *result.Error {
+	return result.Errorf(result.NoDecodeMemory, "no decode memory on %s within %s", l.spec.Name, within).After(back)
 }
 
 // release drops an attempt's row and learns from its answer.
@@ -224,14 +222,17 @@
 	delete(l.rows, r.Attempt)
 }
 
+// foreignAnswer is the part of an unknown request's memory that is taken to
+// be its answer.
+const foreignAnswer = 4
+
 // listed takes in the engine's own list: what it holds counts, and what it
 // no longer holds doesn't.
 func (l *ledger) listed(now time.Time, list map[request.Attempt]int) {
 	for a, tokens := range list {
 		r := l.rows[a]
 		if r == nil {
-			stay := time.Duration(l.answers.expect(tokens/4)) * route.StepTime(l.spec, len(list))
-			r = &row{attempt: a, tokens: tokens, start: now, end: now.Add(stay)}
+			r = &row{attempt: a, tokens: tokens, maxAnswer: tokens / foreignAnswer, start: now, moved: now}
 			l.rows[a] = r
 		}
 		r.seen = true
@@ -246,11 +247,10 @@
 	}
 }
 
-// free returns what a new request would find shortly: tokens, slots and how
-// long the link is taken.
+// free returns what a new request would find now: tokens, slots and how long
+// the link is taken.
 func (l *ledger) free(now time.Time) (tokens, slots int, link time.Duration) {
 	l.expire(now)
-	used, n := l.used(now, now)
-	link = l.linkFrom(now, time.Millisecond).Sub(now)
-	return int(float64(l.spec.MemoryTokens)*l.share) - used, l.slots - n, link
+	o := l.at(now, now)
+	return int(float64(l.spec.MemoryTokens)*l.share - o.tokens), l.slots - int(o.n), l.linkFrom(now, time.Millisecond).Sub(now)
 }
--- a/owner/messages.go
+++ b/owner/messages.go
@@ -90,7 +90,7 @@
 	Tokens    int
 	MaxAnswer int
 	Start     int // ms from now; negative: past
-	End       int
+	Moved     int
 	Lease     int
 }
 
--- a/result/result.go
+++ b/result/result.go
@@ -91,7 +91,7 @@
 	{AnswerBroken, "answer_broken", 502, false, true, "The answer stopped part-way and could not be resumed.", "Look for endpoints that died."},
 	{CallerGone, "caller_gone", 499, false, false, "The caller left before its answer was whole.", "Nothing."},
 	{DeadlinePassed, "deadline_passed", 504, false, true, "The deadline passed while the request was running.", "Compare deadlines with the targets."},
-	{PrefillWasted, "prefill_wasted", 503, false, true, "The prompt was read but no decode engine took it in time.", "Lower policy.overbook, or add decode runners."},
+	{PrefillWasted, "prefill_wasted", 503, false, true, "The prompt was read but no decode engine took it in time.", "Raise policy.margin_sd, or add decode runners."},
 	{InvariantBroken, "invariant_broken", 0, false, false, "Something that must always hold did not.", "Report it as a bug with the log line."},
 	{RevisionClash, "revision_clash", 0, false, false, "Two documents carry the same revision; the one in force stays.", "Publish once more under a higher revision."},
 	{RevisionInvalid, "revision_invalid", 0, false, false, "A published revision was rejected; the one in force stays.", "Run embercove check on the document."},
--- a/tool/run.go
+++ b/tool/run.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/examples"
 	"github.com/embercove/embercove/load"
@@ -75,6 +77,7 @@
 	span := fs.Duration("span", 20*time.Second, "how long load is sent")
 	leaving := fs.Float64("leaving", 0.1, "share of callers that leave during prefill")
 	seed := fs.Uint64("seed", 1, "seed of the arrivals")
+	logTo := fs.String("log", "", "file for the hosts' log lines, with -standins")
 	asJSON := fs.Bool("json", false, "print JSON for programs")
 	if err := parse(fs, args, false); err != nil {
 		return err
@@ -83,8 +86,12 @@
 		return err
 	}
 	if *standins {
+		log, err := logFile(*logTo)
+		if err != nil {
+			return err
+		}
 		r := load.Run{Deployment: *dep, Mode: config.PolicyMode(*mode), Factor: *factor, Span: *span, Leaving: *leaving, Seed: *seed,
-			LagMillis: load.DefaultLag, Progress: t.progress}
+			LagMillis: load.DefaultLag, Progress: t.progress, Log: log}
 		rep, _, err := r.Do(context.Background())
 		if err != nil {
 			return err
@@ -104,6 +111,17 @@
 	return t.report(load.Sum("load on "+*callers, rs, nil, d.Targets, *span), *asJSON)
 }
 
+// logFile returns a logger of JSON lines into a file, or nil for no file.
+func logFile(path string) (*zap.Logger, error) {
+	if path == "" {
+		return nil, nil
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Sampling = nil
+	cfg.OutputPaths = []string{path}
+	return cfg.Build()
+}
+
 // bench reruns the table of policies and loads.
 func (t *tool) bench(fs *flag.FlagSet, args []string) error {
 	dep := fs.String("deployment", "", "domaskra or paranacor; empty: both")
