entry: reserve decode memory when the prefill engine calls, not before

Cause: at twice the capacity most late answers waited after their prefill for an engine that was full. Sampling ledgers against engines four times a second showed 25 reservations of 110,000 tokens for moments to come on an engine of 48,000, and others up to 1.5 s past their start: decode memory was reserved before the prefill queue, from a digest of its wait that eight hosts shared, so the moment was wrong by more than the time to first token. Change: a request queues at the prefill owner first; when called, 60 ms ahead of the engine, it reserves decode memory for the end of its prefill; without room the turn goes back and it queues again while it can be in time. A request at a full engine keeps its place unless another grants room. Forecasts aim at 0.9 of the target.

--- a/entry/run.go
+++ b/entry/run.go
@@ -134,9 +134,13 @@
 	if j.out.sent > 0 {
 		return resumeSlack
 	}
-	return time.Until(j.came.Add(j.view.Doc.Targets.TTFT()))
+	return time.Until(j.came.Add(time.Duration(aim * float64(j.view.Doc.Targets.TTFT()))))
 }
 
+// aim is the share of the target that forecasts are made to meet, so that a
+// forecast that is a little off still meets it.
+const aim = 0.9
+
 // resumeSlack is what a resumed answer may take to go on.
 const resumeSlack = 5 * time.Second
 
@@ -178,12 +182,13 @@
 	})
 }
 
-// choose asks route for a pair.
+// choose asks route for a pair; fixed is the index + 1 of a prefill endpoint
+// that has called the request, 0 for none.
 func (e *Entry) choose(j *job, fixed int) (route.Choice, *config.View) {
 	var c route.Choice
 	var view *config.View
 	j.pick.Now = time.Now()
-	j.pick.FixedDecode = fixed
+	j.pick.FixedPrefill = fixed
 	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
 		view = v
 		if r := v.RouteByName(j.route.Name); r != nil {
@@ -196,52 +201,103 @@
 	return c, view
 }
 
-// place finds a pair whose owners grant room: decode memory first, then the
-// prefill engine's turn. Nothing has run when it refuses.
+// place finds a pair whose owners grant room: the prefill engine's turn, and
+// then, before the engine begins, decode memory for the moment it will end.
+// Without such memory the turn is given back and the request queues again,
+// as long as it can still be in time. Nothing has run when it refuses.
 func (e *Entry) place(ctx context.Context, j *job) (*plan, error) {
-	e.at(j, blackboard.PhaseReserve, nil)
-	asked := j.pick // endpoints that have no room now are left out of this try only
-	defer func() { j.pick.Exclude = asked.Exclude }()
+	asked := j.pick.Exclude // endpoints that have no room now are left out of this try only
 	var last *result.Error
-	p := &plan{}
+	notBefore := time.Now()
 	for range maxAsk {
-		fixed := 0
-		if p.dec != nil {
-			fixed = p.Decode + 1
-		}
-		c, v := e.choose(j, fixed)
+		c, v := e.choose(j, 0)
 		if c.Prefill < 0 {
 			break
 		}
-		p.Choice, p.pre = c, &v.Doc.Endpoints[c.Prefill]
-		if p.dec == nil {
-			p.dec = &v.Doc.Endpoints[c.Decode]
-			if last = e.reserve(ctx, j, p); last != nil {
-				j.pick.Drop(c.Decode)
-				p.dec = nil
-				continue
+		p := &plan{Choice: c, pre: &v.Doc.Endpoints[c.Prefill], dec: &v.Doc.Endpoints[c.Decode]}
+		if last = e.hopeless(j, c); last != nil {
+			break
+		}
+		if last = e.enqueue(ctx, j, p, notBefore); last != nil {
+			if ctx.Err() != nil {
+				break
 			}
+			j.pick.Drop(c.Prefill)
+			continue
 		}
-		if last = e.enqueue(ctx, j, p); last == nil {
+		last = e.reserveAny(ctx, j, p)
+		j.pick.Exclude = asked
+		if last == nil {
 			return p, nil
 		}
-		if ctx.Err() != nil {
+		e.giveBack(p)
+		if ctx.Err() != nil || last.RetryAfter+p.Read+p.Move > j.slack() {
 			break
 		}
-		j.pick.Drop(c.Prefill)
-	}
-	if p.dec != nil {
-		e.letGo(j, p, owner.GivenUp)
+		notBefore = time.Now().Add(last.RetryAfter)
 	}
+	j.pick.Exclude = asked
 	if last == nil {
 		last = result.Errorf(result.NoEndpoint, "no endpoint that the route allows is in reach").After(time.Second)
 	}
 	return nil, last
 }
 
+// freshDigest is the age up to which a digest is good enough to refuse by,
+// without asking the owner.
+const freshDigest = 250 * time.Millisecond
+
+// hopeless refuses at once when fresh digests say that even the best pair
+// can't meet the target.
+func (e *Entry) hopeless(j *job, c route.Choice) *result.Error {
+	slack := j.slack()
+	late := max(c.Wait+c.Read, c.Room) + c.Move - slack
+	if c.Age > freshDigest || late <= 0 {
+		return nil
+	}
+	code := result.TooLate
+	if c.Room > c.Wait+c.Read {
+		code = result.NoDecodeMemory
+	}
+	return result.Errorf(code, "the first token would come %s too late", late.Round(time.Millisecond)).After(late)
+}
+
+// giveBack returns the turn at a prefill engine that was called.
+func (e *Entry) giveBack(p *plan) {
+	e.owners.Release(p.pre, owner.Release{Attempt: p.readBy, Endpoint: route.Number(p.pre.Name), Outcome: owner.GivenUp})
+}
+
+// decodeAsks is how many decode engines are asked for a called request.
+const decodeAsks = 3
+
+// reserveAny reserves decode memory on the best engine that grants it. The
+// refusal it returns has the soonest time at which one would.
+func (e *Entry) reserveAny(ctx context.Context, j *job, p *plan) *result.Error {
+	e.at(j, blackboard.PhaseReserve, nil)
+	var last *result.Error
+	for range decodeAsks {
+		c, v := e.choose(j, p.Prefill+1)
+		if c.Decode < 0 {
+			break
+		}
+		p.Decode, p.dec, p.Move = c.Decode, &v.Doc.Endpoints[c.Decode], c.Move
+		refusal := e.reserve(ctx, j, p, p.Read)
+		if refusal == nil || ctx.Err() != nil {
+			return refusal
+		}
+		if last == nil || refusal.RetryAfter < last.RetryAfter {
+			last = refusal
+		}
+		j.pick.Drop(c.Decode)
+	}
+	if last == nil {
+		last = result.Errorf(result.NoEndpoint, "no decode endpoint that the route allows is in reach").After(time.Second)
+	}
+	return last
+}
+
 // reserve asks for decode memory at the time the prefill will end.
-func (e *Entry) reserve(ctx context.Context, j *job, p *plan) *result.Error {
-	in := p.Wait + p.Read
+func (e *Entry) reserve(ctx context.Context, j *job, p *plan, in time.Duration) *result.Error {
 	a := owner.ReserveArgs{Attempt: e.board.Requests.Open(j.id), Endpoint: route.Number(p.dec.Name), Tokens: j.tokens,
 		MaxAnswer: *j.body.MaxTokens, Bytes: int64(j.tokens) * j.view.Models[j.body.Model].KVBytesPerToken,
 		InMillis: ms(in), Slack: max(0, ms(j.slack()-in-p.Move)), Team: j.teamNum, Priority: j.priority}
@@ -250,8 +306,7 @@
 	reply, err := e.owners.Reserve(ctx, p.dec, a)
 	switch {
 	case err != nil && ctx.Err() != nil:
-		e.owners.Release(p.dec, owner.Release{Attempt: a.Attempt, Endpoint: a.Endpoint, Outcome: owner.GivenUp})
-		e.board.Requests.Close(a.Attempt)
+		e.letGo(j, p, owner.GivenUp)
 		return asResult(ctx.Err())
 	case err != nil: // the owner is out of reach: the engine's admission decides
 		p.start = now.Add(in)
@@ -265,15 +320,14 @@
 }
 
 // enqueue waits for the prefill engine's turn.
-func (e *Entry) enqueue(ctx context.Context, j *job, p *plan) *result.Error {
+func (e *Entry) enqueue(ctx context.Context, j *job, p *plan, notBefore time.Time) *result.Error {
 	e.at(j, blackboard.PhaseQueue, nil)
-	attempt := e.board.Requests.Open(j.id)
-	defer e.board.Requests.Close(attempt)
-	a := owner.EnqueueArgs{Attempt: attempt, Endpoint: route.Number(p.pre.Name), Tokens: j.tokens, Head: j.pick.Head,
-		HasHead: j.pick.HasHead, Slack: ms(j.slack() - p.Move), NotYet: ms(time.Until(p.start) - earlyRead),
+	p.readBy = e.board.Requests.Open(j.id)
+	defer e.board.Requests.Close(p.readBy)
+	a := owner.EnqueueArgs{Attempt: p.readBy, Endpoint: route.Number(p.pre.Name), Tokens: j.tokens, Head: j.pick.Head,
+		HasHead: j.pick.HasHead, Slack: ms(j.slack() - p.Move), NotYet: ms(time.Until(notBefore)),
 		Team: j.teamNum, Priority: j.priority}
 	reply, err := e.owners.Enqueue(ctx, p.pre, a)
-	p.readBy = attempt
 	switch {
 	case err != nil && errors.Is(err, peer.ErrOutOfReach) && ctx.Err() == nil:
 		if p.Wait+p.Read+p.Move > j.slack() {
@@ -288,10 +342,6 @@
 	return nil
 }
 
-// earlyRead is how long before the transfer may start a prompt may have been
-// read: the result waits that long and no longer.
-const earlyRead = 150 * time.Millisecond
-
 func ms(d time.Duration) int { return int(d.Milliseconds()) }
 
 // letGo gives the decode reservation back.
--- a/entry/write.go
+++ b/entry/write.go
@@ -63,10 +63,7 @@
 			return e.wasted(j, p, err)
 		}
 		if full > 0 && full%fullBeforeMove == 0 {
-			e.moveOn(ctx, j, p, true)
-			if p.dec == nil {
-				p.dec = p.lastDec // all are full: stay and wait
-			}
+			e.moveIfRoom(ctx, j, p)
 		}
 		if !sleep(ctx, fullWait/2+rand.N(fullWait)) {
 			e.discard(j, p, kv)
@@ -78,7 +75,7 @@
 const (
 	lastMoment     = 100 * time.Millisecond // of the time a result is kept
 	fullWait       = 20 * time.Millisecond  // between asks at a full engine
-	fullBeforeMove = 4                      // asks at a full engine before another is tried
+	fullBeforeMove = 8                      // asks at a full engine before another is tried
 )
 
 // stalledBefore reports whether this engine already stalled a transfer of
@@ -88,6 +85,24 @@
 	return p.stalls > 1
 }
 
+// moveIfRoom moves a request that waits at a full engine to another, if that
+// one's owner grants room; else the request keeps its place.
+func (e *Entry) moveIfRoom(ctx context.Context, j *job, p *plan) {
+	old := *p
+	j.pick.Drop(p.Decode)
+	c, v := e.choose(j, 0)
+	if c.Decode < 0 {
+		return
+	}
+	p.Decode, p.dec, p.Move = c.Decode, &v.Doc.Endpoints[c.Decode], c.Move
+	if refusal := e.reserve(ctx, j, p, 0); refusal != nil || !p.reserved {
+		e.board.Requests.Close(p.decodeBy)
+		*p = old
+		return
+	}
+	e.letGo(j, &old, owner.GivenUp)
+}
+
 // moveOn finds the job's result another decode engine, or the same one anew
 // when move is false. p.dec is nil when there is none.
 func (e *Entry) moveOn(ctx context.Context, j *job, p *plan, move bool) {
@@ -107,7 +122,7 @@
 	p.stalls = 0
 	p.Decode, p.dec, p.Move = c.Decode, &v.Doc.Endpoints[c.Decode], c.Move
 	p.Wait, p.Read = 0, 0
-	if refusal := e.reserve(ctx, j, p); refusal != nil {
+	if refusal := e.reserve(ctx, j, p, 0); refusal != nil {
 		p.decodeBy = e.board.Requests.Open(j.id) // its admission decides
 	}
 }
--- a/owner/book.go
+++ b/owner/book.go
@@ -96,6 +96,7 @@
 	case b.ledger != nil && reserves:
 		tokens, slots, link := b.ledger.free(now)
 		d.FreeTokens, d.FreeSlots, d.LinkMillis = int32(tokens), int32(slots), uint32(link.Milliseconds())
+		d.WaitMillis = uint32(b.ledger.wait(now).Milliseconds())
 	case b.ledger != nil:
 		d.FreeTokens = int32(b.spec.MemoryTokens - b.state.MemoryUsed)
 		d.FreeSlots = int32(b.spec.Slots - b.state.Running)
--- a/owner/ledger.go
+++ b/owner/ledger.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
@@ -22,6 +23,15 @@
 	seen      bool      // the engine's own list has it
 }
 
+// span returns when the row's transfer begins and ends. A request that the
+// engine hasn't shown yet can't have begun before now, whatever was forecast.
+func (r *row) span(now time.Time) (start, moved time.Time) {
+	if r.seen || r.start.After(now) {
+		return r.start, r.moved
+	}
+	return now, now.Add(r.moved.Sub(r.start))
+}
+
 // ledger is an owner's account of one decode engine's memory and of the link
 // into it. It is not safe for concurrent use; Book locks it.
 //
@@ -37,6 +47,10 @@
 	slow    float64 // learned factor on the time of a step
 	rows    map[request.Attempt]*row
 	answers answerForecast
+
+	usual   float64 // tokens of a usual request, an average
+	waitAt  time.Time
+	waitFor time.Duration
 }
 
 func newLedger(v *config.View, spec *config.Endpoint, share float64) *ledger {
@@ -97,13 +111,14 @@
 	if l.mode == config.ForecastHold {
 		return 1
 	}
-	if r.start.After(t) {
+	start, moved := r.span(now)
+	if start.After(t) {
 		return 0
 	}
-	if !t.After(r.moved) || !t.After(now) {
+	if !t.After(moved) || !t.After(now) {
 		return 1
 	}
-	written := func(t time.Time) float64 { return float64(t.Sub(r.moved)) / float64(step) }
+	written := func(t time.Time) float64 { return float64(t.Sub(moved)) / float64(step) }
 	if l.mode == config.ForecastPlain {
 		if written(t) < max(float64(l.answers.expect(r.maxAnswer)), written(now)+1) {
 			return 1
@@ -111,7 +126,7 @@
 		return 0
 	}
 	alive := 1.0
-	if now.After(r.moved) {
+	if now.After(moved) {
 		alive = l.answers.survive(written(now), r.maxAnswer)
 	}
 	if alive < surelyOver {
@@ -189,12 +204,15 @@
 func (l *ledger) reserve(now time.Time, a ReserveArgs, weights func(uint32) float64) (time.Time, *result.Error) {
 	l.expire(now)
 	tokens := a.Tokens + a.MaxAnswer
+	blend(&l.usual, float64(tokens), learnUsual)
 	wanted := now.Add(duration(a.InMillis))
 	latest := wanted.Add(duration(a.Slack))
 	move := route.LinkTime(l.spec, a.Bytes)
+	stay := move + time.Duration(l.answers.expect(a.MaxAnswer))*l.step()
+	taken := l.taken(now, tokens)
 	for t := wanted; t.Before(latest.Add(searchBeyond)); t = t.Add(searchStep) {
 		at := l.linkFrom(t, move)
-		if !l.fits(now, at, tokens) {
+		if !l.fits(now, at, tokens) || within(taken, at, at.Add(stay)) {
 			continue
 		}
 		if at.After(latest) {
@@ -210,6 +228,28 @@
 	return time.Time{}, l.full(latest.Sub(now), searchBeyond)
 }
 
+// taken lists the moments to come at which reservations that were granted
+// leave no room for so many tokens more.
+func (l *ledger) taken(now time.Time, tokens int) []time.Time {
+	var out []time.Time
+	for _, r := range l.rows {
+		if r.start.After(now) && !l.fits(now, r.start, tokens) {
+			out = append(out, r.start)
+		}
+	}
+	return out
+}
+
+// within reports whether one of the moments lies between from and to.
+func within(moments []time.Time, from, to time.Time) bool {
+	for _, m := range moments {
+		if m.After(from) && m.Before(to) {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *ledger) full(within, back time.Duration) *result.Error {
 	return result.Errorf(result.NoDecodeMemory, "no decode memory on %s within %s", l.spec.Name, within).After(back)
 }
@@ -228,17 +268,17 @@
 
 // listed takes in the engine's own list: what it holds counts, and what it
 // no longer holds doesn't.
-func (l *ledger) listed(now time.Time, list map[request.Attempt]int) {
-	for a, tokens := range list {
+func (l *ledger) listed(now time.Time, list map[request.Attempt]endpoint.Running) {
+	for a, held := range list {
 		r := l.rows[a]
 		if r == nil {
-			r = &row{attempt: a, tokens: tokens, maxAnswer: tokens / foreignAnswer, start: now, moved: now}
+			r = &row{attempt: a, tokens: held.Tokens, maxAnswer: held.Tokens / foreignAnswer}
 			l.rows[a] = r
 		}
 		r.seen = true
-		if r.start.After(now) {
-			r.start = now
-		}
+		move := r.moved.Sub(r.start)
+		r.start = now.Add(-duration(held.AgeMillis))
+		r.moved = r.start.Add(move)
 	}
 	for a, r := range l.rows {
 		if _, there := list[a]; r.seen && !there {
@@ -247,6 +287,32 @@
 	}
 }
 
+// learnUsual is the weight of a request in the average size.
+const learnUsual = 0.1
+
+// waitStep and waitMost bound how finely and how far the wait of a usual
+// request is looked for; waitKept is how long the finding stands.
+const (
+	waitStep = 100 * time.Millisecond
+	waitMost = 3 * time.Second
+	waitKept = 50 * time.Millisecond
+)
+
+// wait returns how long a request of the usual size waits for room.
+func (l *ledger) wait(now time.Time) time.Duration {
+	if now.Sub(l.waitAt) < waitKept {
+		return l.waitFor
+	}
+	l.waitAt, l.waitFor = now, waitMost
+	for d := time.Duration(0); d < waitMost; d += waitStep {
+		if l.fits(now, now.Add(d), int(l.usual)) {
+			l.waitFor = d
+			break
+		}
+	}
+	return l.waitFor
+}
+
 // free returns what a new request would find now: tokens, slots and how long
 // the link is taken.
 func (l *ledger) free(now time.Time) (tokens, slots int, link time.Duration) {
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -192,13 +192,13 @@
 
 // takeList takes in the endpoint's own list; the caller holds the lock.
 func (o *Owner) takeList(b *Book, now time.Time, list []endpoint.Running) {
-	held := make(map[request.Attempt]int, len(list))
+	held := make(map[request.Attempt]endpoint.Running, len(list))
 	for _, r := range list {
 		a, err := request.ParseAttempt(r.ID)
 		if err != nil {
 			a = foreign(r.ID) // not ours, but it holds memory
 		}
-		held[a] = r.Tokens
+		held[a] = r
 	}
 	if b.ledger != nil {
 		b.ledger.listed(now, held)
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -136,14 +136,15 @@
 // next takes the items that should be sent now. Items that can no longer be
 // in time are returned apart; they are refused as not run.
 func (q *queue) next(now time.Time) (send, late []*item) {
-	for len(q.waiting) > 0 {
-		it := q.waiting[0]
+	for _, it := range append([]*item(nil), q.waiting...) {
 		if q.free(now).After(it.latest.Add(graceLate)) {
 			late = append(late, it)
 			q.take(it)
-			continue
 		}
-		if q.free(now).Sub(now) > lookahead || it.notYet.Sub(q.free(now).Add(it.work)) > 0 && len(q.waiting) == 1 {
+	}
+	for q.free(now).Sub(now) <= lookahead {
+		it := q.first(q.free(now))
+		if it == nil {
 			break
 		}
 		q.take(it)
@@ -155,6 +156,20 @@
 	return send, late
 }
 
+// first returns the first item that may begin at a moment, or nil. An item
+// that waits for decode memory lets others pass.
+func (q *queue) first(at time.Time) *item {
+	for _, it := range q.waiting {
+		if !it.begins().After(at) {
+			return it
+		}
+	}
+	return nil
+}
+
+// begins returns the first moment at which the item may begin.
+func (it *item) begins() time.Time { return it.notYet.Add(-it.work) }
+
 // graceLate is how much later than its latest start an admitted request is
 // still sent: its forecast was a little off, and it has waited already.
 const graceLate = 100 * time.Millisecond
@@ -186,13 +201,16 @@
 	if len(q.waiting) == 0 {
 		return time.Time{}
 	}
-	t := q.free(now).Add(-lookahead)
-	if it := q.waiting[0]; len(q.waiting) == 1 {
-		if hold := it.notYet.Add(-it.work); hold.After(t) {
-			t = hold
+	soonest := q.waiting[0].begins()
+	for _, it := range q.waiting[1:] {
+		if b := it.begins(); b.Before(soonest) {
+			soonest = b
 		}
 	}
-	return t
+	if t := q.free(now).Add(-lookahead); t.After(soonest) {
+		return t
+	}
+	return soonest
 }
 
 // done notes that the engine has read a request, or was told to forget it.
--- a/route/pick.go
+++ b/route/pick.go
@@ -19,10 +19,10 @@
 	Region    string // of the entry host
 	Now       time.Time
 	Seed      uint64 // spreads the choices of many hosts over near-equal endpoints
-	// FixedDecode is the index + 1 of a decode endpoint that is already
-	// reserved; 0: any.
-	FixedDecode int
-	Exclude     [8]int // endpoints that refused or failed, as index + 1; 0 ends the list
+	// FixedPrefill is the index + 1 of a prefill endpoint that has already
+	// called the request; 0: any.
+	FixedPrefill int
+	Exclude      [8]int // endpoints that refused or failed, as index + 1; 0 ends the list
 }
 
 // Excluded reports whether endpoint i is out of the question.
@@ -53,6 +53,8 @@
 	Prefill, Decode int
 	Uncached        int           // tokens that the prefill engine will read
 	Wait            time.Duration // forecast of queueing before prefill
+	Room            time.Duration // forecast of waiting for decode memory
+	Age             time.Duration // of the older of the two digests
 	Read            time.Duration // forecast of the prefill itself
 	Move            time.Duration // forecast of the transfer, with waiting for the link
 }
@@ -62,7 +64,7 @@
 	costOtherDomain = 0.060 // leaving the own failure domain
 	costCrossLink   = 0.030 // a transfer between failure domains
 	costStale       = 0.400 // a digest that is older than staleAfter
-	costFull        = 0.600 // decode memory is full by the digest
+	costFull        = 0.050 // decode memory is full by the digest, besides the wait
 	costFill        = 0.080 // a full batch against an empty one
 	jitterShare     = 0.10  // of a cost, by which near-equal endpoints trade places
 )
@@ -98,14 +100,14 @@
 func Pick(v *config.View, states []State, r *Request) Choice {
 	var pre, dec ranked
 	for _, i := range r.Route.Prefill {
+		if r.FixedPrefill != 0 && r.FixedPrefill != i+1 {
+			continue
+		}
 		if s := &states[i]; eligible(v, s, r) {
 			pre.add(prefillCost(v, s, r), i)
 		}
 	}
 	for _, i := range r.Route.Decode {
-		if r.FixedDecode != 0 && r.FixedDecode != i+1 {
-			continue
-		}
 		if s := &states[i]; eligible(v, s, r) {
 			dec.add(decodeCost(v, s, r), i)
 		}
@@ -132,6 +134,8 @@
 	p, d := &states[c.Prefill], &states[c.Decode]
 	c.Uncached = p.Uncached(r.Tokens, r.Head, r.HasHead)
 	c.Wait = time.Duration(p.Digest.QueueMillis) * time.Millisecond
+	c.Room = time.Duration(d.Digest.WaitMillis) * time.Millisecond
+	c.Age = max(r.Now.Sub(p.At), r.Now.Sub(d.At))
 	c.Read = p.PrefillTime(c.Uncached)
 	c.Move = LinkTime(d.Spec, kvBytes(v, d, r.Tokens))
 }
@@ -165,7 +169,7 @@
 
 // decodeCost is the forecast time until decode can begin, in seconds.
 func decodeCost(v *config.View, s *State, r *Request) float64 {
-	cost := LinkTime(s.Spec, kvBytes(v, s, r.Tokens)).Seconds() + float64(s.Digest.LinkMillis)/1000
+	cost := LinkTime(s.Spec, kvBytes(v, s, r.Tokens)).Seconds() + float64(s.Digest.LinkMillis+s.Digest.WaitMillis)/1000
 	if !s.At.IsZero() {
 		need := r.Tokens + r.MaxAnswer
 		free := int(s.Digest.FreeTokens)
--- a/route/state.go
+++ b/route/state.go
@@ -35,6 +35,7 @@
 	QueueMillis uint32 // prefill: work queued before a new request
 	FreeTokens  int32  // decode: memory that is neither held nor reserved
 	FreeSlots   int32
+	WaitMillis  uint32 // decode: until a request of the usual size has room
 	LinkMillis  uint32 // decode: until the link into it is free
 	SlowPct     uint16 // time of work against the configured; 0 stands for 100
 	FailPct     uint8  // share of recent attempts that failed
