--- a/entry/answer.go
+++ b/entry/answer.go
@@ -182,7 +182,7 @@
 }
 
 func problem(e *result.Error) Problem {
-	return Problem{ProblemDetail{Code: int(e.Code), Name: e.Code.String(), Message: e.Detail, NotRun: e.Code.NotRun(),
+	return Problem{ProblemDetail{Code: int(e.Code), Name: e.Code.String(), Message: e.Detail, NotRun: e.NotRun(),
 		RetryMillis: e.RetryAfter.Milliseconds()}}
 }
 
--- a/entry/job.go
+++ b/entry/job.go
@@ -46,18 +46,18 @@
 func (e *Entry) completions(w http.ResponseWriter, q *http.Request) {
 	v, refusal := e.ready()
 	if refusal != nil {
-		e.refuse(w, nil, refusal)
+		e.refuse(w, q, refusal)
 		return
 	}
 	src, refusal := readBody(w, q, v.Doc.Limits)
 	if refusal != nil {
-		e.refuse(w, v, refusal)
+		e.refuse(w, q, refusal)
 		return
 	}
 	chat := q.URL.Path == "/v1/chat/completions"
 	j, refusal := e.admit(v, q.Header, src, chat)
 	if refusal != nil {
-		e.refuse(w, v, refusal)
+		e.refuse(w, q, refusal)
 		return
 	}
 	j.out = newAnswer(w, j, chat)
@@ -111,7 +111,9 @@
 	row := blackboard.Request{ID: j.id, Team: j.team.Name, Model: model, Phase: blackboard.PhaseReserve, Since: j.came, PhaseSince: j.came, Tokens: j.tokens}
 	l := j.view.Doc.Limits
 	if err := e.board.Requests.Begin(row, j.team.MaxConcurrent, l.Concurrent); err != nil {
-		e.finish(j, asResult(err), false)
+		refusal := asResult(err)
+		refusal.Unsure = j.key != ""
+		e.finish(j, refusal, false)
 		return
 	}
 	if j.deadline > 0 {
--- a/internal/fake/faults.go
+++ b/internal/fake/faults.go
@@ -10,7 +10,7 @@
 	CutAfter       int     `json:"cut_after"`        // connection closed after the work, without the answer
 	BreakStreams   int     `json:"break_streams"`    // streams that die after BreakAfter tokens
 	BreakAfter     int     `json:"break_after"`      // tokens before a broken stream dies
-	CleanBreak     bool    `json:"clean_break"`      // a broken stream ends like a whole one, without its mark
+	CleanBreak     bool    `json:"clean_break"`      // a broken stream ends like a whole one
 	CrossAnswers   int     `json:"cross_answers"`    // chunks that carry another attempt's id
 	StallTransfers int     `json:"stall_transfers"`  // transfers that stop half-way
 	LateMillis     int     `json:"late_ms"`          // delay of every answer
--- a/load/bound.go
+++ b/load/bound.go
@@ -12,11 +12,14 @@
 )
 
 // Capacity is what the pools of a document can do with a mix, worked out
-// from the stand-ins' rates alone.
+// from the stand-ins' rates alone: requests a second at which each resource
+// is fully used by mean work. Prompts count whole: a cache is a gain that a
+// policy has to earn.
 type Capacity struct {
-	Rate    float64 // requests a second at which the busier pool is fully used
-	Prefill float64 // requests a second that the prefill pool can read
-	Decode  float64 // requests a second that the decode pool can write
+	Rate    float64 // of the resource that is used up first
+	Prefill float64 // reading prompts
+	Decode  float64 // holding decode memory and slots
+	Link    float64 // moving KV cache into the decode engines
 }
 
 // sampleSpan and sampleRate give the sample that mean work is taken from.
@@ -25,22 +28,22 @@
 	sampleRate = 20
 )
 
-// Capacity works out the mean work of the mix, with each common document read
-// once for each engine that it is sent to left out: a prefix that is cached
-// everywhere costs nothing. So the figure is what ideal caches would allow,
-// and 1.0 of it is a hard load.
+// Capacity returns what the document's pools can do with the mix. Fractions
+// of requests pack into memory here, and no target is looked at, so no policy
+// reaches 1.0 in time.
 func (m Mix) Capacity(d *config.Document) Capacity {
 	arrivals := m.Arrivals(1, sampleRate, sampleSpan, 0)
-	read, write := 0.0, 0.0
+	read, hold, move := 0.0, 0.0, 0.0
 	pre, dec := pools(d)
-	seen := map[uint64]bool{}
 	for _, a := range arrivals {
-		read += float64(uncached(a, seen)) / pre.rate
-		write += dec.slotSeconds(a)
+		tokens := float64(endpoint.Tokens(len(a.Prompt)))
+		read += tokens / pre.rate
+		hold += dec.slotSeconds(a)
+		move += tokens * dec.kv / dec.links
 	}
 	n := float64(len(arrivals))
-	c := Capacity{Prefill: n / read, Decode: n / write}
-	c.Rate = math.Min(c.Prefill, c.Decode)
+	c := Capacity{Prefill: n / read, Decode: n / hold, Link: n / move}
+	c.Rate = min(c.Prefill, c.Decode, c.Link)
 	return c
 }
 
@@ -65,7 +68,8 @@
 	slots  float64
 	memory float64
 	step   time.Duration
-	link   float64
+	link   float64 // bytes a second into one engine
+	links  float64 // into all
 	kv     float64
 }
 
@@ -83,6 +87,7 @@
 			c.memory += float64(e.MemoryTokens)
 			c.step = max(c.step, route.StepTime(e, n))
 			c.link = float64(e.LinkBytesPerSecond)
+			c.links += c.link
 		}
 	}
 	if len(d.Models) > 0 {
@@ -99,26 +104,32 @@
 	return stay * math.Max(1/c.slots, float64(tokens+a.MaxTokens)/c.memory)
 }
 
-// Bound returns the most arrivals that the prefill pool could read in time,
-// were it one engine of the pool's whole rate with ideal caches, free to take
-// the shortest work first over the whole span. No policy can answer more.
+// Bound returns the most arrivals that could be answered in time: as many as
+// fit, the least work first, into what the prefill pool can read with ideal
+// caches and into what the links can move, within the span and one target.
+// It ignores decode memory, packing and order, so no policy can answer more
+// and none can answer quite as many.
 func Bound(d *config.Document, arrivals []Arrival, span time.Duration) int {
-	pre, _ := pools(d)
-	var work []float64
+	pre, dec := pools(d)
+	var read, move []float64
 	seen := map[uint64]bool{}
 	for _, a := range arrivals {
 		if a.Leaves == 0 {
-			work = append(work, float64(uncached(a, seen))/pre.rate)
+			read = append(read, float64(uncached(a, seen))/pre.rate)
+			move = append(move, float64(endpoint.Tokens(len(a.Prompt)))*dec.kv/dec.links)
 		}
 	}
+	within := (span + d.Targets.TTFT()).Seconds()
+	return min(mostWithin(read, within), mostWithin(move, within))
+}
+
+// mostWithin returns how many of the works fit into a time.
+func mostWithin(work []float64, left float64) int {
 	sort.Float64s(work)
-	left := (span + d.Targets.TTFT()).Seconds()
-	n := 0
-	for _, w := range work {
+	for n, w := range work {
 		if left -= w; left < 0 {
-			break
+			return n
 		}
-		n++
 	}
-	return n
+	return len(work)
 }
--- a/load/send.go
+++ b/load/send.go
@@ -30,6 +30,7 @@
 	TPOT    time.Duration
 	Retry   time.Duration // when the router said to come back
 	Took    time.Duration
+	Ended   time.Time
 }
 
 // Sender sends arrivals to entry hosts.
@@ -91,7 +92,8 @@
 	defer cancel()
 	began := time.Now()
 	s.call(ctx, hc, a, began, &res)
-	res.Took = time.Since(began)
+	res.Ended = time.Now()
+	res.Took = res.Ended.Sub(began)
 	res.Left = a.Leaves > 0 && !res.Whole && res.Code == 0
 	return res
 }
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -34,7 +34,12 @@
 	return n, err
 }
 
+// writeLimit bounds a write. net/rpc writes under a lock, so one write that
+// hung would hold up every call on the connection.
+const writeLimit = 2 * time.Second
+
 func (c countedConn) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(writeLimit))
 	n, err := c.Conn.Write(p)
 	c.t.Out.Add(uint64(n))
 	c.t.Writes.Add(1)
--- /dev/null
+++ b/proof/keys_test.go
@@ -0,0 +1,93 @@
+package proof
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/embercove/embercove/internal/fake"
+	"github.com/embercove/embercove/load"
+	"github.com/embercove/embercove/result"
+)
+
+// twins makes each arrival come twice with one idempotency key, the second
+// some time later at another host, as a caller does that lost its answer.
+func twins(as []load.Arrival) []load.Arrival {
+	r := rand.New(rand.NewPCG(1, 1))
+	var out []load.Arrival
+	for i, a := range as {
+		a.Key = fmt.Sprintf("k%d", i)
+		a.Leaves = 0
+		b := a
+		b.At += time.Duration(r.IntN(4000)) * time.Millisecond
+		b.Host++
+		out = append(out, a, b)
+	}
+	return out
+}
+
+// TestKeys sends every request twice under one key and judges that no request
+// is answered twice, whatever happens to the hosts that hold the keys.
+func TestKeys(t *testing.T) {
+	cases := []struct {
+		name string
+		f    func(s *scene)
+	}{
+		{"no fault", func(*scene) {}},
+		{"a holder killed", func(s *scene) { time.Sleep(2 * time.Second); s.kill(0) }},
+		{"a holder killed and restarted", func(s *scene) {
+			time.Sleep(2 * time.Second)
+			s.kill(4)
+			time.Sleep(time.Second)
+			if err := s.Restart(4); err != nil {
+				s.fail(err.Error())
+			}
+		}},
+		{"a holder stopped as planned", func(s *scene) {
+			time.Sleep(2 * time.Second)
+			s.mu.Lock()
+			s.gone[2] = true
+			s.mu.Unlock()
+			s.Nodes[2].Drain()
+		}},
+		{"domains cut apart", func(s *scene) {
+			time.Sleep(2 * time.Second)
+			s.net.Cut("is-a", "is-b", true)
+			s.net.Cut("is-a", "is-c", true)
+			time.Sleep(3 * time.Second)
+			s.net.Cut("is-a", "is-b", false)
+			s.net.Cut("is-a", "is-c", false)
+		}},
+		{"streams die", func(s *scene) {
+			for range 6 {
+				time.Sleep(time.Second)
+				s.faults(fake.Faults{BreakStreams: 2, BreakAfter: 2, CutAfter: 1})
+			}
+		}},
+	}
+	for i, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var all []load.Arrival
+			p := play(t, options{seed: uint64(400 + i), rate: 9, edit: func(as *[]load.Arrival) {
+				*as = twins(*as)
+				sortByTime(*as)
+				all = *as
+			}}, func(s *scene) {
+				tc.f(s)
+			})
+			p.report(t)
+			answered := map[string]int{}
+			for i, r := range p.results {
+				if r.Code == result.OK {
+					answered[all[i].Key]++
+				}
+			}
+			for k, n := range answered {
+				if n > 1 {
+					t.Errorf("key %s was answered %d times", k, n)
+				}
+			}
+		})
+	}
+}
--- a/result/result.go
+++ b/result/result.go
@@ -73,8 +73,8 @@
 	{BadHeader, "bad_header", 400, true, false, "A request header has a value that is not allowed.", "Ask the team to mend its client."},
 	{NoRoute, "no_route", 403, true, false, "No route's selector takes this request.", "Run embercove explain with the request's labels."},
 	{BodyTooLarge, "body_too_large", 413, true, false, "The body is larger than the limit.", "Check limits.body_bytes."},
-	{KeyRunning, "key_running", 409, true, true, "Another attempt with this idempotency key is in progress.", "Nothing; the caller asks again later."},
-	{KeyAnswered, "key_answered", 409, true, false, "A request with this idempotency key was answered before.", "Nothing; the caller has had its answer."},
+	{KeyRunning, "key_running", 409, false, true, "Another attempt with this idempotency key is in progress.", "Nothing; the caller asks again later."},
+	{KeyAnswered, "key_answered", 409, false, false, "A request with this idempotency key was answered before.", "Nothing; the caller has had its answer."},
 	{KeyMismatch, "key_mismatch", 422, true, false, "The idempotency key was used before with another body.", "Ask the team to mend its client."},
 	{BodyTooSlow, "body_too_slow", 408, true, true, "The body did not arrive in time.", "Look for half-open callers."},
 	{UnknownService, "unknown_service", 404, true, false, "No route leads to a plain service of this name.", "Check the routes' service selectors."},
@@ -83,7 +83,7 @@
 	{TeamLimit, "team_limit", 429, true, true, "The team has too many requests in progress on this host.", "Check max_concurrent of the team."},
 	{NoEndpoint, "no_endpoint", 503, true, true, "No endpoint that the route allows is in reach.", "Run embercove status; look for cut-off domains."},
 	{Draining, "draining", 503, true, true, "This host is stopping.", "Nothing; the balancer takes the host out."},
-	{KeyOutOfReach, "key_out_of_reach", 503, true, true, "The hosts that hold this idempotency key are out of reach.", "Look for a cut between domains."},
+	{KeyOutOfReach, "key_out_of_reach", 503, false, true, "The hosts that hold this idempotency key are out of reach; this attempt did not run, an earlier one may have.", "Look for a cut between domains."},
 	{NotReady, "not_ready", 503, true, true, "This host has no accepted configuration yet.", "Check that the platform or a peer is in reach."},
 	{RetryBudget, "retry_budget", 503, true, true, "The attempts failed before running and the retry budget is spent.", "Look for failing endpoints."},
 	{EndpointRefused, "endpoint_refused", 503, true, true, "The endpoint refused the request without running it.", "Look at the endpoint's own log."},
@@ -130,8 +130,15 @@
 	Code       Code
 	Detail     string        // names the field and cause; safe to show to callers
 	RetryAfter time.Duration // when to come back; 0 where retrying is no use
+	// Unsure takes the promise of not having run back: the attempt didn't,
+	// but an earlier one under the same idempotency key may have.
+	Unsure bool
 }
 
+// NotRun reports whether the caller may be promised that its request did not
+// run, under this attempt or an earlier one.
+func (e *Error) NotRun() bool { return e.Code.NotRun() && !e.Unsure }
+
 // Error implements the error interface.
 func (e *Error) Error() string {
 	return fmt.Sprintf("%d %s: %s", int(e.Code), e.Code, e.Detail)
