peer: control traffic brought down; owners learn their margin

Cause: embercove slopes measured 52,106 B for an exchange with 193 endpoints (two thirds of it cached prompt heads in gob), 2,879 B and 3.1 calls to peers for each request, 2,925 B/s of polls for each owned endpoint. Ruled out: batching releases longer (at 87 peers two rarely meet); gossip of changes only (at the peak everything changes). Change: digests are packed by varints (encoding/binary) in coarse units, heads go along in one exchange of eight and eight each; replies carry none; a host prefers endpoints that it owns itself by 30 ms; an ordinary end of a prefill is told one time in four, since the owner expects it; rounds grow longer, not dearer, with the region (6 KB/s); state polls every 500 ms, feeds every second. Control calls to endpoints have connections of their own and are counted. So the margin is learned towards a share of full engines set by the weights. Weights 1:3 also hold prefills back while many callers leave.

--- a/blackboard/endpoints.go
+++ b/blackboard/endpoints.go
@@ -72,6 +72,15 @@
 	}
 }
 
+// SetOwn marks which endpoints this host owns.
+func (t *EndpointTable) SetOwn(own func(number uint32) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range t.states {
+		t.states[i].Own = own(t.states[i].Number)
+	}
+}
+
 // Digests returns the digests that are younger than maxAge, with their age.
 func (t *EndpointTable) Digests(now time.Time, maxAge time.Duration, want func(s *route.State) bool) []route.Digest {
 	t.mu.RLock()
--- a/blackboard/hosts.go
+++ b/blackboard/hosts.go
@@ -28,6 +28,7 @@
 // HostTable is the membership: who is live is judged by each process for
 // itself, from heartbeats that hosts hand on to each other.
 type HostTable struct {
+	least   time.Duration // silence allowed in a small fleet
 	suspect time.Duration
 	beat    time.Duration
 
@@ -37,7 +38,7 @@
 }
 
 func newHostTable(self Host, suspect, beat time.Duration) *HostTable {
-	t := &HostTable{suspect: suspect, beat: beat, self: self, hosts: map[uint32]*Host{}}
+	t := &HostTable{least: suspect, suspect: suspect, beat: beat, self: self, hosts: map[uint32]*Host{}}
 	t.hosts[self.Number] = &t.self
 	return t
 }
@@ -50,6 +51,17 @@
 	t.self.Advanced = now
 }
 
+// SetRound sets the time between exchanges, by which silence is judged.
+func (t *HostTable) SetRound(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.suspect = max(t.least, suspectRounds*d)
+	t.beat = d
+}
+
+// suspectRounds is how many rounds a host may be silent.
+const suspectRounds = 5
+
 // SetLeaving marks this host as leaving, which takes its endpoints from it.
 func (t *HostTable) SetLeaving() {
 	t.mu.Lock()
--- a/config/document.go
+++ b/config/document.go
@@ -133,7 +133,8 @@
 	// ForecastPlain or ForecastMargin.
 	Forecast Forecast `json:"forecast"`
 	// MarginSD is how many standard deviations of the forecast reservations
-	// keep free; below 0 they overbook. Left out, it comes from the weights.
+	// keep free; below 0 they overbook. Left out, owners learn it, towards
+	// a share of full engines that the weights set.
 	MarginSD *float64 `json:"margin_sd,omitempty"`
 	// LeaseMillis is how long a reservation outlives its holder's last word.
 	LeaseMillis int `json:"lease_ms"`
--- a/config/settings.go
+++ b/config/settings.go
@@ -36,7 +36,7 @@
 const (
 	DefaultHeartbeatMillis = 500
 	DefaultSuspectMillis   = 2500
-	DefaultPollMillis      = 200
+	DefaultPollMillis      = 500
 	DefaultListMillis      = 1000
 	DefaultGraceMillis     = 1000
 	DefaultRPCMillis       = 250
--- a/config/view.go
+++ b/config/view.go
@@ -149,17 +149,26 @@
 	return ""
 }
 
-// Margin returns how many standard deviations of the forecast decode
-// reservations keep free. It falls with the weight of goodput and rises with
-// that of wasted prefill, unless the document sets it; below 0 the memory is
-// overbooked.
-func (v *View) Margin() float64 {
-	if m := v.Doc.Policy.MarginSD; m != nil {
-		return *m
-	}
+// FullShare returns the share of reservations that may find the engine still
+// full when they come: owners learn a margin by which it comes about. It rises
+// with the weight of goodput, which overbooking helps, and falls with that of
+// wasted prefill.
+func (v *View) FullShare() float64 {
+	w := v.Doc.Weights
+	return leastFull + moreFull*w.Goodput/(w.Goodput+w.WastedPrefill)
+}
+
+const (
+	leastFull = 0.02
+	moreFull  = 0.10
+)
+
+// Patience returns the part of a request's slack for which its prefill may be
+// held back while many callers leave early, so that less is read for them. It
+// is 0 unless wasted prefill weighs more than goodput.
+func (v *View) Patience() float64 {
 	w := v.Doc.Weights
-	return maxMargin * (w.WastedPrefill - w.Goodput) / (w.Goodput + w.WastedPrefill)
+	return mostPatience * max(0, w.WastedPrefill-w.Goodput) / (w.Goodput + w.WastedPrefill)
 }
 
-// maxMargin is the margin of a document that minds wasted prefill only.
-const maxMargin = 1.0
+const mostPatience = 0.6
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/embercove/embercove/meter"
 )
 
 // Limits of what is read from an endpoint outside of answers.
@@ -27,7 +29,10 @@
 
 // Client calls endpoints. Its methods are safe for concurrent use.
 type Client struct {
-	hc *http.Client
+	Control meter.Traffic // polls, lists, aborts and orders
+
+	hc   *http.Client // requests and answers
+	ctrl *http.Client // control, on connections of its own
 }
 
 // NewClient returns a client. A nil dial uses TCP.
@@ -35,17 +40,27 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	}
-	return &Client{hc: &http.Client{
+	c := new(Client)
+	c.hc = newHTTP(dial)
+	c.ctrl = newHTTP(Dial(meter.Counted(meter.Dial(dial), &c.Control)))
+	return c
+}
+
+func newHTTP(dial Dial) *http.Client {
+	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second,
 			DisableCompression: true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
 }
 
 // CloseIdle closes connections that no call uses.
-func (c *Client) CloseIdle() { c.hc.CloseIdleConnections() }
+func (c *Client) CloseIdle() {
+	c.hc.CloseIdleConnections()
+	c.ctrl.CloseIdleConnections()
+}
 
 // CallError is a failed call. MayHaveRun is the point of it: it is false
 // only when nothing reached the endpoint or the endpoint vouches that it
@@ -80,7 +95,7 @@
 // do sends a request whose effect matters. The request is given no GetBody
 // and no idempotency header, because net/http would then send it again by
 // itself on a broken connection.
-func (c *Client) do(ctx context.Context, method, addr, path string, header http.Header, body []byte) (*http.Response, error) {
+func (c *Client) do(ctx context.Context, hc *http.Client, method, addr, path string, header http.Header, body []byte) (*http.Response, error) {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method,
@@ -95,7 +110,7 @@
 	if header != nil {
 		req.Header = header
 	}
-	res, err := c.hc.Do(req)
+	res, err := hc.Do(req)
 	if err != nil {
 		return nil, &CallError{Address: addr, MayHaveRun: sent.Load(), Cause: err}
 	}
@@ -140,7 +155,7 @@
 	if err != nil {
 		return nil, &CallError{Address: call.Address, Cause: err}
 	}
-	res, err := c.do(ctx, http.MethodPost, call.Address, PathCompletions, callHeader(call.Attempt, call.Version, call.Repeatable), body)
+	res, err := c.do(ctx, c.hc, http.MethodPost, call.Address, PathCompletions, callHeader(call.Attempt, call.Version, call.Repeatable), body)
 	if err != nil {
 		return nil, err
 	}
@@ -171,7 +186,7 @@
 	if !call.Repeatable {
 		header.Set(HeaderRepeatable, "false")
 	}
-	res, err := c.do(ctx, method, call.Address, path, header, body)
+	res, err := c.do(ctx, c.hc, method, call.Address, path, header, body)
 	if err != nil {
 		return nil, err
 	}
@@ -190,7 +205,7 @@
 			return errors.Wrap(err, path)
 		}
 	}
-	res, err := c.do(ctx, method, addr, path, nil, body)
+	res, err := c.do(ctx, c.ctrl, method, addr, path, nil, body)
 	if err != nil {
 		return err
 	}
--- a/endpoint/stream.go
+++ b/endpoint/stream.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, &CallError{Address: call.Address, Cause: err}
 	}
-	res, err := c.do(ctx, http.MethodPost, call.Address, PathCompletions, callHeader(call.Attempt, call.Version, call.Repeatable), body)
+	res, err := c.do(ctx, c.hc, http.MethodPost, call.Address, PathCompletions, callHeader(call.Attempt, call.Version, call.Repeatable), body)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -28,6 +28,7 @@
 	readBy   request.Attempt // the prefill attempt
 	cost     int             // tokens that were read
 	stalls   int             // transfers to this engine that stalled
+	waited   bool            // the decode engine was full when the prompt was read
 	lastDec  *config.Endpoint
 }
 
@@ -355,7 +356,9 @@
 	rel := owner.Release{Attempt: p.readBy, Endpoint: route.Number(p.pre.Name), Millis: ms(time.Since(began))}
 	if err == nil {
 		rel.Cached = ans.Usage.CachedTokens
-		e.owners.Release(p.pre, rel)
+		if e.worthTelling(p, rel) {
+			e.owners.Release(p.pre, rel)
+		}
 		j.read += ans.Usage.PromptTokens - ans.Usage.CachedTokens
 		p.cost = ans.Usage.PromptTokens - ans.Usage.CachedTokens
 		e.budgets.earn(j.team.Name, p.pre.Name, j.view.Doc.Limits.RetryShare)
@@ -372,6 +375,23 @@
 	return nil, e.failed(p.Prefill, p.pre, err)
 }
 
+// tellEvery is how many ordinary ends of a prefill there are for each that is
+// told of.
+const tellEvery = 4
+
+// worthTelling reports whether a prefill's end is told to its owner. The owner
+// knows when to expect it; it is told of the surprising ends, and of some
+// others to learn the engine's pace and cache from.
+func (e *Entry) worthTelling(p *plan, rel owner.Release) bool {
+	took := time.Duration(rel.Millis) * time.Millisecond
+	off := (took - p.Read).Abs()
+	return off > ordinaryOff+p.Read/4 || e.turn.Load()%tellEvery == 0
+}
+
+// ordinaryOff is how far from its forecast an ordinary prefill ends: the
+// owner calls some way ahead of the engine.
+const ordinaryOff = 80 * time.Millisecond
+
 // Patience with a prefill engine: beyond it the engine counts as stuck.
 const (
 	prefillPatience = 3 * time.Second
@@ -387,7 +407,7 @@
 	case err == nil:
 		return owner.Done
 	case ctx.Err() != nil:
-		return owner.GivenUp
+		return owner.Left
 	case endpoint.MayHaveRun(err), endpoint.Unreachable(err):
 		return owner.Failed
 	}
--- a/entry/write.go
+++ b/entry/write.go
@@ -41,6 +41,7 @@
 			e.moveOn(ctx, j, p, true)
 		case !endpoint.MayHaveRun(err):
 			full++
+			p.waited = true
 		case errors.As(err, &stalled) && !j.repeatable:
 			// No token was written; but the engine may have begun since.
 			e.discard(j, p, kv)
@@ -164,7 +165,7 @@
 		}
 		if err == nil || j.out.sent > began {
 			e.owners.Release(p.dec, owner.Release{Attempt: p.decodeBy, Endpoint: route.Number(p.dec.Name),
-				Outcome: outcomeOf(ctx, err), Answer: j.out.sent, Max: *j.body.MaxTokens})
+				Outcome: outcomeOf(ctx, err), Waited: p.waited, Answer: j.out.sent, Max: *j.body.MaxTokens})
 		}
 		if err != nil && !endpoint.MayHaveRun(err) {
 			j.attempts--
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -50,6 +50,9 @@
 		{"control_bytes_in", "bytes received from peers", true, func() float64 { return float64(n.Router.Traffic.In.Load()) }},
 		{"control_bytes_out", "bytes sent to peers", true, func() float64 { return float64(n.Router.Traffic.Out.Load()) }},
 		{"control_calls", "calls made to peers", true, func() float64 { return float64(n.Router.Traffic.Calls.Load()) }},
+		{"endpoint_control_bytes", "bytes sent to and received from endpoints for control", true, func() float64 {
+			return float64(n.Client.Control.In.Load() + n.Client.Control.Out.Load())
+		}},
 		{"endpoint_polls", "control calls made to endpoints", true, func() float64 { return float64(n.Owner.Polls.Load()) }},
 		{"orphans_cancelled", "orphaned attempts cancelled at endpoints", true, func() float64 { return float64(n.Owner.Reaped.Load()) }},
 		{"orders_sent", "orders sent to endpoints", true, func() float64 { return float64(n.Owner.Orders.Load()) }},
--- a/node/node.go
+++ b/node/node.go
@@ -32,7 +32,7 @@
 	Record *report.Recorder
 
 	settings *config.Settings
-	client   *endpoint.Client
+	Client   *endpoint.Client
 	platform *platform.Client
 	entry    *entry.Entry
 	metrics  *metrics
@@ -72,10 +72,10 @@
 	}
 	n.log = n.log.With(zap.String("host", s.Host))
 	n.Board.Invariant.Log = n.log
-	n.client = endpoint.NewClient(n.dial)
-	n.Owner = owner.New(n.Board, n.client, n.log)
+	n.Client = endpoint.NewClient(n.dial)
+	n.Owner = owner.New(n.Board, n.Client, n.log)
 	n.Router = peer.NewRouter(n.Board, n.Owner, peer.Dial(n.dial), n.log)
-	n.entry = entry.New(n.Board, n.client, n.Router, n.Record, n.log)
+	n.entry = entry.New(n.Board, n.Client, n.Router, n.Record, n.log)
 	n.platform = platform.NewClient(s.Platform, n.dial)
 	m, err := newMetrics(n)
 	if err != nil {
@@ -201,10 +201,10 @@
 		s.Close()
 	}
 	n.Router.Close()
-	n.client.CloseIdle()
+	n.Client.CloseIdle()
 	n.platform.Close()
 	n.pool.Wait()
 	n.wg.Wait()
-	n.client.CloseIdle()
+	n.Client.CloseIdle()
 	n.metrics.close()
 }
--- a/owner/book.go
+++ b/owner/book.go
@@ -38,6 +38,7 @@
 	feed   uint64 // next sequence number of the cache feed
 
 	failedAt time.Time
+	leaving  float64 // share of callers that left before their prompt was read
 
 	confirmed map[request.Attempt]time.Time // when the holder last claimed it
 	gone      map[request.Attempt]time.Time // since when its holder is gone
@@ -111,6 +112,13 @@
 	return d
 }
 
+// brief is the digest without cached prompts, for replies.
+func (b *Book) brief(now time.Time) route.Digest {
+	d := b.digest(now, true)
+	d.Heads = nil
+	return d
+}
+
 // downAfter is how many state polls in a row must fail before an endpoint
 // counts as down.
 const downAfter = 2
@@ -176,6 +184,18 @@
 	return b.ledger.reserve(now, a, b.teamWeight)
 }
 
+// holdBack returns the moment before which a request's prefill should not end,
+// to spare work for callers that leave early, where that is minded more than
+// an early answer. The fewer leave, the shorter it is.
+func (b *Book) holdBack(now time.Time, it *item) time.Time {
+	part := b.view.Patience() * min(1, b.leaving/manyLeave)
+	return now.Add(time.Duration(part*float64(it.latest.Sub(now))) + it.work)
+}
+
+// manyLeave is the share of callers leaving from which prefills are held back
+// in full.
+const manyLeave = 0.08
+
 // learnHeads takes in a stretch of the cache feed. A gap means that what is
 // known may be wrong, so it is trusted less until it proves true again.
 func (b *Book) learnHeads(e *endpoint.CacheEvents) {
@@ -198,6 +218,8 @@
 	delete(b.gone, r.Attempt)
 	b.fadeFailures(now)
 	switch r.Outcome {
+	case Left:
+		blend(&b.leaving, 1, learnLeaving)
 	case Done:
 		blend(&b.failed, 0, learnFailure)
 	case Failed:
--- a/owner/forecast.go
+++ b/owner/forecast.go
@@ -10,6 +10,7 @@
 	learnFailure   = 0.2
 	learnRejection = 0.1 // a vouched refusal may be the ledger's own mistake
 	learnTrust     = 0.1
+	learnLeaving   = 0.02
 )
 
 // blend moves an average towards an observation.
--- a/owner/ledger_test.go
+++ b/owner/ledger_test.go
@@ -187,3 +187,22 @@
 		}
 	}
 }
+
+// TestLearnMargin checks that the margin settles where the asked share of
+// requests finds the engine full.
+func TestLearnMargin(t *testing.T) {
+	l := testLedger(t, config.ForecastMargin, 0)
+	l.learns, l.full = true, 0.1
+	for i := range 2000 {
+		l.learnMargin(i%4 == 0) // too many
+	}
+	if l.margin < marginMost-marginStep {
+		t.Errorf("margin %.2f with a quarter of requests waiting, want the most", l.margin)
+	}
+	for i := range 4000 {
+		l.learnMargin(i%20 == 0) // too few
+	}
+	if l.margin > marginLeast+marginStep {
+		t.Errorf("margin %.2f with a twentieth waiting, want the least", l.margin)
+	}
+}
--- a/owner/messages.go
+++ b/owner/messages.go
@@ -60,10 +60,11 @@
 	Attempt  request.Attempt
 	Endpoint uint32
 	Outcome  Outcome
-	Answer   int // decode: tokens written
-	Max      int // decode: tokens asked for
-	Cached   int // prefill: tokens that the engine had cached
-	Millis   int // prefill: time at the engine
+	Answer   int  // decode: tokens written
+	Max      int  // decode: tokens asked for
+	Cached   int  // prefill: tokens that the engine had cached
+	Waited   bool // decode: the engine was full when the request came
+	Millis   int  // prefill: time at the engine
 }
 
 // Outcome is how an attempt at an endpoint ended.
@@ -72,7 +73,8 @@
 // The outcomes.
 const (
 	Done     Outcome = iota
-	GivenUp          // by the caller or before it began
+	GivenUp          // by the entry host, before it began
+	Left             // by the caller
 	Failed           // the endpoint broke it
 	Rejected         // the endpoint refused it as not run
 )
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -166,7 +166,7 @@
 		return ReserveReply{}, result.Errorf(result.NoEndpoint, "%s is no decode endpoint", b.spec.Name)
 	}
 	at, refusal := b.reserve(now, a)
-	reply := ReserveReply{Code: result.OK, Digest: b.digest(now, true)}
+	reply := ReserveReply{Code: result.OK, Digest: b.brief(now)}
 	if refusal != nil {
 		reply.Code, reply.Retry = refusal.Code, millis(refusal.RetryAfter)
 		return reply, nil
@@ -190,7 +190,7 @@
 	refusal := o.await(ctx, b, it)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	reply = EnqueueReply{Code: result.OK, Digest: b.digest(time.Now(), true)}
+	reply = EnqueueReply{Code: result.OK, Digest: b.brief(time.Now())}
 	if refusal != nil {
 		reply.Code, reply.Retry = refusal.Code, millis(refusal.RetryAfter)
 	}
@@ -204,7 +204,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	refuse := func(e *result.Error) (*item, EnqueueReply) {
-		return nil, EnqueueReply{Code: e.Code, Retry: millis(e.RetryAfter), Digest: b.digest(now, true)}
+		return nil, EnqueueReply{Code: e.Code, Retry: millis(e.RetryAfter), Digest: b.brief(now)}
 	}
 	if b.queue == nil || b.flags() != 0 {
 		return refuse(result.Errorf(result.NoEndpoint, "%s takes no prompts now", b.spec.Name).After(time.Second))
@@ -213,6 +213,10 @@
 	work := time.Duration(float64(tokens) / b.spec.TokensPerSecond * b.slow * float64(time.Second))
 	it := &item{attempt: a.Attempt, team: a.Team, priority: a.Priority, work: work, promised: promised, came: now,
 		latest: now.Add(duration(a.Slack) - work), notYet: now.Add(duration(a.NotYet)), answer: make(chan *result.Error, 1)}
+	blend(&b.leaving, 0, learnLeaving)
+	if hold := b.holdBack(now, it); hold.After(it.notYet) {
+		it.notYet = hold
+	}
 	pushed, refusal := b.queue.admit(now, it)
 	if refusal != nil {
 		return refuse(refusal)
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -16,7 +16,7 @@
 const pollTimeout = 500 * time.Millisecond
 
 // feedEvery is how often the cache feed is read.
-const feedEvery = 500 * time.Millisecond
+const feedEvery = time.Second
 
 // idleBook is how long a book is kept that this host doesn't own and that
 // nobody asks for.
@@ -83,11 +83,14 @@
 	if early || o.board.Leaving() {
 		return
 	}
+	owned := map[uint32]bool{}
+	defer o.board.Endpoints.SetOwn(func(n uint32) bool { return owned[n] })
 	for i := range v.Doc.Endpoints {
 		e := &v.Doc.Endpoints[i]
 		n := v.Numbers[i]
 		h, ok := Of(o.board, v, e, now)
 		own := ok && h.Number == o.board.Number
+		owned[n] = own
 		o.mu.Lock()
 		b := o.books[n]
 		switch {
@@ -186,10 +189,6 @@
 	o.reap(ctx, b, now, check)
 }
 
-// lostAfter is how long a called prompt may stay unreported beyond twice its
-// forecast.
-const lostAfter = time.Second
-
 // takeList takes in the endpoint's own list; the caller holds the lock.
 func (o *Owner) takeList(b *Book, now time.Time, list []endpoint.Running) {
 	held := make(map[request.Attempt]endpoint.Running, len(list))
@@ -204,7 +203,6 @@
 		b.ledger.listed(now, held)
 	}
 	if b.queue != nil {
-		b.queue.lost(now, lostAfter)
 		b.queue.share.forget(now)
 	}
 }
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -27,6 +27,8 @@
 	work     time.Duration
 	promised int
 	since    time.Time
+	ends     time.Time // forecast
+	quiet    bool      // taken for read, though nobody told
 }
 
 // queue orders the requests of one prefill engine. Requests wait here and
@@ -39,13 +41,13 @@
 // requests of lower rank or of teams above their fair share.
 type queue struct {
 	waiting []*item
-	out     map[request.Attempt]called
+	out     map[request.Attempt]*called
 	busy    time.Time // when the engine will have read what was sent
 	share   *shares
 }
 
 func newQueue(s *shares) *queue {
-	return &queue{out: map[request.Attempt]called{}, share: s}
+	return &queue{out: map[request.Attempt]*called{}, share: s}
 }
 
 // lookahead is how much work is sent ahead of the engine, so that it never
@@ -156,6 +158,7 @@
 // next takes the items that should be sent now. Items that can no longer be
 // in time are returned apart; they are refused as not run.
 func (q *queue) next(now time.Time) (send, late []*item) {
+	q.quiet(now)
 	for _, it := range append([]*item(nil), q.waiting...) {
 		if q.free(now).After(it.latest.Add(graceLate)) {
 			late = append(late, it)
@@ -173,7 +176,7 @@
 		q.take(it)
 		send = append(send, it)
 		q.busy = q.free(now).Add(it.work)
-		q.out[it.attempt] = called{work: it.work, promised: it.promised, since: now}
+		q.out[it.attempt] = &called{work: it.work, promised: it.promised, since: now, ends: q.busy}
 		q.share.add(now, it.team, it.work)
 	}
 	return send, late
@@ -244,35 +247,44 @@
 		return 0
 	}
 	delete(q.out, a)
-	if len(q.out) == 0 {
-		if finished && c.work > minLearn {
-			ratio = float64(now.Sub(c.since)) / float64(c.work)
-		}
-		q.busy = now
-		return ratio
-	}
-	left := time.Duration(0)
+	left, busy := time.Duration(0), false
 	for _, o := range q.out {
-		left += o.work
+		if !o.quiet {
+			left += o.work
+			busy = true
+		}
 	}
 	if t := now.Add(left); t.Before(q.busy) {
 		q.busy = t
 	}
+	if !busy && finished && c.work > minLearn {
+		return float64(now.Sub(c.since)) / float64(c.work)
+	}
 	return 0
 }
 
 // minLearn is the least work that the engine's rate is learned from.
 const minLearn = 20 * time.Millisecond
 
-// lost drops called requests that never reported back.
-func (q *queue) lost(now time.Time, limit time.Duration) {
+// quiet marks called requests whose ordinary end was not told, and forgets
+// them for good after a while.
+func (q *queue) quiet(now time.Time) {
 	for a, c := range q.out {
-		if now.Sub(c.since) > 2*c.work+limit {
+		switch past := now.Sub(c.ends); {
+		case past > forgetAfter+2*c.work:
 			delete(q.out, a)
+		case past > quietAfter:
+			c.quiet = true
 		}
 	}
 }
 
+// forgetAfter is how long past its forecast an end can still be told.
+const forgetAfter = 5 * time.Second
+
+// quietAfter is how long after its forecast end a request counts as read.
+const quietAfter = 150 * time.Millisecond
+
 // backlog returns the work ahead of a newcomer.
 func (q *queue) backlog(now time.Time) time.Duration {
 	d := q.free(now).Sub(now)
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -25,9 +25,15 @@
 // Exchanger returns the controller that exchanges knowledge with one random
 // peer at each heartbeat, by push and pull.
 func (r *Router) Exchanger() blackboard.Controller {
+	var next time.Time // no two rounds run at once
 	return blackboard.Every(config.Millis(r.board.Settings.HeartbeatMillis), func(ctx context.Context) {
 		now := time.Now()
+		if now.Before(next) {
+			return
+		}
+		next = now.Add(r.every() - config.Millis(r.board.Settings.HeartbeatMillis)/2)
 		r.board.Hosts.Tick(now)
+		r.board.Hosts.SetRound(r.every())
 		r.board.Hosts.Forget(now, forgetAfter, r.isListed)
 		r.mu.Lock()
 		r.round++
@@ -85,15 +91,38 @@
 // exchangeWith makes one exchange and fetches the revision if the other is
 // ahead.
 func (r *Router) exchangeWith(ctx context.Context, h blackboard.Host) {
-	args := r.tell(h.Region, nil)
+	r.mu.Lock()
+	r.told++
+	heads := r.told%headsEvery == 0
+	r.mu.Unlock()
+	args := r.tell(Name{Region: h.Region}, nil, heads)
 	args.Want = r.wanted()
 	var reply ExchangeReply
 	if err := r.pool.call(ctx, h.Peers, methodExchange, &args, &reply, r.timeout()); err != nil {
 		return
 	}
+	r.mu.Lock()
+	r.size = len(args.Digests) + len(reply.Digests) + beatBytes*(len(args.Beats)+len(reply.Beats))
+	r.mu.Unlock()
 	r.takeIn(reply, time.Now())
 }
 
+// beatBytes is about what a heartbeat takes on the wire.
+const beatBytes = 16
+
+// exchangeBudget is what exchanges may cost a host, in bytes a second. A host
+// starts one exchange in each round and answers one on average. Where the
+// region is large, rounds become longer instead of dearer.
+const exchangeBudget = 6000
+
+// every returns the time of a round.
+func (r *Router) every() time.Duration {
+	r.mu.Lock()
+	size := r.size
+	r.mu.Unlock()
+	return max(config.Millis(r.board.Settings.HeartbeatMillis), time.Duration(2*size)*time.Second/exchangeBudget)
+}
+
 func (r *Router) wanted() []uint32 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -122,7 +151,11 @@
 		cur.Incarnation, cur.Beat, cur.Leaving, cur.Doubted = b.Incarnation, b.Beat, b.Leaving, false
 		changed = r.board.Hosts.Learn(cur, now) || changed
 	}
-	for _, d := range e.Digests {
+	ds, err := unpack(e.Digests)
+	if err != nil {
+		r.log.Warn("exchange", zap.String("from", e.From.Name), zap.Error(err))
+	}
+	for _, d := range ds {
 		r.board.Endpoints.Learn(d, now)
 	}
 	if e.Revision > r.board.Config.Revision() {
@@ -230,3 +263,8 @@
 		}
 	}
 }
+
+// Once makes one exchange with the host at an address, for measurements.
+func (r *Router) Once(ctx context.Context, addr string) {
+	r.exchangeWith(ctx, blackboard.Host{Peers: addr, Region: r.board.Settings.Region})
+}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -4,7 +4,6 @@
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/request"
-	"github.com/embercove/embercove/route"
 )
 
 // Names of the remote methods.
@@ -38,9 +37,10 @@
 	From     Name
 	Revision uint64
 	Beats    []Beat
-	Digests  []route.Digest
+	Digests  []byte   // packed
 	Names    []Name   // introductions that were asked for
 	Want     []uint32 // hosts to introduce
+	Heads    bool     // cached prompts are told of as well
 }
 
 // ExchangeReply is the answer to ExchangeArgs.
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -5,34 +5,22 @@
 	"net"
 	"net/rpc"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/embercove/embercove/meter"
 )
 
 // Dial opens a connection to an IP:port.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Traffic counts control traffic between hosts, in bytes of payload and in
-// writes. Headers of TCP and IP come on top: some 52 bytes a packet.
-type Traffic struct {
-	In, Out       atomic.Uint64
-	Reads, Writes atomic.Uint64
-	Calls         atomic.Uint64
-}
-
+// countedConn counts a connection's traffic and bounds its writes.
 type countedConn struct {
-	net.Conn
-	t *Traffic
+	meter.Conn
 }
 
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.t.In.Add(uint64(n))
-	c.t.Reads.Add(1)
-	return n, err
-}
+func counted(c net.Conn, t *meter.Traffic) countedConn { return countedConn{meter.Conn{Conn: c, T: t}} }
 
 // writeLimit bounds a write. net/rpc writes under a lock, so one write that
 // hung would hold up every call on the connection.
@@ -40,10 +28,7 @@
 
 func (c countedConn) Write(p []byte) (int, error) {
 	_ = c.SetWriteDeadline(time.Now().Add(writeLimit))
-	n, err := c.Conn.Write(p)
-	c.t.Out.Add(uint64(n))
-	c.t.Writes.Add(1)
-	return n, err
+	return c.Conn.Write(p)
 }
 
 // ErrOutOfReach is returned when a host didn't answer in time.
@@ -52,14 +37,14 @@
 // pool keeps one connection to each peer.
 type pool struct {
 	dial    Dial
-	traffic *Traffic
+	traffic *meter.Traffic
 
 	mu    sync.Mutex
 	conns map[string]*rpc.Client
 	shut  bool
 }
 
-func newPool(dial Dial, t *Traffic) *pool {
+func newPool(dial Dial, t *meter.Traffic) *pool {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
@@ -77,7 +62,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peer")
 	}
-	c = rpc.NewClient(countedConn{conn, p.traffic})
+	c = rpc.NewClient(counted(conn, p.traffic))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if old := p.conns[addr]; old != nil || p.shut {
--- a/peer/router.go
+++ b/peer/router.go
@@ -9,15 +9,17 @@
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/meter"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
 )
 
 // Router takes calls to whoever owns an endpoint or a key: this host itself
 // or a peer.
 type Router struct {
-	Traffic Traffic
+	Traffic meter.Traffic // with other hosts
 	// Accepted is called with each revision that comes into force; it is
 	// set before the router is used, and may be nil.
 	Accepted func(v *config.View)
@@ -32,6 +34,8 @@
 	unknown  map[uint32]bool            // hosts to be introduced
 	listed   map[uint32]bool            // hosts on the platform's list
 	round    uint64
+	told     uint64 // exchanges made
+	size     int    // bytes of the last
 }
 
 // NewRouter returns a router over the board and this host's own owner. A nil
@@ -100,8 +104,14 @@
 		wait := r.timeout() + config.Millis(a.Slack)
 		err = r.pool.call(ctx, h.Peers, methodEnqueue, &a, &reply, wait)
 	}
+	if err != nil || reply.Code == result.CallerGone {
+		left := owner.Release{Attempt: a.Attempt, Endpoint: a.Endpoint, Outcome: owner.GivenUp}
+		if ctx.Err() != nil {
+			left.Outcome = owner.Left
+		}
+		r.Release(spec, left)
+	}
 	if err != nil {
-		r.Release(spec, owner.Release{Attempt: a.Attempt, Endpoint: a.Endpoint, Outcome: owner.GivenUp})
 		return owner.EnqueueReply{}, r.fail(ctx, h, err)
 	}
 	r.board.Endpoints.Learn(reply.Digest, time.Now())
@@ -125,7 +135,7 @@
 	r.mu.Lock()
 	r.releases[h.Peers] = append(r.releases[h.Peers], rel)
 	r.mu.Unlock()
-	if rel.Outcome == owner.GivenUp {
+	if rel.Outcome == owner.GivenUp || rel.Outcome == owner.Left {
 		go r.Flush(context.Background())
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -36,7 +36,7 @@
 
 func (s *server) Exchange(a *ExchangeArgs, reply *ExchangeReply) error {
 	s.r.takeIn(ExchangeReply(*a), time.Now())
-	*reply = ExchangeReply(s.r.tell(a.From.Region, a.Want))
+	*reply = ExchangeReply(s.r.tell(a.From, a.Want, a.Heads))
 	return nil
 }
 
@@ -102,7 +102,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			srv.ServeConn(countedConn{c, &r.Traffic})
+			srv.ServeConn(counted(c, &r.Traffic))
 			mu.Lock()
 			defer mu.Unlock()
 			delete(open, c)
@@ -110,11 +110,13 @@
 	}
 }
 
-// tell returns what this host knows, for a host of the region.
-func (r *Router) tell(region string, want []uint32) ExchangeArgs {
+// tell returns what this host knows, for another host: heartbeats to all,
+// digests of endpoints to hosts of the region. What is asked of cached prompts
+// is told with heads set.
+func (r *Router) tell(to Name, want []uint32, heads bool) ExchangeArgs {
 	now := time.Now()
 	self := r.board.Hosts.Self()
-	a := ExchangeArgs{From: Name{self.Name, self.Domain, self.Region, self.Peers}, Revision: r.board.Config.Revision()}
+	a := ExchangeArgs{From: Name{self.Name, self.Domain, self.Region, self.Peers}, Revision: r.board.Config.Revision(), Heads: heads}
 	for _, h := range r.board.Hosts.List() {
 		if h.Incarnation != 0 && r.board.Hosts.Live(h, now) {
 			a.Beats = append(a.Beats, Beat{h.Number, h.Incarnation, h.Beat, h.Leaving})
@@ -125,14 +127,29 @@
 			a.Names = append(a.Names, Name{h.Name, h.Domain, h.Region, h.Peers})
 		}
 	}
-	if region == self.Region {
-		for _, d := range r.owner.Digests(now) {
-			r.board.Endpoints.Learn(d, now)
+	if to.Region != self.Region {
+		return a
+	}
+	for _, d := range r.owner.Digests(now) {
+		r.board.Endpoints.Learn(d, now)
+	}
+	ds := r.board.Endpoints.Digests(now, maxDigestAge, func(*route.State) bool { return true })
+	for i := range ds {
+		ds[i].Heads = ds[i].Heads[:min(len(ds[i].Heads), toldHeads)]
+		if !heads {
+			ds[i].Heads = nil
 		}
-		a.Digests = r.board.Endpoints.Digests(now, maxDigestAge, func(*route.State) bool { return true })
 	}
+	a.Digests = pack(ds)
 	return a
 }
 
+// toldHeads is how many cached prompts of an endpoint are told of, and
+// headsEvery in how many exchanges: they change slowly and take much room.
+const (
+	toldHeads  = 8
+	headsEvery = 8
+)
+
 // maxDigestAge is the age from which a digest isn't handed on.
 const maxDigestAge = 10 * time.Second
--- a/route/pick.go
+++ b/route/pick.go
@@ -60,6 +60,7 @@
 // Costs of a choice beyond its time, in seconds of time to first token.
 const (
 	costOtherDomain = 0.060 // leaving the own failure domain
+	costOtherOwner  = 0.030 // asking another host: a message and an older digest
 	costCrossLink   = 0.030 // a transfer between failure domains
 	costStale       = 0.400 // a digest that is older than staleAfter
 	costFull        = 0.050 // decode memory is full by the digest, besides the wait
@@ -187,6 +188,9 @@
 	if s.Domain != r.Home {
 		cost += costOtherDomain
 	}
+	if !s.Own {
+		cost += costOtherOwner
+	}
 	if !s.At.IsZero() && r.Now.Sub(s.At) > staleAfter {
 		cost += costStale
 	}
--- a/route/state.go
+++ b/route/state.go
@@ -56,6 +56,7 @@
 	Leaving bool // by the configuration
 	Digest  Digest
 	At      time.Time // when the digest was true; zero: never heard of
+	Own     bool      // this host owns it: to ask it costs no message
 	Sent    int       // sent by this host and not ended: the baselines' knowledge
 }
 
--- /dev/null
+++ b/tool/slopes.go
@@ -0,0 +1,34 @@
+package tool
+
+import (
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/embercove/embercove/slope"
+)
+
+// slopes measures and prints what control costs.
+func (t *tool) slopes(fs *flag.FlagSet, args []string) error {
+	span := fs.Duration("span", 10*time.Second, "how long the deployment is watched, idle and loaded each")
+	if err := parse(fs, args, false); err != nil {
+		return err
+	}
+	fmt.Fprintf(t.out, "| hosts in the domain | endpoints in the region | bytes an exchange | processor an exchange | heap of the tables |\n| --- | --- | --- | --- | --- |\n")
+	for _, size := range [][2]int{{3, 13}, {8, 13}, {88, 13}, {8, 193}, {88, 193}, {88, 385}} {
+		e, err := slope.MeasureExchange(size[0], size[1])
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(t.out, "| %d | %d | %.0f | %s | %.2f MB |\n", e.Hosts, e.Endpoints, e.Bytes, e.Processor.Round(time.Microsecond), e.Heap/1e6)
+	}
+	r, err := slope.MeasureRequests(*span)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(t.out, "\nwith %.2f requests a second on each host:\n", r.Rate)
+	fmt.Fprintf(t.out, "  to and from peers    %.0f B and %.2f calls for each request, %.0f B/s idle\n", r.Bytes, r.Calls, r.Idle)
+	fmt.Fprintf(t.out, "  to and from endpoints %.0f B/s and %.1f calls/s for each owned endpoint\n", r.PollBytes, r.Polls)
+	fmt.Fprintf(t.out, "  processor            %.2f ms for each request, with relaying, stand-ins and callers\n", 1000*r.Processor)
+	return nil
+}
--- a/tool/tool.go
+++ b/tool/tool.go
@@ -58,6 +58,7 @@
 		{"demo", "", "run a whole deployment on stand-ins for some seconds", "embercove demo -seconds 8", (*tool).demo},
 		{"load", "-callers IP:PORT[,IP:PORT...] | -standins", "send open-loop load and report", "embercove load -standins -deployment paranacor -factor 1.3 -span 20s", (*tool).load},
 		{"bench", "", "rerun the table of docs/RESULTS.md: policies by loads on the same arrivals", "embercove bench -deployment domaskra -span 20s", (*tool).bench},
+		{"slopes", "", "measure what control costs: the slopes of docs/CAPACITY.md", "embercove slopes -span 10s", (*tool).slopes},
 		{"codes", "", "print the table of result codes", "embercove codes > docs/RESULT-CODES.md", (*tool).codes},
 		{"version", "", "print the version", "embercove version", (*tool).version},
 	}
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -188,10 +188,15 @@
 	return nil
 }
 
+// trialPoll is the state poll in trials, in ms. It is shorter than the default
+// for the sake of the baselines, which decide by these reports alone.
+const trialPoll = 200
+
 func (c *Cluster) newSettings(i int) *config.Settings {
 	d := c.Doc.Domains[i%len(c.Doc.Domains)]
 	s := &config.Settings{Host: fmt.Sprintf("%s-%d", d.Name, i/len(c.Doc.Domains)+1), Domain: d.Name, Region: d.Region, Platform: c.plat,
 		Callers: fmt.Sprintf("127.0.7.%d:80", i+1), Peers: fmt.Sprintf("127.0.7.%d:81", i+1), Admin: fmt.Sprintf("127.0.7.%d:82", i+1)}
+	s.PollMillis = trialPoll
 	s.SetDefaults()
 	if c.opts.Settings != nil {
 		c.opts.Settings(s)
