peer: watch neighbours in a ring, so that dead hosts are noticed at any size

Ruled out: more exchanges (a round of heartbeats is 1.4 KB each way at 88 hosts, the whole budget at one a second). Change: each host asks two neighbours in a ring of its domain for their heartbeat every second; two misses are told around at once, a later heartbeat clears the host, and a host that is accused itself raises its heartbeat. Before an owner cancels the work of a gone holder it asks the holder directly, since a false alarm must not cut off a live request. A new revision or alarm is told to two peers of the domain, one of another and one of another region at once. Ownership is worked out only when members or revision changed (it would have cost 4% of a core at 770 endpoints, by BenchmarkFirst).

--- a/blackboard/doc.go
+++ b/blackboard/doc.go
@@ -6,10 +6,10 @@
 // pause of the process beliefs are dropped and read again.
 //
 // Lock order. Each table has one lock, and no method holds it while calling
-// out of its table. Code that must see two tables together takes the locks
-// in this order: ConfigTable, HostTable, EndpointTable, owner.Book,
-// RequestTable, KeyTable. The tables never call each other, so in practice
-// one lock is held at a time.
+// out of its table. Code that needs several takes them in this order:
+// owner.Owner, owner.Book, ConfigTable, HostTable, EndpointTable,
+// RequestTable, KeyTable. Only the owner holds a lock of its own while it reads
+// a table; the tables never call each other.
 //
 // The package decides nothing and does no I/O.
 package blackboard
--- a/blackboard/hosts.go
+++ b/blackboard/hosts.go
@@ -1,6 +1,7 @@
 package blackboard
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math/bits"
 	"slices"
@@ -22,6 +23,7 @@
 	Beat        uint64 // heartbeats of this incarnation
 	Leaving     bool
 	Advanced    time.Time // when Beat was last seen to rise, by our clock
+	Accused     time.Time // when a watcher said that it is gone; zero: nobody does
 	Doubted     bool      // a call to it failed and no heartbeat came since
 }
 
@@ -102,9 +104,9 @@
 	if !newer {
 		return false
 	}
-	changed := h.Incarnation != cur.Incarnation || h.Leaving != cur.Leaving || cur.Doubted
+	changed := h.Incarnation != cur.Incarnation || h.Leaving != cur.Leaving || cur.Doubted || !cur.Accused.IsZero()
 	row := h
-	row.Advanced = now
+	row.Advanced, row.Accused = now, time.Time{}
 	*cur = row
 	return changed
 }
@@ -138,7 +140,57 @@
 }
 
 func (t *HostTable) live(h *Host, now time.Time) bool {
-	return h.Number == t.self.Number || now.Sub(h.Advanced) <= t.limit()
+	return h.Number == t.self.Number || h.Accused.IsZero() && now.Sub(h.Advanced) <= t.limit()
+}
+
+// Accuse takes in that a watcher could not reach a host after the heartbeat
+// given. A later heartbeat clears the host again. It reports whether this is
+// news; of this host itself it never is, but its heartbeat jumps, so that the
+// others learn better.
+func (t *HostTable) Accuse(number uint32, incarnation, beat uint64, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if number == t.self.Number {
+		if incarnation == t.self.Incarnation && beat >= t.self.Beat {
+			t.self.Beat = beat + 1
+		}
+		return false
+	}
+	h := t.hosts[number]
+	if h == nil || h.Incarnation != incarnation || h.Beat > beat || !h.Accused.IsZero() {
+		return false
+	}
+	h.Accused = now
+	return true
+}
+
+// Accused returns the hosts that were accused lately.
+func (t *HostTable) Accused(now time.Time, lately time.Duration) []Host {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var out []Host
+	for _, h := range t.hosts {
+		if !h.Accused.IsZero() && now.Sub(h.Accused) < lately {
+			out = append(out, *h)
+		}
+	}
+	return out
+}
+
+// Watched returns the hosts that this host watches: the next ones of its
+// domain in a ring of the live hosts. Each host is watched by as many.
+func (t *HostTable) Watched(n int, now time.Time) []Host {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var ring []Host
+	for _, h := range t.hosts {
+		if h.Number != t.self.Number && h.Domain == t.self.Domain && h.Peers != "" && t.live(h, now) {
+			ring = append(ring, *h)
+		}
+	}
+	// Distance around the ring of numbers, from this host on.
+	slices.SortFunc(ring, func(a, b Host) int { return cmp.Compare(a.Number-t.self.Number, b.Number-t.self.Number) })
+	return ring[:min(n, len(ring))]
 }
 
 // Get returns a host's row and whether it is live.
@@ -189,7 +241,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, h := range t.hosts {
-		h.Advanced = now
+		h.Advanced, h.Accused = now, time.Time{}
 	}
 }
 
@@ -222,6 +274,20 @@
 	return out
 }
 
+// Fingerprint returns a number that changes when any domain's set of live,
+// not leaving hosts does. It costs far less than working ownership out.
+func (t *HostTable) Fingerprint(now time.Time) uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var sum uint64
+	for n, h := range t.hosts {
+		if !h.Leaving && t.live(h, now) {
+			sum += rendezvous(h.Incarnation, n)
+		}
+	}
+	return sum
+}
+
 // First returns the first host of Order without building the list.
 func (t *HostTable) First(key uint64, domain string, now time.Time) (Host, bool) {
 	t.mu.RLock()
--- a/load/judge.go
+++ b/load/judge.go
@@ -20,6 +20,8 @@
 	for _, r := range rs {
 		hash := fake.PromptHash(r.Prompt)
 		switch {
+		case r.Garbled:
+			fail(r, "a wrong, missing or doubled token among %d", r.Tokens)
 		case r.Code == result.OK && !r.Correct:
 			fail(r, "a clean end after %d tokens that are not the whole right answer", r.Tokens)
 		case r.Code == 0 && !r.Left && !broken(r.Arrival):
--- a/load/send.go
+++ b/load/send.go
@@ -24,6 +24,7 @@
 	NotRun  bool
 	Left    bool // the caller left before its answer was whole
 	Whole   bool // a clean end was seen
+	Garbled bool // a token was wrong, missing or doubled, whatever came after
 	Correct bool // the text is the whole right answer
 	Tokens  int
 	TTFT    time.Duration
@@ -170,6 +171,7 @@
 			continue
 		}
 		right = right && c.Choices[0].Text == fake.Token(hash, res.Tokens)
+		res.Garbled = !right
 		res.Tokens++
 		last = time.Now()
 		if first.IsZero() {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -43,7 +43,9 @@
 	mu    sync.Mutex
 	books map[uint32]*Book
 
-	nextAdopt time.Time
+	nextAdopt   time.Time
+	fingerprint uint64 // of the members and the revision that owned was worked out for
+	owned       map[uint32]bool
 
 	// Counters for metrics and tests.
 	Reaped   atomic.Uint64 // orphaned attempts that were cancelled
@@ -138,7 +140,7 @@
 func (o *Owner) dropBeliefs(now time.Time) {
 	o.mu.Lock()
 	books := o.books
-	o.books = map[uint32]*Book{}
+	o.books, o.owned = map[uint32]*Book{}, nil
 	o.mu.Unlock()
 	for _, b := range books {
 		b.mu.Lock()
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -68,40 +68,47 @@
 	return t
 }
 
-// adoptEvery is how often a host works out what it owns.
+// adoptEvery is how often a host looks whether what it owns has changed.
 const adoptEvery = 100 * time.Millisecond
 
 // adopt opens books for endpoints that this host now owns and drops those
-// that it no longer does.
+// that it no longer does. Ownership is worked out anew only when the members
+// or the revision changed.
 func (o *Owner) adopt(v *config.View, now time.Time) {
 	o.mu.Lock()
-	early := now.Before(o.nextAdopt)
-	if !early {
-		o.nextAdopt = now.Add(adoptEvery)
-	}
-	o.mu.Unlock()
-	if early || o.board.Leaving() {
+	defer o.mu.Unlock()
+	if now.Before(o.nextAdopt) || o.board.Leaving() {
 		return
 	}
+	o.nextAdopt = now.Add(adoptEvery)
+	if print := o.board.Hosts.Fingerprint(now) ^ v.Digest; print != o.fingerprint || o.owned == nil {
+		o.fingerprint, o.owned = print, o.workOut(v, now)
+		owned := o.owned
+		o.board.Endpoints.SetOwn(func(n uint32) bool { return owned[n] })
+	}
+	for n, b := range o.books {
+		if !o.owned[n] && b.idle(now) {
+			delete(o.books, n)
+		}
+	}
+}
+
+// workOut opens the books of endpoints that this host owns and returns their
+// numbers; the caller holds the lock.
+func (o *Owner) workOut(v *config.View, now time.Time) map[uint32]bool {
 	owned := map[uint32]bool{}
-	defer o.board.Endpoints.SetOwn(func(n uint32) bool { return owned[n] })
 	for i := range v.Doc.Endpoints {
-		e := &v.Doc.Endpoints[i]
-		n := v.Numbers[i]
-		h, ok := Of(o.board, v, e, now)
-		own := ok && h.Number == o.board.Number
-		owned[n] = own
-		o.mu.Lock()
-		b := o.books[n]
-		switch {
-		case own && b == nil:
+		e, n := &v.Doc.Endpoints[i], v.Numbers[i]
+		if h, ok := Of(o.board, v, e, now); !ok || h.Number != o.board.Number {
+			continue
+		}
+		owned[n] = true
+		if o.books[n] == nil {
 			o.books[n] = newBook(v, e, o.share(v), now)
 			o.Takeover.Add(1)
-		case !own && b != nil && b.idle(now):
-			delete(o.books, n)
 		}
-		o.mu.Unlock()
 	}
+	return owned
 }
 
 // idle reports whether a book that isn't owned can go.
--- a/owner/reap.go
+++ b/owner/reap.go
@@ -61,9 +61,9 @@
 	ask := map[uint32][]request.Attempt{}
 	for _, a := range check {
 		switch o.holder(b, a, now) {
-		case holderGone:
+		case holderReplaced:
 			o.cancel(ctx, b, a)
-		case holderLive:
+		case holderGone, holderLive:
 			ask[a.ID.Host] = append(ask[a.ID.Host], a)
 		}
 	}
@@ -77,7 +77,8 @@
 const (
 	holderUnsure holderState = iota // wait
 	holderLive
-	holderGone
+	holderGone     // nothing heard for the grace; it is asked once more
+	holderReplaced // its host runs another process
 )
 
 // holder judges whether the process that sent an attempt is still there.
@@ -87,7 +88,7 @@
 	defer b.mu.Unlock()
 	switch {
 	case known && h.Incarnation > a.ID.Incarnation:
-		return holderGone // it was restarted
+		return holderReplaced
 	case known && live && h.Incarnation == a.ID.Incarnation:
 		delete(b.gone, a)
 		return holderLive
@@ -105,22 +106,25 @@
 	return holderGone
 }
 
-// claim asks a living holder which of the attempts it knows, and cancels the
-// others. An attempt that the list shows before the holder could have heard
-// of it doesn't exist: holders record attempts before they send them.
+// claim asks a holder which of the attempts it knows, and cancels the others:
+// holders record attempts before they send them. A holder that counts as gone
+// and doesn't answer either knows none; that it counts as gone may be an error
+// of others, so it is asked.
 func (o *Owner) claim(ctx context.Context, b *Book, host uint32, attempts []request.Attempt, now time.Time) {
 	held := make([]bool, len(attempts))
-	if host == o.board.Number {
+	h, live, known := o.board.Hosts.Get(host, now)
+	switch {
+	case host == o.board.Number:
 		for i, a := range attempts {
 			held[i] = o.board.Requests.Holds(a)
 		}
-	} else {
-		h, _, known := o.board.Hosts.Get(host, now)
-		if !known || o.peers == nil {
-			return
-		}
-		var err error
-		if held, err = o.peers.Claims(ctx, h, attempts); err != nil || len(held) != len(attempts) {
+	case o.peers == nil:
+		return
+	case known && h.Peers != "":
+		answer, err := o.peers.Claims(ctx, h, attempts)
+		if err == nil && len(answer) == len(attempts) {
+			held = answer
+		} else if live {
 			return
 		}
 	}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -151,6 +151,14 @@
 		cur.Incarnation, cur.Beat, cur.Leaving, cur.Doubted = b.Incarnation, b.Beat, b.Leaving, false
 		changed = r.board.Hosts.Learn(cur, now) || changed
 	}
+	news := false
+	for _, b := range e.Gone {
+		news = r.board.Hosts.Accuse(b.Number, b.Incarnation, b.Beat, now) || news
+	}
+	if news {
+		changed = true
+		r.spread()
+	}
 	ds, err := unpack(e.Digests)
 	if err != nil {
 		r.log.Warn("exchange", zap.String("from", e.From.Name), zap.Error(err))
@@ -211,14 +219,13 @@
 	r.spread()
 }
 
-// spreadTo is how many peers are told of a new revision at once, besides the
-// platform's watch and the ordinary exchange.
-const spreadTo = 2
-
+// spread tells some peers of a new revision or a host that is gone at once, besides the platform's
+// watch and the ordinary exchange: two of the own domain, one of another, and
+// one of another region.
 func (r *Router) spread() {
 	now := time.Now()
-	for i := range spreadTo {
-		if h, ok := r.partner(uint64(1+i), now); ok {
+	for _, round := range []uint64{1, 2, otherDomainEvery, otherRegionEvery} {
+		if h, ok := r.partner(round, now); ok {
 			go r.exchangeWith(context.Background(), h)
 		}
 	}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -17,6 +17,7 @@
 	methodHandover = "P.Handover"
 	methodKeyBegin = "P.KeyBegin"
 	methodKeyEnd   = "P.KeyEnd"
+	methodPing     = "P.Ping"
 )
 
 // Beat is a heartbeat of a host, handed on.
@@ -38,6 +39,7 @@
 	Revision uint64
 	Beats    []Beat
 	Digests  []byte   // packed
+	Gone     []Beat   // hosts that a watcher could not reach
 	Names    []Name   // introductions that were asked for
 	Want     []uint32 // hosts to introduce
 	Heads    bool     // cached prompts are told of as well
--- a/peer/router.go
+++ b/peer/router.go
@@ -33,6 +33,7 @@
 	releases map[string][]owner.Release // by peer address
 	unknown  map[uint32]bool            // hosts to be introduced
 	listed   map[uint32]bool            // hosts on the platform's list
+	missed   map[uint32]int             // pings in a row that a watched host did not answer
 	round    uint64
 	told     uint64 // exchanges made
 	size     int    // bytes of the last
@@ -41,7 +42,7 @@
 // NewRouter returns a router over the board and this host's own owner. A nil
 // dial uses TCP.
 func NewRouter(b *blackboard.Board, o *owner.Owner, dial Dial, log *zap.Logger) *Router {
-	r := &Router{board: b, owner: o, log: log, releases: map[string][]owner.Release{}, unknown: map[uint32]bool{}, listed: map[uint32]bool{}}
+	r := &Router{board: b, owner: o, log: log, releases: map[string][]owner.Release{}, unknown: map[uint32]bool{}, listed: map[uint32]bool{}, missed: map[uint32]int{}}
 	r.pool = newPool(dial, &r.Traffic)
 	o.SetPeers(r)
 	return r
--- a/peer/server.go
+++ b/peer/server.go
@@ -40,6 +40,12 @@
 	return nil
 }
 
+func (s *server) Ping(_ *Nothing, reply *Beat) error {
+	h := s.r.board.Hosts.Self()
+	*reply = Beat{h.Number, h.Incarnation, h.Beat, h.Leaving}
+	return nil
+}
+
 func (s *server) Fetch(a *FetchArgs, reply *FetchReply) error {
 	if v := s.r.board.Config.View(); v != nil && v.Revision > a.After {
 		reply.Revision, reply.Source = v.Revision, v.Source
@@ -122,6 +128,9 @@
 			a.Beats = append(a.Beats, Beat{h.Number, h.Incarnation, h.Beat, h.Leaving})
 		}
 	}
+	for _, h := range r.board.Hosts.Accused(now, goneTold) {
+		a.Gone = append(a.Gone, Beat{h.Number, h.Incarnation, h.Beat, h.Leaving})
+	}
 	for _, n := range want {
 		if h, _, known := r.board.Hosts.Get(n, now); known {
 			a.Names = append(a.Names, Name{h.Name, h.Domain, h.Region, h.Peers})
--- /dev/null
+++ b/peer/watch.go
@@ -0,0 +1,63 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+)
+
+// Heartbeats come by way of other hosts, and the more hosts there are the
+// longer they take. So each host is also watched by two neighbours in a ring,
+// who ask it directly every second; what they find goes around at once. The
+// time to notice a dead host doesn't grow with the fleet, nor does the cost.
+
+const (
+	watchEvery = time.Second
+	watchers   = 2
+	mostMissed = 2                // pings in a row until a host counts as gone
+	goneTold   = 30 * time.Second // how long exchanges carry it
+)
+
+// Watcher returns the controller that asks the watched hosts for their
+// heartbeat.
+func (r *Router) Watcher() blackboard.Controller {
+	return blackboard.Every(watchEvery, func(ctx context.Context) {
+		for _, h := range r.board.Hosts.Watched(watchers, time.Now()) {
+			go r.ping(ctx, h)
+		}
+	})
+}
+
+// ping asks a host for its heartbeat and accuses it when it was silent too
+// often. A host that was paused itself accuses nobody.
+func (r *Router) ping(ctx context.Context, h blackboard.Host) {
+	var b Beat
+	err := r.pool.call(ctx, h.Peers, methodPing, &Nothing{}, &b, r.timeout())
+	now := time.Now()
+	if err == nil {
+		r.mu.Lock()
+		delete(r.missed, h.Number)
+		r.mu.Unlock()
+		h.Incarnation, h.Beat, h.Leaving = b.Incarnation, b.Beat, b.Leaving
+		r.board.Hosts.Learn(h, now)
+		return
+	}
+	if ctx.Err() != nil || r.board.Pause.Check() {
+		return
+	}
+	r.mu.Lock()
+	r.missed[h.Number]++
+	gone := r.missed[h.Number] >= mostMissed
+	if gone {
+		delete(r.missed, h.Number)
+	}
+	r.mu.Unlock()
+	if gone && h.Incarnation != 0 && r.board.Hosts.Accuse(h.Number, h.Incarnation, h.Beat, now) {
+		r.log.Warn("host is gone", zap.String("gone", h.Name), zap.Error(err))
+		r.board.Wake.All()
+		r.spread()
+	}
+}
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -117,7 +117,7 @@
 		c.Apps[e.Name] = app
 		h, setFaults = app, app.SetFaults
 	}
-	address := fmt.Sprintf("127.0.8.%d:80", i+1)
+	address := fmt.Sprintf("127.8.%d.%d:80", i/250, i%250+1)
 	var run *lateHandler
 	if h == nil {
 		run = new(lateHandler)
@@ -188,6 +188,9 @@
 	return nil
 }
 
+// hostAddress is host i's address on a network in memory.
+func hostAddress(i, port int) string { return fmt.Sprintf("127.7.%d.%d:%d", i/250, i%250+1, port) }
+
 // trialPoll is the state poll in trials, in ms. It is shorter than the default
 // for the sake of the baselines, which decide by these reports alone.
 const trialPoll = 200
@@ -195,7 +198,7 @@
 func (c *Cluster) newSettings(i int) *config.Settings {
 	d := c.Doc.Domains[i%len(c.Doc.Domains)]
 	s := &config.Settings{Host: fmt.Sprintf("%s-%d", d.Name, i/len(c.Doc.Domains)+1), Domain: d.Name, Region: d.Region, Platform: c.plat,
-		Callers: fmt.Sprintf("127.0.7.%d:80", i+1), Peers: fmt.Sprintf("127.0.7.%d:81", i+1), Admin: fmt.Sprintf("127.0.7.%d:82", i+1)}
+		Callers: hostAddress(i, 80), Peers: hostAddress(i, 81), Admin: hostAddress(i, 82)}
 	s.PollMillis = trialPoll
 	s.SetDefaults()
 	if c.opts.Settings != nil {
@@ -225,10 +228,13 @@
 	return nil
 }
 
+// mostSeeds is how many peers a host is told of in its settings.
+const mostSeeds = 3
+
 func (c *Cluster) seeds(s *config.Settings) []string {
 	var out []string
 	for _, o := range c.Settings {
-		if o != s && o.Domain == s.Domain {
+		if o != s && o.Domain == s.Domain && len(out) < mostSeeds {
 			out = append(out, o.Peers)
 		}
 	}
