--- a/owner/poll.go
+++ b/owner/poll.go
@@ -16,7 +16,7 @@
 const pollTimeout = 500 * time.Millisecond
 
 // feedEvery is how often the cache feed is read.
-const feedEvery = time.Second
+const feedEvery = 2 * time.Second
 
 // idleBook is how long a book is kept that this host doesn't own and that
 // nobody asks for.
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -113,7 +113,7 @@
 // exchangeBudget is what exchanges may cost a host, in bytes a second. A host
 // starts one exchange in each round and answers one on average. Where the
 // region is large, rounds become longer instead of dearer.
-const exchangeBudget = 6000
+const exchangeBudget = 3000
 
 // every returns the time of a round.
 func (r *Router) every() time.Duration {
@@ -216,9 +216,17 @@
 	}
 	r.board.Wake.All()
 	r.log.Info("revision in force", zap.Uint64("revision", revision), zap.String("from", from))
+	r.mu.Lock()
+	r.hot = time.Now().Add(hotFor)
+	r.mu.Unlock()
 	r.spread()
 }
 
+// hotFor is how long a new revision is told around every watchEvery. Telling
+// it once leaves out some hosts of many: each of n hosts that tells four others
+// leaves out one in e^4.
+const hotFor = 2500 * time.Millisecond
+
 // spread tells some peers of a new revision or a host that is gone at once, besides the platform's
 // watch and the ordinary exchange: two of the own domain, one of another, and
 // one of another region.
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -11,20 +11,26 @@
 
 // Heartbeats come by way of other hosts, and the more hosts there are the
 // longer they take. So each host is also watched by two neighbours in a ring,
-// who ask it directly every second; what they find goes around at once. The
+// who ask it directly every watchEvery; what they find goes around at once. The
 // time to notice a dead host doesn't grow with the fleet, nor does the cost.
 
 const (
-	watchEvery = time.Second
+	watchEvery = 1500 * time.Millisecond
 	watchers   = 2
 	mostMissed = 2                // pings in a row until a host counts as gone
 	goneTold   = 30 * time.Second // how long exchanges carry it
 )
 
 // Watcher returns the controller that asks the watched hosts for their
-// heartbeat.
+// heartbeat, and tells a new revision around while it is new.
 func (r *Router) Watcher() blackboard.Controller {
 	return blackboard.Every(watchEvery, func(ctx context.Context) {
+		r.mu.Lock()
+		hot := time.Now().Before(r.hot)
+		r.mu.Unlock()
+		if hot {
+			r.spread()
+		}
 		for _, h := range r.board.Hosts.Watched(watchers, time.Now()) {
 			go r.ping(ctx, h)
 		}
--- a/proof/scale_test.go
+++ b/proof/scale_test.go
@@ -11,6 +11,7 @@
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/examples"
 	"github.com/embercove/embercove/internal/fake"
+	"github.com/embercove/embercove/load"
 	"github.com/embercove/embercove/trial"
 )
 
@@ -20,6 +21,7 @@
 var (
 	fleetHosts     = flag.Int("proof.hosts", 24, "entry hosts of the fleet")
 	fleetEndpoints = flag.Int("proof.endpoints", 52, "endpoints of the fleet")
+	fleetRate      = flag.Float64("proof.rate", 2, "requests a second at each host of the fleet, 0: none")
 )
 
 // large makes a document of two regions with two domains each.
@@ -84,6 +86,7 @@
 		if sum := each(peers2 - peers + polls2 - polls); sum > mostBytes {
 			t.Errorf("%.0f B/s of control on each host, want %d at the most", sum, mostBytes)
 		}
+		s.loaded(t, each(peers2-peers))
 		s.spread(t, "by the platform", nil)
 		s.spread(t, "with the platform reached by one domain", []string{"domain-1", "domain-2", "domain-3"})
 		s.takeover(t)
@@ -93,6 +96,34 @@
 	})
 }
 
+// loaded sends requests and works out what each costs in control.
+func (s *scene) loaded(t *testing.T, idle float64) {
+	if *fleetRate == 0 {
+		return
+	}
+	const span = 5 * time.Second
+	mix := load.Mixes["domaskra"]
+	mix.Kinds = []load.Kind{{Name: "question", Share: 1, Team: []string{"press", "public"}, Least: 500, Most: 3500, MaxTokens: 40}}
+	before, _, calls := s.control()
+	start := time.Now()
+	rs := s.send(mix.Arrivals(1, *fleetRate*float64(*fleetHosts), span, 0))
+	took := time.Since(start).Seconds()
+	after, _, calls2 := s.control()
+	n := float64(len(rs))
+	t.Logf("with %.1f requests a second on each host: %.0f B and %.2f calls to peers for each request, %d of %d answered",
+		*fleetRate, (float64(after-before)-idle*took*float64(*fleetHosts))/n, float64(calls2-calls)/n-2.2*took*float64(*fleetHosts)/n, answered(rs), len(rs))
+}
+
+func answered(rs []load.Result) int {
+	n := 0
+	for _, r := range rs {
+		if r.Correct {
+			n++
+		}
+	}
+	return n
+}
+
 // control adds up the hosts' control traffic.
 func (s *scene) control() (peers, polls, calls uint64) {
 	for _, n := range s.Nodes {
--- a/proof/scene_test.go
+++ b/proof/scene_test.go
@@ -179,13 +179,7 @@
 
 // good counts the answers that were whole and right.
 func (s *scene) good() int {
-	n := 0
-	for _, r := range s.results {
-		if r.Correct {
-			n++
-		}
-	}
-	return n
+	return answered(s.results)
 }
 
 // report fails the test with what was broken, or if nothing was answered.
--- a/route/pick.go
+++ b/route/pick.go
@@ -60,7 +60,7 @@
 // Costs of a choice beyond its time, in seconds of time to first token.
 const (
 	costOtherDomain = 0.060 // leaving the own failure domain
-	costOtherOwner  = 0.030 // asking another host: a message and an older digest
+	costOtherOwner  = 0.150 // asking another host: a message, and a digest that is older
 	costCrossLink   = 0.030 // a transfer between failure domains
 	costStale       = 0.400 // a digest that is older than staleAfter
 	costFull        = 0.050 // decode memory is full by the digest, besides the wait
--- a/tool/slopes.go
+++ b/tool/slopes.go
@@ -8,6 +8,8 @@
 	"github.com/embercove/embercove/slope"
 )
 
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 // slopes measures and prints what control costs.
 func (t *tool) slopes(fs *flag.FlagSet, args []string) error {
 	span := fs.Duration("span", 10*time.Second, "how long the deployment is watched, idle and loaded each")
@@ -22,6 +24,13 @@
 		}
 		fmt.Fprintf(t.out, "| %d | %d | %.0f | %s | %.2f MB |\n", e.Hosts, e.Endpoints, e.Bytes, e.Processor.Round(time.Microsecond), e.Heap/1e6)
 	}
+	const pairs = 200
+	l, err := slope.MeasureLatency(pairs)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(t.out, "\ntime to first token, %d pairs: %.2f ms directly, %.2f ms by an entry host; added %.2f ms at the median, %.2f ms at 95 in 100\n",
+		l.Pairs, millis(l.Direct), millis(l.Routed), millis(l.Added), millis(l.Added95))
 	r, err := slope.MeasureRequests(*span)
 	if err != nil {
 		return err
