--- a/config/check.go
+++ b/config/check.go
@@ -11,9 +11,7 @@
 // Default values of the document, in the units of their fields.
 const (
 	DefaultBodyBytes      = 4 << 20
-	DefaultHeaderBytes    = 16 << 10
 	DefaultBodyReadMillis = 5000
-	DefaultConnections    = 4096
 	DefaultConcurrent     = 2048
 	DefaultRetryShare     = 0.1
 	DefaultMaxAttempts    = 4
@@ -33,9 +31,7 @@
 	if l.BodyBytes == 0 {
 		l.BodyBytes = DefaultBodyBytes
 	}
-	setInt(&l.HeaderBytes, DefaultHeaderBytes)
 	setInt(&l.BodyReadMillis, DefaultBodyReadMillis)
-	setInt(&l.Connections, DefaultConnections)
 	setInt(&l.Concurrent, DefaultConcurrent)
 	setInt(&l.MaxAttempts, DefaultMaxAttempts)
 	if l.RetryShare == 0 {
@@ -262,9 +258,7 @@
 
 func (c *checker) limits(l Limits) {
 	c.within("limits.body_bytes", float64(l.BodyBytes), 1, 1<<30)
-	c.within("limits.header_bytes", float64(l.HeaderBytes), 512, 1<<20)
 	c.within("limits.body_read_ms", float64(l.BodyReadMillis), 1, 600_000)
-	c.within("limits.connections", float64(l.Connections), 1, 1e6)
 	c.within("limits.concurrent_requests", float64(l.Concurrent), 1, 1e6)
 	c.within("limits.retry_share", l.RetryShare, 0, 10)
 	c.within("limits.max_attempts", float64(l.MaxAttempts), 1, 20)
--- a/config/document.go
+++ b/config/document.go
@@ -117,9 +117,7 @@
 // Limits bound what callers may ask of one entry host.
 type Limits struct {
 	BodyBytes      int64   `json:"body_bytes"`
-	HeaderBytes    int     `json:"header_bytes"`
 	BodyReadMillis int     `json:"body_read_ms"`
-	Connections    int     `json:"connections"`
 	Concurrent     int     `json:"concurrent_requests"`
 	RetryShare     float64 `json:"retry_share"` // retries for each recent success
 	MaxAttempts    int     `json:"max_attempts"`
--- a/config/settings.go
+++ b/config/settings.go
@@ -28,6 +28,8 @@
 	DrainSeconds    int    `json:"drain_s"`
 	LameDuckMillis  int    `json:"lame_duck_ms"` // requests are still taken after readiness went
 	Workers         int    `json:"workers"`
+	MaxConnections  int    `json:"max_connections"`  // of callers at once; more wait to be accepted
+	MaxHeaderBytes  int    `json:"max_header_bytes"` // of a call
 	LogLevel        string `json:"log_level"`
 	StallMillis     int    `json:"stall_ms"` // a transfer without progress for so long is stalled
 }
@@ -44,6 +46,8 @@
 	DefaultDrainSeconds    = 60
 	DefaultLameDuckMillis  = 1000
 	DefaultWorkers         = 4
+	DefaultMaxConnections  = 4096
+	DefaultMaxHeaderBytes  = 16 << 10
 	DefaultStallMillis     = 400
 )
 
@@ -73,6 +77,8 @@
 	setInt(&s.DrainSeconds, DefaultDrainSeconds)
 	setInt(&s.LameDuckMillis, DefaultLameDuckMillis)
 	setInt(&s.Workers, DefaultWorkers)
+	setInt(&s.MaxConnections, DefaultMaxConnections)
+	setInt(&s.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setInt(&s.StallMillis, DefaultStallMillis)
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
@@ -102,6 +108,8 @@
 	c.within("drain_s", float64(s.DrainSeconds), 1, 86_400)
 	c.within("lame_duck_ms", float64(s.LameDuckMillis), 1, 600_000)
 	c.within("workers", float64(s.Workers), 1, 256)
+	c.within("max_connections", float64(s.MaxConnections), 1, 1e6)
+	c.within("max_header_bytes", float64(s.MaxHeaderBytes), 512, 1<<20)
 	c.within("stall_ms", float64(s.StallMillis), 10, 60_000)
 	c.oneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
 	return c.errs
--- a/load/report.go
+++ b/load/report.go
@@ -154,8 +154,9 @@
 		r.Offered, r.Left, r.Answered, r.Good, 100*r.GoodShare, r.Goodput, r.Wrong)
 	fmt.Fprintf(&b, "  time to first token  p50 %7.1f ms  p95 %7.1f ms  p99 %7.1f ms\n", r.TTFT.P50, r.TTFT.P95, r.TTFT.P99)
 	fmt.Fprintf(&b, "  time per token       p50 %7.1f ms  p95 %7.1f ms  p99 %7.1f ms\n", r.TPOT.P50, r.TPOT.P95, r.TPOT.P99)
-	fmt.Fprintf(&b, "  prompt tokens read %d, wasted %.2f%% and for callers that left %.2f%%, prefills for each request run %.3f\n",
-		r.Waste.Read, 100*r.Waste.Share, 100*r.Waste.ShareLeft, r.Waste.Attempts)
+	if r.Waste.Read > 0 { // known of stand-ins of this process only
+		r.wasteText(&b)
+	}
 	for _, k := range sorted(r.Kinds) {
 		fmt.Fprintf(&b, "  %-22s good %d of %d\n", k, r.Kinds[k].Good, r.Kinds[k].Offered)
 	}
@@ -165,6 +166,11 @@
 	return b.String()
 }
 
+func (r Report) wasteText(b *strings.Builder) {
+	fmt.Fprintf(b, "  prompt tokens read %d, wasted %.2f%% and for callers that left %.2f%%, prefills for each request run %.3f\n",
+		r.Waste.Read, 100*r.Waste.Share, 100*r.Waste.ShareLeft, r.Waste.Attempts)
+}
+
 func sorted[V any](m map[string]V) []string {
 	out := make([]string, 0, len(m))
 	for k := range m {
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
@@ -138,16 +139,14 @@
 // Failed delivers the error of a listener that broke.
 func (n *Node) Failed() <-chan error { return n.failed }
 
-// maxHeaderBytes bounds a call's headers before any revision is known.
-const maxHeaderBytes = config.DefaultHeaderBytes
-
 func (n *Node) serve(address, field string, h http.Handler) error {
 	l, err := n.listen(address)
 	if err != nil {
 		n.cancel()
 		return errors.Wrap(err, field)
 	}
-	srv := entry.Limited(h, maxHeaderBytes)
+	l = netutil.LimitListener(l, n.settings.MaxConnections)
+	srv := entry.Limited(h, n.settings.MaxHeaderBytes)
 	n.servers = append(n.servers, srv)
 	n.goRun(func() error {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
