entry: answer a caller whose body is slow

Ruled out: the connection limit (one connection); the writing side (it has no deadline). Change: the deadline stays when the body didn't come, and the connection closes. Before: no answer within 8 s (test's limit).

--- a/entry/parse.go
+++ b/entry/parse.go
@@ -96,7 +96,13 @@
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(config.Millis(l.BodyReadMillis)))
 	src, err := io.ReadAll(http.MaxBytesReader(w, q.Body, l.BodyBytes))
-	_ = rc.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+	} else {
+		// The deadline stays: net/http reads on for the rest of the body
+		// before it sends the refusal, and would wait for it.
+		w.Header().Set("Connection", "close")
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
