--- a/slope/slope.go
+++ b/slope/slope.go
@@ -138,8 +138,6 @@
 // Requests is the cost of control for each request, and of owning endpoints.
 type Requests struct {
 	Rate      float64 // requests a second on each host
-	Bytes     float64 // to and from peers, on the wire, for each request
-	Calls     float64 // calls to peers for each request
 	PollBytes float64 // a second for each owned endpoint
 	Polls     float64 // a second for each owned endpoint
 	Idle      float64 // bytes a second to and from peers without requests
@@ -170,8 +168,6 @@
 	return Requests{
 		Rate:      busy.requests / busy.seconds / n,
 		Idle:      idle.peers / idle.seconds / n,
-		Bytes:     (busy.peers - idle.peers/idle.seconds*busy.seconds) / busy.requests,
-		Calls:     (busy.calls - idle.calls/idle.seconds*busy.seconds) / busy.requests,
 		PollBytes: idle.polls / idle.seconds / owned,
 		Polls:     idle.pollCalls / idle.seconds / owned,
 		Processor: (busy.processor - idle.processor/idle.seconds*busy.seconds) / busy.requests,
@@ -180,14 +176,13 @@
 
 // observed is what all hosts of a cluster used during a span.
 type observed struct {
-	seconds, peers, calls, polls, pollCalls, processor, requests float64
+	seconds, peers, polls, pollCalls, processor, requests float64
 }
 
 func observe(c *trial.Cluster, f func()) observed {
 	read := func() (o observed) {
 		for _, n := range c.Nodes {
 			o.peers += float64(n.Router.Traffic.OnWire())
-			o.calls += float64(n.Router.Traffic.Calls.Load())
 			o.polls += float64(n.Client.Control.OnWire())
 			o.pollCalls += float64(n.Owner.Polls.Load())
 			o.requests += float64(n.Record.Sum().Requests)
@@ -198,7 +193,7 @@
 	start, a := time.Now(), read()
 	f()
 	b := read()
-	return observed{seconds: time.Since(start).Seconds(), peers: b.peers - a.peers, calls: b.calls - a.calls, polls: b.polls - a.polls,
+	return observed{seconds: time.Since(start).Seconds(), peers: b.peers - a.peers, polls: b.polls - a.polls,
 		pollCalls: b.pollCalls - a.pollCalls, processor: b.processor - a.processor, requests: b.requests - a.requests}
 }
 
--- a/tool/slopes.go
+++ b/tool/slopes.go
@@ -36,7 +36,7 @@
 		return err
 	}
 	fmt.Fprintf(t.out, "\nwith %.2f requests a second on each host:\n", r.Rate)
-	fmt.Fprintf(t.out, "  to and from peers    %.0f B and %.2f calls for each request, %.0f B/s idle\n", r.Bytes, r.Calls, r.Idle)
+	fmt.Fprintf(t.out, "  to and from peers     %.0f B/s idle; for each request see TestFleet\n", r.Idle)
 	fmt.Fprintf(t.out, "  to and from endpoints %.0f B/s and %.1f calls/s for each owned endpoint\n", r.PollBytes, r.Polls)
 	fmt.Fprintf(t.out, "  processor            %.2f ms for each request, with relaying, stand-ins and callers\n", 1000*r.Processor)
 	return nil
