--- a/load/mix.go
+++ b/load/mix.go
@@ -54,6 +54,7 @@
 	Leaves    time.Duration // the caller leaves then; 0: it stays
 	Once      bool          // the request may not be repeated
 	Key       string        // idempotency key; may be empty
+	KeyAge    time.Duration // how long ago the key was first sent
 	Host      int           // which entry host the balancer picks, modulo their number
 }
 
--- a/load/send.go
+++ b/load/send.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -114,6 +115,7 @@
 	}
 	if a.Key != "" {
 		q.Header.Set(entry.HeaderKey, a.Key)
+		q.Header.Set(entry.HeaderKeyAge, strconv.FormatInt(a.KeyAge.Milliseconds(), 10))
 	}
 	w, err := hc.Do(q)
 	if err != nil {
--- a/proof/keys_test.go
+++ b/proof/keys_test.go
@@ -91,3 +91,20 @@
 		})
 	}
 }
+
+// TestOldKeys sends keys that were first sent before any holder's tenure
+// began: nobody can say whether they ran, and they are not run again.
+func TestOldKeys(t *testing.T) {
+	p := play(t, options{seed: 450, rate: 5, span: 3 * time.Second, edit: func(as *[]load.Arrival) {
+		for i := range *as {
+			a := &(*as)[i]
+			a.Key, a.KeyAge, a.Leaves = fmt.Sprintf("old%d", i), time.Hour, 0
+		}
+	}}, func(*scene) {})
+	for _, b := range p.broken {
+		t.Error(b)
+	}
+	if p.codes[result.OutcomeUnknown] != p.sent || p.sent == 0 {
+		t.Errorf("codes %v of %d, want %s for all", p.codes, p.sent, result.OutcomeUnknown)
+	}
+}
