owner, entry: drop what nothing reads

Cause: reading as a newcomer: fields and parameters that were never read (typical_answer_tokens of a model, three fields of Book, a parameter of discard and of token), a literal result code, a constant behind a function.

--- a/config/document.go
+++ b/config/document.go
@@ -37,7 +37,6 @@
 	Adapters        []string `json:"adapters"`
 	MaxTokens       int      `json:"max_tokens"` // prompt and answer together
 	KVBytesPerToken int64    `json:"kv_bytes_per_token"`
-	TypicalAnswer   int      `json:"typical_answer_tokens"` // forecast start; 0: half of max_tokens of the request
 }
 
 // Role says what an endpoint does.
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -99,8 +99,8 @@
 	a.w.WriteHeader(http.StatusOK)
 }
 
-// token passes on the token with the number; finish is set on the last.
-func (a *answer) token(_ int, text, finish string) error {
+// token passes on the next token; finish is set on the last.
+func (a *answer) token(text, finish string) error {
 	now := time.Now()
 	if a.sent == 0 {
 		a.first = now
--- a/entry/run.go
+++ b/entry/run.go
@@ -163,7 +163,7 @@
 	}
 	j.phase(2)
 	if !sleep(ctx, min(time.Until(p.start), time.Duration(kv.KeptMillis)*time.Millisecond/2)) {
-		e.discard(j, p, kv)
+		e.discard(j, p)
 		return asResult(ctx.Err())
 	}
 	return e.write(ctx, j, p, kv)
@@ -438,7 +438,7 @@
 const abortTimeout = time.Second
 
 // discard gives up a result that was read for nothing.
-func (e *Entry) discard(j *job, p *plan, _ *endpoint.Transfer) {
+func (e *Entry) discard(j *job, p *plan) {
 	j.waste += p.cost
 	e.abort(p.pre, p.readBy)
 	e.letGo(j, p, owner.GivenUp)
--- a/entry/write.go
+++ b/entry/write.go
@@ -33,7 +33,7 @@
 		var stalled *stallError
 		switch {
 		case ctx.Err() != nil:
-			e.discard(j, p, kv)
+			e.discard(j, p)
 			return asResult(ctx.Err())
 		case j.out.sent > before: // tokens were relayed: the result is used up
 			return e.failed(p.Decode, p.dec, err)
@@ -44,13 +44,13 @@
 			p.waited = true
 		case errors.As(err, &stalled) && !j.repeatable:
 			// No token was written; but the engine may have begun since.
-			e.discard(j, p, kv)
+			e.discard(j, p)
 			return e.failed(p.Decode, p.dec, err)
 		case errors.As(err, &stalled):
 			e.moveOn(ctx, j, p, stalledBefore(p))
 		default:
 			if !j.repeatable {
-				e.discard(j, p, kv)
+				e.discard(j, p)
 				return e.failed(p.Decode, p.dec, err)
 			}
 			e.moveOn(ctx, j, p, true)
@@ -67,7 +67,7 @@
 			e.moveIfRoom(ctx, j, p)
 		}
 		if !sleep(ctx, fullWait/2+rand.N(fullWait)) {
-			e.discard(j, p, kv)
+			e.discard(j, p)
 			return asResult(ctx.Err())
 		}
 	}
@@ -219,7 +219,7 @@
 		}
 		w.progress()
 		last := c.Choices[0].FinishReason
-		if err := j.out.token(c.Offset, c.Choices[0].Text, last); err != nil {
+		if err := j.out.token(c.Choices[0].Text, last); err != nil {
 			return &endpoint.CallError{Address: p.dec.Address, MayHaveRun: true, Cause: err}
 		}
 		whole = last != "" && (c.Usage == nil || c.Usage.CompletionTokens == j.out.sent)
--- a/internal/fake/runner.go
+++ b/internal/fake/runner.go
@@ -73,7 +73,7 @@
 func NewRunner(spec config.Endpoint, kvBytesPerToken int64, version string, dial endpoint.Dial) *Runner {
 	tr := &http.Transport{DialContext: dial, IdleConnTimeout: 5 * time.Second}
 	return &Runner{spec: spec, kvByte: kvBytesPerToken, dial: dial, peers: &http.Client{Transport: tr},
-		born: time.Now(), cache: newPrefixCache(cacheBlocks(spec)), role: string(spec.Role), model: spec.Model,
+		born: time.Now(), cache: newPrefixCache(cacheTokens / endpoint.BlockTokens), role: string(spec.Role), model: spec.Model,
 		version: version, adapters: spec.Adapters, held: map[string]*holding{}, exports: map[string]*export{},
 		incarn: uint64(time.Now().UnixMilli())}
 }
@@ -81,8 +81,6 @@
 // cacheTokens is the size of a prefill engine's prefix cache.
 const cacheTokens = 400_000
 
-func cacheBlocks(config.Endpoint) int { return cacheTokens / endpoint.BlockTokens }
-
 // Close drops the connections that the stand-in keeps to others.
 func (r *Runner) Close() { r.peers.CloseIdleConnections() }
 
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/embercove/embercove/peer"
 	"github.com/embercove/embercove/platform"
 	"github.com/embercove/embercove/report"
+	"github.com/embercove/embercove/result"
 )
 
 // Node is one entry host.
@@ -92,7 +93,7 @@
 // dropBeliefs forgets what may have become false while the process was
 // paused. The owner's books are dropped by the owner itself.
 func (n *Node) dropBeliefs(now time.Time) {
-	n.log.Warn("the process was paused; beliefs are dropped", zap.Int("code", 503))
+	n.log.Warn("the process was paused; beliefs are dropped", zap.Int("code", int(result.ProcessPaused)))
 	n.Board.Hosts.Renew(now)
 	n.Board.Endpoints.Drop()
 	n.Board.Keys.Restart(now)
--- a/owner/book.go
+++ b/owner/book.go
@@ -24,9 +24,7 @@
 	queue  *queue  // prefill
 
 	ready   bool // the endpoint's own list was read since the tenure began
-	since   time.Time
 	state   endpoint.State
-	stateAt time.Time
 	fails   int // state polls that failed in a row
 	wrong   bool
 	ordered time.Time
@@ -42,7 +40,6 @@
 
 	confirmed map[request.Attempt]time.Time // when the holder last claimed it
 	gone      map[request.Attempt]time.Time // since when its holder is gone
-	sighted   map[uint32]time.Time          // unknown hosts: when first seen
 
 	nextState, nextList, nextFeed time.Time
 	polling                       bool
@@ -53,7 +50,7 @@
 	b := &Book{
 		view: v, spec: spec, number: route.Number(spec.Name), slow: 1, trust: startTrust,
 		heads: map[uint32]uint32{}, confirmed: map[request.Attempt]time.Time{}, gone: map[request.Attempt]time.Time{},
-		sighted: map[uint32]time.Time{}, since: now, used: now, failedAt: now,
+		used: now, failedAt: now,
 	}
 	switch spec.Role {
 	case config.Decode:
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -132,7 +132,7 @@
 	if err == nil {
 		o.takeList(b, now, list)
 	}
-	b.ready, b.since = true, now
+	b.ready = true
 }
 
 // dropBeliefs forgets what was known before a pause of the process. Waiting
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -170,7 +170,7 @@
 		o.log.Info("endpoint is back", zap.String("endpoint", b.spec.Name))
 	}
 	restarted := b.state.Incarnation != 0 && st.Incarnation != b.state.Incarnation
-	b.fails, b.state, b.stateAt = 0, *st, now
+	b.fails, b.state = 0, *st
 	if restarted {
 		b.heads, b.feed = map[uint32]uint32{}, 0
 		b.nextList = now
