entry: assert what was only named

Ruled out: an invariant for released memory and one for the ledger's sums; the names are gone and PROMISES says that memory has none. No check is loosened.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -26,7 +26,7 @@
 	sent   int // tokens relayed or gathered
 	opened bool
 	text   strings.Builder // of an answer that is sent whole
-	finish string
+	finish string          // reason given with the last token; empty before it
 	first  time.Time
 	last   time.Time
 }
@@ -107,9 +107,9 @@
 	}
 	a.last = now
 	a.sent++
+	a.finish = finish
 	if !a.stream {
 		a.text.WriteString(text)
-		a.finish = finish
 		return nil
 	}
 	a.open()
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -35,6 +35,7 @@
 func (e *Entry) finish(j *job, err *result.Error, began bool) {
 	inv := e.board.Invariant
 	inv.Check(!err.Code.NotRun() || !j.ran, invariant.NotRunClean, "request %s ends as %s", j.id, err.Code)
+	inv.Check(err.Code != result.OK || j.out == nil || j.out.finish != "", invariant.CompleteMarked, "request %s ends cleanly before its last token", j.id)
 	o := j.outcome(err.Code)
 	v := e.record.Record(o, time.Now())
 	if j.out != nil && err.Code == result.OK {
--- a/entry/run.go
+++ b/entry/run.go
@@ -55,6 +55,7 @@
 	backoff := backoffStart
 	for {
 		j.tries++
+		e.board.Invariant.Check(j.tries <= j.view.Doc.Limits.MaxAttempts, invariant.BudgetedRetries, "request %s: try %d", j.id, j.tries)
 		err := e.try(ctx, j)
 		if err == nil {
 			return nil
--- a/entry/write.go
+++ b/entry/write.go
@@ -218,6 +218,9 @@
 			e.at(j, blackboard.PhaseDecode, nil)
 		}
 		w.progress()
+		inv := e.board.Invariant
+		inv.Check(c.Offset == j.out.sent, invariant.TokenOnce, "request %s: token %d after %d", j.id, c.Offset, j.out.sent)
+		inv.Check(c.ID == p.decodeBy.String(), invariant.OwnAnswer, "request %s: chunk of %s in attempt %s", j.id, c.ID, p.decodeBy)
 		last := c.Choices[0].FinishReason
 		if err := j.out.token(c.Choices[0].Text, last); err != nil {
 			return &endpoint.CallError{Address: p.dec.Address, MayHaveRun: true, Cause: err}
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -17,7 +17,8 @@
 // Name names an invariant; it is the label of the metric.
 type Name string
 
-// The invariants, one or more for each promise of the brief.
+// The invariants. docs/PROMISES.md says which promise each belongs to, and which
+// promises have none in the program.
 const (
 	TokenOnce       Name = "token_sent_once"        // a caller sees each token once, in order
 	AnswerOnce      Name = "request_answered_once"  // a request ends once
@@ -26,11 +27,9 @@
 	SingleRun       Name = "not_repeatable_once"    // a not-repeatable request starts once
 	RevisionRises   Name = "revision_rises"         // the revision in force never falls
 	LeavingNoWork   Name = "leaving_no_new_work"    // no new work goes to an endpoint known to leave
-	MemoryReleased  Name = "memory_released"        // a finished request holds no lease
 	DrainComplete   Name = "drain_complete"         // a planned stop ends with no request in progress
-	LedgerCoherent  Name = "ledger_coherent"        // ledger totals equal the sum of their rows
 	CompleteMarked  Name = "complete_only_if_whole" // a clean end follows a whole answer only
-	BudgetedRetries Name = "retries_within_budget"  // attempts stay within the budget
+	BudgetedRetries Name = "retries_within_budget"  // a request is tried no more often than the configuration allows
 )
 
 // Set counts broken invariants of one process. The zero value works and is
--- a/load/bound.go
+++ b/load/bound.go
@@ -29,8 +29,8 @@
 )
 
 // Capacity returns what the document's pools can do with the mix. Fractions
-// of requests pack into memory here, and no target is looked at, so no policy
-// reaches 1.0 in time.
+// of requests pack into memory here and no target is looked at, so at 1.0 a
+// policy has to make up for both by cached prefixes.
 func (m Mix) Capacity(d *config.Document) Capacity {
 	arrivals := m.Arrivals(1, sampleRate, sampleSpan, 0)
 	read, hold, move := 0.0, 0.0, 0.0
@@ -107,8 +107,8 @@
 // Bound returns the most arrivals that could be answered in time: as many as
 // fit, the least work first, into what the prefill pool can read with ideal
 // caches and into what the links can move, within the span and one target.
-// It ignores decode memory, packing and order, so no policy can answer more
-// and none can answer quite as many.
+// Callers that will leave are left out, so a policy that answers some of them
+// first can pass it. It ignores decode memory, packing and order.
 func Bound(d *config.Document, arrivals []Arrival, span time.Duration) int {
 	pre, dec := pools(d)
 	var read, move []float64
--- a/owner/ledger.go
+++ b/owner/ledger.go
@@ -46,7 +46,6 @@
 	mode    config.Forecast
 	share   float64 // of the engine that this ledger may give out
 	lease   time.Duration
-	slow    float64 // learned factor on the time of a step
 	rows    map[request.Attempt]*row
 	answers answerForecast
 
@@ -58,7 +57,7 @@
 }
 
 func newLedger(v *config.View, spec *config.Endpoint, share float64) *ledger {
-	l := &ledger{rows: map[request.Attempt]*row{}, wants: map[request.ID]want{}, slow: 1}
+	l := &ledger{rows: map[request.Attempt]*row{}, wants: map[request.ID]want{}}
 	l.fit(v, spec, share)
 	return l
 }
@@ -89,7 +88,7 @@
 
 // step is the time of a decode step as things are.
 func (l *ledger) step() time.Duration {
-	return time.Duration(float64(route.StepTime(l.spec, len(l.rows))) * l.slow)
+	return route.StepTime(l.spec, len(l.rows))
 }
 
 // want is a request that was refused for lack of room and is expected to ask
