--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -47,7 +47,7 @@
 
 // NextID returns a new request id.
 func (b *Board) NextID() request.ID {
-	return request.ID{Host: b.Number, Incarnation: b.Incarnation, Counter: b.counter.Add(1)}
+	return request.ID{Host: b.Number, Incarnation: b.Hosts.Self().Incarnation, Counter: b.counter.Add(1)}
 }
 
 // SetLeaving takes readiness away and the endpoints to other owners, while
--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/invariant"
 	"github.com/embercove/embercove/result"
@@ -16,7 +18,9 @@
 	inUse atomic.Pointer[config.View]
 
 	mu       sync.Mutex
-	rejected uint64 // highest revision that was rejected
+	base     *config.View   // the document in force, without a roster
+	roster   *config.Roster // nil before the first
+	rejected uint64         // highest revision that was rejected
 	cause    string
 	since    time.Time // when the revision in force was accepted
 	heard    time.Time // when the platform last answered
@@ -65,12 +69,53 @@
 		}
 		return false, result.Errorf(result.RevisionInvalid, "revision %d: %v", revision, err)
 	}
-	old := t.inUse.Swap(v)
+	t.base = v
+	old := t.inUse.Swap(v.WithRoster(t.roster))
 	t.inv.Check(old == nil || old.Revision < revision, invariant.RevisionRises, "from %v to %d", old, revision)
 	t.since = time.Now()
 	return true, nil
 }
 
+// OfferRoster takes in the endpoints that registered themselves, if they are
+// of a later revision than those known, and reports whether they were taken.
+// Endpoints with faults are left out; the error names them.
+func (t *ConfigTable) OfferRoster(r *config.Roster) (bool, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.roster != nil && r.Revision <= t.roster.Revision {
+		return false, nil
+	}
+	kept := &config.Roster{Revision: r.Revision}
+	var faults error
+	for i := range r.Endpoints {
+		if err := config.CheckRegistered(&r.Endpoints[i]); err != nil {
+			faults = errors.Wrapf(err, "endpoint %q", r.Endpoints[i].Name)
+			continue
+		}
+		kept.Endpoints = append(kept.Endpoints, r.Endpoints[i])
+	}
+	t.roster = kept
+	if t.base != nil {
+		t.inUse.Store(t.base.WithRoster(kept))
+	}
+	return true, faults
+}
+
+// Roster returns the endpoints that registered themselves, or nil.
+func (t *ConfigTable) Roster() *config.Roster {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.roster
+}
+
+// RosterRevision returns the revision of the roster; 0 before the first.
+func (t *ConfigTable) RosterRevision() uint64 {
+	if r := t.Roster(); r != nil {
+		return r.Revision
+	}
+	return 0
+}
+
 // Heard notes that the platform answered.
 func (t *ConfigTable) Heard(now time.Time) {
 	t.mu.Lock()
--- a/blackboard/endpoints.go
+++ b/blackboard/endpoints.go
@@ -32,7 +32,9 @@
 		n := states[i].Number
 		byNumber[n] = i
 		if j, ok := t.byNumber[n]; ok {
-			states[i].Digest, states[i].At = t.states[j].Digest, t.states[j].At
+			old := &t.states[j]
+			states[i].Digest, states[i].At = old.Digest, old.At
+			states[i].Own, states[i].Sent, states[i].Seen = old.Own, old.Sent, old.Seen
 		}
 	}
 	t.view, t.states, t.byNumber = v, states, byNumber
@@ -64,10 +66,10 @@
 }
 
 // Touch changes one state, for what this host itself has just sent.
-func (t *EndpointTable) Touch(i int, f func(s *route.State)) {
+func (t *EndpointTable) Touch(number uint32, f func(s *route.State)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if i < len(t.states) {
+	if i, ok := t.byNumber[number]; ok {
 		f(&t.states[i])
 	}
 }
--- a/blackboard/hosts.go
+++ b/blackboard/hosts.go
@@ -86,6 +86,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if h.Number == t.self.Number {
+		// A predecessor whose clock was ahead: outrank it, or the others
+		// would take this process for older than the one that is gone.
+		if h.Incarnation > t.self.Incarnation {
+			t.self.Incarnation = h.Incarnation + 1
+		}
 		return false
 	}
 	cur := t.hosts[h.Number]
@@ -290,12 +295,22 @@
 
 // First returns the first host of Order without building the list.
 func (t *HostTable) First(key uint64, domain string, now time.Time) (Host, bool) {
+	return t.first(key, now, func(h *Host) bool { return h.Domain == domain })
+}
+
+// FirstOfRegion returns the live, not leaving host of a region that wins the
+// rendezvous hash for a key.
+func (t *HostTable) FirstOfRegion(key uint64, region string, now time.Time) (Host, bool) {
+	return t.first(key, now, func(h *Host) bool { return h.Region == region })
+}
+
+func (t *HostTable) first(key uint64, now time.Time, among func(h *Host) bool) (Host, bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	var best *Host
 	var top uint64
 	for _, h := range t.hosts {
-		if h.Domain != domain || h.Leaving || !t.live(h, now) {
+		if !among(h) || h.Leaving || !t.live(h, now) {
 			continue
 		}
 		if s := rendezvous(key, h.Number); best == nil || s > top {
--- a/cmd/embercoved/cluster_test.go
+++ b/cmd/embercoved/cluster_test.go
@@ -22,7 +22,7 @@
 	"github.com/embercove/embercove/internal/fake"
 	"github.com/embercove/embercove/load"
 	"github.com/embercove/embercove/node"
-	"github.com/embercove/embercove/platform"
+	"github.com/embercove/embercove/publish"
 )
 
 // patience bounds every wait of these tests. It is no measure: a wait that
@@ -146,13 +146,13 @@
 	}
 	ports = ports[len(c.doc.Endpoints):]
 	docFile := c.write("document.json", c.doc)
-	var list []platform.Host
+	var list []publish.Host
 	for i := range n {
 		d := c.doc.Domains[i%len(c.doc.Domains)]
 		s := &config.Settings{Host: fmt.Sprintf("%s-%d", d.Name, i), Domain: d.Name, Region: d.Region, Callers: ports[3*i], Peers: ports[3*i+1],
 			Admin: ports[3*i+2], Platform: c.platform}
 		c.settings = append(c.settings, s)
-		list = append(list, platform.Host{Name: s.Host, Domain: s.Domain, Region: s.Region, Peers: s.Peers})
+		list = append(list, publish.Host{Name: s.Host, Domain: s.Domain, Region: s.Region, Peers: s.Peers})
 	}
 	for _, s := range c.settings {
 		for _, o := range c.settings {
--- a/config/check.go
+++ b/config/check.go
@@ -20,6 +20,13 @@
 	DefaultResultKeep     = 4000
 )
 
+// First guesses of a pool's rates, until they are learned.
+const (
+	DefaultTokensPerSecond = 40_000
+	DefaultStepMicros      = 700
+	DefaultStepMicrosEach  = 20
+)
+
 func setInt(p *int, v int) {
 	if *p == 0 {
 		*p = v
@@ -58,6 +65,9 @@
 	for i := range d.Teams {
 		setInt(&d.Teams[i].Weight, 1)
 	}
+	for i := range d.Pools {
+		d.Pools[i].setDefaults()
+	}
 	for i := range d.Endpoints {
 		if d.Endpoints[i].Role == Prefill {
 			setInt(&d.Endpoints[i].ResultKeepMillis, DefaultResultKeep)
@@ -65,6 +75,16 @@
 	}
 }
 
+func (p *Pool) setDefaults() {
+	setInt(&p.ResultKeepMillis, DefaultResultKeep)
+	setInt(&p.TokensPerPiece, 1)
+	setInt(&p.StepMicros, DefaultStepMicros)
+	setInt(&p.StepMicrosEach, DefaultStepMicrosEach)
+	if p.TokensPerSecond == 0 {
+		p.TokensPerSecond = DefaultTokensPerSecond
+	}
+}
+
 // checker gathers the faults of a document.
 type checker struct {
 	errs FieldErrors
@@ -129,7 +149,8 @@
 	domains := c.domains(d.Domains)
 	models := c.models(d.Models)
 	c.endpoints(d.Endpoints, domains, models)
-	c.routes(d.Routes)
+	pools := c.pools(d.Pools)
+	c.routes(d.Routes, pools)
 	c.teams(d.Teams)
 	c.within("targets.ttft_ms", float64(d.Targets.TTFTMillis), 1, 600_000)
 	c.within("targets.tpot_ms", float64(d.Targets.TPOTMillis), 1, 60_000)
@@ -219,14 +240,61 @@
 	}
 }
 
-func (c *checker) routes(rows []Route) {
+func (c *checker) pools(rows []Pool) map[string]bool {
+	seen := map[string]bool{}
+	for i, r := range rows {
+		f := index("pools", i)
+		c.name(f+".name", r.Name)
+		c.unique(seen, f+".name", r.Name)
+		c.within(f+".memory_tokens", float64(r.MemoryTokens), 0, 1e9)
+		c.within(f+".slots", float64(r.Slots), 0, 1e6)
+		c.within(f+".result_keep_ms", float64(r.ResultKeepMillis), 1, 600_000)
+		c.within(f+".tokens_per_piece", float64(r.TokensPerPiece), 1, 1e6)
+		c.within(f+".role_switch_ms", float64(r.RoleSwitchMillis), 0, 3_600_000)
+		c.within(f+".connections", float64(r.Connections), 0, 1e6)
+		c.within(f+".tokens_per_second", r.TokensPerSecond, 1, 1e9)
+		c.within(f+".step_micros", float64(r.StepMicros), 1, 1e8)
+		c.within(f+".step_micros_each", float64(r.StepMicrosEach), 0, 1e8)
+		if r.Engines() {
+			c.within(f+".link_bytes_per_second", float64(r.LinkBytesPerSecond), 1, 1e15)
+		}
+	}
+	return seen
+}
+
+// pathRoute checks a route that is chosen by host and path.
+func (c *checker) pathRoute(f string, r Route, pools map[string]bool) {
+	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+		c.fail(f+".path_prefix", strconv.Quote(r.PathPrefix), "want a path that begins and ends with a slash")
+	}
+	if len(r.Pools) == 0 {
+		c.fail(f+".pools", "", "want at least one")
+	}
+	for i, s := range r.Pools {
+		p := index(f+".pools", i)
+		if !pools[s.Pool] {
+			c.fail(p+".pool", strconv.Quote(s.Pool), "is not among pools")
+		}
+		c.within(p+".weight", float64(s.Weight), 0, 1e6)
+	}
+	c.within(f+".timeout_ms", float64(r.TimeoutMillis), 0, 86_400_000)
+	c.within(f+".target_ms", float64(r.TargetMillis), 0, 600_000)
+	c.within(f+".piece_ms", float64(r.PieceMillis), 0, 600_000)
+	c.within(f+".max_attempts", float64(r.MaxAttempts), 0, 20)
+}
+
+func (c *checker) routes(rows []Route, pools map[string]bool) {
 	seen := map[string]bool{}
 	for i, r := range rows {
 		f := index("routes", i)
 		c.name(f+".name", r.Name)
 		c.unique(seen, f+".name", r.Name)
-		c.selector(f+".requests", r.Requests)
 		c.within(f+".priority", float64(r.Priority), 0, 9)
+		if r.PathPrefix != "" || r.Host != "" {
+			c.pathRoute(f, r, pools)
+			continue
+		}
+		c.selector(f+".requests", r.Requests)
 		if r.Service != "" {
 			c.selector(f+".service", r.Service)
 			if r.Prefill != "" || r.Decode != "" {
--- a/config/document.go
+++ b/config/document.go
@@ -12,6 +12,7 @@
 type Document struct {
 	Domains   []Domain   `json:"failure_domains"`
 	Models    []Model    `json:"models"`
+	Pools     []Pool     `json:"pools"`
 	Endpoints []Endpoint `json:"endpoints"`
 	Routes    []Route    `json:"routes"`
 	Teams     []Team     `json:"teams"`
@@ -72,8 +73,43 @@
 	ChecksFence         bool    `json:"checks_fence"`
 	Leaving             bool    `json:"leaving"`
 	NotRepeatableAllows bool    `json:"takes_not_repeatable"` // service: may be given calls that may not be repeated
+
+	// Pool names the pool of an endpoint that registered itself; the pool
+	// gives the sizes that the endpoint doesn't state.
+	Pool string `json:"pool"`
+	// GrowsMemory says that an answer takes decode memory as it is written,
+	// instead of all that it may come to from the start.
+	GrowsMemory bool `json:"grows_memory"`
+	// TokensPerPiece is how many tokens one piece of a stream holds; 0 means 1.
+	TokensPerPiece int `json:"tokens_per_piece"`
+	// Registered marks an endpoint of a roster. Its state is what it says of
+	// itself, so it is given no orders to reach the state of a revision.
+	Registered bool `json:"-"`
+}
+
+// PieceTokens returns how many tokens one piece of the endpoint's streams holds.
+func (e *Endpoint) PieceTokens() int { return max(1, e.TokensPerPiece) }
+
+// Pool states what endpoints that register themselves under its name have in
+// common. A pool without memory is one of plain services.
+type Pool struct {
+	Name                string  `json:"name"`
+	MemoryTokens        int     `json:"memory_tokens"`
+	Slots               int     `json:"slots"`
+	LinkBytesPerSecond  int64   `json:"link_bytes_per_second"`
+	ResultKeepMillis    int     `json:"result_keep_ms"`
+	TokensPerPiece      int     `json:"tokens_per_piece"`
+	RoleSwitchMillis    int     `json:"role_switch_ms"`    // what a change of role takes beyond running work
+	Connections         int     `json:"connections"`       // that one endpoint takes from all hosts together; 0: any number
+	TokensPerSecond     float64 `json:"tokens_per_second"` // first guess; the true rate is learned
+	StepMicros          int     `json:"step_micros"`       // first guess
+	StepMicrosEach      int     `json:"step_micros_each"`  // first guess
+	NotRepeatableAllows bool    `json:"takes_not_repeatable"`
 }
 
+// Engines reports whether the pool's endpoints are model runners.
+func (p *Pool) Engines() bool { return p.MemoryTokens > 0 }
+
 // Route states which requests may go to which endpoints. The first route
 // whose request selector matches is taken.
 type Route struct {
@@ -83,8 +119,34 @@
 	Decode   string `json:"decode"`
 	Service  string `json:"service"`
 	Priority int    `json:"priority"` // 0 is most urgent; a request may lower itself
+
+	// Host and PathPrefix choose the route by the call's own host and path:
+	// the longest prefix wins. Such a route names pools instead of selectors.
+	Host       string      `json:"host"`
+	PathPrefix string      `json:"path_prefix"`
+	Pools      []PoolShare `json:"pools"`
+
+	NotRepeatable bool `json:"not_repeatable"` // a request runs at most once
+	Streams       bool `json:"streams"`        // the answer is a series of pieces
+	Resumable     bool `json:"resumable"`      // a broken stream may go on at another endpoint
+	TimeoutMillis int  `json:"timeout_ms"`     // longest that a request is held; 0: no limit
+	TargetMillis  int  `json:"target_ms"`      // to the answer, or to a stream's first piece; 0: targets.ttft_ms
+	PieceMillis   int  `json:"piece_ms"`       // longest pause between pieces that is in time
+	MaxAttempts   int  `json:"max_attempts"`   // endpoints that one request may run on; 0: limits.max_attempts
 }
 
+// PoolShare is the part of a route's requests that goes to a pool.
+type PoolShare struct {
+	Pool   string `json:"pool"`
+	Weight int    `json:"weight"`
+}
+
+// Timeout returns the longest that a request is held, 0 for no limit.
+func (r *Route) Timeout() time.Duration { return time.Duration(r.TimeoutMillis) * time.Millisecond }
+
+// Repeatable reports whether the route's requests may run more than once.
+func (r *Route) Repeatable() bool { return !r.NotRepeatable && (!r.Streams || r.Resumable) }
+
 // Team is a customer of the platform.
 type Team struct {
 	Name          string            `json:"name"`
--- a/config/settings.go
+++ b/config/settings.go
@@ -32,8 +32,38 @@
 	MaxHeaderBytes  int    `json:"max_header_bytes"` // of a call
 	LogLevel        string `json:"log_level"`
 	StallMillis     int    `json:"stall_ms"` // a transfer without progress for so long is stalled
+
+	// Protocol is what callers, endpoints and the platform speak: ProtocolOwn
+	// or ProtocolPlatform.
+	Protocol string `json:"protocol"`
+	// Domains lists the failure domains, for platforms that publish none.
+	Domains []Domain `json:"failure_domains"`
+	// RetryBudget bounds further calls for all hosts together.
+	RetryBudget RetryBudget `json:"retry_budget"`
+	// GraceSeconds is what a planned stop may take before the process is
+	// killed; 0: drain_s and lame_duck_ms hold as they stand.
+	GraceSeconds    float64 `json:"stop_grace_s"`
+	MemoryMegabytes int     `json:"memory_mb"`        // that the process may use; 0: DefaultMemoryMegabytes
+	Descriptors     int     `json:"file_descriptors"` // that the process may open; 0: unknown
+}
+
+// What a process may speak to the outside.
+const (
+	ProtocolOwn      = "embercove"
+	ProtocolPlatform = "platform"
+)
+
+// RetryBudget is a number of further calls to a pool of endpoints, beyond the
+// first of each request, that all hosts together may make in a sliding window.
+type RetryBudget struct {
+	Share        float64 `json:"share"`     // of the requests in the window
+	WindowMillis int     `json:"window_ms"` // 0: no such budget
+	Extra        int     `json:"extra"`     // beyond the share, for all hosts together
 }
 
+// Window returns the length of the window.
+func (b RetryBudget) Window() time.Duration { return Millis(b.WindowMillis) }
+
 // Default values of settings, in the units of their fields.
 const (
 	DefaultHeartbeatMillis = 500
@@ -49,6 +79,7 @@
 	DefaultMaxConnections  = 4096
 	DefaultMaxHeaderBytes  = 16 << 10
 	DefaultStallMillis     = 400
+	DefaultMemoryMegabytes = 512
 )
 
 // ParseSettings reads and checks settings; errors are as for ParseDocument.
@@ -80,9 +111,16 @@
 	setInt(&s.MaxConnections, DefaultMaxConnections)
 	setInt(&s.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setInt(&s.StallMillis, DefaultStallMillis)
+	setInt(&s.MemoryMegabytes, DefaultMemoryMegabytes)
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
+	if s.Protocol == "" {
+		s.Protocol = ProtocolOwn
+	}
+	if s.Descriptors > 0 {
+		s.MaxConnections = min(s.MaxConnections, int(callersPart*float64(s.Descriptors)))
+	}
 }
 
 // Check returns every fault of s.
@@ -111,10 +149,25 @@
 	c.within("max_connections", float64(s.MaxConnections), 1, 1e6)
 	c.within("max_header_bytes", float64(s.MaxHeaderBytes), 512, 1<<20)
 	c.within("stall_ms", float64(s.StallMillis), 10, 60_000)
+	c.oneOf("protocol", s.Protocol, ProtocolOwn, ProtocolPlatform)
+	for i, d := range s.Domains {
+		c.name(index("failure_domains", i)+".name", d.Name)
+		c.name(index("failure_domains", i)+".region", d.Region)
+	}
+	c.within("retry_budget.share", s.RetryBudget.Share, 0, 100)
+	c.within("retry_budget.window_ms", float64(s.RetryBudget.WindowMillis), 0, 3_600_000)
+	c.within("retry_budget.extra", float64(s.RetryBudget.Extra), 0, 1e6)
+	c.within("stop_grace_s", s.GraceSeconds, 0, 86_400)
+	c.within("memory_mb", float64(s.MemoryMegabytes), 16, 1<<20)
+	c.within("file_descriptors", float64(s.Descriptors), 0, 1<<24)
 	c.oneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
 	return c.errs
 }
 
+// callersPart is the part of the descriptors that callers' connections may
+// take; calls to endpoints and peers need the rest.
+const callersPart = 0.5
+
 // Millis converts a field in milliseconds.
 func Millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
--- a/config/view.go
+++ b/config/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -25,14 +26,35 @@
 	Models       map[string]*Model // by model and adapter name
 	Region       map[string]string // region by failure domain
 	Routes       []RouteView
+	Pools        map[string]*Pool
+	// Roster is the revision of the endpoints that registered themselves.
+	Roster uint64
+
+	byName map[string]*RouteView
+	byPath map[string]*RouteView // by host and prefix
+	groups map[string]*Group     // by pool
+}
+
+// Group lists the endpoints that a request may go to, as indices into
+// Doc.Endpoints.
+type Group struct {
+	Prefill, Decode, Service []int
+}
+
+// Share is a part of a route's requests and where it goes.
+type Share struct {
+	Pool   *Pool
+	Weight int
+	Group  *Group
 }
 
 // RouteView is a route with its selectors parsed and resolved.
 type RouteView struct {
 	*Route
 	requests Selector
-	// Prefill, Decode and Service list indices into Doc.Endpoints.
-	Prefill, Decode, Service []int
+	Group    Group
+	// Shares are set on routes that name pools; Group then is empty.
+	Shares []Share
 }
 
 // NameNumber returns the number that stands for a name in messages.
@@ -44,11 +66,21 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &View{
-		Revision: revision, Digest: xxhash.Sum64(src), Source: src, Doc: d,
-		ByName: map[string]*Endpoint{}, Number: map[string]int{}, Teams: map[string]*Team{},
-		Models: map[string]*Model{}, Region: map[string]string{},
-		ByNumber: map[uint32]*Endpoint{}, TeamByNumber: map[uint32]*Team{},
+	v := &View{Revision: revision, Digest: xxhash.Sum64(src), Source: src, Doc: d}
+	v.index()
+	return v, nil
+}
+
+// index fills in everything that is worked out from the document.
+func (v *View) index() {
+	d := v.Doc
+	v.ByName, v.Number, v.Teams = map[string]*Endpoint{}, map[string]int{}, map[string]*Team{}
+	v.Models, v.Region, v.Pools = map[string]*Model{}, map[string]string{}, map[string]*Pool{}
+	v.ByNumber, v.TeamByNumber, v.Numbers = map[uint32]*Endpoint{}, map[uint32]*Team{}, nil
+	v.byName, v.byPath, v.groups = map[string]*RouteView{}, map[string]*RouteView{}, map[string]*Group{}
+	for i := range d.Pools {
+		v.Pools[d.Pools[i].Name] = &d.Pools[i]
+		v.groups[d.Pools[i].Name] = new(Group)
 	}
 	for i := range d.Endpoints {
 		e := &d.Endpoints[i]
@@ -56,6 +88,9 @@
 		v.Number[e.Name] = i
 		v.Numbers = append(v.Numbers, NameNumber(e.Name))
 		v.ByNumber[v.Numbers[i]] = e
+		if g := v.groups[e.Pool]; g != nil {
+			g.add(i, e.Role)
+		}
 	}
 	for i := range d.Teams {
 		v.Teams[d.Teams[i].Name] = &d.Teams[i]
@@ -71,16 +106,38 @@
 	for _, dom := range d.Domains {
 		v.Region[dom.Name] = dom.Region
 	}
+	v.Routes = make([]RouteView, len(d.Routes))
 	for i := range d.Routes {
-		v.Routes = append(v.Routes, v.resolve(&d.Routes[i]))
+		v.Routes[i] = v.resolve(&d.Routes[i])
+		v.byName[d.Routes[i].Name] = &v.Routes[i]
+		if d.Routes[i].PathPrefix != "" {
+			v.byPath[d.Routes[i].Host+d.Routes[i].PathPrefix] = &v.Routes[i]
+		}
+	}
+}
+
+// add puts an endpoint of a role into the group.
+func (g *Group) add(i int, role Role) {
+	switch role {
+	case Prefill:
+		g.Prefill = append(g.Prefill, i)
+	case Decode:
+		g.Decode = append(g.Decode, i)
+	case Service:
+		g.Service = append(g.Service, i)
 	}
-	return v, nil
 }
 
 // resolve lists a route's endpoints once, so that no selector is evaluated
 // for each request.
 func (v *View) resolve(r *Route) RouteView {
 	rv := RouteView{Route: r}
+	if r.PathPrefix != "" {
+		for _, s := range r.Pools {
+			rv.Shares = append(rv.Shares, Share{Pool: v.Pools[s.Pool], Weight: s.Weight, Group: v.groups[s.Pool]})
+		}
+		return rv
+	}
 	rv.requests, _ = ParseSelector(r.Requests)
 	list := func(text string, role Role) []int {
 		sel, _ := ParseSelector(text)
@@ -93,11 +150,11 @@
 		return out
 	}
 	if r.Service != "" {
-		rv.Service = list(r.Service, Service)
+		rv.Group.Service = list(r.Service, Service)
 		return rv
 	}
-	rv.Prefill = list(r.Prefill, Prefill)
-	rv.Decode = list(r.Decode, Decode)
+	rv.Group.Prefill = list(r.Prefill, Prefill)
+	rv.Group.Decode = list(r.Decode, Decode)
 	return rv
 }
 
@@ -105,7 +162,7 @@
 func (v *View) Match(set map[string]string, service bool) *RouteView {
 	for i := range v.Routes {
 		r := &v.Routes[i]
-		if (r.Route.Service != "") == service && r.requests.Matches(set) {
+		if r.PathPrefix == "" && (r.Route.Service != "") == service && r.requests.Matches(set) {
 			return r
 		}
 	}
@@ -123,10 +180,55 @@
 }
 
 // RouteByName returns the route of the name in this revision, or nil.
-func (v *View) RouteByName(name string) *RouteView {
-	for i := range v.Routes {
-		if v.Routes[i].Name == name {
-			return &v.Routes[i]
+func (v *View) RouteByName(name string) *RouteView { return v.byName[name] }
+
+// RouteFor returns the route of a host whose prefix is the longest that
+// begins the path, or nil.
+func (v *View) RouteFor(host, path string) *RouteView {
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := v.byPath[host+path[:end+1]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// Draw returns one of the route's shares by weight, for a number that is
+// spread evenly. A route with selectors has none and returns nil.
+func (r *RouteView) Draw(n uint64) *Share {
+	sum := 0
+	for i := range r.Shares {
+		sum += r.Shares[i].Weight
+	}
+	if sum == 0 {
+		return r.first()
+	}
+	at := int(n % uint64(sum))
+	for i := range r.Shares {
+		if at -= r.Shares[i].Weight; at < 0 {
+			return &r.Shares[i]
+		}
+	}
+	return nil
+}
+
+func (r *RouteView) first() *Share {
+	if len(r.Shares) == 0 {
+		return nil
+	}
+	return &r.Shares[0]
+}
+
+// Reaches returns the group of endpoints that a request of a pool may go to
+// under this route; nil if the route no longer leads to the pool. Routes with
+// selectors have one group for all.
+func (r *RouteView) Reaches(pool string) *Group {
+	if len(r.Shares) == 0 {
+		return &r.Group
+	}
+	for i := range r.Shares {
+		if r.Shares[i].Pool.Name == pool {
+			return r.Shares[i].Group
 		}
 	}
 	return nil
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -69,6 +69,8 @@
 	Address    string
 	Status     int // HTTP status; 0 without an answer
 	MayHaveRun bool
+	Elsewhere  bool    // another endpoint has the address
+	Answer     *Answer // what the endpoint said, where the caller may see it
 	Cause      error
 }
 
@@ -86,6 +88,13 @@
 	return err != nil && (!errors.As(err, &ce) || ce.MayHaveRun)
 }
 
+// Elsewhere reports whether err means that the address belongs to another
+// endpoint now.
+func Elsewhere(err error) bool {
+	var ce *CallError
+	return errors.As(err, &ce) && ce.Elsewhere
+}
+
 // Unreachable reports whether err means that no connection came about.
 func Unreachable(err error) bool {
 	var ce *CallError
@@ -142,6 +151,7 @@
 // Call names one attempt at one endpoint.
 type Call struct {
 	Address    string
+	Name       string // of the endpoint that is meant; empty: whoever has the address
 	Attempt    string
 	Version    string // model version asked for; empty: any
 	Repeatable bool
@@ -164,8 +174,12 @@
 	return res, nil
 }
 
-// Prefill has the prompt read and its KV cache exported.
-func (c *Client) Prefill(ctx context.Context, call Call, comp Completion) (*PrefillAnswer, error) {
+// Traits implements Engine.
+func (c *Client) Traits() Traits { return Traits{ReadingRuns: true} }
+
+// Prefill implements Engine.
+func (c *Client) Prefill(ctx context.Context, call Call, work *Work) (*PrefillAnswer, error) {
+	comp := work.Completion
 	comp.MaxTokens, comp.Stream = 1, false
 	comp.Transfer = &Transfer{RemoteDecode: true}
 	res, err := c.post(ctx, call, comp)
@@ -184,11 +198,10 @@
 	return ans, nil
 }
 
-// Service passes a call to a plain service and returns its answer. The
-// caller closes the body. An answer of any status counts as having run,
+// Service implements Engine. An answer of any status counts as having run,
 // unless the service vouches otherwise.
-func (c *Client) Service(ctx context.Context, call Call, method, path string, header http.Header, body []byte) (*http.Response, error) {
-	header = header.Clone()
+func (c *Client) Service(ctx context.Context, call Call, work *Work) (*Answer, error) {
+	header := work.Origin.Header.Clone()
 	if header == nil {
 		header = http.Header{}
 	}
@@ -196,14 +209,14 @@
 	if !call.Repeatable {
 		header.Set(HeaderRepeatable, "false")
 	}
-	res, err := c.do(ctx, c.hc, method, call.Address, path, header, body)
+	res, err := c.do(ctx, c.hc, work.Origin.Method, call.Address, work.Origin.URL.RequestURI(), header, work.Origin.Body)
 	if err != nil {
 		return nil, err
 	}
 	if res.StatusCode == http.StatusServiceUnavailable {
 		return nil, problem(call.Address, res)
 	}
-	return res, nil
+	return &Answer{AnswerHead: AnswerHead{Status: res.StatusCode, Header: res.Header}, Length: res.ContentLength, Body: res.Body}, nil
 }
 
 // report gets or posts a small JSON document.
@@ -230,32 +243,35 @@
 	return errors.Wrap(json.NewDecoder(io.LimitReader(res.Body, maxReport)).Decode(out), path)
 }
 
-// State asks for the endpoint's lagged report.
+// State implements Engine.
 func (c *Client) State(ctx context.Context, addr string) (*State, error) {
 	s := new(State)
 	return s, c.report(ctx, http.MethodGet, addr, PathState, nil, s)
 }
 
-// Requests asks for the endpoint's own list of what it holds.
+// Requests implements Engine.
 func (c *Client) Requests(ctx context.Context, addr string) ([]Running, error) {
 	var l RunningList
 	err := c.report(ctx, http.MethodGet, addr, PathRequests, nil, &l)
 	return l.Requests, err
 }
 
-// Abort gives up a request, or one attempt of it.
+// Discard implements Engine. The project's own engines free a result when its
+// attempt is aborted.
+func (c *Client) Discard(context.Context, *Transfer) error { return nil }
+
+// Abort implements Engine.
 func (c *Client) Abort(ctx context.Context, addr, id string) error {
 	return c.report(ctx, http.MethodPost, addr, PathAbort, Abort{ID: id}, nil)
 }
 
-// CacheEvents reads the event feed from a sequence number on.
+// CacheEvents implements Engine.
 func (c *Client) CacheEvents(ctx context.Context, addr string, after uint64) (*CacheEvents, error) {
 	e := new(CacheEvents)
 	return e, c.report(ctx, http.MethodGet, addr, fmt.Sprintf("%s?after=%d", PathCacheEvents, after), nil, e)
 }
 
-// Order brings the endpoint to a state. A refused fence is a CallError with
-// status 409.
+// Order implements Engine. A refused fence is a CallError with status 409.
 func (c *Client) Order(ctx context.Context, addr string, o Order) error {
 	return c.report(ctx, http.MethodPost, addr, PathOrders, o, nil)
 }
--- a/endpoint/client_test.go
+++ b/endpoint/client_test.go
@@ -6,9 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 	"testing"
+
+	"github.com/embercove/embercove/request"
 )
 
 // flaky accepts connections, answers the first call on each and closes the
@@ -65,14 +68,14 @@
 			if method == "GET" {
 				body = nil
 			}
-			header := http.Header{"Idempotency-Key": {"k"}}
-			res, err := c.Service(context.Background(), call, method, "/x", header, body)
+			work := &Work{Origin: &request.Origin{Method: method, URL: &url.URL{Path: "/x"}, Header: http.Header{"Idempotency-Key": {"k"}}, Body: body}}
+			res, err := c.Service(context.Background(), call, work)
 			if err != nil {
 				t.Fatal(err)
 			}
 			io.Copy(io.Discard, res.Body)
 			res.Body.Close()
-			_, err = c.Service(context.Background(), call, method, "/x", header, body)
+			_, err = c.Service(context.Background(), call, work)
 			if !MayHaveRun(err) {
 				t.Errorf("err %v: want one that may have run", err)
 			}
@@ -102,7 +105,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			s := &Stream{attempt: "1", body: io.NopCloser(strings.NewReader("")), r: bufio.NewReaderSize(strings.NewReader(tc.src), 4096)}
+			s := &tokenStream{attempt: "1", body: io.NopCloser(strings.NewReader("")), r: bufio.NewReaderSize(strings.NewReader(tc.src), 4096)}
 			n := 0
 			var err error
 			for err == nil {
--- a/endpoint/stream.go
+++ b/endpoint/stream.go
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 )
 
-// Stream is a decode engine's answer in progress.
-type Stream struct {
+// tokenStream is a decode engine's answer in progress.
+type tokenStream struct {
 	addr    string
 	attempt string
 	body    io.ReadCloser
@@ -23,23 +23,26 @@
 // maxEvent bounds one line of a stream.
 const maxEvent = 256 << 10
 
-// Decode starts an answer from an exported KV cache. The returned stream
-// must be closed; ctx ends it too.
-func (c *Client) Decode(ctx context.Context, call Call, comp Completion) (*Stream, error) {
+// Decode implements Engine. ctx ends the stream too.
+func (c *Client) Decode(ctx context.Context, call Call, work *Work) (Stream, error) {
+	comp := work.Completion
 	comp.Stream = true
 	res, err := c.post(ctx, call, comp)
 	if err != nil {
 		return nil, err
 	}
-	return &Stream{addr: call.Address, attempt: call.Attempt, body: res.Body, r: bufio.NewReaderSize(res.Body, 4096)}, nil
+	return &tokenStream{addr: call.Address, attempt: call.Attempt, body: res.Body, r: bufio.NewReaderSize(res.Body, 4096)}, nil
 }
 
 // ErrForeignAnswer is returned for a chunk that belongs to another attempt.
 var ErrForeignAnswer = errors.New("chunk of another attempt")
 
-// Next returns the next chunk. It returns io.EOF only after the engine's
-// mark of a whole answer; a stream that just ends is io.ErrUnexpectedEOF.
-func (s *Stream) Next() (*Chunk, error) {
+// Head implements Stream.
+func (s *tokenStream) Head() *AnswerHead { return nil }
+
+// Next implements Stream. The engine's mark of the end is what a whole answer
+// ends with; whether its last token was among it is for the reader to see.
+func (s *tokenStream) Next() (*Chunk, error) {
 	for {
 		if s.done {
 			return nil, io.EOF
@@ -74,7 +77,7 @@
 }
 
 // longLine reads on to the end of a line that the buffer couldn't hold.
-func (s *Stream) longLine(head []byte) ([]byte, error) {
+func (s *tokenStream) longLine(head []byte) ([]byte, error) {
 	line := append([]byte(nil), head...)
 	for len(line) < maxEvent {
 		part, err := s.r.ReadSlice('\n')
@@ -86,9 +89,9 @@
 	return nil, errors.New("event is too long")
 }
 
-func (s *Stream) fail(err error) error {
+func (s *tokenStream) fail(err error) error {
 	return &CallError{Address: s.addr, Status: http.StatusOK, MayHaveRun: true, Cause: err}
 }
 
-// Close ends the stream; an engine that still writes sees its caller gone.
-func (s *Stream) Close() error { return s.body.Close() }
+// Close implements Stream.
+func (s *tokenStream) Close() error { return s.body.Close() }
--- a/endpoint/wire.go
+++ b/endpoint/wire.go
@@ -1,10 +1,10 @@
 // Package endpoint talks to model runners and plain services.
 //
-// It is the only package that knows how an endpoint is spoken to: HTTP with
-// JSON bodies and server-sent events, in the manner of the OpenAI API with
-// kv_transfer_params for the hand-over between prefill and decode. Another
-// protocol changes this package alone. It decides nothing: which endpoint is
-// called, and whether again, is its callers' business.
+// Engine is what the router asks of a protocol. Client is the project's own:
+// HTTP with JSON bodies and server-sent events, in the manner of the OpenAI
+// API with kv_transfer_params for the hand-over between prefill and decode.
+// Nothing here decides: which endpoint is called, and whether again, is its
+// callers' business.
 package endpoint
 
 import (
@@ -112,6 +112,11 @@
 	Choices  []Choice `json:"choices,omitempty"`
 	Usage    *Usage   `json:"usage,omitempty"`
 	Imported *int64   `json:"imported_bytes,omitempty"`
+
+	// Raw is the piece as it goes to the caller, and Mark names it, in
+	// protocols whose pieces are passed on as they came.
+	Raw  []byte `json:"-"`
+	Mark string `json:"-"`
 }
 
 // Problem is the body of an endpoint's error answer.
@@ -133,6 +138,10 @@
 	MemoryUsed   int      `json:"memory_used"` // tokens
 	Running      int      `json:"running"`
 	QueuedTokens int      `json:"queued_tokens"`
+	// Held is the list of what the endpoint holds, in protocols whose
+	// reports carry it; Lists says so.
+	Held  []Running `json:"-"`
+	Lists bool      `json:"-"`
 }
 
 // Running is one row of an endpoint's list of what it holds.
@@ -140,6 +149,7 @@
 	ID        string `json:"id"` // attempt, as given by HeaderRequestID
 	Tokens    int    `json:"tokens"`
 	AgeMillis int    `json:"age_ms"`
+	Written   int    `json:"written,omitempty"` // tokens of the answer so far, where the endpoint tells
 }
 
 // RunningList is an endpoint's own list of requests that hold its memory.
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -9,6 +9,9 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/result"
 )
 
@@ -32,8 +35,8 @@
 }
 
 func newAnswer(w http.ResponseWriter, j *job, chat bool) *answer {
-	return &answer{w: w, rc: http.NewResponseController(w), id: j.id.String(), model: j.body.Model, chat: chat,
-		stream: j.body.Stream, prompt: j.tokens}
+	return &answer{w: w, rc: http.NewResponseController(w), id: j.id.String(), model: j.work.Model, chat: chat,
+		stream: j.work.Stream, prompt: j.tokens}
 }
 
 // The shapes of the OpenAI API that callers' libraries read.
@@ -88,8 +91,18 @@
 	return "text_completion"
 }
 
-// open sends the head of a streamed answer, before its first event.
-func (a *answer) open() {
+func (a *answer) pieces() int      { return a.sent }
+func (a *answer) lastMark() string { return "" }
+func (a *answer) complete() bool   { return a.finish != "" }
+
+// open implements reply. The head is this interface's own.
+func (a *answer) open(*endpoint.AnswerHead) {}
+
+// whole implements reply. Engines of completions answer in pieces.
+func (a *answer) whole(*endpoint.Answer) error { return errors.New("a completion came in one piece") }
+
+// begin sends the head of a streamed answer, before its first event.
+func (a *answer) begin() {
 	if a.opened {
 		return
 	}
@@ -99,20 +112,23 @@
 	a.w.WriteHeader(http.StatusOK)
 }
 
-// token passes on the next token; finish is set on the last.
-func (a *answer) token(text, finish string) error {
+// piece implements reply: it passes on the next token.
+func (a *answer) piece(c *endpoint.Chunk) error {
+	text, finish := c.Choices[0].Text, c.Choices[0].FinishReason
 	now := time.Now()
 	if a.sent == 0 {
 		a.first = now
 	}
 	a.last = now
 	a.sent++
-	a.finish = finish
+	if a.finish = finish; c.Usage != nil && c.Usage.CompletionTokens != a.sent {
+		a.finish = "" // tokens are missing
+	}
 	if !a.stream {
 		a.text.WriteString(text)
 		return nil
 	}
-	a.open()
+	a.begin()
 	return a.event("", completion{ID: a.id, Object: a.object(), Model: a.model, Choices: a.choices(text, finish)})
 }
 
@@ -131,10 +147,10 @@
 	return a.rc.Flush()
 }
 
-// end closes a whole answer.
+// end implements reply.
 func (a *answer) end() {
 	if a.stream {
-		a.open()
+		a.begin()
 		fmt.Fprint(a.w, "data: [DONE]\n\n")
 		_ = a.rc.Flush()
 		return
@@ -143,7 +159,7 @@
 	writeJSON(a.w, http.StatusOK, completion{ID: a.id, Object: a.object(), Model: a.model, Choices: a.choices(a.text.String(), a.finish), Usage: u})
 }
 
-// fail tells the caller of a failure. A stream that has begun gets an error
+// fail implements reply. A stream that has begun gets an error
 // event and then a cut connection, so that nothing takes it for whole.
 func (a *answer) fail(err *result.Error) {
 	if !a.opened {
@@ -154,16 +170,9 @@
 	panic(http.ErrAbortHandler)
 }
 
-// times returns the time to first token and the time per further token.
+// times implements reply.
 func (a *answer) times(came time.Time) (ttft, tpot time.Duration) {
-	if a.sent == 0 {
-		return 0, 0
-	}
-	ttft = a.first.Sub(came)
-	if a.sent > 1 {
-		tpot = a.last.Sub(a.first) / time.Duration(a.sent-1)
-	}
-	return ttft, tpot
+	return pieceTimes(came, a.first, a.last, a.sent)
 }
 
 // Problem is the body of every refusal and error.
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -1,26 +1,42 @@
 package entry
 
-import "sync"
+import (
+	"sync"
+	"time"
 
-// Sizes of a retry budget, in retries.
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+)
+
+// Sizes of a retry budget that earns, in retries.
 const (
 	budgetStart = 2.0
 	budgetMost  = 10.0
 	maxBudgets  = 4096
 )
 
-// budgets bound retries: each team and each endpoint has a share of its
-// recent successes to spend, so that failing endpoints are not met with a
-// storm of further tries. The zero value works.
+// windowed reports whether further calls are counted in a window.
+func (b *budgets) windowed() bool { return b.window.WindowMillis > 0 }
+
+// budgets bound retries. Each team and each endpoint has a share of its recent
+// successes to spend, so that failing endpoints are not met with a storm of
+// further tries. Where the settings name a window, each pool of endpoints has
+// besides a number of further calls in it, which all hosts share.
 type budgets struct {
-	mu   sync.Mutex
-	left map[string]float64
+	window config.RetryBudget
+	hosts  func() int // that share a window's extra
+
+	mu    sync.Mutex
+	left  map[string]float64
+	pools map[string]*poolUse
+}
+
+func newBudgets(b *blackboard.Board) *budgets {
+	return &budgets{window: b.Settings.RetryBudget, left: map[string]float64{}, pools: map[string]*poolUse{},
+		hosts: func() int { return len(b.Hosts.List()) }}
 }
 
 func (b *budgets) get(name string) float64 {
-	if b.left == nil {
-		b.left = map[string]float64{}
-	}
 	n, ok := b.left[name]
 	if !ok {
 		return budgetStart
@@ -56,3 +72,73 @@
 		b.put(name, min(budgetMost, b.get(name)+share))
 	}
 }
+
+// poolUse counts a pool's requests and further calls in slices of a window.
+type poolUse struct {
+	slice    int64 // number of the newest slice
+	requests [windowSlices]int
+	further  [windowSlices]int
+}
+
+// windowSlices is how finely a window slides.
+const windowSlices = 20
+
+// cautious is the part of a window's budget that is spent: hosts count apart,
+// and their windows end at other moments.
+const cautious = 0.75
+
+func (u *poolUse) advance(slice int64) {
+	for ; u.slice < slice; u.slice++ {
+		if slice-u.slice > windowSlices {
+			u.slice = slice - windowSlices
+		}
+		at := (u.slice + 1) % windowSlices
+		u.requests[at], u.further[at] = 0, 0
+	}
+}
+
+func sum(counts [windowSlices]int) float64 {
+	n := 0
+	for _, c := range counts {
+		n += c
+	}
+	return float64(n)
+}
+
+func (b *budgets) pool(name string, now time.Time) *poolUse {
+	u := b.pools[name]
+	slice := now.UnixNano() / int64(b.window.Window()/windowSlices)
+	if u == nil {
+		u = &poolUse{slice: slice}
+		b.pools[name] = u
+	}
+	u.advance(slice)
+	return u
+}
+
+// count notes a request for a pool.
+func (b *budgets) count(pool string, now time.Time) {
+	if b.window.WindowMillis == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := b.pool(pool, now)
+	u.requests[u.slice%windowSlices]++
+}
+
+// further spends n further calls to a pool, if the window has so many left.
+func (b *budgets) further(pool string, now time.Time, n int) bool {
+	if b.window.WindowMillis == 0 || n == 0 {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := b.pool(pool, now)
+	most := b.window.Share*sum(u.requests) + float64(b.window.Extra)/float64(max(1, b.hosts()))
+	if sum(u.further)+float64(n) > cautious*most {
+		return false
+	}
+	u.further[u.slice%windowSlices] += n
+	return true
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,24 +24,25 @@
 	Release(spec *config.Endpoint, rel owner.Release)
 	KeyBegin(ctx context.Context, a peer.KeyArgs) (peer.KeyReply, error)
 	KeyEnd(ctx context.Context, a peer.KeyArgs)
-	Touched(i, n int)
+	Touched(number uint32, n int)
 }
 
 // Entry serves callers. Use New.
 type Entry struct {
 	board   *blackboard.Board
-	client  *endpoint.Client
+	engine  endpoint.Engine
+	traits  endpoint.Traits
 	owners  Owners
 	record  *report.Recorder
 	log     *zap.Logger
-	budgets budgets
+	budgets *budgets
 	turn    atomic.Uint64 // for round robin and seeds
 	logs    floodGate
 }
 
 // New returns an entry over the board.
-func New(b *blackboard.Board, c *endpoint.Client, o Owners, rec *report.Recorder, log *zap.Logger) *Entry {
-	return &Entry{board: b, client: c, owners: o, record: rec, log: log}
+func New(b *blackboard.Board, g endpoint.Engine, o Owners, rec *report.Recorder, log *zap.Logger) *Entry {
+	return &Entry{board: b, engine: g, traits: g.Traits(), owners: o, record: rec, log: log, budgets: newBudgets(b)}
 }
 
 // Handler returns the callers' HTTP interface.
@@ -68,17 +69,20 @@
 	return v, nil
 }
 
+// writeRefusal tells a caller of a refusal, in its protocol.
+type writeRefusal func(w http.ResponseWriter, err *result.Error)
+
 // receive takes a call in: the revision that it falls under and its body. It
 // answers the call itself when it returns false.
-func (e *Entry) receive(w http.ResponseWriter, q *http.Request) (*config.View, []byte, bool) {
+func (e *Entry) receive(w http.ResponseWriter, q *http.Request, write writeRefusal) (*config.View, []byte, bool) {
 	v, refusal := e.ready()
 	if refusal != nil {
-		e.refuse(w, q, refusal)
+		e.refuse(w, q, refusal, write)
 		return nil, nil, false
 	}
 	src, refusal := readBody(w, q, v.Doc.Limits)
 	if refusal != nil {
-		e.refuse(w, q, refusal)
+		e.refuse(w, q, refusal, write)
 		return nil, nil, false
 	}
 	return v, src, true
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -15,7 +15,7 @@
 
 // refuse answers a call that never became a job. Its key, if it has one, was
 // not looked up, so an earlier attempt may have run.
-func (e *Entry) refuse(w http.ResponseWriter, q *http.Request, err *result.Error) {
+func (e *Entry) refuse(w http.ResponseWriter, q *http.Request, err *result.Error, write writeRefusal) {
 	err.Unsure = q.Header.Get(HeaderKey) != ""
 	e.board.Requests.Refused(err.Code)
 	e.record.Record(report.Outcome{Code: err.Code, Team: unknownTeam}, time.Now())
@@ -23,7 +23,7 @@
 		e.log.Info("request refused", zap.Int("code", int(err.Code)), zap.String("name", err.Code.String()),
 			zap.String("detail", err.Detail), zap.Uint64("lines_left_out", lost))
 	}
-	writeError(w, err)
+	write(w, err)
 }
 
 // unknownTeam stands for the team of calls that were refused before theirs
@@ -35,10 +35,10 @@
 func (e *Entry) finish(j *job, err *result.Error, began bool) {
 	inv := e.board.Invariant
 	inv.Check(!err.Code.NotRun() || !j.ran, invariant.NotRunClean, "request %s ends as %s", j.id, err.Code)
-	inv.Check(err.Code != result.OK || j.out == nil || j.out.finish != "", invariant.CompleteMarked, "request %s ends cleanly before its last token", j.id)
+	inv.Check(err.Code != result.OK || j.out.complete(), invariant.CompleteMarked, "request %s ends cleanly before its last token", j.id)
 	o := j.outcome(err.Code)
 	v := e.record.Record(o, time.Now())
-	if j.out != nil && err.Code == result.OK {
+	if err.Code == result.OK {
 		j.out.end()
 	}
 	e.endKey(j, err.Code)
@@ -46,8 +46,20 @@
 		e.board.Requests.End(j.id, err.Code)
 	}
 	e.logEnd(j, o, v, err)
-	if err.Code != result.OK {
-		j.fail(err)
+	switch {
+	case err.Code == result.OK:
+	case j.last != nil && !j.out.complete():
+		e.passFailure(j, err)
+	default:
+		j.out.fail(err)
+	}
+}
+
+// passFailure gives the caller the failure that an endpoint answered with.
+func (e *Entry) passFailure(j *job, err *result.Error) {
+	defer j.last.Body.Close()
+	if j.out.whole(j.last) != nil {
+		j.out.fail(err)
 	}
 }
 
--- a/entry/job.go
+++ b/entry/job.go
@@ -10,7 +10,6 @@
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
-	"github.com/embercove/embercove/peer"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
@@ -20,16 +19,19 @@
 // job is one request on its way.
 type job struct {
 	headers
-	id      request.ID
-	view    *config.View // the revision that it was admitted under
-	route   *config.RouteView
-	body    *Body
-	out     *answer                 // nil for plain services
-	fail    func(err *result.Error) // tells the caller; may not return
-	came    time.Time
-	tokens  int
-	pick    route.Request
-	teamNum uint32
+	id       request.ID
+	mark     uint64       // of the id by which engines list it; 0: the attempt's
+	view     *config.View // the revision that it was admitted under
+	route    *config.RouteView
+	pool     string         // of the route's pools, the one that it goes to; empty: no pools
+	work     *endpoint.Work // what engines are given
+	prompted bool           // it goes to engines, not to a plain service
+	out      reply
+	came     time.Time
+	tokens   int // of the prompt
+	expected int // of the answer, by the caller's guess; 0: none
+	pick     route.Request
+	teamNum  uint32
 
 	ran      bool             // some call may have run at an endpoint
 	started  bool             // not repeatable: it was started
@@ -37,25 +39,44 @@
 	read     int              // tokens read in all
 	attempts int              // calls that may have run at an endpoint
 	tries    int              // passes of the whole way
+	reads    int              // calls to prefill endpoints
+	sends    int              // calls to decode endpoints or services
 	phases   [5]time.Duration // for the log: since came, at the end of each
 	prefill  string
 	decode   string
+	last     *endpoint.Answer // failure that an endpoint answered with
+}
+
+// target returns the time to the first piece, or to the answer, that counts
+// as in time.
+func (j *job) target() time.Duration {
+	if j.route.TargetMillis > 0 {
+		return time.Duration(j.route.TargetMillis) * time.Millisecond
+	}
+	return j.view.Doc.Targets.TTFT()
+}
+
+// mostAttempts returns how many endpoints the job may run on.
+func (j *job) mostAttempts() int {
+	if j.route.MaxAttempts > 0 {
+		return j.route.MaxAttempts
+	}
+	return j.view.Doc.Limits.MaxAttempts
 }
 
 // completions serves both completion paths.
 func (e *Entry) completions(w http.ResponseWriter, q *http.Request) {
-	v, src, ok := e.receive(w, q)
+	v, src, ok := e.receive(w, q, writeError)
 	if !ok {
 		return
 	}
 	chat := q.URL.Path == "/v1/chat/completions"
 	j, refusal := e.admit(v, q.Header, src, chat)
 	if refusal != nil {
-		e.refuse(w, q, refusal)
+		e.refuse(w, q, refusal, writeError)
 		return
 	}
 	j.out = newAnswer(w, j, chat)
-	j.fail = j.out.fail
 	e.carry(q.Context(), j, xxhash.Sum64(src), func(ctx context.Context) *result.Error { return e.run(ctx, j) })
 }
 
@@ -82,27 +103,27 @@
 	if r == nil {
 		return nil, result.Errorf(result.NoRoute, "no route takes a request with these labels")
 	}
-	j := &job{headers: hd, id: e.board.NextID(), view: v, route: r, body: body, came: time.Now(), tokens: tokens,
-		teamNum: config.NameNumber(hd.team.Name)}
+	j := e.newJob(v, r, hd)
+	j.prompted, j.tokens = true, tokens
 	j.priority = max(hd.priority, r.Priority) // a request may lower itself, not raise
-	j.pick = e.pickRequest(v, r, body.Model, tokens, *body.MaxTokens)
+	j.work = &endpoint.Work{Completion: endpoint.Completion{Model: body.Model, Prompt: body.Prompt, MaxTokens: *body.MaxTokens,
+		Stream: body.Stream, Priority: j.priority}}
+	j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = body.Model, tokens, *body.MaxTokens
 	j.pick.Head, j.pick.HasHead = endpoint.Head(body.Prompt)
 	return j, nil
 }
 
-// pickRequest returns what route decides from.
-func (e *Entry) pickRequest(v *config.View, r *config.RouteView, model string, tokens, answer int) route.Request {
-	return route.Request{Route: r, Model: model, Tokens: tokens, MaxAnswer: answer, Home: v.DomainIndex(e.board.Settings.Domain),
-		Region: e.board.Settings.Region, Seed: e.turn.Add(1)<<32 ^ uint64(e.board.Number)}
+// newJob returns a job of a route; what is asked for is still to be set.
+func (e *Entry) newJob(v *config.View, r *config.RouteView, hd headers) *job {
+	j := &job{headers: hd, id: e.board.NextID(), view: v, route: r, came: time.Now(), teamNum: config.NameNumber(hd.team.Name)}
+	j.pick = route.Request{Group: &r.Group, Home: v.DomainIndex(e.board.Settings.Domain), Region: e.board.Settings.Region,
+		Seed: e.turn.Add(1)<<32 ^ uint64(e.board.Number)}
+	return j
 }
 
 // carry takes a job from its row in the table of requests to its outcome.
 func (e *Entry) carry(ctx context.Context, j *job, bodyHash uint64, run func(ctx context.Context) *result.Error) {
-	model := ""
-	if j.body != nil {
-		model = j.body.Model
-	}
-	row := blackboard.Request{ID: j.id, Team: j.team.Name, Model: model, Phase: blackboard.PhaseReserve, Since: j.came, PhaseSince: j.came, Tokens: j.tokens}
+	row := blackboard.Request{ID: j.id, Team: j.team.Name, Model: j.work.Model, Phase: blackboard.PhaseReserve, Since: j.came, PhaseSince: j.came, Tokens: j.tokens}
 	l := j.view.Doc.Limits
 	if err := e.board.Requests.Begin(row, j.team.MaxConcurrent, l.Concurrent); err != nil {
 		refusal := asResult(err)
@@ -112,7 +133,7 @@
 	}
 	if j.deadline > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, j.deadline)
+		ctx, cancel = context.WithDeadline(ctx, j.came.Add(j.deadline))
 		defer cancel()
 	}
 	if j.key != "" {
@@ -152,63 +173,13 @@
 	return err
 }
 
-// takeKey takes the job's idempotency key, or says what became of it.
-func (e *Entry) takeKey(ctx context.Context, j *job, bodyHash uint64) *result.Error {
-	rec := blackboard.KeyRecord{Key: xxhash.Sum64String(j.team.Name + "\x00" + j.key), Body: bodyHash, ID: j.id}
-	reply, err := e.owners.KeyBegin(ctx, peer.KeyArgs{Record: rec, AgeMillis: j.keyAge.Milliseconds()})
-	if err != nil {
-		j.key = ""
-		return result.Errorf(result.KeyOutOfReach, "the holders of the key are out of reach").After(2 * time.Second)
-	}
-	key := j.key
-	if reply.State != blackboard.KeyNew {
-		j.key = "" // not ours to end
-	}
-	switch reply.State {
-	case blackboard.KeyRunning:
-		return result.Errorf(result.KeyRunning, "%s %q: request %s is in progress", HeaderKey, key, reply.Record.ID).After(time.Second)
-	case blackboard.KeyAnswered:
-		return result.Errorf(result.KeyAnswered, "%s %q: answered as request %s", HeaderKey, key, reply.Record.ID)
-	case blackboard.KeyMismatch:
-		return result.Errorf(result.KeyMismatch, "%s %q: used before with another body", HeaderKey, key)
-	case blackboard.KeyUnknown:
-		j.ran = true // perhaps, under another host
-		return result.Errorf(result.OutcomeUnknown, "%s %q: an earlier request may have run", HeaderKey, key)
-	}
-	return nil
-}
-
-// endKey tells the key's holders how the job ended.
-func (e *Entry) endKey(j *job, code result.Code) {
-	if j.key == "" {
-		return
-	}
-	state := blackboard.KeyUnknown
-	switch {
-	case code == result.OK:
-		state = blackboard.KeyAnswered
-	case code.NotRun():
-		state = blackboard.KeyNew
-	case j.repeatable && j.out != nil && j.out.sent == 0 && code != result.OutcomeUnknown:
-		state = blackboard.KeyNew // nothing was answered, and it may run again
-	}
-	rec := blackboard.KeyRecord{Key: xxhash.Sum64String(j.team.Name + "\x00" + j.key), ID: j.id, State: state}
-	ctx, cancel := context.WithTimeout(context.Background(), keyEndTimeout)
-	defer cancel()
-	e.owners.KeyEnd(ctx, peer.KeyArgs{Record: rec})
-}
-
-const keyEndTimeout = time.Second
-
 // outcome returns what is recorded of a job.
 func (j *job) outcome(code result.Code) report.Outcome {
-	o := report.Outcome{Team: j.team.Name, Code: code, Prefilled: j.read, Wasted: j.waste, Attempts: j.attempts, Tries: j.tries, Service: j.body == nil}
-	if j.body != nil {
-		o.Model = j.body.Model
-	}
-	if j.out != nil {
-		o.Tokens = j.out.sent
-		o.TTFT, o.TPOT = j.out.times(j.came)
+	o := report.Outcome{Team: j.team.Name, Code: code, Prefilled: j.read, Wasted: j.waste, Attempts: j.attempts, Tries: j.tries, Service: !j.prompted}
+	if j.prompted {
+		o.Model = j.work.Model
+		o.Tokens = j.out.pieces()
 	}
+	o.TTFT, o.TPOT = j.out.times(j.came)
 	return o
 }
--- /dev/null
+++ b/entry/relay.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/invariant"
+	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/route"
+)
+
+// tokenStall is how long an engine may write nothing before it counts as
+// stuck.
+const tokenStall = 2 * time.Second
+
+// decodeOnce makes one call to a decode engine and relays what it writes.
+func (e *Entry) decodeOnce(ctx context.Context, j *job, p *plan, kv *endpoint.Transfer) (err error) {
+	e.board.Invariant.Check(!p.dec.Leaving, invariant.LeavingNoWork, "request %s to leaving %s", j.id, p.dec.Name)
+	e.at(j, blackboard.PhaseTransfer, func(r *blackboard.Request) { r.Decode = p.dec.Name })
+	j.decode = p.dec.Name
+	undo := j.mayRun(true)
+	j.sends++
+	limited, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := newWatchdog(e.firstStall(j, p), cancel)
+	defer w.stop()
+	number := route.Number(p.dec.Name)
+	e.owners.Touched(number, 1)
+	defer e.owners.Touched(number, -1)
+	before, began := j.out.pieces(), time.Now()
+	defer func() {
+		if err != nil && w.fired.Load() && ctx.Err() == nil {
+			err = &endpoint.CallError{Address: p.dec.Address, MayHaveRun: true, Cause: &stallError{blackboard.PhaseTransfer}}
+		}
+		e.note(ctx, p.dec, err, time.Since(began))
+		e.decoded(ctx, j, p, err, j.out.pieces()-before, w.since())
+		if err == nil {
+			return
+		}
+		if endpoint.Unreachable(err) {
+			j.sends--
+		}
+		if !endpoint.MayHaveRun(err) {
+			undo()
+			return
+		}
+		e.abort(p.dec, p.decodeBy)
+		e.board.Requests.Close(p.decodeBy)
+	}()
+	work := *j.work
+	work.ResumeFrom, work.Transfer = j.out.pieces(), kv
+	if m := j.out.lastMark(); m != "" {
+		work.LastMark = m
+	}
+	s, err := e.engine.Decode(limited, e.call(j, p.dec, p.decodeBy), &work)
+	if err != nil {
+		j.keep(err)
+		return err
+	}
+	defer s.Close()
+	return e.relay(j, p, s, w)
+}
+
+// keep remembers a failure that the endpoint answered with, which the caller
+// gets unless another try does better.
+func (j *job) keep(err error) {
+	var ce *endpoint.CallError
+	if !errors.As(err, &ce) || ce.Answer == nil {
+		return
+	}
+	if j.last != nil {
+		j.last.Body.Close()
+	}
+	j.last = ce.Answer
+}
+
+// decoded tells the owner how a decode call ended, if it wrote anything or is
+// over. pieces were written in took, from the first to the last.
+func (e *Entry) decoded(ctx context.Context, j *job, p *plan, err error, pieces int, took time.Duration) {
+	if err != nil && pieces == 0 {
+		return
+	}
+	e.owners.Release(p.dec, owner.Release{Attempt: p.decodeBy, Endpoint: route.Number(p.dec.Name), Outcome: outcomeOf(ctx, err),
+		Waited: p.waited, Answer: pieces * p.dec.PieceTokens(), Max: j.work.MaxTokens, Expected: j.expected, Millis: ms(took)})
+}
+
+// firstStall returns how long an engine may write nothing at first. A request
+// that can't be sent again has nothing to gain by giving up.
+func (e *Entry) firstStall(j *job, p *plan) time.Duration {
+	if !e.traits.ReadingRuns && !j.repeatable {
+		return forever
+	}
+	return time.Duration(e.board.Settings.StallMillis)*time.Millisecond + p.Move
+}
+
+// laterStall is the same once it has begun.
+func (e *Entry) laterStall(j *job) time.Duration {
+	if !e.traits.ReadingRuns && !j.repeatable {
+		return forever
+	}
+	return tokenStall
+}
+
+// relay passes the stream on: each piece once, in order, and a clean end only
+// after a whole answer.
+func (e *Entry) relay(j *job, p *plan, s endpoint.Stream, w *watchdog) error {
+	for {
+		c, err := s.Next()
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			j.out.open(s.Head())
+			if j.out.complete() {
+				return nil
+			}
+			return broken(p, "the answer ended early")
+		}
+		if err != nil {
+			return err
+		}
+		if c.Imported != nil {
+			w.progress()
+			continue
+		}
+		if c.Raw == nil && len(c.Choices) == 0 || c.Offset < j.out.pieces() {
+			continue
+		}
+		if c.Offset > j.out.pieces() {
+			return broken(p, "pieces are missing")
+		}
+		if j.out.pieces() == 0 {
+			j.phase(3)
+		}
+		if !w.begun {
+			w.begin(e.laterStall(j))
+			e.at(j, blackboard.PhaseDecode, nil)
+		}
+		w.progress()
+		inv := e.board.Invariant
+		inv.Check(c.Offset == j.out.pieces(), invariant.TokenOnce, "request %s: piece %d after %d", j.id, c.Offset, j.out.pieces())
+		inv.Check(c.ID == p.decodeBy.String(), invariant.OwnAnswer, "request %s: chunk of %s in attempt %s", j.id, c.ID, p.decodeBy)
+		j.out.open(s.Head())
+		if err := j.out.piece(c); err != nil {
+			return &endpoint.CallError{Address: p.dec.Address, MayHaveRun: true, Cause: err}
+		}
+	}
+}
+
+func broken(p *plan, cause string) error {
+	return &endpoint.CallError{Address: p.dec.Address, MayHaveRun: true, Cause: errors.New(cause)}
+}
+
+// watchdog cancels a call that makes no progress.
+type watchdog struct {
+	limit time.Duration
+	timer *time.Timer
+	fired atomic.Bool
+	begun bool // the answer has begun
+	first time.Time
+	last  time.Time
+}
+
+func newWatchdog(limit time.Duration, cancel func()) *watchdog {
+	w := &watchdog{limit: limit}
+	w.timer = time.AfterFunc(limit, func() {
+		w.fired.Store(true)
+		cancel()
+	})
+	return w
+}
+
+// begin sets the limit that holds once the answer has begun.
+func (w *watchdog) begin(limit time.Duration) {
+	w.begun, w.limit, w.first = true, limit, time.Now()
+}
+
+func (w *watchdog) progress() {
+	w.last = time.Now()
+	w.timer.Reset(w.limit)
+}
+
+func (w *watchdog) stop() { w.timer.Stop() }
+
+// since returns the time from the first piece to the last.
+func (w *watchdog) since() time.Duration {
+	if !w.begun {
+		return 0
+	}
+	return w.last.Sub(w.first)
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -12,38 +12,11 @@
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/invariant"
 	"github.com/embercove/embercove/owner"
-	"github.com/embercove/embercove/peer"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
 )
 
-// plan is a pair of endpoints with what owners granted for it.
-type plan struct {
-	route.Choice
-	pre, dec *config.Endpoint
-	decodeBy request.Attempt // holds the reservation
-	reserved bool
-	start    time.Time       // when the transfer may start
-	readBy   request.Attempt // the prefill attempt
-	cost     int             // tokens that were read
-	stalls   int             // transfers to this engine that stalled
-	waited   bool            // the decode engine was full when the prompt was read
-	lastDec  *config.Endpoint
-}
-
-// lastOr returns the decode endpoint that was tried last.
-func (p *plan) lastOr(e *config.Endpoint) *config.Endpoint {
-	if e == nil {
-		return p.lastDec
-	}
-	return e
-}
-
-// maxAsk is how many pairs are asked for one try, before the request is
-// refused for lack of room.
-const maxAsk = 4
-
 // Backoff between tries that failed at an endpoint.
 const (
 	backoffStart = 10 * time.Millisecond
@@ -52,6 +25,7 @@
 
 // run carries a completion through, trying again where that is allowed.
 func (e *Entry) run(ctx context.Context, j *job) *result.Error {
+	e.budgets.count(j.pool, j.came)
 	backoff := backoffStart
 	for {
 		j.tries++
@@ -77,8 +51,8 @@
 // retryable is a failure after which the request may be tried again
 // elsewhere, if it may be repeated or did not run.
 type retryable struct {
-	at         int // endpoint to leave out, -1: none
-	name       string
+	name       string // of the endpoint
+	stay       bool   // it may be tried again at the endpoint
 	mayHaveRun bool
 	refusal    *result.Error // what the caller is told when there is no other try
 }
@@ -93,20 +67,33 @@
 		return r.refusal
 	case r.mayHaveRun && !j.repeatable:
 		return result.Errorf(result.OutcomeUnknown, "%s", r.refusal.Detail)
-	case j.tries >= j.view.Doc.Limits.MaxAttempts:
+	case j.tries >= j.view.Doc.Limits.MaxAttempts, r.mayHaveRun && j.attempts >= j.mostAttempts():
 		return r.refusal
-	case !e.budgets.take(j.team.Name, r.name):
+	case !e.affords(j, r):
 		if j.ran {
 			return r.refusal
 		}
 		return result.Errorf(result.RetryBudget, "the retry budget is spent; %s", r.refusal.Detail).After(time.Second)
 	}
-	if r.at >= 0 {
-		j.pick.Drop(r.at)
+	if !r.stay {
+		j.pick.Drop(route.Number(r.name))
 	}
 	return nil
 }
 
+// affords spends from the retry budgets what another try costs, if they hold
+// it. In a window every further call counts, to be read and to be run.
+func (e *Entry) affords(j *job, r *retryable) bool {
+	if !e.budgets.windowed() {
+		return e.budgets.take(j.team.Name, r.name)
+	}
+	calls := min(1, j.sends)
+	if j.prompted {
+		calls += min(1, j.reads)
+	}
+	return e.budgets.further(j.pool, time.Now(), calls)
+}
+
 // sleep waits unless the context ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
@@ -133,10 +120,10 @@
 // slack returns the time left to the first token. A resumed answer has its
 // first token; it only has to go on soon.
 func (j *job) slack() time.Duration {
-	if j.out.sent > 0 {
+	if j.out.pieces() > 0 {
 		return resumeSlack
 	}
-	return time.Until(j.came.Add(time.Duration(aim * float64(j.view.Doc.Targets.TTFT()))))
+	return time.Until(j.came.Add(time.Duration(aim * float64(j.target()))))
 }
 
 // aim is the share of the target that forecasts are made to meet, so that a
@@ -157,19 +144,46 @@
 		return err
 	}
 	j.phase(0)
+	if p.pre == nil {
+		sleep(ctx, time.Until(p.start))
+		return e.write(ctx, j, p, nil)
+	}
+	if !sleep(ctx, p.early()) {
+		e.giveBack(p)
+		e.letGo(j, p, owner.GivenUp)
+		return asResult(ctx.Err())
+	}
 	kv, err := e.read(ctx, j, p)
 	if err != nil {
 		e.letGo(j, p, owner.GivenUp)
 		return err
 	}
 	j.phase(2)
-	if !sleep(ctx, min(time.Until(p.start), time.Duration(kv.KeptMillis)*time.Millisecond/2)) {
-		e.discard(j, p)
+	if !sleep(ctx, min(time.Until(p.start), kept(kv)/2)) {
+		e.discard(j, p, kv)
 		return asResult(ctx.Err())
 	}
 	return e.write(ctx, j, p, kv)
 }
 
+// early returns how long the prompt should not be read yet, because its result
+// would wait too long for the decode engine's memory.
+func (p *plan) early() time.Duration {
+	wait := time.Until(p.start) - p.Read
+	if wait < time.Duration(p.pre.ResultKeepMillis)*time.Millisecond/keepShare {
+		return 0
+	}
+	return wait
+}
+
+// keepShare is the part of the time for which a result is kept that it may
+// wait for memory.
+const keepShare = 8
+
+func kept(kv *endpoint.Transfer) time.Duration {
+	return time.Duration(kv.KeptMillis) * time.Millisecond
+}
+
 // phase notes the time at the end of a phase, for the log.
 func (j *job) phase(i int) { j.phases[i] = time.Since(j.came) }
 
@@ -184,154 +198,8 @@
 	})
 }
 
-// choose asks route for a pair; fixed is the index + 1 of a prefill endpoint
-// that has called the request, 0 for none.
-func (e *Entry) choose(j *job, fixed int) (route.Choice, *config.View) {
-	var c route.Choice
-	var view *config.View
-	j.pick.Now = time.Now()
-	j.pick.FixedPrefill = fixed
-	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
-		view = v
-		if r := v.RouteByName(j.route.Name); r != nil {
-			j.pick.Route = r
-			c = route.Pick(v, states, &j.pick)
-		} else {
-			c.Prefill = -1
-		}
-	})
-	return c, view
-}
-
-// place finds a pair whose owners grant room: the prefill engine's turn, and
-// then, before the engine begins, decode memory for the moment it will end.
-// Without such memory the turn is given back and the request queues again,
-// as long as it can still be in time. Nothing has run when it refuses.
-func (e *Entry) place(ctx context.Context, j *job) (*plan, error) {
-	asked := j.pick.Exclude // endpoints that have no room now are left out of this try only
-	var last *result.Error
-	notBefore := time.Now()
-	for range maxAsk {
-		c, v := e.choose(j, 0)
-		if c.Prefill < 0 {
-			break
-		}
-		p := &plan{Choice: c, pre: &v.Doc.Endpoints[c.Prefill], dec: &v.Doc.Endpoints[c.Decode]}
-		if last = e.enqueue(ctx, j, p, notBefore); last != nil {
-			if ctx.Err() != nil {
-				break
-			}
-			j.pick.Drop(c.Prefill)
-			continue
-		}
-		last = e.reserveAny(ctx, j, p)
-		j.pick.Exclude = asked
-		if last == nil {
-			return p, nil
-		}
-		e.giveBack(p)
-		if ctx.Err() != nil || last.RetryAfter+p.Read+p.Move > j.slack() {
-			break
-		}
-		notBefore = time.Now().Add(last.RetryAfter)
-	}
-	j.pick.Exclude = asked
-	if last == nil {
-		last = result.Errorf(result.NoEndpoint, "no endpoint that the route allows is in reach").After(time.Second)
-	}
-	return nil, last
-}
-
-// giveBack returns the turn at a prefill engine that was called.
-func (e *Entry) giveBack(p *plan) {
-	e.owners.Release(p.pre, owner.Release{Attempt: p.readBy, Endpoint: route.Number(p.pre.Name), Outcome: owner.GivenUp})
-}
-
-// decodeAsks is how many decode engines are asked for a called request.
-const decodeAsks = 3
-
-// reserveAny reserves decode memory on the best engine that grants it. The
-// refusal it returns has the soonest time at which one would.
-func (e *Entry) reserveAny(ctx context.Context, j *job, p *plan) *result.Error {
-	e.at(j, blackboard.PhaseReserve, nil)
-	var last *result.Error
-	for range decodeAsks {
-		c, v := e.choose(j, p.Prefill+1)
-		if c.Decode < 0 {
-			break
-		}
-		p.Decode, p.dec, p.Move = c.Decode, &v.Doc.Endpoints[c.Decode], c.Move
-		refusal := e.reserve(ctx, j, p, p.Read)
-		if refusal == nil || ctx.Err() != nil {
-			return refusal
-		}
-		if last == nil || refusal.RetryAfter < last.RetryAfter {
-			last = refusal
-		}
-		j.pick.Drop(c.Decode)
-	}
-	if last == nil {
-		last = result.Errorf(result.NoEndpoint, "no decode endpoint that the route allows is in reach").After(time.Second)
-	}
-	return last
-}
-
-// reserve asks for decode memory at the time the prefill will end.
-func (e *Entry) reserve(ctx context.Context, j *job, p *plan, in time.Duration) *result.Error {
-	a := owner.ReserveArgs{Attempt: e.board.Requests.Open(j.id), Endpoint: route.Number(p.dec.Name), Tokens: j.tokens,
-		MaxAnswer: *j.body.MaxTokens, Bytes: int64(j.tokens) * j.view.Models[j.body.Model].KVBytesPerToken,
-		InMillis: ms(in), Slack: max(0, ms(j.slack()-in-p.Move)), Team: j.teamNum, Priority: j.priority}
-	p.decodeBy, p.reserved = a.Attempt, false
-	now := time.Now()
-	reply, err := e.owners.Reserve(ctx, p.dec, a)
-	switch {
-	case err != nil && ctx.Err() != nil:
-		e.letGo(j, p, owner.GivenUp)
-		return asResult(ctx.Err())
-	case err != nil: // the owner is out of reach: the engine's admission decides
-		p.start = now.Add(in)
-		return nil
-	case reply.Code != result.OK:
-		e.board.Requests.Close(a.Attempt)
-		return result.Errorf(reply.Code, "no decode memory on %s in time", p.dec.Name).After(time.Duration(reply.Retry) * time.Millisecond)
-	}
-	p.reserved, p.start = true, now.Add(time.Duration(reply.InMillis)*time.Millisecond)
-	return nil
-}
-
-// enqueue waits for the prefill engine's turn.
-func (e *Entry) enqueue(ctx context.Context, j *job, p *plan, notBefore time.Time) *result.Error {
-	e.at(j, blackboard.PhaseQueue, nil)
-	p.readBy = e.board.Requests.Open(j.id)
-	defer e.board.Requests.Close(p.readBy)
-	a := owner.EnqueueArgs{Attempt: p.readBy, Endpoint: route.Number(p.pre.Name), Tokens: j.tokens, Head: j.pick.Head,
-		HasHead: j.pick.HasHead, Slack: ms(j.slack() - p.Move), NotYet: ms(time.Until(notBefore)),
-		Team: j.teamNum, Priority: j.priority}
-	reply, err := e.owners.Enqueue(ctx, p.pre, a)
-	switch {
-	case err != nil && errors.Is(err, peer.ErrOutOfReach) && ctx.Err() == nil:
-		if p.Wait+p.Read+p.Move > j.slack() {
-			return result.Errorf(result.TooLate, "by the last report of %s the prompt would be read too late", p.pre.Name).After(p.Wait + p.Read)
-		}
-		return nil
-	case err != nil:
-		return asResult(err)
-	case reply.Code != result.OK:
-		return result.Errorf(reply.Code, "%s can't read the prompt in time", p.pre.Name).After(time.Duration(reply.Retry) * time.Millisecond)
-	}
-	return nil
-}
-
-func ms(d time.Duration) int { return int(d.Milliseconds()) }
-
-// letGo gives the decode reservation back.
-func (e *Entry) letGo(j *job, p *plan, o owner.Outcome) {
-	e.owners.Release(p.dec, owner.Release{Attempt: p.decodeBy, Endpoint: route.Number(p.dec.Name), Outcome: o})
-	e.board.Requests.Close(p.decodeBy)
-}
-
-// read has the prompt read. It marks the job as run unless the endpoint
-// vouches that it did nothing.
+// read has the prompt read. Where reading counts as a run it marks the job as
+// run, unless the endpoint vouches that it did nothing.
 func (e *Entry) read(ctx context.Context, j *job, p *plan) (*endpoint.Transfer, error) {
 	j.phase(1)
 	e.board.Invariant.Check(j.repeatable || !j.started, invariant.SingleRun, "request %s would start twice", j.id)
@@ -344,17 +212,18 @@
 		r.Open = append(r.Open, p.readBy.Number)
 	})
 	j.prefill = p.pre.Name
-	j.attempts++
-	ran, started := j.ran, j.started
-	j.ran, j.started = true, true
-	limited, cancel := context.WithTimeout(ctx, prefillPatience+patienceFactor*p.Read)
+	undo := j.mayRun(e.traits.ReadingRuns)
+	limited, cancel := context.WithTimeout(ctx, e.patience(p))
 	defer cancel()
+	j.reads++
 	began := time.Now()
-	e.owners.Touched(p.Prefill, 1)
-	ans, err := e.client.Prefill(limited, e.call(j, p.pre, p.readBy), endpoint.Completion{Model: j.body.Model, Prompt: j.body.Prompt, Priority: j.priority})
-	e.owners.Touched(p.Prefill, -1)
+	number := route.Number(p.pre.Name)
+	e.owners.Touched(number, 1)
+	ans, err := e.engine.Prefill(limited, e.call(j, p.pre, p.readBy), j.work)
+	e.owners.Touched(number, -1)
+	e.note(ctx, p.pre, err, time.Since(began))
 	e.board.Requests.Close(p.readBy)
-	rel := owner.Release{Attempt: p.readBy, Endpoint: route.Number(p.pre.Name), Millis: ms(time.Since(began))}
+	rel := owner.Release{Attempt: p.readBy, Endpoint: number, Millis: ms(time.Since(began))}
 	if err == nil {
 		rel.Cached = ans.Usage.CachedTokens
 		if e.worthTelling(p, rel) {
@@ -367,13 +236,63 @@
 	}
 	rel.Outcome = outcomeOf(ctx, err)
 	e.owners.Release(p.pre, rel)
+	if endpoint.Unreachable(err) {
+		j.reads--
+	}
 	if !endpoint.MayHaveRun(err) {
-		j.ran, j.started = ran, started
-		j.attempts--
+		undo()
 	} else {
 		e.abort(p.pre, p.readBy)
 	}
-	return nil, e.failed(p.Prefill, p.pre, err)
+	r := e.failed(p.pre, err)
+	r.mayHaveRun = r.mayHaveRun && e.traits.ReadingRuns
+	if !r.mayHaveRun {
+		r.refusal.Code = result.EndpointRefused
+	}
+	return nil, r
+}
+
+// mayRun notes that a call goes out which may run the request, if it does. It
+// returns what takes the note back when the endpoint vouches that it didn't.
+func (j *job) mayRun(does bool) (undo func()) {
+	if !does {
+		return func() {}
+	}
+	ran, started := j.ran, j.started
+	j.ran, j.started = true, true
+	j.attempts++
+	return func() {
+		j.ran, j.started = ran, started
+		j.attempts--
+	}
+}
+
+// patience returns how long a prefill engine may take. Where reading is no
+// run, another may be asked soon.
+func (e *Entry) patience(p *plan) time.Duration {
+	if e.traits.ReadingRuns {
+		return prefillPatience + patienceFactor*p.Read
+	}
+	return rereadPatience + patienceFactor*(p.Read+p.Wait)
+}
+
+// note takes what a call showed of an endpoint into the table.
+func (e *Entry) note(ctx context.Context, spec *config.Endpoint, err error, took time.Duration) {
+	if err != nil && ctx.Err() != nil {
+		return // the caller left, or its deadline passed
+	}
+	sight := route.SightWhole
+	switch {
+	case err == nil:
+	case endpoint.Elsewhere(err), endpoint.Unreachable(err):
+		sight = route.SightGone
+	case !endpoint.MayHaveRun(err):
+		sight = route.SightFull
+	default:
+		sight = route.SightFailed
+	}
+	now := time.Now()
+	e.board.Endpoints.Touch(route.Number(spec.Name), func(s *route.State) { s.Seen.Note(now, sight, took) })
 }
 
 // tellEvery is how many ordinary ends of a prefill there are for each that is
@@ -396,11 +315,12 @@
 // Patience with a prefill engine: beyond it the engine counts as stuck.
 const (
 	prefillPatience = 3 * time.Second
+	rereadPatience  = 250 * time.Millisecond
 	patienceFactor  = 4
 )
 
 func (e *Entry) call(j *job, spec *config.Endpoint, a request.Attempt) endpoint.Call {
-	return endpoint.Call{Address: spec.Address, Attempt: a.String(), Version: j.view.WantVersion(spec), Repeatable: j.repeatable}
+	return endpoint.Call{Address: spec.Address, Attempt: a.String(), Name: spec.Name, Version: j.view.WantVersion(spec), Repeatable: j.repeatable}
 }
 
 func outcomeOf(ctx context.Context, err error) owner.Outcome {
@@ -416,8 +336,8 @@
 }
 
 // failed makes a retryable of a call that failed at an endpoint.
-func (e *Entry) failed(at int, spec *config.Endpoint, err error) *retryable {
-	r := &retryable{at: at, name: spec.Name, mayHaveRun: endpoint.MayHaveRun(err)}
+func (e *Entry) failed(spec *config.Endpoint, err error) *retryable {
+	r := &retryable{name: spec.Name, mayHaveRun: endpoint.MayHaveRun(err)}
 	if r.mayHaveRun {
 		r.refusal = result.Errorf(result.AnswerBroken, "%s broke off the request", spec.Name).After(time.Second)
 		return r
@@ -429,18 +349,35 @@
 // abort gives an attempt up at an endpoint that may hold memory for it. It
 // doesn't wait; if it is lost, the endpoint's owner finds the attempt.
 func (e *Entry) abort(spec *config.Endpoint, a request.Attempt) {
+	if e.traits.HangUpAborts {
+		return
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 		defer cancel()
-		_ = e.client.Abort(ctx, spec.Address, a.String())
+		_ = e.engine.Abort(ctx, spec.Address, a.String())
 	}()
 }
 
 const abortTimeout = time.Second
 
 // discard gives up a result that was read for nothing.
-func (e *Entry) discard(j *job, p *plan) {
+func (e *Entry) discard(j *job, p *plan, kv *endpoint.Transfer) {
+	e.drop(j, p, kv)
+	e.letGo(j, p, owner.GivenUp)
+}
+
+// drop has the prefill engine free a result. It doesn't wait; a result whose
+// drop is lost lapses.
+func (e *Entry) drop(j *job, p *plan, kv *endpoint.Transfer) {
+	if p.pre == nil {
+		return
+	}
 	j.waste += p.cost
 	e.abort(p.pre, p.readBy)
-	e.letGo(j, p, owner.GivenUp)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+		defer cancel()
+		_ = e.engine.Discard(ctx, kv)
+	}()
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
+	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -13,52 +16,39 @@
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/invariant"
+	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
 )
 
-// call is a call to a plain service on its way.
-type call struct {
-	w      http.ResponseWriter
-	method string
-	path   string
-	header http.Header
-	src    []byte
-	opened bool // the answer's head was sent
-}
-
-// fail tells the caller of a failure; an answer that has begun is cut, so
-// that nothing takes it for whole.
-func (c *call) fail(err *result.Error) {
-	if c.opened {
-		panic(http.ErrAbortHandler)
-	}
-	writeError(c.w, err)
-}
-
 // service passes a call on to a plain service.
 func (e *Entry) service(w http.ResponseWriter, q *http.Request) {
-	v, src, ok := e.receive(w, q)
+	v, src, ok := e.receive(w, q, writeError)
 	if !ok {
 		return
 	}
 	hd, refusal := parseHeaders(v, q.Header)
 	if refusal != nil {
-		e.refuse(w, q, refusal)
+		e.refuse(w, q, refusal, writeError)
 		return
 	}
 	name := q.PathValue("name")
 	hd.labels["team"], hd.labels["service"] = hd.team.Name, name
 	r := v.Match(hd.labels, true)
 	if r == nil {
-		e.refuse(w, q, result.Errorf(result.UnknownService, "no route leads to service %q", name))
+		e.refuse(w, q, result.Errorf(result.UnknownService, "no route leads to service %q", name), writeError)
+		return
+	}
+	path := "/" + strings.TrimPrefix(q.URL.RequestURI(), "/services/"+name+"/")
+	target, err := url.ParseRequestURI(path)
+	if err != nil {
+		e.refuse(w, q, result.Errorf(result.BadHeader, "path %q: %v", path, err), writeError)
 		return
 	}
-	j := &job{headers: hd, id: e.board.NextID(), view: v, route: r, came: time.Now(), teamNum: config.NameNumber(hd.team.Name)}
-	j.pick = e.pickRequest(v, r, "", 0, 0)
-	c := &call{w: w, method: q.Method, path: "/" + strings.TrimPrefix(q.URL.RequestURI(), "/services/"+name+"/"), header: passedOn(q.Header), src: src}
-	j.fail = c.fail
-	e.carry(q.Context(), j, xxhash.Sum64(src), func(ctx context.Context) *result.Error { return e.runService(ctx, j, c) })
+	j := e.newJob(v, r, hd)
+	j.work = &endpoint.Work{Origin: &request.Origin{Method: q.Method, URL: target, Host: q.Host, Header: passedOn(q.Header), Body: src}}
+	j.out = newPassage(w, writeError)
+	e.carry(q.Context(), j, xxhash.Sum64(src), func(ctx context.Context) *result.Error { return e.runService(ctx, j) })
 }
 
 // hopByHop are headers that belong to one connection, and those that are
@@ -76,20 +66,25 @@
 
 // runService tries the call where that is allowed. A call that may not be
 // repeated goes out once, and again only if nothing can have run.
-func (e *Entry) runService(ctx context.Context, j *job, c *call) *result.Error {
+func (e *Entry) runService(ctx context.Context, j *job) *result.Error {
+	e.budgets.count(j.pool, j.came)
 	for {
-		i, spec := e.chooseService(j)
-		if i < 0 {
+		j.tries++
+		spec := e.chooseService(j)
+		if spec == nil {
+			if j.last != nil {
+				return result.Errorf(result.AnswerBroken, "the service failed, and no other endpoint of it is in reach")
+			}
 			return result.Errorf(result.NoEndpoint, "no endpoint of the service is in reach").After(time.Second)
 		}
-		err := e.callService(ctx, j, i, spec, c)
+		err := e.callService(ctx, j, spec)
 		if err == nil {
 			return nil
 		}
-		if c.opened {
+		if j.out.complete() {
 			return result.Errorf(result.AnswerBroken, "%s broke off its answer", spec.Name)
 		}
-		if refusal := e.mayRetry(ctx, j, e.failed(i, spec, err)); refusal != nil {
+		if refusal := e.mayRetry(ctx, j, e.failed(spec, err)); refusal != nil {
 			return refusal
 		}
 		if !sleep(ctx, backoffStart) {
@@ -99,67 +94,124 @@
 }
 
 // chooseService takes the endpoint with the fewest calls from this host, of
-// the own failure domain first.
-func (e *Entry) chooseService(j *job) (int, *config.Endpoint) {
-	best, least := -1, 0.0
+// the own failure domain first. Failures that were seen and a reach that was
+// lost weigh as calls.
+func (e *Entry) chooseService(j *job) *config.Endpoint {
 	var spec *config.Endpoint
+	least := 0.0
 	j.pick.Now = time.Now()
 	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
-		r := v.RouteByName(j.route.Name)
-		if r == nil {
+		g := j.group(v)
+		if g == nil {
 			return
 		}
-		for _, i := range r.Service {
+		for _, i := range g.Service {
 			s := &states[i]
 			if !route.Open(s, &j.pick) || !j.repeatable && !s.Spec.NotRepeatableAllows {
 				continue
 			}
-			cost := float64(s.Sent)
-			if s.Domain != j.pick.Home {
-				cost += otherDomainCalls
-			}
-			if best < 0 || cost < least {
-				best, least, spec = i, cost, s.Spec
+			if cost := serviceCost(s, &j.pick); spec == nil || cost < least {
+				least, spec = cost, s.Spec
 			}
 		}
 	})
-	return best, spec
+	return spec
 }
 
-// otherDomainCalls is how many more calls an endpoint of the own domain may
-// have before one of another domain is taken.
-const otherDomainCalls = 4
+// Costs of an endpoint of a service, in calls that it may have more of than
+// another before that one is taken.
+const (
+	otherDomainCalls = 4
+	failingCalls     = 12.0
+	shunnedCalls     = 1000.0
+	fullCalls        = 50.0
+	slowCalls        = 40.0 // for each second that an answer takes on average
+)
+
+func serviceCost(s *route.State, r *route.Request) float64 {
+	cost := float64(s.Sent) + failingCalls*s.Seen.Failing(r.Now) + slowCalls*s.Seen.Took
+	if s.Domain != r.Home {
+		cost += otherDomainCalls
+	}
+	if s.Seen.Shunned(r.Now) {
+		cost += shunnedCalls
+	}
+	if r.Now.Before(s.Seen.Full) {
+		cost += fullCalls
+	}
+	return cost
+}
 
-func (e *Entry) callService(ctx context.Context, j *job, i int, spec *config.Endpoint, c *call) error {
+// callService makes one call and passes its answer on. A failure of a call
+// that may be repeated is kept, in case no other try does better.
+func (e *Entry) callService(ctx context.Context, j *job, spec *config.Endpoint) (err error) {
 	inv := e.board.Invariant
 	inv.Check(j.repeatable || !j.started, invariant.SingleRun, "call %s would start twice", j.id)
 	inv.Check(!spec.Leaving, invariant.LeavingNoWork, "call %s to leaving %s", j.id, spec.Name)
 	a := e.board.Requests.Open(j.id)
 	defer e.board.Requests.Close(a)
 	e.at(j, blackboard.PhaseService, func(r *blackboard.Request) { r.Decode = spec.Name })
-	j.attempts++
-	ran, started := j.ran, j.started
-	j.ran, j.started = true, true
-	e.owners.Touched(i, 1)
-	defer e.owners.Touched(i, -1)
-	res, err := e.client.Service(ctx, e.call(j, spec, a), c.method, c.path, c.header, c.src)
+	j.decode = spec.Name
+	undo := j.mayRun(true)
+	j.sends++
+	number := route.Number(spec.Name)
+	e.owners.Touched(number, 1)
+	defer e.owners.Touched(number, -1)
+	began := time.Now()
+	defer func() { e.note(ctx, spec, err, time.Since(began)) }()
+	ans, err := e.engine.Service(ctx, e.call(j, spec, a), j.work)
 	if err != nil {
+		if endpoint.Unreachable(err) {
+			j.sends--
+		}
 		if !endpoint.MayHaveRun(err) {
-			j.ran, j.started = ran, started
-			j.attempts--
+			undo()
 		}
 		return err
 	}
-	defer res.Body.Close()
-	e.budgets.earn(j.team.Name, spec.Name, j.view.Doc.Limits.RetryShare)
-	head := c.w.Header()
-	for k, vs := range passedOn(res.Header) {
-		head[k] = vs
+	if err := buffer(ans); err != nil {
+		ans.Body.Close()
+		return &endpoint.CallError{Address: spec.Address, Status: ans.Status, MayHaveRun: true, Cause: err}
 	}
-	c.opened = true
-	c.w.WriteHeader(res.StatusCode)
-	if _, err := io.Copy(c.w, res.Body); err != nil {
+	failure := &endpoint.CallError{Address: spec.Address, Status: ans.Status, MayHaveRun: true, Answer: ans}
+	if ans.Status >= http.StatusInternalServerError && j.repeatable && j.attempts < j.mostAttempts() {
+		j.keep(failure)
+		return failure
+	}
+	defer ans.Body.Close()
+	e.budgets.earn(j.team.Name, spec.Name, j.view.Doc.Limits.RetryShare)
+	if err := j.out.whole(ans); err != nil {
 		return &endpoint.CallError{Address: spec.Address, MayHaveRun: true, Cause: err}
 	}
 	return nil
 }
+
+// bufferMost is the largest body that is held until it is whole, so that one
+// that breaks off can be asked for elsewhere. Longer ones are passed on as
+// they come.
+const bufferMost = 64 << 10
+
+// buffer reads an answer's body up to bufferMost. It returns an error if the
+// body breaks off before that.
+func buffer(ans *endpoint.Answer) error {
+	head, err := io.ReadAll(io.LimitReader(ans.Body, bufferMost))
+	if err != nil {
+		return err
+	}
+	ans.Body = &buffered{Reader: io.MultiReader(bytes.NewReader(head), ans.Body), Closer: ans.Body}
+	return nil
+}
+
+// buffered is a body whose beginning was read ahead.
+type buffered struct {
+	io.Reader
+	io.Closer
+}
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
+
+// copyBody writes a body to a caller.
+func copyBody(w io.Writer, body io.Reader) error {
+	_, err := io.Copy(w, body)
+	return err
+}
--- a/entry/unreserved.go
+++ b/entry/unreserved.go
@@ -13,7 +13,7 @@
 // wherever the baseline says, and a decode engine is looked for afterwards.
 func (e *Entry) tryUnreserved(ctx context.Context, j *job) error {
 	p := &plan{}
-	p.Prefill = e.one(j, func(r *config.RouteView) []int { return r.Prefill })
+	p.Prefill = e.one(j, func(g *config.Group) []int { return g.Prefill })
 	if p.Prefill < 0 {
 		return result.Errorf(result.NoEndpoint, "no prefill endpoint is in reach").After(time.Second)
 	}
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	p.Decode = e.one(j, func(r *config.RouteView) []int { return r.Decode })
+	p.Decode = e.one(j, func(g *config.Group) []int { return g.Decode })
 	if p.Decode < 0 {
 		e.abort(p.pre, p.readBy)
 		j.waste += p.cost
@@ -40,14 +40,13 @@
 const baselineMoves = 4
 
 // one chooses an endpoint as the baseline does.
-func (e *Entry) one(j *job, list func(r *config.RouteView) []int) int {
+func (e *Entry) one(j *job, list func(g *config.Group) []int) int {
 	turn := e.turn.Add(1)
 	j.pick.Now, j.pick.Seed = time.Now(), j.pick.Seed*0x9e3779b97f4a7c15+turn
 	best := -1
 	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
-		if r := v.RouteByName(j.route.Name); r != nil {
-			j.pick.Route = r
-			best = route.PickOne(v, states, list(r), v.Doc.Policy.Mode, turn, &j.pick)
+		if j.pick.Group = j.group(v); j.pick.Group != nil {
+			best = route.PickOne(v, states, list(j.pick.Group), v.Doc.Policy.Mode, turn, &j.pick)
 		}
 	})
 	if best >= len(j.view.Doc.Endpoints) {
--- a/entry/write.go
+++ b/entry/write.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/endpoint"
-	"github.com/embercove/embercove/invariant"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
@@ -20,10 +17,13 @@
 // write has the answer written from a prompt that was read, moving to other
 // decode engines while the result is kept, and relays it.
 func (e *Entry) write(ctx context.Context, j *job, p *plan, kv *endpoint.Transfer) error {
-	kept := time.Now().Add(time.Duration(kv.KeptMillis) * time.Millisecond)
+	lapses := time.Now().Add(forever)
+	if kv != nil {
+		lapses = time.Now().Add(kept(kv))
+	}
 	full := 0
 	for {
-		before := j.out.sent
+		before := j.out.pieces()
 		err := e.decodeOnce(ctx, j, p, kv)
 		if err == nil {
 			e.board.Requests.Close(p.decodeBy)
@@ -33,50 +33,60 @@
 		var stalled *stallError
 		switch {
 		case ctx.Err() != nil:
-			e.discard(j, p)
+			e.discard(j, p, kv)
 			return asResult(ctx.Err())
-		case j.out.sent > before: // tokens were relayed: the result is used up
-			return e.failed(p.Decode, p.dec, err)
-		case endpoint.Unreachable(err):
-			e.moveOn(ctx, j, p, true)
+		case j.out.pieces() > before: // pieces were relayed: the result is used up
+			return e.failed(p.dec, err)
+		case endpoint.Unreachable(err), endpoint.Elsewhere(err):
+			e.moveOn(ctx, j, p, owner.Failed, true)
 		case !endpoint.MayHaveRun(err):
 			full++
 			p.waited = true
+			if e.budgets.windowed() {
+				e.moveOn(ctx, j, p, owner.Rejected, true)
+			}
 		case errors.As(err, &stalled) && !j.repeatable:
-			// No token was written; but the engine may have begun since.
-			e.discard(j, p)
-			return e.failed(p.Decode, p.dec, err)
+			// Nothing was written; but the engine may have begun since.
+			e.discard(j, p, kv)
+			return e.failed(p.dec, err)
 		case errors.As(err, &stalled):
-			e.moveOn(ctx, j, p, stalledBefore(p))
+			e.moveOn(ctx, j, p, owner.Failed, stalledBefore(p))
 		default:
-			if !j.repeatable {
-				e.discard(j, p)
-				return e.failed(p.Decode, p.dec, err)
+			if !j.repeatable || j.attempts >= j.mostAttempts() {
+				e.discard(j, p, kv)
+				return e.failed(p.dec, err)
 			}
-			e.moveOn(ctx, j, p, true)
+			e.moveOn(ctx, j, p, owner.Failed, true)
 		}
-		if time.Until(kept) < lastMoment || p.dec == nil {
-			j.waste += p.cost
-			e.abort(p.pre, p.readBy)
+		if time.Until(lapses) < lastMoment || p.dec == nil || !e.sendsAgain(j) {
+			e.drop(j, p, kv)
 			if p.dec != nil {
 				e.letGo(j, p, owner.GivenUp)
 			}
 			return e.wasted(j, p, err)
 		}
-		if full > 0 && full%fullBeforeMove == 0 {
+		if !e.budgets.windowed() && full > 0 && full%fullBeforeMove == 0 {
 			e.moveIfRoom(ctx, j, p)
 		}
-		if !sleep(ctx, fullWait/2+rand.N(fullWait)) {
-			e.discard(j, p)
+		pause := max(fullWait/2+rand.N(fullWait), time.Until(p.start))
+		if !sleep(ctx, min(pause, time.Until(lapses))) {
+			e.discard(j, p, kv)
 			return asResult(ctx.Err())
 		}
 	}
 }
 
+// sendsAgain spends what one more call to a decode engine costs where further
+// calls are counted.
+func (e *Entry) sendsAgain(j *job) bool {
+	return j.sends == 0 || e.budgets.further(j.pool, time.Now(), 1)
+}
+
 const (
 	lastMoment     = 100 * time.Millisecond // of the time a result is kept
 	fullWait       = 20 * time.Millisecond  // between asks at a full engine
 	fullBeforeMove = 8                      // asks at a full engine before another is tried
+	forever        = 24 * time.Hour         // for which a prompt that needs no result is good
 )
 
 // stalledBefore reports whether this engine already stalled a transfer of
@@ -90,7 +100,7 @@
 // one's owner grants room; else the request keeps its place.
 func (e *Entry) moveIfRoom(ctx context.Context, j *job, p *plan) {
 	old := *p
-	j.pick.Drop(p.Decode)
+	j.pick.Drop(route.Number(p.dec.Name))
 	c, v := e.choose(j, 0)
 	if c.Decode < 0 {
 		return
@@ -106,16 +116,16 @@
 
 // moveOn finds the job's result another decode engine, or the same one anew
 // when move is false. p.dec is nil when there is none.
-func (e *Entry) moveOn(ctx context.Context, j *job, p *plan, move bool) {
-	e.letGo(j, p, owner.Failed)
+func (e *Entry) moveOn(ctx context.Context, j *job, p *plan, as owner.Outcome, move bool) {
+	e.letGo(j, p, as)
 	p.lastDec = p.dec
 	if !move {
 		p.decodeBy = e.board.Requests.Open(j.id)
 		return
 	}
-	j.pick.Drop(p.Decode)
+	j.pick.Drop(route.Number(p.dec.Name))
 	p.dec = nil
-	c, v := e.choose(j, 0)
+	c, v := e.chooseDecode(j)
 	if c.Decode < 0 {
 		p.decodeBy = e.board.Requests.Open(j.id)
 		return
@@ -128,9 +138,16 @@
 	}
 }
 
-// wasted is the failure of a try whose prompt was read for nothing.
+// wasted is the failure of a try whose prompt was read for nothing. Where
+// reading is no run, nothing of the request has run; it is not read again, as
+// that would hardly find more room.
 func (e *Entry) wasted(j *job, p *plan, err error) error {
-	r := e.failed(-1, p.lastOr(p.dec), err)
+	spec := p.lastOr(p.dec)
+	if !e.traits.ReadingRuns && !j.ran {
+		return result.Errorf(result.NoDecodeMemory, "%s and others had no room once the prompt was read", spec.Name).After(time.Second)
+	}
+	r := e.failed(spec, err)
+	r.stay = true
 	r.mayHaveRun = true
 	r.refusal = result.Errorf(result.PrefillWasted, "no decode engine took the request while its prompt was kept").After(time.Second)
 	return r
@@ -141,113 +158,3 @@
 
 // Error implements the error interface.
 func (s *stallError) Error() string { return "no progress in " + string(s.phase) }
-
-// tokenStall is how long an engine may write nothing before it counts as
-// stuck.
-const tokenStall = 2 * time.Second
-
-// decodeOnce makes one call to a decode engine and relays what it writes.
-func (e *Entry) decodeOnce(ctx context.Context, j *job, p *plan, kv *endpoint.Transfer) (err error) {
-	e.board.Invariant.Check(!p.dec.Leaving, invariant.LeavingNoWork, "request %s to leaving %s", j.id, p.dec.Name)
-	e.at(j, blackboard.PhaseTransfer, func(r *blackboard.Request) { r.Decode = p.dec.Name })
-	j.decode = p.dec.Name
-	j.attempts++
-	limited, cancel := context.WithCancel(ctx)
-	defer cancel()
-	w := newWatchdog(time.Duration(e.board.Settings.StallMillis)*time.Millisecond+p.Move, cancel)
-	defer w.stop()
-	e.owners.Touched(p.Decode, 1)
-	defer e.owners.Touched(p.Decode, -1)
-	began := j.out.sent
-	defer func() {
-		if err != nil && w.fired.Load() && ctx.Err() == nil {
-			err = &endpoint.CallError{Address: p.dec.Address, MayHaveRun: true, Cause: &stallError{blackboard.PhaseTransfer}}
-		}
-		if err == nil || j.out.sent > began {
-			e.owners.Release(p.dec, owner.Release{Attempt: p.decodeBy, Endpoint: route.Number(p.dec.Name),
-				Outcome: outcomeOf(ctx, err), Waited: p.waited, Answer: j.out.sent, Max: *j.body.MaxTokens})
-		}
-		if err != nil && !endpoint.MayHaveRun(err) {
-			j.attempts--
-		}
-		if err != nil && endpoint.MayHaveRun(err) {
-			e.abort(p.dec, p.decodeBy)
-			e.board.Requests.Close(p.decodeBy)
-		}
-	}()
-	comp := endpoint.Completion{Model: j.body.Model, Prompt: j.body.Prompt, MaxTokens: *j.body.MaxTokens,
-		Priority: j.priority, ResumeFrom: j.out.sent, Transfer: kv}
-	s, err := e.client.Decode(limited, e.call(j, p.dec, p.decodeBy), comp)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
-	return e.relay(j, p, s, w)
-}
-
-// relay passes the stream on: each token once, in order, and a clean end
-// only after a whole answer.
-func (e *Entry) relay(j *job, p *plan, s *endpoint.Stream, w *watchdog) error {
-	whole := false
-	for {
-		c, err := s.Next()
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			if whole {
-				return nil
-			}
-			return broken(p, "the answer ended early")
-		}
-		if err != nil {
-			return err
-		}
-		if c.Imported != nil {
-			w.progress()
-			continue
-		}
-		if len(c.Choices) == 0 || c.Offset < j.out.sent {
-			continue
-		}
-		if c.Offset > j.out.sent {
-			return broken(p, "tokens are missing")
-		}
-		if j.out.sent == 0 {
-			j.phase(3)
-		}
-		if w.limit != tokenStall {
-			w.limit = tokenStall
-			e.at(j, blackboard.PhaseDecode, nil)
-		}
-		w.progress()
-		inv := e.board.Invariant
-		inv.Check(c.Offset == j.out.sent, invariant.TokenOnce, "request %s: token %d after %d", j.id, c.Offset, j.out.sent)
-		inv.Check(c.ID == p.decodeBy.String(), invariant.OwnAnswer, "request %s: chunk of %s in attempt %s", j.id, c.ID, p.decodeBy)
-		last := c.Choices[0].FinishReason
-		if err := j.out.token(c.Choices[0].Text, last); err != nil {
-			return &endpoint.CallError{Address: p.dec.Address, MayHaveRun: true, Cause: err}
-		}
-		whole = last != "" && (c.Usage == nil || c.Usage.CompletionTokens == j.out.sent)
-	}
-}
-
-func broken(p *plan, cause string) error {
-	return &endpoint.CallError{Address: p.dec.Address, MayHaveRun: true, Cause: errors.New(cause)}
-}
-
-// watchdog cancels a call that makes no progress.
-type watchdog struct {
-	limit time.Duration
-	timer *time.Timer
-	fired atomic.Bool
-}
-
-func newWatchdog(limit time.Duration, cancel func()) *watchdog {
-	w := &watchdog{limit: limit}
-	w.timer = time.AfterFunc(limit, func() {
-		w.fired.Store(true)
-		cancel()
-	})
-	return w
-}
-
-func (w *watchdog) progress() { w.timer.Reset(w.limit) }
-func (w *watchdog) stop()     { w.timer.Stop() }
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -8,15 +8,15 @@
 	"sync"
 	"time"
 
-	"github.com/embercove/embercove/platform"
+	"github.com/embercove/embercove/publish"
 )
 
 // Platform is a stand-in for the service that publishes configuration and
 // the list of hosts.
 type Platform struct {
 	mu       sync.Mutex
-	docs     []platform.Revision
-	hosts    platform.HostList
+	docs     []publish.Revision
+	hosts    publish.HostList
 	changed  chan struct{}
 	down     bool
 	staleRev uint64 // a stale replica answers with this revision
@@ -39,22 +39,22 @@
 	if n := len(p.docs); n > 0 {
 		rev = p.docs[n-1].Revision + 1
 	}
-	p.docs = append(p.docs, platform.Revision{Revision: rev, Document: string(doc)})
+	p.docs = append(p.docs, publish.Revision{Revision: rev, Document: string(doc)})
 	p.wake()
 	return rev
 }
 
 // SetHosts replaces the list of hosts.
-func (p *Platform) SetHosts(hosts []platform.Host) {
+func (p *Platform) SetHosts(hosts []publish.Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.hosts = platform.HostList{Version: p.hosts.Version + 1, Hosts: hosts}
+	p.hosts = publish.HostList{Version: p.hosts.Version + 1, Hosts: hosts}
 	p.wake()
 }
 
 // SetHostsJSON replaces the list of hosts by a JSON array.
 func (p *Platform) SetHostsJSON(src []byte) error {
-	var hosts []platform.Host
+	var hosts []publish.Host
 	if err := json.Unmarshal(src, &hosts); err != nil {
 		return err
 	}
@@ -89,18 +89,18 @@
 // ServeHTTP answers reads, watches and the control path.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	switch q.URL.Path {
-	case platform.PathConfig:
+	case publish.PathConfig:
 		p.serve(w, q, func(after uint64) (any, bool) {
 			r, ok := p.newest()
 			return r, ok && (r.Revision > after || p.staleRev > 0)
 		})
-	case platform.PathHosts:
+	case publish.PathHosts:
 		p.serve(w, q, func(after uint64) (any, bool) { return p.hosts, p.hosts.Version > after })
 	case "/control/publish":
-		body, _ := io.ReadAll(io.LimitReader(q.Body, platform.MaxValue))
+		body, _ := io.ReadAll(io.LimitReader(q.Body, publish.MaxValue))
 		writeJSON(w, http.StatusOK, map[string]uint64{"revision": p.Publish(body)})
 	case "/control/hosts":
-		body, _ := io.ReadAll(io.LimitReader(q.Body, platform.MaxValue))
+		body, _ := io.ReadAll(io.LimitReader(q.Body, publish.MaxValue))
 		if err := p.SetHostsJSON(body); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 		}
@@ -116,9 +116,9 @@
 	}
 }
 
-func (p *Platform) newest() (platform.Revision, bool) {
+func (p *Platform) newest() (publish.Revision, bool) {
 	if len(p.docs) == 0 {
-		return platform.Revision{}, false
+		return publish.Revision{}, false
 	}
 	if p.staleRev > 0 && p.staleRev <= uint64(len(p.docs)) {
 		return p.docs[p.staleRev-1], true
--- a/node/admin.go
+++ b/node/admin.go
@@ -246,7 +246,7 @@
 		return ex
 	}
 	ex.Route = r.Name
-	req := route.Request{Route: r, Model: labels["model"], Tokens: tokens, MaxAnswer: answer, Home: v.DomainIndex(n.settings.Domain),
+	req := route.Request{Group: &r.Group, Model: labels["model"], Tokens: tokens, MaxAnswer: answer, Home: v.DomainIndex(n.settings.Domain),
 		Region: n.settings.Region, Now: time.Now()}
 	n.Board.Endpoints.Read(func(tv *config.View, states []route.State) {
 		if tv != v {
--- a/node/node.go
+++ b/node/node.go
@@ -21,7 +21,7 @@
 	"github.com/embercove/embercove/invariant"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/peer"
-	"github.com/embercove/embercove/platform"
+	"github.com/embercove/embercove/publish"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/result"
 )
@@ -34,8 +34,11 @@
 	Record *report.Recorder
 
 	settings *config.Settings
-	Client   *endpoint.Client
-	platform *platform.Client
+	Client   *endpoint.Client // of the project's own protocol
+	engine   endpoint.Engine
+	feed     publish.Feed
+	front    func(e *entry.Entry) http.Handler
+	platform *publish.Client // nil where a feed was given
 	entry    *entry.Entry
 	metrics  *metrics
 	log      *zap.Logger
@@ -60,6 +63,19 @@
 	return func(n *Node) { n.listen, n.dial = listen, dial }
 }
 
+// Protocol is what a node speaks to the outside, instead of the project's own
+// protocols.
+type Protocol struct {
+	Engine endpoint.Engine
+	Feed   publish.Feed
+	Front  func(e *entry.Entry) http.Handler // the callers' interface
+}
+
+// WithProtocol has the node speak p.
+func WithProtocol(p Protocol) Option {
+	return func(n *Node) { n.engine, n.feed, n.front = p.Engine, p.Feed, p.Front }
+}
+
 // WithFatal has broken invariants call f, for tests.
 func WithFatal(f func(msg string)) Option {
 	return func(n *Node) { n.Board.Invariant.Fatal = f }
@@ -75,17 +91,25 @@
 	n.log = n.log.With(zap.String("host", s.Host))
 	n.Board.Invariant.Log = n.log
 	n.Client = endpoint.NewClient(n.dial)
-	n.Owner = owner.New(n.Board, n.Client, n.log)
+	if n.engine == nil {
+		n.engine = n.Client
+	}
+	n.Owner = owner.New(n.Board, n.engine, n.log)
 	n.Router = peer.NewRouter(n.Board, n.Owner, peer.Dial(n.dial), n.log)
-	n.entry = entry.New(n.Board, n.Client, n.Router, n.Record, n.log)
-	n.platform = platform.NewClient(s.Platform, n.dial)
+	n.entry = entry.New(n.Board, n.engine, n.Router, n.Record, n.log)
+	if n.feed == nil {
+		n.platform = publish.NewClient(s.Platform, n.dial)
+	}
+	if n.front == nil {
+		n.front = (*entry.Entry).Handler
+	}
 	m, err := newMetrics(n)
 	if err != nil {
 		return nil, err
 	}
 	n.metrics = m
 	n.Router.Accepted = func(v *config.View) { n.Record.SetTargets(v.Doc.Targets) }
-	n.pool = blackboard.NewPool(n.Board, n.Router.Flusher(), n.Owner.Poller(), n.Router.Exchanger(), n.Router.Watcher(), n.Router.KeySweeper())
+	n.pool = blackboard.NewPool(n.Board, n.Router.Flusher(), n.Owner.Poller(), n.Router.Exchanger(), n.Router.Watcher(), n.Router.KeySweeper(), n.Router.Seeder())
 	n.Board.Pause.OnWake(n.dropBeliefs)
 	return n, nil
 }
@@ -110,20 +134,33 @@
 		return errors.Wrap(err, "peers_address")
 	}
 	n.goRun(func() error { return n.Router.Serve(ctx, peers) })
-	if err := n.serve(n.settings.Callers, "callers_address", n.entry.Handler()); err != nil {
+	if err := n.serve(n.settings.Callers, "callers_address", n.front(n.entry)); err != nil {
 		return err
 	}
 	if err := n.serve(n.settings.Admin, "admin_address", n.admin()); err != nil {
 		return err
 	}
 	n.Router.Seed(ctx, n.settings.Seeds)
-	n.goRun(func() error { n.watchConfig(ctx); return nil })
-	n.goRun(func() error { n.watchHosts(ctx); return nil })
+	if n.feed != nil {
+		n.goRun(func() error { n.feed.Follow(ctx, sink{n}); return nil })
+	} else {
+		n.goRun(func() error { n.watchConfig(ctx); return nil })
+		n.goRun(func() error { n.watchHosts(ctx); return nil })
+	}
 	n.pool.Start(ctx, n.settings.Workers)
 	n.log.Info("started", zap.String("callers", n.settings.Callers), zap.String("failure_domain", n.settings.Domain))
 	return nil
 }
 
+// sink takes in what a feed brings.
+type sink struct{ n *Node }
+
+func (s sink) Offer(revision uint64, src []byte, from string) { s.n.Router.Offer(revision, src, from) }
+
+func (s sink) OfferRoster(r *config.Roster, from string) { s.n.Router.OfferRoster(r, from) }
+
+func (s sink) Heard(now time.Time) { s.n.Board.Config.Heard(now) }
+
 func (n *Node) goRun(f func() error) {
 	n.wg.Add(1)
 	go func() {
@@ -161,10 +198,14 @@
 // drainTick is how often a stopping node looks whether it is empty.
 const drainTick = 20 * time.Millisecond
 
+// graceSpare is how long before it would be killed a stopping node ends.
+const graceSpare = 600 * time.Millisecond
+
 // Drain is the planned stop: readiness goes first, owned endpoints are handed
 // over, requests in progress end, and then the node stops. It returns how
 // many requests were cut off, which is 0 unless drain_s ran out.
 func (n *Node) Drain() int {
+	began := time.Now()
 	n.Board.SetLeaving()
 	n.log.Info("leaving")
 	ctx, cancel := context.WithTimeout(context.Background(), config.Millis(n.settings.LameDuckMillis))
@@ -174,6 +215,9 @@
 	cancel()
 	n.Board.SetDraining()
 	deadline := time.Now().Add(time.Duration(n.settings.DrainSeconds) * time.Second)
+	if g := n.settings.GraceSeconds; g > 0 {
+		deadline = began.Add(time.Duration(g*float64(time.Second)) - graceSpare)
+	}
 	for time.Now().Before(deadline) && n.Board.Requests.Len()+n.Owner.Waiting() > 0 {
 		time.Sleep(drainTick)
 	}
@@ -201,10 +245,12 @@
 		s.Close()
 	}
 	n.Router.Close()
-	n.Client.CloseIdle()
-	n.platform.Close()
+	n.engine.CloseIdle()
+	if n.platform != nil {
+		n.platform.Close()
+	}
 	n.pool.Wait()
 	n.wg.Wait()
-	n.Client.CloseIdle()
+	n.engine.CloseIdle()
 	n.metrics.close()
 }
--- a/owner/book.go
+++ b/owner/book.go
@@ -225,7 +225,7 @@
 		blend(&b.failed, 1, learnRejection)
 	}
 	if b.ledger != nil {
-		b.ledger.release(r)
+		b.ledger.release(now, r)
 		return nil
 	}
 	if b.queue == nil {
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -38,10 +38,10 @@
 	defer b.mu.Unlock()
 	h := Handover{Endpoint: b.number}
 	for _, r := range b.ledger.rows {
-		if r.seen {
+		if r.seen && !b.spec.GrowsMemory {
 			continue // the endpoint's list has it
 		}
-		h.Rows = append(h.Rows, HandoverRow{Attempt: r.attempt, Team: r.team, Tokens: r.tokens, MaxAnswer: r.maxAnswer,
+		h.Rows = append(h.Rows, HandoverRow{Attempt: r.attempt, Team: r.team, Tokens: r.tokens, MaxAnswer: r.maxAnswer, Expected: r.expected, Mark: r.mark,
 			Start: millis(r.start.Sub(now)), Moved: millis(r.moved.Sub(now)), Lease: millis(r.lease.Sub(now))})
 	}
 	return h
@@ -63,8 +63,9 @@
 		if b.ledger.rows[r.Attempt] != nil {
 			continue
 		}
-		b.ledger.rows[r.Attempt] = &row{attempt: r.Attempt, team: r.Team, tokens: r.Tokens, maxAnswer: r.MaxAnswer,
-			start: now.Add(duration(r.Start)), moved: now.Add(duration(r.Moved)), lease: now.Add(duration(r.Lease))}
+		a := ReserveArgs{Attempt: r.Attempt, Team: r.Team, Tokens: r.Tokens - r.MaxAnswer, MaxAnswer: r.MaxAnswer,
+			Expected: r.Expected, Mark: r.Mark}
+		b.ledger.add(a, now.Add(duration(r.Start)), now.Add(duration(r.Moved)), now.Add(duration(r.Lease)))
 	}
 	return nil
 }
--- a/owner/ledger.go
+++ b/owner/ledger.go
@@ -16,7 +16,10 @@
 	attempt   request.Attempt
 	team      uint32
 	tokens    int // prompt and the answer asked for
+	prompt    int
 	maxAnswer int
+	expected  int       // answer by the caller's guess; 0: none
+	mark      uint64    // of the id by which the engine lists it; 0: the attempt itself
 	start     time.Time // when the engine's memory is taken: the transfer begins
 	moved     time.Time // end of the transfer
 	lease     time.Time // until when it stands without being seen at the engine
@@ -47,7 +50,11 @@
 	share   float64 // of the engine that this ledger may give out
 	lease   time.Duration
 	rows    map[request.Attempt]*row
-	answers answerForecast
+	answers answerForecast // by the share of what was asked for
+	guessed answerForecast // by the multiple of what the caller guessed
+	pace    float64        // learned factor on the time of a step; 0 stands for 1
+	ended   map[request.Attempt]time.Time
+	marked  map[uint64]request.Attempt
 
 	wants map[request.ID]want
 
@@ -57,7 +64,8 @@
 }
 
 func newLedger(v *config.View, spec *config.Endpoint, share float64) *ledger {
-	l := &ledger{rows: map[request.Attempt]*row{}, wants: map[request.ID]want{}}
+	l := &ledger{rows: map[request.Attempt]*row{}, wants: map[request.ID]want{}, guessed: newGuessForecast(),
+		ended: map[request.Attempt]time.Time{}, marked: map[uint64]request.Attempt{}}
 	l.fit(v, spec, share)
 	return l
 }
@@ -81,14 +89,26 @@
 func (l *ledger) expire(now time.Time) {
 	for a, r := range l.rows {
 		if !r.seen && now.After(r.lease) {
-			delete(l.rows, a)
+			l.drop(a)
 		}
 	}
 }
 
+// drop forgets a row.
+func (l *ledger) drop(a request.Attempt) {
+	if r := l.rows[a]; r != nil && r.mark != 0 {
+		delete(l.marked, r.mark)
+	}
+	delete(l.rows, a)
+}
+
 // step is the time of a decode step as things are.
 func (l *ledger) step() time.Duration {
-	return route.StepTime(l.spec, len(l.rows))
+	step := route.StepTime(l.spec, len(l.rows))
+	if l.pace > 0 {
+		step = time.Duration(float64(step) * l.pace)
+	}
+	return max(step, time.Microsecond)
 }
 
 // want is a request that was refused for lack of room and is expected to ask
@@ -247,6 +267,9 @@
 // the time after which it would.
 func (l *ledger) reserve(now time.Time, a ReserveArgs, weights func(uint32) float64) (time.Time, *result.Error) {
 	l.expire(now)
+	if l.spec.GrowsMemory {
+		return l.reserveGrowing(now, a)
+	}
 	tokens := a.Tokens + a.MaxAnswer
 	blend(&l.usual, float64(tokens), learnUsual)
 	wanted := now.Add(duration(a.InMillis))
@@ -266,13 +289,21 @@
 		if !l.fair(now, at, a.Team, tokens, weights) {
 			return time.Time{}, result.Errorf(result.NoDecodeMemory, "decode memory is crowded and the team is above its share").After(searchBeyond)
 		}
-		l.rows[a.Attempt] = &row{attempt: a.Attempt, team: a.Team, tokens: tokens, maxAnswer: a.MaxAnswer, start: at,
-			moved: at.Add(move), lease: at.Add(l.lease)}
+		l.add(a, at, at.Add(move), at.Add(l.lease))
 		return at, nil
 	}
 	return time.Time{}, l.refuse(now, a, latest.Sub(now), searchBeyond)
 }
 
+// add enters a reservation.
+func (l *ledger) add(a ReserveArgs, start, moved, lease time.Time) {
+	l.rows[a.Attempt] = &row{attempt: a.Attempt, team: a.Team, tokens: a.Tokens + a.MaxAnswer, prompt: a.Tokens,
+		maxAnswer: a.MaxAnswer, expected: a.Expected, mark: a.Mark, start: start, moved: moved, lease: lease}
+	if a.Mark != 0 {
+		l.marked[a.Mark] = a.Attempt
+	}
+}
+
 // taken lists the moments to come at which reservations that were granted
 // leave no room for so many tokens more.
 func (l *ledger) taken(now time.Time, tokens int) []time.Time {
@@ -302,12 +333,26 @@
 }
 
 // release drops an attempt's row and learns from its answer.
-func (l *ledger) release(r Release) {
+func (l *ledger) release(now time.Time, r Release) {
 	if r.Outcome == Done {
 		l.answers.learn(r.Answer, r.Max)
+		l.guessed.learn(r.Answer, r.Expected)
 		l.learnMargin(r.Waited)
+		l.learnPace(r.Answer, r.Millis)
 	}
-	delete(l.rows, r.Attempt)
+	if l.rows[r.Attempt] != nil {
+		l.ended[r.Attempt] = now
+		if mark := l.rows[r.Attempt].mark; mark != 0 {
+			l.ended[listedAs(mark)] = now
+		}
+	}
+	l.drop(r.Attempt)
+}
+
+// listedAs is the attempt that stands for a request which the engine lists
+// under another id than the attempt's.
+func listedAs(mark uint64) request.Attempt {
+	return request.Attempt{ID: request.ID{Counter: mark}}
 }
 
 // Steps and bounds of the learned margin, in standard deviations.
@@ -337,24 +382,44 @@
 // listed takes in the engine's own list: what it holds counts, and what it
 // no longer holds doesn't.
 func (l *ledger) listed(now time.Time, list map[request.Attempt]endpoint.Running) {
+	for a, at := range l.ended {
+		if now.Sub(at) > endedKept {
+			delete(l.ended, a)
+		}
+	}
+	there := make(map[request.Attempt]bool, len(list))
 	for a, held := range list {
+		if _, over := l.ended[a]; over {
+			continue // the list is older than what its holder told
+		}
+		if own, ok := l.marked[a.ID.Counter]; ok && a == listedAs(a.ID.Counter) {
+			a = own
+		}
+		there[a] = true
 		r := l.rows[a]
 		if r == nil {
-			r = &row{attempt: a, tokens: held.Tokens, maxAnswer: held.Tokens / foreignAnswer}
+			r = &row{attempt: a, tokens: held.Tokens, prompt: held.Tokens, maxAnswer: held.Tokens / foreignAnswer}
 			l.rows[a] = r
 		}
 		r.seen = true
+		if l.spec.GrowsMemory && !r.start.IsZero() {
+			continue // its start is known better than such a list tells it
+		}
 		move := r.moved.Sub(r.start)
 		r.start = now.Add(-duration(held.AgeMillis))
 		r.moved = r.start.Add(move)
 	}
 	for a, r := range l.rows {
-		if _, there := list[a]; r.seen && !there {
-			delete(l.rows, a)
+		if r.seen && !there[a] {
+			l.drop(a)
 		}
 	}
 }
 
+// endedKept is how long the end of an attempt is remembered, so that a list
+// that is behind doesn't bring it back.
+const endedKept = 3 * time.Second
+
 // learnUsual is the weight of a request in the average size.
 const learnUsual = 0.1
 
@@ -372,6 +437,10 @@
 		return l.waitFor
 	}
 	l.waitAt, l.waitFor = now, waitMost
+	if l.spec.GrowsMemory {
+		l.waitFor = l.waitGrowing(now)
+		return l.waitFor
+	}
 	for d := time.Duration(0); d < waitMost; d += waitStep {
 		if l.fits(now, now.Add(d), int(l.usual)) {
 			l.waitFor = d
@@ -386,5 +455,8 @@
 func (l *ledger) free(now time.Time) (tokens, slots int, link time.Duration) {
 	l.expire(now)
 	o := l.at(now, now)
+	if l.spec.GrowsMemory {
+		o = l.grown(now, now)
+	}
 	return int(float64(l.spec.MemoryTokens)*l.share - o.tokens), l.slots - int(o.n), l.linkFrom(now, time.Millisecond).Sub(now)
 }
--- a/owner/messages.go
+++ b/owner/messages.go
@@ -18,9 +18,11 @@
 	Endpoint  uint32 // route.Number
 	Tokens    int    // of the prompt
 	MaxAnswer int
-	Bytes     int64 // to transfer
-	InMillis  int   // when the prefill is expected to end
-	Slack     int   // ms by which the start may come later
+	Expected  int    // tokens of the answer by the caller's own guess; 0: none
+	Mark      uint64 // of the id by which the engine lists the request; 0: the attempt itself
+	Bytes     int64  // to transfer
+	InMillis  int    // when the prefill is expected to end
+	Slack     int    // ms by which the start may come later
 	Team      uint32
 	Priority  int
 }
@@ -42,6 +44,7 @@
 	Head     uint32
 	HasHead  bool
 	Slack    int // ms by which reading must have ended
+	Expect   int // ms that the wait is expected to take; 0: unknown
 	NotYet   int // ms before which reading should not end
 	Team     uint32
 	Priority int
@@ -62,9 +65,10 @@
 	Outcome  Outcome
 	Answer   int  // decode: tokens written
 	Max      int  // decode: tokens asked for
+	Expected int  // decode: tokens that the caller guessed; 0: none
 	Cached   int  // prefill: tokens that the engine had cached
 	Waited   bool // decode: the engine was full when the request came
-	Millis   int  // prefill: time at the engine
+	Millis   int  // time at the engine; decode: from the first piece to the last
 }
 
 // Outcome is how an attempt at an endpoint ended.
@@ -91,6 +95,8 @@
 	Team      uint32
 	Tokens    int
 	MaxAnswer int
+	Expected  int
+	Mark      uint64
 	Start     int // ms from now; negative: past
 	Moved     int
 	Lease     int
--- a/owner/order.go
+++ b/owner/order.go
@@ -30,7 +30,7 @@
 // that doesn't is read again at the next poll and corrected.
 func (o *Owner) correct(ctx context.Context, b *Book, st *endpoint.State) {
 	v := o.board.Config.View()
-	if b.spec.Role == config.Service || v == nil {
+	if b.spec.Role == config.Service || b.spec.Registered || v == nil {
 		return
 	}
 	now := time.Now()
@@ -46,7 +46,7 @@
 	if !due || o.board.Pause.Check() {
 		return
 	}
-	err := o.client.Order(ctx, b.spec.Address, order)
+	err := o.engine.Order(ctx, b.spec.Address, order)
 	o.Orders.Add(1)
 	o.log.Info("order sent", zap.String("endpoint", b.spec.Name), zap.Uint64("fence", order.Fence),
 		zap.String("version", order.Version), zap.Error(err))
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -36,7 +36,7 @@
 // Owner holds the books of owned endpoints.
 type Owner struct {
 	board  *blackboard.Board
-	client *endpoint.Client
+	engine endpoint.Engine
 	peers  Peers
 	log    *zap.Logger
 
@@ -55,8 +55,8 @@
 }
 
 // New returns an owner without books.
-func New(b *blackboard.Board, c *endpoint.Client, log *zap.Logger) *Owner {
-	o := &Owner{board: b, client: c, log: log, books: map[uint32]*Book{}}
+func New(b *blackboard.Board, e endpoint.Engine, log *zap.Logger) *Owner {
+	o := &Owner{board: b, engine: e, log: log, books: map[uint32]*Book{}}
 	b.Pause.OnWake(o.dropBeliefs)
 	return o
 }
@@ -73,7 +73,12 @@
 	case config.ModeDispatcher:
 		return b.Hosts.First(uint64(route.Number(string(e.Role))), v.Doc.Domains[0].Name, now)
 	}
-	return b.Hosts.First(uint64(route.Number(e.Name)), e.Domain, now)
+	key := uint64(route.Number(e.Name))
+	if h, ok := b.Hosts.First(key, e.Domain, now); ok {
+		return h, true
+	}
+	// The domain has lost its hosts; another domain's may still reach it.
+	return b.Hosts.FirstOfRegion(key, v.Region[e.Domain], now)
 }
 
 // share is the part of an endpoint that this host's ledger may give out:
@@ -124,7 +129,7 @@
 func (o *Owner) takeOver(ctx context.Context, b *Book) {
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
-	list, err := o.client.Requests(ctx, b.spec.Address)
+	list, err := o.engine.Requests(ctx, b.spec.Address)
 	o.Polls.Add(1)
 	now := time.Now()
 	b.mu.Lock()
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -42,6 +42,10 @@
 	var again time.Time
 	for _, b := range o.books {
 		b.mu.Lock()
+		if !b.polled() {
+			b.mu.Unlock()
+			continue
+		}
 		due := b.due()
 		if !b.polling && !due.After(now) {
 			b.polling = true
@@ -57,6 +61,11 @@
 	return nil, again
 }
 
+// polled reports whether the endpoint is asked for reports. One that
+// registered itself tells its state where it did; only what its memory holds
+// is worth asking for.
+func (b *Book) polled() bool { return !b.spec.Registered || b.ledger != nil }
+
 func (b *Book) due() time.Time {
 	t := b.nextState
 	if b.nextList.Before(t) {
@@ -81,7 +90,7 @@
 		return
 	}
 	o.nextAdopt = now.Add(adoptEvery)
-	if print := o.board.Hosts.Fingerprint(now) ^ v.Digest; print != o.fingerprint || o.owned == nil {
+	if print := o.board.Hosts.Fingerprint(now) ^ v.Digest ^ v.Roster; print != o.fingerprint || o.owned == nil {
 		o.fingerprint, o.owned = print, o.workOut(v, now)
 		owned := o.owned
 		o.board.Endpoints.SetOwn(func(n uint32) bool { return owned[n] })
@@ -138,7 +147,7 @@
 	if state {
 		o.pollState(ctx, b)
 	}
-	if list && b.spec.Role != config.Service {
+	if list && !b.lists() && b.spec.Role != config.Service {
 		o.pollList(ctx, b)
 	}
 	if feed {
@@ -151,10 +160,17 @@
 	o.board.Endpoints.Learn(d, time.Now())
 }
 
+// lists reports whether the endpoint's reports carry its list.
+func (b *Book) lists() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.Lists
+}
+
 func (o *Owner) pollState(ctx context.Context, b *Book) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	st, err := o.client.State(ctx, b.spec.Address)
+	st, err := o.engine.State(ctx, b.spec.Address)
 	o.Polls.Add(1)
 	now := time.Now()
 	b.mu.Lock()
@@ -171,6 +187,10 @@
 	}
 	restarted := b.state.Incarnation != 0 && st.Incarnation != b.state.Incarnation
 	b.fails, b.state = 0, *st
+	if st.Lists {
+		o.takeList(b, now, st.Held)
+		b.ready, b.nextList = true, now.Add(config.Millis(o.board.Settings.PollMillis))
+	}
 	if restarted {
 		b.heads, b.feed = map[uint32]uint32{}, 0
 		b.nextList = now
@@ -182,7 +202,7 @@
 func (o *Owner) pollList(ctx context.Context, b *Book) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	list, err := o.client.Requests(ctx, b.spec.Address)
+	list, err := o.engine.Requests(ctx, b.spec.Address)
 	o.Polls.Add(1)
 	if err != nil {
 		return
@@ -220,7 +240,7 @@
 	b.mu.Lock()
 	after := b.feed
 	b.mu.Unlock()
-	e, err := o.client.CacheEvents(ctx, b.spec.Address, after)
+	e, err := o.engine.CacheEvents(ctx, b.spec.Address, after)
 	o.Polls.Add(1)
 	if err != nil {
 		return
--- a/owner/reap.go
+++ b/owner/reap.go
@@ -143,7 +143,7 @@
 func (o *Owner) cancel(ctx context.Context, b *Book, a request.Attempt) {
 	ctx, stop := context.WithTimeout(ctx, pollTimeout)
 	defer stop()
-	if err := o.client.Abort(ctx, b.spec.Address, a.String()); err != nil {
+	if err := o.engine.Abort(ctx, b.spec.Address, a.String()); err != nil {
 		return
 	}
 	o.Reaped.Add(1)
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -9,7 +9,7 @@
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
-	"github.com/embercove/embercove/platform"
+	"github.com/embercove/embercove/publish"
 	"github.com/embercove/embercove/request"
 )
 
@@ -168,6 +168,8 @@
 	}
 	if e.Revision > r.board.Config.Revision() {
 		go r.fetch(e.From)
+	} else if e.Roster > r.board.Config.RosterRevision() {
+		go r.fetch(e.From)
 	}
 	if changed {
 		r.board.Wake.All()
@@ -187,16 +189,40 @@
 }
 
 // fetch gets the newer revision from a peer, as it was published, and judges
-// it like one from the platform.
+// it like one from the publish.
 func (r *Router) fetch(from Name) {
 	ctx, cancel := context.WithTimeout(context.Background(), 4*r.timeout())
 	defer cancel()
 	var reply FetchReply
-	args := FetchArgs{After: r.board.Config.Revision()}
-	if err := r.pool.call(ctx, from.Peers, methodFetch, &args, &reply, 4*r.timeout()); err != nil || reply.Revision == 0 {
+	args := FetchArgs{After: r.board.Config.Revision(), Roster: r.board.Config.RosterRevision()}
+	if err := r.pool.call(ctx, from.Peers, methodFetch, &args, &reply, 4*r.timeout()); err != nil {
+		return
+	}
+	if reply.Revision != 0 {
+		r.Offer(reply.Revision, reply.Source, "peer "+from.Name)
+	}
+	if reply.Roster != nil {
+		r.OfferRoster(reply.Roster, "peer "+from.Name)
+	}
+}
+
+// OfferRoster offers the endpoints that registered themselves to the board and
+// lays the tables out for them. What changed is told around, because another
+// host's own watch may be cut off or deaf.
+func (r *Router) OfferRoster(ro *config.Roster, from string) {
+	in, err := r.board.Config.OfferRoster(ro)
+	if err != nil {
+		r.log.Warn("endpoints left out of the roster", zap.Uint64("roster", ro.Revision), zap.String("from", from), zap.Error(err))
+	}
+	if !in {
 		return
 	}
-	r.Offer(reply.Revision, reply.Source, "peer "+from.Name)
+	if v := r.board.Config.View(); v != nil {
+		r.board.Endpoints.Fit(v)
+	}
+	r.board.Wake.All()
+	r.log.Info("roster in force", zap.Uint64("roster", ro.Revision), zap.Int("endpoints", len(ro.Endpoints)), zap.String("from", from))
+	r.tellAround()
 }
 
 // Offer offers a revision to the board and lays the tables out for it.
@@ -243,6 +269,38 @@
 	}
 }
 
+// seedEvery is the number of rounds between contacts with a seed, so that
+// parts of the fleet which know nothing of each other meet.
+const seedEvery = 8
+
+// Seeder returns the controller that meets other hosts by the addresses of
+// the settings: at every heartbeat while no other host is known, and now and
+// then afterwards.
+func (r *Router) Seeder() blackboard.Controller {
+	round := 0
+	return blackboard.Every(config.Millis(r.board.Settings.HeartbeatMillis), func(ctx context.Context) {
+		seeds := r.board.Settings.Seeds
+		round++
+		if len(seeds) == 0 || r.met() && round%seedEvery != 0 {
+			return
+		}
+		if a := seeds[rand.IntN(len(seeds))]; a != r.board.Settings.Peers {
+			r.exchangeWith(ctx, blackboard.Host{Peers: a, Region: r.board.Settings.Region})
+		}
+	})
+}
+
+// met reports whether another live host is known.
+func (r *Router) met() bool {
+	now := time.Now()
+	for _, h := range r.board.Hosts.List() {
+		if h.Number != r.board.Number && h.Incarnation != 0 && r.board.Hosts.Live(h, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Seed exchanges with peers known by address only, until one answers. It is
 // for a host that starts while the platform is down.
 func (r *Router) Seed(ctx context.Context, addrs []string) {
@@ -254,7 +312,7 @@
 }
 
 // Listed takes in the platform's list of hosts.
-func (r *Router) Listed(l *platform.HostList) {
+func (r *Router) Listed(l *publish.HostList) {
 	now := time.Now()
 	listed := map[uint32]bool{}
 	for _, h := range l.Hosts {
--- a/peer/keys.go
+++ b/peer/keys.go
@@ -152,7 +152,7 @@
 
 // holderGone reports whether the process that took a request is gone.
 func (r *Router) holderGone(id request.ID, now time.Time) bool {
-	if id.Host == r.board.Number && id.Incarnation == r.board.Incarnation {
+	if id.Host == r.board.Number && id.Incarnation >= r.board.Incarnation {
 		return false
 	}
 	h, live, known := r.board.Hosts.Get(id.Host, now)
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/request"
 )
@@ -37,6 +38,7 @@
 type ExchangeArgs struct {
 	From     Name
 	Revision uint64
+	Roster   uint64 // revision of the endpoints that registered themselves
 	Beats    []Beat
 	Digests  []byte   // packed
 	Gone     []Beat   // hosts that a watcher could not reach
@@ -48,13 +50,15 @@
 // ExchangeReply is the answer to ExchangeArgs.
 type ExchangeReply ExchangeArgs
 
-// FetchArgs asks for the revision in force.
-type FetchArgs struct{ After uint64 }
+// FetchArgs asks for what is newer than the asker's.
+type FetchArgs struct{ After, Roster uint64 }
 
-// FetchReply carries a revision as it was published; 0: nothing newer.
+// FetchReply carries a revision as it was published, 0: nothing newer; and a
+// roster, nil: none newer.
 type FetchReply struct {
 	Revision uint64
 	Source   []byte
+	Roster   *config.Roster
 }
 
 // ReleaseArgs carries several releases at once.
--- a/peer/router.go
+++ b/peer/router.go
@@ -103,7 +103,12 @@
 	if self {
 		reply, err = r.owner.Enqueue(ctx, a)
 	} else {
+		// An owner that froze is found out long before the request's slack
+		// is over.
 		wait := r.timeout() + config.Millis(a.Slack)
+		if a.Expect > 0 {
+			wait = r.timeout() + config.Millis(min(a.Slack, waitFactor*a.Expect+waitLeast))
+		}
 		err = r.pool.call(ctx, h.Peers, methodEnqueue, &a, &reply, wait)
 	}
 	if err != nil || reply.Code == result.CallerGone {
@@ -120,6 +125,12 @@
 	return reply, nil
 }
 
+// How long an owner may keep a queued request beyond what was expected.
+const (
+	waitFactor = 3
+	waitLeast  = 400 // ms
+)
+
 // flushEvery is how long releases to a peer are gathered.
 const flushEvery = 40 * time.Millisecond
 
@@ -171,6 +182,6 @@
 
 // Touched notes that this host sent a request to an endpoint (n 1) or that
 // one ended (n -1), for the baselines that know no more.
-func (r *Router) Touched(i, n int) {
-	r.board.Endpoints.Touch(i, func(s *route.State) { s.Sent += n })
+func (r *Router) Touched(number uint32, n int) {
+	r.board.Endpoints.Touch(number, func(s *route.State) { s.Sent += n })
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -50,6 +50,9 @@
 	if v := s.r.board.Config.View(); v != nil && v.Revision > a.After {
 		reply.Revision, reply.Source = v.Revision, v.Source
 	}
+	if ro := s.r.board.Config.Roster(); ro != nil && ro.Revision > a.Roster {
+		reply.Roster = ro
+	}
 	return nil
 }
 
@@ -122,7 +125,8 @@
 func (r *Router) tell(to Name, want []uint32, heads bool) ExchangeArgs {
 	now := time.Now()
 	self := r.board.Hosts.Self()
-	a := ExchangeArgs{From: Name{self.Name, self.Domain, self.Region, self.Peers}, Revision: r.board.Config.Revision(), Heads: heads}
+	a := ExchangeArgs{From: Name{self.Name, self.Domain, self.Region, self.Peers}, Revision: r.board.Config.Revision(),
+		Roster: r.board.Config.RosterRevision(), Heads: heads}
 	for _, h := range r.board.Hosts.List() {
 		if h.Incarnation != 0 && r.board.Hosts.Live(h, now) {
 			a.Beats = append(a.Beats, Beat{h.Number, h.Incarnation, h.Beat, h.Leaving})
--- a/platform/client.go
+++ b/publish/client.go
@@ -1,9 +1,10 @@
-// Package platform reads what the users' platform publishes: revisions of
-// the configuration and the list of hosts. It never writes.
+// Package publish reads what a platform publishes: revisions of the
+// configuration, the endpoints that registered themselves, and the list of
+// hosts. It never writes.
 //
-// The protocol here is the one that the project's stand-in speaks; the users'
-// bench brings its own, and only this package changes then.
-package platform
+// Client speaks the project's own protocol. Follower follows a store that can
+// be listed and watched, whatever its protocol; package platform brings one.
+package publish
 
 import (
 	"context"
@@ -74,11 +75,11 @@
 	url := fmt.Sprintf("http://%s%s?after=%d&wait_ms=%d", c.addr, path, after, wait.Milliseconds())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return false, errors.Wrap(err, "platform")
+		return false, errors.Wrap(err, "publish")
 	}
 	res, err := c.hc.Do(req)
 	if err != nil {
-		return false, errors.Wrap(err, "platform")
+		return false, errors.Wrap(err, "publish")
 	}
 	defer res.Body.Close()
 	switch res.StatusCode {
@@ -86,10 +87,10 @@
 		return false, nil
 	case http.StatusOK:
 	default:
-		return false, errors.Errorf("platform: status %d", res.StatusCode)
+		return false, errors.Errorf("publish: status %d", res.StatusCode)
 	}
 	err = json.NewDecoder(io.LimitReader(res.Body, 2*MaxValue)).Decode(v)
-	return err == nil, errors.Wrap(err, "platform")
+	return err == nil, errors.Wrap(err, "publish")
 }
 
 // Config waits for a revision after the one given. A stale replica may
--- /dev/null
+++ b/publish/follow.go
@@ -0,0 +1,205 @@
+package publish
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/config"
+)
+
+// Sink takes in what is published.
+type Sink interface {
+	// Offer offers a revision of the configuration, as it was published.
+	Offer(revision uint64, src []byte, from string)
+	// OfferRoster offers the endpoints that registered themselves.
+	OfferRoster(r *config.Roster, from string)
+	// Heard notes that the platform answered.
+	Heard(now time.Time)
+}
+
+// Feed brings what is published to a sink.
+type Feed interface {
+	// Follow returns when ctx ends.
+	Follow(ctx context.Context, sink Sink)
+}
+
+// Store is a platform's store that can be listed and watched, in the
+// project's own terms. Nothing is ever written to it.
+type Store interface {
+	// List returns all that is published now.
+	List(ctx context.Context) (*State, error)
+	// Watch returns what changed after a revision of the store, as soon as
+	// something did or when wait is over. It returns ErrForgotten when the
+	// store no longer knows.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
+	// Close drops idle connections.
+	Close()
+}
+
+// ErrForgotten is returned for changes that the store has forgotten.
+var ErrForgotten = errors.New("the store has forgotten what changed since")
+
+// State is what a store holds.
+type State struct {
+	At        uint64 // revision of the store
+	Document  *Revision
+	Endpoints []config.Endpoint
+	Faults    []error // items that could not be read, each naming its item
+}
+
+// Changes is what changed in a store.
+type Changes struct {
+	At       uint64
+	Document *Revision         // nil: unchanged
+	Changed  []config.Endpoint // new, or with a new state
+	Gone     []string          // names of endpoints
+	Faults   []error
+}
+
+// Follower follows a store: it lists once and then watches, and lists anew
+// when the store has forgotten. The zero values of its fields are set by
+// NewFollower.
+type Follower struct {
+	store Store
+	log   *zap.Logger
+
+	at    uint64
+	known map[string]config.Endpoint
+	lost  bool // the store was out of reach at the last call
+}
+
+// NewFollower returns a feed from a store.
+func NewFollower(s Store, log *zap.Logger) *Follower {
+	return &Follower{store: s, log: log, known: map[string]config.Endpoint{}}
+}
+
+// How a store is followed. A waiting watch counts as one call. It is asked
+// again well within the time in which a change has to be in force, because a
+// store that lost an answer says nothing more.
+const (
+	followWait  = 4 * time.Second
+	followSlack = 600 * time.Millisecond // longer than asked that a watch may take
+	listTimeout = 1500 * time.Millisecond
+	retryFirst  = 100 * time.Millisecond
+	retryMost   = 800 * time.Millisecond
+	retryJitter = 0.3
+)
+
+// Follow implements Feed.
+func (f *Follower) Follow(ctx context.Context, sink Sink) {
+	defer f.store.Close()
+	retry := retryFirst
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			err = f.list(ctx, sink)
+			listed = err == nil
+		} else {
+			err = f.watch(ctx, sink)
+			listed = !errors.Is(err, ErrForgotten)
+		}
+		f.noteReach(ctx, err)
+		if err == nil || !listed && errors.Is(err, ErrForgotten) {
+			retry = retryFirst
+			continue
+		}
+		rest(ctx, spread(retry))
+		retry = min(2*retry, retryMost)
+	}
+}
+
+// noteReach logs when the store is lost and regained.
+func (f *Follower) noteReach(ctx context.Context, err error) {
+	if ctx.Err() != nil || errors.Is(err, ErrForgotten) {
+		return
+	}
+	if lost := err != nil; lost != f.lost {
+		f.lost = lost
+		if lost {
+			f.log.Warn("store lost", zap.Uint64("at", f.at), zap.Error(err))
+		} else {
+			f.log.Info("store regained", zap.Uint64("at", f.at))
+		}
+	}
+}
+
+// spread moves d by retryJitter to both sides, so that a fleet that was cut
+// off doesn't come back all at once.
+func spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - retryJitter + 2*retryJitter*rand.Float64()))
+}
+
+func rest(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (f *Follower) list(ctx context.Context, sink Sink) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	s, err := f.store.List(ctx)
+	if err != nil {
+		return err
+	}
+	f.faults(s.Faults)
+	f.known = make(map[string]config.Endpoint, len(s.Endpoints))
+	for _, e := range s.Endpoints {
+		f.known[e.Name] = e
+	}
+	f.at = s.At
+	sink.Heard(time.Now())
+	if s.Document != nil {
+		sink.Offer(s.Document.Revision, []byte(s.Document.Document), "store")
+	}
+	sink.OfferRoster(f.roster(), "store")
+	return nil
+}
+
+func (f *Follower) watch(ctx context.Context, sink Sink) error {
+	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
+	defer cancel()
+	c, err := f.store.Watch(ctx, f.at, followWait)
+	if err != nil {
+		return err
+	}
+	f.faults(c.Faults)
+	f.at = max(f.at, c.At)
+	sink.Heard(time.Now())
+	if c.Document != nil {
+		sink.Offer(c.Document.Revision, []byte(c.Document.Document), "store")
+	}
+	if len(c.Changed)+len(c.Gone) == 0 {
+		return nil
+	}
+	for _, e := range c.Changed {
+		f.known[e.Name] = e
+	}
+	for _, name := range c.Gone {
+		delete(f.known, name)
+	}
+	sink.OfferRoster(f.roster(), "store")
+	return nil
+}
+
+func (f *Follower) faults(faults []error) {
+	for _, err := range faults {
+		f.log.Warn("published item left out", zap.Error(err))
+	}
+}
+
+func (f *Follower) roster() *config.Roster {
+	r := &config.Roster{Revision: f.at}
+	for _, e := range f.known {
+		r.Endpoints = append(r.Endpoints, e)
+	}
+	return r
+}
--- a/route/explain.go
+++ b/route/explain.go
@@ -26,7 +26,7 @@
 func Explain(v *config.View, states []State, r *Request) []Candidate {
 	c := Pick(v, states, r)
 	var out []Candidate
-	for _, i := range append(append([]int{}, r.Route.Prefill...), r.Route.Decode...) {
+	for _, i := range append(append([]int{}, r.Group.Prefill...), r.Group.Decode...) {
 		s := &states[i]
 		row := Candidate{Endpoint: s.Spec.Name, Role: s.Role, Domain: s.Spec.Domain, Cost: -1, Why: why(v, s, r),
 			Queue: float64(s.Digest.QueueMillis) / 1000, Free: s.Digest.FreeTokens, Age: -1,
@@ -69,7 +69,7 @@
 		return "in another region"
 	case !v.Serves(s.Index, r.Model):
 		return "does not serve the model"
-	case r.Excluded(s.Index):
+	case r.Excluded(s.Number):
 		return "refused or failed this request before"
 	}
 	return ""
--- a/route/pick.go
+++ b/route/pick.go
@@ -9,7 +9,7 @@
 
 // Request is what a decision depends on besides the states.
 type Request struct {
-	Route     *config.RouteView
+	Group     *config.Group // the endpoints that the route allows
 	Model     string
 	Tokens    int // of the prompt
 	MaxAnswer int
@@ -19,30 +19,32 @@
 	Region    string // of the entry host
 	Now       time.Time
 	Seed      uint64 // spreads the choices of many hosts over near-equal endpoints
-	// FixedPrefill is the index + 1 of a prefill endpoint that has already
+	// FixedPrefill is the number of a prefill endpoint that has already
 	// called the request; 0: any.
-	FixedPrefill int
-	Exclude      [8]int // endpoints that refused or failed, as index + 1; 0 ends the list
+	FixedPrefill uint32
+	// Exclude holds the numbers of endpoints that refused or failed; 0 ends
+	// the list. Numbers stay while the places of endpoints in a view change.
+	Exclude [8]uint32
 }
 
-// Excluded reports whether endpoint i is out of the question.
-func (r *Request) Excluded(i int) bool {
+// Excluded reports whether an endpoint is out of the question.
+func (r *Request) Excluded(number uint32) bool {
 	for _, x := range r.Exclude {
 		if x == 0 {
 			return false
 		}
-		if x == i+1 {
+		if x == number {
 			return true
 		}
 	}
 	return false
 }
 
-// Drop excludes endpoint i; past the room for it nothing more is excluded.
-func (r *Request) Drop(i int) {
+// Drop excludes an endpoint; past the room for it nothing more is excluded.
+func (r *Request) Drop(number uint32) {
 	for k, x := range r.Exclude {
 		if x == 0 {
-			r.Exclude[k] = i + 1
+			r.Exclude[k] = number
 			return
 		}
 	}
@@ -66,6 +68,8 @@
 	costFull        = 0.050 // decode memory is full by the digest, besides the wait
 	costFailing     = 2.000 // every recent attempt failed
 	costFill        = 0.080 // a full batch against an empty one
+	costSeenFailing = 1.000 // every recent call from this host failed
+	costShunned     = 8.000 // out of reach when this host last tried
 	jitterShare     = 0.10  // of a cost, by which near-equal endpoints trade places
 )
 
@@ -99,15 +103,15 @@
 // included. It allocates nothing.
 func Pick(v *config.View, states []State, r *Request) Choice {
 	var pre, dec ranked
-	for _, i := range r.Route.Prefill {
-		if r.FixedPrefill != 0 && r.FixedPrefill != i+1 {
+	for _, i := range r.Group.Prefill {
+		if r.FixedPrefill != 0 && r.FixedPrefill != states[i].Number {
 			continue
 		}
 		if s := &states[i]; eligible(v, s, r) {
 			pre.add(prefillCost(v, s, r), i)
 		}
 	}
-	for _, i := range r.Route.Decode {
+	for _, i := range r.Group.Decode {
 		if s := &states[i]; eligible(v, s, r) {
 			dec.add(decodeCost(v, s, r), i)
 		}
@@ -149,7 +153,7 @@
 // Open reports whether an endpoint of any role may be sent something: usable,
 // in the region, and not excluded.
 func Open(s *State, r *Request) bool {
-	return s.usable() && s.Region == r.Region && !r.Excluded(s.Index)
+	return s.usable() && s.Region == r.Region && !r.Excluded(s.Number)
 }
 
 func eligible(v *config.View, s *State, r *Request) bool {
@@ -185,6 +189,10 @@
 // left gradually and a pool that fails as a whole keeps its order.
 func placed(cost float64, s *State, r *Request) float64 {
 	cost += costFailing * float64(s.Digest.FailPct) / 100
+	cost += costSeenFailing * s.Seen.Failing(r.Now)
+	if s.Seen.Shunned(r.Now) {
+		cost += costShunned
+	}
 	if s.Domain != r.Home {
 		cost += costOtherDomain
 	}
@@ -218,3 +226,19 @@
 	x ^= x >> 32
 	return float64(x>>11) / (1 << 53)
 }
+
+// PickDecode returns the cheapest decode endpoint alone, for a prompt that it
+// reads itself or that was read already; -1: there is none.
+func PickDecode(v *config.View, states []State, r *Request) int {
+	best, least := -1, math.Inf(1)
+	for _, i := range r.Group.Decode {
+		s := &states[i]
+		if !eligible(v, s, r) {
+			continue
+		}
+		if cost := decodeCost(v, s, r); cost < least {
+			best, least = s.Index, cost
+		}
+	}
+	return best
+}
--- a/route/state.go
+++ b/route/state.go
@@ -8,6 +8,7 @@
 package route
 
 import (
+	"math"
 	"time"
 
 	"github.com/embercove/embercove/config"
@@ -57,7 +58,8 @@
 	Digest  Digest
 	At      time.Time // when the digest was true; zero: never heard of
 	Own     bool      // this host owns it: to ask it costs no message
-	Sent    int       // sent by this host and not ended: the baselines' knowledge
+	Sent    int       // sent by this host and not ended
+	Seen    Experience
 }
 
 // Number returns the number that stands for an endpoint's name in messages.
@@ -87,6 +89,70 @@
 	return float64(s.Digest.SlowPct) / 100
 }
 
+// Experience is what this host itself saw of an endpoint. It fades: what is
+// old says little.
+type Experience struct {
+	Failed float64   // share of calls that failed lately, as of At
+	At     time.Time // of the last call
+	Shun   time.Time // until when it counts as out of reach
+	Misses int       // calls in a row that reached nothing
+	Full   time.Time // until when it counts as full
+	Took   float64   // seconds of a call, an average
+}
+
+// Times and weights of what is seen of an endpoint.
+const (
+	failureWeight = 0.25
+	tookWeight    = 0.1
+	failureHalf   = 5 * time.Second // after which a share of failures is worth half
+	shunFirst     = 500 * time.Millisecond
+	shunMost      = 4 * time.Second
+	fullFor       = 60 * time.Millisecond
+)
+
+// Sight is what one call showed of an endpoint.
+type Sight uint8
+
+// The sights.
+const (
+	SightWhole  Sight = iota // it answered
+	SightFailed              // it failed or broke its answer off
+	SightFull                // it refused for lack of room
+	SightGone                // it could not be reached, or another has its address
+)
+
+// Note takes in one call.
+func (x *Experience) Note(now time.Time, s Sight, took time.Duration) {
+	x.Failed, x.At = x.Failing(now), now
+	switch s {
+	case SightWhole:
+		x.Failed -= failureWeight * x.Failed
+		x.Misses, x.Shun = 0, time.Time{}
+		if x.Took == 0 {
+			x.Took = took.Seconds()
+		}
+		x.Took += tookWeight * (took.Seconds() - x.Took)
+	case SightFailed:
+		x.Failed += failureWeight * (1 - x.Failed)
+	case SightFull:
+		x.Full = now.Add(fullFor)
+	case SightGone:
+		x.Shun = now.Add(min(shunFirst<<min(x.Misses, 8), shunMost))
+		x.Misses++
+	}
+}
+
+// Failing returns the share of calls that failed lately.
+func (x *Experience) Failing(now time.Time) float64 {
+	if x.At.IsZero() {
+		return 0
+	}
+	return x.Failed * math.Exp2(-now.Sub(x.At).Seconds()/failureHalf.Seconds())
+}
+
+// Shunned reports whether the endpoint counts as out of reach.
+func (x *Experience) Shunned(now time.Time) bool { return now.Before(x.Shun) }
+
 // usable reports whether new work may go to the endpoint at all.
 func (s *State) usable() bool { return !s.Leaving && s.Digest.Flags == 0 }
 
--- a/slope/latency.go
+++ b/slope/latency.go
@@ -67,14 +67,14 @@
 		}
 	}
 	call := endpoint.Call{Address: pre[n%len(pre)].Address, Attempt: fmt.Sprintf("direct-%d", n), Repeatable: true}
-	comp := endpoint.Completion{Model: pre[0].Model, Prompt: prompt, MaxTokens: 4}
+	work := &endpoint.Work{Completion: endpoint.Completion{Model: pre[0].Model, Prompt: prompt, MaxTokens: 4}}
 	start := time.Now()
-	ans, err := client.Prefill(context.Background(), call, comp)
+	ans, err := client.Prefill(context.Background(), call, work)
 	if err != nil {
 		return 0, err
 	}
-	call.Address, comp.Transfer = dec[n%len(dec)].Address, ans.Transfer
-	s, err := client.Decode(context.Background(), call, comp)
+	call.Address, work.Transfer = dec[n%len(dec)].Address, ans.Transfer
+	s, err := client.Decode(context.Background(), call, work)
 	if err != nil {
 		return 0, err
 	}
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -21,7 +21,7 @@
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/internal/fake"
 	"github.com/embercove/embercove/node"
-	"github.com/embercove/embercove/platform"
+	"github.com/embercove/embercove/publish"
 )
 
 // Options say what a cluster is made of.
@@ -247,9 +247,9 @@
 }
 
 func (c *Cluster) listHosts() {
-	var hosts []platform.Host
+	var hosts []publish.Host
 	for _, s := range c.Settings {
-		hosts = append(hosts, platform.Host{Name: s.Host, Domain: s.Domain, Region: s.Region, Peers: s.Peers})
+		hosts = append(hosts, publish.Host{Name: s.Host, Domain: s.Domain, Region: s.Region, Peers: s.Peers})
 	}
 	c.Platform.SetHosts(hosts)
 }
