--- a/cmd/embercoved/main.go
+++ b/cmd/embercoved/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/node"
+	"github.com/embercove/embercove/platform"
 )
 
 // Exit codes.
@@ -23,8 +24,8 @@
 	exitUsage  = 2
 )
 
-// memoryLimit keeps the collector's target well inside a small host.
-const memoryLimit = 512 << 20
+// memoryShare is the part of the process's memory that the collector aims at.
+const memoryShare = 0.7
 
 func main() { os.Exit(run()) }
 
@@ -50,7 +51,7 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
-	debug.SetMemoryLimit(memoryLimit)
+	debug.SetMemoryLimit(int64(memoryShare * float64(int64(s.MemoryMegabytes)<<20)))
 	log, err := newLog(s.LogLevel)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "embercoved: log: %v\n", err)
@@ -70,10 +71,12 @@
 	return config.ParseSettings(src)
 }
 
-// newLog returns a logger of JSON lines on standard error.
+// newLog returns a logger of JSON lines on standard output.
 func newLog(level string) (*zap.Logger, error) {
 	cfg := zap.NewProductionConfig()
 	cfg.Sampling = nil
+	cfg.OutputPaths = []string{"stdout"}
+	cfg.DisableCaller, cfg.DisableStacktrace = true, true
 	lvl, err := zap.ParseAtomicLevel(level)
 	if err != nil {
 		return nil, err
@@ -85,7 +88,11 @@
 func serve(s *config.Settings, log *zap.Logger) int {
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	n, err := node.New(s, node.WithLog(log))
+	opts := []node.Option{node.WithLog(log)}
+	if s.Protocol == config.ProtocolPlatform {
+		opts = append(opts, node.WithProtocol(platform.New(s, log)))
+	}
+	n, err := node.New(s, opts...)
 	if err == nil {
 		err = n.Start()
 	}
--- a/config/settings.go
+++ b/config/settings.go
@@ -56,13 +56,13 @@
 // RetryBudget is a number of further calls to a pool of endpoints, beyond the
 // first of each request, that all hosts together may make in a sliding window.
 type RetryBudget struct {
-	Share        float64 `json:"share"`     // of the requests in the window
-	WindowMillis int     `json:"window_ms"` // 0: no such budget
-	Extra        int     `json:"extra"`     // beyond the share, for all hosts together
+	Share   float64 `json:"share"`    // of the requests in the window
+	Seconds float64 `json:"window_s"` // length of the window; 0: no such budget
+	Extra   int     `json:"extra"`    // beyond the share, for all hosts together
 }
 
 // Window returns the length of the window.
-func (b RetryBudget) Window() time.Duration { return Millis(b.WindowMillis) }
+func (b RetryBudget) Window() time.Duration { return time.Duration(b.Seconds * float64(time.Second)) }
 
 // Default values of settings, in the units of their fields.
 const (
@@ -155,7 +155,7 @@
 		c.name(index("failure_domains", i)+".region", d.Region)
 	}
 	c.within("retry_budget.share", s.RetryBudget.Share, 0, 100)
-	c.within("retry_budget.window_ms", float64(s.RetryBudget.WindowMillis), 0, 3_600_000)
+	c.within("retry_budget.window_s", s.RetryBudget.Seconds, 0, 3600)
 	c.within("retry_budget.extra", float64(s.RetryBudget.Extra), 0, 1e6)
 	c.within("stop_grace_s", s.GraceSeconds, 0, 86_400)
 	c.within("memory_mb", float64(s.MemoryMegabytes), 16, 1<<20)
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -154,6 +154,7 @@
 	Name       string // of the endpoint that is meant; empty: whoever has the address
 	Attempt    string
 	Version    string // model version asked for; empty: any
+	KeepMillis int    // how long the endpoint keeps an exported result
 	Repeatable bool
 }
 
--- a/endpoint/wire.go
+++ b/endpoint/wire.go
@@ -185,4 +185,5 @@
 	Model    string   `json:"model"`
 	Version  string   `json:"version"`
 	Adapters []string `json:"adapters"`
+	Holder   string   `json:"holder,omitempty"` // host that gives the order
 }
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -16,7 +16,7 @@
 )
 
 // windowed reports whether further calls are counted in a window.
-func (b *budgets) windowed() bool { return b.window.WindowMillis > 0 }
+func (b *budgets) windowed() bool { return b.window.Seconds > 0 }
 
 // budgets bound retries. Each team and each endpoint has a share of its recent
 // successes to spend, so that failing endpoints are not met with a storm of
@@ -118,7 +118,7 @@
 
 // count notes a request for a pool.
 func (b *budgets) count(pool string, now time.Time) {
-	if b.window.WindowMillis == 0 {
+	if b.window.Seconds == 0 {
 		return
 	}
 	b.mu.Lock()
@@ -129,7 +129,7 @@
 
 // further spends n further calls to a pool, if the window has so many left.
 func (b *budgets) further(pool string, now time.Time, n int) bool {
-	if b.window.WindowMillis == 0 || n == 0 {
+	if b.window.Seconds == 0 || n == 0 {
 		return true
 	}
 	b.mu.Lock()
--- a/entry/run.go
+++ b/entry/run.go
@@ -320,7 +320,8 @@
 )
 
 func (e *Entry) call(j *job, spec *config.Endpoint, a request.Attempt) endpoint.Call {
-	return endpoint.Call{Address: spec.Address, Attempt: a.String(), Name: spec.Name, Version: j.view.WantVersion(spec), Repeatable: j.repeatable}
+	return endpoint.Call{Address: spec.Address, Attempt: a.String(), Name: spec.Name, Version: j.view.WantVersion(spec), Repeatable: j.repeatable,
+		KeepMillis: spec.ResultKeepMillis}
 }
 
 func outcomeOf(ctx context.Context, err error) owner.Outcome {
