embercoved: reload settings at SIGHUP and when the file changes

Ruled out: the closed connection with no answer was the exit, not the relay. Change: a reloader takes over seeds, retry budget and log level, names the fields that wait for a restart, and keeps the settings in force when the new ones are faulty.

--- a/cmd/embercoved/main.go
+++ b/cmd/embercoved/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/config"
@@ -24,6 +26,9 @@
 	exitUsage  = 2
 )
 
+// stdin stands for standard input in place of a file.
+const stdin = "-"
+
 // memoryShare is the part of the process's memory that the collector aims at.
 const memoryShare = 0.7
 
@@ -52,17 +57,26 @@
 		return exitOK
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(int64(s.MemoryMegabytes)<<20)))
-	log, err := newLog(s.LogLevel)
+	log, level, err := newLog(s.LogLevel)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "embercoved: log: %v\n", err)
 		return exitFailed
 	}
-	return serve(s, log)
+	return serve(s, &reloader{path: *path, log: log, level: level, sum: fileSum(*path)})
+}
+
+// fileSum returns the hash of a file's content, 0 if it can't be read.
+func fileSum(path string) uint64 {
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(src)
 }
 
 func readSettings(path string) (*config.Settings, error) {
 	src, err := os.ReadFile(path)
-	if path == "-" {
+	if path == stdin {
 		src, err = io.ReadAll(os.Stdin)
 	}
 	if err != nil {
@@ -72,20 +86,23 @@
 }
 
 // newLog returns a logger of JSON lines on standard output.
-func newLog(level string) (*zap.Logger, error) {
+func newLog(level string) (*zap.Logger, zap.AtomicLevel, error) {
 	cfg := zap.NewProductionConfig()
 	cfg.Sampling = nil
 	cfg.OutputPaths = []string{"stdout"}
 	cfg.DisableCaller, cfg.DisableStacktrace = true, true
 	lvl, err := zap.ParseAtomicLevel(level)
 	if err != nil {
-		return nil, err
+		return nil, lvl, err
 	}
 	cfg.Level = lvl
-	return cfg.Build()
+	log, err := cfg.Build()
+	return log, lvl, err
 }
 
-func serve(s *config.Settings, log *zap.Logger) int {
+func serve(s *config.Settings, r *reloader) int {
+	log := r.log
+	hup := notify()
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	opts := []node.Option{node.WithLog(log)}
@@ -100,6 +117,12 @@
 		log.Error("did not start", zap.Error(err))
 		return exitFailed
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r.apply = n.Reload
+	if r.path != stdin {
+		go r.run(ctx, hup)
+	}
 	select {
 	case err := <-n.Failed():
 		log.Error("a listener broke", zap.Error(err))
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -16,19 +16,32 @@
 )
 
 // windowed reports whether further calls are counted in a window.
-func (b *budgets) windowed() bool { return b.window.Seconds > 0 }
+func (b *budgets) windowed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.window.Seconds > 0
+}
+
+// set has another window hold from now on.
+func (b *budgets) set(w config.RetryBudget) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.window != w {
+		b.window, b.pools = w, map[string]*poolUse{}
+	}
+}
 
 // budgets bound retries. Each team and each endpoint has a share of its recent
 // successes to spend, so that failing endpoints are not met with a storm of
 // further tries. Where the settings name a window, each pool of endpoints has
 // besides a number of further calls in it, which all hosts share.
 type budgets struct {
-	window config.RetryBudget
-	hosts  func() int // that share a window's extra
+	hosts func() int // that share a window's extra
 
-	mu    sync.Mutex
-	left  map[string]float64
-	pools map[string]*poolUse
+	mu     sync.Mutex
+	window config.RetryBudget
+	left   map[string]float64
+	pools  map[string]*poolUse
 }
 
 func newBudgets(b *blackboard.Board) *budgets {
@@ -118,22 +131,22 @@
 
 // count notes a request for a pool.
 func (b *budgets) count(pool string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.window.Seconds == 0 {
 		return
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	u := b.pool(pool, now)
 	u.requests[u.slice%windowSlices]++
 }
 
 // further spends n further calls to a pool, if the window has so many left.
 func (b *budgets) further(pool string, now time.Time, n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.window.Seconds == 0 || n == 0 {
 		return true
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	u := b.pool(pool, now)
 	most := b.window.Share*sum(u.requests) + float64(b.window.Extra)/float64(max(1, b.hosts()))
 	if sum(u.further)+float64(n) > cautious*most {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,6 +45,9 @@
 	return &Entry{board: b, engine: g, traits: g.Traits(), owners: o, record: rec, log: log, budgets: newBudgets(b)}
 }
 
+// SetRetryBudget has another budget hold from now on.
+func (e *Entry) SetRetryBudget(b config.RetryBudget) { e.budgets.set(b) }
+
 // Handler returns the callers' HTTP interface.
 func (e *Entry) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -279,7 +279,7 @@
 func (r *Router) Seeder() blackboard.Controller {
 	round := 0
 	return blackboard.Every(config.Millis(r.board.Settings.HeartbeatMillis), func(ctx context.Context) {
-		seeds := r.board.Settings.Seeds
+		seeds := r.seedList()
 		round++
 		if len(seeds) == 0 || r.met() && round%seedEvery != 0 {
 			return
@@ -290,6 +290,22 @@
 	})
 }
 
+func (r *Router) seedList() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.seeds == nil {
+		return r.board.Settings.Seeds
+	}
+	return r.seeds
+}
+
+// SetSeeds replaces the addresses by which other hosts are met.
+func (r *Router) SetSeeds(seeds []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seeds = append([]string{}, seeds...)
+}
+
 // met reports whether another live host is known.
 func (r *Router) met() bool {
 	now := time.Now()
--- a/peer/router.go
+++ b/peer/router.go
@@ -35,6 +35,7 @@
 	listed   map[uint32]bool            // hosts on the platform's list
 	missed   map[uint32]int             // pings in a row that a watched host did not answer
 	hot      time.Time                  // until when news is told around
+	seeds    []string                   // nil: those of the settings
 	round    uint64
 	told     uint64 // exchanges made
 	size     int    // bytes of the last
