publish: an outage of the store ends no endpoint's use

Ruled out: an incomplete listing (the store's revision and later events agree). Change: endpoints that vanish around a failed call, or most of all at once, stay in use as lapsed, until they register again, their end is told in a stable moment, another has their address, or a minute is over.

--- a/config/document.go
+++ b/config/document.go
@@ -85,6 +85,9 @@
 	// Registered marks an endpoint of a roster. Its state is what it says of
 	// itself, so it is given no orders to reach the state of a revision.
 	Registered bool `json:"-"`
+	// Lapsed is when the registration vanished although nobody can tell that
+	// the endpoint left; zero: it stands.
+	Lapsed time.Time `json:"-"`
 }
 
 // PieceTokens returns how many tokens one piece of the endpoint's streams holds.
--- a/node/node.go
+++ b/node/node.go
@@ -159,6 +159,8 @@
 
 func (s sink) OfferRoster(r *config.Roster, from string) { s.n.Router.OfferRoster(r, from) }
 
+func (s sink) Roster() *config.Roster { return s.n.Board.Config.Roster() }
+
 func (s sink) Heard(now time.Time) { s.n.Board.Config.Heard(now) }
 
 func (n *Node) goRun(f func() error) {
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -17,6 +17,8 @@
 	Offer(revision uint64, src []byte, from string)
 	// OfferRoster offers the endpoints that registered themselves.
 	OfferRoster(r *config.Roster, from string)
+	// Roster returns the endpoints that are in force, or nil.
+	Roster() *config.Roster
 	// Heard notes that the platform answered.
 	Heard(now time.Time)
 }
@@ -67,9 +69,10 @@
 	store Store
 	log   *zap.Logger
 
-	at    uint64
-	known map[string]config.Endpoint
-	lost  bool // the store was out of reach at the last call
+	at     uint64
+	known  map[string]config.Endpoint
+	lost   bool      // the store was out of reach at the last call
+	failed time.Time // when a call last failed
 }
 
 // NewFollower returns a feed from a store.
@@ -118,6 +121,9 @@
 	if ctx.Err() != nil || errors.Is(err, ErrForgotten) {
 		return
 	}
+	if err != nil {
+		f.failed = time.Now()
+	}
 	if lost := err != nil; lost != f.lost {
 		f.lost = lost
 		if lost {
@@ -151,12 +157,15 @@
 		return err
 	}
 	f.faults(s.Faults)
+	now := time.Now()
+	before := f.before(sink)
 	f.known = make(map[string]config.Endpoint, len(s.Endpoints))
 	for _, e := range s.Endpoints {
 		f.known[e.Name] = e
 	}
+	f.vanished(missing(before, f.known), false, now)
 	f.at = s.At
-	sink.Heard(time.Now())
+	sink.Heard(now)
 	if s.Document != nil {
 		sink.Offer(s.Document.Revision, []byte(s.Document.Document), "store")
 	}
@@ -172,8 +181,9 @@
 		return err
 	}
 	f.faults(c.Faults)
+	now := time.Now()
 	f.at = max(f.at, c.At)
-	sink.Heard(time.Now())
+	sink.Heard(now)
 	if c.Document != nil {
 		sink.Offer(c.Document.Revision, []byte(c.Document.Document), "store")
 	}
@@ -183,9 +193,15 @@
 	for _, e := range c.Changed {
 		f.known[e.Name] = e
 	}
+	var gone []config.Endpoint
 	for _, name := range c.Gone {
-		delete(f.known, name)
+		if e, ok := f.known[name]; ok {
+			gone = append(gone, e)
+			delete(f.known, name)
+		}
 	}
+	f.vanished(gone, true, now)
+	f.expire(now)
 	sink.OfferRoster(f.roster(), "store")
 	return nil
 }
--- /dev/null
+++ b/publish/follow_test.go
@@ -0,0 +1,134 @@
+package publish
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/config"
+)
+
+// stubStore answers from a script: each call takes the next step. It blocks
+// when the script is over.
+type stubStore struct {
+	steps []step
+	calls []string
+}
+
+type step struct {
+	list   []string // names of endpoints that a listing holds; nil: this is a watch
+	come   []string
+	gone   []string
+	fail   error
+	after  time.Duration
+	others func(e *config.Endpoint)
+}
+
+var errDown = errors.New("down")
+
+func (s *stubStore) next(ctx context.Context, what string) (step, error) {
+	if len(s.steps) == 0 {
+		<-ctx.Done()
+		return step{}, ctx.Err()
+	}
+	at := s.steps[0]
+	s.steps = s.steps[1:]
+	s.calls = append(s.calls, what)
+	time.Sleep(at.after)
+	return at, at.fail
+}
+
+func rows(names []string, change func(e *config.Endpoint)) []config.Endpoint {
+	var out []config.Endpoint
+	for _, n := range names {
+		e := config.Endpoint{Name: n, Address: "10.0.0.1:" + n[1:], Domain: "d", Pool: "p", Role: config.Decode}
+		if change != nil {
+			change(&e)
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func (s *stubStore) List(ctx context.Context) (*State, error) {
+	at, err := s.next(ctx, "list")
+	return &State{At: uint64(len(s.calls)), Endpoints: rows(at.list, at.others)}, err
+}
+
+func (s *stubStore) Watch(ctx context.Context, _ uint64, _ time.Duration) (*Changes, error) {
+	at, err := s.next(ctx, "watch")
+	return &Changes{At: uint64(len(s.calls)), Changed: rows(at.come, at.others), Gone: at.gone}, err
+}
+
+func (s *stubStore) Close() {}
+
+// stubSink holds the newest roster.
+type stubSink struct{ roster *config.Roster }
+
+func (s *stubSink) Offer(uint64, []byte, string)           {}
+func (s *stubSink) OfferRoster(r *config.Roster, _ string) { s.roster = r }
+func (s *stubSink) Roster() *config.Roster                 { return s.roster }
+func (s *stubSink) Heard(time.Time)                        {}
+func (s *stubSink) names() string {
+	var out []string
+	if s.roster != nil {
+		for _, e := range s.roster.Endpoints {
+			out = append(out, e.Name)
+		}
+	}
+	slices.Sort(out)
+	return strings.Join(out, " ")
+}
+
+// TestFollow plays a store, one step a call, and states which endpoints are
+// in force at the end.
+func TestFollow(t *testing.T) {
+	all := []string{"a1", "a2", "a3", "a4", "a5"}
+	leaving := func(e *config.Endpoint) { e.Leaving = e.Name == "a2" }
+	cases := []struct {
+		name  string
+		known []string // from a peer, before the first listing
+		steps []step
+		want  string
+	}{
+		{name: "listed", steps: []step{{list: all}}, want: "a1 a2 a3 a4 a5"},
+		{name: "come and gone", steps: []step{{list: all}, {come: []string{"a6"}}, {gone: []string{"a1"}}}, want: "a2 a3 a4 a5 a6"},
+		{name: "the store forgets", steps: []step{{list: all}, {fail: ErrForgotten}, {list: all[1:]}}, want: "a2 a3 a4 a5"},
+		{name: "an outage lets registrations run out", steps: []step{{list: all}, {fail: errDown, after: 3 * time.Second}, {gone: all[:2]}}, want: "a1 a2 a3 a4 a5"},
+		{name: "an outage, and the store has forgotten", steps: []step{{list: all}, {fail: errDown}, {fail: ErrForgotten}, {list: all[4:]}}, want: "a1 a2 a3 a4 a5"},
+		{name: "one that was leaving goes in an outage", steps: []step{{list: all, others: leaving}, {fail: errDown}, {gone: all[:2]}}, want: "a1 a3 a4 a5"},
+		{name: "long after an outage one goes", steps: []step{{list: all}, {fail: errDown}, {}, {gone: all[:1], after: shakyFor}}, want: "a2 a3 a4 a5"},
+		{name: "most vanish at once", steps: []step{{list: all}, {gone: all[1:]}}, want: "a1 a2 a3 a4 a5"},
+		{name: "vanished ones register again", steps: []step{{list: all}, {gone: all[1:]}, {come: all[1:]}, {gone: all[1:2]}}, want: "a1 a3 a4 a5"},
+		{name: "the address of a vanished one is taken", steps: []step{{list: all}, {gone: all[1:]},
+			{come: []string{"b2"}}, {}}, want: "a1 a3 a4 a5 b2"},
+		{name: "vanished for long", steps: []step{{list: all}, {gone: all[1:]}, {come: []string{"a6"}, after: lapsedKept + time.Second}}, want: "a1 a6"},
+		{name: "a vanished one's end is told later", steps: []step{{list: all}, {fail: errDown}, {fail: ErrForgotten}, {list: all[3:]},
+			{gone: all[:1], after: shakyFor + time.Second}}, want: "a2 a3 a4 a5"},
+		{name: "a peer knows more than the listing", known: all, steps: []step{{list: all[3:]}}, want: "a1 a2 a3 a4 a5"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, sink := &stubStore{steps: tc.steps}, new(stubSink)
+				if tc.known != nil {
+					sink.roster = &config.Roster{Endpoints: rows(tc.known, nil)}
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				go NewFollower(store, zap.NewNop()).Follow(ctx, sink)
+				time.Sleep(3 * time.Minute)
+				cancel()
+				synctest.Wait()
+				if got := sink.names(); got != tc.want {
+					t.Errorf("in force: %s, want %s (calls %v)", got, tc.want, store.calls)
+				}
+			})
+		})
+	}
+}
