owner, peer: owners inherit what was reserved before them

Cause: while hosts were restarted in turn, endpoints changed owners every two seconds and each new owner knew only the engine's list, 0.9 s old and without forecasts. Asks still went to owners that were leaving, and a dead owner's endpoints had none for up to 3 s. Change: a new owner asks the one before it and takes its rows; an owner that loses an endpoint hands its rows over; leaving hosts are announced to all of a small region and pass asks on; the next host stands in for one that doesn't answer; news of incarnations goes around at once. A planned stop ends 1.3 s before it would be killed.

--- a/blackboard/hosts.go
+++ b/blackboard/hosts.go
@@ -286,14 +286,19 @@
 	defer t.mu.RUnlock()
 	var sum uint64
 	for n, h := range t.hosts {
-		if !h.Leaving && t.live(h, now) {
-			sum += rendezvous(h.Incarnation, n)
+		if h.Leaving || !t.live(h, now) {
+			continue
+		}
+		sum += rendezvous(h.Incarnation, n)
+		if h.Doubted {
+			sum++
 		}
 	}
 	return sum
 }
 
-// First returns the first host of Order without building the list.
+// First returns the first host of Order that isn't doubted, without building
+// the list; a doubted one if all are.
 func (t *HostTable) First(key uint64, domain string, now time.Time) (Host, bool) {
 	return t.first(key, now, func(h *Host) bool { return h.Domain == domain })
 }
@@ -307,13 +312,15 @@
 func (t *HostTable) first(key uint64, now time.Time, among func(h *Host) bool) (Host, bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
+	// A doubted host answers nobody here; the next one stands in for it
+	// until its heartbeat rises.
 	var best *Host
 	var top uint64
 	for _, h := range t.hosts {
-		if !among(h) || h.Leaving || !t.live(h, now) {
+		if !among(h) || h.Leaving || !t.live(h, now) || best != nil && h.Doubted && !best.Doubted {
 			continue
 		}
-		if s := rendezvous(key, h.Number); best == nil || s > top {
+		if s := rendezvous(key, h.Number); best == nil || s > top || best.Doubted && !h.Doubted {
 			best, top = h, s
 		}
 	}
--- a/blackboard/hosts_test.go
+++ b/blackboard/hosts_test.go
@@ -37,6 +37,11 @@
 		{"an old incarnation speaks", func(h *HostTable) { h.Learn(hostNamed("x", 4, 99), start.Add(9*time.Second)) }, false, false},
 		{"restarted", func(h *HostTable) { h.Learn(hostNamed("x", 6, 1), start.Add(9*time.Second)) }, true, true},
 		{"listed by the platform only", func(h *HostTable) { h.Learn(Host{Name: "x", Number: x, Domain: "a"}, start.Add(9*time.Second)) }, false, false},
+		{"doubted: another stands in", func(h *HostTable) { h.Doubt(x) }, true, false},
+		{"doubted, and then heard of", func(h *HostTable) {
+			h.Doubt(x)
+			h.Learn(hostNamed("x", 5, 20), start.Add(9*time.Second))
+		}, true, true},
 		{"leaving by its own word", func(h *HostTable) {
 			l := hostNamed("x", 5, 20)
 			l.Leaving = true
@@ -57,7 +62,7 @@
 			h := testHosts("x")
 			tc.play(h)
 			at := start
-			if tc.name != "heard just now" {
+			if tc.name != "heard just now" && tc.name != "doubted: another stands in" {
 				at = start.Add(10 * time.Second)
 			}
 			_, live, _ := h.Get(x, at)
--- a/node/node.go
+++ b/node/node.go
@@ -201,7 +201,7 @@
 const drainTick = 20 * time.Millisecond
 
 // graceSpare is how long before it would be killed a stopping node ends.
-const graceSpare = 600 * time.Millisecond
+const graceSpare = 1300 * time.Millisecond
 
 // Drain is the planned stop: readiness goes first, owned endpoints are handed
 // over, requests in progress end, and then the node stops. It returns how
@@ -231,9 +231,12 @@
 	return left
 }
 
+// shutdownTime bounds the last writes of a stopping node.
+const shutdownTime = 400 * time.Millisecond
+
 // shutdown lets handlers that have just ended write their last bytes.
 func (n *Node) shutdown() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
 	defer cancel()
 	for _, s := range n.servers {
 		_ = s.Shutdown(ctx)
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
 )
 
 // HandOver tells the successors of this leaving host what it reserved that
@@ -27,22 +29,62 @@
 		if b.ledger == nil || !ok || next.Number == o.board.Number {
 			continue
 		}
-		if err := o.peers.Handover(ctx, next, b.handover(now)); err != nil {
-			o.log.Warn("hand-over failed; the successor starts from the endpoint's list", zap.String("endpoint", b.spec.Name), zap.Error(err))
+		o.handTo(ctx, next, b, now)
+	}
+}
+
+// handTo tells a successor what this host reserved of an endpoint.
+func (o *Owner) handTo(ctx context.Context, next blackboard.Host, b *Book, now time.Time) {
+	if err := o.peers.Handover(ctx, next, b.handover(now)); err != nil {
+		o.log.Warn("hand-over failed; the successor starts from the endpoint's list", zap.String("endpoint", b.spec.Name), zap.Error(err))
+	}
+}
+
+// inherit asks the host that would own the endpoint without this one for what
+// it reserved, and reports whether it told.
+func (o *Owner) inherit(ctx context.Context, b *Book) bool {
+	if o.peers == nil {
+		return false
+	}
+	now := time.Now()
+	for _, h := range o.board.Hosts.Order(uint64(b.number), b.spec.Domain, now) {
+		if h.Number == o.board.Number || h.Doubted || h.Peers == "" {
+			continue
+		}
+		told, err := o.peers.Inherit(ctx, h, b.number)
+		if err != nil {
+			return false
 		}
+		b.accept(now, told)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.ready = true
+		return told.Known
 	}
+	return false
+}
+
+// Tell answers a successor that takes an endpoint over.
+func (o *Owner) Tell(endpoint uint32) Handover {
+	o.mu.Lock()
+	b := o.books[endpoint]
+	o.mu.Unlock()
+	if b == nil || b.ledger == nil {
+		return Handover{Endpoint: endpoint}
+	}
+	return b.handover(time.Now())
 }
 
 func (b *Book) handover(now time.Time) Handover {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h := Handover{Endpoint: b.number}
+	h := Handover{Endpoint: b.number, Known: b.ready}
 	for _, r := range b.ledger.rows {
 		if r.seen && !b.spec.GrowsMemory {
 			continue // the endpoint's list has it
 		}
 		h.Rows = append(h.Rows, HandoverRow{Attempt: r.attempt, Team: r.team, Tokens: r.tokens, MaxAnswer: r.maxAnswer, Expected: r.expected, Mark: r.mark,
-			Start: millis(r.start.Sub(now)), Moved: millis(r.moved.Sub(now)), Lease: millis(r.lease.Sub(now))})
+			Start: millis(r.start.Sub(now)), Moved: millis(r.moved.Sub(now)), Lease: millis(r.lease.Sub(now)), Seen: r.seen})
 	}
 	return h
 }
@@ -53,21 +95,26 @@
 	if err != nil {
 		return err
 	}
-	now := time.Now()
+	b.accept(time.Now(), h)
+	return nil
+}
+
+// accept takes in the rows of another owner.
+func (b *Book) accept(now time.Time, h Handover) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.ledger == nil {
-		return nil
+		return
 	}
 	for _, r := range h.Rows {
-		if b.ledger.rows[r.Attempt] != nil {
+		if _, over := b.ledger.ended[r.Attempt]; over || b.ledger.rows[r.Attempt] != nil {
 			continue
 		}
 		a := ReserveArgs{Attempt: r.Attempt, Team: r.Team, Tokens: r.Tokens - r.MaxAnswer, MaxAnswer: r.MaxAnswer,
 			Expected: r.Expected, Mark: r.Mark}
 		b.ledger.add(a, now.Add(duration(r.Start)), now.Add(duration(r.Moved)), now.Add(duration(r.Lease)))
+		b.ledger.rows[r.Attempt].seen = r.Seen
 	}
-	return nil
 }
 
 // Waiting returns how many requests wait in this host's queues.
--- /dev/null
+++ b/owner/handover_test.go
@@ -0,0 +1,98 @@
+package owner
+
+import (
+	"context"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/request"
+)
+
+// pairPeers takes calls of one owner to another.
+type pairPeers struct{ other *Owner }
+
+func (p pairPeers) Claims(context.Context, blackboard.Host, []request.Attempt) ([]bool, error) {
+	return nil, nil
+}
+
+func (p pairPeers) Handover(ctx context.Context, _ blackboard.Host, h Handover) error {
+	return p.other.Accept(ctx, h)
+}
+
+func (p pairPeers) Inherit(_ context.Context, _ blackboard.Host, endpoint uint32) (Handover, error) {
+	return p.other.Tell(endpoint), nil
+}
+
+const poolDocument = `{"failure_domains": [{"name": "d", "region": "r"}], "targets": {"ttft_ms": 900, "tpot_ms": 10},
+"models": [{"name": "m", "version": "1", "max_tokens": 90000, "kv_bytes_per_token": 1}],
+"pools": [{"name": "p", "memory_tokens": 90000, "slots": 64, "link_bytes_per_second": 1000000000}],
+"routes": [{"name": "r", "host": "h", "path_prefix": "/", "pools": [{"pool": "p", "weight": 1}]}]}`
+
+// testOwner returns the owner of a host that knows one other host.
+func testOwner(t *testing.T, name, other string) *Owner {
+	t.Helper()
+	s := &config.Settings{Host: name, Domain: "d", Region: "r", Peers: "127.0.0.1:1"}
+	s.SetDefaults()
+	b := blackboard.New(s)
+	if _, err := b.Config.Offer(1, []byte(poolDocument)); err != nil {
+		t.Fatal(err)
+	}
+	row := config.Endpoint{Name: "e", Address: "127.0.0.1:9", Domain: "d", Pool: "p", Role: config.Decode}
+	if _, err := b.Config.OfferRoster(&config.Roster{Revision: 1, Endpoints: []config.Endpoint{row}}); err != nil {
+		t.Fatal(err)
+	}
+	b.Endpoints.Fit(b.Config.View())
+	b.Hosts.Learn(blackboard.Host{Name: other, Number: request.HostNumber(other), Domain: "d", Region: "r", Peers: "127.0.0.1:2",
+		Incarnation: 1, Beat: 1}, at(0))
+	b.Hosts.Renew(at(0).AddDate(100, 0, 0))
+	return New(b, endpoint.NewClient(nil), zap.NewNop())
+}
+
+// TestInherit checks what a new owner knows of a growing engine: all that the
+// one before it reserved, and nothing that has ended since.
+func TestInherit(t *testing.T) {
+	number := config.NameNumber("e")
+	cases := []struct {
+		name   string
+		known  bool // the owner before stands on a list
+		ended  bool // one request ended before the rows arrive
+		pushed bool // the owner before hands over; else the new one asks
+		rows   int
+	}{
+		{"asked for", true, false, false, 2},
+		{"asked for from one that knows nothing", false, false, false, 2},
+		{"handed over", true, false, true, 2},
+		{"handed over after an end", true, true, true, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			before, after := testOwner(t, "a", "b"), testOwner(t, "b", "a")
+			before.SetPeers(pairPeers{after})
+			after.SetPeers(pairPeers{before})
+			v := before.board.Config.View()
+			old, young := newBook(v, v.ByName["e"], 1, at(0)), newBook(v, v.ByName["e"], 1, at(0))
+			before.books[number], after.books[number] = old, young
+			old.ready, young.ready = tc.known, tc.pushed
+			for n := range 2 {
+				if _, err := old.reserve(at(0), growingArgs(n, 4_000, 500, 0)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if tc.ended {
+				young.release(at(0), Release{Attempt: attempt(1), Endpoint: number, Outcome: Done})
+			}
+			if tc.pushed {
+				before.handTo(context.Background(), blackboard.Host{}, old, at(0))
+			} else if told := after.inherit(context.Background(), young); told != tc.known {
+				t.Errorf("told %v, want %v", told, tc.known)
+			}
+			if n := len(young.ledger.rows); n != tc.rows {
+				t.Errorf("%d rows, want %d", n, tc.rows)
+			}
+		})
+	}
+}
--- a/owner/ledger.go
+++ b/owner/ledger.go
@@ -340,8 +340,8 @@
 		l.learnMargin(r.Waited)
 		l.learnPace(r.Answer, r.Millis)
 	}
+	l.ended[r.Attempt] = now
 	if l.rows[r.Attempt] != nil {
-		l.ended[r.Attempt] = now
 		if mark := l.rows[r.Attempt].mark; mark != 0 {
 			l.ended[listedAs(mark)] = now
 		}
--- a/owner/messages.go
+++ b/owner/messages.go
@@ -20,6 +20,7 @@
 	MaxAnswer int
 	Expected  int    // tokens of the answer by the caller's own guess; 0: none
 	Mark      uint64 // of the id by which the engine lists the request; 0: the attempt itself
+	Forwarded bool   // by an owner that is leaving
 	Bytes     int64  // to transfer
 	InMillis  int    // when the prefill is expected to end
 	Slack     int    // ms by which the start may come later
@@ -86,6 +87,7 @@
 // Handover is what a leaving owner tells its successor of an endpoint.
 type Handover struct {
 	Endpoint uint32
+	Known    bool // the teller's book stood on more than its own reservations
 	Rows     []HandoverRow
 }
 
@@ -100,6 +102,7 @@
 	Start     int // ms from now; negative: past
 	Moved     int
 	Lease     int
+	Seen      bool // the endpoint's list had it
 }
 
 // millis converts a duration for a message, rounding up.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -31,6 +31,8 @@
 	Claims(ctx context.Context, host blackboard.Host, attempts []request.Attempt) ([]bool, error)
 	// Handover tells a host what its predecessor reserved.
 	Handover(ctx context.Context, host blackboard.Host, h Handover) error
+	// Inherit asks a host what it has reserved of an endpoint.
+	Inherit(ctx context.Context, host blackboard.Host, endpoint uint32) (Handover, error)
 }
 
 // Owner holds the books of owned endpoints.
@@ -124,11 +126,15 @@
 	return b, nil
 }
 
-// takeOver reads the endpoint's list. When that fails the book starts empty:
-// the engine's admission then corrects it.
+// takeOver asks the host that owned the endpoint before for what it reserved,
+// and reads the endpoint's list. When both fail the book starts empty: the
+// engine's admission then corrects it.
 func (o *Owner) takeOver(ctx context.Context, b *Book) {
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
+	if b.ledger != nil && b.spec.GrowsMemory && o.inherit(ctx, b) {
+		return
+	}
 	list, err := o.engine.Requests(ctx, b.spec.Address)
 	o.Polls.Add(1)
 	now := time.Now()
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -91,7 +91,9 @@
 	}
 	o.nextAdopt = now.Add(adoptEvery)
 	if print := o.board.Hosts.Fingerprint(now) ^ v.Digest ^ v.Roster; print != o.fingerprint || o.owned == nil {
+		before := o.owned
 		o.fingerprint, o.owned = print, o.workOut(v, now)
+		o.handLost(v, before, now)
 		owned := o.owned
 		o.board.Endpoints.SetOwn(func(n uint32) bool { return owned[n] })
 	}
@@ -102,6 +104,24 @@
 	}
 }
 
+// handLost tells new owners what this host has reserved of endpoints that it
+// owned until now; the caller holds the lock.
+func (o *Owner) handLost(v *config.View, before map[uint32]bool, now time.Time) {
+	for n := range before {
+		b := o.books[n]
+		if o.owned[n] || b == nil || b.ledger == nil || o.peers == nil {
+			continue
+		}
+		if next, ok := Of(o.board, v, b.spec, now); ok && next.Number != o.board.Number {
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), takeoverTimeout)
+				defer cancel()
+				o.handTo(ctx, next, b, now)
+			}()
+		}
+	}
+}
+
 // workOut opens the books of endpoints that this host owns and returns their
 // numbers; the caller holds the lock.
 func (o *Owner) workOut(v *config.View, now time.Time) map[uint32]bool {
@@ -144,6 +164,9 @@
 	next(&b.nextList, list, config.Millis(s.ListMillis))
 	next(&b.nextFeed, feed, feedEvery)
 	b.mu.Unlock()
+	if b.fresh() {
+		o.takeOver(ctx, b)
+	}
 	if state {
 		o.pollState(ctx, b)
 	}
@@ -160,6 +183,13 @@
 	o.board.Endpoints.Learn(d, time.Now())
 }
 
+// fresh reports whether nothing is known yet of what the endpoint holds.
+func (b *Book) fresh() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger != nil && !b.ready
+}
+
 // lists reports whether the endpoint's reports carry its list.
 func (b *Book) lists() bool {
 	b.mu.Lock()
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -139,7 +140,7 @@
 	for _, n := range e.Names {
 		r.introduce(n, now)
 	}
-	changed := false
+	changed, news := false, false
 	for _, b := range e.Beats {
 		cur, _, known := r.board.Hosts.Get(b.Number, now)
 		if !known {
@@ -148,10 +149,10 @@
 			r.mu.Unlock()
 			continue
 		}
+		news = news || b.Incarnation > cur.Incarnation || b.Leaving && !cur.Leaving && b.Incarnation == cur.Incarnation
 		cur.Incarnation, cur.Beat, cur.Leaving, cur.Doubted = b.Incarnation, b.Beat, b.Leaving, false
 		changed = r.board.Hosts.Learn(cur, now) || changed
 	}
-	news := false
 	for _, b := range e.Gone {
 		news = r.board.Hosts.Accuse(b.Number, b.Incarnation, b.Beat, now) || news
 	}
@@ -345,16 +346,25 @@
 	r.board.Wake.All()
 }
 
-// Announce tells every live host of the domain about this host's state at
-// once; a leaving host does so before it waits for its requests to end.
+// announceAll is the size of a fleet up to which a leaving host tells every
+// host of the region; in a larger one it tells its own domain, and the news
+// goes around.
+const announceAll = 32
+
+// Announce tells the live hosts about this host's state at once; a leaving
+// host does so before it waits for its requests to end.
 func (r *Router) Announce(ctx context.Context) {
 	now := time.Now()
 	self := r.board.Hosts.Self()
-	for _, h := range r.board.Hosts.List() {
-		if h.Number != self.Number && h.Domain == self.Domain && r.board.Hosts.Live(h, now) && h.Peers != "" {
-			r.exchangeWith(ctx, h)
+	hosts := r.board.Hosts.List()
+	var wg sync.WaitGroup
+	for _, h := range hosts {
+		near := h.Domain == self.Domain || len(hosts) <= announceAll && h.Region == self.Region
+		if h.Number != self.Number && near && r.board.Hosts.Live(h, now) && h.Peers != "" {
+			wg.Go(func() { r.exchangeWith(ctx, h) })
 		}
 	}
+	wg.Wait()
 }
 
 // Once makes one exchange with the host at an address, for measurements.
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -16,6 +16,7 @@
 	methodFetch    = "P.Fetch"
 	methodClaims   = "P.Claims"
 	methodHandover = "P.Handover"
+	methodInherit  = "P.Inherit"
 	methodKeyBegin = "P.KeyBegin"
 	methodKeyEnd   = "P.KeyEnd"
 	methodPing     = "P.Ping"
@@ -64,6 +65,9 @@
 // ReleaseArgs carries several releases at once.
 type ReleaseArgs struct{ Rows []owner.Release }
 
+// InheritArgs asks for what a host has reserved of an endpoint.
+type InheritArgs struct{ Endpoint uint32 }
+
 // ClaimsArgs asks which attempts a host still holds.
 type ClaimsArgs struct{ Attempts []request.Attempt }
 
--- a/peer/router.go
+++ b/peer/router.go
@@ -181,6 +181,13 @@
 	return r.pool.call(ctx, h.Peers, methodHandover, &ho, &Nothing{}, r.timeout())
 }
 
+// Inherit implements owner.Peers.
+func (r *Router) Inherit(ctx context.Context, h blackboard.Host, endpoint uint32) (owner.Handover, error) {
+	var reply owner.Handover
+	err := r.pool.call(ctx, h.Peers, methodInherit, &InheritArgs{Endpoint: endpoint}, &reply, r.timeout())
+	return reply, err
+}
+
 // Touched notes that this host sent a request to an endpoint (n 1) or that
 // one ended (n -1), for the baselines that know no more.
 func (r *Router) Touched(number uint32, n int) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/route"
 )
@@ -20,10 +21,30 @@
 }
 
 func (s *server) Reserve(a *owner.ReserveArgs, reply *owner.ReserveReply) (err error) {
+	if spec := s.elsewhere(a.Endpoint); spec != nil && !a.Forwarded {
+		a.Forwarded = true
+		*reply, err = s.r.Reserve(s.ctx, spec, *a)
+		return err
+	}
 	*reply, err = s.r.owner.Reserve(s.ctx, *a)
 	return err
 }
 
+// elsewhere returns an endpoint whose owner this host no longer is because it
+// leaves; the asker hasn't heard of that yet. Else it returns nil.
+func (s *server) elsewhere(endpoint uint32) *config.Endpoint {
+	v := s.r.board.Config.View()
+	if !s.r.board.Leaving() || v == nil {
+		return nil
+	}
+	return v.ByNumber[endpoint]
+}
+
+func (s *server) Inherit(a *InheritArgs, reply *owner.Handover) error {
+	*reply = s.r.owner.Tell(a.Endpoint)
+	return nil
+}
+
 func (s *server) Enqueue(a *owner.EnqueueArgs, reply *owner.EnqueueReply) (err error) {
 	*reply, err = s.r.owner.Enqueue(s.ctx, *a)
 	return err
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -72,7 +72,9 @@
 	at     uint64
 	known  map[string]config.Endpoint
 	lost   bool      // the store was out of reach at the last call
-	failed time.Time // when a call last failed
+	since  time.Time // since when
+	silent bool      // some call since then got no answer at all
+	shaky  time.Time // until when the loss of a registration says nothing
 }
 
 // NewFollower returns a feed from a store.
@@ -121,14 +123,14 @@
 	if ctx.Err() != nil || errors.Is(err, ErrForgotten) {
 		return
 	}
-	if err != nil {
-		f.failed = time.Now()
-	}
+	f.silent = f.silent || errors.Is(err, context.DeadlineExceeded)
 	if lost := err != nil; lost != f.lost {
 		f.lost = lost
 		if lost {
+			f.since = time.Now()
 			f.log.Warn("store lost", zap.Uint64("at", f.at), zap.Error(err))
 		} else {
+			f.silent = false
 			f.log.Info("store regained", zap.Uint64("at", f.at))
 		}
 	}
@@ -158,6 +160,7 @@
 	}
 	f.faults(s.Faults)
 	now := time.Now()
+	f.judgeOutage(now)
 	before := f.before(sink)
 	f.known = make(map[string]config.Endpoint, len(s.Endpoints))
 	for _, e := range s.Endpoints {
@@ -182,6 +185,7 @@
 	}
 	f.faults(c.Faults)
 	now := time.Now()
+	f.judgeOutage(now)
 	f.at = max(f.at, c.At)
 	sink.Heard(now)
 	if c.Document != nil {
--- a/publish/lapse.go
+++ b/publish/lapse.go
@@ -14,9 +14,12 @@
 // their own name, and until they register again or nothing is heard of them.
 
 const (
-	// shakyFor is how long after a failed call the loss of a registration
-	// says nothing about its endpoint.
-	shakyFor = 6 * time.Second
+	// outageLeast is how long a store must be out of reach for registrations
+	// to run out. One that answers nothing may have been so for long already.
+	outageLeast = 2 * time.Second
+	// shakyFor is how long after an outage the loss of a registration says
+	// nothing about its endpoint. What ran out shows in the first answer.
+	shakyFor = time.Second
 	// massShare is the part of all endpoints that don't leave at once: more
 	// have lost their registrations.
 	massShare = 0.5
@@ -24,6 +27,14 @@
 	lapsedKept = time.Minute
 )
 
+// judgeOutage is called with each answer of the store. The first one after an
+// outage begins the time in which lost registrations say nothing.
+func (f *Follower) judgeOutage(now time.Time) {
+	if f.lost && (f.silent || now.Sub(f.since) >= outageLeast) {
+		f.shaky = now.Add(shakyFor)
+	}
+}
+
 // before returns the endpoints that were known, from the store or from peers.
 func (f *Follower) before(sink Sink) map[string]config.Endpoint {
 	if r := sink.Roster(); r != nil {
@@ -51,7 +62,7 @@
 // may not have left. told says that the store told of the end of each; else
 // they are only missing from a listing, where a lapsed one is missing again.
 func (f *Follower) vanished(gone []config.Endpoint, told bool, now time.Time) {
-	shaky := !f.failed.IsZero() && now.Sub(f.failed) < shakyFor
+	shaky := now.Before(f.shaky)
 	mass := len(gone) > 1 && float64(len(gone)) > massShare*float64(len(gone)+len(f.known))
 	kept := 0
 	for _, e := range gone {
