owner: forecast answers from guesses by a learned line

Cause: forecasts by the ratio of answer to guess were too wide (standard deviation 0.53 of the logarithm) and learned from the first answers that ended, which are the short ones.

--- a/owner/forecast.go
+++ b/owner/forecast.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"math"
 	"math/bits"
 )
 
@@ -32,48 +31,7 @@
 // apart for each order of magnitude asked, because a yes or no and a summary
 // have little in common.
 type answerForecast struct {
-	seen  [33][answerBins]float64
-	span  float64             // multiple of what was asked that the bins reach to; 0 stands for 1
-	prior [answerBins]float64 // counts held before any was seen; all zero: every length alike
-}
-
-// reach returns the multiple of what was asked that the bins reach to.
-func (f *answerForecast) reach() float64 {
-	if f.span == 0 {
-		return 1
-	}
-	return f.span
-}
-
-// before returns the count that bin i has before any answer was seen.
-func (f *answerForecast) before(i int) float64 {
-	if f.span == 0 {
-		return priorAnswers / answerBins
-	}
-	return f.prior[i]
-}
-
-// Guesses of callers are right in the median and often far off.
-const (
-	guessSpan   = 4.0
-	guessSpread = 0.6  // standard deviation of the logarithm, before any was seen
-	guessPrior  = 20.0 // answers that this belief weighs
-)
-
-// newGuessForecast returns a forecast of answers by what callers guessed.
-func newGuessForecast() answerForecast {
-	f := answerForecast{span: guessSpan}
-	below := func(ratio float64) float64 {
-		if ratio <= 0 {
-			return 0
-		}
-		return 0.5 * (1 + math.Erf(math.Log(ratio)/guessSpread/math.Sqrt2))
-	}
-	for i := range f.prior {
-		lo, hi := float64(i)/answerBins*guessSpan, float64(i+1)/answerBins*guessSpan
-		f.prior[i] = guessPrior * (below(hi) - below(lo))
-	}
-	return f
+	seen [33][answerBins]float64
 }
 
 func (f *answerForecast) learn(answer, asked int) {
@@ -84,23 +42,23 @@
 	for i := range bins {
 		bins[i] *= fadeAnswers
 	}
-	bins[min(answerBins-1, int(float64(answer-1)*answerBins/(float64(asked)*f.reach())))]++
+	bins[min(answerBins-1, (answer-1)*answerBins/asked)]++
 }
 
 // survive returns the chance that an answer has more than written tokens.
 func (f *answerForecast) survive(written float64, asked int) float64 {
-	if asked <= 0 || written >= float64(asked)*f.reach() {
+	if asked <= 0 || written >= float64(asked) {
 		return 0
 	}
 	if written <= 0 {
 		return 1
 	}
 	bins := &f.seen[bits.Len32(uint32(asked))]
-	pos := written / (float64(asked) * f.reach()) * answerBins
+	pos := written / float64(asked) * answerBins
 	whole := int(pos)
 	all, above := 0.0, 0.0
 	for i, n := range bins {
-		n += f.before(i)
+		n += priorAnswers / answerBins
 		all += n
 		switch {
 		case i > whole:
@@ -120,9 +78,9 @@
 	bins := &f.seen[bits.Len32(uint32(asked))]
 	all, sum := 0.0, 0.0
 	for i, n := range bins {
-		n += f.before(i)
+		n += priorAnswers / answerBins
 		all += n
 		sum += n * (float64(i) + 0.5) / answerBins
 	}
-	return max(1, int(sum/all*float64(asked)*f.reach()))
+	return max(1, int(sum/all*float64(asked)))
 }
--- a/owner/growing.go
+++ b/owner/growing.go
@@ -24,6 +24,10 @@
 // whole requests anew, which costs more than a request that is refused.
 const growingMargin = 1.6
 
+// barely is the chance below which a forecast says nothing more of an answer
+// that has outlived it.
+const barely = 1e-4
+
 // written returns the tokens that a row's answer has at a moment, if it goes
 // on till then.
 func (l *ledger) written(r *row, t time.Time, step time.Duration) float64 {
@@ -35,20 +39,12 @@
 
 // survive returns the chance that a row's answer is longer than so many tokens.
 func (l *ledger) survive(written float64, expected, asked int) float64 {
-	if expected > 0 {
-		return min(l.guessed.survive(written, expected), l.guessed.cap(written, asked))
+	if expected > 0 && written < float64(asked) {
+		return l.guessed.survive(written, expected)
 	}
 	return l.answers.survive(written, asked)
 }
 
-// cap is 0 from the most tokens on that an answer may have.
-func (f *answerForecast) cap(written float64, asked int) float64 {
-	if written >= float64(asked) {
-		return 0
-	}
-	return 1
-}
-
 // expect returns the tokens that an answer will have on average.
 func (l *ledger) expect(expected, asked int) int {
 	if expected > 0 {
@@ -65,7 +61,7 @@
 	p := 1.0
 	if t.After(now) && t.After(r.moved) {
 		alive := l.survive(l.written(r, now, step), r.expected, r.maxAnswer)
-		if alive < surelyOver {
+		if alive < barely {
 			p = math.Exp(-float64(t.Sub(now)) / float64(overrun))
 		} else {
 			p = l.survive(l.written(r, t, step), r.expected, r.maxAnswer) / alive
@@ -138,6 +134,7 @@
 func (l *ledger) reserveGrowing(now time.Time, a ReserveArgs) (time.Time, *result.Error) {
 	step := l.step()
 	blend(&l.usual, float64(a.Tokens), learnUsual)
+	l.guessed.see(a.Expected)
 	c := l.newcomer(a.Tokens, a.Expected, a.MaxAnswer, step)
 	wanted := now.Add(duration(a.InMillis))
 	latest := wanted.Add(duration(a.Slack))
--- a/owner/ledger.go
+++ b/owner/ledger.go
@@ -51,7 +51,7 @@
 	lease   time.Duration
 	rows    map[request.Attempt]*row
 	answers answerForecast // by the share of what was asked for
-	guessed answerForecast // by the multiple of what the caller guessed
+	guessed guessForecast  // by what the caller guessed
 	pace    float64        // learned factor on the time of a step; 0 stands for 1
 	ended   map[request.Attempt]time.Time
 	marked  map[uint64]request.Attempt
