owner: order surplus prefill runners to decode, a first try

Cause: 4 of 9 runners read prompts and were idle, while 5 that decode were full. Change: one direction only, by a static share; watches of 2 s.

--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -123,6 +123,13 @@
 	t.heard = now
 }
 
+// HeardWithin reports whether the platform answered within d.
+func (t *ConfigTable) HeardWithin(now time.Time, d time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.heard.IsZero() && now.Sub(t.heard) < d
+}
+
 // ConfigStatus is what operators see of the configuration of one host.
 type ConfigStatus struct {
 	Revision       uint64    `json:"revision"`
--- /dev/null
+++ b/owner/balance.go
@@ -0,0 +1,192 @@
+package owner
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/route"
+)
+
+// Runners that register themselves come with a role, and the shares of roles
+// in a pool may be far from what its requests need. Prefill runners beyond
+// the need are ordered to decode. Which runners change is a pure function of the
+// roster, so that all hosts name the same ones. Each is ordered by its owner, and
+// only by one whose ownership has stood for long enough that no other host can
+// have ordered within its lease.
+
+// Times and bounds of balancing.
+const (
+	balanceEvery  = 500 * time.Millisecond
+	settledAfter  = 4 * time.Second // without a change of members, before orders are given
+	rosterFresh   = 6 * time.Second // since the platform was heard of
+	orderTimeout  = 500 * time.Millisecond
+	orderSlack    = 6 * time.Second // beyond the change itself, before an order is repeated
+	leastEngines  = 4               // in a pool, below which roles stay
+	leastPrefills = 2
+)
+
+// decodeShare is how many runners decode for each that reads. An answer takes
+// some 3.5 times the share of a runner that its prompt does; reading is given
+// more than its part, because prompts that wait miss their target.
+const decodeShare = 2.0
+
+// balance is the state of balancing.
+type balance struct {
+	mu      sync.Mutex
+	print   uint64    // of the members
+	since   time.Time // when they last changed
+	ordered map[uint32]time.Time
+	fence   uint64 // highest that is known to have been used
+}
+
+// Balancer returns the controller that orders runners into the role that
+// their pool lacks.
+func (o *Owner) Balancer() blackboard.Controller {
+	return blackboard.Every(balanceEvery, func(ctx context.Context) {
+		v := o.board.Config.View()
+		now := time.Now()
+		if v == nil || !o.mayOrder(v, now) {
+			return
+		}
+		for name, p := range v.Pools {
+			if !p.Engines() || p.RoleSwitchMillis == 0 {
+				continue
+			}
+			for _, e := range surplus(v, name) {
+				o.change(ctx, v, p, e, config.Decode, now)
+			}
+		}
+	})
+}
+
+// mayOrder reports whether this host's view of the members and the roster is
+// good enough to give orders by.
+func (o *Owner) mayOrder(v *config.View, now time.Time) bool {
+	print := o.board.Hosts.Fingerprint(now)
+	o.balance.mu.Lock()
+	defer o.balance.mu.Unlock()
+	if print != o.balance.print || o.balance.since.IsZero() {
+		o.balance.print, o.balance.since = print, now
+	}
+	return v.Roster > 0 && now.Sub(o.balance.since) >= settledAfter && !o.board.Leaving() && !o.board.Pause.Check() &&
+		o.board.Config.HeardWithin(now, rosterFresh)
+}
+
+// surplus returns the prefill runners of a pool that it doesn't need, of the
+// failure domains that have most first.
+func surplus(v *config.View, pool string) []*config.Endpoint {
+	var prefills []*config.Endpoint
+	byDomain := map[string]int{}
+	engines := 0
+	for i := range v.Doc.Endpoints {
+		e := &v.Doc.Endpoints[i]
+		if e.Pool != pool || e.Role == config.Service || e.Leaving || !e.Lapsed.IsZero() {
+			continue
+		}
+		engines++
+		if e.Role == config.Prefill {
+			prefills = append(prefills, e)
+			byDomain[e.Domain]++
+		}
+	}
+	need := max(leastPrefills, int(math.Round(float64(engines)/(1+decodeShare))))
+	if engines < leastEngines || len(prefills) <= need {
+		return nil
+	}
+	slices.SortFunc(prefills, func(a, b *config.Endpoint) int { return strings.Compare(a.Name, b.Name) })
+	var out []*config.Endpoint
+	for len(prefills) > need {
+		most := 0
+		for i, e := range prefills {
+			if byDomain[e.Domain] > byDomain[prefills[most].Domain] {
+				most = i
+			}
+		}
+		e := prefills[most]
+		byDomain[e.Domain]--
+		out = append(out, e)
+		prefills = slices.Delete(prefills, most, most+1)
+	}
+	return out
+}
+
+// change orders a runner that this host owns into a role.
+func (o *Owner) change(ctx context.Context, v *config.View, p *config.Pool, e *config.Endpoint, to config.Role, now time.Time) {
+	number := route.Number(e.Name)
+	if h, ok := Of(o.board, v, e, now); !ok || h.Number != o.board.Number {
+		return
+	}
+	again := config.Millis(p.RoleSwitchMillis) + orderSlack
+	b := &o.balance
+	b.mu.Lock()
+	if at, done := b.ordered[number]; done && now.Sub(at) < again {
+		b.mu.Unlock()
+		return
+	}
+	b.ordered[number] = now
+	b.fence = max(b.fence+1, uint64(now.UnixMilli()))
+	order := endpoint.Order{Fence: b.fence, Role: string(to), Model: e.Model, Version: e.Version, Holder: o.board.Settings.Host}
+	b.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := o.engine.Order(ctx, e.Address, order)
+	o.Orders.Add(1)
+	o.log.Info("order sent", zap.String("endpoint", e.Name), zap.Uint64("fence", order.Fence), zap.String("role", order.Role), zap.Error(err))
+	if fenced(err) {
+		b.mu.Lock()
+		b.fence += fenceJump
+		b.mu.Unlock()
+		return
+	}
+	o.setChanging(number, now.Add(again))
+}
+
+// fenceJump is how far a fence is raised when a runner has seen a higher one:
+// beyond what clocks of hosts differ by.
+const fenceJump = 3_600_000 // ms
+
+// fenced reports whether an order was refused for its fence.
+func fenced(err error) bool {
+	var ce *endpoint.CallError
+	return errors.As(err, &ce) && ce.Status == http.StatusPreconditionFailed
+}
+
+// setChanging keeps new work from an endpoint until it has its new role.
+func (o *Owner) setChanging(number uint32, until time.Time) {
+	o.mu.Lock()
+	b := o.books[number]
+	o.mu.Unlock()
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	b.changing = until
+	d := b.digest(time.Now(), true)
+	b.mu.Unlock()
+	o.board.Endpoints.Learn(d, time.Now())
+}
+
+// SawFence notes a fence that some host has used.
+func (o *Owner) SawFence(f uint64) {
+	o.balance.mu.Lock()
+	defer o.balance.mu.Unlock()
+	o.balance.fence = max(o.balance.fence, f)
+}
+
+// Fence returns the highest fence known to have been used.
+func (o *Owner) Fence() uint64 {
+	o.balance.mu.Lock()
+	defer o.balance.mu.Unlock()
+	return o.balance.fence
+}
--- a/owner/book.go
+++ b/owner/book.go
@@ -23,11 +23,12 @@
 	ledger *ledger // decode
 	queue  *queue  // prefill
 
-	ready   bool // the endpoint's own list was read since the tenure began
-	state   endpoint.State
-	fails   int // state polls that failed in a row
-	wrong   bool
-	ordered time.Time
+	ready    bool // the endpoint's own list was read since the tenure began
+	state    endpoint.State
+	fails    int // state polls that failed in a row
+	wrong    bool
+	changing time.Time // until when it is about to have another role
+	ordered  time.Time
 
 	slow   float64 // learned factor on the time of work
 	failed float64 // share of attempts that failed lately, as of failedAt
@@ -128,7 +129,7 @@
 	if b.state.Leaving || b.spec.Leaving {
 		f |= route.FlagLeaving
 	}
-	if b.wrong {
+	if b.wrong || time.Now().Before(b.changing) {
 		f |= route.FlagWrong
 	}
 	return f
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -45,6 +45,8 @@
 	mu    sync.Mutex
 	books map[uint32]*Book
 
+	balance balance
+
 	nextAdopt   time.Time
 	fingerprint uint64 // of the members and the revision that owned was worked out for
 	owned       map[uint32]bool
@@ -59,6 +61,7 @@
 // New returns an owner without books.
 func New(b *blackboard.Board, e endpoint.Engine, log *zap.Logger) *Owner {
 	o := &Owner{board: b, engine: e, log: log, books: map[uint32]*Book{}}
+	o.balance.ordered = map[uint32]time.Time{}
 	b.Pause.OnWake(o.dropBeliefs)
 	return o
 }
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -137,6 +137,7 @@
 // takeIn learns what another host told.
 func (r *Router) takeIn(e ExchangeReply, now time.Time) {
 	r.introduce(e.From, now)
+	r.owner.SawFence(e.Fence)
 	for _, n := range e.Names {
 		r.introduce(n, now)
 	}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -40,6 +40,7 @@
 	From     Name
 	Revision uint64
 	Roster   uint64 // revision of the endpoints that registered themselves
+	Fence    uint64 // highest that an order is known to have carried
 	Beats    []Beat
 	Digests  []byte   // packed
 	Gone     []Beat   // hosts that a watcher could not reach
--- a/peer/server.go
+++ b/peer/server.go
@@ -147,7 +147,7 @@
 	now := time.Now()
 	self := r.board.Hosts.Self()
 	a := ExchangeArgs{From: Name{self.Name, self.Domain, self.Region, self.Peers}, Revision: r.board.Config.Revision(),
-		Roster: r.board.Config.RosterRevision(), Heads: heads}
+		Roster: r.board.Config.RosterRevision(), Fence: r.owner.Fence(), Heads: heads}
 	for _, h := range r.board.Hosts.List() {
 		if h.Incarnation != 0 && r.board.Hosts.Live(h, now) {
 			a.Beats = append(a.Beats, Beat{h.Number, h.Incarnation, h.Beat, h.Leaving})
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -82,12 +82,12 @@
 	return &Follower{store: s, log: log, known: map[string]config.Endpoint{}}
 }
 
-// How a store is followed. A waiting watch counts as one call. It is asked
-// again well within the time in which a change has to be in force, because a
-// store that lost an answer says nothing more.
+// How a store is followed. A waiting watch counts as one call. It is short,
+// because a watch whose answer was lost, or that a store cut when it dropped
+// its history, says nothing more, and all hosts may be deaf at the same time.
 const (
-	followWait  = 4 * time.Second
-	followSlack = 600 * time.Millisecond // longer than asked that a watch may take
+	followWait  = 2 * time.Second
+	followSlack = 400 * time.Millisecond // longer than asked that a watch may take
 	listTimeout = 1500 * time.Millisecond
 	retryFirst  = 100 * time.Millisecond
 	retryMost   = 800 * time.Millisecond
--- a/publish/follow_test.go
+++ b/publish/follow_test.go
@@ -110,6 +110,8 @@
 			want: "a1 a2 a3 a4 a5"},
 		{name: "one that was leaving goes in an outage", steps: []step{{list: all, others: leaving}, {fail: context.DeadlineExceeded}, {gone: all[:2]}},
 			want: "a1 a3 a4 a5"},
+		{name: "a watch is deaf, and meanwhile one goes", steps: []step{{list: all}, {fail: context.DeadlineExceeded}, {fail: ErrForgotten}, {list: all[1:]}},
+			want: "a2 a3 a4 a5"},
 		{name: "soon after an outage one goes", steps: []step{{list: all}, {fail: context.DeadlineExceeded}, {}, {gone: all[:1], after: shakyFor}}, want: "a2 a3 a4 a5"},
 		{name: "most vanish at once", steps: []step{{list: all}, {gone: all[1:]}}, want: "a1 a2 a3 a4 a5"},
 		{name: "vanished ones register again", steps: []step{{list: all}, {gone: all[1:]}, {come: all[1:]}, {gone: all[1:2]}}, want: "a1 a3 a4 a5"},
--- a/publish/lapse.go
+++ b/publish/lapse.go
@@ -21,8 +21,11 @@
 	// nothing about its endpoint. What ran out shows in the first answer.
 	shakyFor = time.Second
 	// massShare is the part of all endpoints that don't leave at once: more
-	// have lost their registrations.
+	// have lost their registrations. After an outage someShare and someLeast
+	// will do; fewer may well have left meanwhile.
 	massShare = 0.5
+	someShare = 0.2
+	someLeast = 2
 	// lapsedKept is how long an endpoint is used without its registration.
 	lapsedKept = time.Minute
 )
@@ -62,8 +65,9 @@
 // may not have left. told says that the store told of the end of each; else
 // they are only missing from a listing, where a lapsed one is missing again.
 func (f *Follower) vanished(gone []config.Endpoint, told bool, now time.Time) {
-	shaky := now.Before(f.shaky)
-	mass := len(gone) > 1 && float64(len(gone)) > massShare*float64(len(gone)+len(f.known))
+	all := float64(len(gone) + len(f.known))
+	mass := len(gone) > 1 && float64(len(gone)) > massShare*all
+	shaky := now.Before(f.shaky) && len(gone) >= someLeast && float64(len(gone)) >= someShare*all
 	kept := 0
 	for _, e := range gone {
 		again := !told && !e.Lapsed.IsZero()
