owner: balance the roles of a pool's runners

Cause: 4 of 9 runners read prompts and were idle most of the time while the 5 that decode ran out of memory in every burst.

--- a/owner/balance.go
+++ b/owner/balance.go
@@ -32,7 +32,8 @@
 	rosterFresh   = 6 * time.Second // since the platform was heard of
 	orderTimeout  = 500 * time.Millisecond
 	orderSlack    = 6 * time.Second // beyond the change itself, before an order is repeated
-	leastEngines  = 4               // in a pool, below which roles stay
+	lastsFor      = 1500 * time.Millisecond
+	leastEngines  = 4 // in a pool, below which roles stay
 	leastPrefills = 2
 )
 
@@ -47,7 +48,8 @@
 	print   uint64    // of the members
 	since   time.Time // when they last changed
 	ordered map[uint32]time.Time
-	fence   uint64 // highest that is known to have been used
+	fence   uint64                // highest that is known to have been used
+	seen    map[string]imbalanced // by pool
 }
 
 // Balancer returns the controller that orders runners into the role that
@@ -63,8 +65,12 @@
 			if !p.Engines() || p.RoleSwitchMillis == 0 {
 				continue
 			}
-			for _, e := range surplus(v, name) {
-				o.change(ctx, v, p, e, config.Decode, now)
+			surplus, to := imbalance(v, name)
+			if !o.lasts(name, len(surplus), to, now) {
+				continue
+			}
+			for _, e := range surplus {
+				o.change(ctx, p, e, to, now)
 			}
 		}
 	})
@@ -83,50 +89,83 @@
 		o.board.Config.HeardWithin(now, rosterFresh)
 }
 
-// surplus returns the prefill runners of a pool that it doesn't need, of the
-// failure domains that have most first.
-func surplus(v *config.View, pool string) []*config.Endpoint {
-	var prefills []*config.Endpoint
-	byDomain := map[string]int{}
-	engines := 0
+// lasts reports whether a pool's roles have been out of balance in one way for
+// long enough. A runner that was lost for a moment comes back in its old role.
+func (o *Owner) lasts(pool string, n int, to config.Role, now time.Time) bool {
+	o.balance.mu.Lock()
+	defer o.balance.mu.Unlock()
+	was := o.balance.seen[pool]
+	if was.n != n || was.to != to {
+		was = imbalanced{n: n, to: to, since: now}
+		o.balance.seen[pool] = was
+	}
+	return n > 0 && now.Sub(was.since) >= lastsFor
+}
+
+// imbalanced is how many runners of a pool should change their role.
+type imbalanced struct {
+	n     int
+	to    config.Role
+	since time.Time
+}
+
+// imbalance returns the runners of a pool that should take another role.
+func imbalance(v *config.View, pool string) (surplus []*config.Endpoint, to config.Role) {
+	byRole := map[config.Role][]*config.Endpoint{}
 	for i := range v.Doc.Endpoints {
 		e := &v.Doc.Endpoints[i]
-		if e.Pool != pool || e.Role == config.Service || e.Leaving || !e.Lapsed.IsZero() {
-			continue
-		}
-		engines++
-		if e.Role == config.Prefill {
-			prefills = append(prefills, e)
-			byDomain[e.Domain]++
+		if e.Pool == pool && !e.Leaving && e.Lapsed.IsZero() {
+			byRole[e.Role] = append(byRole[e.Role], e)
 		}
 	}
+	prefills, decodes := byRole[config.Prefill], byRole[config.Decode]
+	engines := len(prefills) + len(decodes)
 	need := max(leastPrefills, int(math.Round(float64(engines)/(1+decodeShare))))
-	if engines < leastEngines || len(prefills) <= need {
-		return nil
+	switch {
+	case engines < leastEngines:
+		return nil, config.Decode
+	case len(prefills) > need:
+		return crowdedFirst(prefills, len(prefills)-need), config.Decode
+	case len(prefills) < need:
+		return crowdedFirst(decodes, need-len(prefills)), config.Prefill
+	}
+	return nil, config.Decode
+}
+
+// crowdedFirst returns n of the endpoints, of the failure domains that have most
+// of them first.
+func crowdedFirst(list []*config.Endpoint, n int) []*config.Endpoint {
+	byDomain := map[string]int{}
+	for _, e := range list {
+		byDomain[e.Domain]++
 	}
-	slices.SortFunc(prefills, func(a, b *config.Endpoint) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(list, func(a, b *config.Endpoint) int { return strings.Compare(a.Name, b.Name) })
 	var out []*config.Endpoint
-	for len(prefills) > need {
+	for len(out) < n && len(list) > 0 {
 		most := 0
-		for i, e := range prefills {
-			if byDomain[e.Domain] > byDomain[prefills[most].Domain] {
+		for i, e := range list {
+			if byDomain[e.Domain] > byDomain[list[most].Domain] {
 				most = i
 			}
 		}
-		e := prefills[most]
+		e := list[most]
 		byDomain[e.Domain]--
 		out = append(out, e)
-		prefills = slices.Delete(prefills, most, most+1)
+		list = slices.Delete(list, most, most+1)
 	}
 	return out
 }
 
 // change orders a runner that this host owns into a role.
-func (o *Owner) change(ctx context.Context, v *config.View, p *config.Pool, e *config.Endpoint, to config.Role, now time.Time) {
-	number := route.Number(e.Name)
-	if h, ok := Of(o.board, v, e, now); !ok || h.Number != o.board.Number {
-		return
+func (o *Owner) change(ctx context.Context, p *config.Pool, e *config.Endpoint, to config.Role, now time.Time) {
+	if h, ok := Of(o.board, o.board.Config.View(), e, now); ok && h.Number == o.board.Number {
+		o.order(ctx, p, e, to, now)
 	}
+}
+
+// order gives one order, unless the last one to the runner is recent.
+func (o *Owner) order(ctx context.Context, p *config.Pool, e *config.Endpoint, to config.Role, now time.Time) {
+	number := route.Number(e.Name)
 	again := config.Millis(p.RoleSwitchMillis) + orderSlack
 	b := &o.balance
 	b.mu.Lock()
--- /dev/null
+++ b/owner/balance_test.go
@@ -0,0 +1,134 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+)
+
+// rosterOf returns a roster of runners: one letter for each, p for prefill, d
+// for decode, upper case for one that is leaving; domains d, e and f in turn.
+func rosterOf(revision uint64, roles string) *config.Roster {
+	r := &config.Roster{Revision: revision}
+	for i, c := range roles {
+		e := config.Endpoint{Name: fmt.Sprintf("r%02d", i), Address: fmt.Sprintf("127.0.0.1:%d", 1000+i), Domain: string("def"[i%3]),
+			Pool: "p", Role: config.Decode, Leaving: c == 'P' || c == 'D'}
+		if c == 'p' || c == 'P' {
+			e.Role = config.Prefill
+		}
+		r.Endpoints = append(r.Endpoints, e)
+	}
+	return r
+}
+
+const balanceDocument = `{"failure_domains": [{"name": "d", "region": "r"}, {"name": "e", "region": "r"}, {"name": "f", "region": "r"}],
+"targets": {"ttft_ms": 900, "tpot_ms": 10}, "models": [{"name": "m", "version": "1", "max_tokens": 90000, "kv_bytes_per_token": 1}],
+"pools": [{"name": "p", "memory_tokens": 90000, "slots": 64, "link_bytes_per_second": 1000000000, "role_switch_ms": 6000}],
+"routes": [{"name": "r", "host": "h", "path_prefix": "/", "pools": [{"pool": "p", "weight": 1}]}]}`
+
+// TestImbalance names the runners that should change their role.
+func TestImbalance(t *testing.T) {
+	cases := []struct {
+		name, roles string
+		change      string
+		to          config.Role
+	}{
+		{"balanced", "pdd" + "pdd" + "pdd", "[]", config.Decode},
+		{"one reads too many", "ppd" + "pdd" + "pdd", "[r00]", config.Decode},
+		{"the most crowded domain gives one", "ppd" + "dpd" + "dpd", "[r01]", config.Decode},
+		{"too few read", "pdd" + "ddd" + "ddd", "[r01 r02]", config.Prefill},
+		{"one that leaves doesn't read", "Pdd" + "pdd" + "pdd", "[r01]", config.Prefill},
+		{"too few runners for any change", "ppp", "[]", config.Decode},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			v, err := config.NewView(1, []byte(balanceDocument))
+			if err != nil {
+				t.Fatal(err)
+			}
+			list, to := imbalance(v.WithRoster(rosterOf(1, tc.roles)), "p")
+			names := []string{}
+			for _, e := range list {
+				names = append(names, e.Name)
+			}
+			if got := fmt.Sprint(names); got != tc.change || to != tc.to {
+				t.Errorf("%s should become %s, want %s and %s", got, to, tc.change, tc.to)
+			}
+		})
+	}
+}
+
+// orderEngine takes orders and answers them with an error.
+type orderEngine struct {
+	endpoint.Engine
+	err    error
+	orders []endpoint.Order
+}
+
+func (e *orderEngine) Order(_ context.Context, _ string, o endpoint.Order) error {
+	e.orders = append(e.orders, o)
+	return e.err
+}
+
+// TestBalanceOrders checks when an owner orders at all, and that its fences
+// rise above any that it has heard of or met.
+func TestBalanceOrders(t *testing.T) {
+	refused := &endpoint.CallError{Status: 412, Cause: errors.New("fence")}
+	cases := []struct {
+		name    string
+		settled time.Duration // since the members changed
+		leaving bool
+		silent  bool // the platform was not heard of
+		heard   uint64
+		err     error
+		orders  int
+	}{
+		{name: "settled", settled: settledAfter, orders: 1},
+		{name: "members have just changed", settled: settledAfter / 2},
+		{name: "leaving", settled: settledAfter, leaving: true},
+		{name: "cut off from the platform", settled: settledAfter, silent: true},
+		{name: "another host's clock is ahead", settled: settledAfter, heard: 1 << 60, orders: 1},
+		{name: "the runner has seen a higher fence", settled: settledAfter, err: refused, orders: 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			o := testOwner(t, "a", "b")
+			eng := &orderEngine{err: tc.err}
+			o.engine, o.log = eng, zap.NewNop()
+			o.board.Config.Offer(2, []byte(balanceDocument))
+			o.board.Config.OfferRoster(rosterOf(9, "ppdpddpdd"))
+			o.board.Endpoints.Fit(o.board.Config.View())
+			now := time.Now()
+			if !tc.silent {
+				o.board.Config.Heard(now)
+			}
+			if tc.leaving {
+				o.board.SetLeaving()
+			}
+			o.SawFence(tc.heard)
+			v := o.board.Config.View()
+			o.mayOrder(v, now.Add(-tc.settled))
+			may := o.mayOrder(v, now)
+			if may {
+				o.order(context.Background(), v.Pools["p"], v.ByName["r00"], config.Decode, now)
+				o.order(context.Background(), v.Pools["p"], v.ByName["r00"], config.Decode, now) // too soon
+			}
+			if len(eng.orders) != tc.orders {
+				t.Fatalf("%d orders, want %d", len(eng.orders), tc.orders)
+			}
+			if tc.orders > 0 && eng.orders[0].Fence <= tc.heard {
+				t.Errorf("fence %d is not above %d", eng.orders[0].Fence, tc.heard)
+			}
+			if tc.err != nil && o.Fence() < eng.orders[0].Fence+fenceJump {
+				t.Errorf("fence %d after a refusal of %d", o.Fence(), eng.orders[0].Fence)
+			}
+		})
+	}
+}
--- a/owner/book.go
+++ b/owner/book.go
@@ -19,6 +19,7 @@
 	view   *config.View
 	spec   *config.Endpoint
 	number uint32
+	role   config.Role // an endpoint of another role needs another book
 
 	ledger *ledger // decode
 	queue  *queue  // prefill
@@ -49,7 +50,7 @@
 
 func newBook(v *config.View, spec *config.Endpoint, share float64, now time.Time) *Book {
 	b := &Book{
-		view: v, spec: spec, number: route.Number(spec.Name), slow: 1, trust: startTrust,
+		view: v, spec: spec, number: route.Number(spec.Name), role: spec.Role, slow: 1, trust: startTrust,
 		heads: map[uint32]uint32{}, confirmed: map[request.Attempt]time.Time{}, gone: map[request.Attempt]time.Time{},
 		used: now, failedAt: now,
 	}
@@ -76,7 +77,7 @@
 // fit takes over a new revision.
 func (b *Book) fit(v *config.View, share float64) {
 	spec := v.ByName[b.spec.Name]
-	if spec == nil || v == b.view {
+	if spec == nil || v == b.view || spec.Role != b.role {
 		return
 	}
 	b.view, b.spec = v, spec
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -61,7 +61,7 @@
 // New returns an owner without books.
 func New(b *blackboard.Board, e endpoint.Engine, log *zap.Logger) *Owner {
 	o := &Owner{board: b, engine: e, log: log, books: map[uint32]*Book{}}
-	o.balance.ordered = map[uint32]time.Time{}
+	o.balance.ordered, o.balance.seen = map[uint32]time.Time{}, map[string]imbalanced{}
 	b.Pause.OnWake(o.dropBeliefs)
 	return o
 }
@@ -112,7 +112,7 @@
 	now := time.Now()
 	o.mu.Lock()
 	b := o.books[number]
-	if b == nil || b.spec.Role != spec.Role {
+	if b == nil || b.role != spec.Role {
 		b = newBook(v, spec, o.share(v), now)
 		o.books[number] = b
 		o.Takeover.Add(1)
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -132,7 +132,7 @@
 			continue
 		}
 		owned[n] = true
-		if o.books[n] == nil {
+		if b := o.books[n]; b == nil || b.role != e.Role {
 			o.books[n] = newBook(v, e, o.share(v), now)
 			o.Takeover.Add(1)
 		}
