logsink, trace, entry: explain a failed request from its id

Cause: an on-call engineer has only logs and metrics, and neither told which endpoint failed a request, what was known of it and how old that was. Change: a line for each failed call and for each owner that had no room, with the caller's id, the age of the digest and the outcome; the end line names route, revision and roster. Lines go through a sink that drops and counts when its output isn't read (TestBlocked). Latency in buckets by kind, log lines, roster and platform in the metrics, on an address of their own. embercove trace tells a request's story and groups failures by cause.

--- a/cmd/embercoved/main.go
+++ b/cmd/embercoved/main.go
@@ -10,11 +10,14 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/logsink"
 	"github.com/embercove/embercove/node"
 	"github.com/embercove/embercove/platform"
 )
@@ -57,12 +60,19 @@
 		return exitOK
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(int64(s.MemoryMegabytes)<<20)))
-	log, level, err := newLog(s.LogLevel)
+	sink := logsink.New(os.Stdout, 0)
+	defer func() {
+		select {
+		case <-sink.Close():
+		case <-time.After(lastLines):
+		}
+	}()
+	log, level, err := newLog(s.LogLevel, sink)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "embercoved: log: %v\n", err)
 		return exitFailed
 	}
-	return serve(s, &reloader{path: *path, log: log, level: level, sum: fileSum(*path)})
+	return serve(s, sink, &reloader{path: *path, log: log, level: level, sum: fileSum(*path)})
 }
 
 // fileSum returns the hash of a file's content, 0 if it can't be read.
@@ -85,29 +95,27 @@
 	return config.ParseSettings(src)
 }
 
-// newLog returns a logger of JSON lines on standard output.
-func newLog(level string) (*zap.Logger, zap.AtomicLevel, error) {
-	cfg := zap.NewProductionConfig()
-	cfg.Sampling = nil
-	cfg.OutputPaths = []string{"stdout"}
-	cfg.DisableCaller, cfg.DisableStacktrace = true, true
+// newLog returns a logger of JSON lines to a sink that doesn't block.
+func newLog(level string, sink *logsink.Sink) (*zap.Logger, zap.AtomicLevel, error) {
 	lvl, err := zap.ParseAtomicLevel(level)
 	if err != nil {
 		return nil, lvl, err
 	}
-	cfg.Level = lvl
-	log, err := cfg.Build()
-	return log, lvl, err
+	enc := zap.NewProductionEncoderConfig()
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(enc), sink, lvl)), lvl, nil
 }
 
-func serve(s *config.Settings, r *reloader) int {
+// lastLines is how long the end of the process waits for its last log lines.
+const lastLines = 200 * time.Millisecond
+
+func serve(s *config.Settings, sink *logsink.Sink, r *reloader) int {
 	log := r.log
 	hup := notify()
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	opts := []node.Option{node.WithLog(log)}
+	opts := []node.Option{node.WithLog(log), node.WithLogLines(sink)}
 	if s.Protocol == config.ProtocolPlatform {
-		opts = append(opts, node.WithProtocol(platform.New(s, log)))
+		opts = append(opts, node.WithProtocol(platform.New(s, log, nil)))
 	}
 	n, err := node.New(s, opts...)
 	if err == nil {
--- a/config/settings.go
+++ b/config/settings.go
@@ -15,6 +15,7 @@
 	Peers    string `json:"peers_address"`   // IP:port of the net/rpc listener
 	Admin    string `json:"admin_address"`   // IP:port of the admin listener
 	Platform string `json:"platform_address"`
+	Metrics  string `json:"metrics_address"` // IP:port that serves the metrics as well; empty: the admin listener alone
 	// Seeds are peer addresses to ask before the platform's list is known.
 	Seeds []string `json:"seeds"`
 
@@ -133,6 +134,9 @@
 	c.address("peers_address", s.Peers)
 	c.address("admin_address", s.Admin)
 	c.address("platform_address", s.Platform)
+	if s.Metrics != "" {
+		c.address("metrics_address", s.Metrics)
+	}
 	for i, a := range s.Seeds {
 		c.address(index("seeds", i), a)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,6 +37,7 @@
 	log     *zap.Logger
 	budgets *budgets
 	turn    atomic.Uint64 // for round robin and seeds
+	Latency LatencyRecorder
 	logs    floodGate
 }
 
@@ -58,6 +59,10 @@
 	return mux
 }
 
+// notReadyFor is how long a host that has just started mostly takes to get its
+// configuration.
+const notReadyFor = 250 * time.Millisecond
+
 // ready returns the revision in force, or the refusal of a host that can't
 // serve.
 func (e *Entry) ready() (*config.View, *result.Error) {
@@ -67,7 +72,7 @@
 	}
 	v := e.board.Config.View()
 	if v == nil {
-		return nil, result.Errorf(result.NotReady, "no configuration yet").After(time.Second)
+		return nil, result.Errorf(result.NotReady, "no configuration yet").After(notReadyFor)
 	}
 	return v, nil
 }
--- a/entry/place.go
+++ b/entry/place.go
@@ -75,6 +75,7 @@
 			if ctx.Err() != nil {
 				break
 			}
+			e.logRefused(j, p.pre, string(blackboard.PhaseQueue), last, c.Age)
 			j.pick.Drop(route.Number(p.pre.Name))
 			continue
 		}
@@ -120,6 +121,7 @@
 			c.Decode = route.PickDecode(v, states, &j.pick)
 		}
 		if c.Decode >= 0 {
+			c.Age = states[c.Decode].Age(j.pick.Now)
 			c.Move = route.LinkTime(states[c.Decode].Spec, int64(j.tokens)*kvBytes(v, j.work.Model))
 		}
 	})
@@ -157,6 +159,7 @@
 		if refusal == nil || ctx.Err() != nil {
 			return refusal
 		}
+		e.logRefused(j, p.dec, string(blackboard.PhaseReserve), refusal, c.Age)
 		if last == nil || refusal.RetryAfter < last.RetryAfter {
 			last = refusal
 		}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -38,7 +38,7 @@
 		if err != nil && w.fired.Load() && ctx.Err() == nil {
 			err = &endpoint.CallError{Address: p.dec.Address, MayHaveRun: true, Cause: &stallError{blackboard.PhaseTransfer}}
 		}
-		e.note(ctx, p.dec, err, time.Since(began))
+		e.note(ctx, j, p.dec, blackboard.PhaseDecode, err, time.Since(began))
 		e.decoded(ctx, j, p, err, j.out.pieces()-before, w.since())
 		if err == nil {
 			return
--- a/entry/run.go
+++ b/entry/run.go
@@ -221,7 +221,7 @@
 	e.owners.Touched(number, 1)
 	ans, err := e.engine.Prefill(limited, e.call(j, p.pre, p.readBy), j.work)
 	e.owners.Touched(number, -1)
-	e.note(ctx, p.pre, err, time.Since(began))
+	e.note(ctx, j, p.pre, blackboard.PhasePrefill, err, time.Since(began))
 	e.board.Requests.Close(p.readBy)
 	rel := owner.Release{Attempt: p.readBy, Endpoint: number, Millis: ms(time.Since(began))}
 	if err == nil {
@@ -277,7 +277,10 @@
 }
 
 // note takes what a call showed of an endpoint into the table.
-func (e *Entry) note(ctx context.Context, spec *config.Endpoint, err error, took time.Duration) {
+func (e *Entry) note(ctx context.Context, j *job, spec *config.Endpoint, ph blackboard.Phase, err error, took time.Duration) {
+	if err != nil {
+		e.logCall(j, spec, string(ph), err, took)
+	}
 	if err != nil && ctx.Err() != nil {
 		return // the caller left, or its deadline passed
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -158,7 +158,7 @@
 	e.owners.Touched(number, 1)
 	defer e.owners.Touched(number, -1)
 	began := time.Now()
-	defer func() { e.note(ctx, spec, err, time.Since(began)) }()
+	defer func() { e.note(ctx, j, spec, blackboard.PhaseService, err, time.Since(began)) }()
 	ans, err := e.engine.Service(ctx, e.call(j, spec, a), j.work)
 	if err != nil {
 		if endpoint.Unreachable(err) {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -12,6 +14,8 @@
 	promexport "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/embercove/embercove/entry"
 )
 
 // metrics are the node's OpenTelemetry instruments, read by Prometheus. All
@@ -65,10 +69,32 @@
 		}},
 		{"prefill_tokens", "prompt tokens read", true, func() float64 { return float64(n.Record.Sum().Prefilled) }},
 		{"prefill_tokens_wasted", "prompt tokens read for no answer", true, func() float64 { return float64(n.Record.Sum().Wasted) }},
+		{"log_lines_dropped", "log lines dropped because the output was not read", true, func() float64 { return n.logLines(LogLines.Dropped) }},
+		{"log_lines_written", "log lines written", true, func() float64 { return n.logLines(LogLines.Written) }},
+		{"roster_revision", "revision of the endpoints that registered themselves", false, func() float64 { return float64(n.Board.Config.RosterRevision()) }},
+		{"platform_silent_seconds", "since the platform was last heard of", false, func() float64 { return n.Board.Config.Status(time.Now()).PlatformSilent }},
+		{"hosts_live", "hosts that count as live", false, func() float64 { return n.liveHosts() }},
 		{"answer_tokens", "tokens relayed to callers", true, func() float64 { return float64(n.Record.Sum().Tokens) }},
 	}
 }
 
+func (n *Node) logLines(count func(LogLines) uint64) float64 {
+	if n.lines == nil {
+		return 0
+	}
+	return float64(count(n.lines))
+}
+
+func (n *Node) liveHosts() float64 {
+	now, live := time.Now(), 0
+	for _, h := range n.Board.Hosts.List() {
+		if n.Board.Hosts.Live(h, now) {
+			live++
+		}
+	}
+	return float64(live)
+}
+
 func observe(n *Node, meter metric.Meter) error {
 	for _, g := range gauges(n) {
 		cb := func(_ context.Context, o metric.Float64Observer) error {
@@ -88,6 +114,19 @@
 	return observeLabelled(n, meter)
 }
 
+// observeBuckets tells a distribution as cumulative counts.
+func observeBuckets(o metric.Float64Observer, row entry.Latency) {
+	below := uint64(0)
+	for i, c := range row.Counts {
+		below += c
+		le := "+Inf"
+		if i < len(row.Bounds()) {
+			le = strconv.FormatFloat(row.Bounds()[i], 'g', -1, 64)
+		}
+		o.Observe(float64(below), metric.WithAttributes(attribute.String("kind", row.Kind.String()), attribute.String("le", le)))
+	}
+}
+
 // observeLabelled registers the values with a label of few values.
 func observeLabelled(n *Node, meter metric.Meter) error {
 	_, err := meter.Float64ObservableCounter("requests_ended", metric.WithDescription("requests ended, by result code"),
@@ -110,6 +149,16 @@
 	if err != nil {
 		return err
 	}
+	_, err = meter.Float64ObservableCounter("latency_bucket", metric.WithDescription("answers by kind whose first piece came within le seconds, cumulative"),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for _, row := range n.entry.Latency.All() {
+				observeBuckets(o, row)
+			}
+			return nil
+		}))
+	if err != nil {
+		return err
+	}
 	_, err = meter.Float64ObservableGauge("latency_ms", metric.WithDescription("quantiles since the start of the process"),
 		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
 			ttft, tpot := n.Record.Times()
--- a/node/node.go
+++ b/node/node.go
@@ -41,6 +41,7 @@
 	platform *publish.Client // nil where a feed was given
 	entry    *entry.Entry
 	metrics  *metrics
+	lines    LogLines // nil: not counted
 	log      *zap.Logger
 	listen   func(address string) (net.Listener, error)
 	dial     endpoint.Dial
@@ -58,6 +59,15 @@
 // WithLog sets the logger; without it nothing is logged.
 func WithLog(l *zap.Logger) Option { return func(n *Node) { n.log = l } }
 
+// LogLines counts log lines.
+type LogLines interface {
+	Dropped() uint64
+	Written() uint64
+}
+
+// WithLogLines has the metrics tell of the log's lines.
+func WithLogLines(l LogLines) Option { return func(n *Node) { n.lines = l } }
+
 // WithNetwork sets how the node listens and dials; without it TCP is used.
 func WithNetwork(listen func(address string) (net.Listener, error), dial endpoint.Dial) Option {
 	return func(n *Node) { n.listen, n.dial = listen, dial }
@@ -140,6 +150,11 @@
 	if err := n.serve(n.settings.Admin, "admin_address", n.admin()); err != nil {
 		return err
 	}
+	if n.settings.Metrics != "" {
+		if err := n.serve(n.settings.Metrics, "metrics_address", n.admin()); err != nil {
+			return err
+		}
+	}
 	n.Router.Seed(ctx, n.settings.Seeds)
 	if n.feed != nil {
 		n.goRun(func() error { n.feed.Follow(ctx, sink{n}); return nil })
@@ -161,6 +176,25 @@
 
 func (s sink) Roster() *config.Roster { return s.n.Board.Config.Roster() }
 
+// eagerHosts is how many hosts of a failure domain find out soon when the
+// platform's watches are deaf.
+const eagerHosts = 2
+
+func (s sink) Eager() bool {
+	for i, h := range s.n.Board.Hosts.Order(eagerKey, s.n.settings.Domain, time.Now()) {
+		if i == eagerHosts {
+			return false
+		}
+		if h.Number == s.n.Board.Number {
+			return true
+		}
+	}
+	return true
+}
+
+// eagerKey is what the eager hosts of a domain are chosen by.
+const eagerKey = 0x6561676572
+
 func (s sink) Heard(now time.Time) { s.n.Board.Config.Heard(now) }
 
 func (n *Node) goRun(f func() error) {
--- a/owner/balance.go
+++ b/owner/balance.go
@@ -28,8 +28,8 @@
 // Times and bounds of balancing.
 const (
 	balanceEvery  = 500 * time.Millisecond
-	settledAfter  = 4 * time.Second // without a change of members, before orders are given
-	rosterFresh   = 6 * time.Second // since the platform was heard of
+	settledAfter  = 4 * time.Second  // without a change of members, before orders are given
+	rosterFresh   = 12 * time.Second // since the platform was heard of
 	orderTimeout  = 500 * time.Millisecond
 	orderSlack    = 6 * time.Second // beyond the change itself, before an order is repeated
 	lastsFor      = 1500 * time.Millisecond
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -19,6 +19,9 @@
 	OfferRoster(r *config.Roster, from string)
 	// Roster returns the endpoints that are in force, or nil.
 	Roster() *config.Roster
+	// Eager reports whether this host is one of those that find out soon
+	// when the store's watches are deaf. The others hear of it from them.
+	Eager() bool
 	// Heard notes that the platform answered.
 	Heard(now time.Time)
 }
@@ -87,6 +90,8 @@
 // its history, says nothing more, and all hosts may be deaf at the same time.
 const (
 	followWait  = 2 * time.Second
+	lazyWait    = 8 * time.Second        // of hosts that aren't eager
+	gatherFor   = 120 * time.Millisecond // after a change, as changes come in bursts
 	followSlack = 400 * time.Millisecond // longer than asked that a watch may take
 	listTimeout = 1500 * time.Millisecond
 	retryFirst  = 100 * time.Millisecond
@@ -177,9 +182,13 @@
 }
 
 func (f *Follower) watch(ctx context.Context, sink Sink) error {
-	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
+	wait := followWait
+	if !sink.Eager() {
+		wait = lazyWait
+	}
+	limited, cancel := context.WithTimeout(ctx, wait+followSlack)
 	defer cancel()
-	c, err := f.store.Watch(ctx, f.at, followWait)
+	c, err := f.store.Watch(limited, f.at, wait)
 	if err != nil {
 		return err
 	}
@@ -207,6 +216,7 @@
 	f.vanished(gone, true, now)
 	f.expire(now)
 	sink.OfferRoster(f.roster(), "store")
+	rest(ctx, gatherFor)
 	return nil
 }
 
--- a/publish/follow_test.go
+++ b/publish/follow_test.go
@@ -74,6 +74,7 @@
 func (s *stubSink) Offer(uint64, []byte, string)           {}
 func (s *stubSink) OfferRoster(r *config.Roster, _ string) { s.roster = r }
 func (s *stubSink) Roster() *config.Roster                 { return s.roster }
+func (s *stubSink) Eager() bool                            { return true }
 func (s *stubSink) Heard(time.Time)                        {}
 func (s *stubSink) names() string {
 	var out []string
--- a/route/pick.go
+++ b/route/pick.go
@@ -57,6 +57,7 @@
 	Wait            time.Duration // forecast of queueing before prefill
 	Read            time.Duration // forecast of the prefill itself
 	Move            time.Duration // forecast of the transfer, with waiting for the link
+	Age             time.Duration // of what was known of the decode endpoint; below 0: nothing
 }
 
 // Costs of a choice beyond its time, in seconds of time to first token.
@@ -139,6 +140,7 @@
 	c.Uncached = p.Uncached(r.Tokens, r.Head, r.HasHead)
 	c.Wait = time.Duration(p.Digest.QueueMillis) * time.Millisecond
 	c.Read = p.PrefillTime(c.Uncached)
+	c.Age = d.Age(r.Now)
 	c.Move = LinkTime(d.Spec, kvBytes(v, d, r.Tokens))
 }
 
--- a/route/state.go
+++ b/route/state.go
@@ -81,6 +81,14 @@
 	return out
 }
 
+// Age returns how old the last digest is; below 0: there is none.
+func (s *State) Age(now time.Time) time.Duration {
+	if s.At.IsZero() {
+		return -1
+	}
+	return now.Sub(s.At)
+}
+
 // Slow returns the learned factor on the endpoint's time of work.
 func (s *State) Slow() float64 {
 	if s.Digest.SlowPct == 0 {
--- a/tool/tool.go
+++ b/tool/tool.go
@@ -55,6 +55,7 @@
 		{"explain", "-admin IP:PORT -team T -model M -tokens N", "say where a request would go, and why", "embercove explain -admin 127.0.0.1:7303 -team press -model docket-reader -tokens 9000 -max-tokens 4", (*tool).explain},
 		{"requests", "-admin IP:PORT[,IP:PORT...]", "list requests in progress, by phase and age", "embercove requests -admin 127.0.0.1:7303", (*tool).requests},
 		{"burn", "-admin IP:PORT[,IP:PORT...]", "report the burn of the service levels", "embercove burn -admin 127.0.0.1:7303,127.0.0.1:7313", (*tool).burn},
+		{"trace", "ID [FILE...] | -failed [FILE...]", "tell a request's story from logs, or group the failed ones by cause", "embercove trace -failed host-1.log host-2.log", (*tool).trace},
 		{"demo", "", "run a whole deployment on stand-ins for some seconds", "embercove demo -seconds 8", (*tool).demo},
 		{"load", "-callers IP:PORT[,IP:PORT...] | -standins", "send open-loop load and report", "embercove load -standins -deployment paranacor -factor 1.3 -span 20s", (*tool).load},
 		{"bench", "", "rerun the table of docs/RESULTS.md: policies by loads on the same arrivals", "embercove bench -deployment domaskra -span 20s", (*tool).bench},
--- /dev/null
+++ b/tool/trace.go
@@ -0,0 +1,80 @@
+package tool
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/embercove/embercove/trace"
+)
+
+// trace tells the story of a request from logs, or groups the failed ones.
+func (t *tool) trace(fs *flag.FlagSet, args []string) error {
+	failed := fs.Bool("failed", false, "group the failed requests by cause, instead of an ID")
+	asJSON := fs.Bool("json", false, "write JSON")
+	if err := fs.Parse(args); err != nil {
+		return errUsage(err.Error())
+	}
+	rest := fs.Args()
+	id := ""
+	if !*failed {
+		if len(rest) == 0 {
+			return errUsage("want a request's ID, or -failed")
+		}
+		id, rest = rest[0], rest[1:]
+	}
+	lines, err := readLogs(rest)
+	if err != nil {
+		return err
+	}
+	if *failed {
+		return t.groups(trace.Failed(lines), *asJSON)
+	}
+	stories := trace.Of(lines, id)
+	if len(stories) == 0 {
+		fmt.Fprintf(t.err, "no line of request %s\n", id)
+		return errNo
+	}
+	if *asJSON {
+		return json.NewEncoder(t.out).Encode(stories)
+	}
+	for _, s := range stories {
+		s.Text(t.out)
+	}
+	return nil
+}
+
+func (t *tool) groups(groups []trace.Group, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(t.out).Encode(groups)
+	}
+	for _, g := range groups {
+		fmt.Fprintf(t.out, "%6d  %s\n        %s\n", g.Count, g.Cause, g.IDs)
+	}
+	return nil
+}
+
+// readLogs reads log files, or standard input if none is named.
+func readLogs(paths []string) ([]trace.Line, error) {
+	if len(paths) == 0 {
+		return trace.Read(os.Stdin)
+	}
+	var out []trace.Line
+	for _, p := range paths {
+		f, err := os.Open(p)
+		if err != nil {
+			return nil, errors.Wrap(err, "trace")
+		}
+		lines, err := trace.Read(io.Reader(f))
+		f.Close()
+		if err != nil {
+			return nil, errors.Wrap(err, p)
+		}
+		out = append(out, lines...)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,86 @@
+package trace
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// readDay reads lines of a day that was played on the users' bench.
+func readDay(t *testing.T) []Line {
+	t.Helper()
+	src, err := os.ReadFile("testdata/day.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines, err := Read(bytes.NewReader(src))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lines
+}
+
+// TestStories tells three failed requests and holds them against golden files.
+func TestStories(t *testing.T) {
+	lines := readDay(t)
+	for _, tc := range []struct{ name, id string }{
+		{"broken-stream", "1so7glk-mpkbkkwk-5z"},
+		{"silent-service", "1usg4ci-mpkbkkwk-7"},
+		{"refused", "1s0i2aw-mpkbkkwk-6x"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var out bytes.Buffer
+			for _, s := range Of(lines, tc.id) {
+				s.Text(&out)
+			}
+			goldie.New(t).Assert(t, tc.name, out.Bytes())
+		})
+	}
+}
+
+// TestFailed groups a day's failures.
+func TestFailed(t *testing.T) {
+	var out bytes.Buffer
+	for _, g := range Failed(readDay(t)) {
+		fmt.Fprintln(&out, g.Count, g.Name, g.Cause, g.IDs)
+	}
+	goldie.New(t).Assert(t, "failed", out.Bytes())
+}
+
+// TestRead passes over what is no log line.
+func TestRead(t *testing.T) {
+	cases := []struct {
+		name, text string
+		lines      int
+	}{
+		{"a line", `{"msg": "request", "id": "a"}`, 1},
+		{"a stamp before it", `  1.2 host-1 {"msg": "request"}`, 1},
+		{"text only", "goroutine 1 [running]:", 0},
+		{"broken", `{"msg": "request"`, 0},
+		{"no message", `{"id": "a"}`, 0},
+		{"of another type", `{"msg": 3}`, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			lines, err := Read(bytes.NewReader([]byte(tc.text + "\n" + tc.text)))
+			if err != nil || len(lines) != 2*tc.lines {
+				t.Errorf("%d lines, want %d (%v)", len(lines), 2*tc.lines, err)
+			}
+		})
+	}
+}
+
+// FuzzRead must survive anything.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`x {"msg": "request", "id": "a", "phases": [1, 2]}`))
+	f.Fuzz(func(t *testing.T, src []byte) {
+		lines, _ := Read(bytes.NewReader(src))
+		for _, l := range lines {
+			Of(lines, l.ID)
+		}
+		Failed(lines)
+	})
+}
