--- a/entry/place.go
+++ b/entry/place.go
@@ -140,7 +140,14 @@
 // the end of the prefill.
 func (e *Entry) reserveAny(ctx context.Context, j *job, p *plan) *result.Error {
 	fixed := route.Number(p.pre.Name)
-	return e.reserveFrom(ctx, j, p, func(j *job) (route.Choice, *config.View) { return e.choose(j, fixed) }, p.Read)
+	choose := func(j *job) (route.Choice, *config.View) {
+		c, v := e.choose(j, fixed)
+		if c.Decode < 0 { // the prefill engine may have left since it called
+			return e.chooseDecode(j)
+		}
+		return c, v
+	}
+	return e.reserveFrom(ctx, j, p, choose, p.Read)
 }
 
 // reserveFrom reserves decode memory on the first engine that grants it, of
