entry: refuse at once where every runner of a service was out of reach

Ruled out: the domain's own runner was passed over; it was not in use. Change: a call that has failed once isn't tried at an endpoint that was out of reach just now. TestChooseService.

--- a/entry/service.go
+++ b/entry/service.go
@@ -95,7 +95,8 @@
 
 // chooseService takes the endpoint with the fewest calls from this host, of
 // the own failure domain first. Failures that were seen and a reach that was
-// lost weigh as calls.
+// lost weigh as calls. A call that has failed once isn't tried at an endpoint
+// that was just out of reach: it is refused instead, in time to go elsewhere.
 func (e *Entry) chooseService(j *job) *config.Endpoint {
 	var spec *config.Endpoint
 	least := 0.0
@@ -107,7 +108,7 @@
 		}
 		for _, i := range g.Service {
 			s := &states[i]
-			if !route.Open(s, &j.pick) || !j.repeatable && !s.Spec.NotRepeatableAllows {
+			if !route.Open(s, &j.pick) || !j.repeatable && !s.Spec.NotRepeatableAllows || j.tries > 1 && s.Seen.Shunned(j.pick.Now) {
 				continue
 			}
 			if cost := serviceCost(s, &j.pick); spec == nil || cost < least {
--- /dev/null
+++ b/entry/service_test.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/route"
+)
+
+const serviceDocument = `{"failure_domains": [{"name": "a", "region": "r"}, {"name": "b", "region": "r"}], "targets": {"ttft_ms": 900, "tpot_ms": 10},
+"pools": [{"name": "web", "takes_not_repeatable": true}],
+"routes": [{"name": "page", "host": "h", "path_prefix": "/", "pools": [{"pool": "web", "weight": 1}]}]}`
+
+// TestChooseService states what a host of domain a has seen of three plain
+// endpoints, s0 in a, s1 and s2 in b, and names the one that is called.
+func TestChooseService(t *testing.T) {
+	now := time.Now()
+	cases := []struct {
+		name  string
+		see   func(s []route.State)
+		tries int
+		want  string // empty: none
+	}{
+		{"the own domain", func([]route.State) {}, 1, "s0"},
+		{"the own is busy", func(s []route.State) { s[0].Sent = 6 }, 1, "s1"},
+		{"the own fails", func(s []route.State) { s[0].Seen.Failed, s[0].Seen.At = 0.9, now }, 1, "s1"},
+		{"the own was full just now", func(s []route.State) { s[0].Seen.Full = now.Add(time.Second) }, 1, "s1"},
+		{"the own was out of reach", func(s []route.State) { s[0].Seen.Shun = now.Add(time.Second) }, 1, "s1"},
+		{"all were out of reach, at first", func(s []route.State) {
+			for i := range s {
+				s[i].Seen.Shun = now.Add(time.Second)
+			}
+		}, 1, "s0"},
+		{"all were out of reach, and one was tried", func(s []route.State) {
+			for i := range s {
+				s[i].Seen.Shun = now.Add(time.Second)
+			}
+		}, 2, ""},
+		{"the own leaves", func(s []route.State) { s[0].Leaving = true }, 1, "s1"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &config.Settings{Host: "h", Domain: "a", Region: "r"}
+			s.SetDefaults()
+			b := blackboard.New(s)
+			if _, err := b.Config.Offer(1, []byte(serviceDocument)); err != nil {
+				t.Fatal(err)
+			}
+			roster := &config.Roster{Revision: 1}
+			for i, d := range []string{"a", "b", "b"} {
+				roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: fmt.Sprintf("s%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i),
+					Domain: d, Pool: "web", Role: config.Service})
+			}
+			if _, err := b.Config.OfferRoster(roster); err != nil {
+				t.Fatal(err)
+			}
+			v := b.Config.View()
+			b.Endpoints.Fit(v)
+			b.Endpoints.Read(func(_ *config.View, states []route.State) { tc.see(states) })
+			e := &Entry{board: b}
+			j := &job{view: v, route: v.RouteFor("h", "/x"), pool: "web", tries: tc.tries,
+				pick: route.Request{Home: v.DomainIndex("a"), Region: "r"}}
+			got := ""
+			if spec := e.chooseService(j); spec != nil {
+				got = spec.Name
+			}
+			if got != tc.want {
+				t.Errorf("called %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
