--- a/entry/reply.go
+++ b/entry/reply.go
@@ -41,7 +41,6 @@
 	refuse func(w http.ResponseWriter, err *result.Error)
 
 	opened bool
-	closed bool // the whole answer was written
 	sent   int
 	mark   string
 	first  time.Time
