fake: reserve ports where no connection takes them

Ports were reserved on 127.0.0.1 and released before the process opened them; a connection of another process took one meanwhile. Ruled out: the daemon (its log names the cause) and the time limits. Change: tests and trials reserve on a loopback address of their own, from which no connection goes out. TestFreePorts fails without it.

--- a/cmd/embercoved/cluster_test.go
+++ b/cmd/embercoved/cluster_test.go
@@ -110,12 +110,14 @@
 	return p
 }
 
-// freePorts returns loopback addresses that were free a moment ago.
+// freePorts returns loopback addresses that were free a moment ago. They are
+// not of 127.0.0.1, whose ports any connection made meanwhile may take.
 func freePorts(t *testing.T, n int) []string {
 	var out []string
 	var open []net.Listener
+	own := fake.LoopbackHost() + ":0"
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", own)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -128,6 +130,25 @@
 	return out
 }
 
+// TestFreePorts checks that a connection which takes the same port number of
+// 127.0.0.1 doesn't keep a process from its address.
+func TestFreePorts(t *testing.T) {
+	for _, addr := range freePorts(t, 5) {
+		_, port, err := net.SplitHostPort(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if taken, err := net.Listen("tcp", "127.0.0.1:"+port); err == nil {
+			defer taken.Close()
+		}
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			t.Fatalf("%s was taken: %v", addr, err)
+		}
+		l.Close()
+	}
+}
+
 // startProcs starts a platform, the deployment's endpoints and n hosts.
 func startProcs(t *testing.T, n int, change func(d *config.Document)) *procs {
 	t.Helper()
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -215,9 +215,10 @@
 			l.Close()
 		}
 	}()
+	own := fake.LoopbackHost() + ":0"
 	for _, s := range c.Settings {
 		for _, p := range []*string{&s.Callers, &s.Peers, &s.Admin} {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			l, err := net.Listen("tcp", own)
 			if err != nil {
 				return errors.Wrap(err, "free port")
 			}
