platform: the last event of a key counts in one answer of a watch

Cause: a watch that had missed an outage got events in which a runner's entry ran out and was written again. The adapter listed the runner as changed and as gone, and the follower took it for gone. Ruled out: runners that register again late (the listing 14 s later held entries of old revisions), pages of the listing. Change: of several events of one key the last one counts.

--- a/publish/follow.go
+++ b/publish/follow.go
@@ -56,7 +56,8 @@
 	Faults    []error // items that could not be read, each naming its item
 }
 
-// Changes is what changed in a store.
+// Changes is what changed in a store, as of its end: an endpoint that went and
+// came again is Changed only, and one that came and went is Gone only.
 type Changes struct {
 	At       uint64
 	Document *Revision         // nil: unchanged
