publish, blackboard: drop what is not back 2.5 s after the store

Ruled out: expiring only when something else is published (nothing may be for long); trusting a peer's time of the lapse (clocks jump). Change: ConfigTable keeps the time of a lapse by its own clock, drops the row 2.5 s later, and takes no lapsed row of a peer that it knows to be gone.

--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -78,27 +78,82 @@
 
 // OfferRoster takes in the endpoints that registered themselves, if they are
 // of a later revision than those known, and reports whether they were taken.
-// Endpoints with faults are left out; the error names them.
-func (t *ConfigTable) OfferRoster(r *config.Roster) (bool, error) {
+// Endpoints with faults are left out; the error names them. So are those
+// without a registration that this host knows to be gone.
+func (t *ConfigTable) OfferRoster(r *config.Roster, now time.Time) (bool, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.roster != nil && r.Revision <= t.roster.Revision {
 		return false, nil
 	}
 	kept := &config.Roster{Revision: r.Revision}
+	lapses := t.lapses(now)
 	var faults error
-	for i := range r.Endpoints {
-		if err := config.CheckRegistered(&r.Endpoints[i]); err != nil {
-			faults = errors.Wrapf(err, "endpoint %q", r.Endpoints[i].Name)
+	for _, e := range r.Endpoints {
+		if err := config.CheckRegistered(&e); err != nil {
+			faults = errors.Wrapf(err, "endpoint %q", e.Name)
 			continue
 		}
-		kept.Endpoints = append(kept.Endpoints, r.Endpoints[i])
+		if !e.Lapsed.IsZero() {
+			e.Lapsed = lapses(e.Name)
+		}
+		if !e.Expired(now) {
+			kept.Endpoints = append(kept.Endpoints, e)
+		}
 	}
-	t.roster = kept
+	t.useRoster(kept)
+	return true, faults
+}
+
+// useRoster puts a roster in force; the caller holds the lock.
+func (t *ConfigTable) useRoster(r *config.Roster) {
+	t.roster = r
 	if t.base != nil {
-		t.inUse.Store(t.base.WithRoster(kept))
+		t.inUse.Store(t.base.WithRoster(r))
 	}
-	return true, faults
+}
+
+// lapses returns since when, by this process's clock, the endpoint of a name is
+// without its registration: from now on if it had one, and for too long if it
+// wasn't known. The caller holds the lock.
+func (t *ConfigTable) lapses(now time.Time) func(name string) time.Time {
+	if t.roster == nil {
+		return func(string) time.Time { return now }
+	}
+	since := make(map[string]time.Time, len(t.roster.Endpoints))
+	for _, e := range t.roster.Endpoints {
+		since[e.Name] = now
+		if !e.Lapsed.IsZero() {
+			since[e.Name] = e.Lapsed
+		}
+	}
+	return func(name string) time.Time {
+		if at, known := since[name]; known {
+			return at
+		}
+		return now.Add(-2 * config.LapsedKept)
+	}
+}
+
+// DropLapsed drops endpoints that have been without a registration for too
+// long, and reports how many.
+func (t *ConfigTable) DropLapsed(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.roster == nil {
+		return 0
+	}
+	kept := &config.Roster{Revision: t.roster.Revision}
+	for _, e := range t.roster.Endpoints {
+		if !e.Expired(now) {
+			kept.Endpoints = append(kept.Endpoints, e)
+		}
+	}
+	dropped := len(t.roster.Endpoints) - len(kept.Endpoints)
+	if dropped > 0 {
+		t.useRoster(kept)
+	}
+	return dropped
 }
 
 // Roster returns the endpoints that registered themselves, or nil.
--- a/config/document.go
+++ b/config/document.go
@@ -86,10 +86,21 @@
 	// itself, so it is given no orders to reach the state of a revision.
 	Registered bool `json:"-"`
 	// Lapsed is when the registration vanished although nobody can tell that
-	// the endpoint left; zero: it stands.
+	// the endpoint left; zero: it stands. It is a time of this process: what
+	// another host sent is replaced when it is taken in.
 	Lapsed time.Time `json:"-"`
 }
 
+// LapsedKept is how long an endpoint is used without its registration. One that
+// lives registers again within two seconds of the platform's return.
+const LapsedKept = 2500 * time.Millisecond
+
+// Expired reports whether the endpoint has been without a registration for so
+// long that it counts as gone.
+func (e *Endpoint) Expired(now time.Time) bool {
+	return !e.Lapsed.IsZero() && now.Sub(e.Lapsed) > LapsedKept
+}
+
 // PieceTokens returns how many tokens one piece of the endpoint's streams holds.
 func (e *Endpoint) PieceTokens() int { return max(1, e.TokensPerPiece) }
 
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -54,7 +54,7 @@
 				roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: fmt.Sprintf("s%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i),
 					Domain: d, Pool: "web", Role: config.Service})
 			}
-			if _, err := b.Config.OfferRoster(roster); err != nil {
+			if _, err := b.Config.OfferRoster(roster, time.Now()); err != nil {
 				t.Fatal(err)
 			}
 			v := b.Config.View()
--- a/owner/balance_test.go
+++ b/owner/balance_test.go
@@ -103,7 +103,7 @@
 			eng := &orderEngine{err: tc.err}
 			o.engine, o.log = eng, zap.NewNop()
 			o.board.Config.Offer(2, []byte(balanceDocument))
-			o.board.Config.OfferRoster(rosterOf(9, "ppdpddpdd"))
+			o.board.Config.OfferRoster(rosterOf(9, "ppdpddpdd"), time.Now())
 			o.board.Endpoints.Fit(o.board.Config.View())
 			now := time.Now()
 			if !tc.silent {
--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -42,7 +43,7 @@
 		t.Fatal(err)
 	}
 	row := config.Endpoint{Name: "e", Address: "127.0.0.1:9", Domain: "d", Pool: "p", Role: config.Decode}
-	if _, err := b.Config.OfferRoster(&config.Roster{Revision: 1, Endpoints: []config.Endpoint{row}}); err != nil {
+	if _, err := b.Config.OfferRoster(&config.Roster{Revision: 1, Endpoints: []config.Endpoint{row}}, time.Now()); err != nil {
 		t.Fatal(err)
 	}
 	b.Endpoints.Fit(b.Config.View())
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -212,7 +212,7 @@
 // lays the tables out for them. What changed is told around, because another
 // host's own watch may be cut off or deaf.
 func (r *Router) OfferRoster(ro *config.Roster, from string) {
-	in, err := r.board.Config.OfferRoster(ro)
+	in, err := r.board.Config.OfferRoster(ro, time.Now())
 	if err != nil {
 		r.log.Warn("endpoints left out of the roster", zap.Uint64("roster", ro.Revision), zap.String("from", from), zap.Error(err))
 	}
@@ -227,6 +227,26 @@
 	r.tellAround()
 }
 
+// lapseTick is how often lapsed registrations are looked at.
+const lapseTick = 250 * time.Millisecond
+
+// Lapser returns the controller that stops using endpoints which have been
+// without a registration for too long. Nothing is told around: each host
+// comes to it by itself.
+func (r *Router) Lapser() blackboard.Controller {
+	return blackboard.Every(lapseTick, func(context.Context) {
+		dropped := r.board.Config.DropLapsed(time.Now())
+		if dropped == 0 {
+			return
+		}
+		if v := r.board.Config.View(); v != nil {
+			r.board.Endpoints.Fit(v)
+		}
+		r.board.Wake.All()
+		r.log.Info("lapsed registrations dropped", zap.Uint64("roster", r.board.Config.RosterRevision()), zap.Int("endpoints", dropped))
+	})
+}
+
 // Offer offers a revision to the board and lays the tables out for it.
 func (r *Router) Offer(revision uint64, src []byte, from string) {
 	in, err := r.board.Config.Offer(revision, src)
--- a/publish/follow_test.go
+++ b/publish/follow_test.go
@@ -118,7 +118,7 @@
 		{name: "vanished ones register again", steps: []step{{list: all}, {gone: all[1:]}, {come: all[1:]}, {gone: all[1:2]}}, want: "a1 a3 a4 a5"},
 		{name: "the address of a vanished one is taken", steps: []step{{list: all}, {gone: all[1:]},
 			{come: []string{"b2"}}, {}}, want: "a1 a3 a4 a5 b2"},
-		{name: "vanished for long", steps: []step{{list: all}, {gone: all[1:]}, {come: []string{"a6"}, after: lapsedKept + time.Second}}, want: "a1 a6"},
+		{name: "vanished for long", steps: []step{{list: all}, {gone: all[1:]}, {come: []string{"a6"}, after: config.LapsedKept + time.Second}}, want: "a1 a6"},
 		{name: "a vanished one's end is told later", steps: []step{{list: all}, {fail: context.DeadlineExceeded}, {fail: ErrForgotten}, {list: all[3:]},
 			{gone: all[:1], after: shakyFor + time.Second}}, want: "a2 a3 a4 a5"},
 		{name: "a peer knows more than the listing", known: all, steps: []step{{list: all[3:]}}, want: "a1 a2 a3 a4 a5"},
--- a/publish/lapse.go
+++ b/publish/lapse.go
@@ -10,8 +10,9 @@
 
 // A registration that vanishes says that its endpoint has left, but not always:
 // a store that was down may have let registrations run out whose endpoints
-// could not renew them. Such endpoints stay in use as long as they answer under
-// their own name, and until they register again or nothing is heard of them.
+// could not renew them. Such endpoints stay in use for config.LapsedKept. One that
+// lives and reaches the store has registered again by then; the others count as
+// gone, which ConfigTable.DropLapsed sees to where nothing else is published.
 
 const (
 	// outageLeast is how long a store must be out of reach for registrations
@@ -26,8 +27,6 @@
 	massShare = 0.5
 	someShare = 0.2
 	someLeast = 2
-	// lapsedKept is how long an endpoint is used without its registration.
-	lapsedKept = time.Minute
 )
 
 // judgeOutage is called with each answer of the store. The first one after an
@@ -100,7 +99,7 @@
 // address another has.
 func (f *Follower) expire(now time.Time) {
 	for name, e := range f.known {
-		if !e.Lapsed.IsZero() && (now.Sub(e.Lapsed) > lapsedKept || f.taken(e.Address)) {
+		if !e.Lapsed.IsZero() && (e.Expired(now) || f.taken(e.Address)) {
 			delete(f.known, name)
 		}
 	}
