owner: order only with a majority of the known hosts

Cause: two sides of a partition that both reach a runner and the platform each take the other for gone after some seconds, own the same runner and may order it within the lease; where runners don't look at fences nothing stops the second. Ruled out: a shorter settling time (both sides settle), the platform's silence alone (a host cut off from hosts may still reach the platform). Change: HostTable.Majority; orders need more than half of the known hosts, of which the settings' seeds count at least, so that a host that has just started alone orders nothing. Hosts that leave as planned don't count. Figures: TestBalanceOrders fails without it (half and most hosts out of reach, seeds never met). After the loss of half of all hosts roles stay as they are.

--- a/blackboard/hosts.go
+++ b/blackboard/hosts.go
@@ -279,6 +279,26 @@
 	return out
 }
 
+// Majority reports whether more than half of the known hosts are live, of which
+// there are at least so many. Hosts that said that they leave don't count. At
+// most one side of a partition has a majority; after the loss of many hosts
+// none has, until they are back.
+func (t *HostTable) Majority(now time.Time, least int) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	known, live := 0, 0
+	for _, h := range t.hosts {
+		if h.Leaving {
+			continue
+		}
+		known++
+		if t.live(h, now) {
+			live++
+		}
+	}
+	return 2*live > max(known, least)
+}
+
 // Fingerprint returns a number that changes when any domain's set of live,
 // not leaving hosts does. It costs far less than working ownership out.
 func (t *HostTable) Fingerprint(now time.Time) uint64 {
--- a/owner/balance.go
+++ b/owner/balance.go
@@ -77,7 +77,8 @@
 }
 
 // mayOrder reports whether this host's view of the members and the roster is
-// good enough to give orders by.
+// good enough to give orders by. Without a majority of the known hosts it isn't:
+// the others may take this one for gone and order the same runner.
 func (o *Owner) mayOrder(v *config.View, now time.Time) bool {
 	print := o.board.Hosts.Fingerprint(now)
 	o.balance.mu.Lock()
@@ -85,7 +86,7 @@
 	if print != o.balance.print || o.balance.since.IsZero() {
 		o.balance.print, o.balance.since = print, now
 	}
-	return v.Roster > 0 && now.Sub(o.balance.since) >= settledAfter && !o.board.Leaving() && !o.board.Pause.Check() &&
+	return v.Roster > 0 && now.Sub(o.balance.since) >= settledAfter && o.board.Hosts.Majority(now, len(o.board.Settings.Seeds)) && !o.board.Leaving() && !o.board.Pause.Check() &&
 		o.board.Config.HeardWithin(now, rosterFresh)
 }
 
--- a/owner/balance_test.go
+++ b/owner/balance_test.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 )
@@ -86,6 +87,8 @@
 		settled time.Duration // since the members changed
 		leaving bool
 		silent  bool // the platform was not heard of
+		seeds   int  // that the settings name
+		gone    int  // of four of the five other hosts
 		heard   uint64
 		err     error
 		orders  int
@@ -93,6 +96,10 @@
 		{name: "settled", settled: settledAfter, orders: 1},
 		{name: "members have just changed", settled: settledAfter / 2},
 		{name: "leaving", settled: settledAfter, leaving: true},
+		{name: "four of six hosts are left", settled: settledAfter, gone: 2, orders: 1},
+		{name: "half of the hosts are out of reach", settled: settledAfter, gone: 3},
+		{name: "most hosts are out of reach", settled: settledAfter, gone: 4},
+		{name: "the seeds were never met", settled: settledAfter, seeds: 12},
 		{name: "cut off from the platform", settled: settledAfter, silent: true},
 		{name: "another host's clock is ahead", settled: settledAfter, heard: 1 << 60, orders: 1},
 		{name: "the runner has seen a higher fence", settled: settledAfter, err: refused, orders: 1},
@@ -106,6 +113,14 @@
 			o.board.Config.OfferRoster(rosterOf(9, "ppdpddpdd"), time.Now())
 			o.board.Endpoints.Fit(o.board.Config.View())
 			now := time.Now()
+			for i := range 4 {
+				h := blackboard.Host{Name: fmt.Sprint("other", i), Number: uint32(i + 1), Domain: "e", Region: "r", Incarnation: 1, Beat: 1}
+				o.board.Hosts.Learn(h, now)
+				if i < tc.gone {
+					o.board.Hosts.Accuse(h.Number, h.Incarnation, h.Beat, now)
+				}
+			}
+			o.board.Settings.Seeds = make([]string, tc.seeds)
 			if !tc.silent {
 				o.board.Config.Heard(now)
 			}
