publish: hosts that hear of changes from others ask the store less

Change: all but two hosts of a domain rest one second after a change and then go on from the newest roster that a peer told of. A peer that tells of a roster tells of the document published before it, so its server reads the roster first. TestBusyStore fails without it: 84 calls in ten seconds, 12 now.

--- a/peer/server.go
+++ b/peer/server.go
@@ -68,12 +68,14 @@
 }
 
 func (s *server) Fetch(a *FetchArgs, reply *FetchReply) error {
-	if v := s.r.board.Config.View(); v != nil && v.Revision > a.After {
-		reply.Revision, reply.Source = v.Revision, v.Source
-	}
+	// The roster is read first: who takes it over must get every document
+	// that was published before it.
 	if ro := s.r.board.Config.Roster(); ro != nil && ro.Revision > a.Roster {
 		reply.Roster = ro
 	}
+	if v := s.r.board.Config.View(); v != nil && v.Revision > a.After {
+		reply.Revision, reply.Source = v.Revision, v.Source
+	}
 	return nil
 }
 
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -93,6 +93,7 @@
 	followWait  = 2 * time.Second
 	lazyWait    = 8 * time.Second        // of hosts that aren't eager
 	gatherFor   = 120 * time.Millisecond // after a change, as changes come in bursts
+	lazyGather  = time.Second            // the same of hosts that aren't eager
 	followSlack = 400 * time.Millisecond // longer than asked that a watch may take
 	listTimeout = 1500 * time.Millisecond
 	retryFirst  = 100 * time.Millisecond
@@ -182,10 +183,22 @@
 	return nil
 }
 
+// catchUp takes over what peers have told of since the last answer, so that the
+// store needn't tell it again. Whoever tells of a roster knows the document
+// that was published before it.
+func (f *Follower) catchUp(sink Sink) {
+	r := sink.Roster()
+	if r == nil || r.Revision <= f.at {
+		return
+	}
+	f.at, f.known = r.Revision, f.before(sink)
+}
+
 func (f *Follower) watch(ctx context.Context, sink Sink) error {
-	wait := followWait
-	if !sink.Eager() {
-		wait = lazyWait
+	eager, wait, gather := sink.Eager(), followWait, gatherFor
+	if !eager {
+		wait, gather = lazyWait, lazyGather
+		f.catchUp(sink)
 	}
 	limited, cancel := context.WithTimeout(ctx, wait+followSlack)
 	defer cancel()
@@ -202,6 +215,9 @@
 		sink.Offer(c.Document.Revision, []byte(c.Document.Document), "store")
 	}
 	if len(c.Changed)+len(c.Gone) == 0 {
+		if c.Document != nil && !eager {
+			rest(ctx, gather)
+		}
 		return nil
 	}
 	for _, e := range c.Changed {
@@ -217,7 +233,7 @@
 	f.vanished(gone, true, now)
 	f.expire(now)
 	sink.OfferRoster(f.roster(), "store")
-	rest(ctx, gatherFor)
+	rest(ctx, gather)
 	return nil
 }
 
--- a/publish/follow_test.go
+++ b/publish/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -69,12 +70,15 @@
 func (s *stubStore) Close() {}
 
 // stubSink holds the newest roster.
-type stubSink struct{ roster *config.Roster }
+type stubSink struct {
+	roster *config.Roster
+	lazy   bool
+}
 
 func (s *stubSink) Offer(uint64, []byte, string)           {}
 func (s *stubSink) OfferRoster(r *config.Roster, _ string) { s.roster = r }
 func (s *stubSink) Roster() *config.Roster                 { return s.roster }
-func (s *stubSink) Eager() bool                            { return true }
+func (s *stubSink) Eager() bool                            { return !s.lazy }
 func (s *stubSink) Heard(time.Time)                        {}
 func (s *stubSink) names() string {
 	var out []string
@@ -142,3 +146,80 @@
 		})
 	}
 }
+
+// busyStore changes every hundred milliseconds: each time one more endpoint
+// registers. It counts the calls.
+type busyStore struct {
+	began time.Time
+	calls int
+}
+
+const busyEvery = 100 * time.Millisecond
+
+func (s *busyStore) at() uint64 { return 1 + uint64(time.Since(s.began)/busyEvery) }
+
+func (s *busyStore) between(after, at uint64) []config.Endpoint {
+	var names []string
+	for i := after + 1; i <= at; i++ {
+		names = append(names, fmt.Sprintf("a%d", i))
+	}
+	return rows(names, nil)
+}
+
+func (s *busyStore) List(context.Context) (*State, error) {
+	s.calls++
+	return &State{At: s.at(), Endpoints: s.between(0, s.at())}, nil
+}
+
+func (s *busyStore) Watch(ctx context.Context, after uint64, _ time.Duration) (*Changes, error) {
+	s.calls++
+	for s.at() <= after && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	return &Changes{At: s.at(), Changed: s.between(after, s.at())}, ctx.Err()
+}
+
+func (s *busyStore) Close() {}
+
+// TestBusyStore bounds the calls of a host while a store changes all the time,
+// and how late it hears of a change.
+func TestBusyStore(t *testing.T) {
+	cases := []struct {
+		name   string
+		lazy   bool
+		peers  bool // tell of every change at once
+		calls  int  // at most, in ten seconds
+		behind uint64
+	}{
+		{"one that finds out soon", false, false, 100, 2},
+		{"one that hears of it from others", true, true, 12, 0},
+		{"one whom nobody tells", true, false, 12, 12},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, sink := &busyStore{began: time.Now()}, &stubSink{lazy: tc.lazy}
+				ctx, cancel := context.WithCancel(context.Background())
+				go NewFollower(store, zap.NewNop()).Follow(ctx, sink)
+				for range 100 {
+					time.Sleep(busyEvery)
+					synctest.Wait()
+					if tc.peers {
+						sink.roster = &config.Roster{Revision: store.at(), Endpoints: store.between(0, store.at())}
+					}
+					if r := sink.roster; r != nil && store.at()-r.Revision > tc.behind {
+						t.Fatalf("revision %d is known at %d, want at most %d behind", r.Revision, store.at(), tc.behind)
+					}
+					if r := sink.roster; r != nil && uint64(len(r.Endpoints)) != r.Revision {
+						t.Fatalf("%d endpoints in revision %d", len(r.Endpoints), r.Revision)
+					}
+				}
+				cancel()
+				synctest.Wait()
+				if store.calls > tc.calls {
+					t.Errorf("%d calls in ten seconds, want at most %d", store.calls, tc.calls)
+				}
+			})
+		})
+	}
+}
