entry: keep the log lines of a request whole or leave them out

Cause: lines of requests were bounded one by one at 200 a second, so that a flood left requests with some of their lines, and successes crowded out failures. Ruled out: holding a request's lines back until its end (a crash would lose just those that explain it). Change: a request's first line decides about all of its lines. Ordinary successes, which have one, are let in only while half of the burst is free, so failures and refusals are left out last. What is left out is counted in the next line and in a metric. The lines have a file of their own.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,12 +38,12 @@
 	budgets *budgets
 	turn    atomic.Uint64 // for round robin and seeds
 	Latency LatencyRecorder
-	logs    floodGate
+	logs    *lineGate
 }
 
 // New returns an entry over the board.
 func New(b *blackboard.Board, g endpoint.Engine, o Owners, rec *report.Recorder, log *zap.Logger) *Entry {
-	return &Entry{board: b, engine: g, traits: g.Traits(), owners: o, record: rec, log: log, budgets: newBudgets(b)}
+	return &Entry{board: b, engine: g, traits: g.Traits(), owners: o, record: rec, log: log, budgets: newBudgets(b), logs: newLineGate()}
 }
 
 // SetRetryBudget has another budget hold from now on.
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -2,14 +2,8 @@
 
 import (
 	"net/http"
-	"sync"
 	"time"
 
-	"go.uber.org/zap"
-	"golang.org/x/time/rate"
-
-	"github.com/embercove/embercove/config"
-	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/invariant"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/result"
@@ -21,10 +15,7 @@
 	err.Unsure = q.Header.Get(HeaderKey) != ""
 	e.board.Requests.Refused(err.Code)
 	e.record.Record(report.Outcome{Code: err.Code, Team: unknownTeam}, time.Now())
-	if ok, lost := e.logs.allow(); ok {
-		e.log.Info("request refused", zap.Int("code", int(err.Code)), zap.String("name", err.Code.String()),
-			zap.String("detail", err.Detail), zap.Uint64("lines_left_out", lost))
-	}
+	e.logRefusal(err)
 	write(w, err)
 }
 
@@ -68,81 +59,6 @@
 	}
 }
 
-// logEnd writes the one line of a request's end. It never holds prompt text.
-func (e *Entry) logEnd(j *job, o report.Outcome, v report.Verdict, err *result.Error) {
-	ok, lost := e.logs.allow()
-	if !ok {
-		return
-	}
-	e.log.Info("request", zap.Stringer("id", j.id), zap.String("caller_id", j.callerID()), zap.String("route", j.route.Name),
-		zap.Uint64("revision", j.view.Revision), zap.Uint64("roster", j.view.Roster), zap.String("team", o.Team), zap.String("model", o.Model),
-		zap.Int("code", int(o.Code)), zap.String("name", o.Code.String()), zap.String("detail", err.Detail),
-		zap.Int("verdict", int(v)), zap.Duration("ttft", o.TTFT), zap.Duration("tpot", o.TPOT), zap.Int("prompt_tokens", j.tokens),
-		zap.Int("answer_tokens", o.Tokens), zap.Int("attempts", o.Attempts), zap.Int("tries", j.tries), zap.Int("reads", j.reads),
-		zap.Int("sends", j.sends), zap.Duration("retry_after", err.RetryAfter), zap.Duration("took", time.Since(j.came)), zap.String("prefill", j.prefill),
-		zap.String("decode", j.decode), zap.Durations("phases", j.phases[:]), zap.Int("wasted_tokens", o.Wasted),
-		zap.Uint64("lines_left_out", lost))
-}
-
-// callerID returns the caller's own name for the request, if it gave one.
-func (j *job) callerID() string {
-	if j.work == nil || j.work.Origin == nil {
-		return ""
-	}
-	return j.work.Origin.ID
-}
-
-// logCall writes a line for a call to an endpoint that failed, with what
-// decided about it.
-func (e *Entry) logCall(j *job, spec *config.Endpoint, phase string, err error, took time.Duration) {
-	ok, lost := e.logs.allow()
-	if !ok {
-		return
-	}
-	e.log.Info("call failed", zap.Stringer("id", j.id), zap.String("caller_id", j.callerID()), zap.String("endpoint", spec.Name),
-		zap.String("address", spec.Address), zap.String("phase", phase), zap.Int("try", j.tries), zap.Bool("may_have_run", endpoint.MayHaveRun(err)),
-		zap.Bool("unreachable", endpoint.Unreachable(err)), zap.Int("pieces", j.out.pieces()), zap.Duration("took", took),
-		zap.String("error", err.Error()), zap.Uint64("lines_left_out", lost))
-}
-
-// logRefused writes a line for an owner that granted no room, with the age of
-// what the choice was made from.
-func (e *Entry) logRefused(j *job, spec *config.Endpoint, phase string, refusal *result.Error, age time.Duration) {
-	ok, lost := e.logs.allow()
-	if !ok {
-		return
-	}
-	e.log.Info("no room", zap.Stringer("id", j.id), zap.String("caller_id", j.callerID()), zap.String("endpoint", spec.Name),
-		zap.String("phase", phase), zap.Int("code", int(refusal.Code)), zap.Duration("retry_after", refusal.RetryAfter),
-		zap.Duration("slack", j.slack()), zap.Duration("digest_age", age), zap.Uint64("lines_left_out", lost))
-}
-
-// Log lines a second, and how many may come at once.
-const (
-	logRate  = 200
-	logBurst = 400
-)
-
-// floodGate bounds log lines and counts those left out.
-type floodGate struct {
-	once sync.Once
-	lim  *rate.Limiter
-	mu   sync.Mutex
-	lost uint64
-}
-
-func (g *floodGate) allow() (ok bool, lost uint64) {
-	g.once.Do(func() { g.lim = rate.NewLimiter(logRate, logBurst) })
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.lim.Allow() {
-		g.lost++
-		return false, 0
-	}
-	lost, g.lost = g.lost, 0
-	return true, lost
-}
-
 // Limited wraps h in a server with the limits that hold for every caller.
 func Limited(h http.Handler, headerBytes int) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
--- a/entry/job.go
+++ b/entry/job.go
@@ -45,6 +45,7 @@
 	prefill  string
 	decode   string
 	last     *endpoint.Answer // failure that an endpoint answered with
+	logged   logged
 }
 
 // target returns the time to the first piece, or to the answer, that counts
--- /dev/null
+++ b/entry/lines_test.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"testing"
+	"time"
+)
+
+// TestLines plays seconds of load and states which requests keep their lines: a
+// request is kept whole or left out, and those that fail are left out last.
+func TestLines(t *testing.T) {
+	cases := []struct {
+		name                        string
+		successes, failures, lines  int // a second; lines of each failure
+		leastSuccesses, mostSucceed int // kept in ten seconds
+		leastFailures               int
+	}{
+		{"little load", 50, 10, 4, 500, 500, 100},
+		{"many successes", 2000, 0, 0, 2000, 2400, 0},
+		{"many successes and some failures", 2000, 20, 4, 1200, 2000, 200},
+		{"failures alone fill it", 2000, 100, 4, 100, 400, 500},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			g := newLineGate()
+			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			keptSuccesses, keptFailures, written, left := 0, 0, 0, 0
+			play := func(lines int, ordinary bool) bool {
+				var l logged
+				got := 0
+				for range lines {
+					if ok, lost := g.admit(now, &l, ordinary); ok {
+						got++
+						left += int(lost)
+					}
+				}
+				if got != 0 && got != lines {
+					t.Fatalf("%d of %d lines of one request", got, lines)
+				}
+				written += got
+				return got > 0
+			}
+			const slices = 100
+			for i := range 10 * slices {
+				now = now.Add(time.Second / slices)
+				for range share(tc.successes, i, slices) {
+					if play(1, true) {
+						keptSuccesses++
+					}
+				}
+				for range share(tc.failures, i, slices) {
+					if play(tc.lines, false) {
+						keptFailures++
+					}
+				}
+			}
+			if keptSuccesses < tc.leastSuccesses || keptSuccesses > tc.mostSucceed {
+				t.Errorf("%d successes kept, want %d to %d", keptSuccesses, tc.leastSuccesses, tc.mostSucceed)
+			}
+			if keptFailures < tc.leastFailures {
+				t.Errorf("%d failures kept, want %d", keptFailures, tc.leastFailures)
+			}
+			if most := 10*logRate + logBurst + tc.lines; written > most {
+				t.Errorf("%d lines written, want at most %d", written, most)
+			}
+			all := 10 * (tc.successes + tc.failures*tc.lines)
+			if told := written + left + int(g.lost); told != all {
+				t.Errorf("%d lines written or told of as left out, want %d", told, all)
+			}
+		})
+	}
+}
+
+// share spreads n evenly over the slices of a second.
+func share(n, slice, slices int) int {
+	k := slice % slices
+	return n*(k+1)/slices - n*k/slices
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -71,6 +71,7 @@
 		{"prefill_tokens_wasted", "prompt tokens read for no answer", true, func() float64 { return float64(n.Record.Sum().Wasted) }},
 		{"log_lines_dropped", "log lines dropped because the output was not read", true, func() float64 { return n.logLines(LogLines.Dropped) }},
 		{"log_lines_written", "log lines written", true, func() float64 { return n.logLines(LogLines.Written) }},
+		{"log_lines_left_out", "log lines of requests left out to bound their number", true, func() float64 { return float64(n.entry.LinesLeftOut()) }},
 		{"roster_revision", "revision of the endpoints that registered themselves", false, func() float64 { return float64(n.Board.Config.RosterRevision()) }},
 		{"platform_silent_seconds", "since the platform was last heard of", false, func() float64 { return n.Board.Config.Status(time.Now()).PlatformSilent }},
 		{"hosts_live", "hosts that count as live", false, func() float64 { return n.liveHosts() }},
