owner: the larger a pool, the smaller the part of it that reads

Cause: a third of all runners read prompts. Ruled out: other shares (docs/DESIGN.md, section 11: fewer readers still make prompts wait); a wrong ledger (refusals fall to the handles that lapse). Change: 0.15 n + 0.55 sqrt(n) of n runners read: 3 of 9 as before, 9 of 36, 10 of 44. TestReaders; the small sites keep their 3 of 9. Not learned yet: other prompts and answers want another part.

--- a/owner/balance.go
+++ b/owner/balance.go
@@ -37,10 +37,19 @@
 	leastPrefills = 2
 )
 
-// decodeShare is how many runners decode for each that reads. An answer takes
-// some 3.5 times the share of a runner that its prompt does; reading is given
-// more than its part, because prompts that wait miss their target.
-const decodeShare = 2.0
+// How many runners read: their part of the work, and spare ones against prompts
+// that come together, which miss their target when they wait. The larger a pool
+// is, the smaller is the part that has to be spare.
+const (
+	readShare = 0.15
+	readSpare = 0.55 // times the square root of the runners
+)
+
+// readers returns how many of a pool's engines should read.
+func readers(engines int) int {
+	n := float64(engines)
+	return max(leastPrefills, int(math.Round(readShare*n+readSpare*math.Sqrt(n))))
+}
 
 // balance is the state of balancing.
 type balance struct {
@@ -121,7 +130,7 @@
 	}
 	prefills, decodes := byRole[config.Prefill], byRole[config.Decode]
 	engines := len(prefills) + len(decodes)
-	need := max(leastPrefills, int(math.Round(float64(engines)/(1+decodeShare))))
+	need := readers(engines)
 	switch {
 	case engines < leastEngines:
 		return nil, config.Decode
--- a/owner/balance_test.go
+++ b/owner/balance_test.go
@@ -66,6 +66,16 @@
 	}
 }
 
+// TestReaders states how many engines of a pool read, for pools of the sizes
+// that the users run and plan.
+func TestReaders(t *testing.T) {
+	for engines, want := range map[int]int{4: 2, 9: 3, 10: 3, 12: 4, 36: 9, 44: 10, 100: 21, 770: 131} {
+		if got := readers(engines); got != want {
+			t.Errorf("%d of %d engines read, want %d", got, engines, want)
+		}
+	}
+}
+
 // orderEngine takes orders and answers them with an error.
 type orderEngine struct {
 	endpoint.Engine
