blackboard, peer: find out which failure domains are cut off

Ruled out: too few readers in the zone, the plain runners (served meanwhile), the store (the roster stays). Change: a call that waits at an owner is watched by pings. A domain of which two hosts or endpoints said nothing within a second, and nobody answered in between, counts as cut off: its endpoints are out of the question, its hosts aren't asked, and a probe every half second finds out when it is healed.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -17,6 +17,7 @@
 
 	Config    *ConfigTable
 	Hosts     *HostTable
+	Domains   *DomainTable
 	Endpoints *EndpointTable
 	Requests  *RequestTable
 	Keys      *KeyTable
@@ -35,7 +36,7 @@
 	inv := new(invariant.Set)
 	b := &Board{
 		Settings: s, Number: request.HostNumber(s.Host), Incarnation: uint64(time.Now().UnixMilli()),
-		Config: newConfigTable(inv), Endpoints: newEndpointTable(), Requests: newRequestTable(inv),
+		Config: newConfigTable(inv), Domains: newDomainTable(s.Domain), Endpoints: newEndpointTable(), Requests: newRequestTable(inv),
 		Keys: newKeyTable(), Invariant: inv, Wake: newWake(),
 		Pause: NewPause(config.Millis(s.PauseMillis)),
 	}
--- /dev/null
+++ b/blackboard/domains_test.go
@@ -0,0 +1,57 @@
+package blackboard
+
+import (
+	"testing"
+	"time"
+)
+
+// TestDomains plays who answered and who didn't, and states whether a domain
+// counts as cut off at the end.
+func TestDomains(t *testing.T) {
+	const a, b = 1, 2 // hosts or endpoints
+	second := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	cases := []struct {
+		name string
+		play func(d *DomainTable)
+		at   float64
+		want bool
+	}{
+		{"nothing was seen", func(*DomainTable) {}, 0, false},
+		{"one says nothing, again and again", func(d *DomainTable) { d.Missed("x", a, second(0)); d.Missed("x", a, second(0.5)) }, 0.6, false},
+		{"two say nothing", func(d *DomainTable) { d.Missed("x", a, second(0)); d.Missed("x", b, second(0.5)) }, 0.6, true},
+		{"two, long after each other", func(d *DomainTable) { d.Missed("x", a, second(0)); d.Missed("x", b, second(1.5)) }, 1.6, false},
+		{"somebody answers between them", func(d *DomainTable) {
+			d.Missed("x", a, second(0))
+			d.Heard("x")
+			d.Missed("x", b, second(0.5))
+		}, 0.6, false},
+		{"somebody answers afterwards", func(d *DomainTable) {
+			d.Missed("x", a, second(0))
+			d.Missed("x", b, second(0.5))
+			d.Heard("x")
+		}, 0.6, false},
+		{"of different domains", func(d *DomainTable) { d.Missed("x", a, second(0)); d.Missed("y", b, second(0.5)) }, 0.6, false},
+		{"the own domain", func(d *DomainTable) { d.Missed("self", a, second(0)); d.Missed("self", b, second(0.5)) }, 0.6, false},
+		{"it is tried again after a while", func(d *DomainTable) { d.Missed("x", a, second(0)); d.Missed("x", b, second(0.5)) }, 3, false},
+		{"and one more miss is enough then", func(d *DomainTable) {
+			d.Missed("x", a, second(0))
+			d.Missed("x", b, second(0.5))
+			d.Missed("x", b, second(3))
+		}, 3.1, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			d := newDomainTable("self")
+			tc.play(d)
+			if lost := len(d.Lost()) > 0; tc.want && !lost {
+				t.Error("a domain that is cut off is not among the lost ones")
+			}
+			for _, domain := range []string{"x", "self"} {
+				want := tc.want && domain == "x"
+				if got := d.CutOff(domain, second(tc.at)); got != want {
+					t.Errorf("%s cut off: %v, want %v", domain, got, want)
+				}
+			}
+		})
+	}
+}
--- a/blackboard/endpoints.go
+++ b/blackboard/endpoints.go
@@ -15,10 +15,11 @@
 	view     *config.View
 	states   []route.State
 	byNumber map[uint32]int
+	cutOff   map[string]time.Time // until when failure domains count as cut off
 }
 
 func newEndpointTable() *EndpointTable {
-	return &EndpointTable{byNumber: map[uint32]int{}}
+	return &EndpointTable{byNumber: map[uint32]int{}, cutOff: map[string]time.Time{}}
 }
 
 // Fit lays the table out for a revision, keeping what is known of endpoints
@@ -36,6 +37,7 @@
 			states[i].Digest, states[i].At = old.Digest, old.At
 			states[i].Own, states[i].Sent, states[i].Seen = old.Own, old.Sent, old.Seen
 		}
+		states[i].CutOff = t.cutOff[states[i].Spec.Domain]
 	}
 	t.view, t.states, t.byNumber = v, states, byNumber
 }
@@ -74,6 +76,19 @@
 	}
 }
 
+// SetCutOff sets until when a failure domain's endpoints are out of the
+// question; the zero time ends it.
+func (t *EndpointTable) SetCutOff(domain string, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cutOff[domain] = until
+	for i := range t.states {
+		if t.states[i].Spec.Domain == domain {
+			t.states[i].CutOff = until
+		}
+	}
+}
+
 // SetOwn marks which endpoints this host owns.
 func (t *EndpointTable) SetOwn(own func(number uint32) bool) {
 	t.mu.Lock()
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -101,6 +101,19 @@
 	return errors.As(err, &ce) && ce.Status == 0 && !ce.MayHaveRun
 }
 
+// Silent reports whether err means that the endpoint said nothing to an
+// attempt to connect. One whose process is gone refuses instead.
+func Silent(err error) bool {
+	var timeout net.Error
+	return Unreachable(err) && errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// Answered reports whether the endpoint answered a call that ended with err.
+func Answered(err error) bool {
+	var ce *CallError
+	return err == nil || errors.As(err, &ce) && ce.Status != 0
+}
+
 // do sends a request whose effect matters. The request is given no GetBody
 // and no idempotency header, because net/http would then send it again by
 // itself on a broken connection.
--- a/entry/run.go
+++ b/entry/run.go
@@ -295,7 +295,14 @@
 		sight = route.SightFailed
 	}
 	now := time.Now()
-	e.board.Endpoints.Touch(route.Number(spec.Name), func(s *route.State) { s.Seen.Note(now, sight, took) })
+	number := route.Number(spec.Name)
+	e.board.Endpoints.Touch(number, func(s *route.State) { s.Seen.Note(now, sight, took) })
+	switch {
+	case endpoint.Answered(err):
+		e.board.Heard(spec.Domain)
+	case endpoint.Silent(err):
+		e.board.Missed(spec.Domain, number, now)
+	}
 }
 
 // tellEvery is how many ordinary ends of a prefill there are for each that is
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -113,7 +114,7 @@
 			select {
 			case <-healed:
 			case <-deadline.C:
-				return nil, errors.Errorf("dial %s: timeout", address)
+				return nil, errors.Wrapf(os.ErrDeadlineExceeded, "dial %s", address)
 			case <-ctx.Done():
 				return nil, ctx.Err()
 			}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -41,6 +41,7 @@
 
 	mu    sync.Mutex
 	conns map[string]*rpc.Client
+	heard map[string]time.Time // when a peer last answered
 	shut  bool
 }
 
@@ -48,7 +49,22 @@
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	return &pool{dial: dial, traffic: t, conns: map[string]*rpc.Client{}}
+	return &pool{dial: dial, traffic: t, conns: map[string]*rpc.Client{}, heard: map[string]time.Time{}}
+}
+
+// hears notes that a peer has just answered.
+func (p *pool) hears(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[addr] = time.Now()
+}
+
+// heardWithin reports whether a peer has answered within d.
+func (p *pool) heardWithin(addr string, d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, known := p.heard[addr]
+	return known && time.Since(at) < d
 }
 
 func (p *pool) get(ctx context.Context, addr string) (*rpc.Client, error) {
@@ -103,6 +119,7 @@
 		case <-call.Done:
 			var remote rpc.ServerError
 			if call.Error == nil || errors.As(call.Error, &remote) {
+				p.hears(addr)
 				return call.Error
 			}
 			p.drop(addr, c)
--- /dev/null
+++ b/peer/probe.go
@@ -0,0 +1,49 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/embercove/embercove/blackboard"
+)
+
+// probeEvery is how often a host of a failure domain that counts as cut off is
+// asked for a sign of life.
+const probeEvery = 500 * time.Millisecond
+
+// Prober returns the controller that finds out when a cut is healed, so that no
+// request has to.
+func (r *Router) Prober() blackboard.Controller {
+	return blackboard.Every(probeEvery, func(ctx context.Context) {
+		for _, domain := range r.board.Domains.Lost() {
+			if h, ok := r.anyOf(domain); ok {
+				go r.probe(ctx, h)
+			}
+		}
+	})
+}
+
+// anyOf returns some host of a domain.
+func (r *Router) anyOf(domain string) (blackboard.Host, bool) {
+	var list []blackboard.Host
+	for _, h := range r.board.Hosts.List() {
+		if h.Domain == domain && h.Peers != "" && !h.Leaving {
+			list = append(list, h)
+		}
+	}
+	if len(list) == 0 {
+		return blackboard.Host{}, false
+	}
+	return list[rand.IntN(len(list))], true
+}
+
+func (r *Router) probe(ctx context.Context, h blackboard.Host) {
+	err := r.pool.call(ctx, h.Peers, methodPing, &Nothing{}, new(Beat), r.timeout())
+	switch {
+	case err == nil:
+		r.board.Heard(h.Domain)
+	case silent(err) && ctx.Err() == nil:
+		r.board.Missed(h.Domain, h.Number, time.Now())
+	}
+}
--- a/peer/router.go
+++ b/peer/router.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/blackboard"
@@ -59,7 +61,7 @@
 // that didn't answer lately.
 func (r *Router) ownerOf(spec *config.Endpoint) (h blackboard.Host, self bool, err error) {
 	h, ok := owner.Of(r.board, r.board.Config.View(), spec, time.Now())
-	if !ok || h.Doubted || h.Peers == "" {
+	if !ok || h.Doubted || h.Peers == "" || r.board.Domains.CutOff(h.Domain, time.Now()) {
 		return h, false, ErrOutOfReach
 	}
 	return h, h.Number == r.board.Number, nil
@@ -67,12 +69,26 @@
 
 // fail notes that a host didn't answer.
 func (r *Router) fail(ctx context.Context, h blackboard.Host, err error) error {
-	if err != nil && ctx.Err() == nil {
-		r.board.Hosts.Doubt(h.Number)
-		r.log.Debug("peer failed", zap.String("host", h.Name), zap.Error(err))
-		return ErrOutOfReach
+	if err == nil {
+		r.board.Heard(h.Domain)
+		return nil
 	}
-	return err
+	if ctx.Err() != nil {
+		return err
+	}
+	r.board.Hosts.Doubt(h.Number)
+	if silent(err) {
+		r.board.Missed(h.Domain, h.Number, time.Now())
+	}
+	r.log.Debug("peer failed", zap.String("host", h.Name), zap.Error(err))
+	return ErrOutOfReach
+}
+
+// silent reports whether err means that a host said nothing. One whose process
+// is gone refuses instead.
+func silent(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, ErrOutOfReach) || errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // Reserve asks the endpoint's owner for decode memory.
@@ -84,8 +100,8 @@
 	var reply owner.ReserveReply
 	if self {
 		reply, err = r.owner.Reserve(ctx, a)
-	} else if err = r.pool.call(ctx, h.Peers, methodReserve, &a, &reply, r.timeout()); err != nil {
-		return owner.ReserveReply{}, r.fail(ctx, h, err)
+	} else if err = r.fail(ctx, h, r.pool.call(ctx, h.Peers, methodReserve, &a, &reply, r.timeout())); err != nil {
+		return owner.ReserveReply{}, err
 	}
 	if err == nil {
 		r.board.Endpoints.Learn(reply.Digest, time.Now())
@@ -110,7 +126,7 @@
 		if a.Expect > 0 {
 			wait = r.timeout() + config.Millis(min(a.Slack, waitFactor*a.Expect+waitLeast))
 		}
-		err = r.pool.call(ctx, h.Peers, methodEnqueue, &a, &reply, wait)
+		err = r.callWatched(ctx, h, methodEnqueue, &a, &reply, wait)
 	}
 	if err != nil || reply.Code == result.CallerGone {
 		left := owner.Release{Attempt: a.Attempt, Endpoint: a.Endpoint, Outcome: owner.GivenUp}
@@ -119,13 +135,47 @@
 		}
 		r.Release(spec, left)
 	}
-	if err != nil {
-		return owner.EnqueueReply{}, r.fail(ctx, h, err)
+	if err = r.fail(ctx, h, err); err != nil {
+		return owner.EnqueueReply{}, err
 	}
 	r.board.Endpoints.Learn(reply.Digest, time.Now())
 	return reply, nil
 }
 
+// callWatched makes a call that may take long. While it waits the host is asked
+// for a sign of life, so that one that froze or was cut off is found out soon.
+func (r *Router) callWatched(ctx context.Context, h blackboard.Host, method string, args, reply any, timeout time.Duration) error {
+	watched, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		for sleep(watched, r.timeout()) {
+			if r.pool.heardWithin(h.Peers, r.timeout()) {
+				continue
+			}
+			if err := r.pool.call(watched, h.Peers, methodPing, &Nothing{}, new(Beat), r.timeout()); err != nil {
+				cancel(ErrOutOfReach)
+			}
+		}
+	}()
+	err := r.pool.call(watched, h.Peers, method, args, reply, timeout)
+	if err != nil && context.Cause(watched) == ErrOutOfReach {
+		return ErrOutOfReach
+	}
+	return err
+}
+
+// sleep waits unless the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // How long an owner may keep a queued request beyond what was expected.
 const (
 	waitFactor = 3
--- a/route/explain.go
+++ b/route/explain.go
@@ -65,6 +65,8 @@
 		return "out of reach of its owner"
 	case s.Digest.Flags&FlagWrong != 0:
 		return "not in the ordered state"
+	case r.Now.Before(s.CutOff):
+		return "its failure domain is cut off from this host"
 	case s.Region != r.Region:
 		return "in another region"
 	case !v.Serves(s.Index, r.Model):
--- a/route/pick.go
+++ b/route/pick.go
@@ -155,7 +155,7 @@
 // Open reports whether an endpoint of any role may be sent something: usable,
 // in the region, and not excluded.
 func Open(s *State, r *Request) bool {
-	return s.usable() && s.Region == r.Region && !r.Excluded(s.Number)
+	return s.usable() && !r.Now.Before(s.CutOff) && s.Region == r.Region && !r.Excluded(s.Number)
 }
 
 func eligible(v *config.View, s *State, r *Request) bool {
--- a/route/state.go
+++ b/route/state.go
@@ -54,7 +54,8 @@
 	Region  string
 	Role    config.Role
 	Spec    *config.Endpoint
-	Leaving bool // by the configuration
+	Leaving bool      // by the configuration
+	CutOff  time.Time // until when its failure domain counts as cut off from this host
 	Digest  Digest
 	At      time.Time // when the digest was true; zero: never heard of
 	Own     bool      // this host owns it: to ask it costs no message
