entry: a result that decode engines with room refuse is lost

Cause: prefill runners whose handles lapse at once (handle_short) went on being chosen: their reads succeed, and it is the decode runner that refuses. Ruled out: full decode runners (their owners and reports told of room); telling the cases apart by the answer (it is the same 503, and has no body). Change: a refusal by a decode engine that granted memory and has room for another such request counts against the prefill engine, here and at its owner.

--- a/entry/write.go
+++ b/entry/write.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/result"
@@ -21,7 +22,7 @@
 	if kv != nil {
 		lapses = time.Now().Add(kept(kv))
 	}
-	full := 0
+	full, lost := 0, 0
 	for {
 		before := j.out.pieces()
 		err := e.decodeOnce(ctx, j, p, kv)
@@ -42,6 +43,14 @@
 		case !endpoint.MayHaveRun(err):
 			full++
 			p.waited = true
+			if kv != nil && p.reserved && e.hasRoom(j, p.dec) {
+				lost++
+				e.doubtResult(p)
+			}
+			if lost == lostAfter {
+				e.discard(j, p, kv)
+				return e.resultLost(p)
+			}
 			if e.budgets.windowed() {
 				e.moveOn(ctx, j, p, owner.Rejected, true)
 			}
@@ -76,6 +85,35 @@
 	}
 }
 
+// lostAfter is how many decode engines must refuse a result, each of which had
+// room for it, until it is taken for lost where it was read.
+const lostAfter = 2
+
+// hasRoom reports whether a decode engine that granted memory for a request has
+// room for another like it, so that it can hardly have refused it as full.
+func (e *Entry) hasRoom(j *job, spec *config.Endpoint) (room bool) {
+	e.board.Endpoints.Touch(route.Number(spec.Name), func(s *route.State) {
+		room = int(s.Digest.FreeTokens) >= j.tokens && s.Digest.FreeSlots > 0
+	})
+	return room
+}
+
+// doubtResult notes that a decode engine with room refused a result. Either its
+// owner was wrong, which happens with results of any prefill engine, or the
+// result is gone, which singles out the one that read.
+func (e *Entry) doubtResult(p *plan) {
+	number, now := route.Number(p.pre.Name), time.Now()
+	e.board.Endpoints.Touch(number, func(s *route.State) { s.Seen.Note(now, route.SightFailed, 0) })
+	e.owners.Release(p.pre, owner.Release{Attempt: p.readBy, Endpoint: number, Outcome: owner.Failed})
+}
+
+// resultLost is the failure of a try whose result is gone. Nothing of the
+// request has run, so another prefill engine may read its prompt.
+func (e *Entry) resultLost(p *plan) error {
+	refusal := result.Errorf(result.NoDecodeMemory, "%d decode engines refused what %s had read", lostAfter, p.pre.Name).After(time.Second)
+	return &retryable{name: p.pre.Name, refusal: refusal}
+}
+
 // sendsAgain spends what one more call to a decode engine costs where further
 // calls are counted.
 func (e *Entry) sendsAgain(j *job) bool {
