peer: a host is doubted after two unanswered calls, not one

Cause: a packet that is lost is sent again after some 200 ms, and a call to a peer waits 150 ms. So in a lossy zone one call in ten doubted an owner, closed its connection with all other calls on it, and had the next host stand in, whose ledger knew the runner by a report 0.9 s old: both gave out the same memory. Ruled out: a longer time-out for all calls (a frozen owner then costs every request half of its target); the doubt of members in orders' settling (not touched). Change: the connection is given up and the host doubted after two calls in a row without an answer; a sign of life may take 225 ms. One miss still sends the request on by the last report, and counts towards a cut domain.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -41,30 +41,68 @@
 
 	mu    sync.Mutex
 	conns map[string]*rpc.Client
-	heard map[string]time.Time // when a peer last answered
+	peers map[string]*contact
 	shut  bool
 }
 
+// contact is what was seen of one peer.
+type contact struct {
+	heard  time.Time // when it last answered
+	missed int       // calls since then that it didn't answer in time
+}
+
+// deadAfter is how many calls in a row a peer must leave unanswered until its
+// connection is given up and it is doubted. A lost packet delays one answer
+// beyond the timeout; the next one comes.
+const deadAfter = 2
+
 func newPool(dial Dial, t *meter.Traffic) *pool {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	return &pool{dial: dial, traffic: t, conns: map[string]*rpc.Client{}, heard: map[string]time.Time{}}
+	return &pool{dial: dial, traffic: t, conns: map[string]*rpc.Client{}, peers: map[string]*contact{}}
+}
+
+// of returns what was seen of a peer; the caller holds the lock.
+func (p *pool) of(addr string) *contact {
+	c := p.peers[addr]
+	if c == nil {
+		c = new(contact)
+		p.peers[addr] = c
+	}
+	return c
 }
 
 // hears notes that a peer has just answered.
 func (p *pool) hears(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.heard[addr] = time.Now()
+	*p.of(addr) = contact{heard: time.Now()}
+}
+
+// misses notes that a peer has left a call unanswered, and reports whether its
+// connection should be given up.
+func (p *pool) misses(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.of(addr)
+	c.missed++
+	return c.missed%deadAfter == 0
+}
+
+// dead reports whether a peer has left several calls in a row unanswered.
+func (p *pool) dead(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.of(addr).missed >= deadAfter
 }
 
 // heardWithin reports whether a peer has answered within d.
 func (p *pool) heardWithin(addr string, d time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	at, known := p.heard[addr]
-	return known && time.Since(at) < d
+	c, known := p.peers[addr]
+	return known && time.Since(c.heard) < d
 }
 
 func (p *pool) get(ctx context.Context, addr string) (*rpc.Client, error) {
@@ -129,7 +167,9 @@
 			return errors.Wrap(call.Error, "peer")
 		case <-ctx.Done():
 			if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-				p.drop(addr, c)
+				if p.misses(addr) {
+					p.drop(addr, c)
+				}
 				return ErrOutOfReach
 			}
 			return ctx.Err()
--- a/peer/router.go
+++ b/peer/router.go
@@ -76,7 +76,9 @@
 	if ctx.Err() != nil {
 		return err
 	}
-	r.board.Hosts.Doubt(h.Number)
+	if !silent(err) || r.pool.dead(h.Peers) {
+		r.board.Hosts.Doubt(h.Number)
+	}
 	if silent(err) {
 		r.board.Missed(h.Domain, h.Number, time.Now())
 	}
@@ -152,7 +154,7 @@
 			if r.pool.heardWithin(h.Peers, r.timeout()) {
 				continue
 			}
-			if err := r.pool.call(watched, h.Peers, methodPing, &Nothing{}, new(Beat), r.timeout()); err != nil {
+			if err := r.pool.call(watched, h.Peers, methodPing, &Nothing{}, new(Beat), signPatience*r.timeout()/2); err != nil {
 				cancel(ErrOutOfReach)
 			}
 		}
@@ -176,6 +178,10 @@
 	}
 }
 
+// signPatience is how long a sign of life may take, in halves of the time for a
+// call: a packet that was lost is sent again after some 200 ms.
+const signPatience = 3
+
 // How long an owner may keep a queued request beyond what was expected.
 const (
 	waitFactor = 3
