blackboard, peer, entry: say when a failure domain is cut off and back

Cause: a host that takes a domain for cut off leaves its endpoints, and no line said so: one for each lost or regained dependency is asked for. Change: two lines with the domain and who was silent or heard.

--- a/blackboard/domains.go
+++ b/blackboard/domains.go
@@ -34,10 +34,11 @@
 }
 
 // Missed notes that a host or endpoint of a domain said nothing to a call. It
-// returns until when the domain counts as cut off; zero: it doesn't.
-func (t *DomainTable) Missed(domain string, number uint32, now time.Time) time.Time {
+// returns until when the domain counts as cut off, zero if it doesn't, and
+// whether that is news.
+func (t *DomainTable) Missed(domain string, number uint32, now time.Time) (until time.Time, news bool) {
 	if domain == t.own {
-		return time.Time{}
+		return time.Time{}, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -54,9 +55,10 @@
 	r.missed[number] = now
 	// While nobody has answered since the last time, one miss is enough.
 	if len(r.missed) >= missedLeast || !r.until.IsZero() {
+		news = r.until.IsZero()
 		r.until = now.Add(cutOffFor)
 	}
-	return r.until
+	return r.until, news
 }
 
 // Heard notes that somebody of a domain answered, and reports whether that is
@@ -95,16 +97,21 @@
 }
 
 // Missed notes that a host or endpoint of a failure domain said nothing to a
-// call.
-func (b *Board) Missed(domain string, number uint32, now time.Time) {
-	if until := b.Domains.Missed(domain, number, now); !until.IsZero() {
+// call, and reports whether the domain counts as cut off from now on.
+func (b *Board) Missed(domain string, number uint32, now time.Time) (news bool) {
+	until, news := b.Domains.Missed(domain, number, now)
+	if !until.IsZero() {
 		b.Endpoints.SetCutOff(domain, until)
 	}
+	return news
 }
 
-// Heard notes that a host or endpoint of a failure domain answered a call.
-func (b *Board) Heard(domain string) {
-	if b.Domains.Heard(domain) {
+// Heard notes that a host or endpoint of a failure domain answered a call, and
+// reports whether the domain counted as cut off until now.
+func (b *Board) Heard(domain string) (news bool) {
+	news = b.Domains.Heard(domain)
+	if news {
 		b.Endpoints.SetCutOff(domain, time.Time{})
 	}
+	return news
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
@@ -298,10 +299,10 @@
 	number := route.Number(spec.Name)
 	e.board.Endpoints.Touch(number, func(s *route.State) { s.Seen.Note(now, sight, took) })
 	switch {
-	case endpoint.Answered(err):
-		e.board.Heard(spec.Domain)
-	case endpoint.Silent(err):
-		e.board.Missed(spec.Domain, number, now)
+	case endpoint.Answered(err) && e.board.Heard(spec.Domain):
+		e.log.Info("failure domain back", zap.String("domain", spec.Domain), zap.String("heard", spec.Name))
+	case endpoint.Silent(err) && e.board.Missed(spec.Domain, number, now):
+		e.log.Warn("failure domain cut off", zap.String("domain", spec.Domain), zap.String("silent", spec.Name))
 	}
 }
 
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -42,8 +42,8 @@
 	err := r.pool.call(ctx, h.Peers, methodPing, &Nothing{}, new(Beat), r.timeout())
 	switch {
 	case err == nil:
-		r.board.Heard(h.Domain)
+		r.heard(h)
 	case silent(err) && ctx.Err() == nil:
-		r.board.Missed(h.Domain, h.Number, time.Now())
+		r.unheard(h)
 	}
 }
--- a/peer/router.go
+++ b/peer/router.go
@@ -70,7 +70,7 @@
 // fail notes that a host didn't answer.
 func (r *Router) fail(ctx context.Context, h blackboard.Host, err error) error {
 	if err == nil {
-		r.board.Heard(h.Domain)
+		r.heard(h)
 		return nil
 	}
 	if ctx.Err() != nil {
@@ -80,12 +80,26 @@
 		r.board.Hosts.Doubt(h.Number)
 	}
 	if silent(err) {
-		r.board.Missed(h.Domain, h.Number, time.Now())
+		r.unheard(h)
 	}
 	r.log.Debug("peer failed", zap.String("host", h.Name), zap.Error(err))
 	return ErrOutOfReach
 }
 
+// heard notes that a host answered.
+func (r *Router) heard(h blackboard.Host) {
+	if r.board.Heard(h.Domain) {
+		r.log.Info("failure domain back", zap.String("domain", h.Domain), zap.String("heard", h.Name))
+	}
+}
+
+// unheard notes that a host said nothing to a call.
+func (r *Router) unheard(h blackboard.Host) {
+	if r.board.Missed(h.Domain, h.Number, time.Now()) {
+		r.log.Warn("failure domain cut off", zap.String("domain", h.Domain), zap.String("silent", h.Name))
+	}
+}
+
 // silent reports whether err means that a host said nothing. One whose process
 // is gone refuses instead.
 func silent(err error) bool {
