owner, blackboard: a runner that has its new role is used again

Its owner marks it as changing, and every host believes that until a newer digest; the owner told none, because a queue counts as ready only when somebody asked for it, and nobody asks for a runner that is marked. Ruled out: the order (taken, done in 8.5 s), the roster (it has the new role), members that change (the mark stays until another host takes over). Change: the book of an endpoint that isn't polled is ready at once, and a digest of another role is dropped when a roster brings the new one. TestRoleChanged fails without it.

--- a/blackboard/endpoints.go
+++ b/blackboard/endpoints.go
@@ -34,7 +34,9 @@
 		byNumber[n] = i
 		if j, ok := t.byNumber[n]; ok {
 			old := &t.states[j]
-			states[i].Digest, states[i].At = old.Digest, old.At
+			if old.Role == states[i].Role { // else it tells of other work
+				states[i].Digest, states[i].At = old.Digest, old.At
+			}
 			states[i].Own, states[i].Sent, states[i].Seen = old.Own, old.Sent, old.Seen
 		}
 		states[i].CutOff = t.cutOff[states[i].Spec.Domain]
--- a/owner/book.go
+++ b/owner/book.go
@@ -60,6 +60,7 @@
 	case config.Prefill:
 		b.queue = newQueue(newShares(b.teamWeight))
 	}
+	b.ready = !b.polled() // else nobody would ask for it, and it never would be
 	return b
 }
 
--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -11,6 +11,7 @@
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/route"
 )
 
 // pairPeers takes calls of one owner to another.
@@ -97,3 +98,49 @@
 		})
 	}
 }
+
+// TestRoleChanged checks that an endpoint which was ordered into another role is
+// told of as usable as soon as its registration says so, though nobody has asked
+// for it yet: nobody would, by the last that was told of it.
+func TestRoleChanged(t *testing.T) {
+	for _, to := range []config.Role{config.Prefill, config.Decode} {
+		t.Run(string(to), func(t *testing.T) {
+			from := config.Decode
+			if to == config.Decode {
+				from = config.Prefill
+			}
+			o := testOwner(t, "b", "a")
+			o.board.Hosts.SetRound(time.Second)
+			offer := func(revision uint64, role config.Role) {
+				row := config.Endpoint{Name: "e", Address: "127.0.0.1:9", Domain: "d", Pool: "p", Role: role}
+				if _, err := o.board.Config.OfferRoster(&config.Roster{Revision: revision, Endpoints: []config.Endpoint{row}}, time.Now()); err != nil {
+					t.Fatal(err)
+				}
+				o.board.Endpoints.Fit(o.board.Config.View())
+			}
+			offer(2, from)
+			now := time.Now()
+			v := o.board.Config.View()
+			if h, ok := Of(o.board, v, v.ByName["e"], now); !ok || h.Number != o.board.Number {
+				t.Fatal("the other host owns it")
+			}
+			o.adopt(v, now)
+			o.setChanging(config.NameNumber("e"), now.Add(time.Minute))
+			offer(3, to)
+			o.adopt(o.board.Config.View(), now.Add(time.Second))
+			for _, d := range o.Digests(now.Add(time.Second)) {
+				if d.Flags != 0 {
+					t.Errorf("told with flags %d", d.Flags)
+				}
+			}
+			if to == config.Prefill && len(o.Digests(now.Add(time.Second))) == 0 {
+				t.Error("nothing is told of the endpoint")
+			}
+			o.board.Endpoints.Read(func(_ *config.View, states []route.State) {
+				if states[0].Digest.Flags != 0 {
+					t.Errorf("this host still holds flags %d of the role before", states[0].Digest.Flags)
+				}
+			})
+		})
+	}
+}
