owner: two of eight runners read, not three

Change: 0.17 n + 0.45 sqrt(n), and a reader that is needed in part by less than three quarters decodes: 2 of 7 and 8, 3 of 9 to 12, 9 of 36, 10 of 44 as before. An imbalance must last three seconds before orders, so that a crash of some seconds changes no roles.

--- a/owner/balance.go
+++ b/owner/balance.go
@@ -32,23 +32,25 @@
 	rosterFresh   = 12 * time.Second // since the platform was heard of
 	orderTimeout  = 500 * time.Millisecond
 	orderSlack    = 6 * time.Second // beyond the change itself, before an order is repeated
-	lastsFor      = 1500 * time.Millisecond
+	lastsFor      = 3 * time.Second
 	leastEngines  = 4 // in a pool, below which roles stay
 	leastPrefills = 2
 )
 
 // How many runners read: their part of the work, and spare ones against prompts
 // that come together, which miss their target when they wait. The larger a pool
-// is, the smaller is the part that has to be spare.
+// is, the smaller is the part that has to be spare. One that is needed in part
+// mostly decodes instead: answers take more of the pool.
 const (
-	readShare = 0.15
-	readSpare = 0.55 // times the square root of the runners
+	readShare = 0.17
+	readSpare = 0.45 // times the square root of the runners
+	readGrain = 0.25 // what may lack of a further one
 )
 
 // readers returns how many of a pool's engines should read.
 func readers(engines int) int {
 	n := float64(engines)
-	return max(leastPrefills, int(math.Round(readShare*n+readSpare*math.Sqrt(n))))
+	return max(leastPrefills, int(readShare*n+readSpare*math.Sqrt(n)+readGrain))
 }
 
 // balance is the state of balancing.
