owner: order by the tenure of the orderer, and count runners on their way

Cause: orders waited for four seconds without any change of members, doubts included. And a runner that was ordered counted for its old role until the change was done, so that another was ordered as well. Ruled out: the roster (right within a second), the majority, the platform (heard). Change: a doubt, which each host has for itself, changes neither the members nor who orders. A host may order a runner after it has been its orderer for five seconds, whatever happens to other hosts (or after four without a change of members, as before). Runners that are told of as changing count for their next role. TestBalanceOrders, TestSteady and TestImbalance have rows that fail without it.

--- a/blackboard/hosts.go
+++ b/blackboard/hosts.go
@@ -304,14 +304,28 @@
 func (t *HostTable) Fingerprint(now time.Time) uint64 {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
+	sum := t.members(now)
+	for _, h := range t.hosts {
+		if h.Doubted && !h.Leaving && t.live(h, now) {
+			sum++
+		}
+	}
+	return sum
+}
+
+// Members is Fingerprint without regard to doubts, which each host has for
+// itself.
+func (t *HostTable) Members(now time.Time) uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.members(now)
+}
+
+func (t *HostTable) members(now time.Time) uint64 {
 	var sum uint64
 	for n, h := range t.hosts {
-		if h.Leaving || !t.live(h, now) {
-			continue
-		}
-		sum += rendezvous(h.Incarnation, n)
-		if h.Doubted {
-			sum++
+		if !h.Leaving && t.live(h, now) {
+			sum += rendezvous(h.Incarnation, n)
 		}
 	}
 	return sum
@@ -320,27 +334,42 @@
 // First returns the first host of Order that isn't doubted, without building
 // the list; a doubted one if all are.
 func (t *HostTable) First(key uint64, domain string, now time.Time) (Host, bool) {
-	return t.first(key, now, func(h *Host) bool { return h.Domain == domain })
+	return t.first(key, now, func(h *Host) bool { return h.Domain == domain }, passDoubted)
+}
+
+// FirstSteady returns the first host of Order without regard to doubts. All
+// hosts that see the same members agree on it.
+func (t *HostTable) FirstSteady(key uint64, domain string, now time.Time) (Host, bool) {
+	return t.first(key, now, func(h *Host) bool { return h.Domain == domain }, takeDoubted)
 }
 
 // FirstOfRegion returns the live, not leaving host of a region that wins the
 // rendezvous hash for a key.
 func (t *HostTable) FirstOfRegion(key uint64, region string, now time.Time) (Host, bool) {
-	return t.first(key, now, func(h *Host) bool { return h.Region == region })
+	return t.first(key, now, func(h *Host) bool { return h.Region == region }, passDoubted)
 }
 
-func (t *HostTable) first(key uint64, now time.Time, among func(h *Host) bool) (Host, bool) {
+// doubts says what becomes of doubted hosts in a choice.
+type doubts bool
+
+// A doubted host answers nobody here, so the next one stands in for it until its
+// heartbeat rises; but others may not doubt it.
+const (
+	passDoubted doubts = true
+	takeDoubted doubts = false
+)
+
+func (t *HostTable) first(key uint64, now time.Time, among func(h *Host) bool, d doubts) (Host, bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	// A doubted host answers nobody here; the next one stands in for it
-	// until its heartbeat rises.
+	doubted := func(h *Host) bool { return d == passDoubted && h.Doubted }
 	var best *Host
 	var top uint64
 	for _, h := range t.hosts {
-		if !among(h) || h.Leaving || !t.live(h, now) || best != nil && h.Doubted && !best.Doubted {
+		if !among(h) || h.Leaving || !t.live(h, now) || best != nil && doubted(h) && !doubted(best) {
 			continue
 		}
-		if s := rendezvous(key, h.Number); best == nil || s > top || best.Doubted && !h.Doubted {
+		if s := rendezvous(key, h.Number); best == nil || s > top || doubted(best) && !doubted(h) {
 			best, top = h, s
 		}
 	}
--- a/blackboard/hosts_test.go
+++ b/blackboard/hosts_test.go
@@ -140,3 +140,33 @@
 		})
 	}
 }
+
+// TestSteady checks that a doubt, which each host has for itself, changes who
+// serves and not who may order.
+func TestSteady(t *testing.T) {
+	h := testHosts("x", "y", "z")
+	for key := range uint64(50) {
+		before, _ := h.First(key, "a", start)
+		steady, _ := h.FirstSteady(key, "a", start)
+		if before.Number != steady.Number {
+			t.Fatalf("key %d: %s serves and %s orders, without any doubt", key, before.Name, steady.Name)
+		}
+	}
+	members, all := h.Members(start), h.Fingerprint(start)
+	h.Doubt(request.HostNumber("x"))
+	if h.Members(start) != members {
+		t.Error("a doubt changes the members")
+	}
+	if h.Fingerprint(start) == all {
+		t.Error("a doubt changes nothing for those who serve")
+	}
+	for key := range uint64(50) {
+		if first, _ := h.First(key, "a", start); first.Name == "x" {
+			t.Fatalf("key %d is served by a doubted host", key)
+		}
+	}
+	h.Accuse(request.HostNumber("x"), 5, 1, start)
+	if h.Members(start) == members {
+		t.Error("a host that is gone leaves the members as they were")
+	}
+}
--- a/owner/balance.go
+++ b/owner/balance.go
@@ -29,6 +29,7 @@
 const (
 	balanceEvery  = 500 * time.Millisecond
 	settledAfter  = 4 * time.Second  // without a change of members, before orders are given
+	steadyAfter   = 5 * time.Second  // that a host has been the orderer of a runner, whatever else changes
 	rosterFresh   = 12 * time.Second // since the platform was heard of
 	orderTimeout  = 500 * time.Millisecond
 	orderSlack    = 6 * time.Second // beyond the change itself, before an order is repeated
@@ -58,6 +59,8 @@
 	mu      sync.Mutex
 	print   uint64    // of the members
 	since   time.Time // when they last changed
+	settled bool      // they have not changed for long enough
+	orderer map[uint32]tenure
 	ordered map[uint32]time.Time
 	fence   uint64                // highest that is known to have been used
 	seen    map[string]imbalanced // by pool
@@ -76,12 +79,12 @@
 			if !p.Engines() || p.RoleSwitchMillis == 0 {
 				continue
 			}
-			surplus, to := imbalance(v, name)
-			if !o.lasts(name, len(surplus), to, now) {
-				continue
-			}
+			surplus, to := imbalance(v, name, o.isChanging)
+			lasts := o.lasts(name, len(surplus), to, now)
 			for _, e := range surplus {
-				o.change(ctx, p, e, to, now)
+				if o.orders(e, now) && lasts {
+					o.order(ctx, p, e, to, now)
+				}
 			}
 		}
 	})
@@ -91,16 +94,55 @@
 // good enough to give orders by. Without a majority of the known hosts it isn't:
 // the others may take this one for gone and order the same runner.
 func (o *Owner) mayOrder(v *config.View, now time.Time) bool {
-	print := o.board.Hosts.Fingerprint(now)
+	print := o.board.Hosts.Members(now)
 	o.balance.mu.Lock()
 	defer o.balance.mu.Unlock()
 	if print != o.balance.print || o.balance.since.IsZero() {
 		o.balance.print, o.balance.since = print, now
 	}
-	return v.Roster > 0 && now.Sub(o.balance.since) >= settledAfter && o.board.Hosts.Majority(now, len(o.board.Settings.Seeds)) && !o.board.Leaving() && !o.board.Pause.Check() &&
+	o.balance.settled = now.Sub(o.balance.since) >= settledAfter
+	for number, t := range o.balance.orderer {
+		if now.Sub(t.seen) > unseenFor {
+			delete(o.balance.orderer, number)
+		}
+	}
+	return v.Roster > 0 && o.board.Hosts.Majority(now, len(o.board.Settings.Seeds)) && !o.board.Leaving() && !o.board.Pause.Check() &&
 		o.board.Config.HeardWithin(now, rosterFresh)
 }
 
+// tenure is since when a host is the orderer of a runner.
+type tenure struct {
+	host  uint32
+	since time.Time
+	seen  time.Time // last
+}
+
+// unseenFor is how long nobody may have looked who a runner's orderer is for its
+// tenure to go on.
+const unseenFor = 3 * balanceEvery
+
+// orders reports whether this host is a runner's orderer, and has been so for
+// long enough that no other can have ordered it lately: the host of its failure
+// domain that owns it where nobody is doubted. A domain without hosts gets no
+// orders.
+func (o *Owner) orders(e *config.Endpoint, now time.Time) bool {
+	number := route.Number(e.Name)
+	h, ok := o.board.Hosts.FirstSteady(uint64(number), e.Domain, now)
+	o.balance.mu.Lock()
+	defer o.balance.mu.Unlock()
+	if !ok {
+		delete(o.balance.orderer, number)
+		return false
+	}
+	t := o.balance.orderer[number]
+	if t.host != h.Number || now.Sub(t.seen) > unseenFor {
+		t = tenure{host: h.Number, since: now}
+	}
+	t.seen = now
+	o.balance.orderer[number] = t
+	return h.Number == o.board.Number && (o.balance.settled || now.Sub(t.since) >= steadyAfter)
+}
+
 // lasts reports whether a pool's roles have been out of balance in one way for
 // long enough. A runner that was lost for a moment comes back in its old role.
 func (o *Owner) lasts(pool string, n int, to config.Role, now time.Time) bool {
@@ -121,29 +163,53 @@
 	since time.Time
 }
 
-// imbalance returns the runners of a pool that should take another role.
-func imbalance(v *config.View, pool string) (surplus []*config.Endpoint, to config.Role) {
+// isChanging reports whether an endpoint is told of as about to have another
+// role than it is registered with.
+func (o *Owner) isChanging(e *config.Endpoint) (changing bool) {
+	o.board.Endpoints.Touch(route.Number(e.Name), func(s *route.State) {
+		changing = s.Digest.Flags&route.FlagWrong != 0
+	})
+	return changing
+}
+
+// imbalance returns the runners of a pool that should take another role. Those
+// that are changing count for the role that they will have, and are left alone.
+func imbalance(v *config.View, pool string, changing func(e *config.Endpoint) bool) (surplus []*config.Endpoint, to config.Role) {
 	byRole := map[config.Role][]*config.Endpoint{}
+	coming := map[config.Role]int{}
 	for i := range v.Doc.Endpoints {
 		e := &v.Doc.Endpoints[i]
-		if e.Pool == pool && !e.Leaving && e.Lapsed.IsZero() {
+		switch {
+		case e.Pool != pool || e.Leaving || !e.Lapsed.IsZero():
+		case changing(e):
+			coming[otherRole(e.Role)]++
+		default:
 			byRole[e.Role] = append(byRole[e.Role], e)
 		}
 	}
 	prefills, decodes := byRole[config.Prefill], byRole[config.Decode]
-	engines := len(prefills) + len(decodes)
+	reading := len(prefills) + coming[config.Prefill]
+	engines := reading + len(decodes) + coming[config.Decode]
 	need := readers(engines)
 	switch {
 	case engines < leastEngines:
 		return nil, config.Decode
-	case len(prefills) > need:
-		return crowdedFirst(prefills, len(prefills)-need), config.Decode
-	case len(prefills) < need:
-		return crowdedFirst(decodes, need-len(prefills)), config.Prefill
+	case reading > need:
+		return crowdedFirst(prefills, reading-need), config.Decode
+	case reading < need:
+		return crowdedFirst(decodes, need-reading), config.Prefill
 	}
 	return nil, config.Decode
 }
 
+// otherRole returns the role that an engine of a role can be ordered into.
+func otherRole(r config.Role) config.Role {
+	if r == config.Prefill {
+		return config.Decode
+	}
+	return config.Prefill
+}
+
 // crowdedFirst returns n of the endpoints, of the failure domains that have most
 // of them first.
 func crowdedFirst(list []*config.Endpoint, n int) []*config.Endpoint {
@@ -168,13 +234,6 @@
 	return out
 }
 
-// change orders a runner that this host owns into a role.
-func (o *Owner) change(ctx context.Context, p *config.Pool, e *config.Endpoint, to config.Role, now time.Time) {
-	if h, ok := Of(o.board, o.board.Config.View(), e, now); ok && h.Number == o.board.Number {
-		o.order(ctx, p, e, to, now)
-	}
-}
-
 // order gives one order, unless the last one to the runner is recent.
 func (o *Owner) order(ctx context.Context, p *config.Pool, e *config.Endpoint, to config.Role, now time.Time) {
 	number := route.Number(e.Name)
--- a/owner/balance_test.go
+++ b/owner/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -40,14 +41,18 @@
 		name, roles string
 		change      string
 		to          config.Role
+		changing    []string
 	}{
-		{"balanced", "pdd" + "pdd" + "pdd", "[]", config.Decode},
-		{"one reads too many", "ppd" + "pdd" + "pdd", "[r00]", config.Decode},
-		{"the most crowded domain gives one", "ppd" + "dpd" + "dpd", "[r01]", config.Decode},
-		{"too few read", "pdd" + "ddd" + "ddd", "[r01 r02]", config.Prefill},
-		{"one that leaves doesn't read", "Pdd" + "pdd" + "pdd" + "d", "[r01]", config.Prefill},
-		{"eight do with two that read", "pdd" + "pdd" + "dd", "[]", config.Decode},
-		{"too few runners for any change", "ppp", "[]", config.Decode},
+		{"balanced", "pdd" + "pdd" + "pdd", "[]", config.Decode, nil},
+		{"one reads too many", "ppd" + "pdd" + "pdd", "[r00]", config.Decode, nil},
+		{"the most crowded domain gives one", "ppd" + "dpd" + "dpd", "[r01]", config.Decode, nil},
+		{"too few read", "pdd" + "ddd" + "ddd", "[r01 r02]", config.Prefill, nil},
+		{"one that leaves doesn't read", "Pdd" + "pdd" + "pdd" + "d", "[r01]", config.Prefill, nil},
+		{"eight do with two that read", "pdd" + "pdd" + "dd", "[]", config.Decode, nil},
+		{"too few read, and one is on its way", "pdd" + "ddd" + "ddd", "[r02]", config.Prefill, []string{"r01"}},
+		{"too few read, and all are on their way", "pdd" + "ddd" + "ddd", "[]", config.Decode, []string{"r01", "r05"}},
+		{"one reads too many, and it is on its way", "ppd" + "pdd" + "pdd", "[]", config.Decode, []string{"r03"}},
+		{"too few runners for any change", "ppp", "[]", config.Decode, nil},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -55,7 +60,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			list, to := imbalance(v.WithRoster(rosterOf(1, tc.roles)), "p")
+			list, to := imbalance(v.WithRoster(rosterOf(1, tc.roles)), "p", func(e *config.Endpoint) bool { return slices.Contains(tc.changing, e.Name) })
 			names := []string{}
 			for _, e := range list {
 				names = append(names, e.Name)
@@ -97,15 +102,24 @@
 		name    string
 		settled time.Duration // since the members changed
 		leaving bool
-		silent  bool // the platform was not heard of
-		seeds   int  // that the settings name
-		gone    int  // of four of the five other hosts
+		doubted bool   // between the two looks at the members
+		come    int    // hosts that came between them
+		into    string // their domain
+		gap     bool   // nothing was looked at between them
+		silent  bool   // the platform was not heard of
+		seeds   int    // that the settings name
+		gone    int    // of four of the five other hosts
 		heard   uint64
 		err     error
 		orders  int
 	}{
 		{name: "settled", settled: settledAfter, orders: 1},
 		{name: "members have just changed", settled: settledAfter / 2},
+		{name: "a host came in another domain, long after the last change", settled: steadyAfter, come: 1, into: "e", orders: 1},
+		{name: "a host came in another domain, soon after the last change", settled: settledAfter, come: 1, into: "e"},
+		{name: "hosts came of which one orders this runner", settled: steadyAfter, come: 200, into: "d"},
+		{name: "nobody looked for a while", settled: 2 * steadyAfter, gap: true, come: 1, into: "e"},
+		{name: "a host is doubted meanwhile", settled: settledAfter, doubted: true, orders: 1},
 		{name: "leaving", settled: settledAfter, leaving: true},
 		{name: "four of six hosts are left", settled: settledAfter, gone: 2, orders: 1},
 		{name: "half of the hosts are out of reach", settled: settledAfter, gone: 3},
@@ -141,8 +155,19 @@
 			o.SawFence(tc.heard)
 			v := o.board.Config.View()
 			o.mayOrder(v, now.Add(-tc.settled))
-			may := o.mayOrder(v, now)
-			if may {
+			for ago := tc.settled; ago > 0; ago -= balanceEvery {
+				if ago == tc.settled || !tc.gap {
+					o.orders(v.ByName["r00"], now.Add(-ago))
+				}
+			}
+			if tc.doubted {
+				o.board.Hosts.Doubt(1)
+			}
+			for i := range tc.come {
+				h := blackboard.Host{Name: fmt.Sprint("new", i), Number: uint32(100 + i), Domain: tc.into, Region: "r", Incarnation: 1, Beat: 1}
+				o.board.Hosts.Learn(h, now)
+			}
+			if o.mayOrder(v, now) && o.orders(v.ByName["r00"], now) {
 				o.order(context.Background(), v.Pools["p"], v.ByName["r00"], config.Decode, now)
 				o.order(context.Background(), v.Pools["p"], v.ByName["r00"], config.Decode, now) // too soon
 			}
