blackboard, peer: tell peers what changed in the roster, not all of it

Ruled out: the store's watch (events only); configurations (few). Change: each host notes at which revision an endpoint last changed or went, and answers a fetch with what changed since the asker's revision. Who has a revision from before the notes begin gets all. TestRosterSince: 400 random changes, a whole roster once, then the changed rows.

--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -20,7 +20,8 @@
 	mu       sync.Mutex
 	base     *config.View   // the document in force, without a roster
 	roster   *config.Roster // nil before the first
-	rejected uint64         // highest revision that was rejected
+	log      rosterLog
+	rejected uint64 // highest revision that was rejected
 	cause    string
 	since    time.Time // when the revision in force was accepted
 	heard    time.Time // when the platform last answered
@@ -107,6 +108,7 @@
 
 // useRoster puts a roster in force; the caller holds the lock.
 func (t *ConfigTable) useRoster(r *config.Roster) {
+	t.log.note(t.roster, r)
 	t.roster = r
 	if t.base != nil {
 		t.inUse.Store(t.base.WithRoster(r))
--- a/blackboard/config_test.go
+++ b/blackboard/config_test.go
@@ -1,6 +1,9 @@
 package blackboard
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -76,3 +79,62 @@
 		})
 	}
 }
+
+// TestRosterSince plays random rosters to a host and checks that another one,
+// which is told from time to time what it lacks, has the same.
+func TestRosterSince(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	one, other := newConfigTable(new(invariant.Set)), newConfigTable(new(invariant.Set))
+	whole, changes, rows := 0, 0, 0
+	for revision := uint64(1); revision < 400; revision++ {
+		r := &config.Roster{Revision: revision}
+		if before := one.Roster(); before != nil {
+			r.Endpoints = append(r.Endpoints, before.Endpoints...)
+		}
+		switch i := random.IntN(len(r.Endpoints) + 1); {
+		case i == len(r.Endpoints) || len(r.Endpoints) < 20:
+			r.Endpoints = append(r.Endpoints, config.Endpoint{Name: fmt.Sprint("e", revision), Address: "127.0.0.1:1", Domain: "d", Pool: "p", Role: config.Service})
+		case random.IntN(3) == 0:
+			r.Endpoints = append(r.Endpoints[:i:i], r.Endpoints[i+1:]...)
+		default:
+			r.Endpoints[i].Leaving = !r.Endpoints[i].Leaving
+		}
+		if _, err := one.OfferRoster(r, now); err != nil {
+			t.Fatal(err)
+		}
+		if random.IntN(4) > 0 {
+			continue
+		}
+		full, change := one.RosterSince(other.RosterRevision())
+		if change != nil {
+			changes++
+			rows += len(change.Changed) + len(change.Gone)
+			full = other.After(change)
+		} else {
+			whole++
+		}
+		if _, err := other.OfferRoster(full, now); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := listed(other.Roster()), listed(one.Roster()); got != want {
+			t.Fatalf("revision %d: %s, want %s", revision, got, want)
+		}
+	}
+	if whole != 1 || rows > 8*changes {
+		t.Errorf("%d whole rosters and %d rows in %d changes", whole, rows, changes)
+	}
+	if full, change := one.RosterSince(one.RosterRevision()); full != nil || change != nil {
+		t.Error("something is told to a host that lacks nothing")
+	}
+}
+
+// listed tells a roster's endpoints in the order of their names.
+func listed(r *config.Roster) string {
+	var out []string
+	for _, e := range r.Endpoints {
+		out = append(out, fmt.Sprintf("%s%v", e.Name, e.Leaving))
+	}
+	slices.Sort(out)
+	return strings.Join(out, " ")
+}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -203,6 +203,9 @@
 	if reply.Revision != 0 {
 		r.Offer(reply.Revision, reply.Source, "peer "+from.Name)
 	}
+	if reply.Change != nil {
+		reply.Roster = r.board.Config.After(reply.Change)
+	}
 	if reply.Roster != nil {
 		r.OfferRoster(reply.Roster, "peer "+from.Name)
 	}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -60,7 +60,8 @@
 type FetchReply struct {
 	Revision uint64
 	Source   []byte
-	Roster   *config.Roster
+	Roster   *config.Roster       // nil: as After says, or Change tells it
+	Change   *config.RosterChange // since the asker's roster
 }
 
 // ReleaseArgs carries several releases at once.
--- a/peer/server.go
+++ b/peer/server.go
@@ -70,9 +70,7 @@
 func (s *server) Fetch(a *FetchArgs, reply *FetchReply) error {
 	// The roster is read first: who takes it over must get every document
 	// that was published before it.
-	if ro := s.r.board.Config.Roster(); ro != nil && ro.Revision > a.Roster {
-		reply.Roster = ro
-	}
+	reply.Roster, reply.Change = s.r.board.Config.RosterSince(a.Roster)
 	if v := s.r.board.Config.View(); v != nil && v.Revision > a.After {
 		reply.Revision, reply.Source = v.Revision, v.Source
 	}
