peer: news goes without digests where a region is large

Cause: every news item (a registration, a revision, a host that is gone) is told in four exchanges at once and again for 3.5 s, and each carries the digests of all endpoints both ways: some 40 kB with 1,002 runners, where registrations come all the time. Change: where a usual exchange is larger than a second's budget, news carries revisions, heartbeats and hosts that are gone, and no digests. The files have grown, so news has one of its own, and so have the conditions of orders. TestNews; ./proof passes.

--- a/owner/balance.go
+++ b/owner/balance.go
@@ -90,59 +90,6 @@
 	})
 }
 
-// mayOrder reports whether this host's view of the members and the roster is
-// good enough to give orders by. Without a majority of the known hosts it isn't:
-// the others may take this one for gone and order the same runner.
-func (o *Owner) mayOrder(v *config.View, now time.Time) bool {
-	print := o.board.Hosts.Members(now)
-	o.balance.mu.Lock()
-	defer o.balance.mu.Unlock()
-	if print != o.balance.print || o.balance.since.IsZero() {
-		o.balance.print, o.balance.since = print, now
-	}
-	o.balance.settled = now.Sub(o.balance.since) >= settledAfter
-	for number, t := range o.balance.orderer {
-		if now.Sub(t.seen) > unseenFor {
-			delete(o.balance.orderer, number)
-		}
-	}
-	return v.Roster > 0 && o.board.Hosts.Majority(now, len(o.board.Settings.Seeds)) && !o.board.Leaving() && !o.board.Pause.Check() &&
-		o.board.Config.HeardWithin(now, rosterFresh)
-}
-
-// tenure is since when a host is the orderer of a runner.
-type tenure struct {
-	host  uint32
-	since time.Time
-	seen  time.Time // last
-}
-
-// unseenFor is how long nobody may have looked who a runner's orderer is for its
-// tenure to go on.
-const unseenFor = 3 * balanceEvery
-
-// orders reports whether this host is a runner's orderer, and has been so for
-// long enough that no other can have ordered it lately: the host of its failure
-// domain that owns it where nobody is doubted. A domain without hosts gets no
-// orders.
-func (o *Owner) orders(e *config.Endpoint, now time.Time) bool {
-	number := route.Number(e.Name)
-	h, ok := o.board.Hosts.FirstSteady(uint64(number), e.Domain, now)
-	o.balance.mu.Lock()
-	defer o.balance.mu.Unlock()
-	if !ok {
-		delete(o.balance.orderer, number)
-		return false
-	}
-	t := o.balance.orderer[number]
-	if t.host != h.Number || now.Sub(t.seen) > unseenFor {
-		t = tenure{host: h.Number, since: now}
-	}
-	t.seen = now
-	o.balance.orderer[number] = t
-	return h.Number == o.board.Number && (o.balance.settled || now.Sub(t.since) >= steadyAfter)
-}
-
 // lasts reports whether a pool's roles have been out of balance in one way for
 // long enough. A runner that was lost for a moment comes back in its old role.
 func (o *Owner) lasts(pool string, n int, to config.Role, now time.Time) bool {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -91,20 +91,25 @@
 
 // exchangeWith makes one exchange and fetches the revision if the other is
 // ahead.
-func (r *Router) exchangeWith(ctx context.Context, h blackboard.Host) {
+func (r *Router) exchangeWith(ctx context.Context, h blackboard.Host) { r.exchange(ctx, h, false) }
+
+// exchange makes one exchange; one of news alone carries no digests.
+func (r *Router) exchange(ctx context.Context, h blackboard.Host, news bool) {
 	r.mu.Lock()
 	r.told++
 	heads := r.told%headsEvery == 0
 	r.mu.Unlock()
-	args := r.tell(Name{Region: h.Region}, nil, heads)
+	args := r.tell(Name{Region: h.Region}, nil, heads, news)
 	args.Want = r.wanted()
 	var reply ExchangeReply
 	if err := r.pool.call(ctx, h.Peers, methodExchange, &args, &reply, r.timeout()); err != nil {
 		return
 	}
-	r.mu.Lock()
-	r.size = len(args.Digests) + len(reply.Digests) + beatBytes*(len(args.Beats)+len(reply.Beats))
-	r.mu.Unlock()
+	if !news {
+		r.mu.Lock()
+		r.size = len(args.Digests) + len(reply.Digests) + beatBytes*(len(args.Beats)+len(reply.Beats))
+		r.mu.Unlock()
+	}
 	r.takeIn(reply, time.Now())
 }
 
@@ -124,6 +129,14 @@
 	return max(config.Millis(r.board.Settings.HeartbeatMillis), time.Duration(2*size)*time.Second/exchangeBudget)
 }
 
+// large reports whether a usual exchange takes more than a second's budget, so
+// that news, which is told often, has to go without the digests.
+func (r *Router) large() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.size > exchangeBudget
+}
+
 func (r *Router) wanted() []uint32 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -190,110 +203,6 @@
 	r.board.Hosts.Learn(blackboard.Host{Name: n.Name, Number: num, Domain: n.Domain, Region: n.Region, Peers: n.Peers}, now)
 }
 
-// fetch gets the newer revision from a peer, as it was published, and judges
-// it like one from the publish.
-func (r *Router) fetch(from Name) {
-	ctx, cancel := context.WithTimeout(context.Background(), 4*r.timeout())
-	defer cancel()
-	var reply FetchReply
-	args := FetchArgs{After: r.board.Config.Revision(), Roster: r.board.Config.RosterRevision()}
-	if err := r.pool.call(ctx, from.Peers, methodFetch, &args, &reply, 4*r.timeout()); err != nil {
-		return
-	}
-	if reply.Revision != 0 {
-		r.Offer(reply.Revision, reply.Source, "peer "+from.Name)
-	}
-	if reply.Change != nil {
-		reply.Roster = r.board.Config.After(reply.Change)
-	}
-	if reply.Roster != nil {
-		r.OfferRoster(reply.Roster, "peer "+from.Name)
-	}
-}
-
-// OfferRoster offers the endpoints that registered themselves to the board and
-// lays the tables out for them. What changed is told around, because another
-// host's own watch may be cut off or deaf.
-func (r *Router) OfferRoster(ro *config.Roster, from string) {
-	in, err := r.board.Config.OfferRoster(ro, time.Now())
-	if err != nil {
-		r.log.Warn("endpoints left out of the roster", zap.Uint64("roster", ro.Revision), zap.String("from", from), zap.Error(err))
-	}
-	if !in {
-		return
-	}
-	if v := r.board.Config.View(); v != nil {
-		r.board.Endpoints.Fit(v)
-	}
-	r.board.Wake.All()
-	r.log.Info("roster in force", zap.Uint64("roster", ro.Revision), zap.Int("endpoints", len(ro.Endpoints)), zap.String("from", from))
-	r.tellAround()
-}
-
-// lapseTick is how often lapsed registrations are looked at.
-const lapseTick = 250 * time.Millisecond
-
-// Lapser returns the controller that stops using endpoints which have been
-// without a registration for too long. Nothing is told around: each host
-// comes to it by itself.
-func (r *Router) Lapser() blackboard.Controller {
-	return blackboard.Every(lapseTick, func(context.Context) {
-		dropped := r.board.Config.DropLapsed(time.Now())
-		if dropped == 0 {
-			return
-		}
-		if v := r.board.Config.View(); v != nil {
-			r.board.Endpoints.Fit(v)
-		}
-		r.board.Wake.All()
-		r.log.Info("lapsed registrations dropped", zap.Uint64("roster", r.board.Config.RosterRevision()), zap.Int("endpoints", dropped))
-	})
-}
-
-// Offer offers a revision to the board and lays the tables out for it.
-func (r *Router) Offer(revision uint64, src []byte, from string) {
-	in, err := r.board.Config.Offer(revision, src)
-	if err != nil {
-		r.log.Warn("revision not accepted", zap.Uint64("revision", revision), zap.String("from", from), zap.Error(err))
-		return
-	}
-	if !in {
-		return
-	}
-	v := r.board.Config.View()
-	r.board.Endpoints.Fit(v)
-	if r.Accepted != nil {
-		r.Accepted(v)
-	}
-	r.board.Wake.All()
-	r.log.Info("revision in force", zap.Uint64("revision", revision), zap.String("from", from))
-	r.tellAround()
-}
-
-// tellAround tells news to some peers now, and for a while to others.
-func (r *Router) tellAround() {
-	r.mu.Lock()
-	r.hot = time.Now().Add(hotFor)
-	r.mu.Unlock()
-	r.spread()
-}
-
-// hotFor is how long news is told around every watchEvery. Telling it once leaves
-// out some hosts of many: if each tells four others, one in e^4 hears nothing.
-const hotFor = 3500 * time.Millisecond
-
-// spread tells some peers of a new revision or a host that is gone at once, besides the platform's
-// watch and the ordinary exchange: two of the own domain, one of another, and
-// one of another region.
-func (r *Router) spread() {
-	now := time.Now()
-	for _, round := range []uint64{1, 2, otherDomainEvery, otherRegionEvery} {
-		if h, ok := r.partner(round, now); ok {
-			go r.exchangeWith(context.Background(), h)
-		}
-	}
-}
-
 // seedEvery is the number of rounds between contacts with a seed, so that
 // parts of the fleet which know nothing of each other meet.
 const seedEvery = 8
--- /dev/null
+++ b/peer/exchange_test.go
@@ -0,0 +1,51 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/route"
+)
+
+const exchangeDocument = `{"failure_domains": [{"name": "d", "region": "r"}], "targets": {"ttft_ms": 900, "tpot_ms": 10},
+"pools": [{"name": "p", "slots": 4}], "routes": [{"name": "r", "host": "h", "path_prefix": "/", "pools": [{"pool": "p", "weight": 1}]}]}`
+
+// TestNews checks that news carries the revisions that it is about, and no
+// digests, however many endpoints there are.
+func TestNews(t *testing.T) {
+	s := &config.Settings{Host: "a", Domain: "d", Region: "r", Peers: "127.0.0.1:1"}
+	s.SetDefaults()
+	b := blackboard.New(s)
+	if _, err := b.Config.Offer(7, []byte(exchangeDocument)); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	roster := &config.Roster{Revision: 9}
+	for i := range 300 {
+		roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: fmt.Sprint("e", i), Address: "127.0.0.1:9", Domain: "d", Pool: "p", Role: config.Service})
+	}
+	if _, err := b.Config.OfferRoster(roster, now); err != nil {
+		t.Fatal(err)
+	}
+	b.Endpoints.Fit(b.Config.View())
+	for _, e := range roster.Endpoints {
+		b.Endpoints.Learn(route.Digest{Number: config.NameNumber(e.Name), FreeSlots: 4}, now)
+	}
+	r := NewRouter(b, owner.New(b, endpoint.NewClient(nil), zap.NewNop()), nil, zap.NewNop())
+	for _, news := range []bool{false, true} {
+		a := r.tell(Name{Region: "r"}, nil, false, news)
+		if a.Revision != 7 || a.Roster != 9 {
+			t.Errorf("news %v: revision %d, roster %d", news, a.Revision, a.Roster)
+		}
+		if digests := len(a.Digests) > 0; digests == news {
+			t.Errorf("news %v: %d bytes of digests", news, len(a.Digests))
+		}
+	}
+}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -47,6 +47,7 @@
 	Names    []Name   // introductions that were asked for
 	Want     []uint32 // hosts to introduce
 	Heads    bool     // cached prompts are told of as well
+	News     bool     // no digests are told of, either way
 }
 
 // ExchangeReply is the answer to ExchangeArgs.
--- a/peer/server.go
+++ b/peer/server.go
@@ -57,7 +57,7 @@
 
 func (s *server) Exchange(a *ExchangeArgs, reply *ExchangeReply) error {
 	s.r.takeIn(ExchangeReply(*a), time.Now())
-	*reply = ExchangeReply(s.r.tell(a.From, a.Want, a.Heads))
+	*reply = ExchangeReply(s.r.tell(a.From, a.Want, a.Heads, a.News))
 	return nil
 }
 
@@ -143,11 +143,11 @@
 // tell returns what this host knows, for another host: heartbeats to all,
 // digests of endpoints to hosts of the region. What is asked of cached prompts
 // is told with heads set.
-func (r *Router) tell(to Name, want []uint32, heads bool) ExchangeArgs {
+func (r *Router) tell(to Name, want []uint32, heads, news bool) ExchangeArgs {
 	now := time.Now()
 	self := r.board.Hosts.Self()
 	a := ExchangeArgs{From: Name{self.Name, self.Domain, self.Region, self.Peers}, Revision: r.board.Config.Revision(),
-		Roster: r.board.Config.RosterRevision(), Fence: r.owner.Fence(), Heads: heads}
+		Roster: r.board.Config.RosterRevision(), Fence: r.owner.Fence(), Heads: heads, News: news}
 	for _, h := range r.board.Hosts.List() {
 		if h.Incarnation != 0 && r.board.Hosts.Live(h, now) {
 			a.Beats = append(a.Beats, Beat{h.Number, h.Incarnation, h.Beat, h.Leaving})
@@ -161,7 +161,7 @@
 			a.Names = append(a.Names, Name{h.Name, h.Domain, h.Region, h.Peers})
 		}
 	}
-	if to.Region != self.Region {
+	if to.Region != self.Region || news {
 		return a
 	}
 	for _, d := range r.owner.Digests(now) {
