--- a/peer/pool_test.go
+++ b/peer/pool_test.go
@@ -10,8 +10,13 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/meter"
+	"github.com/embercove/embercove/owner"
 )
 
 // slowHost answers pings late: by the delays in turn, the last one again and
@@ -81,3 +86,56 @@
 		})
 	}
 }
+
+// queueHost keeps a call waiting as an owner does, and answers signs of life
+// until it falls silent.
+type queueHost struct{ silent time.Duration }
+
+// Ping is the method of a host that is asked for a sign of life.
+func (q *queueHost) Ping(_ *Nothing, _ *Beat) error {
+	if q.silent > 0 {
+		time.Sleep(time.Hour)
+	}
+	return nil
+}
+
+// Enqueue answers after two seconds.
+func (q *queueHost) Enqueue(_ *Nothing, _ *Nothing) error {
+	time.Sleep(2 * time.Second)
+	return nil
+}
+
+// TestCallWatched checks that a call which waits long is not mistaken for one
+// whose host says nothing, and that the latter is found out soon.
+func TestCallWatched(t *testing.T) {
+	for _, silent := range []time.Duration{0, time.Second} {
+		t.Run(silent.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				srv := rpc.NewServer()
+				if err := srv.RegisterName("P", &queueHost{silent: silent}); err != nil {
+					t.Fatal(err)
+				}
+				s := &config.Settings{Host: "a", Domain: "d", Region: "r", Peers: "127.0.0.1:1"}
+				s.SetDefaults()
+				b := blackboard.New(s)
+				dial := func(context.Context, string, string) (net.Conn, error) {
+					near, far := net.Pipe()
+					go srv.ServeConn(far)
+					return near, nil
+				}
+				r := NewRouter(b, owner.New(b, endpoint.NewClient(nil), zap.NewNop()), dial, zap.NewNop())
+				began := time.Now()
+				err := r.callWatched(context.Background(), blackboard.Host{Peers: "127.0.0.1:2"}, methodEnqueue, &Nothing{}, &Nothing{}, 5*time.Second)
+				took := time.Since(began)
+				switch {
+				case silent == 0 && (err != nil || took < 2*time.Second):
+					t.Errorf("%v after %s, want an answer after two seconds", err, took)
+				case silent > 0 && (!errors.Is(err, ErrOutOfReach) || took > time.Second):
+					t.Errorf("%v after %s, want out of reach within a second", err, took)
+				}
+				r.Close()
+				time.Sleep(3 * time.Hour)
+			})
+		})
+	}
+}
