--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -129,12 +129,16 @@
 	return max(config.Millis(r.board.Settings.HeartbeatMillis), time.Duration(2*size)*time.Second/exchangeBudget)
 }
 
-// large reports whether a usual exchange takes more than a second's budget, so
-// that news, which is told often, has to go without the digests.
+// largeExchange is the size of an exchange, in bytes, from which news, which is
+// told often, goes without the digests: that of a region of some 200 endpoints
+// and hosts. In smaller ones news keeps digests fresh as well.
+const largeExchange = 4 * exchangeBudget
+
+// large reports whether news has to go without the digests.
 func (r *Router) large() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.size > exchangeBudget
+	return r.size > largeExchange
 }
 
 func (r *Router) wanted() []uint32 {
