owner: reading takes a fixed time and a time for each token, learned apart

Cause: an owner took the time of a read for tokens / 40,000 times a learned factor, and learned the factor only from reads that met an idle engine. Change: readPace fits a line by least squares over calls to an idle engine and over stretches between told ends; the queue is corrected both ways by each end; the fixed time is in the digest; a new owner begins with the last digest.

--- a/owner/book.go
+++ b/owner/book.go
@@ -31,7 +31,6 @@
 	changing time.Time // until when it is about to have another role
 	ordered  time.Time
 
-	slow   float64 // learned factor on the time of work
 	failed float64 // share of attempts that failed lately, as of failedAt
 	trust  float64 // how far the cache feed proved true
 	heads  map[uint32]uint32
@@ -50,7 +49,7 @@
 
 func newBook(v *config.View, spec *config.Endpoint, share float64, now time.Time) *Book {
 	b := &Book{
-		view: v, spec: spec, number: route.Number(spec.Name), role: spec.Role, slow: 1, trust: startTrust,
+		view: v, spec: spec, number: route.Number(spec.Name), role: spec.Role, trust: startTrust,
 		heads: map[uint32]uint32{}, confirmed: map[request.Attempt]time.Time{}, gone: map[request.Attempt]time.Time{},
 		used: now, failedAt: now,
 	}
@@ -58,7 +57,7 @@
 	case config.Decode:
 		b.ledger = newLedger(v, spec, share)
 	case config.Prefill:
-		b.queue = newQueue(newShares(b.teamWeight))
+		b.queue = newQueue(newShares(b.teamWeight), spec.TokensPerSecond)
 	}
 	b.ready = !b.polled() // else nobody would ask for it, and it never would be
 	return b
@@ -91,8 +90,11 @@
 // lock.
 func (b *Book) digest(now time.Time, reserves bool) route.Digest {
 	b.fadeFailures(now)
-	d := route.Digest{Number: b.number, SlowPct: uint16(min(2000, b.slow*100)), FailPct: uint8(min(1, b.failed) * 100),
+	d := route.Digest{Number: b.number, SlowPct: 100, FailPct: uint8(min(1, b.failed) * 100),
 		TrustPct: uint8(b.trust * 100), Flags: b.flags()}
+	if b.queue != nil {
+		d.SlowPct, d.LagMillis = uint16(b.queue.pace.slow()*100), uint32(b.queue.pace.lag().Milliseconds())
+	}
 	switch {
 	case b.queue != nil && reserves:
 		d.QueueMillis = uint32(b.queue.backlog(now).Milliseconds())
@@ -184,6 +186,30 @@
 	return b.ledger.reserve(now, a, b.teamWeight)
 }
 
+// admit puts a request into the queue of a prefill engine or refuses it.
+// Requests that it pushes out are refused.
+func (b *Book) admit(now time.Time, a EnqueueArgs) (*item, *result.Error) {
+	if b.queue == nil || b.flags() != 0 {
+		return nil, result.Errorf(result.NoEndpoint, "%s takes no prompts now", b.spec.Name).After(time.Second)
+	}
+	tokens, promised := b.uncached(a.Tokens, a.Head, a.HasHead)
+	work, lag := b.queue.pace.work(tokens), b.queue.pace.lag()
+	it := &item{attempt: a.Attempt, team: a.Team, priority: a.Priority, tokens: tokens, work: work, lag: lag, promised: promised, came: now,
+		latest: now.Add(duration(a.Slack) - work - lag), notYet: now.Add(duration(a.NotYet)), answer: make(chan *result.Error, 1)}
+	blend(&b.leaving, 0, learnLeaving)
+	if hold := b.holdBack(now, it); hold.After(it.notYet) {
+		it.notYet = hold
+	}
+	pushed, refusal := b.queue.admit(now, it)
+	if refusal != nil {
+		return nil, refusal
+	}
+	for _, p := range pushed {
+		p.answer <- result.Errorf(result.TooLate, "requests of higher rank or of teams with less use came").After(work + lookahead)
+	}
+	return it, nil
+}
+
 // holdBack returns the moment before which a request's prefill should not end,
 // to spare work for callers that leave early, where that is minded more than
 // an early answer. The fewer leave, the shorter it is.
@@ -237,9 +263,7 @@
 	if c, ok := b.queue.out[r.Attempt]; ok && r.Outcome == Done {
 		b.learnTrustFrom(c.promised, r.Cached)
 	}
-	if ratio := b.queue.done(now, r.Attempt, r.Outcome == Done); ratio > 0 {
-		blend(&b.slow, min(10, max(0.1, b.slow*ratio)), learnSlow)
-	}
+	b.queue.done(now, r.Attempt, r.Outcome == Done, duration(r.Millis))
 	return b.queue.cancel(r.Attempt)
 }
 
--- a/owner/guess.go
+++ b/owner/guess.go
@@ -20,8 +20,11 @@
 // memory is how many observations a moment remembers at the most.
 const memory = 400.0
 
-func (m *moment) learn(x float64) {
-	m.weight = min(m.weight+1, memory)
+func (m *moment) learn(x float64) { m.learnOf(x, memory) }
+
+// learnOf takes in x, as one of the last so many observations.
+func (m *moment) learnOf(x, last float64) {
+	m.weight = min(m.weight+1, last)
 	m.mean += (x - m.mean) / m.weight
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -113,9 +113,7 @@
 	o.mu.Lock()
 	b := o.books[number]
 	if b == nil || b.role != spec.Role {
-		b = newBook(v, spec, o.share(v), now)
-		o.books[number] = b
-		o.Takeover.Add(1)
+		b = o.open(v, spec, now)
 	}
 	o.mu.Unlock()
 	b.mu.Lock()
@@ -129,6 +127,18 @@
 	return b, nil
 }
 
+// open begins a book of an endpoint with what its owner before told of its
+// pace; the caller holds the lock.
+func (o *Owner) open(v *config.View, spec *config.Endpoint, now time.Time) *Book {
+	b := newBook(v, spec, o.share(v), now)
+	if b.queue != nil {
+		o.board.Endpoints.Touch(b.number, func(s *route.State) { b.queue.pace.inherit(s.Digest) })
+	}
+	o.books[b.number] = b
+	o.Takeover.Add(1)
+	return b
+}
+
 // takeOver asks the host that owned the endpoint before for what it reserved,
 // and reads the endpoint's list. When both fail the book starts empty: the
 // engine's admission then corrects it.
@@ -219,26 +229,9 @@
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	refuse := func(e *result.Error) (*item, EnqueueReply) {
-		return nil, EnqueueReply{Code: e.Code, Retry: millis(e.RetryAfter), Digest: b.brief(now)}
-	}
-	if b.queue == nil || b.flags() != 0 {
-		return refuse(result.Errorf(result.NoEndpoint, "%s takes no prompts now", b.spec.Name).After(time.Second))
-	}
-	tokens, promised := b.uncached(a.Tokens, a.Head, a.HasHead)
-	work := time.Duration(float64(tokens) / b.spec.TokensPerSecond * b.slow * float64(time.Second))
-	it := &item{attempt: a.Attempt, team: a.Team, priority: a.Priority, work: work, promised: promised, came: now,
-		latest: now.Add(duration(a.Slack) - work), notYet: now.Add(duration(a.NotYet)), answer: make(chan *result.Error, 1)}
-	blend(&b.leaving, 0, learnLeaving)
-	if hold := b.holdBack(now, it); hold.After(it.notYet) {
-		it.notYet = hold
-	}
-	pushed, refusal := b.queue.admit(now, it)
+	it, refusal := b.admit(now, a)
 	if refusal != nil {
-		return refuse(refusal)
-	}
-	for _, p := range pushed {
-		p.answer <- result.Errorf(result.TooLate, "requests of higher rank or of teams with less use came").After(work + lookahead)
+		return nil, EnqueueReply{Code: refusal.Code, Retry: millis(refusal.RetryAfter), Digest: b.brief(now)}
 	}
 	return it, EnqueueReply{}
 }
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -133,8 +133,7 @@
 		}
 		owned[n] = true
 		if b := o.books[n]; b == nil || b.role != e.Role {
-			o.books[n] = newBook(v, e, o.share(v), now)
-			o.Takeover.Add(1)
+			o.open(v, e, now)
 		}
 	}
 	return owned
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -14,7 +14,9 @@
 	attempt  request.Attempt
 	team     uint32
 	priority int
-	work     time.Duration // forecast of reading
+	tokens   int           // to read
+	work     time.Duration // forecast of how long the engine is kept by them
+	lag      time.Duration // forecast of what the answer takes besides
 	promised int           // tokens that the cache feed said are cached
 	latest   time.Time     // latest start that keeps the target
 	notYet   time.Time     // reading should not end before
@@ -24,6 +26,9 @@
 
 // called is a request that was sent to the engine.
 type called struct {
+	number   uint64 // in the order of calls
+	tokens   int
+	stretch  stretch // of the engine's work that ends with it
 	work     time.Duration
 	promised int
 	since    time.Time
@@ -42,12 +47,15 @@
 type queue struct {
 	waiting []*item
 	out     map[request.Attempt]*called
+	calls   uint64
 	busy    time.Time // when the engine will have read what was sent
+	stretch stretch   // up to what was sent last
+	pace    readPace
 	share   *shares
 }
 
-func newQueue(s *shares) *queue {
-	return &queue{out: map[request.Attempt]*called{}, share: s}
+func newQueue(s *shares, tokensPerSecond float64) *queue {
+	return &queue{out: map[request.Attempt]*called{}, share: s, pace: newReadPace(tokensPerSecond)}
 }
 
 // lookahead is how much work is sent ahead of the engine, so that it never
@@ -175,8 +183,14 @@
 		}
 		q.take(it)
 		send = append(send, it)
+		if !q.busy.After(now) {
+			q.stretch = stretch{from: now}
+		}
+		q.stretch.tokens += it.tokens
+		q.calls++
 		q.busy = q.free(now).Add(it.work)
-		q.out[it.attempt] = &called{work: it.work, promised: it.promised, since: now, ends: q.busy}
+		q.out[it.attempt] = &called{number: q.calls, tokens: it.tokens, stretch: q.stretch, work: it.work, promised: it.promised,
+			since: now, ends: q.busy.Add(it.lag)}
 		q.share.add(now, it.team, it.work)
 	}
 	return send, late
@@ -239,32 +253,53 @@
 	return soonest
 }
 
-// done notes that the engine has read a request, or was told to forget it.
-// It returns how long the engine took against the forecast, 0 if unknown.
-func (q *queue) done(now time.Time, a request.Attempt, finished bool) (ratio float64) {
+// done notes that the engine has read a request in a time, or was told to
+// forget it. An end that comes late or early tells when the engine will be
+// through with what it was sent after it.
+func (q *queue) done(now time.Time, a request.Attempt, finished bool, took time.Duration) {
 	c, ok := q.out[a]
 	if !ok {
-		return 0
+		return
 	}
 	delete(q.out, a)
-	left, busy := time.Duration(0), false
+	left := time.Duration(0)
 	for _, o := range q.out {
-		if !o.quiet {
+		switch {
+		case finished && o.number < c.number:
+			o.quiet = true // it was read before this one
+		case finished || !o.quiet:
 			left += o.work
-			busy = true
 		}
 	}
-	if t := now.Add(left); t.Before(q.busy) {
-		q.busy = t
+	if !finished {
+		if t := now.Add(left); t.Before(q.busy) {
+			q.busy = t
+		}
+		return
 	}
-	if !busy && finished && c.work > minLearn {
-		return float64(now.Sub(c.since)) / float64(c.work)
+	if took > 0 {
+		q.learn(c, took)
 	}
-	return 0
+	q.busy = now.Add(left - q.pace.lag())
 }
 
-// minLearn is the least work that the engine's rate is learned from.
-const minLearn = 20 * time.Millisecond
+// learn takes in how long a call took, and begins a new stretch of work at its
+// end.
+func (q *queue) learn(c *called, took time.Duration) {
+	end := c.since.Add(took)
+	q.pace.learn(c.tokens, took, c.stretch, end)
+	restart := func(s *stretch) {
+		if s.from.Equal(c.stretch.from) {
+			*s = stretch{from: end, told: true, tokens: s.tokens - c.stretch.tokens}
+		}
+	}
+	for _, o := range q.out {
+		if o.number > c.number {
+			restart(&o.stretch)
+		}
+	}
+	restart(&q.stretch)
+}
 
 // quiet marks called requests whose ordinary end was not told, and forgets
 // them for good after a while.
--- a/owner/queue_test.go
+++ b/owner/queue_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 )
@@ -44,7 +45,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			q := newQueue(newShares(evenWeights))
+			q := newQueue(newShares(evenWeights), config.DefaultTokensPerSecond)
 			var refused, pushed []string
 			for i, it := range tc.items {
 				p, err := q.admit(at(0), newItem(i+1, uint32(it[0]), it[1], 0, it[2], it[3]))
@@ -84,7 +85,7 @@
 // TestQueueKeepsEngineBusy checks that work is sent ahead by the lookahead and
 // no more, and that the engine's own pace moves the forecast.
 func TestQueueKeepsEngineBusy(t *testing.T) {
-	q := newQueue(newShares(evenWeights))
+	q := newQueue(newShares(evenWeights), config.DefaultTokensPerSecond)
 	for i := range 3 {
 		if _, err := q.admit(at(0), newItem(i, 1, 3, 0, 200, 5000)); err != nil {
 			t.Fatal(err)
@@ -96,7 +97,7 @@
 	if due := q.due(at(0)); !due.Equal(at(200).Add(-lookahead)) {
 		t.Errorf("due at %s, want the lookahead before 200 ms", due.Sub(epoch))
 	}
-	q.done(at(120), request.Attempt{Number: 0}, true) // faster than forecast
+	q.done(at(120), request.Attempt{Number: 0}, true, 0) // faster than forecast
 	if send, _ := q.next(at(120)); len(send) != 1 {
 		t.Errorf("%d sent when the engine is free, want 1", len(send))
 	}
@@ -105,7 +106,7 @@
 // TestQueueNotYet checks that a request that waits for decode memory lets
 // others pass and is called when its time comes.
 func TestQueueNotYet(t *testing.T) {
-	q := newQueue(newShares(evenWeights))
+	q := newQueue(newShares(evenWeights), config.DefaultTokensPerSecond)
 	later := newItem(1, 1, 3, 0, 50, 2000)
 	later.notYet = at(500)
 	for _, it := range []*item{later, newItem(2, 1, 3, 0, 100, 3000)} {
@@ -128,7 +129,7 @@
 // TestShares checks that a team at ten times its share doesn't push another
 // past its targets: the light team's requests are all admitted.
 func TestShares(t *testing.T) {
-	q := newQueue(newShares(evenWeights))
+	q := newQueue(newShares(evenWeights), config.DefaultTokensPerSecond)
 	heavy, light, lost := 0, 0, 0
 	for now := 0; now < 20_000; now += 20 {
 		q.next(at(now))
@@ -156,13 +157,13 @@
 }
 
 func BenchmarkQueue(b *testing.B) {
-	q := newQueue(newShares(evenWeights))
+	q := newQueue(newShares(evenWeights), config.DefaultTokensPerSecond)
 	for i := range b.N {
 		now := i * 10
 		q.admit(at(now), newItem(i, uint32(i%20), 3, now, 12, 1200))
 		send, _ := q.next(at(now))
 		for _, it := range send {
-			q.done(at(now), it.attempt, false)
+			q.done(at(now), it.attempt, false, 0)
 		}
 	}
 }
--- a/peer/pack.go
+++ b/peer/pack.go
@@ -26,7 +26,7 @@
 		out = binary.LittleEndian.AppendUint32(out, d.Number)
 		fields := [...]uint64{uint64(d.AgeMillis) / packMillis, uint64(d.QueueMillis) / packMillis, zigzag(int64(d.FreeTokens) / packTokens),
 			zigzag(int64(d.FreeSlots)), uint64(d.WaitMillis) / packMillis, uint64(d.LinkMillis) / packMillis, uint64(d.SlowPct),
-			uint64(d.FailPct), uint64(d.Flags), uint64(d.TrustPct), uint64(len(d.Heads))}
+			uint64(d.FailPct), uint64(d.Flags), uint64(d.TrustPct), uint64(len(d.Heads)), uint64(d.LagMillis) / packMillis}
 		var mask uint64
 		for i, f := range fields {
 			if f != 0 {
@@ -80,7 +80,7 @@
 }
 
 // packedFields is the number of fields in a packed digest.
-const packedFields = 11
+const packedFields = 12
 
 // unpack reads what pack wrote. Values that don't fit their field are cut.
 func unpack(src []byte) ([]route.Digest, error) {
@@ -99,6 +99,7 @@
 		d.FreeTokens, d.FreeSlots = int32(unzigzag(f[2])*packTokens), int32(unzigzag(f[3]))
 		d.WaitMillis, d.LinkMillis = uint32(f[4]*packMillis), uint32(f[5]*packMillis)
 		d.SlowPct, d.FailPct, d.Flags, d.TrustPct = uint16(f[6]), uint8(f[7]), uint8(f[8]), uint8(f[9])
+		d.LagMillis = uint32(f[11] * packMillis)
 		for n := f[10]; n > 0 && !r.bad; n-- {
 			d.Heads = append(d.Heads, route.HeadDigest{Head: r.uint32(), Tokens: uint32(r.uvarint() * packHead)})
 		}
--- a/peer/pack_test.go
+++ b/peer/pack_test.go
@@ -10,7 +10,7 @@
 func TestPack(t *testing.T) {
 	in := []route.Digest{
 		{Number: 1},
-		{Number: 1<<32 - 1, AgeMillis: 120, QueueMillis: 900, SlowPct: 104, TrustPct: 70, Heads: []route.HeadDigest{{Head: 9, Tokens: 2048}, {Head: 1 << 31, Tokens: 512}}},
+		{Number: 1<<32 - 1, AgeMillis: 120, QueueMillis: 900, SlowPct: 104, LagMillis: 50, TrustPct: 70, Heads: []route.HeadDigest{{Head: 9, Tokens: 2048}, {Head: 1 << 31, Tokens: 512}}},
 		{Number: 7, FreeTokens: -6400, FreeSlots: -3, WaitMillis: 40, LinkMillis: 250, FailPct: 100, Flags: 7},
 	}
 	b := pack(in)
--- a/route/state.go
+++ b/route/state.go
@@ -38,7 +38,8 @@
 	FreeSlots   int32
 	WaitMillis  uint32 // decode: until a request of the usual size has room
 	LinkMillis  uint32 // decode: until the link into it is free
-	SlowPct     uint16 // time of work against the configured; 0 stands for 100
+	SlowPct     uint16 // time of a token against the configured; 0 stands for 100
+	LagMillis   uint32 // prefill: time of a call beyond that of its tokens
 	FailPct     uint8  // share of recent attempts that failed
 	Flags       uint8
 	TrustPct    uint8 // how far Heads proved true
@@ -184,7 +185,7 @@
 // PrefillTime returns the time that reading the tokens takes, without
 // waiting.
 func (s *State) PrefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / s.Spec.TokensPerSecond * s.Slow() * float64(time.Second))
+	return time.Duration(s.Digest.LagMillis)*time.Millisecond + time.Duration(float64(tokens)/s.Spec.TokensPerSecond*s.Slow()*float64(time.Second))
 }
 
 // StepTime returns the time of a decode step with n requests in the batch.
