owner: the time of a decode step from lists at once, and from others of the pool

So after each start, and at each new owner, memory was forecast to be free seven times too soon, and more prompts were read than engines could take. Ruled out: the belief alone is wrong (it is a first guess; any other would be wrong elsewhere). Change: the pace is a moment whose first observation counts whole; lists of the engine teach it while few answers have ended, and are asked for after 400 ms while nothing is known; it is told in the digest, and a new book begins with the median of its pool's engines of that role. TestStepPace, TestPoolPace.

--- a/owner/book.go
+++ b/owner/book.go
@@ -90,9 +90,12 @@
 // lock.
 func (b *Book) digest(now time.Time, reserves bool) route.Digest {
 	b.fadeFailures(now)
-	d := route.Digest{Number: b.number, SlowPct: 100, FailPct: uint8(min(1, b.failed) * 100),
+	d := route.Digest{Number: b.number, FailPct: uint8(min(1, b.failed) * 100),
 		TrustPct: uint8(b.trust * 100), Flags: b.flags()}
-	if b.queue != nil {
+	switch {
+	case b.ledger != nil:
+		d.SlowPct = b.ledger.slowPct()
+	case b.queue != nil:
 		d.SlowPct, d.LagMillis = uint16(b.queue.pace.slow()*100), uint32(b.queue.pace.lag().Milliseconds())
 	}
 	switch {
--- a/owner/growing.go
+++ b/owner/growing.go
@@ -177,22 +177,3 @@
 
 // usualAnswer is what a request of the usual size is taken to ask for.
 const usualAnswer = 4000
-
-// learnPace learns the time of a step from an answer that was whole.
-func (l *ledger) learnPace(tokens, millis int) {
-	if tokens < paceLeast || millis <= 0 || !l.spec.GrowsMemory {
-		return
-	}
-	seen := float64(duration(millis)) / float64(tokens)
-	told := float64(route.StepTime(l.spec, len(l.rows)))
-	if l.pace == 0 {
-		l.pace = 1
-	}
-	blend(&l.pace, min(paceMost, max(1/paceMost, seen/told)), learnSlow)
-}
-
-// Bounds of what is learned of an engine's pace.
-const (
-	paceLeast = 256 // tokens of an answer that tells anything
-	paceMost  = 10.0
-)
--- a/owner/ledger.go
+++ b/owner/ledger.go
@@ -21,6 +21,8 @@
 	mark      uint64    // of the id by which the engine lists it; 0: the attempt itself
 	start     time.Time // when the engine's memory is taken: the transfer begins
 	moved     time.Time // end of the transfer
+	held      int       // tokens that the engine's last list told of
+	listed    time.Time // when that came
 	lease     time.Time // until when it stands without being seen at the engine
 	seen      bool      // the engine's own list has it
 }
@@ -51,7 +53,7 @@
 	rows    map[request.Attempt]*row
 	answers answerForecast // by the share of what was asked for
 	guessed guessForecast  // by what the caller guessed
-	pace    float64        // learned factor on the time of a step; 0 stands for 1
+	pace    moment         // factor on the configured time of a step, learned
 	ended   map[request.Attempt]time.Time
 	marked  map[uint64]request.Attempt
 
@@ -104,8 +106,8 @@
 // step is the time of a decode step as things are.
 func (l *ledger) step() time.Duration {
 	step := route.StepTime(l.spec, len(l.rows))
-	if l.pace > 0 {
-		step = time.Duration(float64(step) * l.pace)
+	if l.pace.weight > 0 {
+		step = time.Duration(float64(step) * l.pace.mean)
 	}
 	return max(step, time.Microsecond)
 }
--- a/owner/listed.go
+++ b/owner/listed.go
@@ -34,6 +34,7 @@
 			l.rows[a] = r
 		}
 		r.seen = true
+		l.learnGrowth(now, r, held)
 		if l.spec.GrowsMemory && !r.start.IsZero() {
 			continue // its start is known better than such a list tells it
 		}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -127,18 +128,44 @@
 	return b, nil
 }
 
-// open begins a book of an endpoint with what its owner before told of its
-// pace; the caller holds the lock.
+// open begins a book of an endpoint with the pace that others of its pool show;
+// the caller holds the lock.
 func (o *Owner) open(v *config.View, spec *config.Endpoint, now time.Time) *Book {
 	b := newBook(v, spec, o.share(v), now)
+	pace := o.poolPace(spec)
 	if b.queue != nil {
-		o.board.Endpoints.Touch(b.number, func(s *route.State) { b.queue.pace.inherit(s.Digest) })
+		b.queue.pace.inherit(pace)
+	}
+	if b.ledger != nil {
+		b.ledger.inheritPace(pace.SlowPct)
 	}
 	o.books[b.number] = b
 	o.Takeover.Add(1)
 	return b
 }
 
+// poolPace returns the medians of the paces that are told of a pool's endpoints
+// of a role.
+func (o *Owner) poolPace(spec *config.Endpoint) (d route.Digest) {
+	var slow, lag []uint32
+	o.board.Endpoints.Read(func(_ *config.View, states []route.State) {
+		for i := range states {
+			s := &states[i]
+			if s.Spec.Pool == spec.Pool && s.Role == spec.Role && s.Digest.SlowPct > 0 {
+				slow = append(slow, uint32(s.Digest.SlowPct))
+				lag = append(lag, s.Digest.LagMillis)
+			}
+		}
+	})
+	if len(slow) == 0 {
+		return d
+	}
+	slices.Sort(slow)
+	slices.Sort(lag)
+	d.SlowPct, d.LagMillis = uint16(slow[len(slow)/2]), lag[len(lag)/2]
+	return d
+}
+
 // takeOver asks the host that owned the endpoint before for what it reserved,
 // and reads the endpoint's list. When both fail the book starts empty: the
 // engine's admission then corrects it.
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -159,7 +159,11 @@
 			*t = now.Add(every)
 		}
 	}
-	next(&b.nextState, state, config.Millis(s.PollMillis))
+	every := config.Millis(s.PollMillis)
+	if b.ledger != nil && b.ledger.unpaced() {
+		every = min(every, listSoon)
+	}
+	next(&b.nextState, state, every)
 	next(&b.nextList, list, config.Millis(s.ListMillis))
 	next(&b.nextFeed, feed, feedEvery)
 	b.mu.Unlock()
--- /dev/null
+++ b/owner/steps.go
@@ -0,0 +1,72 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/route"
+)
+
+// The time of a decode step is learned as a factor on the configured one, from
+// answers that ended, and before any did from how the engine's lists grow. An
+// engine whose steps are believed too short is thought to be free too soon, and
+// is given more requests than its memory holds.
+
+// Weights and bounds of what is learned of an engine's steps.
+const (
+	stepMemory    = 10.0                   // answers that are remembered
+	stepInherited = 3.0                    // answers that the pace of others counts as
+	stepKnown     = 5.0                    // answers from which lists, which are less exact, tell nothing more
+	stepLeast     = 256                    // tokens of an answer that tells anything
+	stepOff       = 100.0                  // times by which an engine may be off its configured step, either way
+	listSpan      = 300 * time.Millisecond // least time between lists that are compared
+	listSoon      = 400 * time.Millisecond // until the next report while nothing is known of an engine's steps
+)
+
+// learnPace learns from an answer that was whole.
+func (l *ledger) learnPace(tokens, millis int) {
+	if tokens < stepLeast || millis <= 0 || !l.spec.GrowsMemory {
+		return
+	}
+	l.observeStep(duration(millis).Seconds() / float64(tokens))
+}
+
+// learnGrowth learns from how much a request's memory grew between two lists.
+func (l *ledger) learnGrowth(now time.Time, r *row, held endpoint.Running) {
+	span, grown := now.Sub(r.listed), held.Tokens-r.held
+	known := !r.listed.IsZero()
+	if known && span < listSpan {
+		return
+	}
+	if known && grown > 0 && l.pace.weight < stepKnown {
+		l.observeStep(span.Seconds() / float64(grown))
+	}
+	r.held, r.listed = held.Tokens, now
+}
+
+// observeStep takes in the seconds of a step.
+func (l *ledger) observeStep(seconds float64) {
+	told := route.StepTime(l.spec, len(l.rows)).Seconds()
+	l.pace.learnOf(min(stepOff, max(1/stepOff, seconds/told)), stepMemory)
+}
+
+// inheritPace begins with what others of the pool show.
+func (l *ledger) inheritPace(slowPct uint16) {
+	if slowPct > 0 && l.pace.weight == 0 {
+		l.pace = moment{mean: float64(slowPct) / 100, weight: stepInherited}
+	}
+}
+
+// unpaced reports whether nothing is known of the engine's steps, though it has
+// work from which something could be.
+func (l *ledger) unpaced() bool {
+	return l.spec.GrowsMemory && l.pace.weight == 0 && len(l.rows) > 0
+}
+
+// slowPct returns the pace for a digest; 0: nothing is known.
+func (l *ledger) slowPct() uint16 {
+	if l.pace.weight == 0 {
+		return 0
+	}
+	return uint16(min(stepOff, l.pace.mean) * 100)
+}
--- /dev/null
+++ b/owner/steps_test.go
@@ -0,0 +1,70 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/route"
+)
+
+// TestStepPace states what an owner takes for the time of a step, in
+// microseconds, at an engine that is configured with 1,000.
+func TestStepPace(t *testing.T) {
+	grows := func(l *ledger, step int) { // lists at 0, 400 and 800 ms
+		if _, err := l.reserve(at(0), growingArgs(1, 3000, 600, 0), evenWeights); err != nil {
+			t.Fatal(err)
+		}
+		for ms := 0; ms <= 800; ms += 400 {
+			l.listed(at(ms), map[request.Attempt]endpoint.Running{attempt(1): {Tokens: 3000 + ms*1000/step}})
+		}
+	}
+	cases := []struct {
+		name        string
+		f           func(l *ledger)
+		least, most int
+	}{
+		{"nothing seen", func(*ledger) {}, 1000, 1000},
+		{"slow, by its lists", func(l *ledger) { grows(l, 5000) }, 4500, 5500},
+		{"fast, by its lists", func(l *ledger) { grows(l, 250) }, 225, 275},
+		{"by others of its pool", func(l *ledger) { l.inheritPace(700) }, 7000, 7000},
+		{"its own answers go before others", func(l *ledger) {
+			l.inheritPace(700)
+			for range 20 {
+				l.learnPace(500, 1000)
+			}
+		}, 2000, 3000},
+		{"its answers go before its lists", func(l *ledger) {
+			for range 10 {
+				l.learnPace(500, 1000)
+			}
+			grows(l, 5000)
+		}, 2000, 2000},
+		{"far off what is configured", func(l *ledger) { l.learnPace(500, 20_000) }, 40_000, 40_000},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			l := growingLedger(t)
+			l.spec.StepMicrosEach = 0
+			tc.f(l)
+			if got := int(l.step() / time.Microsecond); got < tc.least || got > tc.most {
+				t.Errorf("a step of %d µs, want %d to %d", got, tc.least, tc.most)
+			}
+		})
+	}
+}
+
+// TestPoolPace checks that the book of an engine of which nothing is known
+// begins with the pace that is told of others of its pool and role.
+func TestPoolPace(t *testing.T) {
+	o := testOwner(t, "a", "b")
+	v := o.board.Config.View()
+	spec := v.ByName["e"]
+	spec.GrowsMemory = true
+	o.board.Endpoints.Learn(route.Digest{Number: route.Number("e"), SlowPct: 650}, time.Now())
+	b := o.open(v, spec, time.Now())
+	if got := b.ledger.pace.mean; got != 6.5 {
+		t.Errorf("a pace of %v, want 6.5", got)
+	}
+}
