node, entry: a host that starts serves as soon as the store has answered

Cause: node.Start opened the callers' listener, then asked each seed in turn and waited for each, and only then began to follow the store. After a common start every seed is silent for 0.43 s, in which callers were refused with "no configuration yet" (306), while the store would answer in 4 ms. Ruled out: the store is slow after a common start (it answers all hosts at once). Change: seeds are asked at once, beside the rest; a request that comes before the first configuration waits for it, for 0.2 s at most, and for the roster that comes with it. TestStart fails before: 503 after 250 ms, now 200 within 100 ms.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,11 +39,12 @@
 	turn    atomic.Uint64 // for round robin and seeds
 	Latency LatencyRecorder
 	logs    *lineGate
+	began   time.Time
 }
 
 // New returns an entry over the board.
 func New(b *blackboard.Board, g endpoint.Engine, o Owners, rec *report.Recorder, log *zap.Logger) *Entry {
-	return &Entry{board: b, engine: g, traits: g.Traits(), owners: o, record: rec, log: log, budgets: newBudgets(b), logs: newLineGate()}
+	return &Entry{board: b, engine: g, traits: g.Traits(), owners: o, record: rec, log: log, budgets: newBudgets(b), logs: newLineGate(), began: time.Now()}
 }
 
 // SetRetryBudget has another budget hold from now on.
@@ -63,18 +64,58 @@
 // configuration.
 const notReadyFor = 250 * time.Millisecond
 
+// startWait is how long a request waits for the first configuration, which a
+// store in reach answers with in some 10 ms. It is below a quarter of any target
+// of a second, so that a refusal after it still leaves time to go elsewhere.
+const startWait = 200 * time.Millisecond
+
 // ready returns the revision in force, or the refusal of a host that can't
-// serve.
-func (e *Entry) ready() (*config.View, *result.Error) {
+// serve. A host that has just started waits for its first revision.
+func (e *Entry) ready(ctx context.Context) (*config.View, *result.Error) {
 	e.board.Pause.Check()
 	if e.board.Draining() {
 		return nil, result.Errorf(result.Draining, "this host is stopping").After(time.Second)
 	}
+	if v := e.view(); v != nil {
+		return v, nil
+	}
+	if v := e.awaitView(ctx); v != nil {
+		return v, nil
+	}
+	return nil, result.Errorf(result.NotReady, "no configuration yet").After(notReadyFor)
+}
+
+// view returns the revision in force, nil if there is none that can be served
+// from: until the first roster, which mostly comes with the first document, no
+// endpoint of a pool is known.
+func (e *Entry) view() *config.View {
 	v := e.board.Config.View()
-	if v == nil {
-		return nil, result.Errorf(result.NotReady, "no configuration yet").After(notReadyFor)
+	if v != nil && len(v.Pools) > 0 && v.Roster == 0 && time.Since(e.began) < rosterWait {
+		return nil
+	}
+	return v
+}
+
+// rosterWait is how long after its start a host takes a document without a
+// roster for one whose roster is on its way: a listing of the store that fails
+// once is repeated within it.
+const rosterWait = 2 * time.Second
+
+// awaitView waits for a revision to serve from, for startWait at most.
+func (e *Entry) awaitView(ctx context.Context) *config.View {
+	limited, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	for {
+		changed := e.board.Wake.Wait()
+		if v := e.view(); v != nil {
+			return v
+		}
+		select {
+		case <-changed:
+		case <-limited.Done():
+			return nil
+		}
 	}
-	return v, nil
 }
 
 // writeRefusal tells a caller of a refusal, in its protocol.
@@ -83,7 +124,7 @@
 // receive takes a call in: the revision that it falls under and its body. It
 // answers the call itself when it returns false.
 func (e *Entry) receive(w http.ResponseWriter, q *http.Request, write writeRefusal) (*config.View, []byte, bool) {
-	v, refusal := e.ready()
+	v, refusal := e.ready(q.Context())
 	if refusal != nil {
 		e.refuse(w, q, refusal, write)
 		return nil, nil, false
@@ -96,8 +137,8 @@
 	return v, src, true
 }
 
-func (e *Entry) models(w http.ResponseWriter, _ *http.Request) {
-	v, refusal := e.ready()
+func (e *Entry) models(w http.ResponseWriter, q *http.Request) {
+	v, refusal := e.ready(q.Context())
 	if refusal != nil {
 		writeError(w, refusal)
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -155,7 +155,7 @@
 			return err
 		}
 	}
-	n.Router.Seed(ctx, n.settings.Seeds)
+	n.goRun(func() error { n.Router.Seed(ctx, n.settings.Seeds); return nil })
 	if n.feed != nil {
 		n.goRun(func() error { n.feed.Follow(ctx, sink{n}); return nil })
 	} else {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -255,14 +255,16 @@
 	return false
 }
 
-// Seed exchanges with peers known by address only, until one answers. It is
-// for a host that starts while the platform is down.
+// Seed exchanges with all peers known by address only, at once: any of them may
+// be silent. It is for a host that starts.
 func (r *Router) Seed(ctx context.Context, addrs []string) {
+	var wg sync.WaitGroup
 	for _, a := range addrs {
 		if a != r.board.Settings.Peers {
-			r.exchangeWith(ctx, blackboard.Host{Peers: a, Region: r.board.Settings.Region})
+			wg.Go(func() { r.exchangeWith(ctx, blackboard.Host{Peers: a, Region: r.board.Settings.Region}) })
 		}
 	}
+	wg.Wait()
 }
 
 // Listed takes in the platform's list of hosts.
