owner: the wait that others are told of is for requests as they come

Cause: the wait for room in a digest was worked out for a request that asks for 4,000 tokens, a figure of the first site. Ruled out: the forecast of the rows themselves (it learned within seconds). Change: averages of the prompts, guesses and longest answers that were asked for lately stand for a usual request. TestUsual fails with one size for all: both waits are equal.

--- a/owner/growing.go
+++ b/owner/growing.go
@@ -133,7 +133,7 @@
 // start to its end, or refuses with the time after which it would.
 func (l *ledger) reserveGrowing(now time.Time, a ReserveArgs) (time.Time, *result.Error) {
 	step := l.step()
-	blend(&l.usual, float64(a.Tokens), learnUsual)
+	l.usual.learn(a)
 	l.guessed.see(a.Expected)
 	c := l.newcomer(a.Tokens, a.Expected, a.MaxAnswer, step)
 	wanted := now.Add(duration(a.InMillis))
@@ -164,7 +164,7 @@
 
 // waitGrowing returns how long a request of the usual size waits for room.
 func (l *ledger) waitGrowing(now time.Time) time.Duration {
-	c := l.newcomer(max(1, int(l.usual)), 0, usualAnswer, l.step())
+	c := l.newcomer(l.usual.size(), l.usual.guess(), l.usual.asks(), l.step())
 	last := int(waitMost / growStep)
 	line := l.timeline(now, last+len(c))
 	for i := range last {
@@ -174,6 +174,3 @@
 	}
 	return waitMost
 }
-
-// usualAnswer is what a request of the usual size is taken to ask for.
-const usualAnswer = 4000
--- a/owner/ledger.go
+++ b/owner/ledger.go
@@ -59,7 +59,7 @@
 
 	wants map[request.ID]want
 
-	usual   float64 // tokens of a usual request, an average
+	usual   usual
 	waitAt  time.Time
 	waitFor time.Duration
 }
@@ -272,7 +272,7 @@
 		return l.reserveGrowing(now, a)
 	}
 	tokens := a.Tokens + a.MaxAnswer
-	blend(&l.usual, float64(tokens), learnUsual)
+	l.usual.learn(a)
 	wanted := now.Add(duration(a.InMillis))
 	latest := wanted.Add(duration(a.Slack))
 	move := route.LinkTime(l.spec, a.Bytes)
@@ -376,9 +376,6 @@
 	l.margin = min(marginMost, max(marginLeast, l.margin+step))
 }
 
-// learnUsual is the weight of a request in the average size.
-const learnUsual = 0.1
-
 // waitStep and waitMost bound how finely and how far the wait of a usual
 // request is looked for; waitKept is how long the finding stands.
 const (
@@ -398,7 +395,7 @@
 		return l.waitFor
 	}
 	for d := time.Duration(0); d < waitMost; d += waitStep {
-		if l.fits(now, now.Add(d), int(l.usual)) {
+		if l.fits(now, now.Add(d), l.usual.size()+l.usual.asks()) {
 			l.waitFor = d
 			break
 		}
--- /dev/null
+++ b/owner/usual_test.go
@@ -0,0 +1,22 @@
+package owner
+
+import "testing"
+
+// TestUsual checks that the room which others are told of is that for requests
+// as they come: an engine that is nearly full has room sooner for short answers.
+func TestUsual(t *testing.T) {
+	wait := func(guess, asked int) int {
+		l := growingLedger(t)
+		for n := range 9 { // these fill it
+			l.add(ReserveArgs{Attempt: attempt(n), Tokens: 9_000, MaxAnswer: 4_000, Expected: 1_000 + 300*n}, at(0), at(0), at(60_000))
+		}
+		for range 30 {
+			l.usual.learn(ReserveArgs{Tokens: 9_000, MaxAnswer: asked, Expected: guess})
+		}
+		return int(l.waitGrowing(at(0)).Milliseconds())
+	}
+	short, long := wait(50, 100), wait(4_000, 4_000)
+	if short >= long {
+		t.Errorf("room for short answers after %d ms, for long ones after %d", short, long)
+	}
+}
