entry, owner: an answer that was broken off goes on where its prompt is kept

The decode runners still kept these prompts in their caches. Change: a request whose caller has the beginning of the answer, or whose stream broke off here, asks the owners of decode engines which of them keeps its prompt, and goes there, without a prefill engine, if it has room. Owners read the cache feed of an engine when they are asked, page by page. A part of a prompt is named by the last part of what the caller states; partly evicted parts count as told.

--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -49,6 +49,10 @@
 	// DecodeReads says that a decode endpoint reads a prompt by itself when
 	// it is given no exported result.
 	DecodeReads bool
+	// DecodeKeeps says that a decode endpoint keeps prompts that it has held
+	// as long as it has room, tells of them in its cache feed, and does not
+	// read them again.
+	DecodeKeeps bool
 }
 
 // Work is one request as an engine is given it.
--- a/endpoint/wire.go
+++ b/endpoint/wire.go
@@ -172,6 +172,9 @@
 // CacheEvents is a stretch of the event feed. A gap shows as First being
 // larger than the sequence number asked for.
 type CacheEvents struct {
+	// Epoch changes when the endpoint has restarted and forgotten all; 0 where
+	// the protocol doesn't tell.
+	Epoch  uint64       `json:"epoch,omitempty"`
 	First  uint64       `json:"first"`
 	Next   uint64       `json:"next"`
 	Events []CacheEvent `json:"events"`
--- a/entry/call.go
+++ b/entry/call.go
@@ -31,8 +31,10 @@
 type Prompt struct {
 	Model     string
 	Tokens    int
-	MaxAnswer int // tokens
-	Expected  int // tokens of the answer by the caller's guess; 0: none
+	MaxAnswer int    // tokens
+	Expected  int    // tokens of the answer by the caller's guess; 0: none
+	Head      uint32 // names the prompt in cache feeds
+	HasHead   bool
 }
 
 // defaultTeam is the team of calls whose protocol knows no teams.
@@ -138,6 +140,7 @@
 		j.tokens, j.expected = max(1, p.Tokens), p.Expected
 		j.work.Model, j.work.MaxTokens = p.Model, max(1, p.MaxAnswer)
 		j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = p.Model, j.tokens, j.work.MaxTokens
+		j.pick.Head, j.pick.HasHead = p.Head, p.HasHead
 	}
 	return j
 }
--- a/entry/place.go
+++ b/entry/place.go
@@ -26,6 +26,7 @@
 	cost     int             // tokens that were read
 	stalls   int             // transfers to this engine that stalled
 	waited   bool            // the decode engine was full when the prompt was read
+	kept     bool            // the decode engine keeps the prompt
 	lastDec  *config.Endpoint
 }
 
@@ -62,6 +63,9 @@
 // Without such memory the turn is given back and the request queues again,
 // as long as it can still be in time. Nothing has run when it refuses.
 func (e *Entry) place(ctx context.Context, j *job) (*plan, error) {
+	if p := e.placeKept(ctx, j); p != nil {
+		return p, nil
+	}
 	asked := j.pick.Exclude // endpoints that have no room now are left out of this try only
 	var last *result.Error
 	notBefore := time.Now()
--- a/entry/write.go
+++ b/entry/write.go
@@ -39,6 +39,9 @@
 			return e.failed(p.dec, err)
 		case endpoint.Unreachable(err), endpoint.Elsewhere(err):
 			e.moveOn(ctx, j, p, owner.Failed, true)
+		case !endpoint.MayHaveRun(err) && p.kept:
+			e.letGo(j, p, owner.Rejected)
+			return e.failed(p.dec, err)
 		case !endpoint.MayHaveRun(err):
 			full++
 			p.waited = true
--- a/owner/book.go
+++ b/owner/book.go
@@ -34,7 +34,9 @@
 	failed float64 // share of attempts that failed lately, as of failedAt
 	trust  float64 // how far the cache feed proved true
 	heads  map[uint32]uint32
-	feed   uint64 // next sequence number of the cache feed
+	feed   uint64    // next sequence number of the cache feed
+	epoch  uint64    // of the feed; another one knows nothing of this
+	fed    time.Time // when the feed was last read
 
 	failedAt time.Time
 	leaving  float64 // share of callers that left before their prompt was read
@@ -228,6 +230,14 @@
 // learnHeads takes in a stretch of the cache feed. A gap means that what is
 // known may be wrong, so it is trusted less until it proves true again.
 func (b *Book) learnHeads(e *endpoint.CacheEvents) {
+	if e.Epoch != b.epoch {
+		// The endpoint has restarted: what was asked for was asked of another.
+		asked := b.feed
+		b.heads, b.feed, b.epoch = map[uint32]uint32{}, 0, e.Epoch
+		if asked > 0 {
+			return
+		}
+	}
 	if e.First > b.feed && b.feed > 0 {
 		b.trust /= 2
 	}
--- a/owner/messages.go
+++ b/owner/messages.go
@@ -59,6 +59,15 @@
 	Digest route.Digest
 }
 
+// KeptArgs asks whether decode endpoints keep a prompt.
+type KeptArgs struct {
+	Endpoints []uint32
+	Head      uint32 // of the prompt
+}
+
+// KeptReply answers in the same order.
+type KeptReply struct{ Tokens []uint32 }
+
 // Release ends what an attempt holds at an owner and tells what was learned.
 type Release struct {
 	Attempt  request.Attempt
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -153,7 +153,7 @@
 	now := time.Now()
 	b.mu.Lock()
 	b.fit(o.board.Config.View(), o.share(o.board.Config.View()))
-	state, list, feed := !b.nextState.After(now), !b.nextList.After(now), b.queue != nil && !b.nextFeed.After(now)
+	state, list, feed := !b.nextState.After(now), !b.nextList.After(now), o.feeds(b) && !b.nextFeed.After(now)
 	next := func(t *time.Time, due bool, every time.Duration) {
 		if due {
 			*t = now.Add(every)
@@ -186,6 +186,10 @@
 	o.board.Endpoints.Learn(d, time.Now())
 }
 
+// feeds reports whether an endpoint's cache feed is followed all the time. What
+// decode endpoints keep is looked up when it is asked for.
+func (o *Owner) feeds(b *Book) bool { return b.queue != nil && !o.engine.Traits().DecodeKeeps }
+
 // fresh reports whether nothing is known yet of what the endpoint holds.
 func (b *Book) fresh() bool {
 	b.mu.Lock()
@@ -267,18 +271,32 @@
 	}
 }
 
+// feedPages bounds how many stretches of a cache feed are read at once. A feed
+// tells some hundred events a second of an engine under load, and a stretch has
+// some hundred.
+const feedPages = 12
+
+// pollFeed reads what an endpoint's cache feed tells since it was last read.
 func (o *Owner) pollFeed(ctx context.Context, b *Book) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	b.mu.Lock()
-	after := b.feed
-	b.mu.Unlock()
-	e, err := o.engine.CacheEvents(ctx, b.spec.Address, after)
-	o.Polls.Add(1)
-	if err != nil {
-		return
+	for range feedPages {
+		b.mu.Lock()
+		after, epoch := b.feed, b.epoch
+		b.mu.Unlock()
+		e, err := o.engine.CacheEvents(ctx, b.spec.Address, after)
+		o.Polls.Add(1)
+		if err != nil {
+			o.log.Debug("cache feed not read", zap.String("endpoint", b.spec.Name), zap.Error(err))
+			return
+		}
+		b.mu.Lock()
+		b.learnHeads(e)
+		b.fed = time.Now()
+		caughtUp := e.Next <= after && e.Epoch == epoch
+		b.mu.Unlock()
+		if caughtUp || e.Epoch == 0 {
+			return
+		}
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.learnHeads(e)
 }
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -20,6 +20,7 @@
 	methodKeyBegin = "P.KeyBegin"
 	methodKeyEnd   = "P.KeyEnd"
 	methodPing     = "P.Ping"
+	methodKept     = "P.Kept"
 )
 
 // Beat is a heartbeat of a host, handed on.
--- a/peer/server.go
+++ b/peer/server.go
@@ -86,6 +86,11 @@
 
 func (s *server) Handover(h *owner.Handover, _ *Nothing) error { return s.r.owner.Accept(s.ctx, *h) }
 
+func (s *server) Kept(a *owner.KeptArgs, reply *owner.KeptReply) error {
+	*reply = s.r.owner.Kept(s.ctx, *a)
+	return nil
+}
+
 func (s *server) KeyBegin(a *KeyArgs, reply *KeyReply) (err error) {
 	*reply, err = s.r.keyBegin(s.ctx, *a)
 	return err
