peer, publish: ask the own domain first who keeps a prompt; rest longer after a change

Ruled out: fewer hosts that find out soon (a lost answer would break the bound). Change: the own failure domain is asked first, the others only if nobody there keeps enough of the prompt. Hosts that aren't eager rest for seven tenths of the time within which a change has to be in force (new setting change_ms, which the platform fills in), one second where it isn't known. TestBusyStore has two more cases, TestResumed holds the former.

--- a/config/settings.go
+++ b/config/settings.go
@@ -43,9 +43,12 @@
 	RetryBudget RetryBudget `json:"retry_budget"`
 	// GraceSeconds is what a planned stop may take before the process is
 	// killed; 0: drain_s and lame_duck_ms hold as they stand.
-	GraceSeconds    float64 `json:"stop_grace_s"`
-	MemoryMegabytes int     `json:"memory_mb"`        // that the process may use; 0: DefaultMemoryMegabytes
-	Descriptors     int     `json:"file_descriptors"` // that the process may open; 0: unknown
+	GraceSeconds float64 `json:"stop_grace_s"`
+	// ChangeMillis is the time within which a published change has to be in
+	// force everywhere; 0: unknown.
+	ChangeMillis    int `json:"change_ms"`
+	MemoryMegabytes int `json:"memory_mb"`        // that the process may use; 0: DefaultMemoryMegabytes
+	Descriptors     int `json:"file_descriptors"` // that the process may open; 0: unknown
 }
 
 // What a process may speak to the outside.
@@ -162,6 +165,7 @@
 	c.within("retry_budget.window_s", s.RetryBudget.Seconds, 0, 3600)
 	c.within("retry_budget.extra", float64(s.RetryBudget.Extra), 0, 1e6)
 	c.within("stop_grace_s", s.GraceSeconds, 0, 86_400)
+	c.within("change_ms", float64(s.ChangeMillis), 0, 86_400_000)
 	c.within("memory_mb", float64(s.MemoryMegabytes), 16, 1<<20)
 	c.within("file_descriptors", float64(s.Descriptors), 0, 1<<24)
 	c.oneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,7 +22,7 @@
 	Reserve(ctx context.Context, spec *config.Endpoint, a owner.ReserveArgs) (owner.ReserveReply, error)
 	Enqueue(ctx context.Context, spec *config.Endpoint, a owner.EnqueueArgs) (owner.EnqueueReply, error)
 	Release(spec *config.Endpoint, rel owner.Release)
-	Kept(ctx context.Context, specs []*config.Endpoint, head uint32) (spec *config.Endpoint, tokens int)
+	Kept(ctx context.Context, specs []*config.Endpoint, head uint32, need int) (spec *config.Endpoint, tokens int)
 	KeyBegin(ctx context.Context, a peer.KeyArgs) (peer.KeyReply, error)
 	KeyEnd(ctx context.Context, a peer.KeyArgs)
 	Touched(number uint32, n int)
--- a/entry/kept.go
+++ b/entry/kept.go
@@ -28,8 +28,8 @@
 	if len(specs) == 0 {
 		return nil
 	}
-	spec, tokens := e.owners.Kept(ctx, specs, j.pick.Head)
-	if spec == nil || float64(tokens) < keptShare*float64(j.tokens) {
+	spec, tokens := e.owners.Kept(ctx, specs, j.pick.Head, int(keptShare*float64(j.tokens)))
+	if spec == nil {
 		return nil
 	}
 	p := &plan{Choice: route.Choice{Prefill: -1}, dec: spec, kept: true}
--- a/peer/kept.go
+++ b/peer/kept.go
@@ -17,15 +17,37 @@
 const mostKeptAsks = 64
 
 // Kept asks the owners of decode endpoints which of them keeps a prompt, and
-// returns the one that keeps most of it; nil: none does, as far as is known.
-func (r *Router) Kept(ctx context.Context, specs []*config.Endpoint, head uint32) (best *config.Endpoint, tokens int) {
-	type ask struct {
-		host  blackboard.Host
-		self  bool
-		specs []*config.Endpoint
-		args  owner.KeptArgs
+// returns the one that keeps most of it, and at least need tokens; nil: none
+// does, as far as is known. The own failure domain is asked first: callers come back to the one that they came
+// from, and its hosts mostly use its own endpoints.
+func (r *Router) Kept(ctx context.Context, specs []*config.Endpoint, head uint32, need int) (best *config.Endpoint, tokens int) {
+	var near, far []*config.Endpoint
+	for _, spec := range specs {
+		if spec.Domain == r.board.Settings.Domain {
+			near = append(near, spec)
+		} else {
+			far = append(far, spec)
+		}
+	}
+	for _, some := range [][]*config.Endpoint{near, far} {
+		if best, tokens = r.keptOf(ctx, some, head); best != nil && tokens >= need {
+			return best, tokens
+		}
 	}
-	asks := map[uint32]*ask{}
+	return nil, 0
+}
+
+// keptAsk is what one owner is asked.
+type keptAsk struct {
+	host  blackboard.Host
+	self  bool
+	specs []*config.Endpoint
+	args  owner.KeptArgs
+}
+
+// keptOf asks the owners of some endpoints at once.
+func (r *Router) keptOf(ctx context.Context, specs []*config.Endpoint, head uint32) (best *config.Endpoint, tokens int) {
+	asks := map[uint32]*keptAsk{}
 	for _, spec := range specs {
 		h, self, err := r.ownerOf(spec)
 		if err != nil {
@@ -36,7 +58,7 @@
 			if len(asks) == mostKeptAsks {
 				continue
 			}
-			a = &ask{host: h, self: self, args: owner.KeptArgs{Head: head}}
+			a = &keptAsk{host: h, self: self, args: owner.KeptArgs{Head: head}}
 			asks[h.Number] = a
 		}
 		a.specs = append(a.specs, spec)
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -70,8 +70,9 @@
 // when the store has forgotten. The zero values of its fields are set by
 // NewFollower.
 type Follower struct {
-	store Store
-	log   *zap.Logger
+	store  Store
+	log    *zap.Logger
+	gather time.Duration // after a change, of hosts that aren't eager
 
 	at     uint64
 	known  map[string]config.Endpoint
@@ -81,9 +82,14 @@
 	shaky  time.Time // until when the loss of a registration says nothing
 }
 
-// NewFollower returns a feed from a store.
-func NewFollower(s Store, log *zap.Logger) *Follower {
-	return &Follower{store: s, log: log, known: map[string]config.Endpoint{}}
+// NewFollower returns a feed from a store whose changes have to be in force
+// within a bound; 0: lazyGather.
+func NewFollower(s Store, bound time.Duration, log *zap.Logger) *Follower {
+	f := &Follower{store: s, log: log, gather: lazyGather, known: map[string]config.Endpoint{}}
+	if bound > 0 {
+		f.gather = time.Duration(lazyShare * float64(bound))
+	}
+	return f
 }
 
 // How a store is followed. A waiting watch counts as one call. It is short,
@@ -93,7 +99,8 @@
 	followWait  = 2 * time.Second
 	lazyWait    = 8 * time.Second        // of hosts that aren't eager
 	gatherFor   = 120 * time.Millisecond // after a change, as changes come in bursts
-	lazyGather  = time.Second            // the same of hosts that aren't eager
+	lazyGather  = time.Second            // the same of hosts that aren't eager, where no bound is known
+	lazyShare   = 0.7                    // of the bound in which a change has to be in force: the rest is for an answer that is lost
 	followSlack = 400 * time.Millisecond // longer than asked that a watch may take
 	listTimeout = 1500 * time.Millisecond
 	retryFirst  = 100 * time.Millisecond
@@ -197,7 +204,7 @@
 func (f *Follower) watch(ctx context.Context, sink Sink) error {
 	eager, wait, gather := sink.Eager(), followWait, gatherFor
 	if !eager {
-		wait, gather = lazyWait, lazyGather
+		wait, gather = lazyWait, f.gather
 		f.catchUp(sink)
 	}
 	limited, cancel := context.WithTimeout(ctx, wait+followSlack)
--- a/publish/follow_test.go
+++ b/publish/follow_test.go
@@ -135,7 +135,7 @@
 					sink.roster = &config.Roster{Endpoints: rows(tc.known, nil)}
 				}
 				ctx, cancel := context.WithCancel(context.Background())
-				go NewFollower(store, zap.NewNop()).Follow(ctx, sink)
+				go NewFollower(store, 0, zap.NewNop()).Follow(ctx, sink)
 				time.Sleep(3 * time.Minute)
 				cancel()
 				synctest.Wait()
@@ -188,19 +188,22 @@
 		name   string
 		lazy   bool
 		peers  bool // tell of every change at once
-		calls  int  // at most, in ten seconds
+		bound  time.Duration
+		calls  int // at most, in ten seconds
 		behind uint64
 	}{
-		{"one that finds out soon", false, false, 100, 2},
-		{"one that hears of it from others", true, true, 12, 0},
-		{"one whom nobody tells", true, false, 12, 12},
+		{"one that finds out soon", false, false, 0, 100, 2},
+		{"one that hears of it from others", true, true, 0, 12, 0},
+		{"one whom nobody tells", true, false, 0, 12, 12},
+		{"one whom nobody tells, with a bound of three seconds", true, false, 3 * time.Second, 6, 22},
+		{"one that finds out soon, whatever the bound", false, false, 3 * time.Second, 100, 2},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store, sink := &busyStore{began: time.Now()}, &stubSink{lazy: tc.lazy}
 				ctx, cancel := context.WithCancel(context.Background())
-				go NewFollower(store, zap.NewNop()).Follow(ctx, sink)
+				go NewFollower(store, tc.bound, zap.NewNop()).Follow(ctx, sink)
 				for range 100 {
 					time.Sleep(busyEvery)
 					synctest.Wait()
