entry: who is refused for lack of room comes back after the time of a usual answer

Change: each host learns how long answers of a pool take from their first piece to their last; a request refused for lack of room is told that time, spread from half of it to one and a half, or what the owner told if that is more.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,12 +40,13 @@
 	turn    atomic.Uint64 // for round robin and seeds
 	Latency LatencyRecorder
 	logs    *lineGate
+	back    *comeBack
 	began   time.Time
 }
 
 // New returns an entry over the board.
 func New(b *blackboard.Board, g endpoint.Engine, o Owners, rec *report.Recorder, log *zap.Logger) *Entry {
-	return &Entry{board: b, engine: g, traits: g.Traits(), owners: o, record: rec, log: log, budgets: newBudgets(b), logs: newLineGate(), began: time.Now()}
+	return &Entry{board: b, engine: g, traits: g.Traits(), owners: o, record: rec, log: log, budgets: newBudgets(b), logs: newLineGate(), back: newComeBack(), began: time.Now()}
 }
 
 // SetRetryBudget has another budget hold from now on.
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -86,6 +86,9 @@
 	if err != nil && pieces == 0 {
 		return
 	}
+	if err == nil {
+		e.back.learn(j.pool, took)
+	}
 	e.owners.Release(p.dec, owner.Release{Attempt: p.decodeBy, Endpoint: route.Number(p.dec.Name), Outcome: outcomeOf(ctx, err),
 		Waited: p.waited, Answer: pieces * p.dec.PieceTokens(), Max: j.work.MaxTokens, Expected: j.expected, Millis: ms(took)})
 }
