entry: a turn at a prefill engine that comes too soon is given back

Ruled out: the engine's pace (learned right: it was read 32,000 tokens a second). Change: a request that would wait for longer than 60 ms gives the turn back and takes one that ends when there is room; the room stays reserved. TestTurnLater fails before: no turn is given back.

--- a/entry/place.go
+++ b/entry/place.go
@@ -85,6 +85,9 @@
 		}
 		last = e.reserveAny(ctx, j, p)
 		j.pick.Exclude = asked
+		if last == nil {
+			last = e.turnLater(ctx, j, p)
+		}
 		if last == nil {
 			return p, nil
 		}
@@ -104,6 +107,25 @@
 	return nil, last
 }
 
+// turnLater gives the turn back if the decode engine has room only later, and
+// waits for another, so that the prefill engine's owner knows when it really
+// gets the prompt. The room stays reserved, unless there is no such turn.
+func (e *Entry) turnLater(ctx context.Context, j *job, p *plan) *result.Error {
+	if p.early() <= shortWait {
+		return nil
+	}
+	e.giveBack(p)
+	refusal := e.enqueue(ctx, j, p, p.start)
+	if refusal != nil {
+		e.letGo(j, p, owner.GivenUp)
+	}
+	return refusal
+}
+
+// shortWait is how long a prompt may be held back without its prefill engine's
+// owner being told: what the owner is ahead of the engine in any case.
+const shortWait = 60 * time.Millisecond
+
 // placeDirect places a request for which no prefill engine is in reach on a
 // decode engine that reads the prompt itself.
 func (e *Entry) placeDirect(ctx context.Context, j *job) (*plan, error) {
--- /dev/null
+++ b/entry/place_test.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/peer"
+	"github.com/embercove/embercove/report"
+	"github.com/embercove/embercove/result"
+)
+
+// stubOwners grants what it is told to and writes down what it was asked.
+type stubOwners struct {
+	roomIn int           // ms after which decode memory is free
+	turns  []result.Code // of the turns that are asked for; then all are granted
+	asked  []string
+}
+
+func (s *stubOwners) note(format string, args ...any) {
+	s.asked = append(s.asked, fmt.Sprintf(format, args...))
+}
+
+func (s *stubOwners) Reserve(context.Context, *config.Endpoint, owner.ReserveArgs) (owner.ReserveReply, error) {
+	s.note("reserve")
+	return owner.ReserveReply{Code: result.OK, InMillis: s.roomIn}, nil
+}
+
+func (s *stubOwners) Enqueue(_ context.Context, _ *config.Endpoint, a owner.EnqueueArgs) (owner.EnqueueReply, error) {
+	s.note("turn in %d", a.NotYet)
+	code := result.OK
+	if len(s.turns) > 0 {
+		code, s.turns = s.turns[0], s.turns[1:]
+	}
+	time.Sleep(time.Duration(a.NotYet) * time.Millisecond)
+	return owner.EnqueueReply{Code: code, Retry: 5000}, nil
+}
+
+func (s *stubOwners) Release(spec *config.Endpoint, r owner.Release) {
+	s.note("%s given back", spec.Role)
+}
+
+func (s *stubOwners) Kept(context.Context, []*config.Endpoint, uint32, int) (*config.Endpoint, int) {
+	return nil, 0
+}
+
+func (s *stubOwners) KeyBegin(context.Context, peer.KeyArgs) (peer.KeyReply, error) {
+	return peer.KeyReply{}, nil
+}
+
+func (s *stubOwners) KeyEnd(context.Context, peer.KeyArgs) {}
+
+func (s *stubOwners) Touched(uint32, int) {}
+
+// TestTurnLater checks that a request which has its turn at a prefill engine long
+// before there is room for its answer gives the turn back and takes a later one,
+// so that the engine's owner knows when the prompt comes.
+func TestTurnLater(t *testing.T) {
+	cases := []struct {
+		name   string
+		roomIn int
+		turns  []result.Code
+		want   string
+		placed bool
+	}{
+		{"room at once", 0, nil, "turn in 0, reserve", true},
+		{"room soon", 300, nil, "turn in 0, reserve", true},
+		{"room later", 900, nil, "turn in 0, reserve, prefill given back, turn in 900", true},
+		{"no turn later", 900, []result.Code{result.OK, result.TooLate},
+			"turn in 0, reserve, prefill given back, turn in 900, decode given back, prefill given back", false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &config.Settings{Host: "h", Domain: "a", Region: "r"}
+				s.SetDefaults()
+				b := blackboard.New(s)
+				if _, err := b.Config.Offer(1, []byte(likelyDocument)); err != nil {
+					t.Fatal(err)
+				}
+				roster := &config.Roster{Revision: 1}
+				for i, role := range []config.Role{config.Prefill, config.Decode} {
+					roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: string(role), Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: "a",
+						Pool: "p", Role: role, Model: "m", Version: "1"})
+				}
+				if _, err := b.Config.OfferRoster(roster, time.Now()); err != nil {
+					t.Fatal(err)
+				}
+				v := b.Config.View()
+				b.Endpoints.Fit(v)
+				stub := &stubOwners{roomIn: tc.roomIn, turns: tc.turns}
+				e := New(b, endpoint.NewClient(nil), stub, report.NewRecorder(), zap.NewNop())
+				j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: defaultTeam, repeatable: true})
+				j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
+				j.out = &passage{}
+				j.work.MaxTokens = 100
+				j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
+				_, err := e.place(context.Background(), j)
+				if placed := err == nil; placed != tc.placed {
+					t.Errorf("placed %v (%v), want %v", placed, err, tc.placed)
+				}
+				if got := strings.Join(stub.asked, ", "); got != tc.want {
+					t.Errorf("asked %q, want %q", got, tc.want)
+				}
+			})
+		})
+	}
+}
