--- a/entry/likely_test.go
+++ b/entry/likely_test.go
@@ -39,6 +39,8 @@
 		{"a plain call", false, 0, 0, 100, 0, 2 * time.Second, false},
 		{"short at an engine that writes slowly", true, 700, 1_530, 700, 0, 6 * time.Second, true},
 		{"short, and leaving for long", true, 500, 1_530, 700, 4 * time.Second, 3 * time.Second, true},
+		{"guessed very short, and leaving for long", true, 100, 1_530, 700, 4 * time.Second, 3 * time.Second, true},
+		{"the same, and leaving just now", true, 100, 1_530, 700, 0, 3 * time.Second, false},
 		{"short in any case, and leaving for long", true, 200, 300, 700, 4 * time.Second, 4 * time.Second, false},
 	}
 	for _, tc := range cases {
