--- a/owner/forecast.go
+++ b/owner/forecast.go
@@ -6,7 +6,6 @@
 
 // Weights of a new observation in the learned averages.
 const (
-	learnSlow      = 0.1
 	learnFailure   = 0.2
 	learnRejection = 0.1 // a vouched refusal may be the ledger's own mistake
 	learnTrust     = 0.1
