peer, node, platform: logs and metrics of how a revision travels

A host that is behind could not be told from one that hears nothing, fetches in vain, or is short of processor time: failed fetches left no line, and no metric said which bytes came from the store and which from peers.

New: lines 'later revision heard of' (from whom) and 'fetch failed' (how long it took, what was asked for), 'revision in force' with its size and how long the host had known of a later one; gauge config_behind_seconds; counters fetches_done, fetches_failed, fetched_documents, store_bytes_in. No decision changes.

--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -25,6 +25,8 @@
 	cause    string
 	since    time.Time // when the revision in force was accepted
 	heard    time.Time // when the platform last answered
+	newest   uint64    // highest revision that another host told of
+	newestAt time.Time // since when
 }
 
 func newConfigTable(inv *invariant.Set) *ConfigTable { return &ConfigTable{inv: inv} }
@@ -180,6 +182,32 @@
 	t.heard = now
 }
 
+// HeardOf notes that another host has a revision in force. It reports whether
+// that is news of one that this host lacks.
+func (t *ConfigTable) HeardOf(revision uint64, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if revision <= t.newest || revision <= t.Revision() {
+		return false
+	}
+	if t.newest <= t.Revision() {
+		t.newestAt = now // else it has been behind since an earlier one
+	}
+	t.newest = revision
+	return true
+}
+
+// Behind returns how long this host has known of a revision that it lacks; 0:
+// of none.
+func (t *ConfigTable) Behind(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.newest <= t.Revision() {
+		return 0
+	}
+	return now.Sub(t.newestAt)
+}
+
 // HeardWithin reports whether the platform answered within d.
 func (t *ConfigTable) HeardWithin(now time.Time, d time.Duration) bool {
 	t.mu.Lock()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -20,6 +20,12 @@
 	Calls   atomic.Uint64
 }
 
+// Fetches counts calls that fetch what is newer elsewhere. The zero value works.
+type Fetches struct {
+	Done, Failed atomic.Uint64
+	Documents    atomic.Uint64 // documents that came, the same one several times included
+}
+
 // OnWire returns the bytes sent and received with the overhead of packets and
 // of their acknowledgements.
 func (t *Traffic) OnWire() uint64 {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -53,6 +53,13 @@
 		{"keys_remembered", "idempotency keys remembered", false, func() float64 { return float64(n.Board.Keys.Len()) }},
 		{"control_bytes_in", "bytes received from peers", true, func() float64 { return float64(n.Router.Traffic.In.Load()) }},
 		{"control_bytes_out", "bytes sent to peers", true, func() float64 { return float64(n.Router.Traffic.Out.Load()) }},
+		{"config_behind_seconds", "since another host was first known to have a later revision in force; 0: none is known", false, func() float64 {
+			return n.Board.Config.Behind(time.Now()).Seconds()
+		}},
+		{"fetches_done", "fetches from peers that were answered", true, func() float64 { return float64(n.Router.Fetches.Done.Load()) }},
+		{"fetches_failed", "fetches from peers that were not answered in time", true, func() float64 { return float64(n.Router.Fetches.Failed.Load()) }},
+		{"fetched_documents", "documents that peers sent, repeated ones included", true, func() float64 { return float64(n.Router.Fetches.Documents.Load()) }},
+		{"store_bytes_in", "bytes received from the platform's store", true, func() float64 { return float64(n.store.In.Load()) }},
 		{"control_calls", "calls made to peers", true, func() float64 { return float64(n.Router.Traffic.Calls.Load()) }},
 		{"endpoint_control_bytes", "bytes sent to and received from endpoints for control", true, func() float64 {
 			return float64(n.Client.Control.In.Load() + n.Client.Control.Out.Load())
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/entry"
 	"github.com/embercove/embercove/invariant"
+	"github.com/embercove/embercove/meter"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/peer"
 	"github.com/embercove/embercove/publish"
@@ -38,6 +39,7 @@
 	engine   endpoint.Engine
 	feed     publish.Feed
 	front    func(e *entry.Entry) http.Handler
+	store    *meter.Traffic  // with the store that the feed reads
 	platform *publish.Client // nil where a feed was given
 	entry    *entry.Entry
 	metrics  *metrics
@@ -78,12 +80,13 @@
 type Protocol struct {
 	Engine endpoint.Engine
 	Feed   publish.Feed
+	Store  *meter.Traffic                    // with the platform's store
 	Front  func(e *entry.Entry) http.Handler // the callers' interface
 }
 
 // WithProtocol has the node speak p.
 func WithProtocol(p Protocol) Option {
-	return func(n *Node) { n.engine, n.feed, n.front = p.Engine, p.Feed, p.Front }
+	return func(n *Node) { n.engine, n.feed, n.front, n.store = p.Engine, p.Feed, p.Front, p.Store }
 }
 
 // WithFatal has broken invariants call f, for tests.
@@ -93,7 +96,7 @@
 
 // New returns a node that isn't running yet.
 func New(s *config.Settings, opts ...Option) (*Node, error) {
-	n := &Node{settings: s, Board: blackboard.New(s), Record: report.NewRecorder(), log: zap.NewNop(), failed: make(chan error, 4),
+	n := &Node{settings: s, Board: blackboard.New(s), Record: report.NewRecorder(), log: zap.NewNop(), store: new(meter.Traffic), failed: make(chan error, 4),
 		listen: func(a string) (net.Listener, error) { return net.Listen("tcp", a) }}
 	for _, o := range opts {
 		o(n)
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -185,6 +185,9 @@
 	for _, d := range ds {
 		r.board.Endpoints.Learn(d, now)
 	}
+	if r.board.Config.HeardOf(e.Revision, now) {
+		r.log.Info("later revision heard of", zap.Uint64("revision", e.Revision), zap.Uint64("in_force", r.board.Config.Revision()), zap.String("from", e.From.Name))
+	}
 	if e.Revision > r.board.Config.Revision() {
 		go r.fetch(e.From)
 	} else if e.Roster > r.board.Config.RosterRevision() {
--- a/peer/news.go
+++ b/peer/news.go
@@ -21,10 +21,16 @@
 	defer cancel()
 	var reply FetchReply
 	args := FetchArgs{After: r.board.Config.Revision(), Roster: r.board.Config.RosterRevision()}
+	began := time.Now()
 	if err := r.pool.call(ctx, from.Peers, methodFetch, &args, &reply, 4*r.timeout()); err != nil {
+		r.Fetches.Failed.Add(1)
+		r.log.Warn("fetch failed", zap.String("from", from.Name), zap.Uint64("after", args.After), zap.Uint64("roster", args.Roster),
+			zap.Duration("took", time.Since(began)), zap.Duration("behind", r.board.Config.Behind(time.Now())), zap.Error(err))
 		return
 	}
+	r.Fetches.Done.Add(1)
 	if reply.Revision != 0 {
+		r.Fetches.Documents.Add(1)
 		r.Offer(reply.Revision, reply.Source, "peer "+from.Name)
 	}
 	if reply.Change != nil {
@@ -76,6 +82,7 @@
 
 // Offer offers a revision to the board and lays the tables out for it.
 func (r *Router) Offer(revision uint64, src []byte, from string) {
+	behind := r.board.Config.Behind(time.Now())
 	in, err := r.board.Config.Offer(revision, src)
 	if err != nil {
 		r.log.Warn("revision not accepted", zap.Uint64("revision", revision), zap.String("from", from), zap.Error(err))
@@ -90,7 +97,7 @@
 		r.Accepted(v)
 	}
 	r.board.Wake.All()
-	r.log.Info("revision in force", zap.Uint64("revision", revision), zap.String("from", from))
+	r.log.Info("revision in force", zap.Uint64("revision", revision), zap.String("from", from), zap.Int("bytes", len(src)), zap.Duration("behind", behind))
 	r.tellAround()
 }
 
--- a/peer/router.go
+++ b/peer/router.go
@@ -22,6 +22,7 @@
 // or a peer.
 type Router struct {
 	Traffic meter.Traffic // with other hosts
+	Fetches meter.Fetches // of what other hosts have and this one lacks
 	// Accepted is called with each revision that comes into force; it is
 	// set before the router is used, and may be nil.
 	Accepted func(v *config.View)
