platform, fake: a large document is not in force in time over narrow links

Twelve hosts, ten of them with 10 Mbit/s, before a store; an operator adds 1,400 routes and changes a limit right after, three times, while runners come. The network in memory gets links with a rate.

--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -19,12 +19,13 @@
 	zone      map[string]string // by address
 	cuts      map[[2]string]bool
 	healed    chan struct{}
+	links     map[string]*link // by host, those that have a rate
 	Delay     func(fromZone, toZone string) time.Duration
 }
 
 // NewNetwork returns a network without cuts or delays.
 func NewNetwork() *Network {
-	return &Network{listeners: map[string]*listener{}, zone: map[string]string{}, cuts: map[[2]string]bool{}, healed: make(chan struct{})}
+	return &Network{listeners: map[string]*listener{}, zone: map[string]string{}, cuts: map[[2]string]bool{}, links: map[string]*link{}, healed: make(chan struct{})}
 }
 
 type listener struct {
@@ -100,6 +101,12 @@
 
 // Dialer returns a dial function for a process in the zone.
 func (n *Network) Dialer(zone string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return n.DialerOf(zone, "")
+}
+
+// DialerOf returns a dial function for a process on a host in the zone. What it
+// sends and gets passes the host's link.
+func (n *Network) DialerOf(zone, host string) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		n.mu.Lock()
 		l, to := n.listeners[address], n.zone[address]
@@ -123,7 +130,10 @@
 			return nil, errors.Errorf("dial %s: refused", address)
 		}
 		a, b := net.Pipe()
+		here, there := n.linkOf(host), n.linkOf(hostOf(address))
 		near, far := newConn(a, n, zone, to), newConn(b, n, to, zone)
+		near.start(here, there)
+		far.start(there, here)
 		select {
 		case l.accept <- far:
 			return near, nil
@@ -149,6 +159,8 @@
 	closed   chan struct{} // by this end
 	dead     chan struct{} // the other end is gone
 	once     sync.Once
+
+	fromLink, toLink *link
 }
 
 // buffered is how many writes wait before a writer has to.
@@ -158,9 +170,13 @@
 const drainLimit = 100 * time.Millisecond
 
 func newConn(c net.Conn, n *Network, from, to string) *conn {
-	k := &conn{Conn: c, n: n, from: from, to: to, out: make(chan []byte, buffered), closed: make(chan struct{}), dead: make(chan struct{})}
-	go k.deliver()
-	return k
+	return &conn{Conn: c, n: n, from: from, to: to, out: make(chan []byte, buffered), closed: make(chan struct{}), dead: make(chan struct{})}
+}
+
+// start begins to deliver what is written, over the links of both ends.
+func (c *conn) start(from, to *link) {
+	c.fromLink, c.toLink = from, to
+	go c.deliver()
 }
 
 func (c *conn) Write(p []byte) (int, error) {
@@ -208,9 +224,15 @@
 	if c.n.Delay != nil {
 		time.Sleep(c.n.Delay(c.from, c.to))
 	}
-	if _, err := c.Conn.Write(p); err != nil {
-		close(c.dead)
-		return false
+	for len(p) > 0 {
+		piece := p[:min(len(p), linkPiece)]
+		c.fromLink.pass(len(piece), sending)
+		c.toLink.pass(len(piece), getting)
+		if _, err := c.Conn.Write(piece); err != nil {
+			close(c.dead)
+			return false
+		}
+		p = p[len(piece):]
 	}
 	return true
 }
