peer, blackboard: fetch one at a time, packed, and give up for silence only

Cause: a host that is behind fetched from every host that told of a later revision, several at once, each time the whole document, and gave each fetch up after 0.6 s, while its answer still came and took the link. The roster is part of the answer, so leaving endpoints were known late as well (DRAIN).

Ruled out by the record and by TestLargeDocuments: lost news (each host has ten calls with peers a second), processor time (1 to 2 in a hundred), rejected documents (none), views held (the gauge itself is behind).

Change: one fetch at a time, who told meanwhile is asked next; over a connection of its own, so that it holds no other call up; a fetch is given up when no byte comes for two time-outs. A document whose sum is wrong is not taken, nor the roster with it. The method has a new name, since hosts of the last version can't read the reply.

--- a/blackboard/config_test.go
+++ b/blackboard/config_test.go
@@ -138,3 +138,33 @@
 	slices.Sort(out)
 	return strings.Join(out, " ")
 }
+
+// TestBehind follows how long a host has known of a revision that it lacks.
+func TestBehind(t *testing.T) {
+	table := newConfigTable(new(invariant.Set))
+	start := time.Now()
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	steps := []struct {
+		name  string
+		do    func() bool
+		news  bool
+		after int // seconds since the start
+		want  time.Duration
+	}{
+		{"another has the first", func() bool { return table.HeardOf(3, at(0)) }, true, 2, 2 * time.Second},
+		{"told again", func() bool { return table.HeardOf(3, at(3)) }, false, 4, 4 * time.Second},
+		{"a later one", func() bool { return table.HeardOf(5, at(5)) }, true, 6, 6 * time.Second},
+		{"an earlier one", func() bool { return table.HeardOf(4, at(6)) }, false, 7, 7 * time.Second},
+		{"the later one comes", func() bool { _, err := table.Offer(5, []byte(rosterDocument)); return err != nil }, false, 8, 0},
+		{"told of what is in force", func() bool { return table.HeardOf(5, at(9)) }, false, 10, 0},
+		{"and of the next", func() bool { return table.HeardOf(6, at(11)) }, true, 12, time.Second},
+	}
+	for _, s := range steps {
+		if news := s.do(); news != s.news {
+			t.Errorf("%s: news %v, want %v", s.name, news, s.news)
+		}
+		if got := table.Behind(at(s.after)); got != s.want {
+			t.Errorf("%s: behind for %s, want %s", s.name, got, s.want)
+		}
+	}
+}
--- /dev/null
+++ b/peer/document.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/klauspost/compress/zstd"
+	"github.com/pkg/errors"
+
+	"github.com/embercove/embercove/blackboard"
+)
+
+// PackedDocument is a document on its way to another host. A change of one limit
+// in a thousand routes takes some hundred bytes if the asker has the document
+// before it.
+type PackedDocument struct {
+	Revision uint64 // 0: there is none
+	Base     uint64 // revision that it is packed against; 0: none
+	Sum      uint64 // xxhash of the document
+	Packed   []byte // zstd, with the document of Base as its dictionary
+}
+
+// Bounds of packing.
+const (
+	packWindow  = 4 << 20  // bytes: a document and the one before it, at the platform's largest value each, with room for names that are longer here
+	mostUnpack  = 16 << 20 // bytes of a document: far above what the platform holds
+	mostPacked  = 8        // packed forms kept: the hosts of a fleet are at a few revisions
+	packDictID  = 1        // any number that both sides use
+	packWorkers = 1        // goroutines of an encoder or decoder: a host has one core
+)
+
+// packer packs documents and keeps the packed forms of the newest, since many
+// hosts ask for the same. The zero value works.
+type packer struct {
+	mu       sync.Mutex
+	revision uint64
+	forms    map[uint64][]byte // by base
+}
+
+// pack packs a document against the one that the asker has; nil: none.
+func (p *packer) pack(revision uint64, src, base []byte, baseRevision uint64) (PackedDocument, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if base == nil {
+		baseRevision = 0
+	}
+	if revision > p.revision || len(p.forms) >= mostPacked {
+		p.revision, p.forms = revision, map[uint64][]byte{}
+	}
+	out := PackedDocument{Revision: revision, Base: baseRevision, Sum: xxhash.Sum64(src), Packed: p.forms[baseRevision]}
+	if out.Packed != nil && revision == p.revision {
+		return out, nil
+	}
+	options := []zstd.EOption{zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(packWorkers), zstd.WithWindowSize(packWindow), zstd.WithLowerEncoderMem(true)}
+	if base != nil {
+		options = append(options, zstd.WithEncoderDictRaw(packDictID, base))
+	}
+	enc, err := zstd.NewWriter(nil, options...)
+	if err != nil {
+		return PackedDocument{}, errors.Wrapf(err, "pack revision %d", revision)
+	}
+	defer enc.Close()
+	out.Packed = enc.EncodeAll(src, nil)
+	if revision == p.revision {
+		p.forms[baseRevision] = out.Packed
+	}
+	return out, nil
+}
+
+// unpackDocument returns the document that another host packed.
+func unpackDocument(d *PackedDocument, table *blackboard.ConfigTable) ([]byte, error) {
+	options := []zstd.DOption{zstd.WithDecoderConcurrency(packWorkers), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(mostUnpack)}
+	if d.Base != 0 {
+		base := table.SourceOf(d.Base)
+		if base == nil {
+			return nil, errors.Errorf("packed against revision %d, which is not held any more", d.Base)
+		}
+		options = append(options, zstd.WithDecoderDictRaw(packDictID, base))
+	}
+	dec, err := zstd.NewReader(nil, options...)
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack")
+	}
+	defer dec.Close()
+	src, err := dec.DecodeAll(d.Packed, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack")
+	}
+	if sum := xxhash.Sum64(src); sum != d.Sum {
+		return nil, errors.Errorf("unpack: sum %x, should be %x", sum, d.Sum)
+	}
+	return src, nil
+}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -188,11 +188,7 @@
 	if r.board.Config.HeardOf(e.Revision, now) {
 		r.log.Info("later revision heard of", zap.Uint64("revision", e.Revision), zap.Uint64("in_force", r.board.Config.Revision()), zap.String("from", e.From.Name))
 	}
-	if e.Revision > r.board.Config.Revision() {
-		go r.fetch(e.From)
-	} else if e.Roster > r.board.Config.RosterRevision() {
-		go r.fetch(e.From)
-	}
+	r.catchUp(ahead{from: e.From, revision: e.Revision, roster: e.Roster})
 	if changed {
 		r.board.Wake.All()
 	}
--- /dev/null
+++ b/peer/fetch.go
@@ -0,0 +1,142 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Exchanges only tell of revisions; who lacks one fetches it. A document may be
+// large and a link narrow, and many hosts tell of the same one. So a host makes
+// one fetch at a time, over a connection of its own that keeps no other call
+// waiting, and gives it up for silence, not for the time that it takes: a fetch
+// that is begun anew has to send everything again.
+
+// ahead is a host that told of something newer.
+type ahead struct {
+	from             Name
+	revision, roster uint64
+}
+
+// fetcher makes sure that one fetch runs at a time. The zero value works.
+type fetcher struct {
+	mu   sync.Mutex
+	busy bool
+	next *ahead // who told of more during the fetch; nil: nobody
+}
+
+// begin reports whether the caller has to fetch. Otherwise a fetch is running,
+// and who told is asked after it if that is still of use.
+func (f *fetcher) begin(a ahead) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.busy {
+		f.busy = true
+		return true
+	}
+	if n := f.next; n == nil || a.revision >= n.revision && a.roster >= n.roster {
+		f.next = &a
+	}
+	return false
+}
+
+// end returns who is to be asked next, if anybody.
+func (f *fetcher) end() (ahead, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.next == nil {
+		f.busy = false
+		return ahead{}, false
+	}
+	a := *f.next
+	f.next = nil
+	return a, true
+}
+
+// lacks reports whether this host lacks what another has.
+func (r *Router) lacks(a ahead) bool {
+	return a.revision > r.board.Config.Revision() || a.roster > r.board.Config.RosterRevision()
+}
+
+// catchUp fetches from a host that is ahead, unless a fetch is running.
+func (r *Router) catchUp(a ahead) {
+	if !r.lacks(a) || !r.fetcher.begin(a) {
+		return
+	}
+	go func() {
+		for more := true; more; a, more = r.fetcher.end() {
+			if r.lacks(a) {
+				r.fetch(a.from)
+			}
+		}
+	}()
+}
+
+// Bounds of a fetch.
+const (
+	fetchSilence = 2               // calls' time-outs without a byte: a lost packet is sent again after some 200 ms
+	fetchMost    = 5 * time.Second // in all: a megabyte takes 0.8 s over 10 Mbit/s
+)
+
+// fetch gets what is newer from a peer and judges it like what comes from the
+// platform.
+func (r *Router) fetch(from Name) {
+	reply, err := r.askFor(from)
+	if err != nil {
+		r.Fetches.Failed.Add(1)
+		r.log.Warn("fetch failed", zap.String("from", from.Name), zap.Duration("behind", r.board.Config.Behind(time.Now())), zap.Error(err))
+		return
+	}
+	r.Fetches.Done.Add(1)
+	if reply.Document.Revision != 0 {
+		r.Fetches.Documents.Add(1)
+		src, err := unpackDocument(&reply.Document, r.board.Config)
+		if err != nil {
+			// The roster isn't taken either: whoever has it is taken to know
+			// each document that was published before it.
+			r.log.Warn("fetched document is broken", zap.String("from", from.Name), zap.Uint64("revision", reply.Document.Revision), zap.Error(err))
+			return
+		}
+		r.Offer(reply.Document.Revision, src, "peer "+from.Name)
+	}
+	if reply.Change != nil {
+		reply.Roster = r.board.Config.After(reply.Change)
+	}
+	if reply.Roster != nil {
+		r.OfferRoster(reply.Roster, "peer "+from.Name)
+	}
+}
+
+// askFor makes the call of a fetch.
+func (r *Router) askFor(from Name) (*FetchReply, error) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	go func() {
+		silence := fetchSilence * r.timeout()
+		for sleep(ctx, silence) {
+			if !r.bulk.readWithin(from.Peers, silence) {
+				cancel(ErrOutOfReach)
+			}
+		}
+	}()
+	after, sum := r.board.Config.Held()
+	args := FetchArgs{After: after, Sum: sum, Roster: r.board.Config.RosterRevision()}
+	reply := new(FetchReply)
+	err := r.bulk.call(ctx, from.Peers, methodFetch, &args, reply, fetchMost)
+	if err != nil && context.Cause(ctx) != nil {
+		err = context.Cause(ctx)
+	}
+	return reply, err
+}
+
+// answerFetch returns what a host lacks. The roster is read first: who takes it
+// over must get every document that was published before it.
+func (r *Router) answerFetch(a *FetchArgs) (reply FetchReply, err error) {
+	reply.Roster, reply.Change = r.board.Config.RosterSince(a.Roster)
+	if v := r.board.Config.View(); v != nil && v.Revision > a.After {
+		reply.Document, err = r.packer.pack(v.Revision, v.Source, r.board.Config.Source(a.After, a.Sum), a.After)
+	}
+	return reply, err
+}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -13,7 +13,7 @@
 	methodEnqueue  = "P.Enqueue"
 	methodRelease  = "P.Release"
 	methodExchange = "P.Exchange"
-	methodFetch    = "P.Fetch"
+	methodFetch    = "P.FetchPacked"
 	methodClaims   = "P.Claims"
 	methodHandover = "P.Handover"
 	methodInherit  = "P.Inherit"
@@ -55,14 +55,17 @@
 type ExchangeReply ExchangeArgs
 
 // FetchArgs asks for what is newer than the asker's.
-type FetchArgs struct{ After, Roster uint64 }
+type FetchArgs struct {
+	After  uint64 // revision that the asker has; 0: none
+	Sum    uint64 // xxhash of its document
+	Roster uint64 // revision of its roster
+}
 
-// FetchReply carries a revision as it was published, 0: nothing newer; and a
-// roster, nil: none newer.
+// FetchReply carries a document, revision 0: nothing newer; and a roster, nil:
+// none newer.
 type FetchReply struct {
-	Revision uint64
-	Source   []byte
-	Roster   *config.Roster       // nil: as After says, or Change tells it
+	Document PackedDocument
+	Roster   *config.Roster       // nil: as FetchArgs.Roster says, or Change tells it
 	Change   *config.RosterChange // since the asker's roster
 }
 
--- a/peer/news.go
+++ b/peer/news.go
@@ -14,33 +14,6 @@
 // the endpoints that registered themselves, a host that is gone. It is told around
 // at once, besides the exchanges.
 
-// fetch gets what is newer from a peer, as it was published, and judges
-// it like one from the platform.
-func (r *Router) fetch(from Name) {
-	ctx, cancel := context.WithTimeout(context.Background(), 4*r.timeout())
-	defer cancel()
-	var reply FetchReply
-	args := FetchArgs{After: r.board.Config.Revision(), Roster: r.board.Config.RosterRevision()}
-	began := time.Now()
-	if err := r.pool.call(ctx, from.Peers, methodFetch, &args, &reply, 4*r.timeout()); err != nil {
-		r.Fetches.Failed.Add(1)
-		r.log.Warn("fetch failed", zap.String("from", from.Name), zap.Uint64("after", args.After), zap.Uint64("roster", args.Roster),
-			zap.Duration("took", time.Since(began)), zap.Duration("behind", r.board.Config.Behind(time.Now())), zap.Error(err))
-		return
-	}
-	r.Fetches.Done.Add(1)
-	if reply.Revision != 0 {
-		r.Fetches.Documents.Add(1)
-		r.Offer(reply.Revision, reply.Source, "peer "+from.Name)
-	}
-	if reply.Change != nil {
-		reply.Roster = r.board.Config.After(reply.Change)
-	}
-	if reply.Roster != nil {
-		r.OfferRoster(reply.Roster, "peer "+from.Name)
-	}
-}
-
 // OfferRoster offers the endpoints that registered themselves to the board and
 // lays the tables out for them. What changed is told around, because another
 // host's own watch may be cut off or deaf.
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +23,21 @@
 
 func counted(c net.Conn, t *meter.Traffic) countedConn { return countedConn{meter.Conn{Conn: c, T: t}} }
 
+// notedConn notes when it was last read from.
+type notedConn struct {
+	countedConn
+	read *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *notedConn) Read(p []byte) (int, error) {
+	n, err := c.countedConn.Read(p)
+	if n > 0 {
+		c.read.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
 // writeLimit bounds a write. net/rpc writes under a lock, so one write that
 // hung would hold up every call on the connection.
 const writeLimit = 2 * time.Second
@@ -47,8 +63,9 @@
 
 // contact is what was seen of one peer.
 type contact struct {
-	heard  time.Time // when it last answered
-	missed int       // calls since then that it didn't answer in time
+	heard  time.Time    // when it last answered
+	missed int          // calls since then that it didn't answer in time
+	read   atomic.Int64 // when a byte last came from it, in nanoseconds since 1970
 }
 
 // deadAfter is how many calls in a row a peer must leave unanswered until its
@@ -77,7 +94,8 @@
 func (p *pool) hears(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	*p.of(addr) = contact{heard: time.Now()}
+	c := p.of(addr)
+	c.heard, c.missed = time.Now(), 0
 }
 
 // misses notes that a peer has left a call unanswered, and reports whether its
@@ -105,6 +123,15 @@
 	return known && time.Since(c.heard) < d
 }
 
+// readWithin reports whether a byte has come from a peer within d. A large
+// answer on its way counts, as answers that are there do not.
+func (p *pool) readWithin(addr string, d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, known := p.peers[addr]
+	return known && time.Since(time.Unix(0, c.read.Load())) < d
+}
+
 func (p *pool) get(ctx context.Context, addr string) (*rpc.Client, error) {
 	p.mu.Lock()
 	c := p.conns[addr]
@@ -116,9 +143,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peer")
 	}
-	c = rpc.NewClient(counted(conn, p.traffic))
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	c = rpc.NewClient(&notedConn{countedConn: counted(conn, p.traffic), read: &p.of(addr).read})
 	if old := p.conns[addr]; old != nil || p.shut {
 		c.Close()
 		if old == nil {
--- a/peer/router.go
+++ b/peer/router.go
@@ -30,8 +30,12 @@
 	board *blackboard.Board
 	owner *owner.Owner
 	pool  *pool
+	bulk  *pool // of fetches, whose answers may be large
 	log   *zap.Logger
 
+	fetcher fetcher
+	packer  packer
+
 	mu       sync.Mutex
 	releases map[string][]owner.Release // by peer address
 	unknown  map[uint32]bool            // hosts to be introduced
@@ -49,12 +53,16 @@
 func NewRouter(b *blackboard.Board, o *owner.Owner, dial Dial, log *zap.Logger) *Router {
 	r := &Router{board: b, owner: o, log: log, releases: map[string][]owner.Release{}, unknown: map[uint32]bool{}, listed: map[uint32]bool{}, missed: map[uint32]int{}}
 	r.pool = newPool(dial, &r.Traffic)
+	r.bulk = newPool(dial, &r.Traffic)
 	o.SetPeers(r)
 	return r
 }
 
 // Close closes the connections to peers.
-func (r *Router) Close() { r.pool.close() }
+func (r *Router) Close() {
+	r.pool.close()
+	r.bulk.close()
+}
 
 func (r *Router) timeout() time.Duration { return config.Millis(r.board.Settings.RPCMillis) }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -67,14 +67,9 @@
 	return nil
 }
 
-func (s *server) Fetch(a *FetchArgs, reply *FetchReply) error {
-	// The roster is read first: who takes it over must get every document
-	// that was published before it.
-	reply.Roster, reply.Change = s.r.board.Config.RosterSince(a.Roster)
-	if v := s.r.board.Config.View(); v != nil && v.Revision > a.After {
-		reply.Revision, reply.Source = v.Revision, v.Source
-	}
-	return nil
+func (s *server) FetchPacked(a *FetchArgs, reply *FetchReply) (err error) {
+	*reply, err = s.r.answerFetch(a)
+	return err
 }
 
 func (s *server) Claims(a *ClaimsArgs, reply *ClaimsReply) error {
