publish, platform: give an answer of the store up for silence, not for its time

Over a link of 200 kB/s a host never got a configuration of 0.4 MB at its start, nor after the store forgot its history; a watch that had to tell of a dozen changed documents, or of more than one answer may hold, was repeated for ever.

Change: a guard gives a call up when nothing is heard, 1.5 s or 0.4 s before the answer begins as before, 1 s within it, 15 s in all as a bound of last resort. A watch that broke off is not repeated but listed: what is, not what happened.

--- a/publish/follow.go
+++ b/publish/follow.go
@@ -35,7 +35,8 @@
 // Store is a platform's store that can be listed and watched, in the
 // project's own terms. Nothing is ever written to it.
 type Store interface {
-	// List returns all that is published now.
+	// List returns all that is published now. List and Watch give up when the
+	// store says nothing, as a Guard does.
 	List(ctx context.Context) (*State, error)
 	// Watch returns what changed after a revision of the store, as soon as
 	// something did or when wait is over. It returns ErrForgotten when the
@@ -53,7 +54,8 @@
 	At        uint64 // revision of the store
 	Document  *Revision
 	Endpoints []config.Endpoint
-	Faults    []error // items that could not be read, each naming its item
+	Faults    []error       // items that could not be read, each naming its item
+	Took      time.Duration // the answer, from its beginning to its end
 }
 
 // Changes is what changed in a store, as of its end: an endpoint that went and
@@ -64,6 +66,7 @@
 	Changed  []config.Endpoint // new, or with a new state
 	Gone     []string          // names of endpoints
 	Faults   []error
+	Took     time.Duration // the answer, from its beginning to its end
 }
 
 // Follower follows a store: it lists once and then watches, and lists anew
@@ -101,8 +104,6 @@
 	gatherFor   = 120 * time.Millisecond // after a change, as changes come in bursts
 	lazyGather  = time.Second            // the same of hosts that aren't eager, where no bound is known
 	lazyShare   = 0.7                    // of the bound in which a change has to be in force: the rest is for an answer that is lost
-	followSlack = 400 * time.Millisecond // longer than asked that a watch may take
-	listTimeout = 1500 * time.Millisecond
 	retryFirst  = 100 * time.Millisecond
 	retryMost   = 800 * time.Millisecond
 	retryJitter = 0.3
@@ -120,7 +121,9 @@
 			listed = err == nil
 		} else {
 			err = f.watch(ctx, sink)
-			listed = !errors.Is(err, ErrForgotten)
+			// What happened since may be longer than what is: a watch that broke
+			// off, because it told of too much, isn't repeated.
+			listed = !errors.Is(err, ErrForgotten) && !errors.Is(err, ErrBroken)
 		}
 		f.noteReach(ctx, err)
 		if err == nil || !listed && errors.Is(err, ErrForgotten) {
@@ -166,7 +169,7 @@
 }
 
 func (f *Follower) list(ctx context.Context, sink Sink) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := context.WithTimeout(ctx, ListSilence+answerMost)
 	defer cancel()
 	s, err := f.store.List(ctx)
 	if err != nil {
@@ -207,7 +210,7 @@
 		wait, gather = lazyWait, f.gather
 		f.catchUp(sink)
 	}
-	limited, cancel := context.WithTimeout(ctx, wait+followSlack)
+	limited, cancel := context.WithTimeout(ctx, wait+answerMost)
 	defer cancel()
 	c, err := f.store.Watch(limited, f.at, wait)
 	if err != nil {
--- a/publish/follow_test.go
+++ b/publish/follow_test.go
@@ -105,6 +105,7 @@
 		{name: "listed", steps: []step{{list: all}}, want: "a1 a2 a3 a4 a5"},
 		{name: "come and gone", steps: []step{{list: all}, {come: []string{"a6"}}, {gone: []string{"a1"}}}, want: "a2 a3 a4 a5 a6"},
 		{name: "the store forgets", steps: []step{{list: all}, {fail: ErrForgotten}, {list: all[1:]}}, want: "a2 a3 a4 a5"},
+		{name: "a watch's answer breaks off", steps: []step{{list: all}, {fail: ErrBroken}, {list: all[1:]}}, want: "a2 a3 a4 a5"},
 		{name: "an outage lets registrations run out", steps: []step{{list: all}, {fail: errDown}, {fail: errDown, after: outageLeast}, {gone: all[:2]}},
 			want: "a1 a2 a3 a4 a5"},
 		{name: "a silent store lets registrations run out", steps: []step{{list: all}, {fail: context.DeadlineExceeded}, {gone: all[:2]}},
