publish: the roster's revision covers changes of the document alone

Cause: hosts that rest after a change skip what peers have told of since, by the roster's revision, but that rose with endpoints only.

Change: a change of the document offers the roster too, with the store's revision. The document is offered first, and a peer that sends a roster sends the document before it, so who takes a roster over has each document up to its revision; a fetch whose document is broken takes neither.

Measured: TestDocumentsKnown fails before (revision 1, want 2), passes.

--- a/publish/follow.go
+++ b/publish/follow.go
@@ -224,10 +224,7 @@
 	if c.Document != nil {
 		sink.Offer(c.Document.Revision, []byte(c.Document.Document), "store")
 	}
-	if len(c.Changed)+len(c.Gone) == 0 {
-		if c.Document != nil && !eager {
-			rest(ctx, gather)
-		}
+	if c.Document == nil && len(c.Changed)+len(c.Gone) == 0 {
 		return nil
 	}
 	for _, e := range c.Changed {
@@ -242,6 +239,8 @@
 	}
 	f.vanished(gone, true, now)
 	f.expire(now)
+	// Also where only the document changed: by the roster's revision peers know
+	// what they needn't ask the store for.
 	sink.OfferRoster(f.roster(), "store")
 	rest(ctx, gather)
 	return nil
--- a/publish/follow_test.go
+++ b/publish/follow_test.go
@@ -148,6 +148,76 @@
 	}
 }
 
+// documentStore holds a document that changes, and no endpoint but one. It notes
+// after which of its revisions it was watched.
+type documentStore struct {
+	at      uint64
+	changed chan struct{}
+	took    time.Duration // that an answer with a document takes
+	watched []uint64
+	asked   []time.Time
+}
+
+func (s *documentStore) change() {
+	s.at++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *documentStore) revision() *Revision { return &Revision{Revision: s.at, Document: "d"} }
+
+func (s *documentStore) List(context.Context) (*State, error) {
+	return &State{At: s.at, Document: s.revision(), Endpoints: rows([]string{"a1"}, nil)}, nil
+}
+
+func (s *documentStore) Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error) {
+	s.watched, s.asked = append(s.watched, after), append(s.asked, time.Now())
+	for s.at <= after {
+		select {
+		case <-s.changed:
+		case <-time.After(wait):
+			return &Changes{At: s.at}, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	out := &Changes{At: s.at, Document: s.revision(), Took: s.took}
+	time.Sleep(s.took)
+	return out, nil
+}
+
+func (s *documentStore) Close() {}
+
+// TestDocumentsKnown checks that the roster's revision, which peers are told of,
+// covers a change of the document alone: who hears of it from a peer doesn't ask
+// the store for it again.
+func TestDocumentsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &documentStore{at: 1, changed: make(chan struct{})}
+		teller, hearer := new(stubSink), &stubSink{lazy: true}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go NewFollower(store, 0, zap.NewNop()).Follow(ctx, teller)
+		time.Sleep(time.Second)
+		store.change()
+		time.Sleep(time.Second)
+		if teller.roster == nil || teller.roster.Revision != store.at {
+			t.Fatalf("roster %+v, want revision %d", teller.roster, store.at)
+		}
+		other := &documentStore{at: 1, changed: make(chan struct{})}
+		go NewFollower(other, 0, zap.NewNop()).Follow(ctx, hearer)
+		time.Sleep(time.Millisecond)
+		other.change() // it rests now
+		time.Sleep(time.Millisecond)
+		other.change()
+		hearer.roster = &config.Roster{Revision: other.at, Endpoints: rows([]string{"a1"}, nil)}
+		time.Sleep(5 * time.Second)
+		if last := other.watched[len(other.watched)-1]; last != other.at {
+			t.Errorf("watched after %v, want after %d at last", other.watched, other.at)
+		}
+	})
+}
+
 // busyStore changes every hundred milliseconds: each time one more endpoint
 // registers. It counts the calls.
 type busyStore struct {
