publish: a host that rests after a change leaves time for the next answer

Cause: hosts that aren't eager rest for 0.7 of the bound after a change, as if the answer after it took no time. Where one with a document takes a second or two, the next change is known only after the bound, unless a peer tells of it.

Change: the rest is shorter by what the last answer with a document took.

Measured: TestRestAfterSlowAnswer fails before for answers of 1 s and 2 s (the bound is 3 s), passes.

--- a/publish/follow.go
+++ b/publish/follow.go
@@ -75,7 +75,8 @@
 type Follower struct {
 	store  Store
 	log    *zap.Logger
-	gather time.Duration // after a change, of hosts that aren't eager
+	gather time.Duration // from a change to when the next is known, of hosts that aren't eager
+	took   time.Duration // that the last answer with a document took
 
 	at     uint64
 	known  map[string]config.Endpoint
@@ -187,6 +188,7 @@
 	f.at = s.At
 	sink.Heard(now)
 	if s.Document != nil {
+		f.took = s.Took
 		sink.Offer(s.Document.Revision, []byte(s.Document.Document), "store")
 	}
 	sink.OfferRoster(f.roster(), "store")
@@ -205,9 +207,9 @@
 }
 
 func (f *Follower) watch(ctx context.Context, sink Sink) error {
-	eager, wait, gather := sink.Eager(), followWait, gatherFor
+	eager, wait := sink.Eager(), followWait
 	if !eager {
-		wait, gather = lazyWait, f.gather
+		wait = lazyWait
 		f.catchUp(sink)
 	}
 	limited, cancel := context.WithTimeout(ctx, wait+answerMost)
@@ -222,6 +224,7 @@
 	f.at = max(f.at, c.At)
 	sink.Heard(now)
 	if c.Document != nil {
+		f.took = c.Took
 		sink.Offer(c.Document.Revision, []byte(c.Document.Document), "store")
 	}
 	if c.Document == nil && len(c.Changed)+len(c.Gone) == 0 {
@@ -242,10 +245,19 @@
 	// Also where only the document changed: by the roster's revision peers know
 	// what they needn't ask the store for.
 	sink.OfferRoster(f.roster(), "store")
-	rest(ctx, gather)
+	rest(ctx, f.pause(eager))
 	return nil
 }
 
+// pause returns how long to rest after a change. A host that isn't eager leaves
+// time for the next answer, which may bring a document over a narrow link.
+func (f *Follower) pause(eager bool) time.Duration {
+	if eager {
+		return gatherFor
+	}
+	return max(gatherFor, f.gather-f.took)
+}
+
 func (f *Follower) faults(faults []error) {
 	for _, err := range faults {
 		f.log.Warn("published item left out", zap.Error(err))
--- a/publish/follow_test.go
+++ b/publish/follow_test.go
@@ -218,6 +218,34 @@
 	})
 }
 
+// TestRestAfterSlowAnswer bounds how late a change is known that comes just after
+// another, by how long the store's answers take.
+func TestRestAfterSlowAnswer(t *testing.T) {
+	const bound = 3 * time.Second
+	for _, took := range []time.Duration{0, time.Second, 2 * time.Second} {
+		t.Run(took.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, sink := &documentStore{at: 1, changed: make(chan struct{}), took: took}, &stubSink{lazy: true}
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				go NewFollower(store, bound, zap.NewNop()).Follow(ctx, sink)
+				time.Sleep(time.Millisecond)
+				for range 4 {
+					store.change()
+					time.Sleep(took + time.Millisecond) // it is known now, and the host rests
+					store.change()
+					next := store.at
+					time.Sleep(bound)
+					if r := sink.roster; r.Revision < next {
+						t.Errorf("revision %d is known %s after %d came", r.Revision, bound, next)
+					}
+					time.Sleep(10 * time.Second)
+				}
+			})
+		})
+	}
+}
+
 // busyStore changes every hundred milliseconds: each time one more endpoint
 // registers. It counts the calls.
 type busyStore struct {
