entry: look at an endpoint again just before it is called

Cause, found by looking for what else goes by knowledge that has aged: a request chooses its endpoints and then waits, for its turn at the prefill engine, for the prompt, for room. The calls that follow went to the endpoints chosen, also where the host had learned meanwhile that they leave; the check of the invariant looked at the roster of the choice and could not fail.

Change: before a prompt is sent to be read or written the endpoint is looked up in what is in force now. One that has left isn't called: the turn and the reservation are given back and another is chosen; a prompt that was read moves to another decode engine. Nothing has run by then.

--- /dev/null
+++ b/entry/leaving_test.go
@@ -0,0 +1,175 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/report"
+)
+
+// leavingScene is a pool of which endpoints leave at moments of a request's way.
+type leavingScene struct {
+	endpoint.Engine
+	stubOwners
+	t      *testing.T
+	board  *blackboard.Board
+	left   map[string]bool
+	leaves map[string]bool // moments at which whoever is concerned leaves, once each
+	full   int             // decode calls that are refused first
+	order  []string        // of calls
+}
+
+// Moments.
+const (
+	atTurn    = "as its turn comes"
+	atReading = "as the prompt is read"
+	atFull    = "as it is full"
+)
+
+func (s *leavingScene) publish() {
+	roster := &config.Roster{Revision: uint64(len(s.left) + 1)}
+	for i, name := range []string{"p1", "p2", "d1", "d2"} {
+		role := config.Prefill
+		if name[0] == 'd' {
+			role = config.Decode
+		}
+		roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: name, Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: "a",
+			Pool: "p", Role: role, Model: "m", Version: "1", Leaving: s.left[name]})
+	}
+	if _, err := s.board.Config.OfferRoster(roster, time.Now()); err != nil {
+		s.t.Fatal(err)
+	}
+	s.board.Endpoints.Fit(s.board.Config.View())
+}
+
+// leave has an endpoint leave if it does so at this moment.
+func (s *leavingScene) leave(moment, name string) {
+	if s.leaves[moment] {
+		s.leaves[moment] = false
+		s.left[name] = true
+		s.publish()
+	}
+}
+
+func (s *leavingScene) call(kind, name string) {
+	s.order = append(s.order, kind+" "+name)
+	if s.left[name] {
+		s.t.Errorf("%s %s, which has left (%v)", kind, name, s.order)
+	}
+}
+
+func (s *leavingScene) Traits() endpoint.Traits { return endpoint.Traits{HangUpAborts: true} }
+
+func (s *leavingScene) Enqueue(ctx context.Context, spec *config.Endpoint, a owner.EnqueueArgs) (owner.EnqueueReply, error) {
+	s.leave(atTurn, spec.Name)
+	return s.stubOwners.Enqueue(ctx, spec, a)
+}
+
+func (s *leavingScene) Reserve(ctx context.Context, spec *config.Endpoint, a owner.ReserveArgs) (owner.ReserveReply, error) {
+	s.order = append(s.order, "reserve "+spec.Name)
+	return s.stubOwners.Reserve(ctx, spec, a)
+}
+
+func (s *leavingScene) Prefill(_ context.Context, c endpoint.Call, _ *endpoint.Work) (*endpoint.PrefillAnswer, error) {
+	s.call("read at", c.Name)
+	for i := len(s.order) - 1; i >= 0; i-- {
+		var dec string
+		if n, _ := fmt.Sscanf(s.order[i], "reserve %s", &dec); n == 1 {
+			s.leave(atReading, dec)
+			break
+		}
+	}
+	return &endpoint.PrefillAnswer{Transfer: &endpoint.Transfer{Address: c.Address, Handle: "k", KeptMillis: 5000}}, nil
+}
+
+func (s *leavingScene) Decode(_ context.Context, c endpoint.Call, _ *endpoint.Work) (endpoint.Stream, error) {
+	s.call("write at", c.Name)
+	if s.full > 0 {
+		s.full--
+		s.leave(atFull, c.Name)
+		return nil, &endpoint.CallError{Address: c.Address, Status: 503, Cause: errors.New("full")}
+	}
+	return &oneChunk{id: c.Attempt}, nil
+}
+
+func (s *leavingScene) Discard(context.Context, *endpoint.Transfer) error { return nil }
+
+// oneChunk is an answer of one piece.
+type oneChunk struct {
+	id   string
+	over bool
+}
+
+func (o *oneChunk) Head() *endpoint.AnswerHead { return &endpoint.AnswerHead{Status: 200} }
+
+func (o *oneChunk) Next() (*endpoint.Chunk, error) {
+	if o.over {
+		return nil, io.EOF
+	}
+	o.over = true
+	return &endpoint.Chunk{ID: o.id, Raw: []byte("data: x\n\n")}, nil
+}
+
+func (o *oneChunk) Close() error { return nil }
+
+// TestLeavesMeanwhile checks that a request which waits, for its turn, for its
+// prompt or for room, is not sent to an endpoint that has begun to leave in that
+// time, and is served by another.
+func TestLeavesMeanwhile(t *testing.T) {
+	cases := []struct {
+		name   string
+		leaves []string
+		full   int
+	}{
+		{"nobody leaves", nil, 0},
+		{"the prefill engine leaves as its turn comes", []string{atTurn}, 0},
+		{"the decode engine leaves as the prompt is read", []string{atReading}, 0},
+		{"the decode engine is full and leaves", []string{atFull}, 1},
+		{"both leave", []string{atTurn, atReading}, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				settings := &config.Settings{Host: "h", Domain: "a", Region: "r"}
+				settings.SetDefaults()
+				b := blackboard.New(settings)
+				if _, err := b.Config.Offer(1, []byte(likelyDocument)); err != nil {
+					t.Fatal(err)
+				}
+				s := &leavingScene{t: t, board: b, left: map[string]bool{}, leaves: map[string]bool{}, full: tc.full}
+				for _, moment := range tc.leaves {
+					s.leaves[moment] = true
+				}
+				s.publish()
+				e := New(b, s, s, report.NewRecorder(), zap.NewNop())
+				v := b.Config.View()
+				j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: defaultTeam, repeatable: true})
+				j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
+				rec := httptest.NewRecorder()
+				j.out = newPassage(rec, writeError)
+				j.work.MaxTokens = 100
+				j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
+				if refusal := e.run(t.Context(), j); refusal != nil || rec.Body.String() != "data: x\n\n" {
+					t.Errorf("%v, body %q, after %v", refusal, rec.Body, s.order)
+				}
+				for moment, still := range s.leaves {
+					if still {
+						t.Errorf("nobody left %s", moment)
+					}
+				}
+			})
+		})
+	}
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -151,6 +151,11 @@
 		e.letGo(j, p, owner.GivenUp)
 		return asResult(ctx.Err())
 	}
+	if e.hasLeft(p.pre) {
+		e.giveBack(p)
+		e.letGo(j, p, owner.GivenUp)
+		return leftBehind(p.pre)
+	}
 	kv, err := e.read(ctx, j, p)
 	if err != nil {
 		e.letGo(j, p, owner.GivenUp)
--- a/entry/write.go
+++ b/entry/write.go
@@ -23,6 +23,11 @@
 	}
 	full, lost := 0, 0
 	for {
+		for e.hasLeft(p.dec) {
+			if err := e.moveFrom(ctx, j, p, kv, lapses); err != nil {
+				return err
+			}
+		}
 		before := j.out.pieces()
 		err := e.decodeOnce(ctx, j, p, kv)
 		if err == nil {
