--- a/peer/pool.go
+++ b/peer/pool.go
@@ -38,13 +38,26 @@
 	return n, err
 }
 
-// writeLimit bounds a write. net/rpc writes under a lock, so one write that
-// hung would hold up every call on the connection.
-const writeLimit = 2 * time.Second
+// net/rpc writes under a lock, so a write that hung would hold up every call on
+// the connection. Each piece of a write has to be taken in time; a large answer may
+// take longer over a narrow link.
+const (
+	writeLimit = 2 * time.Second
+	writePiece = 16 << 10 // bytes: 13 ms over 10 Mbit/s
+)
 
+// Write implements net.Conn.
 func (c countedConn) Write(p []byte) (int, error) {
-	_ = c.SetWriteDeadline(time.Now().Add(writeLimit))
-	return c.Conn.Write(p)
+	written := 0
+	for {
+		piece := p[written:min(len(p), written+writePiece)]
+		_ = c.SetWriteDeadline(time.Now().Add(writeLimit))
+		n, err := c.Conn.Write(piece)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
 }
 
 // ErrOutOfReach is returned when a host didn't answer in time.
--- a/peer/pool_test.go
+++ b/peer/pool_test.go
@@ -139,3 +139,50 @@
 		})
 	}
 }
+
+// TestWriteLimit checks that a large answer may take long as long as it is taken,
+// and that a peer which takes nothing is given up.
+func TestWriteLimit(t *testing.T) {
+	const size = 1 << 20
+	cases := []struct {
+		name   string
+		pause  time.Duration // of the reader, after each piece
+		pieces int           // that it takes; 0: all
+		ok     bool
+	}{
+		{"a fast reader", 0, 0, true},
+		{"a slow reader", 200 * time.Millisecond, 0, true},
+		{"one that stops", 0, 10, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				got, end := 0, make(chan struct{})
+				go func() {
+					defer close(end)
+					buf := make([]byte, writePiece)
+					for i := 0; tc.pieces == 0 || i < tc.pieces; i++ {
+						n, err := far.Read(buf)
+						got += n
+						if err != nil {
+							return
+						}
+						time.Sleep(tc.pause)
+					}
+				}()
+				began := time.Now()
+				n, err := counted(near, new(meter.Traffic)).Write(make([]byte, size))
+				took := time.Since(began)
+				near.Close()
+				<-end
+				if ok := err == nil; ok != tc.ok || ok && n != size || n != got {
+					t.Errorf("%d bytes written, %d read, in %s: %v", n, got, took, err)
+				}
+				if !tc.ok && took > writeLimit {
+					t.Errorf("given up after %s", took)
+				}
+			})
+		})
+	}
+}
