blackboard, peer, publish: documents that are kept, and what a host is behind of, in files of their own

One way to a kept document instead of three, the hash of the view instead of a second one; the bytes of an answer are counted by its guard, not by the adapter beside it.

--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/embercove/embercove/config"
@@ -28,7 +27,7 @@
 	heard    time.Time // when the platform last answered
 	newest   uint64    // highest revision that another host told of
 	newestAt time.Time // since when
-	sources  []source  // documents that were in force, the newest last
+	sources  []Source  // documents that were in force, the newest last
 }
 
 func newConfigTable(inv *invariant.Set) *ConfigTable { return &ConfigTable{inv: inv} }
@@ -51,61 +50,6 @@
 	return t.rejected
 }
 
-// source is a document as it was published.
-type source struct {
-	revision uint64
-	src      []byte
-	sum      uint64
-}
-
-// keptSources is how many documents are kept for others that are at an earlier
-// one: a change reaches all hosts before the third one after it.
-const keptSources = 3
-
-// keepSource keeps a document that came into force; the caller holds the lock.
-func (t *ConfigTable) keepSource(revision uint64, src []byte) {
-	t.sources = append(t.sources, source{revision, src, xxhash.Sum64(src)})
-	if len(t.sources) > keptSources {
-		t.sources = append([]source(nil), t.sources[1:]...)
-	}
-}
-
-// Held returns the revision in force and the hash of its document.
-func (t *ConfigTable) Held() (revision, sum uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.sources) == 0 {
-		return 0, 0
-	}
-	last := t.sources[len(t.sources)-1]
-	return last.revision, last.sum
-}
-
-// Source returns the document of a revision if it is kept and has the hash given;
-// else nil.
-func (t *ConfigTable) Source(revision, sum uint64) []byte {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, s := range t.sources {
-		if s.revision == revision && s.sum == sum {
-			return s.src
-		}
-	}
-	return nil
-}
-
-// SourceOf returns the document of a revision if it is kept, else nil.
-func (t *ConfigTable) SourceOf(revision uint64) []byte {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, s := range t.sources {
-		if s.revision == revision {
-			return s.src
-		}
-	}
-	return nil
-}
-
 // Offer accepts a published document if it is valid and newer than the one
 // in force, and reports whether it came into force. An error says why a
 // newer document was rejected; the one in force stays.
@@ -130,7 +74,7 @@
 		return false, result.Errorf(result.RevisionInvalid, "revision %d: %v", revision, err)
 	}
 	t.base = v
-	t.keepSource(revision, v.Source)
+	t.keepSource(v)
 	old := t.inUse.Swap(v.WithRoster(t.roster))
 	t.inv.Check(old == nil || old.Revision < revision, invariant.RevisionRises, "from %v to %d", old, revision)
 	t.since = time.Now()
@@ -240,32 +184,6 @@
 	t.heard = now
 }
 
-// HeardOf notes that another host has a revision in force. It reports whether
-// that is news of one that this host lacks.
-func (t *ConfigTable) HeardOf(revision uint64, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if revision <= t.newest || revision <= t.Revision() {
-		return false
-	}
-	if t.newest <= t.Revision() {
-		t.newestAt = now // else it has been behind since an earlier one
-	}
-	t.newest = revision
-	return true
-}
-
-// Behind returns how long this host has known of a revision that it lacks; 0:
-// of none.
-func (t *ConfigTable) Behind(now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.newest <= t.Revision() {
-		return 0
-	}
-	return now.Sub(t.newestAt)
-}
-
 // HeardWithin reports whether the platform answered within d.
 func (t *ConfigTable) HeardWithin(now time.Time, d time.Duration) bool {
 	t.mu.Lock()
--- a/peer/document.go
+++ b/peer/document.go
@@ -34,48 +34,53 @@
 type packer struct {
 	mu       sync.Mutex
 	revision uint64
-	forms    map[uint64][]byte // by base
+	forms    map[uint64][]byte // by the revision of the base
 }
 
 // pack packs a document against the one that the asker has; nil: none.
-func (p *packer) pack(revision uint64, src, base []byte, baseRevision uint64) (PackedDocument, error) {
+func (p *packer) pack(doc blackboard.Source, base *blackboard.Source) (PackedDocument, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if base == nil {
-		baseRevision = 0
+	out := PackedDocument{Revision: doc.Revision, Sum: doc.Sum}
+	if base != nil {
+		out.Base = base.Revision
 	}
-	if revision > p.revision || len(p.forms) >= mostPacked {
-		p.revision, p.forms = revision, map[uint64][]byte{}
+	if doc.Revision != p.revision || len(p.forms) >= mostPacked {
+		p.revision, p.forms = doc.Revision, map[uint64][]byte{}
 	}
-	out := PackedDocument{Revision: revision, Base: baseRevision, Sum: xxhash.Sum64(src), Packed: p.forms[baseRevision]}
-	if out.Packed != nil && revision == p.revision {
+	if form := p.forms[out.Base]; form != nil {
+		out.Packed = form
 		return out, nil
 	}
+	var err error
+	out.Packed, err = compress(doc.Text, base)
+	p.forms[out.Base] = out.Packed
+	return out, errors.Wrapf(err, "pack revision %d", doc.Revision)
+}
+
+// compress returns a text as zstd, with the base as its dictionary.
+func compress(text []byte, base *blackboard.Source) ([]byte, error) {
 	options := []zstd.EOption{zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(packWorkers), zstd.WithWindowSize(packWindow), zstd.WithLowerEncoderMem(true)}
 	if base != nil {
-		options = append(options, zstd.WithEncoderDictRaw(packDictID, base))
+		options = append(options, zstd.WithEncoderDictRaw(packDictID, base.Text))
 	}
 	enc, err := zstd.NewWriter(nil, options...)
 	if err != nil {
-		return PackedDocument{}, errors.Wrapf(err, "pack revision %d", revision)
+		return nil, err
 	}
 	defer enc.Close()
-	out.Packed = enc.EncodeAll(src, nil)
-	if revision == p.revision {
-		p.forms[baseRevision] = out.Packed
-	}
-	return out, nil
+	return enc.EncodeAll(text, nil), nil
 }
 
 // unpackDocument returns the document that another host packed.
 func unpackDocument(d *PackedDocument, table *blackboard.ConfigTable) ([]byte, error) {
 	options := []zstd.DOption{zstd.WithDecoderConcurrency(packWorkers), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(mostUnpack)}
 	if d.Base != 0 {
-		base := table.SourceOf(d.Base)
+		base := table.Source(d.Base)
 		if base == nil {
 			return nil, errors.Errorf("packed against revision %d, which is not held any more", d.Base)
 		}
-		options = append(options, zstd.WithDecoderDictRaw(packDictID, base))
+		options = append(options, zstd.WithDecoderDictRaw(packDictID, base.Text))
 	}
 	dec, err := zstd.NewReader(nil, options...)
 	if err != nil {
--- a/peer/document_test.go
+++ b/peer/document_test.go
@@ -64,11 +64,14 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			asker, giver := tableWith(t, tc.asker...), tableWith(t, tc.giver...)
-			want := tc.giver[len(tc.giver)-1]
-			after, sum := asker.Held()
+			want, has := giver.Newest(), asker.Newest()
+			base := giver.Source(has.Revision)
+			if base != nil && base.Sum != has.Sum {
+				base = nil
+			}
 			var p packer
 			for range 2 { // the second is a form that was kept
-				d, err := p.pack(giver.Revision(), want, giver.Source(after, sum), after)
+				d, err := p.pack(want, base)
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -76,8 +79,8 @@
 					t.Errorf("%d bytes against revision %d, want %d at most, whole %v", len(d.Packed), d.Base, tc.most, tc.whole)
 				}
 				src, err := unpackDocument(&d, asker)
-				if err != nil || !bytes.Equal(src, want) {
-					t.Errorf("unpacked %d bytes, want %d: %v", len(src), len(want), err)
+				if err != nil || !bytes.Equal(src, want.Text) {
+					t.Errorf("unpacked %d bytes, want %d: %v", len(src), len(want.Text), err)
 				}
 			}
 		})
@@ -89,6 +92,7 @@
 func TestBrokenDocument(t *testing.T) {
 	base, next := documentOf(20, 1000), documentOf(20, 2000)
 	table := tableWith(t, base)
+	giver := tableWith(t, base, next)
 	cases := map[string]func(d *PackedDocument){
 		"cut off":                func(d *PackedDocument) { d.Packed = d.Packed[:len(d.Packed)/2] },
 		"empty":                  func(d *PackedDocument) { d.Packed = nil },
@@ -99,7 +103,7 @@
 	for name, change := range cases {
 		t.Run(name, func(t *testing.T) {
 			var p packer
-			d, err := p.pack(2, next, base, 1)
+			d, err := p.pack(giver.Newest(), giver.Source(1))
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -121,8 +121,8 @@
 			}
 		}
 	}()
-	after, sum := r.board.Config.Held()
-	args := FetchArgs{After: after, Sum: sum, Roster: r.board.Config.RosterRevision()}
+	held := r.board.Config.Newest()
+	args := FetchArgs{After: held.Revision, Sum: held.Sum, Roster: r.board.Config.RosterRevision()}
 	reply := new(FetchReply)
 	err := r.bulk.call(ctx, from.Peers, methodFetch, &args, reply, fetchMost)
 	if err != nil && context.Cause(ctx) != nil {
@@ -135,8 +135,14 @@
 // over must get every document that was published before it.
 func (r *Router) answerFetch(a *FetchArgs) (reply FetchReply, err error) {
 	reply.Roster, reply.Change = r.board.Config.RosterSince(a.Roster)
-	if v := r.board.Config.View(); v != nil && v.Revision > a.After {
-		reply.Document, err = r.packer.pack(v.Revision, v.Source, r.board.Config.Source(a.After, a.Sum), a.After)
+	newest := r.board.Config.Newest()
+	if newest.Revision <= a.After {
+		return reply, nil
 	}
+	base := r.board.Config.Source(a.After)
+	if base != nil && base.Sum != a.Sum {
+		base = nil // published with two contents: the asker can't unpack against this one
+	}
+	reply.Document, err = r.packer.pack(newest, base)
 	return reply, err
 }
--- a/publish/guard.go
+++ b/publish/guard.go
@@ -36,6 +36,7 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	begun time.Time // zero: the answer hasn't begun
+	bytes int       // of the answer so far
 }
 
 // NewGuard returns a guard of a call and the context to make it with. silence
@@ -69,6 +70,7 @@
 	n, err := r.Reader.Read(p)
 	if n > 0 {
 		r.g.mu.Lock()
+		r.g.bytes += n
 		r.g.timer.Reset(AnswerSilence)
 		r.g.mu.Unlock()
 	}
@@ -90,14 +92,14 @@
 func (g *Guard) End(err error) error {
 	g.mu.Lock()
 	g.timer.Stop()
-	begun := !g.begun.IsZero()
+	begun, bytes := !g.begun.IsZero(), g.bytes
 	g.mu.Unlock()
 	defer g.cancel(nil)
 	switch cause := context.Cause(g.ctx); {
 	case err == nil || errors.Is(err, ErrForgotten):
 		return err
 	case begun:
-		return errors.Wrap(ErrBroken, err.Error())
+		return errors.Wrapf(ErrBroken, "after %d bytes: %v", bytes, err)
 	case cause != nil:
 		return errors.Wrap(cause, err.Error())
 	}
