--- a/entry/comeback.go
+++ b/entry/comeback.go
@@ -50,5 +50,5 @@
 	return max(told, time.Duration(spread*float64(usual)))
 }
 
-// crowded reports whether a refusal is one for lack of room.
-func crowded(c result.Code) bool { return c == result.TooLate || c == result.NoDecodeMemory }
+// lacksRoom reports whether a refusal is one for lack of room.
+func lacksRoom(c result.Code) bool { return c == result.TooLate || c == result.NoDecodeMemory }
--- a/entry/comeback_test.go
+++ b/entry/comeback_test.go
@@ -41,7 +41,7 @@
 			}
 		})
 	}
-	if !crowded(result.TooLate) || !crowded(result.NoDecodeMemory) || crowded(result.NoEndpoint) || crowded(result.Draining) {
+	if !lacksRoom(result.TooLate) || !lacksRoom(result.NoDecodeMemory) || lacksRoom(result.NoEndpoint) || lacksRoom(result.Draining) {
 		t.Error("only refusals for lack of room are told the time of an answer")
 	}
 }
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -29,7 +29,7 @@
 	inv := e.board.Invariant
 	inv.Check(!err.Code.NotRun() || !j.ran, invariant.NotRunClean, "request %s ends as %s", j.id, err.Code)
 	inv.Check(err.Code != result.OK || j.out.complete(), invariant.CompleteMarked, "request %s ends cleanly before its last token", j.id)
-	if j.prompted && crowded(err.Code) && err.RetryAfter > 0 {
+	if j.prompted && lacksRoom(err.Code) && err.RetryAfter > 0 {
 		err.RetryAfter = e.back.after(j.pool, err.RetryAfter)
 	}
 	o := j.outcome(err.Code)
--- a/entry/left.go
+++ b/entry/left.go
@@ -35,7 +35,7 @@
 func (e *Entry) moveFrom(ctx context.Context, j *job, p *plan, kv *endpoint.Transfer, lapses time.Time) error {
 	if p.kept || kv == nil {
 		// The prompt is kept there or would be read there: all is chosen anew.
-		e.letGo(j, p, owner.GivenUp)
+		e.releaseDecode(j, p, owner.GivenUp)
 		return leftBehind(p.dec)
 	}
 	e.moveOn(ctx, j, p, owner.GivenUp, true)
--- a/entry/place.go
+++ b/entry/place.go
@@ -91,7 +91,7 @@
 		if last == nil {
 			return p, nil
 		}
-		e.giveBack(p)
+		e.returnTurn(p)
 		if ctx.Err() != nil || last.RetryAfter+p.Read+p.Move > j.slack() {
 			break
 		}
@@ -114,10 +114,10 @@
 	if p.early() <= shortWait {
 		return nil
 	}
-	e.giveBack(p)
+	e.returnTurn(p)
 	refusal := e.enqueue(ctx, j, p, p.start)
 	if refusal != nil {
-		e.letGo(j, p, owner.GivenUp)
+		e.releaseDecode(j, p, owner.GivenUp)
 	}
 	return refusal
 }
@@ -154,8 +154,8 @@
 	return c, view
 }
 
-// giveBack returns the turn at a prefill engine that was called.
-func (e *Entry) giveBack(p *plan) {
+// returnTurn returns the turn at a prefill engine that was called.
+func (e *Entry) returnTurn(p *plan) {
 	e.owners.Release(p.pre, owner.Release{Attempt: p.readBy, Endpoint: route.Number(p.pre.Name), Outcome: owner.GivenUp})
 }
 
@@ -180,7 +180,7 @@
 // those that choose names one after the other. The refusal it returns has the
 // soonest time at which one would.
 func (e *Entry) reserveFrom(ctx context.Context, j *job, p *plan, choose func(*job) (route.Choice, *config.View), in time.Duration) *result.Error {
-	e.at(j, blackboard.PhaseReserve, nil)
+	e.setPhase(j, blackboard.PhaseReserve, nil)
 	var last *result.Error
 	for range decodeAsks {
 		c, v := choose(j)
@@ -214,7 +214,7 @@
 	reply, err := e.owners.Reserve(ctx, p.dec, a)
 	switch {
 	case err != nil && ctx.Err() != nil:
-		e.letGo(j, p, owner.GivenUp)
+		e.releaseDecode(j, p, owner.GivenUp)
 		return asResult(ctx.Err())
 	case err != nil: // the owner is out of reach: the engine's admission decides
 		p.start = now.Add(in)
@@ -237,7 +237,7 @@
 
 // enqueue waits for the prefill engine's turn.
 func (e *Entry) enqueue(ctx context.Context, j *job, p *plan, notBefore time.Time) *result.Error {
-	e.at(j, blackboard.PhaseQueue, nil)
+	e.setPhase(j, blackboard.PhaseQueue, nil)
 	p.readBy = e.board.Requests.Open(j.id)
 	defer e.board.Requests.Close(p.readBy)
 	a := owner.EnqueueArgs{Attempt: p.readBy, Endpoint: route.Number(p.pre.Name), Tokens: j.tokens, Head: j.pick.Head,
@@ -263,8 +263,8 @@
 
 func ms(d time.Duration) int { return int(d.Milliseconds()) }
 
-// letGo gives the decode reservation back.
-func (e *Entry) letGo(j *job, p *plan, o owner.Outcome) {
+// releaseDecode gives the decode reservation back.
+func (e *Entry) releaseDecode(j *job, p *plan, o owner.Outcome) {
 	e.owners.Release(p.dec, owner.Release{Attempt: p.decodeBy, Endpoint: route.Number(p.dec.Name), Outcome: o})
 	e.board.Requests.Close(p.decodeBy)
 }
--- a/entry/read.go
+++ b/entry/read.go
@@ -25,7 +25,7 @@
 	if p.readBy.Number == 0 {
 		p.readBy = e.board.Requests.Open(j.id)
 	}
-	e.at(j, blackboard.PhasePrefill, func(r *blackboard.Request) {
+	e.setPhase(j, blackboard.PhasePrefill, func(r *blackboard.Request) {
 		r.Prefill = p.pre.Name
 		r.Open = append(r.Open, p.readBy.Number)
 	})
@@ -193,7 +193,7 @@
 // discard gives up a result that was read for nothing.
 func (e *Entry) discard(j *job, p *plan, kv *endpoint.Transfer) {
 	e.drop(j, p, kv)
-	e.letGo(j, p, owner.GivenUp)
+	e.releaseDecode(j, p, owner.GivenUp)
 }
 
 // drop has the prefill engine free a result. It doesn't wait; a result whose
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -22,7 +22,7 @@
 // decodeOnce makes one call to a decode engine and relays what it writes.
 func (e *Entry) decodeOnce(ctx context.Context, j *job, p *plan, kv *endpoint.Transfer) (err error) {
 	e.board.Invariant.Check(!p.dec.Leaving, invariant.LeavingNoWork, "request %s to leaving %s", j.id, p.dec.Name)
-	e.at(j, blackboard.PhaseTransfer, func(r *blackboard.Request) { r.Decode = p.dec.Name })
+	e.setPhase(j, blackboard.PhaseTransfer, func(r *blackboard.Request) { r.Decode = p.dec.Name })
 	j.decode = p.dec.Name
 	undo := j.mayRun(true)
 	j.sends++
@@ -140,7 +140,7 @@
 		}
 		if !w.begun {
 			w.begin(e.laterStall(j))
-			e.at(j, blackboard.PhaseDecode, nil)
+			e.setPhase(j, blackboard.PhaseDecode, nil)
 		}
 		w.progress()
 		inv := e.board.Invariant
--- a/entry/run.go
+++ b/entry/run.go
@@ -147,18 +147,18 @@
 		return e.write(ctx, j, p, nil)
 	}
 	if !sleep(ctx, p.early()) {
-		e.giveBack(p)
-		e.letGo(j, p, owner.GivenUp)
+		e.returnTurn(p)
+		e.releaseDecode(j, p, owner.GivenUp)
 		return asResult(ctx.Err())
 	}
 	if e.hasLeft(p.pre) {
-		e.giveBack(p)
-		e.letGo(j, p, owner.GivenUp)
+		e.returnTurn(p)
+		e.releaseDecode(j, p, owner.GivenUp)
 		return leftBehind(p.pre)
 	}
 	kv, err := e.read(ctx, j, p)
 	if err != nil {
-		e.letGo(j, p, owner.GivenUp)
+		e.releaseDecode(j, p, owner.GivenUp)
 		return err
 	}
 	j.phase(2)
@@ -190,8 +190,8 @@
 // phase notes the time at the end of a phase, for the log.
 func (j *job) phase(i int) { j.phases[i] = time.Since(j.came) }
 
-// at tells the table of requests how far the job has come.
-func (e *Entry) at(j *job, ph blackboard.Phase, f func(r *blackboard.Request)) {
+// setPhase tells the table of requests how far the job has come.
+func (e *Entry) setPhase(j *job, ph blackboard.Phase, f func(r *blackboard.Request)) {
 	now := time.Now()
 	e.board.Requests.Update(j.id, func(r *blackboard.Request) {
 		r.Phase, r.PhaseSince = ph, now
--- a/entry/service.go
+++ b/entry/service.go
@@ -151,7 +151,7 @@
 	inv.Check(!spec.Leaving, invariant.LeavingNoWork, "call %s to leaving %s", j.id, spec.Name)
 	a := e.board.Requests.Open(j.id)
 	defer e.board.Requests.Close(a)
-	e.at(j, blackboard.PhaseService, func(r *blackboard.Request) { r.Decode = spec.Name })
+	e.setPhase(j, blackboard.PhaseService, func(r *blackboard.Request) { r.Decode = spec.Name })
 	j.decode = spec.Name
 	undo := j.mayRun(true)
 	j.sends++
--- a/entry/write.go
+++ b/entry/write.go
@@ -45,7 +45,7 @@
 		case endpoint.Unreachable(err), endpoint.Elsewhere(err):
 			e.moveOn(ctx, j, p, owner.Failed, true)
 		case !endpoint.MayHaveRun(err) && p.kept:
-			e.letGo(j, p, owner.Rejected)
+			e.releaseDecode(j, p, owner.Rejected)
 			return e.failed(p.dec, err)
 		case !endpoint.MayHaveRun(err):
 			full++
@@ -77,7 +77,7 @@
 		if time.Until(lapses) < lastMoment || p.dec == nil || !e.sendsAgain(j) {
 			e.drop(j, p, kv)
 			if p.dec != nil {
-				e.letGo(j, p, owner.GivenUp)
+				e.releaseDecode(j, p, owner.GivenUp)
 			}
 			return e.wasted(j, p, err)
 		}
@@ -161,13 +161,13 @@
 		*p = old
 		return
 	}
-	e.letGo(j, &old, owner.Rejected)
+	e.releaseDecode(j, &old, owner.Rejected)
 }
 
 // moveOn finds the job's result another decode engine, or the same one anew
 // when move is false. p.dec is nil when there is none.
 func (e *Entry) moveOn(ctx context.Context, j *job, p *plan, as owner.Outcome, move bool) {
-	e.letGo(j, p, as)
+	e.releaseDecode(j, p, as)
 	p.lastDec = p.dec
 	if !move {
 		p.decodeBy = e.board.Requests.Open(j.id)
--- a/node/node.go
+++ b/node/node.go
@@ -180,7 +180,7 @@
 func (s sink) Roster() *config.Roster { return s.n.Board.Config.Roster() }
 
 // eagerHosts is how many hosts of a failure domain find out soon when the
-// platform's watches are deaf.
+// platform's watches say nothing.
 const eagerHosts = 2
 
 func (s sink) Eager() bool {
--- a/owner/balance.go
+++ b/owner/balance.go
@@ -48,8 +48,8 @@
 	readGrain = 0.25 // what may lack of a further one
 )
 
-// readers returns how many of a pool's engines should read.
-func readers(engines int) int {
+// prefillEngines returns how many of a pool's engines should read.
+func prefillEngines(engines int) int {
 	n := float64(engines)
 	return max(leastPrefills, int(readShare*n+readSpare*math.Sqrt(n)+readGrain))
 }
@@ -57,7 +57,7 @@
 // balance is the state of balancing.
 type balance struct {
 	mu      sync.Mutex
-	print   uint64    // of the members
+	members uint64    // hash of their set when it last changed
 	since   time.Time // when they last changed
 	settled bool      // they have not changed for long enough
 	orderer map[uint32]tenure
@@ -80,9 +80,9 @@
 				continue
 			}
 			surplus, to := imbalance(v, name, o.isChanging)
-			lasts := o.lasts(name, len(surplus), to, now)
+			imbalanceLasts := o.imbalanceLasts(name, len(surplus), to, now)
 			for _, e := range surplus {
-				if o.orders(e, now) && lasts {
+				if o.orders(e, now) && imbalanceLasts {
 					o.order(ctx, p, e, to, now)
 				}
 			}
@@ -90,9 +90,9 @@
 	})
 }
 
-// lasts reports whether a pool's roles have been out of balance in one way for
+// imbalanceLasts reports whether a pool's roles have been out of balance in one way for
 // long enough. A runner that was lost for a moment comes back in its old role.
-func (o *Owner) lasts(pool string, n int, to config.Role, now time.Time) bool {
+func (o *Owner) imbalanceLasts(pool string, n int, to config.Role, now time.Time) bool {
 	o.balance.mu.Lock()
 	defer o.balance.mu.Unlock()
 	was := o.balance.seen[pool]
@@ -137,14 +137,14 @@
 	prefills, decodes := byRole[config.Prefill], byRole[config.Decode]
 	reading := len(prefills) + coming[config.Prefill]
 	engines := reading + len(decodes) + coming[config.Decode]
-	need := readers(engines)
+	need := prefillEngines(engines)
 	switch {
 	case engines < leastEngines:
 		return nil, config.Decode
 	case reading > need:
-		return crowdedFirst(prefills, reading-need), config.Decode
+		return fullestDomainFirst(prefills, reading-need), config.Decode
 	case reading < need:
-		return crowdedFirst(decodes, need-reading), config.Prefill
+		return fullestDomainFirst(decodes, need-reading), config.Prefill
 	}
 	return nil, config.Decode
 }
@@ -157,9 +157,9 @@
 	return config.Prefill
 }
 
-// crowdedFirst returns n of the endpoints, of the failure domains that have most
+// fullestDomainFirst returns n of the endpoints, of the failure domains that have most
 // of them first.
-func crowdedFirst(list []*config.Endpoint, n int) []*config.Endpoint {
+func fullestDomainFirst(list []*config.Endpoint, n int) []*config.Endpoint {
 	byDomain := map[string]int{}
 	for _, e := range list {
 		byDomain[e.Domain]++
--- a/owner/balance_test.go
+++ b/owner/balance_test.go
@@ -76,7 +76,7 @@
 // that the users run and plan.
 func TestReaders(t *testing.T) {
 	for engines, want := range map[int]int{4: 2, 7: 2, 8: 2, 9: 3, 10: 3, 12: 3, 36: 9, 44: 10, 100: 21, 770: 143} {
-		if got := readers(engines); got != want {
+		if got := prefillEngines(engines); got != want {
 			t.Errorf("%d of %d engines read, want %d", got, engines, want)
 		}
 	}
--- a/owner/book.go
+++ b/owner/book.go
@@ -144,19 +144,19 @@
 	return f
 }
 
-// maxHeads bounds how many prompt heads a digest tells of.
-const maxHeads = 24
+// mostDigestHeads bounds how many prompt heads a digest tells of.
+const mostDigestHeads = 24
 
 // minHead is the least cached prefix worth telling, in tokens.
 const minHead = 512
 
 func (b *Book) topHeads() []route.HeadDigest {
-	out := make([]route.HeadDigest, 0, maxHeads)
+	out := make([]route.HeadDigest, 0, mostDigestHeads)
 	for h, n := range b.heads {
 		if n < minHead {
 			continue
 		}
-		if len(out) < maxHeads {
+		if len(out) < mostDigestHeads {
 			out = append(out, route.HeadDigest{Head: h, Tokens: n})
 			continue
 		}
--- a/owner/growing.go
+++ b/owner/growing.go
@@ -24,9 +24,9 @@
 // whole requests anew, which costs more than a request that is refused.
 const growingMargin = 1.6
 
-// barely is the chance below which a forecast says nothing more of an answer
+// negligible is the chance below which a forecast says nothing more of an answer
 // that has outlived it.
-const barely = 1e-4
+const negligible = 1e-4
 
 // written returns the tokens that a row's answer has at a moment, if it goes
 // on till then.
@@ -61,7 +61,7 @@
 	p := 1.0
 	if t.After(now) && t.After(r.moved) {
 		alive := l.survive(l.written(r, now, step), r.expected, r.maxAnswer)
-		if alive < barely {
+		if alive < negligible {
 			p = math.Exp(-float64(t.Sub(now)) / float64(overrun))
 		} else {
 			p = l.survive(l.written(r, t, step), r.expected, r.maxAnswer) / alive
--- a/owner/ledger.go
+++ b/owner/ledger.go
@@ -231,16 +231,16 @@
 	return t
 }
 
-// crowded is the share of the memory above which a team gets no more than
+// fairShareFrom is the share of the memory above which a team gets no more than
 // its fair part.
-const crowded = 0.85
+const fairShareFrom = 0.85
 
-// fair reports whether a team may take more at a moment: below crowded
+// fair reports whether a team may take more at a moment: below fairShareFrom
 // anyone may, above it only who stays within the fair part of the teams that
 // are there.
 func (l *ledger) fair(now, at time.Time, team uint32, tokens int, weights func(uint32) float64) bool {
 	room := float64(l.spec.MemoryTokens) * l.share
-	if l.at(now, at).tokens+float64(tokens) <= crowded*room {
+	if l.at(now, at).tokens+float64(tokens) <= fairShareFrom*room {
 		return true
 	}
 	own, sum := tokens, weights(team)
@@ -288,7 +288,7 @@
 			return time.Time{}, l.refuse(now, a, latest.Sub(now), at.Sub(latest))
 		}
 		if !l.fair(now, at, a.Team, tokens, weights) {
-			return time.Time{}, result.Errorf(result.NoDecodeMemory, "decode memory is crowded and the team is above its share").After(searchBeyond)
+			return time.Time{}, result.Errorf(result.NoDecodeMemory, "decode memory is fairShareFrom and the team is above its share").After(searchBeyond)
 		}
 		l.add(a, at, at.Add(move), at.Add(l.lease))
 		return at, nil
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -90,9 +90,9 @@
 		return
 	}
 	o.nextAdopt = now.Add(adoptEvery)
-	if print := o.board.Hosts.Fingerprint(now) ^ v.Digest ^ v.Roster; print != o.fingerprint || o.owned == nil {
+	if fingerprint := o.board.Hosts.Fingerprint(now) ^ v.Digest ^ v.Roster; fingerprint != o.fingerprint || o.owned == nil {
 		before := o.owned
-		o.fingerprint, o.owned = print, o.workOut(v, now)
+		o.fingerprint, o.owned = fingerprint, o.workOut(v, now)
 		o.handLost(v, before, now)
 		owned := o.owned
 		o.board.Endpoints.SetOwn(func(n uint32) bool { return owned[n] })
--- a/owner/tenure.go
+++ b/owner/tenure.go
@@ -11,11 +11,11 @@
 // good enough to give orders by. Without a majority of the known hosts it isn't:
 // the others may take this one for gone and order the same runner.
 func (o *Owner) mayOrder(v *config.View, now time.Time) bool {
-	print := o.board.Hosts.Members(now)
+	members := o.board.Hosts.Members(now)
 	o.balance.mu.Lock()
 	defer o.balance.mu.Unlock()
-	if print != o.balance.print || o.balance.since.IsZero() {
-		o.balance.print, o.balance.since = print, now
+	if members != o.balance.members || o.balance.since.IsZero() {
+		o.balance.members, o.balance.since = members, now
 	}
 	o.balance.settled = now.Sub(o.balance.since) >= settledAfter
 	for number, t := range o.balance.orderer {
--- a/peer/news.go
+++ b/peer/news.go
@@ -16,7 +16,7 @@
 
 // OfferRoster offers the endpoints that registered themselves to the board and
 // lays the tables out for them. What changed is told around, because another
-// host's own watch may be cut off or deaf.
+// host's own watch may be cut off or say nothing.
 func (r *Router) OfferRoster(ro *config.Roster, from string) {
 	in, err := r.board.Config.OfferRoster(ro, time.Now())
 	if err != nil {
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -20,7 +20,7 @@
 	// Roster returns the endpoints that are in force, or nil.
 	Roster() *config.Roster
 	// Eager reports whether this host is one of those that find out soon
-	// when the store's watches are deaf. The others hear of it from them.
+	// when the store's watches say nothing. The others hear of it from them.
 	Eager() bool
 	// Heard notes that the platform answered.
 	Heard(now time.Time)
@@ -98,7 +98,7 @@
 
 // How a store is followed. A waiting watch counts as one call. It is short,
 // because a watch whose answer was lost, or that a store cut when it dropped
-// its history, says nothing more, and all hosts may be deaf at the same time.
+// its history, says nothing more, and that may happen to all hosts at the same time.
 const (
 	followWait  = 2 * time.Second
 	lazyWait    = 8 * time.Second        // of hosts that aren't eager
