publish: the project's own watch is given up for silence too, and small pieces renew it

The same class once more: the client of the project's own protocol gave a watch 5 s beyond its wait in all, so a document that takes longer over a link never came. It has the guard now.

The test found a fault of the guard itself: the body of an answer in chunks returns only when all that was asked for has come, and a JSON decoder asks for as much again as it already has. A megabyte over a slow link then looked like silence of more than a second. The guard reads 4 kB at once.

--- a/publish/client.go
+++ b/publish/client.go
@@ -65,21 +65,26 @@
 // Close drops idle connections.
 func (c *Client) Close() { c.hc.CloseIdleConnections() }
 
-// watchSlack is how much longer than asked a watch may take to answer.
+// watchSlack is how much later than asked the answer of a watch may begin.
 const watchSlack = 5 * time.Second
 
 // watch is one long poll. It returns false when nothing newer came in time.
 func (c *Client) watch(ctx context.Context, path string, after uint64, wait time.Duration, v any) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
-	defer cancel()
+	ctx, guard := NewGuard(ctx, wait+watchSlack)
+	newer, err := c.poll(ctx, guard, path, after, wait, v)
+	return newer, errors.Wrap(guard.End(err), "publish")
+}
+
+// poll makes the call of watch.
+func (c *Client) poll(ctx context.Context, guard *Guard, path string, after uint64, wait time.Duration, v any) (bool, error) {
 	url := fmt.Sprintf("http://%s%s?after=%d&wait_ms=%d", c.addr, path, after, wait.Milliseconds())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return false, errors.Wrap(err, "publish")
+		return false, err
 	}
 	res, err := c.hc.Do(req)
 	if err != nil {
-		return false, errors.Wrap(err, "publish")
+		return false, err
 	}
 	defer res.Body.Close()
 	switch res.StatusCode {
@@ -87,10 +92,11 @@
 		return false, nil
 	case http.StatusOK:
 	default:
-		return false, errors.Errorf("publish: status %d", res.StatusCode)
+		return false, errors.Errorf("status %d", res.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(res.Body, 2*MaxValue)).Decode(v)
-	return err == nil, errors.Wrap(err, "publish")
+	guard.Begin()
+	err = json.NewDecoder(guard.Reader(io.LimitReader(res.Body, 2*MaxValue))).Decode(v)
+	return err == nil, err
 }
 
 // Config waits for a revision after the one given. A stale replica may
--- /dev/null
+++ b/publish/client_test.go
@@ -0,0 +1,38 @@
+package publish_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/embercove/embercove/internal/fake"
+	"github.com/embercove/embercove/publish"
+)
+
+// TestSlowDocument has a client get a document over a link that needs longer for
+// it than an answer may be waited for.
+func TestSlowDocument(t *testing.T) {
+	const rate = 50_000 // bytes a second: 20 s for the document
+	synctest.Test(t, func(t *testing.T) {
+		net := fake.NewNetwork()
+		net.SetRate("10.0.0.1", rate)
+		text := strings.Repeat("x", 1_000_000)
+		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			json.NewEncoder(w).Encode(publish.Revision{Revision: 7, Document: text})
+		})}
+		go srv.Serve(net.Listen("platform", "10.9.0.1:80"))
+		c := publish.NewClient("10.9.0.1:80", net.DialerOf("a", "10.0.0.1"))
+		began := time.Now()
+		r, err := c.Config(context.Background(), 3, time.Second)
+		if err != nil || r == nil || r.Revision != 7 || r.Document != text {
+			t.Errorf("after %s: %v", time.Since(began), err)
+		}
+		c.Close()
+		srv.Close()
+		time.Sleep(time.Minute)
+	})
+}
--- a/publish/guard.go
+++ b/publish/guard.go
@@ -65,9 +65,14 @@
 	g *Guard
 }
 
+// guardPiece is the most that is read at once, in bytes. The body of an answer in
+// chunks returns only when all that was asked for is there, and a decoder asks for
+// as much as it has already got.
+const guardPiece = 4 << 10
+
 // Read implements io.Reader.
 func (r *guarded) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
+	n, err := r.Reader.Read(p[:min(len(p), guardPiece)])
 	if n > 0 {
 		r.g.mu.Lock()
 		r.g.bytes += n
