--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -26,7 +26,7 @@
 	since    time.Time // when the revision in force was accepted
 	heard    time.Time // when the platform last answered
 	newest   uint64    // highest revision that another host told of
-	newestAt time.Time // since when
+	newestAt time.Time // since when this host is behind; of no meaning while it is not
 	sources  []Source  // documents that were in force, the newest last
 }
 
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -136,8 +136,8 @@
 	return known && time.Since(c.heard) < d
 }
 
-// readWithin reports whether a byte has come from a peer within d. A large
-// answer on its way counts, as answers that are there do not.
+// readWithin reports whether a byte has come from a peer within d, be it of an
+// answer that is not yet whole, which heardWithin doesn't see.
 func (p *pool) readWithin(addr string, d time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
