peer, blackboard: exchanges that don't grow with the number of hosts

Cause (TestHundreds, 300 hosts, 74 endpoints): an exchange told of the heartbeats of all hosts, 11 KB both ways, and so did each of the four calls by which any news is told around. At the start, where every host is news to every other, each paid 2.2 MB.

Ruled out: that the digests themselves are the cost (1 KB of 11).

Change: of more than 32 hosts an exchange tells of those with news and of eight that are drawn; a hash of the members shows who lacks some and asks for all; news has only what is new, and what comes within 250 ms goes together; digests that the other side has just told of aren't told back; each host keeps to 12 neighbours of a failure domain, and to as many elsewhere, and meets others now and then. The budget of exchanges is 4,000 B/s instead of 2,500.

Found on the way: a watcher accused a silent host by the last heartbeat that it had seen, and later ones still under way cleared it again (gone everywhere after up to 16 s). It accuses by the last one that the host can have sent.

--- a/blackboard/choice.go
+++ b/blackboard/choice.go
@@ -23,7 +23,7 @@
 	rows := make([]scored, 0, 8)
 	for _, h := range t.hosts {
 		if h.Domain == domain && !h.Leaving && t.live(h, now) {
-			rows = append(rows, scored{*h, rendezvous(key, h.Number)})
+			rows = append(rows, scored{*h, Rendezvous(key, h.Number)})
 		}
 	}
 	t.mu.RUnlock()
@@ -86,7 +86,7 @@
 	var sum uint64
 	for n, h := range t.hosts {
 		if !h.Leaving && t.live(h, now) {
-			sum += rendezvous(h.Incarnation, n)
+			sum += Rendezvous(h.Incarnation, n)
 		}
 	}
 	return sum
@@ -130,7 +130,7 @@
 		if !among(h) || h.Leaving || !t.live(h, now) || best != nil && doubted(h) && !doubted(best) {
 			continue
 		}
-		if s := rendezvous(key, h.Number); best == nil || s > top || doubted(best) && !doubted(h) {
+		if s := Rendezvous(key, h.Number); best == nil || s > top || doubted(best) && !doubted(h) {
 			best, top = h, s
 		}
 	}
@@ -140,8 +140,8 @@
 	return *best, true
 }
 
-// rendezvous is the weight of a host for a key (highest random weight).
-func rendezvous(key uint64, host uint32) uint64 {
+// Rendezvous is the weight of a host for a key (highest random weight).
+func Rendezvous(key uint64, host uint32) uint64 {
 	var b [12]byte
 	binary.LittleEndian.PutUint64(b[:], key)
 	binary.LittleEndian.PutUint32(b[8:], host)
--- a/blackboard/hosts.go
+++ b/blackboard/hosts.go
@@ -150,10 +150,10 @@
 	return h.Number == t.self.Number || h.Accused.IsZero() && now.Sub(h.Advanced) <= t.limit()
 }
 
-// Accuse takes in that a watcher could not reach a host after the heartbeat
-// given. A later heartbeat clears the host again. It reports whether this is
-// news; of this host itself it never is, but its heartbeat jumps, so that the
-// others learn better.
+// Accuse takes in that a watcher could not reach a host, which can have sent no
+// heartbeat after the one given. A later one clears the host again; earlier ones
+// that still come by way of others don't. It reports whether this is news; of this
+// host itself it never is, but its heartbeat jumps, so that the others learn better.
 func (t *HostTable) Accuse(number uint32, incarnation, beat uint64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -167,7 +167,7 @@
 	if h == nil || h.Incarnation != incarnation || h.Beat > beat || !h.Accused.IsZero() {
 		return false
 	}
-	h.Accused = now
+	h.Accused, h.Beat = now, beat
 	return true
 }
 
--- a/blackboard/hosts_test.go
+++ b/blackboard/hosts_test.go
@@ -55,6 +55,16 @@
 			h.ListedLeaving(x, 5)
 			h.Learn(hostNamed("x", 6, 1), start.Add(9*time.Second))
 		}, true, true},
+		{"accused, and an earlier heartbeat comes by way of others", func(h *HostTable) {
+			h.Learn(hostNamed("x", 5, 20), start.Add(9*time.Second))
+			h.Accuse(x, 5, 24, start.Add(9*time.Second))
+			h.Learn(hostNamed("x", 5, 23), start.Add(9*time.Second))
+		}, false, false},
+		{"accused, and it beats on", func(h *HostTable) {
+			h.Learn(hostNamed("x", 5, 20), start.Add(9*time.Second))
+			h.Accuse(x, 5, 24, start.Add(9*time.Second))
+			h.Learn(hostNamed("x", 5, 25), start.Add(9*time.Second))
+		}, true, true},
 		{"we were paused", func(h *HostTable) { h.Renew(start.Add(9 * time.Second)) }, true, true},
 	}
 	for _, tc := range cases {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/blackboard"
-	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/publish"
 	"github.com/embercove/embercove/request"
 )
@@ -20,14 +19,14 @@
 // peer at each heartbeat, by push and pull.
 func (r *Router) Exchanger() blackboard.Controller {
 	var next time.Time // no two rounds run at once
-	return blackboard.Every(config.Millis(r.board.Settings.HeartbeatMillis), func(ctx context.Context) {
+	return blackboard.Every(r.heartbeat(), func(ctx context.Context) {
 		now := time.Now()
 		if now.Before(next) {
 			return
 		}
-		next = now.Add(r.every() - config.Millis(r.board.Settings.HeartbeatMillis)/2)
+		next = now.Add(r.every() - r.heartbeat()/2)
 		r.board.Hosts.Tick(now)
-		r.board.Hosts.SetRound(r.every())
+		r.board.Hosts.SetRound(r.beatRound())
 		r.board.Hosts.Forget(now, forgetAfter, r.isListed)
 		r.mu.Lock()
 		r.round++
@@ -55,34 +54,43 @@
 	r.told++
 	heads := r.told%headsEvery == 0
 	r.mu.Unlock()
-	args := r.tell(Name{Region: h.Region}, nil, heads, news)
-	args.Want = r.wanted()
+	all := !news && r.asksAll(time.Now())
+	args := r.tell(telling{to: Name{Region: h.Region}, heads: heads, news: news})
+	args.All = all
+	if !news {
+		args.Want = r.wanted()
+	}
 	var reply ExchangeReply
 	if err := r.pool.call(ctx, h.Peers, methodExchange, &args, &reply, r.timeout()); err != nil {
 		return
 	}
-	if !news {
+	if !news && !all {
 		r.mu.Lock()
 		r.size = len(args.Digests) + len(reply.Digests) + beatBytes*(len(args.Beats)+len(reply.Beats))
 		r.mu.Unlock()
 	}
-	r.takeIn(reply, time.Now())
+	now := time.Now()
+	r.takeIn(reply, now)
+	r.compareMembers(reply.Members, now)
+	if all && len(r.wanted()) > 0 {
+		r.exchange(ctx, h, false) // they are asked for by name at once
+	}
 }
 
 // beatBytes is about what a heartbeat takes on the wire.
-const beatBytes = 16
+const beatBytes = 18
 
 // exchangeBudget is what exchanges may cost a host, in bytes a second. A host
 // starts one exchange in each round and answers one on average. Where the
 // region is large, rounds become longer instead of dearer.
-const exchangeBudget = 2500
+const exchangeBudget = 4000
 
 // every returns the time of a round.
 func (r *Router) every() time.Duration {
 	r.mu.Lock()
 	size := r.size
 	r.mu.Unlock()
-	return max(config.Millis(r.board.Settings.HeartbeatMillis), time.Duration(2*size)*time.Second/exchangeBudget)
+	return max(r.heartbeat(), time.Duration(2*size)*time.Second/exchangeBudget)
 }
 
 // largeExchange is the size of an exchange, in bytes, from which news, which is
@@ -107,8 +115,8 @@
 	return out
 }
 
-// takeIn learns what another host told.
-func (r *Router) takeIn(e ExchangeReply, now time.Time) {
+// takeIn learns what another host told. It returns which digests that one has.
+func (r *Router) takeIn(e ExchangeReply, now time.Time) ages {
 	r.introduce(e.From, now)
 	r.owner.SawFence(e.Fence)
 	for _, n := range e.Names {
@@ -138,8 +146,10 @@
 	if err != nil {
 		r.log.Warn("exchange", zap.String("from", e.From.Name), zap.Error(err))
 	}
+	has := make(ages, len(ds))
 	for _, d := range ds {
 		r.board.Endpoints.Learn(d, now)
+		has[d.Number] = d.AgeMillis
 	}
 	if r.board.Config.HeardOf(e.Revision, now) {
 		r.log.Info("later revision heard of", zap.Uint64("revision", e.Revision), zap.Uint64("in_force", r.board.Config.Revision()), zap.String("from", e.From.Name))
@@ -148,6 +158,7 @@
 	if changed {
 		r.board.Wake.All()
 	}
+	return has
 }
 
 // introduce makes a host known by name. It proves no life.
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -49,6 +49,8 @@
 	Want     []uint32 // hosts to introduce
 	Heads    bool     // cached prompts are told of as well
 	News     bool     // no digests are told of, either way
+	Members  uint64   // hash of the hosts that are taken for members
+	All      bool     // every heartbeat is asked for
 }
 
 // ExchangeReply is the answer to ExchangeArgs.
--- a/peer/news.go
+++ b/peer/news.go
@@ -74,14 +74,30 @@
 	r.tellAround()
 }
 
-// tellAround tells news to some peers now, and for a while to others.
+// tellAround tells news to some peers now, and for a while to others. News that
+// comes soon after other news goes with what comes till then: where hundreds of
+// hosts start at once, each has news of all others.
 func (r *Router) tellAround() {
 	r.mu.Lock()
-	r.hot = time.Now().Add(hotFor)
+	now := time.Now()
+	r.hot = now.Add(hotFor)
+	wait := r.spreadAt.Add(spreadEvery).Sub(now)
+	if wait > spreadEvery { // it will be told anyway
+		r.mu.Unlock()
+		return
+	}
+	r.spreadAt = now.Add(max(0, wait))
 	r.mu.Unlock()
-	r.spread()
+	if wait <= 0 {
+		r.spread()
+		return
+	}
+	time.AfterFunc(wait, r.spread)
 }
 
+// spreadEvery is the least time between two rounds of news.
+const spreadEvery = 250 * time.Millisecond
+
 // hotFor is how long news is told around every watchEvery. Telling it once leaves
 // out some hosts of many: if each tells four others, one in e^4 hears nothing.
 const hotFor = 3500 * time.Millisecond
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -28,10 +28,10 @@
 	var l lot
 	r.board.Hosts.Each(time.Now(), func(h *blackboard.Host, _ bool) {
 		if h.Domain == domain && h.Peers != "" && !h.Leaving {
-			l.add(h, true)
+			l.add(r.board.Number, h, true)
 		}
 	})
-	return l.hosts[0], l.seen > 0
+	return l.any[0], l.seen > 0
 }
 
 func (r *Router) probe(ctx context.Context, h blackboard.Host) {
--- a/peer/router.go
+++ b/peer/router.go
@@ -44,14 +44,17 @@
 	hot      time.Time                  // until when news is told around
 	seeds    []string                   // nil: those of the settings
 	round    uint64
-	told     uint64 // exchanges made
-	size     int    // bytes of the last
+	told     uint64    // exchanges made
+	size     int       // bytes of the last
+	differs  bool      // others named other members
+	askedAll time.Time // when all heartbeats were last asked for
+	spreadAt time.Time // when news was last told around, or will be
 }
 
 // NewRouter returns a router over the board and this host's own owner. A nil
 // dial uses TCP.
 func NewRouter(b *blackboard.Board, o *owner.Owner, dial Dial, log *zap.Logger) *Router {
-	r := &Router{board: b, owner: o, log: log, releases: map[string][]owner.Release{}, unknown: map[uint32]bool{}, listed: map[uint32]bool{}, missed: map[uint32]int{}}
+	r := &Router{board: b, owner: o, log: log, releases: map[string][]owner.Release{}, unknown: map[uint32]bool{}, listed: map[uint32]bool{}, missed: map[uint32]int{}, differs: true}
 	r.pool = newPool(dial, &r.Traffic)
 	r.bulk = newPool(dial, &r.Traffic)
 	o.SetPeers(r)
--- a/peer/server.go
+++ b/peer/server.go
@@ -9,7 +9,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/route"
@@ -57,8 +56,8 @@
 }
 
 func (s *server) Exchange(a *ExchangeArgs, reply *ExchangeReply) error {
-	s.r.takeIn(ExchangeReply(*a), time.Now())
-	*reply = ExchangeReply(s.r.tell(a.From, a.Want, a.Heads, a.News))
+	knows := s.r.takeIn(ExchangeReply(*a), time.Now())
+	*reply = ExchangeReply(s.r.tell(telling{to: a.From, want: a.Want, heads: a.Heads, news: a.News, all: a.All, knows: knows}))
 	return nil
 }
 
@@ -141,45 +140,69 @@
 	}
 }
 
-// beatOf returns what is told of a host's heartbeat.
-func beatOf(h *blackboard.Host) Beat { return Beat{h.Number, h.Incarnation, h.Beat, h.Leaving} }
+// telling says what is told to another host.
+type telling struct {
+	to    Name
+	want  []uint32 // hosts to introduce
+	heads bool     // what is known of cached prompts as well
+	news  bool     // no digests
+	all   bool     // every heartbeat
+	knows ages     // what the other has just told of
+}
+
+// ages are those of the digests that a host told of, in ms, by endpoint.
+type ages map[uint32]uint32
+
+// fresher is by how much a digest must be younger than the one that the other
+// host has told of, in ms, to be told back.
+const fresher = 100
+
+// lacks reports whether a host is without a digest, or has an older one.
+func (k ages) lacks(d *route.Digest) bool {
+	age, known := k[d.Number]
+	return !known || d.AgeMillis+fresher < age
+}
 
 // tell returns what this host knows, for another host: heartbeats to all,
-// digests of endpoints to hosts of the region. What is asked of cached prompts
-// is told with heads set.
-func (r *Router) tell(to Name, want []uint32, heads, news bool) ExchangeArgs {
+// digests of endpoints to hosts of the region.
+func (r *Router) tell(t telling) ExchangeArgs {
 	now := time.Now()
 	self := r.board.Hosts.Self()
 	a := ExchangeArgs{From: Name{self.Name, self.Domain, self.Region, self.Peers}, Revision: r.board.Config.Revision(),
-		Roster: r.board.Config.RosterRevision(), Fence: r.owner.Fence(), Heads: heads, News: news}
-	r.board.Hosts.Each(now, func(h *blackboard.Host, live bool) {
-		if live && h.Incarnation != 0 {
-			a.Beats = append(a.Beats, beatOf(h))
-		}
-	})
+		Roster: r.board.Config.RosterRevision(), Fence: r.owner.Fence(), Heads: t.heads, News: t.news,
+		Beats: r.beats(now, t.news, t.all), Members: r.board.Hosts.Members(now)}
 	for _, h := range r.board.Hosts.Accused(now, goneTold) {
 		a.Gone = append(a.Gone, beatOf(&h))
 	}
-	for _, n := range want {
+	for _, n := range t.want {
 		if h, _, known := r.board.Hosts.Get(n, now); known {
 			a.Names = append(a.Names, Name{h.Name, h.Domain, h.Region, h.Peers})
 		}
 	}
-	if to.Region != self.Region || news {
-		return a
+	if t.to.Region == self.Region && !t.news {
+		a.Digests = r.digests(now, t)
 	}
+	return a
+}
+
+// digests returns the packed digests that another host of the region may lack.
+func (r *Router) digests(now time.Time, t telling) []byte {
 	for _, d := range r.owner.Digests(now) {
 		r.board.Endpoints.Learn(d, now)
 	}
 	ds := r.board.Endpoints.Digests(now, maxDigestAge, func(*route.State) bool { return true })
-	for i := range ds {
-		ds[i].Heads = ds[i].Heads[:min(len(ds[i].Heads), toldHeads)]
-		if !heads {
-			ds[i].Heads = nil
+	told := ds[:0]
+	for _, d := range ds {
+		if !t.knows.lacks(&d) {
+			continue
+		}
+		d.Heads = d.Heads[:min(len(d.Heads), toldHeads)]
+		if !t.heads {
+			d.Heads = nil
 		}
+		told = append(told, d)
 	}
-	a.Digests = pack(ds)
-	return a
+	return pack(told)
 }
 
 // toldHeads is how many cached prompts of an endpoint are told of, and
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -61,9 +61,17 @@
 		delete(r.missed, h.Number)
 	}
 	r.mu.Unlock()
-	if gone && h.Incarnation != 0 && r.board.Hosts.Accuse(h.Number, h.Incarnation, h.Beat, now) {
+	if gone && h.Incarnation != 0 && r.board.Hosts.Accuse(h.Number, h.Incarnation, r.lastBeat(h), now) {
 		r.log.Warn("host is gone", zap.String("gone", h.Name), zap.Error(err))
 		r.board.Wake.All()
 		r.tellAround()
 	}
 }
+
+// lastBeat returns the last heartbeat that a host can have sent which answered the
+// ping before those that it missed. Heartbeats of many hosts are long under way:
+// by the last one that its watcher had seen, a killed host of 300 was taken for
+// live again and again, for up to 16 s in virtual time.
+func (r *Router) lastBeat(h blackboard.Host) uint64 {
+	return h.Beat + uint64(watchEvery/r.heartbeat()) + 1
+}
