peer, blackboard: a doubt ends when the host answers

Each doubt makes another host stand in, with books of the same endpoints and reports asked for twice, and refusals of two ledgers that don't know each other.

Change: doubted hosts are asked for a sign of life every 0.5 s, eight at a time, and any answered call ends a doubt.

--- a/blackboard/hosts.go
+++ b/blackboard/hosts.go
@@ -139,6 +139,16 @@
 	}
 }
 
+// Answered notes that a host has just answered a call of this one, which ends a
+// doubt. Its own heartbeat may be long under way where there are many hosts.
+func (t *HostTable) Answered(number uint32) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.hosts[number]; h != nil {
+		h.Doubted = false
+	}
+}
+
 // limit is the silence after which a host counts as gone. News travels by
 // way of other hosts in a number of rounds that grows with the logarithm of
 // their number.
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -11,10 +11,18 @@
 // asked for a sign of life.
 const probeEvery = 500 * time.Millisecond
 
-// Prober returns the controller that finds out when a cut is healed, so that no
-// request has to.
+// mostProbes is how many doubted hosts are asked at once.
+const mostProbes = 8
+
+// Prober returns the controller that finds out when a cut is healed or a doubted
+// host answers again, so that no request has to. Until then another host stands in
+// for it here, and only here: both keep books of the same endpoints and ask these
+// for their reports.
 func (r *Router) Prober() blackboard.Controller {
 	return blackboard.Every(probeEvery, func(ctx context.Context) {
+		for _, h := range r.doubted(time.Now()) {
+			go r.probe(ctx, h)
+		}
 		for _, domain := range r.board.Domains.Lost() {
 			if h, ok := r.anyOf(domain); ok {
 				go r.probe(ctx, h)
@@ -23,6 +31,16 @@
 	})
 }
 
+// doubted returns some of the doubted hosts that aren't known to be gone.
+func (r *Router) doubted(now time.Time) (out []blackboard.Host) {
+	r.board.Hosts.Each(now, func(h *blackboard.Host, live bool) {
+		if live && h.Doubted && h.Peers != "" && len(out) < mostProbes {
+			out = append(out, *h)
+		}
+	})
+	return out
+}
+
 // anyOf returns some host of a domain.
 func (r *Router) anyOf(domain string) (blackboard.Host, bool) {
 	var l lot
--- a/peer/router.go
+++ b/peer/router.go
@@ -100,6 +100,10 @@
 
 // heard notes that a host answered.
 func (r *Router) heard(h blackboard.Host) {
+	if h.Doubted {
+		r.board.Hosts.Answered(h.Number)
+		r.board.Wake.All()
+	}
 	if r.board.Heard(h.Domain) {
 		r.log.Info("failure domain back", zap.String("domain", h.Domain), zap.String("heard", h.Name))
 	}
--- a/proof/hundreds_test.go
+++ b/proof/hundreds_test.go
@@ -144,3 +144,42 @@
 		}
 	}
 }
+
+// TestDoubts has every host doubt some others, as after a burst of calls that came
+// to no answer in time, and checks that a doubt ends soon where they answer again.
+func TestDoubts(t *testing.T) {
+	const (
+		hosts = 60
+		soon  = 1500 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		s := &scene{t: t, net: fake.NewNetwork(), gone: map[int]bool{}}
+		c, err := trial.Start(trial.Options{Document: examples.Domaskra, Hosts: hosts, Network: s.net, Change: hundreds, Fatal: s.fail})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Cluster = c
+		defer func() {
+			c.Stop()
+			time.Sleep(time.Minute)
+		}()
+		time.Sleep(5 * time.Second)
+		for _, n := range s.Nodes {
+			for _, other := range s.Nodes[:5] {
+				n.Board.Hosts.Doubt(other.Board.Number)
+			}
+		}
+		time.Sleep(soon)
+		doubts := 0
+		for _, n := range s.Nodes {
+			for _, h := range n.Board.Hosts.List() {
+				if h.Doubted {
+					doubts++
+				}
+			}
+		}
+		if doubts > 0 {
+			t.Errorf("%d of %d doubts stand after %s", doubts, 5*hosts-5, soon)
+		}
+	})
+}
