forecast: what is learned of engines and answers, in a package of its own

Moved out of owner, without a change of behaviour: answerForecast (Answers), guessForecast (Guesses), usual (Usual), readPace (Reading) with stretch (Stretch), moment (Moment). Usual.Learn takes tokens instead of ReserveArgs and Reading.Inherit a factor and a time instead of a digest, so that the package knows nothing of messages or routes.

--- a/owner/forecast.go
+++ b/forecast/answers.go
@@ -1,19 +1,6 @@
-package owner
+package forecast
 
-import (
-	"math/bits"
-)
-
-// Weights of a new observation in the learned averages.
-const (
-	learnFailure   = 0.2
-	learnRejection = 0.1 // a vouched refusal may be the ledger's own mistake
-	learnTrust     = 0.1
-	learnLeaving   = 0.02
-)
-
-// blend moves an average towards an observation.
-func blend(avg *float64, seen, weight float64) { *avg += weight * (seen - *avg) }
+import "math/bits"
 
 // answerBins is the grain in which answers are counted, as shares of the
 // tokens asked for.
@@ -26,14 +13,15 @@
 // was seen: that every length is as likely as any other.
 const priorAnswers = 4.0
 
-// answerForecast learns how much of what callers ask for the model writes,
+// Answers learns how much of what callers ask for the model writes,
 // apart for each order of magnitude asked, because a yes or no and a summary
 // have little in common.
-type answerForecast struct {
+type Answers struct {
 	seen [33][answerBins]float64
 }
 
-func (f *answerForecast) learn(answer, asked int) {
+// Learn takes in an answer that is whole, and how many tokens were asked for.
+func (f *Answers) Learn(answer, asked int) {
 	if asked <= 0 || answer <= 0 {
 		return
 	}
@@ -44,8 +32,8 @@
 	bins[min(answerBins-1, (answer-1)*answerBins/asked)]++
 }
 
-// survive returns the chance that an answer has more than written tokens.
-func (f *answerForecast) survive(written float64, asked int) float64 {
+// Survive returns the chance that an answer has more than written tokens.
+func (f *Answers) Survive(written float64, asked int) float64 {
 	if asked <= 0 || written >= float64(asked) {
 		return 0
 	}
@@ -69,8 +57,8 @@
 	return above / all
 }
 
-// expect returns the tokens that an answer will have on average.
-func (f *answerForecast) expect(asked int) int {
+// Expect returns the tokens that an answer will have on average.
+func (f *Answers) Expect(asked int) int {
 	if asked <= 0 {
 		return 1
 	}
--- a/owner/guess_test.go
+++ b/forecast/guesses_test.go
@@ -1,4 +1,4 @@
-package owner
+package forecast
 
 import (
 	"math"
@@ -6,9 +6,9 @@
 	"testing"
 )
 
-// TestGuessForecast learns answers whose guesses are off by a known spread and
+// TestGuesses learns answers whose guesses are off by a known spread and
 // checks the forecast against the answers themselves.
-func TestGuessForecast(t *testing.T) {
+func TestGuesses(t *testing.T) {
 	cases := []struct {
 		name             string
 		answers, guesses float64 // spreads of the logarithms, of answers and of guesses about them
@@ -20,7 +20,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			f := newGuessForecast()
+			f := NewGuesses()
 			r := rand.New(rand.NewPCG(3, 3))
 			draw := func() (answer, guess int) {
 				a := 8 + tc.answers*r.NormFloat64()
@@ -28,8 +28,8 @@
 			}
 			for range 3000 {
 				answer, guess := draw()
-				f.see(guess)
-				f.learn(answer, guess)
+				f.See(guess)
+				f.Learn(answer, guess)
 			}
 			if s := f.slope(); math.Abs(s-tc.slope) > 0.1 {
 				t.Errorf("slope %.2f, want %.2f", s, tc.slope)
@@ -38,7 +38,7 @@
 			below, n := 0, 4000
 			for range n {
 				answer, guess := draw()
-				if f.survive(float64(answer), guess) > 0.25 {
+				if f.Survive(float64(answer), guess) > 0.25 {
 					below++
 				}
 			}
--- a/owner/pace.go
+++ b/forecast/reading.go
@@ -1,18 +1,14 @@
-package owner
+package forecast
 
-import (
-	"time"
+import "time"
 
-	"github.com/embercove/embercove/route"
-)
-
-// readPace learns how long an engine takes to read prompts. An engine reads
+// Reading learns how long an engine takes to read prompts. An engine reads
 // one prompt after the other, and each call takes a fixed time besides, in which
 // the engine already reads the next. So the time of a call to an idle engine is
 // a line over its tokens, and the time from the end of one call to that of the
 // next, at an engine that is never idle, is in proportion to its tokens. Both
 // are fitted together by least squares, in which older calls count less.
-type readPace struct {
+type Reading struct {
 	configured float64 // seconds a thousand tokens
 	believed   fit     // before any call was seen
 
@@ -51,22 +47,20 @@
 	leastRead  = time.Millisecond // of any prompt
 )
 
-// newReadPace returns the pace of an engine of which nothing was seen yet.
-func newReadPace(tokensPerSecond float64) readPace {
+// NewReading returns the pace of an engine of which nothing was seen yet.
+func NewReading(tokensPerSecond float64) Reading {
 	slope := thousand / tokensPerSecond
-	return readPace{configured: slope, believed: fit{slope: slope}}
+	return Reading{configured: slope, believed: fit{slope: slope}}
 }
 
-// inherit begins with what another host told of the engine.
-func (p *readPace) inherit(d route.Digest) {
-	if d.SlowPct == 0 {
-		return
-	}
-	p.believed = fit{lag: float64(d.LagMillis) / 1000, slope: p.configured * float64(d.SlowPct) / 100}
+// Inherit begins with what another host told of the engine: the factor on its
+// configured time of a token, and the fixed time of a call.
+func (p *Reading) Inherit(slow float64, lag time.Duration) {
+	p.believed = fit{lag: lag.Seconds(), slope: p.configured * slow}
 }
 
 // line returns the fit as things are.
-func (p *readPace) line() fit {
+func (p *Reading) line() fit {
 	n, x, y := p.alone.n+lagPrior, p.alone.x, p.alone.y+lagPrior*p.believed.lag
 	xx := p.alone.xx + p.chain.xx + slopePrior
 	xy := p.alone.xy + p.chain.xy + slopePrior*p.believed.slope
@@ -76,23 +70,23 @@
 	return f
 }
 
-// stretch is work of an engine without a pause, as far as its owner knows.
-type stretch struct {
-	from   time.Time // a call to the engine when it was idle, or the end of another call
-	told   bool      // the end of another call
-	tokens int       // read since
+// Stretch is work of an engine without a pause, as far as its owner knows.
+type Stretch struct {
+	From   time.Time // a call to the engine when it was idle, or the end of another call
+	Told   bool      // the end of another call
+	Tokens int       // read since
 }
 
-// learn takes in a call that ended. Its tokens took at most as long as the call,
-// and those of its stretch at most as long as the stretch. One of the bounds is
+// Learn takes in a call that ended. Its tokens took at most as long as the call,
+// and those of its Stretch at most as long as the Stretch. One of the bounds is
 // tight: the first if the engine was idle when the call came, the second if it
 // was not. So the one counts that allows the faster pace.
-func (p *readPace) learn(tokens int, took time.Duration, s stretch, end time.Time) {
+func (p *Reading) Learn(tokens int, took time.Duration, s Stretch, end time.Time) {
 	f := p.line()
 	ownTokens, own := float64(max(1, tokens))/thousand, took.Seconds()
-	allTokens, all := float64(max(1, s.tokens))/thousand, end.Sub(s.from).Seconds()
+	allTokens, all := float64(max(1, s.Tokens))/thousand, end.Sub(s.From).Seconds()
 	allWork := all
-	if !s.told {
+	if !s.Told {
 		allWork -= f.lag
 	}
 	if allWork/allTokens >= (own-f.lag)/ownTokens {
@@ -103,23 +97,23 @@
 	}
 	p.chain.fade(1 - 1/paceMemory)
 	p.alone.fade(1 - 1/(aloneFade*paceMemory))
-	if s.told {
+	if s.Told {
 		p.chain.add(allTokens, all)
 	} else {
 		p.alone.add(allTokens, all)
 	}
 }
 
-// lag returns the fixed time of a call.
-func (p *readPace) lag() time.Duration { return seconds(p.line().lag) }
+// Lag returns the fixed time of a call.
+func (p *Reading) Lag() time.Duration { return seconds(p.line().lag) }
 
-// work returns how long the engine is kept from the next prompt by so many
+// Work returns how long the engine is kept from the next prompt by so many
 // tokens.
-func (p *readPace) work(tokens int) time.Duration {
+func (p *Reading) Work(tokens int) time.Duration {
 	return max(leastRead, seconds(float64(tokens)/thousand*p.line().slope))
 }
 
-// slow returns the factor on the configured time of a token.
-func (p *readPace) slow() float64 { return p.line().slope / p.configured }
+// Slow returns the factor on the configured time of a token.
+func (p *Reading) Slow() float64 { return p.line().slope / p.configured }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/owner/book.go
+++ b/owner/book.go
@@ -98,7 +98,7 @@
 	case b.ledger != nil:
 		d.SlowPct = b.ledger.slowPct()
 	case b.queue != nil:
-		d.SlowPct, d.LagMillis = uint16(b.queue.pace.slow()*100), uint32(b.queue.pace.lag().Milliseconds())
+		d.SlowPct, d.LagMillis = uint16(b.queue.pace.Slow()*100), uint32(b.queue.pace.Lag().Milliseconds())
 	}
 	switch {
 	case b.queue != nil && reserves:
@@ -198,7 +198,7 @@
 		return nil, result.Errorf(result.NoEndpoint, "%s takes no prompts now", b.spec.Name).After(time.Second)
 	}
 	tokens, promised := b.uncached(a.Tokens, a.Head, a.HasHead)
-	work, lag := b.queue.pace.work(tokens), b.queue.pace.lag()
+	work, lag := b.queue.pace.Work(tokens), b.queue.pace.Lag()
 	it := &item{attempt: a.Attempt, team: a.Team, priority: a.Priority, tokens: tokens, work: work, lag: lag, promised: promised, came: now,
 		latest: now.Add(duration(a.Slack) - work - lag), notYet: now.Add(duration(a.NotYet)), answer: make(chan *result.Error, 1)}
 	blend(&b.leaving, 0, learnLeaving)
@@ -251,6 +251,17 @@
 	}
 }
 
+// Weights of a new observation in the learned averages.
+const (
+	learnFailure   = 0.2
+	learnRejection = 0.1 // a vouched refusal may be the ledger's own mistake
+	learnTrust     = 0.1
+	learnLeaving   = 0.02
+)
+
+// blend moves an average towards an observation.
+func blend(avg *float64, seen, weight float64) { *avg += weight * (seen - *avg) }
+
 // release ends what an attempt holds and learns from how it went.
 func (b *Book) release(now time.Time, r Release) *item {
 	delete(b.confirmed, r.Attempt)
--- a/owner/growing.go
+++ b/owner/growing.go
@@ -40,17 +40,17 @@
 // survive returns the chance that a row's answer is longer than so many tokens.
 func (l *ledger) survive(written float64, expected, asked int) float64 {
 	if expected > 0 && written < float64(asked) {
-		return l.guessed.survive(written, expected)
+		return l.guessed.Survive(written, expected)
 	}
-	return l.answers.survive(written, asked)
+	return l.answers.Survive(written, asked)
 }
 
 // expect returns the tokens that an answer will have on average.
 func (l *ledger) expect(expected, asked int) int {
 	if expected > 0 {
-		return min(asked, l.guessed.expect(expected))
+		return min(asked, l.guessed.Expect(expected))
 	}
-	return l.answers.expect(asked)
+	return l.answers.Expect(asked)
 }
 
 // hold adds what a row holds at a moment, by the chance that it still runs.
@@ -133,8 +133,8 @@
 // start to its end, or refuses with the time after which it would.
 func (l *ledger) reserveGrowing(now time.Time, a ReserveArgs) (time.Time, *result.Error) {
 	step := l.step()
-	l.usual.learn(a)
-	l.guessed.see(a.Expected)
+	l.usual.Learn(a.Tokens, a.MaxAnswer, a.Expected)
+	l.guessed.See(a.Expected)
 	c := l.newcomer(a.Tokens, a.Expected, a.MaxAnswer, step)
 	wanted := now.Add(duration(a.InMillis))
 	latest := wanted.Add(duration(a.Slack))
@@ -164,7 +164,7 @@
 
 // waitGrowing returns how long a request of the usual size waits for room.
 func (l *ledger) waitGrowing(now time.Time) time.Duration {
-	c := l.newcomer(l.usual.size(), l.usual.guess(), l.usual.asks(), l.step())
+	c := l.newcomer(l.usual.Prompt(), l.usual.Guess(), l.usual.Answer(), l.step())
 	last := int(waitMost / growStep)
 	line := l.timeline(now, last+len(c))
 	for i := range last {
--- a/owner/ledger.go
+++ b/owner/ledger.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/forecast"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
@@ -51,21 +52,21 @@
 	share   float64 // of the engine that this ledger may give out
 	lease   time.Duration
 	rows    map[request.Attempt]*row
-	answers answerForecast // by the share of what was asked for
-	guessed guessForecast  // by what the caller guessed
-	pace    moment         // factor on the configured time of a step, learned
+	answers forecast.Answers // by the share of what was asked for
+	guessed forecast.Guesses // by what the caller guessed
+	pace    forecast.Moment  // factor on the configured time of a step, learned
 	ended   map[request.Attempt]time.Time
 	marked  map[uint64]request.Attempt
 
 	wants map[request.ID]want
 
-	usual   usual
+	usual   forecast.Usual
 	waitAt  time.Time
 	waitFor time.Duration
 }
 
 func newLedger(v *config.View, spec *config.Endpoint, share float64) *ledger {
-	l := &ledger{rows: map[request.Attempt]*row{}, wants: map[request.ID]want{}, guessed: newGuessForecast(),
+	l := &ledger{rows: map[request.Attempt]*row{}, wants: map[request.ID]want{}, guessed: forecast.NewGuesses(),
 		ended: map[request.Attempt]time.Time{}, marked: map[uint64]request.Attempt{}}
 	l.fit(v, spec, share)
 	return l
@@ -106,8 +107,8 @@
 // step is the time of a decode step as things are.
 func (l *ledger) step() time.Duration {
 	step := route.StepTime(l.spec, len(l.rows))
-	if l.pace.weight > 0 {
-		step = time.Duration(float64(step) * l.pace.mean)
+	if l.pace.Weight > 0 {
+		step = time.Duration(float64(step) * l.pace.Mean)
 	}
 	return max(step, time.Microsecond)
 }
@@ -185,20 +186,20 @@
 	}
 	written := func(t time.Time) float64 { return float64(t.Sub(moved)) / float64(step) }
 	if l.mode == config.ForecastPlain {
-		if written(t) < max(float64(l.answers.expect(r.maxAnswer)), written(now)+1) {
+		if written(t) < max(float64(l.answers.Expect(r.maxAnswer)), written(now)+1) {
 			return 1
 		}
 		return 0
 	}
 	alive := 1.0
 	if now.After(moved) {
-		alive = l.answers.survive(written(now), r.maxAnswer)
+		alive = l.answers.Survive(written(now), r.maxAnswer)
 	}
 	if alive < surelyOver {
 		// It has outlived its forecast; it ends any time now.
 		return math.Exp(-float64(t.Sub(now)) / float64(overrun))
 	}
-	return l.answers.survive(written(t), r.maxAnswer) / alive
+	return l.answers.Survive(written(t), r.maxAnswer) / alive
 }
 
 const (
@@ -272,12 +273,12 @@
 		return l.reserveGrowing(now, a)
 	}
 	tokens := a.Tokens + a.MaxAnswer
-	l.usual.learn(a)
+	l.usual.Learn(a.Tokens, a.MaxAnswer, a.Expected)
 	wanted := now.Add(duration(a.InMillis))
 	latest := wanted.Add(duration(a.Slack))
 	move := route.LinkTime(l.spec, a.Bytes)
 	owed := l.owed(now, a, weights)
-	stay := move + time.Duration(l.answers.expect(a.MaxAnswer))*l.step()
+	stay := move + time.Duration(l.answers.Expect(a.MaxAnswer))*l.step()
 	taken := l.taken(now, tokens+owed)
 	for t := wanted; t.Before(latest.Add(searchBeyond)); t = t.Add(searchStep) {
 		at := l.linkFrom(t, move)
@@ -336,8 +337,8 @@
 // release drops an attempt's row and learns from its answer.
 func (l *ledger) release(now time.Time, r Release) {
 	if r.Outcome == Done {
-		l.answers.learn(r.Answer, r.Max)
-		l.guessed.learn(r.Answer, r.Expected)
+		l.answers.Learn(r.Answer, r.Max)
+		l.guessed.Learn(r.Answer, r.Expected)
 		l.learnMargin(r.Waited)
 		l.learnPace(r.Answer, r.Millis)
 	}
@@ -395,7 +396,7 @@
 		return l.waitFor
 	}
 	for d := time.Duration(0); d < waitMost; d += waitStep {
-		if l.fits(now, now.Add(d), l.usual.size()+l.usual.asks()) {
+		if l.fits(now, now.Add(d), l.usual.Prompt()+l.usual.Answer()) {
 			l.waitFor = d
 			break
 		}
--- a/owner/ledger_test.go
+++ b/owner/ledger_test.go
@@ -153,29 +153,6 @@
 	}
 }
 
-// TestForecast checks what is learned of answers' lengths.
-func TestForecast(t *testing.T) {
-	var f answerForecast
-	if p := f.survive(50, 100); p < 0.45 || p > 0.55 {
-		t.Errorf("before any answer, half-way: %.2f, want about 0.5", p)
-	}
-	for range 500 {
-		f.learn(30, 100)
-	}
-	if p := f.survive(50, 100); p > 0.05 {
-		t.Errorf("after answers of 30, at 50: %.2f, want nearly 0", p)
-	}
-	if p := f.survive(20, 100); p < 0.95 {
-		t.Errorf("after answers of 30, at 20: %.2f, want nearly 1", p)
-	}
-	if n := f.expect(100); n < 25 || n > 35 {
-		t.Errorf("expects %d of 100, want about 30", n)
-	}
-	if p := f.survive(2, 4); p < 0.3 {
-		t.Errorf("short answers learned from long ones: %.2f", p)
-	}
-}
-
 func BenchmarkReserve(b *testing.B) {
 	l := testLedger(b, config.ForecastMargin, -0.5)
 	l.spec.MemoryTokens, l.slots = 48_000, 32
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -133,8 +133,8 @@
 func (o *Owner) open(v *config.View, spec *config.Endpoint, now time.Time) *Book {
 	b := newBook(v, spec, o.share(v), now)
 	pace := o.poolPace(spec)
-	if b.queue != nil {
-		b.queue.pace.inherit(pace)
+	if b.queue != nil && pace.SlowPct > 0 {
+		b.queue.pace.Inherit(float64(pace.SlowPct)/100, duration(int(pace.LagMillis)))
 	}
 	if b.ledger != nil {
 		b.ledger.inheritPace(pace.SlowPct)
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/embercove/embercove/forecast"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 )
@@ -28,7 +29,7 @@
 type called struct {
 	number   uint64 // in the order of calls
 	tokens   int
-	stretch  stretch // of the engine's work that ends with it
+	stretch  forecast.Stretch // of the engine's work that ends with it
 	work     time.Duration
 	promised int
 	since    time.Time
@@ -48,14 +49,14 @@
 	waiting []*item
 	out     map[request.Attempt]*called
 	calls   uint64
-	busy    time.Time // when the engine will have read what was sent
-	stretch stretch   // up to what was sent last
-	pace    readPace
+	busy    time.Time        // when the engine will have read what was sent
+	stretch forecast.Stretch // up to what was sent last
+	pace    forecast.Reading
 	share   *shares
 }
 
 func newQueue(s *shares, tokensPerSecond float64) *queue {
-	return &queue{out: map[request.Attempt]*called{}, share: s, pace: newReadPace(tokensPerSecond)}
+	return &queue{out: map[request.Attempt]*called{}, share: s, pace: forecast.NewReading(tokensPerSecond)}
 }
 
 // lookahead is how much work is sent ahead of the engine, so that it never
@@ -184,9 +185,9 @@
 		q.take(it)
 		send = append(send, it)
 		if !q.busy.After(now) {
-			q.stretch = stretch{from: now}
+			q.stretch = forecast.Stretch{From: now}
 		}
-		q.stretch.tokens += it.tokens
+		q.stretch.Tokens += it.tokens
 		q.calls++
 		q.busy = q.free(now).Add(it.work)
 		q.out[it.attempt] = &called{number: q.calls, tokens: it.tokens, stretch: q.stretch, work: it.work, promised: it.promised,
@@ -280,17 +281,17 @@
 	if took > 0 {
 		q.learn(c, took)
 	}
-	q.busy = now.Add(left - q.pace.lag())
+	q.busy = now.Add(left - q.pace.Lag())
 }
 
 // learn takes in how long a call took, and begins a new stretch of work at its
 // end.
 func (q *queue) learn(c *called, took time.Duration) {
 	end := c.since.Add(took)
-	q.pace.learn(c.tokens, took, c.stretch, end)
-	restart := func(s *stretch) {
-		if s.from.Equal(c.stretch.from) {
-			*s = stretch{from: end, told: true, tokens: s.tokens - c.stretch.tokens}
+	q.pace.Learn(c.tokens, took, c.stretch, end)
+	restart := func(s *forecast.Stretch) {
+		if s.From.Equal(c.stretch.From) {
+			*s = forecast.Stretch{From: end, Told: true, Tokens: s.Tokens - c.stretch.Tokens}
 		}
 	}
 	for _, o := range q.out {
--- a/owner/steps.go
+++ b/owner/steps.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/forecast"
 	"github.com/embercove/embercove/route"
 )
 
@@ -38,7 +39,7 @@
 	if known && span < listSpan {
 		return
 	}
-	if known && grown > 0 && l.pace.weight < stepKnown {
+	if known && grown > 0 && l.pace.Weight < stepKnown {
 		l.observeStep(span.Seconds() / float64(grown))
 	}
 	r.held, r.listed = held.Tokens, now
@@ -47,26 +48,26 @@
 // observeStep takes in the seconds of a step.
 func (l *ledger) observeStep(seconds float64) {
 	told := route.StepTime(l.spec, len(l.rows)).Seconds()
-	l.pace.learnOf(min(stepOff, max(1/stepOff, seconds/told)), stepMemory)
+	l.pace.LearnOf(min(stepOff, max(1/stepOff, seconds/told)), stepMemory)
 }
 
 // inheritPace begins with what others of the pool show.
 func (l *ledger) inheritPace(slowPct uint16) {
-	if slowPct > 0 && l.pace.weight == 0 {
-		l.pace = moment{mean: float64(slowPct) / 100, weight: stepInherited}
+	if slowPct > 0 && l.pace.Weight == 0 {
+		l.pace = forecast.Moment{Mean: float64(slowPct) / 100, Weight: stepInherited}
 	}
 }
 
 // unpaced reports whether nothing is known of the engine's steps, though it has
 // work from which something could be.
 func (l *ledger) unpaced() bool {
-	return l.spec.GrowsMemory && l.pace.weight == 0 && len(l.rows) > 0
+	return l.spec.GrowsMemory && l.pace.Weight == 0 && len(l.rows) > 0
 }
 
 // slowPct returns the pace for a digest; 0: nothing is known.
 func (l *ledger) slowPct() uint16 {
-	if l.pace.weight == 0 {
+	if l.pace.Weight == 0 {
 		return 0
 	}
-	return uint16(min(stepOff, l.pace.mean) * 100)
+	return uint16(min(stepOff, l.pace.Mean) * 100)
 }
--- a/owner/steps_test.go
+++ b/owner/steps_test.go
@@ -64,7 +64,7 @@
 	spec.GrowsMemory = true
 	o.board.Endpoints.Learn(route.Digest{Number: route.Number("e"), SlowPct: 650}, time.Now())
 	b := o.open(v, spec, time.Now())
-	if got := b.ledger.pace.mean; got != 6.5 {
+	if got := b.ledger.pace.Mean; got != 6.5 {
 		t.Errorf("a pace of %v, want 6.5", got)
 	}
 }
--- a/owner/usual_test.go
+++ b/owner/usual_test.go
@@ -11,7 +11,7 @@
 			l.add(ReserveArgs{Attempt: attempt(n), Tokens: 9_000, MaxAnswer: 4_000, Expected: 1_000 + 300*n}, at(0), at(0), at(60_000))
 		}
 		for range 30 {
-			l.usual.learn(ReserveArgs{Tokens: 9_000, MaxAnswer: asked, Expected: guess})
+			l.usual.Learn(9_000, asked, guess)
 		}
 		return int(l.waitGrowing(at(0)).Milliseconds())
 	}
