entry, route: as many owners are asked as a large pool needs

In the burst at 18 s half of the requests were refused as too late, after four turns that were refused in 11 ms at the median, while seven of the engines that read were given little: they had failed now and then, which makes them dearer, and what is told of the others' queues is a second or two old. 14 engines could read the 120 prompts a second that came.

Change: up to twelve turns are asked for instead of four, and up to eight decode engines instead of three; a turn is given back four times at the most, as before. Small pools have fewer engines, so nothing changes there.

Test first (TestAsks): with 15 engines that read, of which nine refuse, the request was refused; with 49 that decode, of which six refuse, it was placed before as well, by another turn.

--- a/entry/place.go
+++ b/entry/place.go
@@ -38,9 +38,16 @@
 	return e
 }
 
-// maxAsk is how many pairs are asked for one try, before the request is
-// refused for lack of room.
-const maxAsk = 4
+// How many owners are asked for one try, before the request is refused for lack of
+// room. In a large pool what is told of queues is some seconds old, and in a burst
+// those that seemed to be the shortest are full: with four turns asked for, of a pool
+// of 15 that read, half of the requests of a burst were refused while seven engines
+// were given little. An ask takes some milliseconds.
+const (
+	mostTurnAsks = 12 // prefill engines that have no turn in time
+	mostTurns    = 4  // turns that are given back for lack of decode memory
+	decodeAsks   = 8  // decode engines that are asked for a called request
+)
 
 // choose asks route for a pair; fixed is the number of a prefill endpoint
 // that has called the request, 0 for none.
@@ -69,7 +76,7 @@
 	asked := j.pick.Exclude // endpoints that have no room now are left out of this try only
 	var last *result.Error
 	notBefore := time.Now()
-	for range maxAsk {
+	for asks, turns := 0, 0; asks < mostTurnAsks && turns < mostTurns; {
 		c, v := e.choose(j, 0)
 		if c.Prefill < 0 {
 			break
@@ -81,8 +88,10 @@
 			}
 			e.logRefused(j, p.pre, string(blackboard.PhaseQueue), last, c.Age)
 			j.pick.Drop(route.Number(p.pre.Name))
+			asks++
 			continue
 		}
+		turns++
 		last = e.reserveAny(ctx, j, p)
 		j.pick.Exclude = asked
 		if last == nil {
@@ -159,9 +168,6 @@
 	e.owners.Release(p.pre, owner.Release{Attempt: p.readBy, Endpoint: route.Number(p.pre.Name), Outcome: owner.GivenUp})
 }
 
-// decodeAsks is how many decode engines are asked for a called request.
-const decodeAsks = 3
-
 // reserveAny reserves decode memory on the best engine that grants it, for
 // the end of the prefill.
 func (e *Entry) reserveAny(ctx context.Context, j *job, p *plan) *result.Error {
--- a/entry/place_test.go
+++ b/entry/place_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -23,6 +24,7 @@
 type stubOwners struct {
 	roomIn int           // ms after which decode memory is free
 	turns  []result.Code // of the turns that are asked for; then all are granted
+	rooms  []result.Code // of the room that is asked for; then all is granted
 	asked  []string
 }
 
@@ -32,7 +34,11 @@
 
 func (s *stubOwners) Reserve(context.Context, *config.Endpoint, owner.ReserveArgs) (owner.ReserveReply, error) {
 	s.note("reserve")
-	return owner.ReserveReply{Code: result.OK, InMillis: s.roomIn}, nil
+	code := result.OK
+	if len(s.rooms) > 0 {
+		code, s.rooms = s.rooms[0], s.rooms[1:]
+	}
+	return owner.ReserveReply{Code: code, InMillis: s.roomIn}, nil
 }
 
 func (s *stubOwners) Enqueue(_ context.Context, _ *config.Endpoint, a owner.EnqueueArgs) (owner.EnqueueReply, error) {
@@ -81,29 +87,8 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := &config.Settings{Host: "h", Domain: "a", Region: "r"}
-				s.SetDefaults()
-				b := blackboard.New(s)
-				if _, err := b.Config.Offer(1, []byte(likelyDocument)); err != nil {
-					t.Fatal(err)
-				}
-				roster := &config.Roster{Revision: 1}
-				for i, role := range []config.Role{config.Prefill, config.Decode} {
-					roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: string(role), Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: "a",
-						Pool: "p", Role: role, Model: "m", Version: "1"})
-				}
-				if _, err := b.Config.OfferRoster(roster, time.Now()); err != nil {
-					t.Fatal(err)
-				}
-				v := b.Config.View()
-				b.Endpoints.Fit(v)
 				stub := &stubOwners{roomIn: tc.roomIn, turns: tc.turns}
-				e := New(b, endpoint.NewClient(nil), stub, report.NewRecorder(), zap.NewNop())
-				j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: defaultTeam, repeatable: true})
-				j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
-				j.out = &passage{}
-				j.work.MaxTokens = 100
-				j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
+				e, j := placing(t, stub, 1, 1)
 				_, err := e.place(context.Background(), j)
 				if placed := err == nil; placed != tc.placed {
 					t.Errorf("placed %v (%v), want %v", placed, err, tc.placed)
@@ -115,3 +100,66 @@
 		})
 	}
 }
+
+// placing returns an entry before a pool of so many engines of each role, and a job
+// that is to be placed there.
+func placing(t *testing.T, stub *stubOwners, prefills, decodes int) (*Entry, *job) {
+	t.Helper()
+	s := &config.Settings{Host: "h", Domain: "a", Region: "r"}
+	s.SetDefaults()
+	b := blackboard.New(s)
+	if _, err := b.Config.Offer(1, []byte(likelyDocument)); err != nil {
+		t.Fatal(err)
+	}
+	roster := &config.Roster{Revision: 1}
+	for i := range prefills + decodes {
+		role := config.Prefill
+		if i >= prefills {
+			role = config.Decode
+		}
+		roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: fmt.Sprintf("%s-%d", role, i), Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: "a",
+			Pool: "p", Role: role, Model: "m", Version: "1"})
+	}
+	if _, err := b.Config.OfferRoster(roster, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	v := b.Config.View()
+	b.Endpoints.Fit(v)
+	e := New(b, endpoint.NewClient(nil), stub, report.NewRecorder(), zap.NewNop())
+	j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: defaultTeam, repeatable: true})
+	j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
+	j.out = &passage{}
+	j.work.MaxTokens = 100
+	j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
+	return e, j
+}
+
+// TestAsks states how far a request is carried round a large pool in which the
+// engines that seem best are full, before it is refused.
+func TestAsks(t *testing.T) {
+	full := func(n int, code result.Code) []result.Code {
+		return slices.Repeat([]result.Code{code}, n)
+	}
+	cases := []struct {
+		name         string
+		turns, rooms int // refused, before one is granted
+		placed       bool
+	}{
+		{"the first have no turn", 9, 0, true},
+		{"none has a turn", 15, 0, false},
+		{"the first have no room", 0, 6, true},
+		{"neither", 9, 6, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stub := &stubOwners{turns: full(tc.turns, result.TooLate), rooms: full(tc.rooms, result.NoDecodeMemory)}
+				e, j := placing(t, stub, 15, 49)
+				_, err := e.place(context.Background(), j)
+				if placed := err == nil; placed != tc.placed {
+					t.Errorf("placed %v (%v), want %v; asked %v", placed, err, tc.placed, stub.asked)
+				}
+			})
+		})
+	}
+}
--- a/route/pick.go
+++ b/route/pick.go
@@ -24,9 +24,13 @@
 	FixedPrefill uint32
 	// Exclude holds the numbers of endpoints that refused or failed; 0 ends
 	// the list. Numbers stay while the places of endpoints in a view change.
-	Exclude [8]uint32
+	Exclude [MostExcluded]uint32
 }
 
+// MostExcluded is how many endpoints a request can leave out: as many as it asks, of
+// both roles, and some that failed.
+const MostExcluded = 24
+
 // Excluded reports whether an endpoint is out of the question.
 func (r *Request) Excluded(number uint32) bool {
 	for _, x := range r.Exclude {
