owner: roles are ordered for a loss that lasts, though its size changes

Cause: an order needs the same number of runners out of balance for three seconds, and the tenure of whoever orders a runner began when the runner was first to be ordered, five seconds before, unless no member changed.

Change: as many runners are ordered as were out of balance at each look of the last three seconds; a host looks at all runners of its domain all the time, so that its tenure stands when one is to be ordered.

Test first (TestLasting): with the former rule "more and more" and "now more and now fewer" gave no order.

--- a/owner/balance.go
+++ b/owner/balance.go
@@ -62,8 +62,8 @@
 	settled bool      // they have not changed for long enough
 	orderer map[uint32]tenure
 	ordered map[uint32]time.Time
-	fence   uint64                // highest that is known to have been used
-	seen    map[string]imbalanced // by pool
+	fence   uint64                  // highest that is known to have been used
+	seen    map[string][]imbalanced // by pool, the last looks
 }
 
 // Balancer returns the controller that orders runners into the role that
@@ -80,9 +80,10 @@
 				continue
 			}
 			surplus, to := imbalance(v, name, o.isChanging)
-			imbalanceLasts := o.imbalanceLasts(name, len(surplus), to, now)
-			for _, e := range surplus {
-				if o.orders(e, now) && imbalanceLasts {
+			lasting := o.lasting(name, len(surplus), to, now)
+			mine := o.orderedHere(v, name, now)
+			for _, e := range surplus[:lasting] {
+				if mine[e.Name] {
 					o.order(ctx, p, e, to, now)
 				}
 			}
@@ -90,24 +91,54 @@
 	})
 }
 
-// imbalanceLasts reports whether a pool's roles have been out of balance in one way for
-// long enough. A runner that was lost for a moment comes back in its old role.
-func (o *Owner) imbalanceLasts(pool string, n int, to config.Role, now time.Time) bool {
+// orderedHere returns the runners of a pool that this host may order. It looks at all
+// of its failure domain at each look, so that its tenure of a runner doesn't begin
+// when the runner is first to be ordered: that took 5 s of the 9 s in which a loss was
+// made good where members changed meanwhile.
+func (o *Owner) orderedHere(v *config.View, pool string, now time.Time) map[string]bool {
+	out := map[string]bool{}
+	for i := range v.Doc.Endpoints {
+		e := &v.Doc.Endpoints[i]
+		if e.Pool == pool && e.Domain == o.board.Settings.Domain && o.orders(e, now) {
+			out[e.Name] = true
+		}
+	}
+	return out
+}
+
+// lasting returns of how many runners of a pool the roles have been out of balance in
+// one way for long enough: the fewest of that time. A runner that was lost for a
+// moment comes back in its old role. In a large pool their number changes all the
+// time, which says nothing against those that are out of balance all the while.
+func (o *Owner) lasting(pool string, n int, to config.Role, now time.Time) int {
 	o.balance.mu.Lock()
 	defer o.balance.mu.Unlock()
-	was := o.balance.seen[pool]
-	if was.n != n || was.to != to {
-		was = imbalanced{n: n, to: to, since: now}
-		o.balance.seen[pool] = was
+	looks := o.balance.seen[pool]
+	if len(looks) > 0 && now.Sub(looks[len(looks)-1].at) > unseenFor {
+		looks = nil
+	}
+	looks = append(looks, imbalanced{n: n, to: to, at: now})
+	for len(looks) > 1 && now.Sub(looks[1].at) >= lastsFor {
+		looks = looks[1:]
+	}
+	o.balance.seen[pool] = looks
+	if now.Sub(looks[0].at) < lastsFor {
+		return 0
+	}
+	for _, l := range looks {
+		if l.to != to {
+			return 0
+		}
+		n = min(n, l.n)
 	}
-	return n > 0 && now.Sub(was.since) >= lastsFor
+	return n
 }
 
-// imbalanced is how many runners of a pool should change their role.
+// imbalanced is how many runners of a pool should have changed their role at a look.
 type imbalanced struct {
-	n     int
-	to    config.Role
-	since time.Time
+	n  int
+	to config.Role
+	at time.Time
 }
 
 // isChanging reports whether an endpoint is told of as about to have another
--- a/owner/balance_test.go
+++ b/owner/balance_test.go
@@ -72,6 +72,41 @@
 	}
 }
 
+// TestLasting has a pool looked at every half second, with as many runners out of
+// balance as the digits say, minus for the other way, and states how many are so for
+// long enough at the end.
+func TestLasting(t *testing.T) {
+	cases := []struct {
+		name  string
+		looks []int
+		want  int
+	}{
+		{"just now", []int{2}, 0},
+		{"for a while", []int{2, 2, 2, 2, 2, 2, 2}, 2},
+		{"not for long enough", []int{2, 2, 2, 2, 2, 2}, 0},
+		{"balanced meanwhile", []int{2, 2, 2, 0, 2, 2, 2}, 0},
+		{"more and more", []int{1, 2, 3, 4, 5, 6, 7}, 1},
+		{"now more and now fewer", []int{3, 5, 2, 4, 3, 6, 5}, 2},
+		{"the other way before", []int{-1, 2, 2, 2, 2, 2, 2}, 0},
+		{"long ago the other way", []int{-1, 2, 2, 2, 2, 2, 2, 3}, 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			o, got := testOwner(t, "a", "b"), 0
+			for i, n := range tc.looks {
+				to := config.Prefill
+				if n < 0 {
+					n, to = -n, config.Decode
+				}
+				got = o.lasting("p", n, to, at(i*int(balanceEvery.Milliseconds())))
+			}
+			if got != tc.want {
+				t.Errorf("%d, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
 // TestReaders states how many engines of a pool read, for pools of the sizes
 // that the users run and plan.
 func TestReaders(t *testing.T) {
