owner: an engine that turns slow is noticed by its lists

Cause: the time of a step is learned from answers that ended, and from lists only until some have.

Change: when the requests of two lists in a row grow three times slower, or faster, than believed at the median, the pace begins anew with what the lists show.

Test first (TestStepPace): "it turns slow" and "it is fast again" failed.

--- a/owner/ledger.go
+++ b/owner/ledger.go
@@ -42,21 +42,22 @@
 //
 // What it grants is a forecast. The engine's admission is the last word.
 type ledger struct {
-	spec    *config.Endpoint
-	kvBytes int64
-	slots   int     // that keep the time per token within its target
-	margin  float64 // standard deviations kept free of the forecast
-	learns  bool    // the margin is learned
-	full    float64 // share of reservations that may find the engine full
-	mode    config.Forecast
-	share   float64 // of the engine that this ledger may give out
-	lease   time.Duration
-	rows    map[request.Attempt]*row
-	answers forecast.Answers // by the share of what was asked for
-	guessed forecast.Guesses // by what the caller guessed
-	pace    forecast.Moment  // factor on the configured time of a step, learned
-	ended   map[request.Attempt]time.Time
-	marked  map[uint64]request.Attempt
+	spec     *config.Endpoint
+	kvBytes  int64
+	slots    int     // that keep the time per token within its target
+	margin   float64 // standard deviations kept free of the forecast
+	learns   bool    // the margin is learned
+	full     float64 // share of reservations that may find the engine full
+	mode     config.Forecast
+	share    float64 // of the engine that this ledger may give out
+	lease    time.Duration
+	rows     map[request.Attempt]*row
+	answers  forecast.Answers // by the share of what was asked for
+	guessed  forecast.Guesses // by what the caller guessed
+	pace     forecast.Moment  // factor on the configured time of a step, learned
+	turnSeen int              // lists in a row that showed another pace
+	ended    map[request.Attempt]time.Time
+	marked   map[uint64]request.Attempt
 
 	wants map[request.ID]want
 
--- a/owner/listed.go
+++ b/owner/listed.go
@@ -19,6 +19,7 @@
 			delete(l.ended, a)
 		}
 	}
+	var g growth
 	there := make(map[request.Attempt]bool, len(list))
 	for a, held := range list {
 		if _, over := l.ended[a]; over {
@@ -34,7 +35,7 @@
 			l.rows[a] = r
 		}
 		r.seen = true
-		l.learnGrowth(now, r, held)
+		l.grow(now, r, held, &g)
 		if l.spec.GrowsMemory && !r.start.IsZero() {
 			continue // its start is known better than such a list tells it
 		}
@@ -42,6 +43,7 @@
 		r.start = now.Add(-duration(held.AgeMillis))
 		r.moved = r.start.Add(move)
 	}
+	l.noticeTurn(g)
 	for a, r := range l.rows {
 		if r.seen && !there[a] {
 			l.drop(a)
--- a/owner/steps.go
+++ b/owner/steps.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/embercove/embercove/endpoint"
@@ -21,6 +22,8 @@
 	stepLeast     = 256                    // tokens of an answer that tells anything
 	stepOff       = 100.0                  // times by which an engine may be off its configured step, either way
 	listSpan      = 300 * time.Millisecond // least time between lists that are compared
+	turned        = 3.0                    // times by which lists must be off what answers told: more than lists are off by themselves
+	turnLists     = 2                      // in a row: the first may cover work from before
 	listSoon      = 400 * time.Millisecond // until the next report while nothing is known of an engine's steps
 )
 
@@ -32,19 +35,50 @@
 	l.observeStep(duration(millis).Seconds() / float64(tokens))
 }
 
-// learnGrowth learns from how much a request's memory grew between two lists.
-func (l *ledger) learnGrowth(now time.Time, r *row, held endpoint.Running) {
+// growth is how fast the requests grew that two lists both show: the seconds that
+// each took for a token.
+type growth []float64
+
+// grow takes in a request of a list, and adds to g how fast it has grown since the
+// list before.
+func (l *ledger) grow(now time.Time, r *row, held endpoint.Running, g *growth) {
 	span, grown := now.Sub(r.listed), held.Tokens-r.held
 	known := !r.listed.IsZero()
 	if known && span < listSpan {
 		return
 	}
-	if known && grown > 0 && l.pace.Weight < stepKnown {
-		l.observeStep(span.Seconds() / float64(grown))
+	if known && grown > 0 {
+		seconds := span.Seconds() / float64(grown)
+		*g = append(*g, seconds)
+		if l.pace.Weight < stepKnown {
+			l.observeStep(seconds)
+		}
 	}
 	r.held, r.listed = held.Tokens, now
 }
 
+// noticeTurn takes in the growth of a list. An engine whose requests grow far slower
+// or faster than believed, by turnLists lists in a row, has turned: by answers alone,
+// which end the later the slower it is, it would be thought to be free long before it
+// is, be given more than its memory holds, and read whole requests anew.
+func (l *ledger) noticeTurn(g growth) {
+	if len(g) == 0 {
+		return
+	}
+	slices.Sort(g)
+	ratio := g[len(g)/2] / l.step().Seconds() // one that reads its prompt there grows much faster
+	if ratio < turned && ratio > 1/turned {
+		l.turnSeen = 0
+		return
+	}
+	l.turnSeen++
+	if l.turnSeen < turnLists || l.pace.Weight < stepKnown {
+		return
+	}
+	l.turnSeen = 0
+	l.pace = forecast.Moment{Mean: min(stepOff, max(1/stepOff, l.pace.Mean*ratio)), Weight: stepInherited}
+}
+
 // observeStep takes in the seconds of a step.
 func (l *ledger) observeStep(seconds float64) {
 	told := route.StepTime(l.spec, len(l.rows)).Seconds()
--- a/owner/steps_test.go
+++ b/owner/steps_test.go
@@ -41,6 +41,18 @@
 			}
 			grows(l, 5000)
 		}, 2000, 2000},
+		{"it turns slow", func(l *ledger) {
+			for range 10 {
+				l.learnPace(500, 1000)
+			}
+			grows(l, 10_000)
+		}, 9_000, 11_000},
+		{"it is fast again", func(l *ledger) {
+			for range 10 {
+				l.learnPace(500, 5000)
+			}
+			grows(l, 2000)
+		}, 1_800, 2_200},
 		{"far off what is configured", func(l *ledger) { l.learnPace(500, 20_000) }, 40_000, 40_000},
 	}
 	for _, tc := range cases {
