--- a/owner/book.go
+++ b/owner/book.go
@@ -7,6 +7,7 @@
 
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/queue"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
@@ -21,8 +22,8 @@
 	number uint32
 	role   config.Role // an endpoint of another role needs another book
 
-	ledger *ledger // decode
-	queue  *queue  // prefill
+	ledger *ledger      // decode
+	queue  *queue.Queue // prefill
 
 	ready    bool // the endpoint's own list was read since the tenure began
 	state    endpoint.State
@@ -59,7 +60,7 @@
 	case config.Decode:
 		b.ledger = newLedger(v, spec, share)
 	case config.Prefill:
-		b.queue = newQueue(newShares(b.teamWeight), spec.TokensPerSecond)
+		b.queue = queue.New(b.teamWeight, spec.TokensPerSecond)
 	}
 	b.ready = !b.polled() // else nobody would ask for it, and it never would be
 	return b
@@ -98,11 +99,11 @@
 	case b.ledger != nil:
 		d.SlowPct = b.ledger.slowPct()
 	case b.queue != nil:
-		d.SlowPct, d.LagMillis = uint16(b.queue.pace.Slow()*100), uint32(b.queue.pace.Lag().Milliseconds())
+		d.SlowPct, d.LagMillis = uint16(b.queue.Pace.Slow()*100), uint32(b.queue.Pace.Lag().Milliseconds())
 	}
 	switch {
 	case b.queue != nil && reserves:
-		d.QueueMillis = uint32(b.queue.backlog(now).Milliseconds())
+		d.QueueMillis = uint32(b.queue.Backlog(now).Milliseconds())
 	case b.queue != nil:
 		d.QueueMillis = uint32(float64(b.state.QueuedTokens) / b.spec.TokensPerSecond * 1000)
 	case b.ledger != nil && reserves:
@@ -193,24 +194,24 @@
 
 // admit puts a request into the queue of a prefill engine or refuses it.
 // Requests that it pushes out are refused.
-func (b *Book) admit(now time.Time, a EnqueueArgs) (*item, *result.Error) {
+func (b *Book) admit(now time.Time, a EnqueueArgs) (*queue.Item, *result.Error) {
 	if b.queue == nil || b.flags() != 0 {
 		return nil, result.Errorf(result.NoEndpoint, "%s takes no prompts now", b.spec.Name).After(time.Second)
 	}
 	tokens, promised := b.uncached(a.Tokens, a.Head, a.HasHead)
-	work, lag := b.queue.pace.Work(tokens), b.queue.pace.Lag()
-	it := &item{attempt: a.Attempt, team: a.Team, priority: a.Priority, tokens: tokens, work: work, lag: lag, promised: promised, came: now,
-		latest: now.Add(duration(a.Slack) - work - lag), notYet: now.Add(duration(a.NotYet)), answer: make(chan *result.Error, 1)}
+	work, lag := b.queue.Pace.Work(tokens), b.queue.Pace.Lag()
+	it := &queue.Item{Attempt: a.Attempt, Team: a.Team, Priority: a.Priority, Tokens: tokens, Work: work, Lag: lag, Promised: promised, Came: now,
+		Latest: now.Add(duration(a.Slack) - work - lag), NotYet: now.Add(duration(a.NotYet)), Answer: make(chan *result.Error, 1)}
 	blend(&b.leaving, 0, learnLeaving)
-	if hold := b.holdBack(now, it); hold.After(it.notYet) {
-		it.notYet = hold
+	if hold := b.holdBack(now, it); hold.After(it.NotYet) {
+		it.NotYet = hold
 	}
-	pushed, refusal := b.queue.admit(now, it)
+	pushed, refusal := b.queue.Admit(now, it)
 	if refusal != nil {
 		return nil, refusal
 	}
 	for _, p := range pushed {
-		p.answer <- result.Errorf(result.TooLate, "requests of higher rank or of teams with less use came").After(work + lookahead)
+		p.Answer <- result.Errorf(result.TooLate, "requests of higher rank or of teams with less use came").After(work + queue.Lookahead)
 	}
 	return it, nil
 }
@@ -218,9 +219,9 @@
 // holdBack returns the moment before which a request's prefill should not end,
 // to spare work for callers that leave early, where that is minded more than
 // an early answer. The fewer leave, the shorter it is.
-func (b *Book) holdBack(now time.Time, it *item) time.Time {
+func (b *Book) holdBack(now time.Time, it *queue.Item) time.Time {
 	part := b.view.Patience() * min(1, b.leaving/manyLeave)
-	return now.Add(time.Duration(part*float64(it.latest.Sub(now))) + it.work)
+	return now.Add(time.Duration(part*float64(it.Latest.Sub(now))) + it.Work)
 }
 
 // manyLeave is the share of callers leaving from which prefills are held back
@@ -263,7 +264,7 @@
 func blend(avg *float64, seen, weight float64) { *avg += weight * (seen - *avg) }
 
 // release ends what an attempt holds and learns from how it went.
-func (b *Book) release(now time.Time, r Release) *item {
+func (b *Book) release(now time.Time, r Release) *queue.Item {
 	delete(b.confirmed, r.Attempt)
 	delete(b.gone, r.Attempt)
 	b.fadeFailures(now)
@@ -284,11 +285,11 @@
 	if b.queue == nil {
 		return nil
 	}
-	if c, ok := b.queue.out[r.Attempt]; ok && r.Outcome == Done {
-		b.learnTrustFrom(c.promised, r.Cached)
+	if promised, ok := b.queue.Promised(r.Attempt); ok && r.Outcome == Done {
+		b.learnTrustFrom(promised, r.Cached)
 	}
-	b.queue.done(now, r.Attempt, r.Outcome == Done, duration(r.Millis))
-	return b.queue.cancel(r.Attempt)
+	b.queue.Done(now, r.Attempt, r.Outcome == Done, duration(r.Millis))
+	return b.queue.Cancel(r.Attempt)
 }
 
 // forgiveAfter is the time in which the share of failures halves when nothing
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -125,7 +125,7 @@
 	for _, b := range o.books {
 		b.mu.Lock()
 		if b.queue != nil {
-			n += len(b.queue.waiting)
+			n += b.queue.Len()
 		}
 		b.mu.Unlock()
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -21,6 +21,7 @@
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/queue"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
@@ -134,7 +135,7 @@
 	b := newBook(v, spec, o.share(v), now)
 	pace := o.poolPace(spec)
 	if b.queue != nil && pace.SlowPct > 0 {
-		b.queue.pace.Inherit(float64(pace.SlowPct)/100, duration(int(pace.LagMillis)))
+		b.queue.Pace.Inherit(float64(pace.SlowPct)/100, duration(int(pace.LagMillis)))
 	}
 	if b.ledger != nil {
 		b.ledger.inheritPace(pace.SlowPct)
@@ -196,10 +197,9 @@
 	for _, b := range books {
 		b.mu.Lock()
 		if b.queue != nil {
-			for _, it := range b.queue.waiting {
-				it.answer <- result.Errorf(result.NoEndpoint, "the owner was paused").After(time.Second)
+			for _, it := range b.queue.Clear() {
+				it.Answer <- result.Errorf(result.NoEndpoint, "the owner was paused").After(time.Second)
 			}
-			b.queue.waiting = nil
 		}
 		b.mu.Unlock()
 	}
@@ -252,7 +252,7 @@
 
 // admit puts a request into the queue; a nil item means that the reply is
 // final.
-func (o *Owner) admit(b *Book, a EnqueueArgs) (*item, EnqueueReply) {
+func (o *Owner) admit(b *Book, a EnqueueArgs) (*queue.Item, EnqueueReply) {
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -265,7 +265,7 @@
 
 // await runs the queue until the item is called or refused. Each waiting
 // request turns the queue itself, so that no busy worker can hold it up.
-func (o *Owner) await(ctx context.Context, b *Book, it *item) *result.Error {
+func (o *Owner) await(ctx context.Context, b *Book, it *queue.Item) *result.Error {
 	for {
 		due := b.turn(time.Now())
 		var tick <-chan time.Time
@@ -273,12 +273,12 @@
 			tick = time.After(max(time.Until(due), time.Millisecond))
 		}
 		select {
-		case refusal := <-it.answer:
+		case refusal := <-it.Answer:
 			return refusal
 		case <-tick:
 		case <-ctx.Done():
 			b.mu.Lock()
-			b.queue.take(it)
+			b.queue.Take(it)
 			b.mu.Unlock()
 			return result.Errorf(result.CallerGone, "left the queue")
 		}
@@ -289,14 +289,14 @@
 func (b *Book) turn(now time.Time) (due time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	send, late := b.queue.next(now)
+	send, late := b.queue.Next(now)
 	for _, it := range send {
-		it.answer <- nil
+		it.Answer <- nil
 	}
 	for _, it := range late {
-		it.answer <- result.Errorf(result.TooLate, "the engine fell behind").After(b.queue.backlog(now) + lookahead)
+		it.Answer <- result.Errorf(result.TooLate, "the engine fell behind").After(b.queue.Backlog(now) + queue.Lookahead)
 	}
-	return b.queue.due(now)
+	return b.queue.Due(now)
 }
 
 // Release ends what attempts hold.
@@ -311,7 +311,7 @@
 		}
 		b.mu.Lock()
 		if it := b.release(now, r); it != nil {
-			it.answer <- result.Errorf(result.CallerGone, "given up while it waited")
+			it.Answer <- result.Errorf(result.CallerGone, "given up while it waited")
 		}
 		b.mu.Unlock()
 		if b.queue != nil {
--- a/owner/pace_test.go
+++ b/owner/pace_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/examples"
+	"github.com/embercove/embercove/queue"
 	"github.com/embercove/embercove/request"
 )
 
@@ -66,7 +67,7 @@
 				rel Release
 			}
 			var ends []end
-			waiting := map[request.Attempt]*item{}
+			waiting := map[request.Attempt]*queue.Item{}
 			read, late, n := 0, 0, 0
 			for ms := 0; ms < span; ms += 5 {
 				now := at(ms)
@@ -78,13 +79,13 @@
 					n++
 					a := EnqueueArgs{Attempt: request.Attempt{Number: uint32(n)}, Tokens: tokens, Slack: slack}
 					if it, _ := b.admit(now, a); it != nil {
-						waiting[it.attempt] = it
+						waiting[it.Attempt] = it
 					}
 				}
 				b.turn(now)
 				for a, it := range waiting {
 					select {
-					case refusal := <-it.answer:
+					case refusal := <-it.Answer:
 						delete(waiting, a)
 						if refusal != nil {
 							continue
@@ -92,7 +93,7 @@
 						done := e.read(now, tokens)
 						if ms >= span/2 {
 							read += tokens
-							if done.After(it.came.Add(slack * time.Millisecond)) {
+							if done.After(it.Came.Add(slack * time.Millisecond)) {
 								late++
 							}
 						}
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -149,7 +149,7 @@
 func (b *Book) idle(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	busy := b.queue != nil && len(b.queue.waiting) > 0
+	busy := b.queue != nil && b.queue.Len() > 0
 	return !busy && now.Sub(b.used) > idleBook
 }
 
@@ -273,7 +273,7 @@
 		b.ledger.listed(now, held)
 	}
 	if b.queue != nil {
-		b.queue.share.forget(now)
+		b.queue.Forget(now)
 	}
 }
 
--- a/owner/queue_test.go
+++ b/queue/queue_test.go
@@ -1,4 +1,4 @@
-package owner
+package queue
 
 import (
 	"fmt"
@@ -16,9 +16,9 @@
 func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
 
 // newItem returns an item of a team with work and slack in ms.
-func newItem(n int, team uint32, priority, now, work, slack int) *item {
-	return &item{attempt: request.Attempt{Number: uint32(n)}, team: team, priority: priority, work: time.Duration(work) * time.Millisecond,
-		latest: at(now + slack - work), notYet: at(now), answer: make(chan *result.Error, 1)}
+func newItem(n int, team uint32, priority, now, work, slack int) *Item {
+	return &Item{Attempt: request.Attempt{Number: uint32(n)}, Team: team, Priority: priority, Work: time.Duration(work) * time.Millisecond,
+		Latest: at(now + slack - work), NotYet: at(now), Answer: make(chan *result.Error, 1)}
 }
 
 func evenWeights(uint32) float64 { return 1 }
@@ -45,10 +45,10 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			q := newQueue(newShares(evenWeights), config.DefaultTokensPerSecond)
+			q := New(evenWeights, config.DefaultTokensPerSecond)
 			var refused, pushed []string
 			for i, it := range tc.items {
-				p, err := q.admit(at(0), newItem(i+1, uint32(it[0]), it[1], 0, it[2], it[3]))
+				p, err := q.Admit(at(0), newItem(i+1, uint32(it[0]), it[1], 0, it[2], it[3]))
 				if err != nil {
 					refused = append(refused, fmt.Sprint(i+1))
 					if err.RetryAfter <= 0 {
@@ -56,14 +56,14 @@
 					}
 				}
 				for _, x := range p {
-					pushed = append(pushed, fmt.Sprint(x.attempt.Number))
+					pushed = append(pushed, fmt.Sprint(x.Attempt.Number))
 				}
 			}
 			got := []string{"called"}
 			for now := 0; len(q.waiting) > 0 && now < 10_000; now += 5 {
-				send, late := q.next(at(now))
+				send, late := q.Next(at(now))
 				for _, it := range send {
-					got = append(got, fmt.Sprint(it.attempt.Number))
+					got = append(got, fmt.Sprint(it.Attempt.Number))
 				}
 				if len(late) > 0 {
 					t.Errorf("%d admitted items came too late", len(late))
@@ -85,20 +85,20 @@
 // TestQueueKeepsEngineBusy checks that work is sent ahead by the lookahead and
 // no more, and that the engine's own pace moves the forecast.
 func TestQueueKeepsEngineBusy(t *testing.T) {
-	q := newQueue(newShares(evenWeights), config.DefaultTokensPerSecond)
+	q := New(evenWeights, config.DefaultTokensPerSecond)
 	for i := range 3 {
-		if _, err := q.admit(at(0), newItem(i, 1, 3, 0, 200, 5000)); err != nil {
+		if _, err := q.Admit(at(0), newItem(i, 1, 3, 0, 200, 5000)); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if send, _ := q.next(at(0)); len(send) != 1 {
+	if send, _ := q.Next(at(0)); len(send) != 1 {
 		t.Fatalf("%d sent at once, want 1", len(send))
 	}
-	if due := q.due(at(0)); !due.Equal(at(200).Add(-lookahead)) {
+	if due := q.Due(at(0)); !due.Equal(at(200).Add(-Lookahead)) {
 		t.Errorf("due at %s, want the lookahead before 200 ms", due.Sub(epoch))
 	}
-	q.done(at(120), request.Attempt{Number: 0}, true, 0) // faster than forecast
-	if send, _ := q.next(at(120)); len(send) != 1 {
+	q.Done(at(120), request.Attempt{Number: 0}, true, 0) // faster than forecast
+	if send, _ := q.Next(at(120)); len(send) != 1 {
 		t.Errorf("%d sent when the engine is free, want 1", len(send))
 	}
 }
@@ -106,22 +106,22 @@
 // TestQueueNotYet checks that a request that waits for decode memory lets
 // others pass and is called when its time comes.
 func TestQueueNotYet(t *testing.T) {
-	q := newQueue(newShares(evenWeights), config.DefaultTokensPerSecond)
+	q := New(evenWeights, config.DefaultTokensPerSecond)
 	later := newItem(1, 1, 3, 0, 50, 2000)
-	later.notYet = at(500)
-	for _, it := range []*item{later, newItem(2, 1, 3, 0, 100, 3000)} {
-		if _, err := q.admit(at(0), it); err != nil {
+	later.NotYet = at(500)
+	for _, it := range []*Item{later, newItem(2, 1, 3, 0, 100, 3000)} {
+		if _, err := q.Admit(at(0), it); err != nil {
 			t.Fatal(err)
 		}
 	}
-	send, _ := q.next(at(0))
+	send, _ := q.Next(at(0))
 	if len(send) != 1 || send[0] == later {
 		t.Fatalf("sent %v, want the other one", send)
 	}
-	if due := q.due(at(110)); !due.Equal(at(450)) {
+	if due := q.Due(at(110)); !due.Equal(at(450)) {
 		t.Errorf("due at %s, want 450ms", due.Sub(epoch))
 	}
-	if send, _ = q.next(at(450)); len(send) != 1 || send[0] != later {
+	if send, _ = q.Next(at(450)); len(send) != 1 || send[0] != later {
 		t.Errorf("sent %v at its time", send)
 	}
 }
@@ -129,20 +129,20 @@
 // TestShares checks that a team at ten times its share doesn't push another
 // past its targets: the light team's requests are all admitted.
 func TestShares(t *testing.T) {
-	q := newQueue(newShares(evenWeights), config.DefaultTokensPerSecond)
+	q := New(evenWeights, config.DefaultTokensPerSecond)
 	heavy, light, lost := 0, 0, 0
 	for now := 0; now < 20_000; now += 20 {
-		q.next(at(now))
+		q.Next(at(now))
 		for i := range 2 { // the heavy team asks for 5 times the engine
 			n := now*10 + i
-			if _, err := q.admit(at(now), newItem(n, 1, 3, now, 50, 1000)); err == nil {
+			if _, err := q.Admit(at(now), newItem(n, 1, 3, now, 50, 1000)); err == nil {
 				heavy++
 			}
 		}
 		if now%200 != 0 { // the light team asks for a quarter of it
 			continue
 		}
-		if _, err := q.admit(at(now), newItem(now*10+9, 2, 3, now, 50, 1000)); err != nil {
+		if _, err := q.Admit(at(now), newItem(now*10+9, 2, 3, now, 50, 1000)); err != nil {
 			lost++
 		} else {
 			light++
@@ -157,13 +157,13 @@
 }
 
 func BenchmarkQueue(b *testing.B) {
-	q := newQueue(newShares(evenWeights), config.DefaultTokensPerSecond)
+	q := New(evenWeights, config.DefaultTokensPerSecond)
 	for i := range b.N {
 		now := i * 10
-		q.admit(at(now), newItem(i, uint32(i%20), 3, now, 12, 1200))
-		send, _ := q.next(at(now))
+		q.Admit(at(now), newItem(i, uint32(i%20), 3, now, 12, 1200))
+		send, _ := q.Next(at(now))
 		for _, it := range send {
-			q.done(at(now), it.attempt, false, 0)
+			q.Done(at(now), it.Attempt, false, 0)
 		}
 	}
 }
--- a/owner/shares.go
+++ b/queue/shares.go
@@ -1,4 +1,4 @@
-package owner
+package queue
 
 import (
 	"math"
