roles: which engines of a pool should change, in a package of its own

Moved out of owner, without a change of behaviour: imbalance (Surplus), prefillEngines (Prefills), the looks of the last three seconds (Looks.Lasting), with their tests. Orders, tenures and fences stay with owner.

--- a/owner/balance.go
+++ b/owner/balance.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -15,45 +12,24 @@
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/roles"
 	"github.com/embercove/embercove/route"
 )
 
-// Runners that register themselves come with a role, and the shares of roles
-// in a pool may be far from what its requests need. Prefill runners beyond
-// the need are ordered to decode. Which runners change is a pure function of the
-// roster, so that all hosts name the same ones. Each is ordered by its owner, and
-// only by one whose ownership has stood for long enough that no other host can
-// have ordered within its lease.
+// Runners that are in the role that their pool has too many of are ordered into the
+// other (package roles). Each is ordered by its owner, and only by one whose ownership
+// has stood for long enough that no other host can have ordered within its lease.
 
 // Times and bounds of balancing.
 const (
-	balanceEvery  = 500 * time.Millisecond
-	settledAfter  = 4 * time.Second  // without a change of members, before orders are given
-	steadyAfter   = 5 * time.Second  // that a host has been the orderer of a runner, whatever else changes
-	rosterFresh   = 12 * time.Second // since the platform was heard of
-	orderTimeout  = 500 * time.Millisecond
-	orderSlack    = 6 * time.Second // beyond the change itself, before an order is repeated
-	lastsFor      = 3 * time.Second
-	leastEngines  = 4 // in a pool, below which roles stay
-	leastPrefills = 2
+	balanceEvery = 500 * time.Millisecond
+	settledAfter = 4 * time.Second  // without a change of members, before orders are given
+	steadyAfter  = 5 * time.Second  // that a host has been the orderer of a runner, whatever else changes
+	rosterFresh  = 12 * time.Second // since the platform was heard of
+	orderTimeout = 500 * time.Millisecond
+	orderSlack   = 6 * time.Second // beyond the change itself, before an order is repeated
 )
 
-// How many runners read: their part of the work, and spare ones against prompts
-// that come together, which miss their target when they wait. The larger a pool
-// is, the smaller is the part that has to be spare. One that is needed in part
-// mostly decodes instead: answers take more of the pool.
-const (
-	readShare = 0.17
-	readSpare = 0.45 // times the square root of the runners
-	readGrain = 0.25 // what may lack of a further one
-)
-
-// prefillEngines returns how many of a pool's engines should read.
-func prefillEngines(engines int) int {
-	n := float64(engines)
-	return max(leastPrefills, int(readShare*n+readSpare*math.Sqrt(n)+readGrain))
-}
-
 // balance is the state of balancing.
 type balance struct {
 	mu      sync.Mutex
@@ -63,7 +39,7 @@
 	orderer map[uint32]tenure
 	ordered map[uint32]time.Time
 	fence   uint64                  // highest that is known to have been used
-	seen    map[string][]imbalanced // by pool, the last looks
+	looks   map[string]*roles.Looks // by pool
 }
 
 // Balancer returns the controller that orders runners into the role that
@@ -79,7 +55,7 @@
 			if !p.Engines() || p.RoleSwitchMillis == 0 {
 				continue
 			}
-			surplus, to := imbalance(v, name, o.isChanging)
+			surplus, to := roles.Surplus(v, name, o.isChanging)
 			lasting := o.lasting(name, len(surplus), to, now)
 			mine := o.orderedHere(v, name, now)
 			for _, e := range surplus[:lasting] {
@@ -106,39 +82,16 @@
 	return out
 }
 
-// lasting returns of how many runners of a pool the roles have been out of balance in
-// one way for long enough: the fewest of that time. A runner that was lost for a
-// moment comes back in its old role. In a large pool their number changes all the
-// time, which says nothing against those that are out of balance all the while.
+// lasting returns how many runners of a pool have been out of balance for long enough.
 func (o *Owner) lasting(pool string, n int, to config.Role, now time.Time) int {
 	o.balance.mu.Lock()
 	defer o.balance.mu.Unlock()
-	looks := o.balance.seen[pool]
-	if len(looks) > 0 && now.Sub(looks[len(looks)-1].at) > unseenFor {
-		looks = nil
-	}
-	looks = append(looks, imbalanced{n: n, to: to, at: now})
-	for len(looks) > 1 && now.Sub(looks[1].at) >= lastsFor {
-		looks = looks[1:]
-	}
-	o.balance.seen[pool] = looks
-	if now.Sub(looks[0].at) < lastsFor {
-		return 0
+	looks := o.balance.looks[pool]
+	if looks == nil {
+		looks = new(roles.Looks)
+		o.balance.looks[pool] = looks
 	}
-	for _, l := range looks {
-		if l.to != to {
-			return 0
-		}
-		n = min(n, l.n)
-	}
-	return n
-}
-
-// imbalanced is how many runners of a pool should have changed their role at a look.
-type imbalanced struct {
-	n  int
-	to config.Role
-	at time.Time
+	return looks.Lasting(n, to, now)
 }
 
 // isChanging reports whether an endpoint is told of as about to have another
@@ -150,68 +103,6 @@
 	return changing
 }
 
-// imbalance returns the runners of a pool that should take another role. Those
-// that are changing count for the role that they will have, and are left alone.
-func imbalance(v *config.View, pool string, changing func(e *config.Endpoint) bool) (surplus []*config.Endpoint, to config.Role) {
-	byRole := map[config.Role][]*config.Endpoint{}
-	coming := map[config.Role]int{}
-	for i := range v.Doc.Endpoints {
-		e := &v.Doc.Endpoints[i]
-		switch {
-		case e.Pool != pool || e.Leaving || !e.Lapsed.IsZero():
-		case changing(e):
-			coming[otherRole(e.Role)]++
-		default:
-			byRole[e.Role] = append(byRole[e.Role], e)
-		}
-	}
-	prefills, decodes := byRole[config.Prefill], byRole[config.Decode]
-	reading := len(prefills) + coming[config.Prefill]
-	engines := reading + len(decodes) + coming[config.Decode]
-	need := prefillEngines(engines)
-	switch {
-	case engines < leastEngines:
-		return nil, config.Decode
-	case reading > need:
-		return fullestDomainFirst(prefills, reading-need), config.Decode
-	case reading < need:
-		return fullestDomainFirst(decodes, need-reading), config.Prefill
-	}
-	return nil, config.Decode
-}
-
-// otherRole returns the role that an engine of a role can be ordered into.
-func otherRole(r config.Role) config.Role {
-	if r == config.Prefill {
-		return config.Decode
-	}
-	return config.Prefill
-}
-
-// fullestDomainFirst returns n of the endpoints, of the failure domains that have most
-// of them first.
-func fullestDomainFirst(list []*config.Endpoint, n int) []*config.Endpoint {
-	byDomain := map[string]int{}
-	for _, e := range list {
-		byDomain[e.Domain]++
-	}
-	slices.SortFunc(list, func(a, b *config.Endpoint) int { return strings.Compare(a.Name, b.Name) })
-	var out []*config.Endpoint
-	for len(out) < n && len(list) > 0 {
-		most := 0
-		for i, e := range list {
-			if byDomain[e.Domain] > byDomain[list[most].Domain] {
-				most = i
-			}
-		}
-		e := list[most]
-		byDomain[e.Domain]--
-		out = append(out, e)
-		list = slices.Delete(list, most, most+1)
-	}
-	return out
-}
-
 // order gives one order, unless the last one to the runner is recent.
 func (o *Owner) order(ctx context.Context, p *config.Pool, e *config.Endpoint, to config.Role, now time.Time) {
 	number := route.Number(e.Name)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -24,6 +24,7 @@
 	"github.com/embercove/embercove/queue"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
+	"github.com/embercove/embercove/roles"
 	"github.com/embercove/embercove/route"
 )
 
@@ -63,7 +64,7 @@
 // New returns an owner without books.
 func New(b *blackboard.Board, e endpoint.Engine, log *zap.Logger) *Owner {
 	o := &Owner{board: b, engine: e, log: log, books: map[uint32]*Book{}}
-	o.balance.ordered, o.balance.seen, o.balance.orderer = map[uint32]time.Time{}, map[string][]imbalanced{}, map[uint32]tenure{}
+	o.balance.ordered, o.balance.looks, o.balance.orderer = map[uint32]time.Time{}, map[string]*roles.Looks{}, map[uint32]tenure{}
 	b.Pause.OnWake(o.dropBeliefs)
 	return o
 }
--- /dev/null
+++ b/roles/roles_test.go
@@ -0,0 +1,113 @@
+package roles
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/embercove/embercove/config"
+)
+
+// rosterOf returns a roster of runners: one letter for each, p for prefill, d
+// for decode, upper case for one that is leaving; domains d, e and f in turn.
+func rosterOf(revision uint64, roles string) *config.Roster {
+	r := &config.Roster{Revision: revision}
+	for i, c := range roles {
+		e := config.Endpoint{Name: fmt.Sprintf("r%02d", i), Address: fmt.Sprintf("127.0.0.1:%d", 1000+i), Domain: string("def"[i%3]),
+			Pool: "p", Role: config.Decode, Leaving: c == 'P' || c == 'D'}
+		if c == 'p' || c == 'P' {
+			e.Role = config.Prefill
+		}
+		r.Endpoints = append(r.Endpoints, e)
+	}
+	return r
+}
+
+const balanceDocument = `{"failure_domains": [{"name": "d", "region": "r"}, {"name": "e", "region": "r"}, {"name": "f", "region": "r"}],
+"targets": {"ttft_ms": 900, "tpot_ms": 10}, "models": [{"name": "m", "version": "1", "max_tokens": 90000, "kv_bytes_per_token": 1}],
+"pools": [{"name": "p", "memory_tokens": 90000, "slots": 64, "link_bytes_per_second": 1000000000, "role_switch_ms": 6000}],
+"routes": [{"name": "r", "host": "h", "path_prefix": "/", "pools": [{"pool": "p", "weight": 1}]}]}`
+
+// TestSurplus names the runners that should change their role.
+func TestSurplus(t *testing.T) {
+	cases := []struct {
+		name, roles string
+		change      string
+		to          config.Role
+		changing    []string
+	}{
+		{"balanced", "pdd" + "pdd" + "pdd", "[]", config.Decode, nil},
+		{"one reads too many", "ppd" + "pdd" + "pdd", "[r00]", config.Decode, nil},
+		{"the most crowded domain gives one", "ppd" + "dpd" + "dpd", "[r01]", config.Decode, nil},
+		{"too few read", "pdd" + "ddd" + "ddd", "[r01 r02]", config.Prefill, nil},
+		{"one that leaves doesn't read", "Pdd" + "pdd" + "pdd" + "d", "[r01]", config.Prefill, nil},
+		{"eight do with two that read", "pdd" + "pdd" + "dd", "[]", config.Decode, nil},
+		{"too few read, and one is on its way", "pdd" + "ddd" + "ddd", "[r02]", config.Prefill, []string{"r01"}},
+		{"too few read, and all are on their way", "pdd" + "ddd" + "ddd", "[]", config.Decode, []string{"r01", "r05"}},
+		{"one reads too many, and it is on its way", "ppd" + "pdd" + "pdd", "[]", config.Decode, []string{"r03"}},
+		{"too few runners for any change", "ppp", "[]", config.Decode, nil},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			v, err := config.NewView(1, []byte(balanceDocument))
+			if err != nil {
+				t.Fatal(err)
+			}
+			list, to := Surplus(v.WithRoster(rosterOf(1, tc.roles)), "p", func(e *config.Endpoint) bool { return slices.Contains(tc.changing, e.Name) })
+			names := []string{}
+			for _, e := range list {
+				names = append(names, e.Name)
+			}
+			if got := fmt.Sprint(names); got != tc.change || to != tc.to {
+				t.Errorf("%s should become %s, want %s and %s", got, to, tc.change, tc.to)
+			}
+		})
+	}
+}
+
+// TestLasting has a pool looked at every half second, with as many runners out of
+// balance as the digits say, minus for the other way, and states how many are so for
+// long enough at the end.
+func TestLasting(t *testing.T) {
+	cases := []struct {
+		name  string
+		looks []int
+		want  int
+	}{
+		{"just now", []int{2}, 0},
+		{"for a while", []int{2, 2, 2, 2, 2, 2, 2}, 2},
+		{"not for long enough", []int{2, 2, 2, 2, 2, 2}, 0},
+		{"balanced meanwhile", []int{2, 2, 2, 0, 2, 2, 2}, 0},
+		{"more and more", []int{1, 2, 3, 4, 5, 6, 7}, 1},
+		{"now more and now fewer", []int{3, 5, 2, 4, 3, 6, 5}, 2},
+		{"the other way before", []int{-1, 2, 2, 2, 2, 2, 2}, 0},
+		{"long ago the other way", []int{-1, 2, 2, 2, 2, 2, 2, 3}, 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			looks, got := new(Looks), 0
+			for i, n := range tc.looks {
+				to := config.Prefill
+				if n < 0 {
+					n, to = -n, config.Decode
+				}
+				got = looks.Lasting(n, to, start.Add(time.Duration(i)*500*time.Millisecond))
+			}
+			if got != tc.want {
+				t.Errorf("%d, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestPrefills states how many engines of a pool read, for pools of the sizes
+// that the users run and plan.
+func TestPrefills(t *testing.T) {
+	for engines, want := range map[int]int{4: 2, 7: 2, 8: 2, 9: 3, 10: 3, 12: 3, 36: 9, 44: 10, 100: 21, 770: 143} {
+		if got := Prefills(engines); got != want {
+			t.Errorf("%d of %d engines read, want %d", got, engines, want)
+		}
+	}
+}
