--- a/publish/follow.go
+++ b/publish/follow.go
@@ -85,6 +85,7 @@
 	lost   bool      // the store was out of reach at the last call
 	since  time.Time // since when
 	silent bool      // some call since then got no answer at all
+	fed    bool      // other hosts kept this one up to date at the last look
 	shaky  time.Time // until when the loss of a registration says nothing
 }
 
@@ -216,6 +217,7 @@
 
 func (f *Follower) watch(ctx context.Context, sink Sink) error {
 	fed, eager, wait := sink.Fed(), sink.Eager(), followWait
+	f.noteFed(fed && !eager)
 	if fed && !eager {
 		// A watch of each host is answered for each change: of 5,057 calls that 295
 		// hosts made in a minute of changes, ten watching hosts need a tenth.
@@ -266,6 +268,19 @@
 	return nil
 }
 
+// noteFed logs when other hosts begin or cease to keep this one up to date.
+func (f *Follower) noteFed(fed bool) {
+	if fed == f.fed {
+		return
+	}
+	f.fed = fed
+	if fed {
+		f.log.Info("kept up to date by other hosts", zap.Uint64("at", f.at))
+	} else {
+		f.log.Info("asks the store itself", zap.Uint64("at", f.at))
+	}
+}
+
 // pause returns how long to rest after a change. A host that isn't eager leaves
 // time for the next answer, which may bring a document over a narrow link.
 func (f *Follower) pause(eager bool) time.Duration {
