ledger: the memory of a decode engine, in a package of its own

Moved out of owner, without a change of behaviour: ledger, growing, listed, steps, and in files of their own rows and the parts of teams. It takes asks and ends with durations (Ask, End) instead of messages; another owner's rows come and go as Row. The constant for how soon an unknown engine is asked again stays with the polls. An error text named a constant where it meant that memory is nearly full. The test of lists judges by ids as before, without a Book.

--- a/owner/growing.go
+++ b/ledger/growing.go
@@ -1,4 +1,4 @@
-package owner
+package ledger
 
 import (
 	"math"
@@ -30,7 +30,7 @@
 
 // written returns the tokens that a row's answer has at a moment, if it goes
 // on till then.
-func (l *ledger) written(r *row, t time.Time, step time.Duration) float64 {
+func (l *Ledger) written(r *row, t time.Time, step time.Duration) float64 {
 	if !t.After(r.moved) {
 		return 0
 	}
@@ -38,7 +38,7 @@
 }
 
 // survive returns the chance that a row's answer is longer than so many tokens.
-func (l *ledger) survive(written float64, expected, asked int) float64 {
+func (l *Ledger) survive(written float64, expected, asked int) float64 {
 	if expected > 0 && written < float64(asked) {
 		return l.guessed.Survive(written, expected)
 	}
@@ -46,7 +46,7 @@
 }
 
 // expect returns the tokens that an answer will have on average.
-func (l *ledger) expect(expected, asked int) int {
+func (l *Ledger) expect(expected, asked int) int {
 	if expected > 0 {
 		return min(asked, l.guessed.Expect(expected))
 	}
@@ -54,7 +54,7 @@
 }
 
 // hold adds what a row holds at a moment, by the chance that it still runs.
-func (l *ledger) hold(o *occupancy, r *row, now, t time.Time, step time.Duration) {
+func (l *Ledger) hold(o *occupancy, r *row, now, t time.Time, step time.Duration) {
 	if r.start.After(t) {
 		return
 	}
@@ -75,7 +75,7 @@
 }
 
 // grown returns the occupancy of a growing engine forecast for a moment.
-func (l *ledger) grown(now, t time.Time) occupancy {
+func (l *Ledger) grown(now, t time.Time) occupancy {
 	var o occupancy
 	step := l.step()
 	for _, r := range l.rows {
@@ -87,7 +87,7 @@
 // newcomer is what a request would hold at each growStep from its start on.
 type newcomer []occupancy
 
-func (l *ledger) newcomer(prompt, expected, asked int, step time.Duration) newcomer {
+func (l *Ledger) newcomer(prompt, expected, asked int, step time.Duration) newcomer {
 	stay := time.Duration(growStay * float64(l.expect(expected, asked)) * float64(step))
 	n := 1 + int(min(stay, growMost)/growStep)
 	out := make(newcomer, n)
@@ -101,7 +101,7 @@
 }
 
 // timeline is the forecast of what the engine holds at each growStep from now.
-func (l *ledger) timeline(now time.Time, n int) []occupancy {
+func (l *Ledger) timeline(now time.Time, n int) []occupancy {
 	out := make([]occupancy, n)
 	for i := range out {
 		out[i] = l.grown(now, now.Add(time.Duration(i)*growStep))
@@ -111,7 +111,7 @@
 
 // room reports whether a newcomer that begins at step i of the timeline fits
 // all the while.
-func (l *ledger) room(line []occupancy, i int, c newcomer) bool {
+func (l *Ledger) room(line []occupancy, i int, c newcomer) bool {
 	z := growingMargin
 	if !l.learns {
 		z = l.margin
@@ -131,13 +131,13 @@
 
 // reserveGrowing finds the first moment at which the request fits from its
 // start to its end, or refuses with the time after which it would.
-func (l *ledger) reserveGrowing(now time.Time, a ReserveArgs) (time.Time, *result.Error) {
+func (l *Ledger) reserveGrowing(now time.Time, a Ask) (time.Time, *result.Error) {
 	step := l.step()
 	l.usual.Learn(a.Tokens, a.MaxAnswer, a.Expected)
 	l.guessed.See(a.Expected)
 	c := l.newcomer(a.Tokens, a.Expected, a.MaxAnswer, step)
-	wanted := now.Add(duration(a.InMillis))
-	latest := wanted.Add(duration(a.Slack))
+	wanted := now.Add(a.In)
+	latest := wanted.Add(a.Slack)
 	last := int((latest.Sub(now)+searchBeyond)/growStep) + 1
 	line := l.timeline(now, last+len(c))
 	for i := int(wanted.Sub(now) / growStep); i <= last; i++ {
@@ -163,7 +163,7 @@
 const growingLeases = 2
 
 // waitGrowing returns how long a request of the usual size waits for room.
-func (l *ledger) waitGrowing(now time.Time) time.Duration {
+func (l *Ledger) waitGrowing(now time.Time) time.Duration {
 	c := l.newcomer(l.usual.Prompt(), l.usual.Guess(), l.usual.Answer(), l.step())
 	last := int(waitMost / growStep)
 	line := l.timeline(now, last+len(c))
--- a/owner/growing_test.go
+++ b/ledger/growing_test.go
@@ -1,4 +1,4 @@
-package owner
+package ledger
 
 import (
 	"math/rand/v2"
@@ -6,11 +6,12 @@
 
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/request"
 )
 
 // growingLedger returns a ledger of an engine with 90,000 tokens whose answers
 // take memory as they are written, at a token a millisecond.
-func growingLedger(t testing.TB) *ledger {
+func growingLedger(t testing.TB) *Ledger {
 	t.Helper()
 	l := testLedger(t, config.ForecastMargin, 0)
 	l.learns = true
@@ -20,7 +21,7 @@
 	return l
 }
 
-func growingArgs(n, prompt, guess, slack int) ReserveArgs {
+func growingArgs(n, prompt, guess, slack int) Ask {
 	a := reserveArgs(n, prompt, 10_880, 0, slack)
 	a.Expected, a.Bytes = guess, 0
 	return a
@@ -44,7 +45,7 @@
 			l := growingLedger(t)
 			n := 0
 			for ; n < 64; n++ {
-				if _, err := l.reserve(at(0), growingArgs(n, tc.prompt, tc.guess, 0), evenWeights); err != nil {
+				if _, err := l.Reserve(at(0), growingArgs(n, tc.prompt, tc.guess, 0), evenWeights); err != nil {
 					if err.RetryAfter <= 0 {
 						t.Error("no time to come back")
 					}
@@ -70,14 +71,14 @@
 	for now := 0; now < 60_000; now += 50 {
 		for n, x := range running {
 			if now >= x.start+x.length {
-				l.release(at(now), Release{Attempt: attempt(n), Outcome: Done, Answer: x.length, Max: 10_880, Expected: x.guess})
+				l.Release(at(now), End{Attempt: attempt(n), Whole: true, Answer: x.length, Max: 10_880, Expected: x.guess})
 				delete(running, n)
 			}
 		}
 		guess := 500 + r.IntN(8_000)
 		length := min(10_880, max(1, int(float64(guess)*(0.5+r.Float64()*r.Float64()*3))))
 		prompt := 1_000 + r.IntN(9_000)
-		if _, err := l.reserve(at(now), growingArgs(now, prompt, guess, 0), evenWeights); err == nil {
+		if _, err := l.Reserve(at(now), growingArgs(now, prompt, guess, 0), evenWeights); err == nil {
 			l.rows[attempt(now)].seen = true // as the engine's list would show
 			running[now] = run{prompt, guess, length, now}
 			granted++
@@ -105,32 +106,30 @@
 func TestGrowingList(t *testing.T) {
 	l := growingLedger(t)
 	a := growingArgs(1, 3_000, 500, 0)
-	a.Mark = foreign("9c41").ID.Counter
-	if _, err := l.reserve(at(0), a, evenWeights); err != nil {
+	a.Mark = Foreign("9c41").ID.Counter
+	if _, err := l.Reserve(at(0), a, evenWeights); err != nil {
 		t.Fatal(err)
 	}
-	b := &Book{ledger: l, spec: l.spec}
-	o := &Owner{}
-	o.takeList(b, at(100), running("9c41", "77"))
+	l.Listed(at(100), running("9c41", "77"))
 	if len(l.rows) != 2 || !l.rows[attempt(1)].seen {
 		t.Fatalf("rows %v: want the own one seen and one that is foreign", l.rows)
 	}
-	l.release(at(200), Release{Attempt: attempt(1), Outcome: Done})
-	o.takeList(b, at(300), running("9c41"))
+	l.Release(at(200), End{Attempt: attempt(1), Whole: true})
+	l.Listed(at(300), running("9c41"))
 	if len(l.rows) != 0 {
 		t.Errorf("%d rows after both ended, want none", len(l.rows))
 	}
-	o.takeList(b, at(300).Add(2*endedKept), running("9c41"))
+	l.Listed(at(300).Add(2*endedKept), running("9c41"))
 	if len(l.rows) != 1 {
 		t.Errorf("%d rows, want one that runs again under an id used before", len(l.rows))
 	}
 }
 
 // running is an engine's list of requests by id.
-func running(ids ...string) []endpoint.Running {
-	var out []endpoint.Running
+func running(ids ...string) map[request.Attempt]endpoint.Running {
+	out := map[request.Attempt]endpoint.Running{}
 	for _, id := range ids {
-		out = append(out, endpoint.Running{ID: id, Tokens: 4_000})
+		out[Foreign(id)] = endpoint.Running{ID: id, Tokens: 4_000}
 	}
 	return out
 }
--- a/owner/ledger.go
+++ b/ledger/ledger.go
@@ -1,4 +1,9 @@
-package owner
+// Package ledger accounts for the memory of a decode engine and the link into it:
+// what is reserved and held, and from when on a request has room.
+//
+// What it grants is a forecast; the engine's admission is the last word. It takes no
+// locks and reads no clock; whoever keeps a Ledger guards it.
+package ledger
 
 import (
 	"math"
@@ -11,37 +16,21 @@
 	"github.com/embercove/embercove/route"
 )
 
-// row is a reservation of decode memory, or a request that the engine holds.
-type row struct {
-	attempt   request.Attempt
-	team      uint32
-	tokens    int // prompt and the answer asked for
-	prompt    int
-	maxAnswer int
-	expected  int       // answer by the caller's guess; 0: none
-	mark      uint64    // of the id by which the engine lists it; 0: the attempt itself
-	start     time.Time // when the engine's memory is taken: the transfer begins
-	moved     time.Time // end of the transfer
-	held      int       // tokens that the engine's last list told of
-	listed    time.Time // when that came
-	lease     time.Time // until when it stands without being seen at the engine
-	seen      bool      // the engine's own list has it
+// Ask is a request for memory at a moment to come.
+type Ask struct {
+	Attempt   request.Attempt
+	Team      uint32
+	Tokens    int // of the prompt
+	MaxAnswer int
+	Expected  int           // tokens of the answer by the caller's guess; 0: none
+	Mark      uint64        // of the id by which the engine lists the request; 0: the attempt itself
+	Bytes     int64         // to transfer
+	In        time.Duration // when the prompt is expected to be read
+	Slack     time.Duration // by which the start may come later
 }
 
-// span returns when the row's transfer begins and ends. A request that the
-// engine hasn't shown yet can't have begun before now, whatever was forecast.
-func (r *row) span(now time.Time) (start, moved time.Time) {
-	if r.seen || r.start.After(now) {
-		return r.start, r.moved
-	}
-	return now, now.Add(r.moved.Sub(r.start))
-}
-
-// ledger is an owner's account of one decode engine's memory and of the link
-// into it. It is not safe for concurrent use; Book locks it.
-//
-// What it grants is a forecast. The engine's admission is the last word.
-type ledger struct {
+// Ledger is the account of one decode engine. It is not safe for concurrent use.
+type Ledger struct {
 	spec     *config.Endpoint
 	kvBytes  int64
 	slots    int     // that keep the time per token within its target
@@ -66,15 +55,16 @@
 	waitFor time.Duration
 }
 
-func newLedger(v *config.View, spec *config.Endpoint, share float64) *ledger {
-	l := &ledger{rows: map[request.Attempt]*row{}, wants: map[request.ID]want{}, guessed: forecast.NewGuesses(),
+// New returns the ledger of an engine of which a share may be given out.
+func New(v *config.View, spec *config.Endpoint, share float64) *Ledger {
+	l := &Ledger{rows: map[request.Attempt]*row{}, wants: map[request.ID]want{}, guessed: forecast.NewGuesses(),
 		ended: map[request.Attempt]time.Time{}, marked: map[uint64]request.Attempt{}}
-	l.fit(v, spec, share)
+	l.Fit(v, spec, share)
 	return l
 }
 
-// fit takes over the sizes of a revision.
-func (l *ledger) fit(v *config.View, spec *config.Endpoint, share float64) {
+// Fit takes over the sizes of a revision.
+func (l *Ledger) Fit(v *config.View, spec *config.Endpoint, share float64) {
 	l.spec, l.share = spec, share
 	l.slots = max(1, int(float64(route.BatchLimit(spec, v.Doc.Targets.TPOT()))*share))
 	l.mode, l.learns, l.full = v.Doc.Policy.Forecast, true, v.FullShare()
@@ -87,26 +77,8 @@
 	}
 }
 
-// expire drops reservations that were never taken up. What the engine holds
-// stays, however long its holder has been silent.
-func (l *ledger) expire(now time.Time) {
-	for a, r := range l.rows {
-		if !r.seen && now.After(r.lease) {
-			l.drop(a)
-		}
-	}
-}
-
-// drop forgets a row.
-func (l *ledger) drop(a request.Attempt) {
-	if r := l.rows[a]; r != nil && r.mark != 0 {
-		delete(l.marked, r.mark)
-	}
-	delete(l.rows, a)
-}
-
 // step is the time of a decode step as things are.
-func (l *ledger) step() time.Duration {
+func (l *Ledger) step() time.Duration {
 	step := route.StepTime(l.spec, len(l.rows))
 	if l.pace.Weight > 0 {
 		step = time.Duration(float64(step) * l.pace.Mean)
@@ -114,44 +86,6 @@
 	return max(step, time.Microsecond)
 }
 
-// want is a request that was refused for lack of room and is expected to ask
-// again. Room is left for it by teams that hold more than its own.
-type want struct {
-	team   uint32
-	tokens int
-	until  time.Time
-}
-
-// wantKept is how much longer than it was told to wait a request's want is
-// remembered.
-const wantKept = 300 * time.Millisecond
-
-// heldBy returns the memory that a team holds, for each unit of its weight.
-func (l *ledger) heldBy(team uint32, weights func(uint32) float64) float64 {
-	sum := 0
-	for _, r := range l.rows {
-		if r.team == team {
-			sum += r.tokens
-		}
-	}
-	return float64(sum) / weights(team)
-}
-
-// owed returns the room that a request has to leave for others that were
-// refused before and whose teams hold less.
-func (l *ledger) owed(now time.Time, a ReserveArgs, weights func(uint32) float64) int {
-	owed, own := 0, l.heldBy(a.Team, weights)
-	for id, w := range l.wants {
-		switch {
-		case now.After(w.until) || id == a.Attempt.ID:
-			delete(l.wants, id)
-		case w.team != a.Team && l.heldBy(w.team, weights) < own:
-			owed += w.tokens
-		}
-	}
-	return owed
-}
-
 // occupancy is what holds an engine at a moment: expected values, and the
 // variances around them.
 type occupancy struct {
@@ -160,7 +94,7 @@
 }
 
 // at returns the occupancy forecast for a moment.
-func (l *ledger) at(now, t time.Time) occupancy {
+func (l *Ledger) at(now, t time.Time) occupancy {
 	var o occupancy
 	step := l.step()
 	for _, r := range l.rows {
@@ -174,7 +108,7 @@
 }
 
 // chance returns how likely a row is to hold memory at a moment.
-func (l *ledger) chance(r *row, now, t time.Time, step time.Duration) float64 {
+func (l *Ledger) chance(r *row, now, t time.Time, step time.Duration) float64 {
 	if l.mode == config.ForecastHold {
 		return 1
 	}
@@ -209,7 +143,7 @@
 )
 
 // fits reports whether the request has room at a moment.
-func (l *ledger) fits(now, t time.Time, tokens int) bool {
+func (l *Ledger) fits(now, t time.Time, tokens int) bool {
 	o := l.at(now, t)
 	z := 0.0
 	if l.mode == config.ForecastMargin {
@@ -221,7 +155,7 @@
 
 // linkFrom returns the first moment from t on at which the link into the
 // engine is free for d.
-func (l *ledger) linkFrom(t time.Time, d time.Duration) time.Time {
+func (l *Ledger) linkFrom(t time.Time, d time.Duration) time.Time {
 	for again := true; again; {
 		again = false
 		for _, r := range l.rows {
@@ -233,31 +167,6 @@
 	return t
 }
 
-// fairShareFrom is the share of the memory above which a team gets no more than
-// its fair part.
-const fairShareFrom = 0.85
-
-// fair reports whether a team may take more at a moment: below fairShareFrom
-// anyone may, above it only who stays within the fair part of the teams that
-// are there.
-func (l *ledger) fair(now, at time.Time, team uint32, tokens int, weights func(uint32) float64) bool {
-	room := float64(l.spec.MemoryTokens) * l.share
-	if l.at(now, at).tokens+float64(tokens) <= fairShareFrom*room {
-		return true
-	}
-	own, sum := tokens, weights(team)
-	seen := map[uint32]bool{team: true}
-	for _, r := range l.rows {
-		if r.team == team {
-			own += r.tokens
-		} else if !seen[r.team] {
-			seen[r.team] = true
-			sum += weights(r.team)
-		}
-	}
-	return len(seen) == 1 || float64(own) <= room*weights(team)/sum
-}
-
 // searchStep is the grain in which a moment with room is looked for, and
 // searchBeyond how much further than the request can wait, to tell it when
 // to come back.
@@ -266,17 +175,17 @@
 	searchBeyond = 2 * time.Second
 )
 
-// reserve finds the first moment at which the request fits, or refuses with
+// Reserve finds the first moment at which the request fits, or refuses with
 // the time after which it would.
-func (l *ledger) reserve(now time.Time, a ReserveArgs, weights func(uint32) float64) (time.Time, *result.Error) {
+func (l *Ledger) Reserve(now time.Time, a Ask, weights func(uint32) float64) (time.Time, *result.Error) {
 	l.expire(now)
 	if l.spec.GrowsMemory {
 		return l.reserveGrowing(now, a)
 	}
 	tokens := a.Tokens + a.MaxAnswer
 	l.usual.Learn(a.Tokens, a.MaxAnswer, a.Expected)
-	wanted := now.Add(duration(a.InMillis))
-	latest := wanted.Add(duration(a.Slack))
+	wanted := now.Add(a.In)
+	latest := wanted.Add(a.Slack)
 	move := route.LinkTime(l.spec, a.Bytes)
 	owed := l.owed(now, a, weights)
 	stay := move + time.Duration(l.answers.Expect(a.MaxAnswer))*l.step()
@@ -290,7 +199,7 @@
 			return time.Time{}, l.refuse(now, a, latest.Sub(now), at.Sub(latest))
 		}
 		if !l.fair(now, at, a.Team, tokens, weights) {
-			return time.Time{}, result.Errorf(result.NoDecodeMemory, "decode memory is fairShareFrom and the team is above its share").After(searchBeyond)
+			return time.Time{}, result.Errorf(result.NoDecodeMemory, "decode memory is nearly full and the team is above its share").After(searchBeyond)
 		}
 		l.add(a, at, at.Add(move), at.Add(l.lease))
 		return at, nil
@@ -298,18 +207,9 @@
 	return time.Time{}, l.refuse(now, a, latest.Sub(now), searchBeyond)
 }
 
-// add enters a reservation.
-func (l *ledger) add(a ReserveArgs, start, moved, lease time.Time) {
-	l.rows[a.Attempt] = &row{attempt: a.Attempt, team: a.Team, tokens: a.Tokens + a.MaxAnswer, prompt: a.Tokens,
-		maxAnswer: a.MaxAnswer, expected: a.Expected, mark: a.Mark, start: start, moved: moved, lease: lease}
-	if a.Mark != 0 {
-		l.marked[a.Mark] = a.Attempt
-	}
-}
-
 // taken lists the moments to come at which reservations that were granted
 // leave no room for so many tokens more.
-func (l *ledger) taken(now time.Time, tokens int) []time.Time {
+func (l *Ledger) taken(now time.Time, tokens int) []time.Time {
 	var out []time.Time
 	for _, r := range l.rows {
 		if r.start.After(now) && !l.fits(now, r.start, tokens) {
@@ -329,33 +229,32 @@
 	return false
 }
 
-// refuse refuses a request and remembers that it wants room.
-func (l *ledger) refuse(now time.Time, a ReserveArgs, within, back time.Duration) *result.Error {
-	l.wants[a.Attempt.ID] = want{team: a.Team, tokens: a.Tokens + a.MaxAnswer, until: now.Add(back + wantKept)}
-	return result.Errorf(result.NoDecodeMemory, "no decode memory on %s within %s", l.spec.Name, within).After(back)
+// End is how an attempt ended.
+type End struct {
+	Attempt  request.Attempt
+	Whole    bool          // the answer is whole; else nothing is learned
+	Answer   int           // tokens written
+	Max      int           // tokens asked for
+	Expected int           // tokens that the caller guessed; 0: none
+	Waited   bool          // the engine was full when the request came
+	Took     time.Duration // from the first piece to the last
 }
 
-// release drops an attempt's row and learns from its answer.
-func (l *ledger) release(now time.Time, r Release) {
-	if r.Outcome == Done {
-		l.answers.Learn(r.Answer, r.Max)
-		l.guessed.Learn(r.Answer, r.Expected)
-		l.learnMargin(r.Waited)
-		l.learnPace(r.Answer, r.Millis)
-	}
-	l.ended[r.Attempt] = now
-	if l.rows[r.Attempt] != nil {
-		if mark := l.rows[r.Attempt].mark; mark != 0 {
+// Release drops an attempt's row and learns from its answer.
+func (l *Ledger) Release(now time.Time, e End) {
+	if e.Whole {
+		l.answers.Learn(e.Answer, e.Max)
+		l.guessed.Learn(e.Answer, e.Expected)
+		l.learnMargin(e.Waited)
+		l.learnPace(e.Answer, e.Took)
+	}
+	l.ended[e.Attempt] = now
+	if l.rows[e.Attempt] != nil {
+		if mark := l.rows[e.Attempt].mark; mark != 0 {
 			l.ended[listedAs(mark)] = now
 		}
 	}
-	l.drop(r.Attempt)
-}
-
-// listedAs is the attempt that stands for a request which the engine lists
-// under another id than the attempt's.
-func listedAs(mark uint64) request.Attempt {
-	return request.Attempt{ID: request.ID{Counter: mark}}
+	l.drop(e.Attempt)
 }
 
 // Steps and bounds of the learned margin, in standard deviations.
@@ -367,7 +266,7 @@
 
 // learnMargin moves the margin so that in the long run the share of requests
 // that find the engine full is the one asked for.
-func (l *ledger) learnMargin(waited bool) {
+func (l *Ledger) learnMargin(waited bool) {
 	if !l.learns {
 		return
 	}
@@ -386,8 +285,8 @@
 	waitKept = 50 * time.Millisecond
 )
 
-// wait returns how long a request of the usual size waits for room.
-func (l *ledger) wait(now time.Time) time.Duration {
+// Wait returns how long a request of the usual size waits for room.
+func (l *Ledger) Wait(now time.Time) time.Duration {
 	if now.Sub(l.waitAt) < waitKept {
 		return l.waitFor
 	}
@@ -405,9 +304,9 @@
 	return l.waitFor
 }
 
-// free returns what a new request would find now: tokens, slots and how long
+// Free returns what a new request would find now: tokens, slots and how long
 // the link is taken.
-func (l *ledger) free(now time.Time) (tokens, slots int, link time.Duration) {
+func (l *Ledger) Free(now time.Time) (tokens, slots int, link time.Duration) {
 	l.expire(now)
 	o := l.at(now, now)
 	if l.spec.GrowsMemory {
@@ -415,3 +314,6 @@
 	}
 	return int(float64(l.spec.MemoryTokens)*l.share - o.tokens), l.slots - int(o.n), l.linkFrom(now, time.Millisecond).Sub(now)
 }
+
+// Len returns how many rows the ledger has: reservations, and what the engine holds.
+func (l *Ledger) Len() int { return len(l.rows) }
--- a/owner/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -1,7 +1,8 @@
-package owner
+package ledger
 
 import (
 	"testing"
+	"time"
 
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
@@ -11,7 +12,7 @@
 
 // testLedger returns a ledger of an engine with 10,000 tokens and 8 slots,
 // steps of 10 ms and a link of 10,000 tokens a second.
-func testLedger(t testing.TB, mode config.Forecast, margin float64) *ledger {
+func testLedger(t testing.TB, mode config.Forecast, margin float64) *Ledger {
 	t.Helper()
 	v, err := config.NewView(1, examples.Domaskra)
 	if err != nil {
@@ -21,13 +22,21 @@
 	spec := *v.ByName["docket-decode-1"]
 	spec.MemoryTokens, spec.Slots, spec.StepMicros, spec.StepMicrosEach = 10_000, 8, 10_000, 0
 	spec.LinkBytesPerSecond = 10_000 * 50_000
-	return newLedger(v, &spec, 1)
+	return New(v, &spec, 1)
 }
 
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func at(n int) time.Time { return epoch.Add(ms(n)) }
+
+func evenWeights(uint32) float64 { return 1 }
+
 func attempt(n int) request.Attempt { return request.Attempt{Number: uint32(n)} }
 
-func reserveArgs(n, tokens, answer, in, slack int) ReserveArgs {
-	return ReserveArgs{Attempt: attempt(n), Tokens: tokens, MaxAnswer: answer, Bytes: int64(tokens) * 50_000, InMillis: in, Slack: slack, Team: 1}
+func reserveArgs(n, tokens, answer, in, slack int) Ask {
+	return Ask{Attempt: attempt(n), Tokens: tokens, MaxAnswer: answer, Bytes: int64(tokens) * 50_000, In: ms(in), Slack: ms(slack), Team: 1}
 }
 
 // TestLedger plays reservations, one a line: prompt, answer, in, slack; want
@@ -55,7 +64,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			l := testLedger(t, tc.mode, 0)
 			for i, a := range tc.args {
-				start, err := l.reserve(at(0), reserveArgs(i, a[0], a[1], a[2], a[3]), evenWeights)
+				start, err := l.Reserve(at(0), reserveArgs(i, a[0], a[1], a[2], a[3]), evenWeights)
 				got := -1
 				if err == nil {
 					got = int(start.Sub(epoch).Milliseconds())
@@ -76,12 +85,12 @@
 func TestLedgerList(t *testing.T) {
 	l := testLedger(t, config.ForecastPlain, 0)
 	for i := range 3 {
-		if _, err := l.reserve(at(0), reserveArgs(i, 3000, 100, 0, 5000), evenWeights); err != nil {
+		if _, err := l.Reserve(at(0), reserveArgs(i, 3000, 100, 0, 5000), evenWeights); err != nil {
 			t.Fatal(err)
 		}
 	}
 	held := map[request.Attempt]endpoint.Running{attempt(0): {Tokens: 3100}, attempt(9): {Tokens: 500}}
-	l.listed(at(100), held)
+	l.Listed(at(100), held)
 	l.expire(at(60_000))
 	if _, there := l.rows[attempt(0)]; !there {
 		t.Error("a request that the engine holds was dropped when its lease lapsed")
@@ -92,7 +101,7 @@
 	if r, there := l.rows[attempt(9)]; !there || r.tokens != 500 {
 		t.Error("a request that only the engine knows doesn't count")
 	}
-	l.listed(at(60_100), nil)
+	l.Listed(at(60_100), nil)
 	if len(l.rows) != 0 {
 		t.Errorf("%d rows left after the engine's list is empty", len(l.rows))
 	}
@@ -105,7 +114,7 @@
 	take := func(n int, team uint32) bool {
 		a := reserveArgs(n, 1000, 100, 0, 0)
 		a.Team, a.Bytes = team, 0
-		_, err := l.reserve(at(0), a, evenWeights)
+		_, err := l.Reserve(at(0), a, evenWeights)
 		return err == nil
 	}
 	for n := range 6 {
@@ -133,7 +142,7 @@
 		for i := range 40 {
 			a := reserveArgs(i, 100, 500, 10*i, 200)
 			a.Bytes = 0
-			if _, err := l.reserve(at(0), a, evenWeights); err == nil {
+			if _, err := l.Reserve(at(0), a, evenWeights); err == nil {
 				n++
 			}
 		}
@@ -141,7 +150,7 @@
 		for i := range 40 {
 			a := reserveArgs(100+i, 100, 500, 300, 0)
 			a.Bytes = 0
-			if _, err := l.reserve(later, a, evenWeights); err == nil {
+			if _, err := l.Reserve(later, a, evenWeights); err == nil {
 				n++
 			}
 		}
@@ -158,7 +167,7 @@
 	l.spec.MemoryTokens, l.slots = 48_000, 32
 	for i := range b.N {
 		now := at(i * 50)
-		l.reserve(now, reserveArgs(i, 300+i%7*900, 400, 200, 500), evenWeights)
+		l.Reserve(now, reserveArgs(i, 300+i%7*900, 400, 200, 500), evenWeights)
 		if i > 28 {
 			delete(l.rows, attempt(i-28))
 		}
--- a/owner/listed.go
+++ b/ledger/listed.go
@@ -1,4 +1,4 @@
-package owner
+package ledger
 
 import (
 	"time"
@@ -11,9 +11,9 @@
 // be its answer.
 const foreignAnswer = 4
 
-// listed takes in the engine's own list: what it holds counts, and what it
+// Listed takes in the engine's own list: what it holds counts, and what it
 // no longer holds doesn't.
-func (l *ledger) listed(now time.Time, list map[request.Attempt]endpoint.Running) {
+func (l *Ledger) Listed(now time.Time, list map[request.Attempt]endpoint.Running) {
 	for a, at := range l.ended {
 		if now.Sub(at) > endedKept {
 			delete(l.ended, a)
@@ -40,7 +40,7 @@
 			continue // its start is known better than such a list tells it
 		}
 		move := r.moved.Sub(r.start)
-		r.start = now.Add(-duration(held.AgeMillis))
+		r.start = now.Add(-time.Duration(held.AgeMillis) * time.Millisecond)
 		r.moved = r.start.Add(move)
 	}
 	l.noticeTurn(g)
--- a/owner/steps.go
+++ b/ledger/steps.go
@@ -1,4 +1,4 @@
-package owner
+package ledger
 
 import (
 	"slices"
@@ -24,15 +24,14 @@
 	listSpan      = 300 * time.Millisecond // least time between lists that are compared
 	turned        = 3.0                    // times by which lists must be off what answers told: more than lists are off by themselves
 	turnLists     = 2                      // in a row: the first may cover work from before
-	listSoon      = 400 * time.Millisecond // until the next report while nothing is known of an engine's steps
 )
 
 // learnPace learns from an answer that was whole.
-func (l *ledger) learnPace(tokens, millis int) {
-	if tokens < stepLeast || millis <= 0 || !l.spec.GrowsMemory {
+func (l *Ledger) learnPace(tokens int, took time.Duration) {
+	if tokens < stepLeast || took <= 0 || !l.spec.GrowsMemory {
 		return
 	}
-	l.observeStep(duration(millis).Seconds() / float64(tokens))
+	l.observeStep(took.Seconds() / float64(tokens))
 }
 
 // growth is how fast the requests grew that two lists both show: the seconds that
@@ -41,7 +40,7 @@
 
 // grow takes in a request of a list, and adds to g how fast it has grown since the
 // list before.
-func (l *ledger) grow(now time.Time, r *row, held endpoint.Running, g *growth) {
+func (l *Ledger) grow(now time.Time, r *row, held endpoint.Running, g *growth) {
 	span, grown := now.Sub(r.listed), held.Tokens-r.held
 	known := !r.listed.IsZero()
 	if known && span < listSpan {
@@ -61,7 +60,7 @@
 // or faster than believed, by turnLists lists in a row, has turned: by answers alone,
 // which end the later the slower it is, it would be thought to be free long before it
 // is, be given more than its memory holds, and read whole requests anew.
-func (l *ledger) noticeTurn(g growth) {
+func (l *Ledger) noticeTurn(g growth) {
 	if len(g) == 0 {
 		return
 	}
@@ -80,26 +79,26 @@
 }
 
 // observeStep takes in the seconds of a step.
-func (l *ledger) observeStep(seconds float64) {
+func (l *Ledger) observeStep(seconds float64) {
 	told := route.StepTime(l.spec, len(l.rows)).Seconds()
 	l.pace.LearnOf(min(stepOff, max(1/stepOff, seconds/told)), stepMemory)
 }
 
-// inheritPace begins with what others of the pool show.
-func (l *ledger) inheritPace(slowPct uint16) {
+// InheritPace begins with what others of the pool show.
+func (l *Ledger) InheritPace(slowPct uint16) {
 	if slowPct > 0 && l.pace.Weight == 0 {
 		l.pace = forecast.Moment{Mean: float64(slowPct) / 100, Weight: stepInherited}
 	}
 }
 
-// unpaced reports whether nothing is known of the engine's steps, though it has
+// Unpaced reports whether nothing is known of the engine's steps, though it has
 // work from which something could be.
-func (l *ledger) unpaced() bool {
+func (l *Ledger) Unpaced() bool {
 	return l.spec.GrowsMemory && l.pace.Weight == 0 && len(l.rows) > 0
 }
 
-// slowPct returns the pace for a digest; 0: nothing is known.
-func (l *ledger) slowPct() uint16 {
+// SlowPct returns the pace for a digest; 0: nothing is known.
+func (l *Ledger) SlowPct() uint16 {
 	if l.pace.Weight == 0 {
 		return 0
 	}
--- a/owner/book.go
+++ b/owner/book.go
@@ -7,6 +7,7 @@
 
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/ledger"
 	"github.com/embercove/embercove/queue"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
@@ -22,8 +23,8 @@
 	number uint32
 	role   config.Role // an endpoint of another role needs another book
 
-	ledger *ledger      // decode
-	queue  *queue.Queue // prefill
+	ledger *ledger.Ledger // decode
+	queue  *queue.Queue   // prefill
 
 	ready    bool // the endpoint's own list was read since the tenure began
 	state    endpoint.State
@@ -58,7 +59,7 @@
 	}
 	switch spec.Role {
 	case config.Decode:
-		b.ledger = newLedger(v, spec, share)
+		b.ledger = ledger.New(v, spec, share)
 	case config.Prefill:
 		b.queue = queue.New(b.teamWeight, spec.TokensPerSecond)
 	}
@@ -85,7 +86,7 @@
 	}
 	b.view, b.spec = v, spec
 	if b.ledger != nil {
-		b.ledger.fit(v, spec, share)
+		b.ledger.Fit(v, spec, share)
 	}
 }
 
@@ -97,7 +98,7 @@
 		TrustPct: uint8(b.trust * 100), Flags: b.flags()}
 	switch {
 	case b.ledger != nil:
-		d.SlowPct = b.ledger.slowPct()
+		d.SlowPct = b.ledger.SlowPct()
 	case b.queue != nil:
 		d.SlowPct, d.LagMillis = uint16(b.queue.Pace.Slow()*100), uint32(b.queue.Pace.Lag().Milliseconds())
 	}
@@ -107,9 +108,9 @@
 	case b.queue != nil:
 		d.QueueMillis = uint32(float64(b.state.QueuedTokens) / b.spec.TokensPerSecond * 1000)
 	case b.ledger != nil && reserves:
-		tokens, slots, link := b.ledger.free(now)
+		tokens, slots, link := b.ledger.Free(now)
 		d.FreeTokens, d.FreeSlots, d.LinkMillis = int32(tokens), int32(slots), uint32(link.Milliseconds())
-		d.WaitMillis = uint32(b.ledger.wait(now).Milliseconds())
+		d.WaitMillis = uint32(b.ledger.Wait(now).Milliseconds())
 	case b.ledger != nil:
 		d.FreeTokens = int32(b.spec.MemoryTokens - b.state.MemoryUsed)
 		d.FreeSlots = int32(b.spec.Slots - b.state.Running)
@@ -189,7 +190,9 @@
 	if f := b.flags(); f != 0 {
 		return time.Time{}, result.Errorf(result.NoEndpoint, "%s is down, leaving or in the wrong state", b.spec.Name).After(time.Second)
 	}
-	return b.ledger.reserve(now, a, b.teamWeight)
+	ask := ledger.Ask{Attempt: a.Attempt, Team: a.Team, Tokens: a.Tokens, MaxAnswer: a.MaxAnswer, Expected: a.Expected, Mark: a.Mark,
+		Bytes: a.Bytes, In: duration(a.InMillis), Slack: duration(a.Slack)}
+	return b.ledger.Reserve(now, ask, b.teamWeight)
 }
 
 // admit puts a request into the queue of a prefill engine or refuses it.
@@ -279,7 +282,8 @@
 		blend(&b.failed, 1, learnRejection)
 	}
 	if b.ledger != nil {
-		b.ledger.release(now, r)
+		b.ledger.Release(now, ledger.End{Attempt: r.Attempt, Whole: r.Outcome == Done, Answer: r.Answer, Max: r.Max, Expected: r.Expected,
+			Waited: r.Waited, Took: duration(r.Millis)})
 		return nil
 	}
 	if b.queue == nil {
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/ledger"
 )
 
 // HandOver tells the successors of this leaving host what it reserved that
@@ -79,12 +80,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := Handover{Endpoint: b.number, Known: b.ready}
-	for _, r := range b.ledger.rows {
-		if r.seen && !b.spec.GrowsMemory {
-			continue // the endpoint's list has it
-		}
-		h.Rows = append(h.Rows, HandoverRow{Attempt: r.attempt, Team: r.team, Tokens: r.tokens, MaxAnswer: r.maxAnswer, Expected: r.expected, Mark: r.mark,
-			Start: millis(r.start.Sub(now)), Moved: millis(r.moved.Sub(now)), Lease: millis(r.lease.Sub(now)), Seen: r.seen})
+	for _, r := range b.ledger.Rows() {
+		h.Rows = append(h.Rows, HandoverRow{Attempt: r.Ask.Attempt, Team: r.Ask.Team, Tokens: r.Ask.Tokens + r.Ask.MaxAnswer, MaxAnswer: r.Ask.MaxAnswer,
+			Expected: r.Ask.Expected, Mark: r.Ask.Mark, Start: millis(r.Start.Sub(now)), Moved: millis(r.Moved.Sub(now)), Lease: millis(r.Lease.Sub(now)), Seen: r.Seen})
 	}
 	return h
 }
@@ -107,13 +105,8 @@
 		return
 	}
 	for _, r := range h.Rows {
-		if _, over := b.ledger.ended[r.Attempt]; over || b.ledger.rows[r.Attempt] != nil {
-			continue
-		}
-		a := ReserveArgs{Attempt: r.Attempt, Team: r.Team, Tokens: r.Tokens - r.MaxAnswer, MaxAnswer: r.MaxAnswer,
-			Expected: r.Expected, Mark: r.Mark}
-		b.ledger.add(a, now.Add(duration(r.Start)), now.Add(duration(r.Moved)), now.Add(duration(r.Lease)))
-		b.ledger.rows[r.Attempt].seen = r.Seen
+		ask := ledger.Ask{Attempt: r.Attempt, Team: r.Team, Tokens: r.Tokens - r.MaxAnswer, MaxAnswer: r.MaxAnswer, Expected: r.Expected, Mark: r.Mark}
+		b.ledger.Accept(ledger.Row{Ask: ask, Start: now.Add(duration(r.Start)), Moved: now.Add(duration(r.Moved)), Lease: now.Add(duration(r.Lease)), Seen: r.Seen})
 	}
 }
 
--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -92,7 +92,7 @@
 			} else if told := after.inherit(context.Background(), young); told != tc.known {
 				t.Errorf("told %v, want %v", told, tc.known)
 			}
-			if n := len(young.ledger.rows); n != tc.rows {
+			if n := young.ledger.Len(); n != tc.rows {
 				t.Errorf("%d rows, want %d", n, tc.rows)
 			}
 		})
--- a/owner/helpers_test.go
+++ b/owner/helpers_test.go
@@ -1,9 +1,19 @@
 package owner
 
-import "time"
+import (
+	"time"
+
+	"github.com/embercove/embercove/request"
+)
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
 
-func evenWeights(uint32) float64 { return 1 }
+func attempt(n int) request.Attempt { return request.Attempt{Number: uint32(n)} }
+
+// growingArgs asks for room at an engine whose answers take memory as they are
+// written.
+func growingArgs(n, prompt, guess, slack int) ReserveArgs {
+	return ReserveArgs{Attempt: attempt(n), Tokens: prompt, MaxAnswer: 10_880, Slack: slack, Team: 1, Expected: guess}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -139,7 +139,7 @@
 		b.queue.Pace.Inherit(float64(pace.SlowPct)/100, duration(int(pace.LagMillis)))
 	}
 	if b.ledger != nil {
-		b.ledger.inheritPace(pace.SlowPct)
+		b.ledger.InheritPace(pace.SlowPct)
 	}
 	o.books[b.number] = b
 	o.Takeover.Add(1)
--- a/owner/pace_test.go
+++ b/owner/pace_test.go
@@ -8,6 +8,7 @@
 	"github.com/embercove/embercove/examples"
 	"github.com/embercove/embercove/queue"
 	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/route"
 )
 
 // readingEngine is an engine that reads prompts one after the other at a rate,
@@ -114,3 +115,17 @@
 		})
 	}
 }
+
+// TestPoolPace checks that the book of an engine of which nothing is known
+// begins with the pace that is told of others of its pool and role.
+func TestPoolPace(t *testing.T) {
+	o := testOwner(t, "a", "b")
+	v := o.board.Config.View()
+	spec := v.ByName["e"]
+	spec.GrowsMemory = true
+	o.board.Endpoints.Learn(route.Digest{Number: route.Number("e"), SlowPct: 650}, time.Now())
+	b := o.open(v, spec, time.Now())
+	if got := b.ledger.SlowPct(); got != 650 {
+		t.Errorf("a pace of %d, want 650", got)
+	}
+}
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -9,6 +9,7 @@
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/ledger"
 	"github.com/embercove/embercove/request"
 )
 
@@ -28,6 +29,10 @@
 // for its report by several hosts whenever views differed.
 const standInFor = time.Second
 
+// listSoon is the time until the next report while nothing is known of the time that an
+// engine takes for a step.
+const listSoon = 400 * time.Millisecond
+
 // Poller returns the controller that polls owned endpoints. It hands out one
 // endpoint at a time, so that several workers poll side by side and a frozen
 // endpoint holds up one of them.
@@ -166,7 +171,7 @@
 		}
 	}
 	every := config.Millis(s.PollMillis)
-	if b.ledger != nil && b.ledger.unpaced() {
+	if b.ledger != nil && b.ledger.Unpaced() {
 		every = min(every, listSoon)
 	}
 	next(&b.nextState, state, every)
@@ -265,12 +270,12 @@
 	for _, r := range list {
 		a, err := request.ParseAttempt(r.ID)
 		if err != nil {
-			a = foreign(r.ID) // not ours, but it holds memory
+			a = ledger.Foreign(r.ID) // not ours, but it holds memory
 		}
 		held[a] = r
 	}
 	if b.ledger != nil {
-		b.ledger.listed(now, held)
+		b.ledger.Listed(now, held)
 	}
 	if b.queue != nil {
 		b.queue.Forget(now)
--- a/owner/reap.go
+++ b/owner/reap.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/config"
@@ -18,12 +17,6 @@
 	claimEvery = 5 * time.Second // how often a holder confirms an attempt
 )
 
-// foreign returns a stand-in for an attempt that embercove didn't send. Host
-// 0 marks it; it is never cancelled.
-func foreign(id string) request.Attempt {
-	return request.Attempt{ID: request.ID{Counter: xxhash.Sum64String(id)}}
-}
-
 // suspects returns the attempts of the list that should be looked into; the
 // caller holds the lock.
 func (b *Book) suspects(now time.Time, list []endpoint.Running) []request.Attempt {
