retry: budgets of further calls and the time to come back, in a package of its own

Moved out of entry, without a change of behaviour: budgets (Budgets), comeBack (ComeBack), lacksRoom (LacksRoom). Budgets take the window and how many hosts share it instead of the board.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/embercove/embercove/peer"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/result"
+	"github.com/embercove/embercove/retry"
 )
 
 // Owners is what a request asks of endpoint owners and key holders.
@@ -36,21 +37,21 @@
 	owners  Owners
 	record  *report.Recorder
 	log     *zap.Logger
-	budgets *budgets
+	budgets *retry.Budgets
 	turn    atomic.Uint64 // for round robin and seeds
 	Latency LatencyRecorder
 	logs    *lineGate
-	back    *comeBack
+	back    *retry.ComeBack
 	began   time.Time
 }
 
 // New returns an entry over the board.
 func New(b *blackboard.Board, g endpoint.Engine, o Owners, rec *report.Recorder, log *zap.Logger) *Entry {
-	return &Entry{board: b, engine: g, traits: g.Traits(), owners: o, record: rec, log: log, budgets: newBudgets(b), logs: newLineGate(), back: newComeBack(), began: time.Now()}
+	return &Entry{board: b, engine: g, traits: g.Traits(), owners: o, record: rec, log: log, budgets: retry.NewBudgets(b.Settings.RetryBudget, b.Hosts.Len), logs: newLineGate(), back: retry.NewComeBack(), began: time.Now()}
 }
 
 // SetRetryBudget has another budget hold from now on.
-func (e *Entry) SetRetryBudget(b config.RetryBudget) { e.budgets.set(b) }
+func (e *Entry) SetRetryBudget(b config.RetryBudget) { e.budgets.Set(b) }
 
 // Handler returns the callers' HTTP interface.
 func (e *Entry) Handler() http.Handler {
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -7,6 +7,7 @@
 	"github.com/embercove/embercove/invariant"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/result"
+	"github.com/embercove/embercove/retry"
 )
 
 // refuse answers a call that never became a job. Its key, if it has one, was
@@ -29,8 +30,8 @@
 	inv := e.board.Invariant
 	inv.Check(!err.Code.NotRun() || !j.ran, invariant.NotRunClean, "request %s ends as %s", j.id, err.Code)
 	inv.Check(err.Code != result.OK || j.out.complete(), invariant.CompleteMarked, "request %s ends cleanly before its last token", j.id)
-	if j.prompted && lacksRoom(err.Code) && err.RetryAfter > 0 {
-		err.RetryAfter = e.back.after(j.pool, err.RetryAfter)
+	if j.prompted && retry.LacksRoom(err.Code) && err.RetryAfter > 0 {
+		err.RetryAfter = e.back.After(j.pool, err.RetryAfter)
 	}
 	o := j.outcome(err.Code)
 	v := e.record.Record(o, time.Now())
--- a/entry/read.go
+++ b/entry/read.go
@@ -49,7 +49,7 @@
 		}
 		j.read += ans.Usage.PromptTokens - ans.Usage.CachedTokens
 		p.cost = ans.Usage.PromptTokens - ans.Usage.CachedTokens
-		e.budgets.earn(j.team.Name, p.pre.Name, j.view.Doc.Limits.RetryShare)
+		e.budgets.Earn(j.team.Name, p.pre.Name, j.view.Doc.Limits.RetryShare)
 		return ans.Transfer, nil
 	}
 	rel.Outcome = outcomeOf(ctx, err)
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -87,7 +87,7 @@
 		return
 	}
 	if err == nil {
-		e.back.learn(j.pool, took)
+		e.back.Learn(j.pool, took)
 	}
 	e.owners.Release(p.dec, owner.Release{Attempt: p.decodeBy, Endpoint: route.Number(p.dec.Name), Outcome: outcomeOf(ctx, err),
 		Waited: p.waited, Answer: pieces * p.dec.PieceTokens(), Max: j.work.MaxTokens, Expected: j.expected, Millis: ms(took)})
--- a/entry/run.go
+++ b/entry/run.go
@@ -23,7 +23,7 @@
 
 // run carries a completion through, trying again where that is allowed.
 func (e *Entry) run(ctx context.Context, j *job) *result.Error {
-	e.budgets.count(j.pool, j.came)
+	e.budgets.Count(j.pool, j.came)
 	backoff := backoffStart
 	for {
 		j.tries++
@@ -82,14 +82,14 @@
 // affords spends from the retry budgets what another try costs, if they hold
 // it. In a window every further call counts, to be read and to be run.
 func (e *Entry) affords(j *job, r *retryable) bool {
-	if !e.budgets.windowed() {
-		return e.budgets.take(j.team.Name, r.name)
+	if !e.budgets.Windowed() {
+		return e.budgets.Take(j.team.Name, r.name)
 	}
 	calls := min(1, j.sends)
 	if j.prompted {
 		calls += min(1, j.reads)
 	}
-	return e.budgets.further(j.pool, time.Now(), calls)
+	return e.budgets.Further(j.pool, time.Now(), calls)
 }
 
 // sleep waits unless the context ends first.
--- a/entry/service.go
+++ b/entry/service.go
@@ -67,7 +67,7 @@
 // runService tries the call where that is allowed. A call that may not be
 // repeated goes out once, and again only if nothing can have run.
 func (e *Entry) runService(ctx context.Context, j *job) *result.Error {
-	e.budgets.count(j.pool, j.came)
+	e.budgets.Count(j.pool, j.came)
 	for {
 		j.tries++
 		spec := e.chooseService(j)
@@ -180,7 +180,7 @@
 		return failure
 	}
 	defer ans.Body.Close()
-	e.budgets.earn(j.team.Name, spec.Name, j.view.Doc.Limits.RetryShare)
+	e.budgets.Earn(j.team.Name, spec.Name, j.view.Doc.Limits.RetryShare)
 	if err := j.out.whole(ans); err != nil {
 		return &endpoint.CallError{Address: spec.Address, MayHaveRun: true, Cause: err}
 	}
--- a/entry/write.go
+++ b/entry/write.go
@@ -32,7 +32,7 @@
 		err := e.decodeOnce(ctx, j, p, kv)
 		if err == nil {
 			e.board.Requests.Close(p.decodeBy)
-			e.budgets.earn(j.team.Name, p.dec.Name, j.view.Doc.Limits.RetryShare)
+			e.budgets.Earn(j.team.Name, p.dec.Name, j.view.Doc.Limits.RetryShare)
 			return nil
 		}
 		var stalled *stallError
@@ -58,7 +58,7 @@
 				e.discard(j, p, kv)
 				return e.resultLost(p)
 			}
-			if e.budgets.windowed() {
+			if e.budgets.Windowed() {
 				e.moveOn(ctx, j, p, owner.Rejected, true)
 			}
 		case errors.As(err, &stalled) && !j.repeatable:
@@ -81,7 +81,7 @@
 			}
 			return e.wasted(j, p, err)
 		}
-		if !e.budgets.windowed() && full > 0 && full%fullBeforeMove == 0 {
+		if !e.budgets.Windowed() && full > 0 && full%fullBeforeMove == 0 {
 			e.moveIfRoom(ctx, j, p)
 		}
 		pause := max(fullWait/2+rand.N(fullWait), time.Until(p.start))
@@ -129,7 +129,7 @@
 // sendsAgain spends what one more call to a decode engine costs where further
 // calls are counted.
 func (e *Entry) sendsAgain(j *job) bool {
-	return j.sends == 0 || e.budgets.further(j.pool, time.Now(), 1)
+	return j.sends == 0 || e.budgets.Further(j.pool, time.Now(), 1)
 }
 
 const (
--- a/entry/budget.go
+++ b/retry/budgets.go
@@ -1,10 +1,13 @@
-package entry
+// Package retry decides what a request that failed or was refused may cost further: how
+// many more calls are made for it, and when its caller should come back.
+//
+// Its types are safe for concurrent use, keep what they learn in memory, and ask nobody.
+package retry
 
 import (
 	"sync"
 	"time"
 
-	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 )
 
@@ -15,27 +18,11 @@
 	maxBudgets  = 4096
 )
 
-// windowed reports whether further calls are counted in a window.
-func (b *budgets) windowed() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.window.Seconds > 0
-}
-
-// set has another window hold from now on.
-func (b *budgets) set(w config.RetryBudget) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.window != w {
-		b.window, b.pools = w, map[string]*poolUse{}
-	}
-}
-
-// budgets bound retries. Each team and each endpoint has a share of its recent
+// Budgets bound retries. Each team and each endpoint has a share of its recent
 // successes to spend, so that failing endpoints are not met with a storm of
 // further tries. Where the settings name a window, each pool of endpoints has
 // besides a number of further calls in it, which all hosts share.
-type budgets struct {
+type Budgets struct {
 	hosts func() int // that share a window's extra
 
 	mu     sync.Mutex
@@ -44,12 +31,29 @@
 	pools  map[string]*poolUse
 }
 
-func newBudgets(b *blackboard.Board) *budgets {
-	return &budgets{window: b.Settings.RetryBudget, left: map[string]float64{}, pools: map[string]*poolUse{},
-		hosts: b.Hosts.Len}
+// NewBudgets returns budgets with a window, which the hosts share whose number hosts
+// returns.
+func NewBudgets(window config.RetryBudget, hosts func() int) *Budgets {
+	return &Budgets{window: window, left: map[string]float64{}, pools: map[string]*poolUse{}, hosts: hosts}
+}
+
+// Windowed reports whether further calls are counted in a window.
+func (b *Budgets) Windowed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.window.Seconds > 0
+}
+
+// Set has another window hold from now on.
+func (b *Budgets) Set(w config.RetryBudget) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.window != w {
+		b.window, b.pools = w, map[string]*poolUse{}
+	}
 }
 
-func (b *budgets) get(name string) float64 {
+func (b *Budgets) get(name string) float64 {
 	n, ok := b.left[name]
 	if !ok {
 		return budgetStart
@@ -57,15 +61,15 @@
 	return n
 }
 
-func (b *budgets) put(name string, n float64) {
+func (b *Budgets) put(name string, n float64) {
 	if _, ok := b.left[name]; ok || len(b.left) < maxBudgets {
 		b.left[name] = n
 	}
 }
 
-// take spends one retry of the team and of the endpoint that failed, if both
+// Take spends one retry of the team and of the endpoint that failed, if both
 // have one left.
-func (b *budgets) take(team, endpoint string) bool {
+func (b *Budgets) Take(team, endpoint string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t, e := b.get("t/"+team), b.get("e/"+endpoint)
@@ -77,8 +81,8 @@
 	return true
 }
 
-// earn adds a share of a retry to both after a success.
-func (b *budgets) earn(team, endpoint string, share float64) {
+// Earn adds a share of a retry to both after a success.
+func (b *Budgets) Earn(team, endpoint string, share float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, name := range []string{"t/" + team, "e/" + endpoint} {
@@ -118,7 +122,7 @@
 	return float64(n)
 }
 
-func (b *budgets) pool(name string, now time.Time) *poolUse {
+func (b *Budgets) pool(name string, now time.Time) *poolUse {
 	u := b.pools[name]
 	slice := now.UnixNano() / int64(b.window.Window()/windowSlices)
 	if u == nil {
@@ -129,8 +133,8 @@
 	return u
 }
 
-// count notes a request for a pool.
-func (b *budgets) count(pool string, now time.Time) {
+// Count notes a request for a pool.
+func (b *Budgets) Count(pool string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.window.Seconds == 0 {
@@ -140,8 +144,8 @@
 	u.requests[u.slice%windowSlices]++
 }
 
-// further spends n further calls to a pool, if the window has so many left.
-func (b *budgets) further(pool string, now time.Time, n int) bool {
+// Further spends n further calls to a pool, if the window has so many left.
+func (b *Budgets) Further(pool string, now time.Time, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.window.Seconds == 0 || n == 0 {
--- a/entry/comeback_test.go
+++ b/retry/comeback_test.go
@@ -1,4 +1,4 @@
-package entry
+package retry
 
 import (
 	"testing"
@@ -24,13 +24,13 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			c := newComeBack()
+			c := NewComeBack()
 			for _, took := range tc.answers {
-				c.learn("p", took)
+				c.Learn("p", took)
 			}
 			seen := map[time.Duration]bool{}
 			for range 50 {
-				got := c.after("p", tc.told)
+				got := c.After("p", tc.told)
 				seen[got] = true
 				if got < tc.least || got > tc.most {
 					t.Fatalf("come back after %v, want %v to %v", got, tc.least, tc.most)
@@ -41,7 +41,7 @@
 			}
 		})
 	}
-	if !lacksRoom(result.TooLate) || !lacksRoom(result.NoDecodeMemory) || lacksRoom(result.NoEndpoint) || lacksRoom(result.Draining) {
+	if !LacksRoom(result.TooLate) || !LacksRoom(result.NoDecodeMemory) || LacksRoom(result.NoEndpoint) || LacksRoom(result.Draining) {
 		t.Error("only refusals for lack of room are told the time of an answer")
 	}
 }
