--- a/proof/hundreds_test.go
+++ b/proof/hundreds_test.go
@@ -51,6 +51,7 @@
 		mostBytes = 7_500 // a second on each host with peers, in and out: half of what control may take in all
 		mostCalls = 4.0   // a second on each host to peers
 		mostStart = 600   // KB on each host until all know each other
+		mostGone  = 7 * time.Second // two pings that are missed, and three rounds of news after them
 		startSpan = 8 * time.Second
 		watched   = 10 * time.Second
 	)
@@ -86,7 +87,9 @@
 		}
 		s.members(t)
 		s.digestAges(t)
-		s.takeover(t)
+		if took := s.takeover(t); took > mostGone {
+			t.Errorf("a killed host counts as gone after %s, want %s at the most", took, mostGone)
+		}
 		for _, b := range s.broken {
 			t.Error(b)
 		}
--- a/proof/scale_test.go
+++ b/proof/scale_test.go
@@ -149,9 +149,9 @@
 	}
 }
 
-// takeover kills a host and times how long until no live host of its domain
+// takeover kills a host and returns how long it took until no live host of its domain
 // takes it for an owner.
-func (s *scene) takeover(t *testing.T) {
+func (s *scene) takeover(t *testing.T) time.Duration {
 	dead := s.Nodes[0].Board.Hosts.Self()
 	s.kill(0)
 	start := time.Now()
@@ -170,11 +170,13 @@
 		}
 		if time.Since(start) > 2*time.Minute {
 			t.Errorf("%d hosts still take a killed host for live", believe)
-			return
+			break
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	t.Logf("a killed host counts as gone in its domain after %s", time.Since(start).Round(100*time.Millisecond))
+	took := time.Since(start).Round(100 * time.Millisecond)
+	t.Logf("a killed host counts as gone in its domain after %s", took)
+	return took
 }
 
 func memory() uint64 {
