--- a/proof/hundreds_test.go
+++ b/proof/hundreds_test.go
@@ -48,9 +48,9 @@
 // them pays to keep the fleet together, and how old what it decides by is.
 func TestHundreds(t *testing.T) {
 	const (
-		mostBytes = 7_500 // a second on each host with peers, in and out: half of what control may take in all
-		mostCalls = 4.0   // a second on each host to peers
-		mostStart = 600   // KB on each host until all know each other
+		mostBytes = 7_500           // a second on each host with peers, in and out: half of what control may take in all
+		mostCalls = 4.0             // a second on each host to peers
+		mostStart = 600             // KB on each host until all know each other
 		mostGone  = 7 * time.Second // two pings that are missed, and three rounds of news after them
 		startSpan = 8 * time.Second
 		watched   = 10 * time.Second
