--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -188,8 +188,8 @@
 	}
 }
 
-// Told notes, now, that another host whose knowledge this one has got its answer
-// from the platform at a moment.
+// Told notes that another host, whose knowledge this one has, told now of an answer that
+// the platform gave at a moment, to it or to one that it heard of it from.
 func (t *ConfigTable) Told(at, now time.Time) {
 	t.Heard(at)
 	t.mu.Lock()
