--- a/entry/place.go
+++ b/entry/place.go
@@ -77,6 +77,9 @@
 	var last *result.Error
 	notBefore := time.Now()
 	for asks, turns := 0, 0; asks < mostTurnAsks && turns < mostTurns; {
+		if last != nil && j.slack() <= 0 {
+			break // a turn that was waited for and came to nothing has used up the time
+		}
 		c, v := e.choose(j, 0)
 		if c.Prefill < 0 {
 			break
--- a/entry/place_test.go
+++ b/entry/place_test.go
@@ -25,6 +25,7 @@
 	roomIn int           // ms after which decode memory is free
 	turns  []result.Code // of the turns that are asked for; then all are granted
 	rooms  []result.Code // of the room that is asked for; then all is granted
+	waits  time.Duration // until the first turn is refused
 	asked  []string
 }
 
@@ -47,7 +48,8 @@
 	if len(s.turns) > 0 {
 		code, s.turns = s.turns[0], s.turns[1:]
 	}
-	time.Sleep(time.Duration(a.NotYet) * time.Millisecond)
+	time.Sleep(time.Duration(a.NotYet)*time.Millisecond + s.waits)
+	s.waits = 0
 	return owner.EnqueueReply{Code: code, Retry: 5000}, nil
 }
 
@@ -163,3 +165,19 @@
 		})
 	}
 }
+
+// TestAsksInTime checks that nobody is asked for a turn that could only come too late.
+func TestAsksInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stub := &stubOwners{turns: slices.Repeat([]result.Code{result.TooLate}, 15)}
+		e, j := placing(t, stub, 15, 49)
+		stub.waits = j.target()
+		began := time.Now()
+		if _, err := e.place(context.Background(), j); err == nil {
+			t.Error("placed without a turn")
+		}
+		if len(stub.asked) != 1 || time.Since(began) > j.target() {
+			t.Errorf("refused after %s, asked %v: want one ask, and a refusal right after it", time.Since(began), stub.asked)
+		}
+	})
+}
