--- a/proof/hundreds_test.go
+++ b/proof/hundreds_test.go
@@ -44,6 +44,25 @@
 	}
 }
 
+// startHundreds starts so many hosts before the endpoints of hundreds.
+func startHundreds(t *testing.T, hosts int) *scene {
+	t.Helper()
+	s := &scene{t: t, net: fake.NewNetwork(), gone: map[int]bool{}}
+	c, err := trial.Start(trial.Options{Document: examples.Domaskra, Hosts: hosts, Network: s.net, Change: hundreds, Fatal: s.fail,
+		Settings: func(s *config.Settings) { s.PollMillis = config.DefaultPollMillis }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Cluster = c
+	return s
+}
+
+// end stops the hosts, and lets whatever still waits come to its end.
+func (s *scene) end() {
+	s.Stop()
+	time.Sleep(time.Minute)
+}
+
 // TestHundreds starts several hundred hosts at once and checks what each of
 // them pays to keep the fleet together, and how old what it decides by is.
 func TestHundreds(t *testing.T) {
@@ -56,17 +75,8 @@
 		watched   = 10 * time.Second
 	)
 	synctest.Test(t, func(t *testing.T) {
-		s := &scene{t: t, net: fake.NewNetwork(), gone: map[int]bool{}}
-		c, err := trial.Start(trial.Options{Document: examples.Domaskra, Hosts: hundredsHosts, Network: s.net, Change: hundreds,
-			Fatal: s.fail, Settings: func(s *config.Settings) { s.PollMillis = config.DefaultPollMillis }})
-		if err != nil {
-			t.Fatal(err)
-		}
-		s.Cluster = c
-		defer func() {
-			c.Stop()
-			time.Sleep(time.Minute)
-		}()
+		s := startHundreds(t, hundredsHosts)
+		defer s.end()
 		time.Sleep(startSpan)
 		before, _, calls := s.control()
 		started := float64(before) / hundredsHosts / 1e3
@@ -157,16 +167,8 @@
 		soon  = 5 * time.Second
 	)
 	synctest.Test(t, func(t *testing.T) {
-		s := &scene{t: t, net: fake.NewNetwork(), gone: map[int]bool{}}
-		c, err := trial.Start(trial.Options{Document: examples.Domaskra, Hosts: hosts, Network: s.net, Change: hundreds, Fatal: s.fail})
-		if err != nil {
-			t.Fatal(err)
-		}
-		s.Cluster = c
-		defer func() {
-			c.Stop()
-			time.Sleep(time.Minute)
-		}()
+		s := startHundreds(t, hosts)
+		defer s.end()
 		time.Sleep(10 * time.Second)
 		s.net.Silence()
 		answers := make(chan []load.Result)
@@ -203,16 +205,8 @@
 		soon  = 1500 * time.Millisecond
 	)
 	synctest.Test(t, func(t *testing.T) {
-		s := &scene{t: t, net: fake.NewNetwork(), gone: map[int]bool{}}
-		c, err := trial.Start(trial.Options{Document: examples.Domaskra, Hosts: hosts, Network: s.net, Change: hundreds, Fatal: s.fail})
-		if err != nil {
-			t.Fatal(err)
-		}
-		s.Cluster = c
-		defer func() {
-			c.Stop()
-			time.Sleep(time.Minute)
-		}()
+		s := startHundreds(t, hosts)
+		defer s.end()
 		time.Sleep(5 * time.Second)
 		for _, n := range s.Nodes {
 			for _, other := range s.Nodes[:5] {
