config, entry, platform: requests belong to the team whose key they carry

Ruled out: a second way to name teams beside token_sha256, which is replaced.

A call without a key of the revision in force is refused with 401; a host without a configuration answers not ready. The key is struck before anything leaves the host, and every call to an endpoint names the team, whatever the caller set.

Measured: TestTeams, TestRevoked, TestNoConfiguration and TestTeamErrors; TestRevoked failed once with silent connections after two seconds, because a watch that went silent is found out after 2.4 s: it is given three there.

--- a/config/view.go
+++ b/config/view.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
 	"strings"
 
@@ -23,6 +25,7 @@
 	Numbers      []uint32
 	ByNumber     map[uint32]*Endpoint
 	TeamByNumber map[uint32]*Team
+	teamByKey    map[[sha256.Size]byte]*Team
 	Models       map[string]*Model // by model and adapter name
 	Region       map[string]string // region by failure domain
 	Routes       []RouteView
@@ -76,6 +79,7 @@
 	d := v.Doc
 	v.ByName, v.Number, v.Teams = map[string]*Endpoint{}, map[string]int{}, map[string]*Team{}
 	v.Models, v.Region, v.Pools = map[string]*Model{}, map[string]string{}, map[string]*Pool{}
+	v.teamByKey = map[[sha256.Size]byte]*Team{}
 	v.ByNumber, v.TeamByNumber, v.Numbers = map[uint32]*Endpoint{}, map[uint32]*Team{}, nil
 	v.byName, v.byPath, v.groups = map[string]*RouteView{}, map[string]*RouteView{}, map[string]*Group{}
 	for i := range d.Pools {
@@ -95,6 +99,7 @@
 	for i := range d.Teams {
 		v.Teams[d.Teams[i].Name] = &d.Teams[i]
 		v.TeamByNumber[NameNumber(d.Teams[i].Name)] = &d.Teams[i]
+		v.indexKeys(&d.Teams[i])
 	}
 	for i := range d.Models {
 		m := &d.Models[i]
@@ -116,6 +121,27 @@
 	}
 }
 
+// indexKeys enters the keys of a team, which have been checked.
+func (v *View) indexKeys(t *Team) {
+	for _, key := range t.KeysSHA256 {
+		var sum [sha256.Size]byte
+		_, _ = hex.Decode(sum[:], []byte(key))
+		v.teamByKey[sum] = t
+	}
+}
+
+// Keyed reports whether any team has keys, so that callers have to give one.
+func (v *View) Keyed() bool { return len(v.teamByKey) > 0 }
+
+// TeamOfKey returns the team that holds a key, or nil.
+func (v *View) TeamOfKey(key string) *Team { return v.teamByKey[sha256.Sum256([]byte(key))] }
+
+// KeyDigest returns what a document holds of a key.
+func KeyDigest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
 // add puts an endpoint of a role into the group.
 func (g *Group) add(i int, role Role) {
 	switch role {
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -98,15 +98,17 @@
 	return &CallError{Address: addr, Status: res.StatusCode, MayHaveRun: !p.NotRun, Cause: errors.New(p.Error)}
 }
 
-func callHeader(attempt, version string, repeatable bool) http.Header {
-	h := http.Header{"Content-Type": {"application/json"}, HeaderRequestID: {attempt}}
-	if version != "" {
-		h.Set(HeaderVersion, version)
-	}
-	if !repeatable {
+// setOwn sets the headers by which an endpoint knows a call, whatever the caller had
+// set.
+func (c *Call) setOwn(h http.Header) {
+	h.Set(HeaderRequestID, c.Attempt)
+	h.Del(HeaderTeam)
+	if c.Team != "" {
+		h.Set(HeaderTeam, c.Team)
+	}
+	if !c.Repeatable {
 		h.Set(HeaderRepeatable, "false")
 	}
-	return h
 }
 
 // Call names one attempt at one endpoint.
@@ -116,6 +118,7 @@
 	Attempt    string
 	Version    string // model version asked for; empty: any
 	KeepMillis int    // how long the endpoint keeps an exported result
+	Team       string // that the request belongs to; empty: none has to answer for it
 	Repeatable bool
 }
 
@@ -126,7 +129,12 @@
 	if err != nil {
 		return nil, &CallError{Address: call.Address, Cause: err}
 	}
-	res, err := c.do(ctx, c.hc, http.MethodPost, call.Address, PathCompletions, callHeader(call.Attempt, call.Version, call.Repeatable), body)
+	header := http.Header{"Content-Type": {"application/json"}}
+	call.setOwn(header)
+	if call.Version != "" {
+		header.Set(HeaderVersion, call.Version)
+	}
+	res, err := c.do(ctx, c.hc, http.MethodPost, call.Address, PathCompletions, header, body)
 	if err != nil {
 		return nil, err
 	}
@@ -167,10 +175,7 @@
 	if header == nil {
 		header = http.Header{}
 	}
-	header.Set(HeaderRequestID, call.Attempt)
-	if !call.Repeatable {
-		header.Set(HeaderRepeatable, "false")
-	}
+	call.setOwn(header)
 	res, err := c.do(ctx, c.hc, work.Origin.Method, call.Address, work.Origin.URL.RequestURI(), header, work.Origin.Body)
 	if err != nil {
 		return nil, err
--- a/endpoint/wire.go
+++ b/endpoint/wire.go
@@ -26,6 +26,7 @@
 	HeaderRequestID  = "X-Request-Id"
 	HeaderVersion    = "X-Model-Version"
 	HeaderRepeatable = "X-Repeatable"
+	HeaderTeam       = "X-Team" // that the request belongs to
 )
 
 // BytesPerToken is how many bytes of prompt the router counts as one token.
--- a/entry/call.go
+++ b/entry/call.go
@@ -20,6 +20,7 @@
 // is chosen by host and path, and its answer is passed on as it comes.
 type Call struct {
 	Origin   *request.Origin // Body is read by Serve
+	Keys     []string        // that name the caller's team, as they came
 	Prompt   *Prompt         // nil: the call carries none
 	Left     time.Duration   // until the caller gives up; 0: unknown
 	LastMark string          // names the last piece that the caller has; empty: none
@@ -37,9 +38,6 @@
 	HasHead   bool
 }
 
-// defaultTeam is the team of calls whose protocol knows no teams.
-var defaultTeam = &config.Team{Name: "default", Weight: 1}
-
 // Serve carries a call of another front end.
 func (e *Entry) Serve(w http.ResponseWriter, q *http.Request, c *Call) {
 	if e.board.Leaving() {
@@ -56,7 +54,12 @@
 		e.refuse(w, q, result.Errorf(result.NoRoute, "no route of host %q begins path %q", q.Host, q.URL.Path), from)
 		return
 	}
-	j := e.callJob(v, r, c)
+	team, refusal := callTeam(v, r, c.Keys)
+	if refusal != nil {
+		e.refuse(w, q, refusal, from)
+		return
+	}
+	j := e.callJob(v, r, team, c)
 	if e.stopsBefore(j) {
 		e.refuse(w, q, result.Errorf(result.Draining, "this host is stopping before the answer would be whole").After(comeBackSoon), from)
 		return
@@ -120,8 +123,8 @@
 }
 
 // callJob makes a job of a call.
-func (e *Entry) callJob(v *config.View, r *config.RouteView, c *Call) *job {
-	hd := headers{team: defaultTeam, priority: r.Priority, deadline: c.Left, repeatable: r.Repeatable()}
+func (e *Entry) callJob(v *config.View, r *config.RouteView, team *config.Team, c *Call) *job {
+	hd := headers{team: team, priority: rank(team, r), deadline: c.Left, repeatable: r.Repeatable()}
 	if t := r.Timeout(); t > 0 && (hd.deadline == 0 || t < hd.deadline) {
 		hd.deadline = t
 	}
@@ -130,7 +133,7 @@
 		j.mark = xxhash.Sum64String(c.Origin.ID)
 	}
 	j.work = &endpoint.Work{Origin: c.Origin, LastMark: c.LastMark}
-	j.work.Priority = r.Priority
+	j.work.Priority = j.priority
 	if c.Left > 0 {
 		j.work.Until = j.came.Add(c.Left)
 	}
--- a/entry/input_test.go
+++ b/entry/input_test.go
@@ -19,7 +19,7 @@
 	c, err := trial.Start(trial.Options{Document: examples.Domaskra, Hosts: 1, Fatal: func(m string) { t.Error(m) },
 		Change: func(d *config.Document) {
 			d.Limits.BodyBytes = 200_000
-			d.Teams = append(d.Teams, config.Team{Name: "guarded", Weight: 1, TokenSHA256: strings.Repeat("ab", 32)})
+			d.Teams = append(d.Teams, config.Team{Name: "guarded", Weight: 1, KeysSHA256: []string{strings.Repeat("ab", 32)}})
 		}})
 	if err != nil {
 		t.Fatal(err)
--- a/entry/job.go
+++ b/entry/job.go
@@ -106,7 +106,7 @@
 	}
 	j := e.newJob(v, r, hd)
 	j.prompted, j.tokens = true, tokens
-	j.priority = max(hd.priority, r.Priority) // a request may lower itself, not raise
+	j.priority = max(hd.priority, rank(hd.team, r)) // a request may lower itself, not raise
 	j.work = &endpoint.Work{Completion: endpoint.Completion{Model: body.Model, Prompt: body.Prompt, MaxTokens: *body.MaxTokens,
 		Stream: body.Stream, Priority: j.priority}}
 	j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = body.Model, tokens, *body.MaxTokens
--- a/entry/parse.go
+++ b/entry/parse.go
@@ -1,9 +1,6 @@
 package entry
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -133,13 +130,9 @@
 
 func parseHeaders(v *config.View, h http.Header) (headers, *result.Error) {
 	out := headers{priority: -1, repeatable: true, labels: map[string]string{}}
-	name := h.Get(HeaderTeam)
-	out.team = v.Teams[name]
-	if out.team == nil {
-		return out, result.Errorf(result.UnknownTeam, "%s = %q: not a configured team", HeaderTeam, name)
-	}
-	if err := authorise(out.team, h.Get("Authorization")); err != nil {
-		return out, err
+	var refusal *result.Error
+	if out.team, refusal = apiTeam(v, h); refusal != nil {
+		return out, refusal
 	}
 	for k, val := range out.team.Labels {
 		out.labels[k] = val
@@ -188,19 +181,6 @@
 	return nil
 }
 
-func authorise(t *config.Team, header string) *result.Error {
-	if t.TokenSHA256 == "" {
-		return nil
-	}
-	token, _ := strings.CutPrefix(header, "Bearer ")
-	sum := sha256.Sum256([]byte(token))
-	want, _ := hex.DecodeString(t.TokenSHA256)
-	if subtle.ConstantTimeCompare(sum[:], want) != 1 {
-		return result.Errorf(result.BadCredentials, "Authorization: not the token of team %s", t.Name)
-	}
-	return nil
-}
-
 // parseLabels adds the caller's own labels; a team's labels can't be
 // overridden by its callers.
 func parseLabels(s string, into map[string]string) *result.Error {
--- a/entry/read.go
+++ b/entry/read.go
@@ -148,8 +148,12 @@
 )
 
 func (e *Entry) call(j *job, spec *config.Endpoint, a request.Attempt) endpoint.Call {
-	return endpoint.Call{Address: spec.Address, Attempt: a.String(), Name: spec.Name, Version: j.view.WantVersion(spec), Repeatable: j.repeatable,
+	call := endpoint.Call{Address: spec.Address, Attempt: a.String(), Name: spec.Name, Version: j.view.WantVersion(spec), Repeatable: j.repeatable,
 		KeepMillis: spec.ResultKeepMillis}
+	if j.team != defaultTeam {
+		call.Team = j.team.Name
+	}
+	return call
 }
 
 func outcomeOf(ctx context.Context, err error) owner.Outcome {
--- a/entry/service.go
+++ b/entry/service.go
@@ -54,7 +54,7 @@
 // hopByHop are headers that belong to one connection, and those that are
 // meant for embercove itself.
 var hopByHop = []string{"Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-	"Authorization", HeaderKey, HeaderKeyAge, HeaderPriority, HeaderDeadline, HeaderRepeatable, HeaderLabels}
+	"Authorization", HeaderTeam, HeaderKey, HeaderKeyAge, HeaderPriority, HeaderDeadline, HeaderRepeatable, HeaderLabels}
 
 func passedOn(h http.Header) http.Header {
 	out := h.Clone()
--- a/result/result.go
+++ b/result/result.go
@@ -69,7 +69,7 @@
 	{UnknownModel, "unknown_model", 404, true, false, "No configured model or adapter has this name.", "Check models in the configuration."},
 	{PromptTooLong, "prompt_too_long", 413, true, false, "The prompt and the answer exceed the model's limit in tokens.", "Check max_prompt_tokens of the model."},
 	{UnknownTeam, "unknown_team", 403, true, false, "The team is not in the configuration.", "Publish the team, or ask who is calling."},
-	{BadCredentials, "bad_credentials", 401, true, false, "The bearer token is not the team's.", "Check token_sha256 of the team."},
+	{BadCredentials, "bad_credentials", 401, true, false, "The request carries no key that the configuration holds.", "Check keys_sha256 of the team, and which revision is in force."},
 	{BadHeader, "bad_header", 400, true, false, "A request header has a value that is not allowed.", "Ask the team to mend its client."},
 	{NoRoute, "no_route", 403, true, false, "No route's selector takes this request.", "Run embercove explain with the request's labels."},
 	{BodyTooLarge, "body_too_large", 413, true, false, "The body is larger than the limit.", "Check limits.body_bytes."},
