quota, peer, entry: a team's quota is kept over all hosts without shared state

Change: one host of each failure domain holds a team's limit, by rendezvous hash, and is asked for each request. Beyond the quota: 429, not run, with the time at which a request of its size fits, promised once. What didn't run is given back. A holder answers other domains only for teams that it holds.

The domain cut let 271 in before hosts that are asked in a holder's place kept silent.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -1,11 +1,13 @@
 package blackboard
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/invariant"
+	"github.com/embercove/embercove/quota"
 	"github.com/embercove/embercove/request"
 )
 
@@ -21,6 +23,7 @@
 	Endpoints *EndpointTable
 	Requests  *RequestTable
 	Keys      *KeyTable
+	Quotas    *quota.Accounts // of the teams whose limits this host holds
 	Invariant *invariant.Set
 	Pause     *Pause
 	Wake      *Wake
@@ -39,7 +42,7 @@
 	b := &Board{
 		Settings: s, Number: request.HostNumber(s.Host), Incarnation: uint64(time.Now().UnixMilli()),
 		Config: newConfigTable(inv), Domains: newDomainTable(s.Domain), Endpoints: newEndpointTable(), Requests: newRequestTable(inv),
-		Keys: newKeyTable(), Invariant: inv, Wake: newWake(), began: time.Now(),
+		Keys: newKeyTable(), Quotas: quota.NewAccounts(rand.Uint64() << 16), Invariant: inv, Wake: newWake(), began: time.Now(),
 		Pause: NewPause(config.Millis(s.PauseMillis)),
 	}
 	b.Hosts = newHostTable(Host{
--- a/blackboard/hosts.go
+++ b/blackboard/hosts.go
@@ -232,6 +232,37 @@
 	}
 }
 
+// Census is what is known of the number of hosts.
+type Census struct {
+	Hosts   int             // all that are known and don't leave, this one among them
+	Part    float64         // of the known hosts of the own failure domain that are live
+	Domains map[string]bool // with any known host
+}
+
+// Census counts the hosts that don't leave.
+func (t *HostTable) Census(now time.Time) Census {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	c := Census{Domains: map[string]bool{t.self.Domain: true}}
+	near, live := 0, 0
+	for _, h := range t.hosts {
+		if h.Leaving && h.Number != t.self.Number {
+			continue
+		}
+		c.Hosts++
+		c.Domains[h.Domain] = true
+		if h.Domain != t.self.Domain {
+			continue
+		}
+		near++
+		if t.live(h, now) {
+			live++
+		}
+	}
+	c.Part = float64(live) / float64(near)
+	return c
+}
+
 // Len returns how many hosts are known.
 func (t *HostTable) Len() int {
 	t.mu.RLock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/peer"
+	"github.com/embercove/embercove/quota"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/retry"
@@ -27,6 +28,8 @@
 	KeyBegin(ctx context.Context, a peer.KeyArgs) (peer.KeyReply, error)
 	KeyEnd(ctx context.Context, a peer.KeyArgs)
 	Touched(number uint32, n int)
+	Draw(ctx context.Context, t *config.Team, n float64) quota.Answer
+	GiveBack(t *config.Team, n float64)
 }
 
 // Entry serves callers. Use New.
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -42,6 +42,7 @@
 		j.out.end()
 	}
 	e.endKey(j, err.Code)
+	e.giveBack(j, err.Code)
 	if began {
 		e.board.Requests.End(j.id, err.Code)
 	}
--- a/entry/job.go
+++ b/entry/job.go
@@ -32,6 +32,7 @@
 	expected int // of the answer, by the caller's guess; 0: none
 	pick     route.Request
 	teamNum  uint32
+	drawn    float64 // of the team's quota, in its unit
 
 	ran      bool             // some call may have run at an endpoint
 	started  bool             // not repeatable: it was started
@@ -125,6 +126,10 @@
 // carry takes a job from its row in the table of requests to its outcome.
 func (e *Entry) carry(ctx context.Context, j *job, bodyHash uint64, run func(ctx context.Context) *result.Error) {
 	row := blackboard.Request{ID: j.id, Team: j.team.Name, Model: j.work.Model, Phase: blackboard.PhaseReserve, Since: j.came, PhaseSince: j.came, Tokens: j.tokens}
+	if refusal := e.draw(ctx, j); refusal != nil {
+		e.finish(j, refusal, false)
+		return
+	}
 	l := j.view.Doc.Limits
 	if err := e.board.Requests.Begin(row, j.team.MaxConcurrent, l.Concurrent); err != nil {
 		refusal := asResult(err)
--- a/entry/place_test.go
+++ b/entry/place_test.go
@@ -16,6 +16,7 @@
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/peer"
+	"github.com/embercove/embercove/quota"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/result"
 )
@@ -69,6 +70,12 @@
 
 func (s *stubOwners) Touched(uint32, int) {}
 
+func (s *stubOwners) Draw(context.Context, *config.Team, float64) quota.Answer {
+	return quota.Answer{OK: true}
+}
+
+func (s *stubOwners) GiveBack(*config.Team, float64) {}
+
 // TestTurnLater checks that a request which has its turn at a prefill engine long
 // before there is room for its answer gives the turn back and takes a later one,
 // so that the engine's owner knows when the prompt comes.
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -21,6 +21,8 @@
 	methodKeyEnd   = "P.KeyEnd"
 	methodPing     = "P.Ping"
 	methodKept     = "P.Kept"
+	methodDraw     = "P.Draw"
+	methodSettle   = "P.Settle"
 )
 
 // Beat is a heartbeat of a host, handed on.
--- /dev/null
+++ b/peer/quota.go
@@ -0,0 +1,272 @@
+package peer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/quota"
+)
+
+// A team's limit is held by one host of each failure domain, by rendezvous hash as
+// endpoints are owned. Holders tell each other what they have let in.
+
+// DrawArgs asks a holder to let a team's request in.
+type DrawArgs struct {
+	Team  uint32
+	Units float64 // below 0: given back, for requests that didn't run
+}
+
+// DrawReply is the holder's answer.
+type DrawReply struct {
+	Known  bool // the holder's revision has the team
+	Answer quota.Answer
+}
+
+// SettleArgs tells a holder of another failure domain what was let in.
+type SettleArgs struct {
+	Domain string
+	Rows   []SettleRow
+}
+
+// SettleRow is a word about one team.
+type SettleRow struct {
+	Team uint32
+	Word quota.Word
+}
+
+// SettleReply carries the words of the one that was told.
+type SettleReply struct{ Rows []SettleRow }
+
+// settleEvery is how often holders look whether others should be told. A team at its
+// limit is told of about as often.
+const settleEvery = 250 * time.Millisecond
+
+// holderKey makes the holders of teams other hosts than those of their names' other
+// numbers.
+const holderKey = 0x71756f7461 << 24
+
+// aloneBelow is the part of its failure domain's hosts that a host must have in reach
+// to hold a limit for the domain. A host that is cut off from most others would
+// otherwise take itself for the holder of each team.
+const aloneBelow = 0.5
+
+// metNobody is the part of the fleet that a host takes itself for that knows of seeds
+// and has met no other host yet.
+const metNobody = 1.0 / 32
+
+// teamOf returns a team with its limit under the revision in force.
+func (r *Router) teamOf(number uint32) (t quota.Team, known bool) {
+	v := r.board.Config.View()
+	if v == nil {
+		return t, false
+	}
+	team := v.TeamByNumber[number]
+	if team == nil || team.Quota.Rate == 0 {
+		return t, false
+	}
+	return limited(team), true
+}
+
+func limited(t *config.Team) quota.Team {
+	return quota.Team{Number: config.NameNumber(t.Name), Limit: quota.Limit{Rate: t.Quota.Rate, Burst: t.Quota.Burst}}
+}
+
+// reach returns what a holder on this host has in reach. Failure domains without any
+// host don't count, unless no host of another one is known at all.
+func (r *Router) reach(now time.Time) quota.Reach {
+	c := r.board.Hosts.Census(now)
+	out := quota.Reach{Part: c.Part}
+	v := r.board.Config.View()
+	if v == nil {
+		return out
+	}
+	own := r.board.Settings.Domain
+	for _, d := range v.Doc.Domains {
+		if d.Name != own && (c.Domains[d.Name] || len(c.Domains) == 1) {
+			out.Domains = append(out.Domains, d.Name)
+		}
+	}
+	return out
+}
+
+// Draw asks for a team's request of n units to be let in, by the team's holder or, if
+// that is out of reach, by this host's own part of the limit.
+func (r *Router) Draw(ctx context.Context, t *config.Team, n float64) quota.Answer {
+	team, now := limited(t), time.Now()
+	c := r.board.Hosts.Census(now)
+	h, ok := r.board.Hosts.First(holderKey^uint64(team.Number), r.board.Settings.Domain, now)
+	if ok && c.Part >= aloneBelow && !r.unmet(c) {
+		if a, ok := r.drawFrom(ctx, h, team, n); ok {
+			r.board.Quotas.Passed(time.Now(), team.Number, n, a)
+			return a
+		}
+	}
+	even := 1 / float64(c.Hosts)
+	if r.unmet(c) {
+		even = metNobody
+	}
+	return r.board.Quotas.Alone(time.Now(), team, n, even)
+}
+
+// unmet reports whether this host has met no other though it should.
+func (r *Router) unmet(c blackboard.Census) bool {
+	if c.Hosts > 1 {
+		return false
+	}
+	for _, a := range r.seedList() {
+		if a != r.board.Settings.Peers {
+			return true
+		}
+	}
+	return false
+}
+
+// drawFrom asks a holder, which may be this host.
+func (r *Router) drawFrom(ctx context.Context, h blackboard.Host, t quota.Team, n float64) (quota.Answer, bool) {
+	if h.Number == r.board.Number {
+		now := time.Now()
+		return r.board.Quotas.Ask(now, t, n, r.reach(now)), true
+	}
+	var reply DrawReply
+	err := r.fail(ctx, h, r.pool.call(ctx, h.Peers, methodDraw, &DrawArgs{Team: t.Number, Units: n}, &reply, r.timeout()))
+	return reply.Answer, err == nil && reply.Known
+}
+
+// GiveBack returns to a team's holder what was let in for a request that didn't run. It
+// doesn't wait, and what is lost on the way stays charged.
+func (r *Router) GiveBack(t *config.Team, n float64) {
+	team, now := limited(t), time.Now()
+	h, ok := r.board.Hosts.First(holderKey^uint64(team.Number), r.board.Settings.Domain, now)
+	switch {
+	case !ok:
+	case h.Number == r.board.Number:
+		r.board.Quotas.Return(now, team, n, r.reach(now))
+	default:
+		go func() {
+			_ = r.pool.call(context.Background(), h.Peers, methodDraw, &DrawArgs{Team: team.Number, Units: -n}, new(DrawReply), r.timeout())
+		}()
+	}
+}
+
+// Draw answers another host of the failure domain.
+func (s *server) Draw(a *DrawArgs, reply *DrawReply) error {
+	t, known := s.r.teamOf(a.Team)
+	if !known {
+		return nil
+	}
+	now := time.Now()
+	reply.Known = true
+	if a.Units < 0 {
+		s.r.board.Quotas.Return(now, t, -a.Units, s.r.reach(now))
+		return nil
+	}
+	reply.Answer = s.r.board.Quotas.Ask(now, t, a.Units, s.r.reach(now))
+	return nil
+}
+
+// Settle answers a holder of another failure domain, about the teams that this host
+// holds. A host that is asked in the place of the holder, which the asker can't reach,
+// says nothing: its word that nothing is asked here let 271 requests run in a window
+// for which a quota allows 242, of 60 hosts in virtual time.
+func (s *server) Settle(a *SettleArgs, reply *SettleReply) error {
+	now := time.Now()
+	reach := s.r.reach(now)
+	for _, row := range a.Rows {
+		if t, known := s.r.teamOf(row.Team); known && s.r.holds(t, now) {
+			reply.Rows = append(reply.Rows, SettleRow{row.Team, s.r.board.Quotas.Hear(now, t, a.Domain, row.Word, reach)})
+		}
+	}
+	return nil
+}
+
+// holds reports whether this host holds a team's limit, by its own view or because it
+// is asked as if it did.
+func (r *Router) holds(t quota.Team, now time.Time) bool {
+	if r.board.Quotas.Open(t.Number) {
+		return true
+	}
+	h, ok := r.board.Hosts.First(holderKey^uint64(t.Number), r.board.Settings.Domain, now)
+	return ok && h.Number == r.board.Number
+}
+
+// Settler returns the controller by which the holders of teams tell each other what
+// they have let in.
+func (r *Router) Settler() blackboard.Controller {
+	return blackboard.Every(settleEvery, func(ctx context.Context) {
+		now := time.Now()
+		due := r.board.Quotas.Due(now)
+		if len(due) == 0 {
+			return
+		}
+		var wg sync.WaitGroup
+		for _, domain := range r.reach(now).Domains {
+			for _, b := range r.settlements(now, domain, due) {
+				wg.Go(func() { r.settle(ctx, domain, b) })
+			}
+		}
+		wg.Wait()
+	})
+}
+
+// settlement is what one holder of another failure domain is told.
+type settlement struct {
+	to   blackboard.Host
+	rows []SettleRow
+}
+
+// settlements puts words together by the hosts that hold the teams in a domain. Where
+// none does, that is noted.
+func (r *Router) settlements(now time.Time, domain string, due map[uint32]quota.Word) map[uint32]*settlement {
+	out := map[uint32]*settlement{}
+	for team, w := range due {
+		h, ok := r.board.Hosts.First(holderKey^uint64(team), domain, now)
+		if !ok || h.Peers == "" {
+			r.missSettled(domain, []SettleRow{{Team: team}})
+			continue
+		}
+		if out[h.Number] == nil {
+			out[h.Number] = &settlement{to: h}
+		}
+		out[h.Number].rows = append(out[h.Number].rows, SettleRow{team, w})
+	}
+	return out
+}
+
+// settle tells one holder and takes in what it answers.
+func (r *Router) settle(ctx context.Context, domain string, b *settlement) {
+	var reply SettleReply
+	args := &SettleArgs{Domain: r.board.Settings.Domain, Rows: b.rows}
+	if err := r.fail(ctx, b.to, r.pool.call(ctx, b.to.Peers, methodSettle, args, &reply, r.timeout())); err != nil {
+		r.missSettled(domain, b.rows)
+		return
+	}
+	now := time.Now()
+	reach := r.reach(now)
+	for _, row := range reply.Rows {
+		if t, known := r.teamOf(row.Team); known {
+			r.board.Quotas.Hear(now, t, domain, row.Word, reach)
+		}
+	}
+	r.missSettled(domain, unanswered(b.rows, reply.Rows))
+}
+
+// unanswered returns the rows about whose teams nothing was answered.
+func unanswered(asked, answered []SettleRow) []SettleRow {
+	return slices.DeleteFunc(slices.Clone(asked), func(row SettleRow) bool {
+		return slices.ContainsFunc(answered, func(a SettleRow) bool { return a.Team == row.Team })
+	})
+}
+
+func (r *Router) missSettled(domain string, rows []SettleRow) {
+	now := time.Now()
+	reach := r.reach(now)
+	for _, row := range rows {
+		if t, known := r.teamOf(row.Team); known {
+			r.board.Quotas.Miss(now, t, domain, reach)
+		}
+	}
+}
--- /dev/null
+++ b/quota/meter.go
@@ -0,0 +1,28 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// meterSpan is the span over which a meter averages. It is twice as long as the time
+// in which holders tell each other, and a quarter of the windows in which limits
+// are judged.
+const meterSpan = 2 * time.Second
+
+// meter measures a rate, in units a second, with older units weighing less.
+type meter struct {
+	rate float64
+	last time.Time
+}
+
+// add counts n units.
+func (m *meter) add(now time.Time, n float64) {
+	m.rate = max(0, m.at(now)+n/meterSpan.Seconds())
+	m.last = now
+}
+
+// at returns the rate.
+func (m *meter) at(now time.Time) float64 {
+	return m.rate * math.Exp(-now.Sub(m.last).Seconds()/meterSpan.Seconds())
+}
--- a/result/result.go
+++ b/result/result.go
@@ -41,6 +41,7 @@
 	NotReady        Code = 306
 	RetryBudget     Code = 307
 	EndpointRefused Code = 308
+	TeamQuota       Code = 309
 	OutcomeUnknown  Code = 400
 	AnswerBroken    Code = 401
 	CallerGone      Code = 402
@@ -87,6 +88,7 @@
 	{NotReady, "not_ready", 503, true, true, "This host has no accepted configuration yet.", "Check that the platform or a peer is in reach."},
 	{RetryBudget, "retry_budget", 503, true, true, "The attempts failed before running and the retry budget is spent.", "Look for failing endpoints."},
 	{EndpointRefused, "endpoint_refused", 503, true, true, "The endpoint refused the request without running it.", "Look at the endpoint's own log."},
+	{TeamQuota, "team_quota", 429, true, true, "The team asks for more than its quota over all hosts.", "Compare the team's quota with what it asks: embercove status."},
 	{OutcomeUnknown, "outcome_unknown", 502, false, false, "The request may have run; its answer is not known.", "Look for hosts or endpoints that died."},
 	{AnswerBroken, "answer_broken", 502, false, true, "The answer stopped part-way and could not be resumed.", "Look for endpoints that died."},
 	{CallerGone, "caller_gone", 499, false, false, "The caller left before its answer was whole.", "Nothing."},
