--- a/node/admin.go
+++ b/node/admin.go
@@ -69,6 +69,7 @@
 	Config    blackboard.ConfigStatus `json:"config"`
 	Hosts     []HostStatus            `json:"hosts"`
 	Endpoints []EndpointStatus        `json:"endpoints"`
+	Quotas    []QuotaStatus           `json:"quotas"`
 	Sum       report.Sum              `json:"sum"`
 	TTFT      report.Quantiles        `json:"ttft"`
 	TPOT      report.Quantiles        `json:"tpot"`
@@ -102,6 +103,18 @@
 	Age      float64     `json:"digest_age_s"` // -1: never heard of
 }
 
+// QuotaStatus is a team's quota in a failure domain, as the host that holds it there
+// sees it. Figures are in the quota's unit.
+type QuotaStatus struct {
+	Team    string   `json:"team"`
+	Rate    float64  `json:"rate"` // a second, over all hosts
+	Free    float64  `json:"free"` // 0 and below: requests are refused
+	Used    float64  `json:"used"` // let in a second, lately, in this failure domain
+	Asked   float64  `json:"asked"`
+	Use     float64  `json:"use"` // part of the rate that is let in everywhere
+	Unheard []string `json:"unheard,omitempty"`
+}
+
 // Status returns what PathStatus shows.
 func (n *Node) Status() Status {
 	now := time.Now()
@@ -115,9 +128,15 @@
 	for _, h := range n.Board.Hosts.List() {
 		s.Hosts = append(s.Hosts, HostStatus{h.Name, h.Domain, n.Board.Hosts.Live(h, now), h.Leaving, h.Doubted, now.Sub(h.Advanced).Seconds()})
 	}
-	if n.Board.Config.View() == nil {
+	v := n.Board.Config.View()
+	if v == nil {
 		return s
 	}
+	for _, a := range n.Board.Quotas.List(now) {
+		if t := v.TeamByNumber[a.Team]; t != nil {
+			s.Quotas = append(s.Quotas, QuotaStatus{t.Name, a.Limit.Rate, a.Level, a.Pace, a.Asked, a.Use, a.Missed})
+		}
+	}
 	n.Board.Endpoints.Read(func(v *config.View, states []route.State) {
 		for i := range states {
 			s.Endpoints = append(s.Endpoints, n.endpointStatus(v, &states[i], now))
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -56,6 +56,7 @@
 		{"config_behind_seconds", "since another host was first known to have a later revision in force; 0: none is known", false, func() float64 {
 			return n.Board.Config.Behind(time.Now()).Seconds()
 		}},
+		{"quotas_held", "teams whose quotas this host holds in its failure domain", false, func() float64 { return float64(len(n.Board.Quotas.List(time.Now()))) }},
 		{"fetches_done", "fetches from peers that were answered", true, func() float64 { return float64(n.Router.Fetches.Done.Load()) }},
 		{"fetches_failed", "fetches from peers that were not answered in time", true, func() float64 { return float64(n.Router.Fetches.Failed.Load()) }},
 		{"fetched_documents", "documents that peers sent, repeated ones included", true, func() float64 { return float64(n.Router.Fetches.Documents.Load()) }},
--- a/tool/remote.go
+++ b/tool/remote.go
@@ -121,6 +121,7 @@
 				s.Progress, s.Sum.Good, s.Sum.Late, s.Sum.Bad, s.Pauses, len(s.Broken))
 		}
 	})
+	t.quotas(all)
 	first := all[keys(all)[0]]
 	fmt.Fprintf(t.out, "\nas %s sees it:\n", first.Host)
 	t.table("HOST\tDOMAIN\tSTATE\tSILENT", func(w io.Writer) {
@@ -137,6 +138,27 @@
 	return nil
 }
 
+// quotas prints what the hosts that hold quotas know of them.
+func (t *tool) quotas(all map[string]node.Status) {
+	rows := 0
+	for _, s := range all {
+		rows += len(s.Quotas)
+	}
+	if rows == 0 {
+		return
+	}
+	fmt.Fprintln(t.out)
+	t.table("TEAM\tDOMAIN\tHELD BY\tRATE\tFREE\tUSED\tASKED\tUSE\tUNHEARD", func(w io.Writer) {
+		for _, a := range keys(all) {
+			s := all[a]
+			for _, q := range s.Quotas {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%.0f/s\t%.0f\t%.0f/s\t%.0f/s\t%.0f%%\t%s\n", q.Team, s.Domain, s.Host, q.Rate, q.Free, q.Used, q.Asked,
+					100*q.Use, strings.Join(q.Unheard, " "))
+			}
+		}
+	})
+}
+
 func age(s float64) string {
 	if s < 0 {
 		return "never"
