--- a/quota/account.go
+++ b/quota/account.go
@@ -48,9 +48,9 @@
 	// case, when it is cut off after it was asked for nothing. With three domains
 	// all shares together come to at most 1.17 of the limit.
 	leastShare = 0.25
-	// partSpare lets the rest of a domain use a fifth more than its part, since
+	// partSpare lets the rest of a domain use a tenth more than its part, since
 	// hosts that are out of reach are mostly gone and let nothing in.
-	partSpare = 1.2
+	partSpare = 1.1
 	// opened is the level of a new account, in seconds of its own rate: it knows
 	// nothing of what others before it have let in. All holders of a team that
 	// start at once give away half a second of its rate together.
--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -19,7 +19,8 @@
 // held is an account with when it was last asked.
 type held struct {
 	*Account
-	asked time.Time
+	asked   time.Time
+	byOther time.Time // when another host last asked it
 }
 
 // keptIdle is how long an account stays open that is asked for nothing. Its level is at
@@ -74,6 +75,31 @@
 	return h.Account.Ask(now, n, r)
 }
 
+// Asked notes that another host asks the account of a team.
+func (s *Accounts) Asked(now time.Time, team uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h := s.open[team]; h != nil {
+		h.byOther = now
+	}
+}
+
+// aloneAfter is how long a holder that hears no other failure domain may be asked by no
+// other host of its own until it counts as cut off. Where all are cut off, a team is
+// asked for more often than that by several hosts, or this one's own part is the whole.
+const aloneAfter = 500 * time.Millisecond
+
+// CutOff reports whether a team's account is one of a host that seems to be cut off from
+// all others, also those of its own failure domain, which it will notice only by their
+// silence, seconds later. Such a holder let its own callers use the limit of the whole
+// domain meanwhile.
+func (s *Accounts) CutOff(now time.Time, team uint32) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.open[team]
+	return h != nil && h.hearsNone() && now.Sub(h.byOther) > aloneAfter
+}
+
 // Return gives back to an account what was let in and didn't run.
 func (s *Accounts) Return(now time.Time, t Team, n float64, r Reach) {
 	s.mu.Lock()
--- a/quota/word.go
+++ b/quota/word.go
@@ -54,6 +54,17 @@
 	o.word, o.missed, o.assumed = w, false, 0
 }
 
+// hearsNone reports whether no other failure domain's holder is in reach, though some
+// were.
+func (a *Account) hearsNone() bool {
+	for _, o := range a.others {
+		if !o.missed {
+			return false
+		}
+	}
+	return len(a.others) > 0
+}
+
 // Miss notes that the holder of another failure domain didn't answer. From the first
 // call on that fails each side of a cut keeps to its part: where a cut came with six
 // times the usual load and the holder was given another 1.5 s, 1.08 of what a limit
