blackboard, config: a roster of thousands is laid out when it matters, not at each change

Change: a change that takes no work from an endpoint waits for up to 1.4 s at 3,000; one of up to 200 endpoints is laid out at once as before. Endpoints are ordered by reference.

--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -30,6 +30,8 @@
 	newest   uint64    // highest revision that another host told of
 	newestAt time.Time // since when this host is behind; of no meaning while it is not
 	sources  []Source  // documents that were in force, the newest last
+	laidOut  time.Time // when a roster was last put into the view in use
+	waiting  bool      // the roster is newer than the view in use
 }
 
 func newConfigTable(inv *invariant.Set) *ConfigTable { return &ConfigTable{inv: inv} }
@@ -78,6 +80,7 @@
 	t.base = v
 	t.keepSource(v)
 	old := t.inUse.Swap(v.WithRoster(t.roster))
+	t.waiting = false
 	t.inv.Check(old == nil || old.Revision < revision, invariant.RevisionRises, "from %v to %d", old, revision)
 	t.since = time.Now()
 	return true, nil
@@ -108,17 +111,55 @@
 			kept.Endpoints = append(kept.Endpoints, e)
 		}
 	}
-	t.useRoster(kept)
+	t.useRoster(kept, now)
 	return true, faults
 }
 
-// useRoster puts a roster in force; the caller holds the lock.
-func (t *ConfigTable) useRoster(r *config.Roster) {
+// layOutEach is the least time between two rosters that are put into the view in use
+// though nothing urgent changed, for each endpoint. To lay out 3,000 endpoints and all
+// that follows from them takes some 10 ms of a core and 12 MB of memory
+// (BenchmarkRosterChange), and while roles are ordered the roster changes several times
+// a second. So a change waits for up to 1.4 s there; rosters of up to layOutFree, which
+// take less than a millisecond, are laid out at once.
+const (
+	layOutEach = 500 * time.Microsecond
+	layOutFree = 200 // endpoints
+)
+
+// useRoster takes a roster over, and puts it in force if it is due; the caller holds the
+// lock.
+func (t *ConfigTable) useRoster(r *config.Roster, now time.Time) {
 	t.log.note(t.roster, r)
-	t.roster = r
-	if t.base != nil {
-		t.inUse.Store(t.base.WithRoster(r))
+	t.roster, t.waiting = r, true
+	if v := t.inUse.Load(); v != nil && v.Roster > 0 && !v.Outdated(r) && now.Sub(t.laidOut) < t.layOutRest() {
+		return
+	}
+	t.layOut(now)
+}
+
+func (t *ConfigTable) layOutRest() time.Duration {
+	return time.Duration(max(0, len(t.roster.Endpoints)-layOutFree)) * layOutEach
+}
+
+// layOut puts the roster into the view in use; the caller holds the lock.
+func (t *ConfigTable) layOut(now time.Time) {
+	if t.base == nil {
+		return
+	}
+	t.inUse.Store(t.base.WithRoster(t.roster))
+	t.laidOut, t.waiting = now, false
+}
+
+// LayOutWaiting puts a roster in force that has waited for long enough, and reports
+// whether it did.
+func (t *ConfigTable) LayOutWaiting(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.waiting || t.base == nil || now.Sub(t.laidOut) < t.layOutRest() {
+		return false
 	}
+	t.layOut(now)
+	return true
 }
 
 // lapses returns since when, by this process's clock, the endpoint of a name is
@@ -159,7 +200,7 @@
 	}
 	dropped := len(t.roster.Endpoints) - len(kept.Endpoints)
 	if dropped > 0 {
-		t.useRoster(kept)
+		t.useRoster(kept, now)
 	}
 	return dropped
 }
--- a/blackboard/config_test.go
+++ b/blackboard/config_test.go
@@ -168,3 +168,61 @@
 		}
 	}
 }
+
+// TestLayOut offers a roster of many endpoints again with something changed, and states
+// whether the change is in force at once. What waits is in force a little later.
+func TestLayOut(t *testing.T) {
+	cases := []struct {
+		name      string
+		endpoints int
+		change    func(e *config.Endpoint) (keep bool)
+		atOnce    bool
+	}{
+		{"a role, of few", 100, func(e *config.Endpoint) bool { e.Role = config.Prefill; return true }, true},
+		{"a role", 2000, func(e *config.Endpoint) bool { e.Role = config.Prefill; return true }, false},
+		{"leaving", 2000, func(e *config.Endpoint) bool { e.Leaving = true; return true }, true},
+		{"gone", 2000, func(*config.Endpoint) bool { return false }, true},
+		{"another address", 2000, func(e *config.Endpoint) bool { e.Address = "10.9.9.9:80"; return true }, true},
+		{"a registration lapsed", 2000, func(e *config.Endpoint) bool { e.Lapsed = time.Now(); return true }, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &config.Settings{Host: "self", Domain: "a", Region: "r"}
+			s.SetDefaults()
+			board, now := New(s), time.Now()
+			doc := `{"failure_domains": [{"name": "a", "region": "r"}], "targets": {"ttft_ms": 1, "tpot_ms": 1},
+				"pools": [{"name": "p", "memory_tokens": 9, "slots": 1, "link_bytes_per_second": 1}]}`
+			if _, err := board.Config.Offer(1, []byte(doc)); err != nil {
+				t.Fatal(err)
+			}
+			roster := func(revision uint64) *config.Roster {
+				r := &config.Roster{Revision: revision}
+				for i := range tc.endpoints {
+					r.Endpoints = append(r.Endpoints, config.Endpoint{Name: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("10.8.%d.%d:80", i/250, i%250+1),
+						Domain: "a", Pool: "p", Role: config.Decode, Registered: true})
+				}
+				return r
+			}
+			offer := func(r *config.Roster, at time.Time) {
+				if in, err := board.Config.OfferRoster(r, at); !in || err != nil {
+					t.Fatal(in, err)
+				}
+			}
+			offer(roster(5), now)
+			next := roster(6)
+			if !tc.change(&next.Endpoints[7]) {
+				next.Endpoints = append(next.Endpoints[:7], next.Endpoints[8:]...)
+			}
+			offer(next, now.Add(10*time.Millisecond))
+			if got := board.Config.View().Roster == 6; got != tc.atOnce {
+				t.Errorf("in force at once: %v, want %v", got, tc.atOnce)
+			}
+			if board.Config.RosterRevision() != 6 {
+				t.Errorf("revision %d is told to others, want 6", board.Config.RosterRevision())
+			}
+			if laid := board.Config.LayOutWaiting(now.Add(1500 * time.Millisecond)); laid == tc.atOnce || board.Config.View().Roster != 6 {
+				t.Errorf("laid out later: %v, roster %d in force", laid, board.Config.View().Roster)
+			}
+		})
+	}
+}
--- a/blackboard/endpoints.go
+++ b/blackboard/endpoints.go
@@ -25,6 +25,12 @@
 // Fit lays the table out for a revision, keeping what is known of endpoints
 // that stay.
 func (t *EndpointTable) Fit(v *config.View) {
+	t.mu.RLock()
+	same := t.view == v
+	t.mu.RUnlock()
+	if same {
+		return
+	}
 	states := route.Layout(v)
 	byNumber := make(map[uint32]int, len(states))
 	t.mu.Lock()
--- a/config/roster.go
+++ b/config/roster.go
@@ -14,6 +14,16 @@
 	Endpoints []Endpoint
 }
 
+// byName returns the endpoints in the order of their names.
+func byName(list []Endpoint) []*Endpoint {
+	out := make([]*Endpoint, len(list))
+	for i := range list {
+		out[i] = &list[i]
+	}
+	slices.SortFunc(out, func(a, b *Endpoint) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
 // AnyExpired reports whether an endpoint counts as gone.
 func (r *Roster) AnyExpired(now time.Time) bool {
 	for i := range r.Endpoints {
@@ -48,21 +58,39 @@
 	}
 	doc := *v.Doc
 	doc.Endpoints = slices.DeleteFunc(slices.Clone(v.Doc.Endpoints), func(e Endpoint) bool { return e.Registered })
-	rows := slices.Clone(r.Endpoints)
-	slices.SortFunc(rows, func(a, b Endpoint) int { return strings.Compare(a.Name, b.Name) })
-	for i := range rows {
-		pool := v.Pools[rows[i].Pool]
-		if pool == nil || v.DomainIndex(rows[i].Domain) < 0 {
+	own := len(doc.Endpoints)
+	doc.Endpoints = slices.Grow(doc.Endpoints, len(r.Endpoints))
+	for _, e := range byName(r.Endpoints) {
+		pool := v.Pools[e.Pool]
+		if pool == nil || v.DomainIndex(e.Domain) < 0 {
 			continue
 		}
-		rows[i].take(pool)
-		doc.Endpoints = append(doc.Endpoints, rows[i])
+		doc.Endpoints = append(doc.Endpoints, *e)
+		doc.Endpoints[len(doc.Endpoints)-1].take(pool)
 	}
-	out := &View{Revision: v.Revision, Digest: v.Digest, Source: v.Source, Doc: &doc, Roster: r.Revision}
+	out := &View{Revision: v.Revision, Digest: v.Digest, Source: v.Source, Doc: &doc, Roster: r.Revision, registered: len(doc.Endpoints) - own}
 	out.index()
 	return out
 }
 
+// Outdated reports whether a later roster takes an endpoint away, or work from one, that
+// the view may still give work to, or whether the view has only few of its endpoints.
+func (v *View) Outdated(r *Roster) bool {
+	kept := 0
+	for i := range r.Endpoints {
+		e := &r.Endpoints[i]
+		old := v.ByName[e.Name]
+		if old == nil || !old.Registered {
+			continue
+		}
+		kept++
+		if e.Leaving && !old.Leaving || e.Lapsed != old.Lapsed || e.Address != old.Address || e.Pool != old.Pool {
+			return true
+		}
+	}
+	return kept < v.registered || 2*kept < len(r.Endpoints)
+}
+
 // take fills in what the pool states and the endpoint doesn't.
 func (e *Endpoint) take(p *Pool) {
 	e.Registered = true
--- a/config/view.go
+++ b/config/view.go
@@ -33,6 +33,8 @@
 	// Roster is the revision of the endpoints that registered themselves.
 	Roster uint64
 
+	registered int // endpoints of the roster
+
 	byName map[string]*RouteView
 	byPath map[string]*RouteView // by host and prefix
 	groups map[string]*Group     // by pool
--- a/peer/news.go
+++ b/peer/news.go
@@ -37,18 +37,22 @@
 const lapseTick = 250 * time.Millisecond
 
 // Lapser returns the controller that stops using endpoints which have been
-// without a registration for too long. Nothing is told around: each host
-// comes to it by itself.
+// without a registration for too long, and puts rosters in force that waited.
+// Nothing is told around: each host comes to it by itself.
 func (r *Router) Lapser() blackboard.Controller {
 	return blackboard.Every(lapseTick, func(context.Context) {
-		dropped := r.board.Config.DropLapsed(time.Now())
-		if dropped == 0 {
+		now := time.Now()
+		dropped := r.board.Config.DropLapsed(now)
+		if laid := r.board.Config.LayOutWaiting(now); dropped == 0 && !laid {
 			return
 		}
 		if v := r.board.Config.View(); v != nil {
 			r.board.Endpoints.Fit(v)
 		}
 		r.board.Wake.All()
+		if dropped == 0 {
+			return
+		}
 		r.log.Info("lapsed registrations dropped", zap.Uint64("roster", r.board.Config.RosterRevision()), zap.Int("endpoints", dropped))
 	})
 }
