--- a/quota/account_test.go
+++ b/quota/account_test.go
@@ -169,3 +169,42 @@
 		})
 	}
 }
+
+// TestCutOff states when a holder counts as cut off from all others, by whether another
+// failure domain was heard of and how long ago another host of its own asked it.
+func TestCutOff(t *testing.T) {
+	r := Reach{Part: 1, Domains: []string{"b", "c"}}
+	team := Team{Number: 7, Limit: Limit{Rate: 100, Burst: 100}}
+	cases := []struct {
+		name  string
+		heard []string // other domains
+		miss  []string // of them later
+		asked float64  // s ago by another host; 0: never
+		want  bool
+	}{
+		{"all is well", []string{"b", "c"}, nil, 0.1, false},
+		{"none was ever heard", nil, nil, 0, false},
+		{"one domain is cut off", []string{"b", "c"}, []string{"b"}, 0, false},
+		{"all other domains are cut off", []string{"b", "c"}, []string{"b", "c"}, 0.1, false},
+		{"nobody is in reach", []string{"b", "c"}, []string{"b", "c"}, 2, true},
+		{"nobody ever asked", []string{"b", "c"}, []string{"b", "c"}, 0, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s, now := NewAccounts(1), epoch.Add(time.Minute)
+			s.Ask(epoch, team, 1, r)
+			for _, d := range tc.heard {
+				s.Hear(epoch, team, d, Word{Holder: 9}, r)
+			}
+			if tc.asked > 0 {
+				s.Asked(now.Add(-seconds(tc.asked)), team.Number)
+			}
+			for _, d := range tc.miss {
+				s.Miss(now, team, d, r)
+			}
+			if got := s.CutOff(now, team.Number); got != tc.want {
+				t.Errorf("cut off: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
