--- a/owner/balance.go
+++ b/owner/balance.go
@@ -83,28 +83,29 @@
 	return out
 }
 
-// ordersOf is which runners a host orders, by the members and the roster that it was
+// ordersOf is which runners a host orders, by the members and the view that it was
 // worked out for.
 type ordersOf struct {
-	fingerprint uint64
-	at          time.Time // when it last held
-	mine        []int     // indices of endpoints
+	members uint64
+	view    *config.View
+	at      time.Time // when it last held
+	mine    []int     // indices of the view's endpoints
 }
 
 // orderable returns the runners of the own failure domain whose orderer this host is. It
 // is worked out anew only when the members or the roster have changed: for 100 hosts
 // before 1,000 endpoints it took a seventh of the processor time at rest.
 func (o *Owner) orderable(v *config.View, now time.Time) []int {
-	fingerprint := o.board.Hosts.Members(now) ^ v.Digest ^ v.Roster
+	members := o.board.Hosts.Members(now)
 	o.balance.mu.Lock()
 	last := o.balance.last
-	if last.fingerprint == fingerprint && now.Sub(last.at) <= unseenFor {
+	if last.members == members && last.view == v && now.Sub(last.at) <= unseenFor {
 		o.balance.last.at = now
 		o.balance.mu.Unlock()
 		return last.mine
 	}
 	o.balance.mu.Unlock()
-	next := ordersOf{fingerprint: fingerprint, at: now}
+	next := ordersOf{members: members, view: v, at: now}
 	hosts := o.board.Hosts.Candidates(o.board.Settings.Domain, now)
 	for i := range v.Doc.Endpoints {
 		if v.Doc.Endpoints[i].Domain == o.board.Settings.Domain && o.takesOrders(hosts, v.Numbers[i], now) == o.board.Number {
--- a/owner/balance_test.go
+++ b/owner/balance_test.go
@@ -137,6 +137,32 @@
 	}
 }
 
+// TestOrderableAfterLapse has registrations lapse, and looks whom this host orders before
+// and after they are dropped, which keeps the roster's revision.
+func TestOrderableAfterLapse(t *testing.T) {
+	o := testOwner(t, "a", "b")
+	o.log = zap.NewNop()
+	o.board.Config.Offer(2, []byte(balanceDocument))
+	now := time.Now()
+	roster := rosterOf(9, "ppdpddpdd")
+	o.board.Config.OfferRoster(roster, now)
+	for i := range roster.Endpoints[:6] {
+		roster.Endpoints[i].Lapsed = now
+	}
+	roster.Revision = 10
+	o.board.Config.OfferRoster(roster, now)
+	before := o.orderable(o.board.Config.View(), now)
+	later := now.Add(config.LapsedKept + time.Millisecond)
+	o.board.Config.DropLapsed(later)
+	o.balance.last.at = later // as if it had been looked at all the while
+	v := o.board.Config.View()
+	for _, i := range o.orderable(v, later) {
+		if i >= len(v.Doc.Endpoints) {
+			t.Fatalf("endpoint %d of %d; before the drop %v", i, len(v.Doc.Endpoints), before)
+		}
+	}
+}
+
 // mayOrderNow asks whether the owner orders one endpoint.
 func mayOrderNow(o *Owner, e *config.Endpoint, now time.Time) bool {
 	number := route.Number(e.Name)
