peer: digests of many endpoints are drawn, not sorted

Exchanges are short and so come more often, and each sorted the digests of all endpoints.

Change: of more endpoints than an exchange tells of, those of the other host's failure domain are read, and 160 of them drawn.

--- a/peer/server.go
+++ b/peer/server.go
@@ -1,11 +1,10 @@
 package peer
 
 import (
-	"cmp"
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/rpc"
-	"slices"
 	"sync"
 	"time"
 
@@ -195,7 +194,7 @@
 	for _, d := range r.owner.Digests(now) {
 		r.board.Endpoints.Learn(d, now)
 	}
-	ds := r.board.Endpoints.Digests(now, maxDigestAge, func(*route.State) bool { return true })
+	ds := r.board.Endpoints.Digests(now, maxDigestAge, r.useful(t.to.Domain))
 	told := ds[:0]
 	for _, d := range ds {
 		if !t.knows.lacks(&d) {
@@ -207,7 +206,7 @@
 		}
 		told = append(told, d)
 	}
-	return pack(r.nearest(told, t.to.Domain))
+	return pack(someOf(told))
 }
 
 // mostDigests is how many digests an exchange tells of, some 4 KB. Of 1,500 endpoints it
@@ -215,30 +214,28 @@
 // heartbeats and names, which go the same way, would be as late.
 const mostDigests = 160
 
-// nearest returns the digests that another host has most use for: of its own failure
-// domain, and the youngest.
-func (r *Router) nearest(ds []route.Digest, domain string) []route.Digest {
+// useful returns which endpoints' digests another host has most use for: where there are
+// more than an exchange tells of, those of its own failure domain.
+func (r *Router) useful(domain string) func(s *route.State) bool {
+	v := r.board.Config.View()
+	home := -1
+	if v != nil && len(v.Doc.Endpoints) > mostDigests {
+		home = v.DomainIndex(domain)
+	}
+	return func(s *route.State) bool { return home < 0 || s.Domain == home }
+}
+
+// someOf returns mostDigests of the digests, each with the same chance. With all sorted by
+// age for each exchange, 100 hosts before 1,000 endpoints used 15.0% of their share of a
+// processor, 8.5% before exchanges became short and many.
+func someOf(ds []route.Digest) []route.Digest {
 	if len(ds) <= mostDigests {
 		return ds
 	}
-	v := r.board.Config.View()
-	near := func(d *route.Digest) bool {
-		e := v.ByNumber[d.Number]
-		return e != nil && e.Domain == domain
+	for i := range mostDigests {
+		k := i + rand.IntN(len(ds)-i)
+		ds[i], ds[k] = ds[k], ds[i]
 	}
-	own := make(map[uint32]bool, len(ds))
-	for i := range ds {
-		own[ds[i].Number] = near(&ds[i])
-	}
-	slices.SortFunc(ds, func(a, b route.Digest) int {
-		if own[a.Number] != own[b.Number] {
-			if own[a.Number] {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(a.AgeMillis, b.AgeMillis)
-	})
 	return ds[:mostDigests]
 }
 
