--- a/quota/ways_test.go
+++ b/quota/ways_test.go
@@ -69,7 +69,7 @@
 	large = 141_000.0
 	// larger is the limit of a team that let 1.02 of a window in on a day of this kind.
 	larger = 246_000.0
-	spare = tolerance / 2
+	spare  = tolerance / 2
 	// tolerance is what may be let in beyond a quarter more than the limit.
 	tolerance = 120_000.0
 )
