--- a/peer/quota.go
+++ b/peer/quota.go
@@ -66,7 +66,7 @@
 
 // spareTolerance is the part of the tolerance that quotas are judged with which is let
 // in beyond the burst. The rest is for holders that don't know of each other.
-const spareTolerance = 0.25
+const spareTolerance = 0.5
 
 func (r *Router) limited(t *config.Team) quota.Team {
 	spare := spareTolerance * r.board.Settings.QuotaTolerance
