--- a/quota/lone.go
+++ b/quota/lone.go
@@ -23,7 +23,7 @@
 	// loneFull is the part of the limit that hosts go by which are all alone. For the
 	// seconds until the others notice that they are gone, these let the whole limit in
 	// as well: with a third of the hosts cut off and a team at 7.5 times its usual, 1.02
-	// of what a limit allows in eight seconds was let in with the whole, 0.9 with this.
+	// of what a limit allows in eight seconds was let in with the whole, 0.92 to 0.97 with this.
 	loneFull = 0.6
 	// loneBurst is the level that a host begins alone with and may rise to, in
 	// seconds of its rate.
