route, config, entry: one question whether a request may go to an endpoint

Cause: conditions on where a request may go stood in route.Open, in entry's look before a call and in choices of plain services; regions that bind routes and teams (read nowhere so far) and failure domains that are emptied would have stood in each. A bound of the settings with a fraction ended every host (both small twins: retry_budget.extra = number 39.52: want int). Ruled out: rounding in the template, which has no arithmetic; a lenient integer type, whose errors would not name the field. Change: route.Barred answers with a typed reason and is asked at each choice and again before each call (entry/barred.go); route.Blame names what bars most of a list, and a request that none of it is open to is refused at once under 310 or 311. Routes and teams have regions; both bind; a host outside of them sends into them. Numbers that the platform fills in may have fractions; published sizes and limits are rounded down.

--- a/blackboard/endpoints.go
+++ b/blackboard/endpoints.go
@@ -75,6 +75,15 @@
 	f(t.view, t.states)
 }
 
+// Find calls f with the state of an endpoint, if there is one. f must not keep or change it.
+func (t *EndpointTable) Find(number uint32, f func(v *config.View, s *route.State)) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if i, ok := t.byNumber[number]; ok {
+		f(t.view, &t.states[i])
+	}
+}
+
 // Touch changes one state, for what this host itself has just sent.
 func (t *EndpointTable) Touch(number uint32, f func(s *route.State)) {
 	t.mu.Lock()
--- a/cmd/embercoved/main.go
+++ b/cmd/embercoved/main.go
@@ -59,7 +59,7 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
-	debug.SetMemoryLimit(int64(memoryShare * float64(int64(s.MemoryMegabytes)<<20)))
+	debug.SetMemoryLimit(int64(memoryShare * s.MemoryMegabytes * (1 << 20)))
 	sink := logsink.New(os.Stdout, 0)
 	defer func() {
 		select {
--- a/config/check.go
+++ b/config/check.go
@@ -149,8 +149,8 @@
 	models := c.models(d.Models)
 	c.endpoints(d.Endpoints, domains, models)
 	pools := c.pools(d.Pools)
-	c.routes(d.Routes, pools)
-	c.teams(d.Teams)
+	c.routes(d.Routes, pools, d.Domains)
+	c.teams(d.Teams, d.Domains)
 	c.within("targets.ttft_ms", float64(d.Targets.TTFTMillis), 1, 600_000)
 	c.within("targets.tpot_ms", float64(d.Targets.TPOTMillis), 1, 60_000)
 	c.within("targets.objective", d.Targets.Objective, 0.01, 0.99999)
@@ -173,6 +173,9 @@
 	if len(rows) == 0 {
 		c.fail("failure_domains", "", "want at least one")
 	}
+	if n := countRegions(rows); n > mostRegions {
+		c.fail("failure_domains", "", fmt.Sprintf("%d regions, want at most %d", n, mostRegions))
+	}
 	return seen
 }
 
@@ -282,13 +285,14 @@
 	c.within(f+".max_attempts", float64(r.MaxAttempts), 0, 20)
 }
 
-func (c *checker) routes(rows []Route, pools map[string]bool) {
+func (c *checker) routes(rows []Route, pools map[string]bool, domains []Domain) {
 	seen := map[string]bool{}
 	for i, r := range rows {
 		f := index("routes", i)
 		c.name(f+".name", r.Name)
 		c.unique(seen, f+".name", r.Name)
 		c.within(f+".priority", float64(r.Priority), 0, 9)
+		c.regions(f+".regions", r.Regions, domains)
 		if r.PathPrefix != "" || r.Host != "" {
 			c.pathRoute(f, r, pools)
 			continue
--- a/config/document.go
+++ b/config/document.go
@@ -148,6 +148,10 @@
 	TargetMillis  int  `json:"target_ms"`      // to the answer, or to a stream's first piece; 0: targets.ttft_ms
 	PieceMillis   int  `json:"piece_ms"`       // longest pause between pieces that is in time
 	MaxAttempts   int  `json:"max_attempts"`   // endpoints that one request may run on; 0: limits.max_attempts
+
+	// Regions are those in which the route's requests may be served, cached and stored;
+	// none: any.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // PoolShare is the part of a route's requests that goes to a pool.
--- a/config/settings.go
+++ b/config/settings.go
@@ -48,10 +48,11 @@
 	// killed; 0: drain_s and lame_duck_ms hold as they stand.
 	GraceSeconds float64 `json:"stop_grace_s"`
 	// ChangeMillis is the time within which a published change has to be in
-	// force everywhere; 0: unknown.
-	ChangeMillis    int `json:"change_ms"`
-	MemoryMegabytes int `json:"memory_mb"`        // that the process may use; 0: DefaultMemoryMegabytes
-	Descriptors     int `json:"file_descriptors"` // that the process may open; 0: unknown
+	// force everywhere; 0: unknown. It and the sizes below come from the platform,
+	// which may state them with fractions.
+	ChangeMillis    float64 `json:"change_ms"`
+	MemoryMegabytes float64 `json:"memory_mb"`        // that the process may use; 0: DefaultMemoryMegabytes
+	Descriptors     float64 `json:"file_descriptors"` // that the process may open; 0: unknown
 }
 
 // What a process may speak to the outside.
@@ -65,7 +66,7 @@
 type RetryBudget struct {
 	Share   float64 `json:"share"`    // of the requests in the window
 	Seconds float64 `json:"window_s"` // length of the window; 0: no such budget
-	Extra   int     `json:"extra"`    // beyond the share, for all hosts together
+	Extra   float64 `json:"extra"`    // beyond the share, for all hosts together; any number, as each host has its part
 }
 
 // Window returns the length of the window.
@@ -118,7 +119,9 @@
 	setInt(&s.MaxConnections, DefaultMaxConnections)
 	setInt(&s.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setInt(&s.StallMillis, DefaultStallMillis)
-	setInt(&s.MemoryMegabytes, DefaultMemoryMegabytes)
+	if s.MemoryMegabytes == 0 {
+		s.MemoryMegabytes = DefaultMemoryMegabytes
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
@@ -126,7 +129,7 @@
 		s.Protocol = ProtocolOwn
 	}
 	if s.Descriptors > 0 {
-		s.MaxConnections = min(s.MaxConnections, int(callersPart*float64(s.Descriptors)))
+		s.MaxConnections = min(s.MaxConnections, int(callersPart*s.Descriptors))
 	}
 }
 
@@ -166,12 +169,12 @@
 	}
 	c.within("retry_budget.share", s.RetryBudget.Share, 0, 100)
 	c.within("retry_budget.window_s", s.RetryBudget.Seconds, 0, 3600)
-	c.within("retry_budget.extra", float64(s.RetryBudget.Extra), 0, 1e6)
+	c.within("retry_budget.extra", s.RetryBudget.Extra, 0, 1e6)
 	c.within("quota_tolerance", s.QuotaTolerance, 0, 1e12)
 	c.within("stop_grace_s", s.GraceSeconds, 0, 86_400)
-	c.within("change_ms", float64(s.ChangeMillis), 0, 86_400_000)
-	c.within("memory_mb", float64(s.MemoryMegabytes), 16, 1<<20)
-	c.within("file_descriptors", float64(s.Descriptors), 0, 1<<24)
+	c.within("change_ms", s.ChangeMillis, 0, 86_400_000)
+	c.within("memory_mb", s.MemoryMegabytes, 16, 1<<20)
+	c.within("file_descriptors", s.Descriptors, 0, 1<<24)
 	c.oneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
 	return c.errs
 }
@@ -183,6 +186,9 @@
 // Millis converts a field in milliseconds.
 func Millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
+// FractionMillis converts a field in milliseconds that may be no whole number.
+func FractionMillis(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
 // checkAddress reports why s is not an IP:port literal, or "".
 func checkAddress(s string) string {
 	if _, err := netip.ParseAddrPort(s); err != nil {
--- a/config/team.go
+++ b/config/team.go
@@ -20,6 +20,9 @@
 	// Priority goes before that of routes; nil: the route's.
 	Priority *int `json:"priority,omitempty"`
 
+	// Regions bind the team's requests as those of a route do; where both stand, both bind.
+	Regions []string `json:"regions,omitempty"`
+
 	// Quota bounds what the team may ask over all hosts together.
 	Quota Quota `json:"quota"`
 }
@@ -80,7 +83,7 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func (c *checker) teams(rows []Team) {
+func (c *checker) teams(rows []Team, domains []Domain) {
 	seen, holders := map[string]bool{}, map[string]string{}
 	for i, r := range rows {
 		f := index("teams", i)
@@ -91,6 +94,7 @@
 		if r.Priority != nil {
 			c.within(f+".priority", float64(*r.Priority), 0, 9)
 		}
+		c.regions(f+".regions", r.Regions, domains)
 		c.keys(holders, f+".keys_sha256", r)
 		c.quota(f+".quota", r.Quota)
 	}
--- a/config/view.go
+++ b/config/view.go
@@ -27,6 +27,7 @@
 	teamByKey    map[[sha256.Size]byte]*Team
 	Models       map[string]*Model // by model and adapter name
 	Region       map[string]string // region by failure domain
+	RegionNames  []string          // in the order of Regions
 	Routes       []RouteView
 	Pools        map[string]*Pool
 	// Roster is the revision of the endpoints that registered themselves.
@@ -112,6 +113,7 @@
 	for _, dom := range d.Domains {
 		v.Region[dom.Name] = dom.Region
 	}
+	v.indexRegions()
 	v.Routes = make([]RouteView, len(d.Routes))
 	for i := range d.Routes {
 		v.Routes[i] = v.resolve(&d.Routes[i])
--- /dev/null
+++ b/entry/barred.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/result"
+	"github.com/embercove/embercove/route"
+)
+
+// A request waits after its endpoints were chosen: for its turn, for its prompt,
+// for room. So each endpoint is looked at again just before it is called.
+
+// bars returns why a job may no longer go to an endpoint that was chosen for it, by what
+// is in force now. What only tells how well it would be served there doesn't count: it
+// was chosen, and its owner gave it room.
+func (e *Entry) bars(j *job, spec *config.Endpoint) (b route.Bar) {
+	b = route.BarGone
+	r := j.pick
+	r.Now, r.Exclude = time.Now(), [route.MostExcluded]uint32{}
+	e.board.Endpoints.Find(route.Number(spec.Name), func(v *config.View, s *route.State) {
+		e.bind(v, j, &r)
+		b = route.Barred(s, &r)
+	})
+	switch b {
+	case route.BarGone, route.BarLeaving, route.BarEvacuated, route.BarHome:
+		return b
+	}
+	return route.BarNone
+}
+
+// bind sets the regions that a job's request is bound to under a revision. Where its own
+// is none of them it may go to the others.
+func (e *Entry) bind(v *config.View, j *job, r *route.Request) {
+	rv, team := v.RouteByName(j.route.Name), v.Teams[j.team.Name]
+	if rv == nil {
+		return
+	}
+	if team == nil {
+		team = j.team
+	}
+	r.Homes = v.Homes(rv.Route, team)
+	if r.Homes != 0 && !r.Homes.Has(r.Region) {
+		r.Reach |= r.Homes
+	}
+}
+
+// errBarred is why a call was not made.
+var errBarred = errors.New("the endpoint was barred while the request waited")
+
+// barredSince is the failure of a try whose endpoint was barred before it was called.
+func barredSince(spec *config.Endpoint, b route.Bar) *retryable {
+	refusal := result.Errorf(result.EndpointRefused, "%s while the request waited: %s", spec.Name, b).After(time.Second)
+	return &retryable{name: spec.Name, refusal: refusal}
+}
+
+// nowhere is the refusal of a job that no endpoint of a list is open to, with what bars
+// most of them.
+func (e *Entry) nowhere(j *job, what string, list func(g *config.Group) []int) *result.Error {
+	blamed := route.BarNone
+	j.pick.Now = time.Now()
+	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
+		if g := j.group(v); g != nil {
+			e.bind(v, j, &j.pick)
+			blamed = route.Blame(states, list(g), &j.pick)
+		}
+	})
+	switch blamed {
+	case route.BarEvacuated:
+		return result.Errorf(result.Evacuated, "no %s is open: %s", what, blamed).After(evacuatedBack)
+	case route.BarHome:
+		return result.Errorf(result.NoHome, "no %s is open: %s", what, blamed).After(time.Second)
+	}
+	return result.Errorf(result.NoEndpoint, "no %s that the route allows is in reach", what).After(time.Second)
+}
+
+// evacuatedBack is when callers are told to come back whose endpoints are all being
+// emptied. Nobody says for how long; operators' work takes some seconds at the least.
+const evacuatedBack = 2 * time.Second
+
+// moveFrom moves a request from a decode engine that is barred now to another, while the
+// result of its prompt is kept. It returns an error if there is none.
+func (e *Entry) moveFrom(ctx context.Context, j *job, p *plan, kv *endpoint.Transfer, lapses time.Time, b route.Bar) error {
+	if p.kept || kv == nil {
+		// The prompt is kept there or would be read there: all is chosen anew.
+		e.releaseDecode(j, p, owner.GivenUp)
+		return barredSince(p.dec, b)
+	}
+	e.moveOn(ctx, j, p, owner.GivenUp, true)
+	if p.dec == nil {
+		e.drop(j, p, kv)
+		return e.wasted(j, p, errBarred)
+	}
+	if !sleep(ctx, min(time.Until(p.start), time.Until(lapses))) && ctx.Err() != nil {
+		e.discard(j, p, kv)
+		return asResult(ctx.Err())
+	}
+	return nil
+}
--- a/entry/kept.go
+++ b/entry/kept.go
@@ -48,6 +48,7 @@
 		if g == nil {
 			return
 		}
+		e.bind(v, j, &j.pick)
 		for _, i := range g.Decode {
 			if s := &states[i]; route.Open(s, &j.pick) && v.Serves(s.Index, j.pick.Model) {
 				specs = append(specs, s.Spec)
--- a/entry/place.go
+++ b/entry/place.go
@@ -59,6 +59,7 @@
 	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
 		view = v
 		if j.pick.Group = j.group(v); j.pick.Group != nil {
+			e.bind(v, j, &j.pick)
 			c = route.Pick(v, states, &j.pick)
 		}
 	})
@@ -114,7 +115,7 @@
 		return e.placeDirect(ctx, j)
 	}
 	if last == nil {
-		last = result.Errorf(result.NoEndpoint, "no endpoint that the route allows is in reach").After(time.Second)
+		last = e.nowhere(j, "prefill endpoint", func(g *config.Group) []int { return g.Prefill })
 	}
 	return nil, last
 }
@@ -156,6 +157,7 @@
 	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
 		view = v
 		if j.pick.Group = j.group(v); j.pick.Group != nil {
+			e.bind(v, j, &j.pick)
 			c.Decode = route.PickDecode(v, states, &j.pick)
 		}
 		if c.Decode >= 0 {
@@ -208,7 +210,7 @@
 		j.pick.Drop(route.Number(p.dec.Name))
 	}
 	if last == nil {
-		last = result.Errorf(result.NoEndpoint, "no decode endpoint that the route allows is in reach").After(time.Second)
+		last = e.nowhere(j, "decode endpoint", func(g *config.Group) []int { return g.Decode })
 	}
 	return last
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -151,10 +151,10 @@
 		e.releaseDecode(j, p, owner.GivenUp)
 		return asResult(ctx.Err())
 	}
-	if e.hasLeft(p.pre) {
+	if b := e.bars(j, p.pre); b != route.BarNone {
 		e.returnTurn(p)
 		e.releaseDecode(j, p, owner.GivenUp)
-		return leftBehind(p.pre)
+		return barredSince(p.pre, b)
 	}
 	kv, err := e.read(ctx, j, p)
 	if err != nil {
--- a/entry/service.go
+++ b/entry/service.go
@@ -75,7 +75,7 @@
 			if j.last != nil {
 				return result.Errorf(result.AnswerBroken, "the service failed, and no other endpoint of it is in reach")
 			}
-			return result.Errorf(result.NoEndpoint, "no endpoint of the service is in reach").After(time.Second)
+			return e.nowhere(j, "endpoint of the service", func(g *config.Group) []int { return g.Service })
 		}
 		err := e.callService(ctx, j, spec)
 		if err == nil {
@@ -106,6 +106,7 @@
 		if g == nil {
 			return
 		}
+		e.bind(v, j, &j.pick)
 		for _, i := range g.Service {
 			s := &states[i]
 			if !route.Open(s, &j.pick) || !j.repeatable && !s.Spec.NotRepeatableAllows || j.tries > 1 && s.Seen.Shunned(j.pick.Now) {
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -61,8 +61,8 @@
 			b.Endpoints.Fit(v)
 			b.Endpoints.Read(func(_ *config.View, states []route.State) { tc.see(states) })
 			e := &Entry{board: b}
-			j := &job{view: v, route: v.RouteFor("h", "/x"), pool: "web", tries: tc.tries,
-				pick: route.Request{Home: v.DomainIndex("a"), Region: "r"}}
+			j := &job{headers: headers{team: defaultTeam}, view: v, route: v.RouteFor("h", "/x"), pool: "web", tries: tc.tries,
+				pick: route.Request{Home: v.DomainIndex("a"), Region: v.RegionSet("r")}}
 			got := ""
 			if spec := e.chooseService(j); spec != nil {
 				got = spec.Name
--- a/entry/unreserved.go
+++ b/entry/unreserved.go
@@ -46,6 +46,7 @@
 	best := -1
 	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
 		if j.pick.Group = j.group(v); j.pick.Group != nil {
+			e.bind(v, j, &j.pick)
 			best = route.PickOne(v, states, list(j.pick.Group), v.Doc.Policy.Mode, turn, &j.pick)
 		}
 	})
--- a/entry/write.go
+++ b/entry/write.go
@@ -23,8 +23,8 @@
 	}
 	full, lost := 0, 0
 	for {
-		for e.hasLeft(p.dec) {
-			if err := e.moveFrom(ctx, j, p, kv, lapses); err != nil {
+		for b := e.bars(j, p.dec); b != route.BarNone; b = e.bars(j, p.dec) {
+			if err := e.moveFrom(ctx, j, p, kv, lapses, b); err != nil {
 				return err
 			}
 		}
--- a/node/admin.go
+++ b/node/admin.go
@@ -266,7 +266,7 @@
 	}
 	ex.Route = r.Name
 	req := route.Request{Group: &r.Group, Model: labels["model"], Tokens: tokens, MaxAnswer: answer, Home: v.DomainIndex(n.settings.Domain),
-		Region: n.settings.Region, Now: time.Now()}
+		Region: v.RegionSet(n.settings.Region), Homes: v.Homes(r.Route, v.Teams[labels["team"]]), Now: time.Now()}
 	n.Board.Endpoints.Read(func(tv *config.View, states []route.State) {
 		if tv != v {
 			return // a revision came in between; the next call sees it
--- a/result/result.go
+++ b/result/result.go
@@ -42,6 +42,8 @@
 	RetryBudget     Code = 307
 	EndpointRefused Code = 308
 	TeamQuota       Code = 309
+	Evacuated       Code = 310
+	NoHome          Code = 311
 	OutcomeUnknown  Code = 400
 	AnswerBroken    Code = 401
 	CallerGone      Code = 402
@@ -89,6 +91,8 @@
 	{RetryBudget, "retry_budget", 503, true, true, "The attempts failed before running and the retry budget is spent.", "Look for failing endpoints."},
 	{EndpointRefused, "endpoint_refused", 503, true, true, "The endpoint refused the request without running it.", "Look at the endpoint's own log."},
 	{TeamQuota, "team_quota", 429, true, true, "The team asks for more than its quota over all hosts.", "Compare the team's quota with what it asks: embercove status."},
+	{Evacuated, "evacuated", 503, true, true, "All endpoints of the request are in failure domains that are being emptied.", "Look at evacuations in embercove status; end one, or wait."},
+	{NoHome, "no_home", 503, true, true, "No endpoint is in reach in a region in which the request may be served.", "Compare regions of the route and the team with where endpoints are."},
 	{OutcomeUnknown, "outcome_unknown", 502, false, false, "The request may have run; its answer is not known.", "Look for hosts or endpoints that died."},
 	{AnswerBroken, "answer_broken", 502, false, true, "The answer stopped part-way and could not be resumed.", "Look for endpoints that died."},
 	{CallerGone, "caller_gone", 499, false, false, "The caller left before its answer was whole.", "Nothing."},
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -152,7 +152,7 @@
 		return true
 	}
 	u := b.pool(pool, now)
-	most := b.window.Share*sum(u.requests) + float64(b.window.Extra)/float64(max(1, b.hosts()))
+	most := b.window.Share*sum(u.requests) + b.window.Extra/float64(max(1, b.hosts()))
 	if sum(u.further)+float64(n) > cautious*most {
 		return false
 	}
--- a/route/explain.go
+++ b/route/explain.go
@@ -58,21 +58,11 @@
 
 // why says what rules an endpoint out, or "".
 func why(v *config.View, s *State, r *Request) string {
-	switch {
-	case s.Leaving || s.Digest.Flags&FlagLeaving != 0:
-		return "leaving"
-	case s.Digest.Flags&FlagDown != 0:
-		return "out of reach of its owner"
-	case s.Digest.Flags&FlagWrong != 0:
-		return "not in the ordered state"
-	case r.Now.Before(s.CutOff):
-		return "its failure domain is cut off from this host"
-	case s.Region != r.Region:
-		return "in another region"
-	case !v.Serves(s.Index, r.Model):
+	if b := Barred(s, r); b != BarNone {
+		return b.String()
+	}
+	if !v.Serves(s.Index, r.Model) {
 		return "does not serve the model"
-	case r.Excluded(s.Number):
-		return "refused or failed this request before"
 	}
 	return ""
 }
--- /dev/null
+++ b/route/gate.go
@@ -0,0 +1,94 @@
+package route
+
+// Bar is why a request may not go to an endpoint now.
+type Bar uint8
+
+// The bars, in the order in which they are looked at. Those that hold for any request
+// come first.
+const (
+	BarNone      Bar = iota
+	BarGone          // no longer in the configuration
+	BarLeaving       // the endpoint leaves
+	BarEvacuated     // its failure domain is being emptied
+	BarDown          // out of its owner's reach
+	BarWrong         // not in the state that was ordered
+	BarCutOff        // its failure domain is cut off from this host
+	BarHome          // its region is not one in which the request may be served
+	BarRegion        // in another region, which the request has no reason to go to
+	BarExcluded      // refused or failed the request before
+	bars
+)
+
+// String returns the bar in words, as operators see it.
+func (b Bar) String() string {
+	switch b {
+	case BarNone:
+		return ""
+	case BarGone:
+		return "gone"
+	case BarLeaving:
+		return "leaving"
+	case BarEvacuated:
+		return "its failure domain is being emptied"
+	case BarDown:
+		return "out of reach of its owner"
+	case BarWrong:
+		return "not in the ordered state"
+	case BarCutOff:
+		return "its failure domain is cut off from this host"
+	case BarHome:
+		return "its region is none in which the request may be served"
+	case BarRegion:
+		return "in another region"
+	case BarExcluded:
+		return "refused or failed this request before"
+	}
+	return "unknown"
+}
+
+// Barred returns why a request may not be sent to an endpoint of any role now; BarNone:
+// it may. Every way out asks it, when an endpoint is chosen and again just before the call.
+func Barred(s *State, r *Request) Bar {
+	switch {
+	case s.Leaving || s.Digest.Flags&FlagLeaving != 0:
+		return BarLeaving
+	case s.Evacuated:
+		return BarEvacuated
+	case s.Digest.Flags&FlagDown != 0:
+		return BarDown
+	case s.Digest.Flags&FlagWrong != 0:
+		return BarWrong
+	case r.Now.Before(s.CutOff):
+		return BarCutOff
+	case r.Homes != 0 && !r.Homes.Has(s.Region):
+		return BarHome
+	case !(r.Region | r.Reach).Has(s.Region):
+		return BarRegion
+	case r.Excluded(s.Number):
+		return BarExcluded
+	}
+	return BarNone
+}
+
+// Open reports whether a request may be sent to an endpoint of any role now.
+func Open(s *State, r *Request) bool { return Barred(s, r) == BarNone }
+
+// Blame returns what bars most of some endpoints from a request, of which it may go to
+// none; BarNone: there are none. Regions that it has no reason to go to don't count
+// where anything else bars.
+func Blame(states []State, list []int, r *Request) Bar {
+	var counts [bars]int
+	for _, i := range list {
+		counts[Barred(&states[i], r)]++
+	}
+	blamed := BarNone
+	for b := BarGone; b < bars; b++ {
+		if b != BarRegion && counts[b] > counts[blamed] {
+			blamed = b
+		}
+	}
+	if blamed == BarNone && counts[BarRegion] > 0 {
+		return BarRegion
+	}
+	return blamed
+}
--- /dev/null
+++ b/route/gate_test.go
@@ -0,0 +1,64 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/embercove/embercove/config"
+)
+
+// TestBarred changes one thing about an endpoint or a request and names what bars it.
+func TestBarred(t *testing.T) {
+	const own, other, third config.Regions = 1, 2, 4
+	for _, tc := range []struct {
+		name   string
+		change func(s *State, r *Request)
+		want   Bar
+	}{
+		{"nothing", func(*State, *Request) {}, BarNone},
+		{"leaving by the configuration", func(s *State, _ *Request) { s.Leaving = true }, BarLeaving},
+		{"leaving by its report", func(s *State, _ *Request) { s.Digest.Flags = FlagLeaving }, BarLeaving},
+		{"down", func(s *State, _ *Request) { s.Digest.Flags = FlagDown }, BarDown},
+		{"wrong state", func(s *State, _ *Request) { s.Digest.Flags = FlagWrong }, BarWrong},
+		{"emptied", func(s *State, _ *Request) { s.Evacuated = true }, BarEvacuated},
+		{"emptied and down", func(s *State, _ *Request) { s.Evacuated, s.Digest.Flags = true, FlagDown }, BarEvacuated},
+		{"cut off", func(s *State, r *Request) { s.CutOff = r.Now.Add(time.Second) }, BarCutOff},
+		{"cut off until now", func(s *State, r *Request) { s.CutOff = r.Now }, BarNone},
+		{"excluded", func(s *State, r *Request) { r.Drop(s.Number) }, BarExcluded},
+		{"another region", func(s *State, _ *Request) { s.Region = other }, BarRegion},
+		{"another region that it may leave for", func(s *State, r *Request) { s.Region, r.Reach = other, other }, BarNone},
+		{"a home", func(_ *State, r *Request) { r.Homes = own | other }, BarNone},
+		{"no home", func(_ *State, r *Request) { r.Homes = other }, BarHome},
+		{"no home that it may leave for", func(s *State, r *Request) { s.Region, r.Reach, r.Homes = other, other, own|third }, BarHome},
+		{"a home that it has no reason to leave for", func(s *State, r *Request) { s.Region, r.Homes = other, own|other }, BarRegion},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &State{Number: 7, Region: own}
+			r := &Request{Region: own, Now: now}
+			tc.change(s, r)
+			if got := Barred(s, r); got != tc.want || Open(s, r) != (tc.want == BarNone) {
+				t.Errorf("barred as %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestBlame checks that a refusal names what holds back most endpoints.
+func TestBlame(t *testing.T) {
+	r := &Request{Region: 1, Now: now}
+	states := []State{{Region: 1, Evacuated: true}, {Region: 1, Evacuated: true}, {Region: 1, Leaving: true}, {Region: 2}, {Region: 2}, {Region: 2}}
+	for _, tc := range []struct {
+		list []int
+		want Bar
+	}{
+		{nil, BarNone},
+		{[]int{0, 1, 2}, BarEvacuated},
+		{[]int{2}, BarLeaving},
+		{[]int{3, 4}, BarRegion},
+		{[]int{0, 3, 4, 5}, BarEvacuated},
+	} {
+		if got := Blame(states, tc.list, r); got != tc.want {
+			t.Errorf("%v: %q, want %q", tc.list, got, tc.want)
+		}
+	}
+}
--- a/route/pick.go
+++ b/route/pick.go
@@ -15,8 +15,10 @@
 	MaxAnswer int
 	Head      uint32
 	HasHead   bool
-	Home      int    // index of the entry host's failure domain
-	Region    string // of the entry host
+	Home      int            // index of the entry host's failure domain
+	Region    config.Regions // that of the entry host
+	Homes     config.Regions // in which it may be served; 0: in any
+	Reach     config.Regions // that it may leave its own for
 	Now       time.Time
 	Seed      uint64 // spreads the choices of many hosts over near-equal endpoints
 	// FixedPrefill is the number of a prefill endpoint that has already
@@ -156,12 +158,6 @@
 	return int64(tokens) * m.KVBytesPerToken
 }
 
-// Open reports whether an endpoint of any role may be sent something: usable,
-// in the region, and not excluded.
-func Open(s *State, r *Request) bool {
-	return s.usable() && !r.Now.Before(s.CutOff) && s.Region == r.Region && !r.Excluded(s.Number)
-}
-
 func eligible(v *config.View, s *State, r *Request) bool {
 	return Open(s, r) && v.Serves(s.Index, r.Model)
 }
--- a/route/pick_test.go
+++ b/route/pick_test.go
@@ -93,7 +93,7 @@
 		{name: "called already", change: func(_ []State, r *Request) { r.FixedPrefill = Number("p3") }, pre: []int{p3}, dec: []int{d0, d3}},
 		{name: "old digests", change: func(s []State, _ *Request) { s[d0].At = now.Add(-time.Minute) }, pre: []int{p0, p3}, dec: []int{d3}},
 		{name: "a model that none serves", change: func(_ []State, r *Request) { r.Model = "other" }, nothing: true},
-		{name: "nothing in the region", change: func(_ []State, r *Request) { r.Region = "nowhere" }, nothing: true},
+		{name: "nothing in the region", change: func(_ []State, r *Request) { r.Region = 0 }, nothing: true},
 		{name: "all leave", change: func(s []State, _ *Request) {
 			for i := range s {
 				s[i].Leaving = true
@@ -106,7 +106,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			for seed := range uint64(20) {
 				s := fresh(v)
-				r := &Request{Group: &v.Routes[0].Group, Model: "m", Tokens: 3000, MaxAnswer: 100, Region: "r", Now: now, Seed: seed}
+				r := &Request{Group: &v.Routes[0].Group, Model: "m", Tokens: 3000, MaxAnswer: 100, Region: v.RegionSet("r"), Now: now, Seed: seed}
 				tc.change(s, r)
 				c := Pick(v, s, r)
 				if tc.nothing {
@@ -140,7 +140,7 @@
 			s := fresh(v)
 			hits := map[int]int{}
 			for n := range uint64(400) {
-				r := &Request{Group: &v.Routes[0].Group, Model: "m", Region: "r", Now: now, Seed: n * 0x9e3779b97f4a7c15}
+				r := &Request{Group: &v.Routes[0].Group, Model: "m", Region: v.RegionSet("r"), Now: now, Seed: n * 0x9e3779b97f4a7c15}
 				hits[PickOne(v, s, v.Routes[0].Group.Prefill, mode, n, r)]++
 			}
 			if len(hits) != 4 {
@@ -155,7 +155,7 @@
 func TestPickAllocates(t *testing.T) {
 	v := testView(t, 100, 100)
 	s := fresh(v)
-	r := &Request{Group: &v.Routes[0].Group, Model: "m", Tokens: 3000, MaxAnswer: 100, Region: "r", Now: now}
+	r := &Request{Group: &v.Routes[0].Group, Model: "m", Tokens: 3000, MaxAnswer: 100, Region: v.RegionSet("r"), Now: now}
 	if n := testing.AllocsPerRun(100, func() { Pick(v, s, r) }); n > 0 {
 		t.Errorf("%v allocations for a decision, want none", n)
 	}
@@ -166,7 +166,7 @@
 		b.Run(fmt.Sprintf("candidates=%d", 2*n), func(b *testing.B) {
 			v := testView(b, n, n)
 			s := fresh(v)
-			r := &Request{Group: &v.Routes[0].Group, Model: "m", Tokens: 3000, MaxAnswer: 100, Region: "r", Now: now, Head: 7, HasHead: true}
+			r := &Request{Group: &v.Routes[0].Group, Model: "m", Tokens: 3000, MaxAnswer: 100, Region: v.RegionSet("r"), Now: now, Head: 7, HasHead: true}
 			for i := range s {
 				s[i].Digest.Heads = make([]HeadDigest, 24)
 			}
--- a/route/state.go
+++ b/route/state.go
@@ -49,19 +49,20 @@
 // State is an endpoint as one host sees it: its configuration and the last
 // digest.
 type State struct {
-	Number  uint32
-	Index   int // in the configuration's list
-	Domain  int // index in the configuration's list
-	Region  string
-	Role    config.Role
-	Spec    *config.Endpoint
-	Leaving bool      // by the configuration
-	CutOff  time.Time // until when its failure domain counts as cut off from this host
-	Digest  Digest
-	At      time.Time // when the digest was true; zero: never heard of
-	Own     bool      // this host owns it: to ask it costs no message
-	Sent    int       // sent by this host and not ended
-	Seen    Experience
+	Number    uint32
+	Index     int            // in the configuration's list
+	Domain    int            // index in the configuration's list
+	Region    config.Regions // the one that it lies in
+	Role      config.Role
+	Spec      *config.Endpoint
+	Leaving   bool      // by the configuration
+	Evacuated bool      // its failure domain is being emptied
+	CutOff    time.Time // until when its failure domain counts as cut off from this host
+	Digest    Digest
+	At        time.Time // when the digest was true; zero: never heard of
+	Own       bool      // this host owns it: to ask it costs no message
+	Sent      int       // sent by this host and not ended
+	Seen      Experience
 }
 
 // Number returns the number that stands for an endpoint's name in messages.
@@ -77,7 +78,7 @@
 	for i := range v.Doc.Endpoints {
 		e := &v.Doc.Endpoints[i]
 		n := Number(e.Name)
-		out[i] = State{Number: n, Index: i, Domain: domains[e.Domain], Region: v.Region[e.Domain], Role: e.Role,
+		out[i] = State{Number: n, Index: i, Domain: domains[e.Domain], Region: v.RegionSet(v.Region[e.Domain]), Role: e.Role,
 			Spec: e, Leaving: e.Leaving, Digest: Digest{Number: n}}
 	}
 	return out
@@ -163,9 +164,6 @@
 // Shunned reports whether the endpoint counts as out of reach.
 func (x *Experience) Shunned(now time.Time) bool { return now.Before(x.Shun) }
 
-// usable reports whether new work may go to the endpoint at all.
-func (s *State) usable() bool { return !s.Leaving && s.Digest.Flags == 0 }
-
 // Uncached returns how many of the prompt's tokens the endpoint will have to
 // read. Cache events come late and with gaps, so the cached part counts only
 // as far as the feed proved true.
