--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -29,6 +29,8 @@
 	leaves map[string]bool // moments at which whoever is concerned leaves, once each
 	full   int             // decode calls that are refused first
 	order  []string        // of calls
+	far    map[string]bool // endpoints of domain b
+	turned func()          // called once, as the first turn comes; nil: nothing
 }
 
 // Moments.
@@ -45,7 +47,11 @@
 		if name[0] == 'd' {
 			role = config.Decode
 		}
-		roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: name, Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: "a",
+		domain := "a"
+		if s.far[name] {
+			domain = "b"
+		}
+		roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: name, Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: domain,
 			Pool: "p", Role: role, Model: "m", Version: "1", Leaving: s.left[name]})
 	}
 	if _, err := s.board.Config.OfferRoster(roster, time.Now()); err != nil {
@@ -74,6 +80,10 @@
 
 func (s *leavingScene) Enqueue(ctx context.Context, spec *config.Endpoint, a owner.EnqueueArgs) (owner.EnqueueReply, error) {
 	s.leave(atTurn, spec.Name)
+	if turned := s.turned; turned != nil {
+		s.turned = nil
+		turned()
+	}
 	return s.stubOwners.Enqueue(ctx, spec, a)
 }
 
