--- a/internal/fake/runner.go
+++ b/internal/fake/runner.go
@@ -2,14 +2,12 @@
 
 import (
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/embercove/embercove/config"
@@ -48,26 +46,6 @@
 	incarn   uint64
 }
 
-// holding is one attempt that the engine holds memory for.
-type holding struct {
-	attempt  string
-	prompt   string
-	tokens   int // memory
-	uncached int
-	priority int
-	since    time.Time
-	rec      *Record
-	gone     chan struct{} // closed when given up
-	once     sync.Once
-	deaf     atomic.Bool   // the caller left and the engine did not hear it
-	done     chan struct{} // prefill: read; decode: closed at the end
-	out      chan int      // decode: numbers of tokens written
-	next     int
-	last     int
-}
-
-func (h *holding) abort() { h.once.Do(func() { close(h.gone) }) }
-
 // NewRunner returns a stand-in for the endpoint. dial is how it reaches the
 // source of a transfer; nil uses TCP.
 func NewRunner(spec config.Endpoint, kvBytesPerToken int64, version string, dial endpoint.Dial) *Runner {
@@ -131,16 +109,6 @@
 	}
 }
 
-func controlFaults(box *faultBox, w http.ResponseWriter, q *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(q.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	box.set(f)
-	writeJSON(w, http.StatusOK, f)
-}
-
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -217,125 +185,3 @@
 	}
 	return r.version
 }
-
-// hold takes memory for an attempt; the caller holds no lock.
-func (r *Runner) hold(q *http.Request, comp endpoint.Completion, tokens int) *holding {
-	h := &holding{attempt: q.Header.Get(endpoint.HeaderRequestID), prompt: comp.Prompt, tokens: tokens,
-		priority: comp.Priority, since: time.Now(), gone: make(chan struct{}), done: make(chan struct{})}
-	h.rec = r.truth.add(Record{ID: h.attempt, Role: string(r.spec.Role), Prompt: PromptHash(comp.Prompt), Ran: true,
-		Repeatable: q.Header.Get(endpoint.HeaderRepeatable) != "false", Leaving: r.faults.get().Leaving,
-		StartedMS: time.Now().UnixMilli()})
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.held[h.attempt] = h
-	r.used += tokens
-	return h
-}
-
-// drop frees an attempt's memory. An engine that did not hear its caller leave
-// keeps it until it is told.
-func (r *Runner) drop(h *holding) {
-	if h.deaf.Load() {
-		go func() {
-			<-h.gone
-			r.free(h)
-		}()
-		return
-	}
-	r.free(h)
-}
-
-func (r *Runner) free(h *holding) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.held[h.attempt] == h {
-		delete(r.held, h.attempt)
-		r.used -= h.tokens
-	}
-}
-
-// watch gives the attempt up when its caller disconnects.
-func (r *Runner) watch(q *http.Request, h *holding) {
-	select {
-	case <-q.Context().Done():
-		if r.faults.get().LoseCancels {
-			h.deaf.Store(true)
-			return
-		}
-		h.abort()
-	case <-h.done:
-	case <-h.gone:
-	}
-}
-
-func (r *Runner) abort(w http.ResponseWriter, q *http.Request) {
-	var a endpoint.Abort
-	if err := json.NewDecoder(q.Body).Decode(&a); err != nil {
-		refuse(w, http.StatusBadRequest, err.Error(), true)
-		return
-	}
-	if r.faults.get().LoseCancels {
-		writeJSON(w, http.StatusOK, struct{}{})
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for id, h := range r.held {
-		if id == a.ID || strings.HasPrefix(id, a.ID+".") {
-			h.abort()
-		}
-	}
-	for _, e := range r.exports {
-		if e.attempt == a.ID || strings.HasPrefix(e.attempt, a.ID+".") {
-			r.dropExport(e)
-		}
-	}
-	writeJSON(w, http.StatusOK, struct{}{})
-}
-
-func (r *Runner) order(w http.ResponseWriter, q *http.Request) {
-	var o endpoint.Order
-	if err := json.NewDecoder(io.LimitReader(q.Body, 1<<20)).Decode(&o); err != nil {
-		refuse(w, http.StatusBadRequest, err.Error(), true)
-		return
-	}
-	if r.faults.take(func(f *Faults) *int { return &f.DropOrders }) {
-		writeJSON(w, http.StatusOK, struct{}{})
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	checks := r.spec.ChecksFence && !r.faults.get().IgnoreFences
-	if checks && o.Fence < r.fence {
-		refuse(w, http.StatusConflict, "fence is "+strconv.FormatUint(r.fence, 10), true)
-		return
-	}
-	r.fence, r.role, r.model, r.version, r.adapters = o.Fence, o.Role, o.Model, o.Version, o.Adapters
-	writeJSON(w, http.StatusOK, struct{}{})
-}
-
-// lagged returns the load as it was some time ago.
-func (r *Runner) lagged() endpoint.State {
-	f := r.faults.get()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	lag := time.Duration(f.LagMillis) * time.Millisecond
-	if r.reported.IsZero() || time.Since(r.reported) >= lag {
-		r.reported = time.Now()
-		r.report = endpoint.State{MemoryUsed: r.used, Running: len(r.held), QueuedTokens: r.queued}
-	}
-	s := r.report
-	s.Engine, s.Incarnation, s.Role, s.Model = r.spec.Name, r.incarn, r.role, r.model
-	s.Version, s.Adapters, s.Fence, s.Leaving = r.currentVersion(), r.adapters, r.fence, f.Leaving
-	return s
-}
-
-func (r *Runner) list() endpoint.RunningList {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var l endpoint.RunningList
-	for id, h := range r.held {
-		l.Requests = append(l.Requests, endpoint.Running{ID: id, Tokens: h.tokens, AgeMillis: int(time.Since(h.since).Milliseconds())})
-	}
-	return l
-}
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -21,7 +20,6 @@
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/internal/fake"
 	"github.com/embercove/embercove/node"
-	"github.com/embercove/embercove/publish"
 )
 
 // Options say what a cluster is made of.
@@ -50,9 +48,6 @@
 	plat    string // address
 }
 
-// serviceTime is how long the stand-in services take.
-const serviceTime = 15 * time.Millisecond
-
 // Start builds and starts a cluster and waits until every host is ready.
 func Start(o Options) (*Cluster, error) {
 	d, err := config.ParseDocument(o.Document)
@@ -108,179 +103,6 @@
 	return l.Addr().String(), nil
 }
 
-func (c *Cluster) startEndpoint(i int) error {
-	e := &c.Doc.Endpoints[i]
-	var h http.Handler
-	var setFaults func(fake.Faults)
-	if e.Role == config.Service {
-		app := &fake.App{Name: e.Name, Takes: serviceTime}
-		c.Apps[e.Name] = app
-		h, setFaults = app, app.SetFaults
-	}
-	address := fmt.Sprintf("127.8.%d.%d:80", i/250, i%250+1)
-	var run *lateHandler
-	if h == nil {
-		run = new(lateHandler)
-		h = run
-	}
-	addr, err := c.serve(e.Domain, address, h)
-	if err != nil {
-		return err
-	}
-	e.Address = addr
-	if run != nil {
-		r := fake.NewRunner(*e, c.kvBytes(e.Model), c.version(e), c.dial(e.Domain))
-		run.h = r
-		c.Runners[e.Name] = r
-		setFaults = r.SetFaults
-	}
-	if c.opts.Faults != nil {
-		setFaults(c.opts.Faults(e.Name))
-	}
-	return nil
-}
-
-// lateHandler lets a listener be opened before its handler is known.
-type lateHandler struct{ h http.Handler }
-
-func (l *lateHandler) ServeHTTP(w http.ResponseWriter, q *http.Request) { l.h.ServeHTTP(w, q) }
-
-func (c *Cluster) kvBytes(model string) int64 {
-	for _, m := range c.Doc.Models {
-		if m.Name == model {
-			return m.KVBytesPerToken
-		}
-	}
-	return 0
-}
-
-func (c *Cluster) version(e *config.Endpoint) string {
-	for _, m := range c.Doc.Models {
-		if m.Name == e.Model && e.Version == "" {
-			return m.Version
-		}
-	}
-	return e.Version
-}
-
-// startNodes starts the entry hosts, each knowing the first two as seeds.
-func (c *Cluster) startNodes(n int) error {
-	for i := range n {
-		s := c.newSettings(i)
-		c.Settings = append(c.Settings, s)
-	}
-	if c.opts.Network == nil {
-		if err := c.reservePorts(); err != nil {
-			return err
-		}
-	}
-	for _, s := range c.Settings {
-		s.Seeds = c.seeds(s)
-	}
-	c.listHosts()
-	for i := range c.Settings {
-		nd, err := c.startNode(i)
-		if err != nil {
-			return err
-		}
-		c.Nodes = append(c.Nodes, nd)
-	}
-	return nil
-}
-
-// hostAddress is host i's address on a network in memory.
-func hostAddress(i, port int) string { return fmt.Sprintf("127.7.%d.%d:%d", i/250, i%250+1, port) }
-
-// trialPoll is the state poll in trials, in ms. It is shorter than the default
-// for the sake of the baselines, which decide by these reports alone.
-const trialPoll = 200
-
-func (c *Cluster) newSettings(i int) *config.Settings {
-	d := c.Doc.Domains[i%len(c.Doc.Domains)]
-	s := &config.Settings{Host: fmt.Sprintf("%s-%d", d.Name, i/len(c.Doc.Domains)+1), Domain: d.Name, Region: d.Region, Platform: c.plat,
-		Callers: hostAddress(i, 80), Peers: hostAddress(i, 81), Admin: hostAddress(i, 82)}
-	s.PollMillis = trialPoll
-	s.SetDefaults()
-	if c.opts.Settings != nil {
-		c.opts.Settings(s)
-	}
-	return s
-}
-
-// reservePorts finds free loopback ports for every host.
-func (c *Cluster) reservePorts() error {
-	var open []net.Listener
-	defer func() {
-		for _, l := range open {
-			l.Close()
-		}
-	}()
-	own := fake.LoopbackHost() + ":0"
-	for _, s := range c.Settings {
-		for _, p := range []*string{&s.Callers, &s.Peers, &s.Admin} {
-			l, err := net.Listen("tcp", own)
-			if err != nil {
-				return errors.Wrap(err, "free port")
-			}
-			open = append(open, l)
-			*p = l.Addr().String()
-		}
-	}
-	return nil
-}
-
-// mostSeeds is how many peers a host is told of in its settings.
-const mostSeeds = 3
-
-func (c *Cluster) seeds(s *config.Settings) []string {
-	var out []string
-	for _, o := range c.Settings {
-		if o != s && o.Domain == s.Domain && len(out) < mostSeeds {
-			out = append(out, o.Peers)
-		}
-	}
-	for _, o := range c.Settings {
-		if o != s && len(out) < 2 {
-			out = append(out, o.Peers)
-		}
-	}
-	return out
-}
-
-func (c *Cluster) listHosts() {
-	var hosts []publish.Host
-	for _, s := range c.Settings {
-		hosts = append(hosts, publish.Host{Name: s.Host, Domain: s.Domain, Region: s.Region, Peers: s.Peers})
-	}
-	c.Platform.SetHosts(hosts)
-}
-
-func (c *Cluster) startNode(i int) (*node.Node, error) {
-	s := c.Settings[i]
-	var opts []node.Option
-	if c.opts.Log != nil {
-		opts = append(opts, node.WithLog(c.opts.Log))
-	}
-	if c.opts.Network != nil {
-		opts = append(opts, node.WithNetwork(func(a string) (net.Listener, error) { return c.opts.Network.Listen(s.Domain, a), nil }, c.dial(s.Domain)))
-	}
-	if c.opts.Fatal != nil {
-		opts = append(opts, node.WithFatal(c.opts.Fatal))
-	}
-	nd, err := node.New(s, opts...)
-	if err != nil {
-		return nil, err
-	}
-	return nd, nd.Start()
-}
-
-// Restart starts host i anew, as a new incarnation, after it was stopped.
-func (c *Cluster) Restart(i int) error {
-	nd, err := c.startNode(i)
-	c.Nodes[i] = nd
-	return err
-}
-
 // Publish publishes the document, changed by f, and returns its revision.
 func (c *Cluster) Publish(f func(d *config.Document)) (uint64, error) {
 	src, err := c.JSON(f)
@@ -343,28 +165,6 @@
 	return c.dial(zone)
 }
 
-// Truth returns the records of every stand-in.
-func (c *Cluster) Truth() []fake.Record {
-	var out []fake.Record
-	for _, r := range c.Runners {
-		out = append(out, r.Truth()...)
-	}
-	for _, a := range c.Apps {
-		out = append(out, a.Truth()...)
-	}
-	return out
-}
-
-// Held returns how many attempts hold memory at the stand-ins.
-func (c *Cluster) Held() int {
-	n := 0
-	for _, r := range c.Runners {
-		a, _ := r.Held()
-		n += a
-	}
-	return n
-}
-
 // Stop ends everything.
 func (c *Cluster) Stop() {
 	for _, n := range c.Nodes {
