config, publish, owner: failure domains that operators empty

The store's word travels with the roster now, whose revision orders it, so that peers tell it onward and an older word never replaces a newer one.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -18,6 +18,7 @@
 	Incarnation uint64 // of this process, ms since 1970
 
 	Config    *ConfigTable
+	Emptied   *EvacuationTable
 	Hosts     *HostTable
 	Domains   *DomainTable
 	Endpoints *EndpointTable
@@ -41,7 +42,7 @@
 	inv := new(invariant.Set)
 	b := &Board{
 		Settings: s, Number: request.HostNumber(s.Host), Incarnation: uint64(time.Now().UnixMilli()),
-		Config: newConfigTable(inv), Domains: newDomainTable(s.Domain), Endpoints: newEndpointTable(), Requests: newRequestTable(inv),
+		Config: newConfigTable(inv), Emptied: new(EvacuationTable), Domains: newDomainTable(s.Domain), Endpoints: newEndpointTable(), Requests: newRequestTable(inv),
 		Keys: newKeyTable(), Quotas: quota.NewAccounts(rand.Uint64() << 16), Invariant: inv, Wake: newWake(), began: time.Now(),
 		Pause: NewPause(config.Millis(s.PauseMillis)),
 	}
--- a/blackboard/changes.go
+++ b/blackboard/changes.go
@@ -51,7 +51,7 @@
 	case after < t.log.from:
 		return t.roster, nil
 	}
-	c := &config.RosterChange{From: after, Revision: t.roster.Revision}
+	c := &config.RosterChange{From: after, Revision: t.roster.Revision, Evacuated: t.roster.Evacuated}
 	for _, e := range t.roster.Endpoints {
 		if t.log.changed[e.Name] > after {
 			c.Changed = append(c.Changed, e)
--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -96,7 +96,10 @@
 	if t.roster != nil && r.Revision <= t.roster.Revision {
 		return false, nil
 	}
-	kept := &config.Roster{Revision: r.Revision}
+	kept := &config.Roster{Revision: r.Revision, Evacuated: r.Evacuated}
+	if t.roster != nil {
+		kept.Evacuated = config.EvacuatedAfter(t.roster.Evacuated, r.Evacuated, r.Revision)
+	}
 	lapses := t.lapses(now)
 	var faults error
 	for _, e := range r.Endpoints {
@@ -192,7 +195,7 @@
 	if t.roster == nil || !t.roster.AnyExpired(now) {
 		return 0
 	}
-	kept := &config.Roster{Revision: t.roster.Revision}
+	kept := &config.Roster{Revision: t.roster.Revision, Evacuated: t.roster.Evacuated}
 	for _, e := range t.roster.Endpoints {
 		if !e.Expired(now) {
 			kept.Endpoints = append(kept.Endpoints, e)
--- /dev/null
+++ b/blackboard/evacuations.go
@@ -0,0 +1,66 @@
+package blackboard
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/embercove/embercove/config"
+)
+
+// EvacuationTable tells operators since when failure domains are known here to be
+// emptied. What binds requests is the view in use; nothing is decided from this table.
+type EvacuationTable struct {
+	mu   sync.Mutex
+	rows map[string]EvacuationRow
+}
+
+// EvacuationRow is a failure domain that is being emptied.
+type EvacuationRow struct {
+	config.Evacuation
+	Since time.Time // in force here
+	From  string    // the store, or the peer that told
+}
+
+// Note takes in the evacuations of a view that came into force, told by from. It returns
+// those that began and those that ended with it, by failure domain.
+func (t *EvacuationTable) Note(v *config.View, from string, now time.Time) (began, ended []EvacuationRow) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for domain, row := range t.rows {
+		if _, still := v.Evacuated[domain]; !still {
+			ended = append(ended, row)
+			delete(t.rows, domain)
+		}
+	}
+	for domain, e := range v.Evacuated {
+		if old, known := t.rows[domain]; known && old.Revision == e.Revision {
+			continue
+		}
+		if t.rows == nil {
+			t.rows = map[string]EvacuationRow{}
+		}
+		t.rows[domain] = EvacuationRow{e, now, from}
+		began = append(began, t.rows[domain])
+	}
+	sortRows(began)
+	sortRows(ended)
+	return began, ended
+}
+
+// List returns the failure domains that are being emptied, by name.
+func (t *EvacuationTable) List() []EvacuationRow {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []EvacuationRow
+	for _, row := range t.rows {
+		out = append(out, row)
+	}
+	sortRows(out)
+	return out
+}
+
+func sortRows(rows []EvacuationRow) {
+	slices.SortFunc(rows, func(a, b EvacuationRow) int { return strings.Compare(a.Domain, b.Domain) })
+}
--- a/config/change.go
+++ b/config/change.go
@@ -6,13 +6,14 @@
 // Revision. It may be laid over any roster from From to Revision.
 type RosterChange struct {
 	From, Revision uint64
-	Changed        []Endpoint // new, or with a new state
-	Gone           []string   // names
+	Changed        []Endpoint   // new, or with a new state
+	Gone           []string     // names
+	Evacuated      []Evacuation // all that hold as of Revision, as they are few
 }
 
 // With returns the roster that a change makes of r.
 func (r *Roster) With(c *RosterChange) *Roster {
-	out := &Roster{Revision: c.Revision}
+	out := &Roster{Revision: c.Revision, Evacuated: c.Evacuated}
 	replaced := make(map[string]bool, len(c.Changed))
 	for _, e := range c.Changed {
 		replaced[e.Name] = true
--- a/config/roster.go
+++ b/config/roster.go
@@ -6,12 +6,13 @@
 	"time"
 )
 
-// Roster is the set of endpoints that registered themselves, as of one
-// revision of wherever they do so. Unlike a document it changes with every
-// endpoint that comes, changes or goes.
+// Roster is the set of endpoints that registered themselves, and the failure domains
+// that are being emptied, as of one revision of wherever that is published. Unlike a
+// document it changes with every endpoint that comes, changes or goes.
 type Roster struct {
 	Revision  uint64
 	Endpoints []Endpoint
+	Evacuated []Evacuation // one for each failure domain, known to a document or not
 }
 
 // byName returns the endpoints in the order of their names.
@@ -68,14 +69,19 @@
 		doc.Endpoints = append(doc.Endpoints, *e)
 		doc.Endpoints[len(doc.Endpoints)-1].take(pool)
 	}
-	out := &View{Revision: v.Revision, Digest: v.Digest, Source: v.Source, Doc: &doc, Roster: r.Revision, registered: len(doc.Endpoints) - own}
+	out := &View{Revision: v.Revision, Digest: v.Digest, Source: v.Source, Doc: &doc, Roster: r.Revision, registered: len(doc.Endpoints) - own,
+		Evacuated: EvacuationsByDomain(r.Evacuated)}
 	out.index()
 	return out
 }
 
 // Outdated reports whether a later roster takes an endpoint away, or work from one, that
-// the view may still give work to, or whether the view has only few of its endpoints.
+// the view may still give work to, whether the view has only few of its endpoints, or
+// whether other failure domains are being emptied.
 func (v *View) Outdated(r *Roster) bool {
+	if !v.SameEvacuations(r) {
+		return true
+	}
 	kept := 0
 	for i := range r.Endpoints {
 		e := &r.Endpoints[i]
--- a/config/view.go
+++ b/config/view.go
@@ -32,6 +32,8 @@
 	Pools        map[string]*Pool
 	// Roster is the revision of the endpoints that registered themselves.
 	Roster uint64
+	// Evacuated are the failure domains that are being emptied.
+	Evacuated map[string]Evacuation
 
 	registered int // endpoints of the roster
 
--- a/entry/place.go
+++ b/entry/place.go
@@ -86,11 +86,12 @@
 			break
 		}
 		p := &plan{Choice: c, pre: &v.Doc.Endpoints[c.Prefill], dec: &v.Doc.Endpoints[c.Decode]}
-		if last = e.enqueue(ctx, j, p, notBefore); last != nil {
+		if refusal := e.enqueue(ctx, j, p, notBefore); refusal != nil {
+			last = lackOf(refusal, last)
 			if ctx.Err() != nil {
 				break
 			}
-			e.logRefused(j, p.pre, string(blackboard.PhaseQueue), last, c.Age)
+			e.logRefused(j, p.pre, string(blackboard.PhaseQueue), refusal, c.Age)
 			j.pick.Drop(route.Number(p.pre.Name))
 			asks++
 			continue
@@ -100,9 +101,14 @@
 		j.pick.Exclude = asked
 		if last == nil {
 			last = e.turnLater(ctx, j, p)
-		}
-		if last == nil {
-			return p, nil
+			if last == nil {
+				return p, nil
+			}
+			if last.Code == result.Evacuated && ctx.Err() == nil {
+				j.pick.Drop(route.Number(p.pre.Name))
+				last = nil
+				continue
+			}
 		}
 		e.returnTurn(p)
 		if ctx.Err() != nil || last.RetryAfter+p.Read+p.Move > j.slack() {
@@ -117,9 +123,23 @@
 	if last == nil {
 		last = e.nowhere(j, "prefill endpoint", func(g *config.Group) []int { return g.Prefill })
 	}
+	if last.Code == result.NoEndpoint { // prompts can be read, but no answer be written
+		if dec := e.nowhere(j, "decode endpoint", func(g *config.Group) []int { return g.Decode }); dec.Code != result.NoEndpoint {
+			last = dec
+		}
+	}
 	return nil, last
 }
 
+// lackOf returns the refusal that tells for lack of what a request isn't placed: that of
+// an endpoint whose failure domain is being emptied says nothing of the others.
+func lackOf(refusal, before *result.Error) *result.Error {
+	if refusal.Code == result.Evacuated {
+		return before
+	}
+	return refusal
+}
+
 // turnLater gives the turn back if the decode engine has room only later, and
 // waits for another, so that the prefill engine's owner knows when it really
 // gets the prompt. The room stays reserved, unless there is no such turn.
@@ -204,8 +224,8 @@
 			return refusal
 		}
 		e.logRefused(j, p.dec, string(blackboard.PhaseReserve), refusal, c.Age)
-		if last == nil || refusal.RetryAfter < last.RetryAfter {
-			last = refusal
+		if lack := lackOf(refusal, last); last == nil || lack.RetryAfter < last.RetryAfter {
+			last = lack
 		}
 		j.pick.Drop(route.Number(p.dec.Name))
 	}
--- a/owner/balance.go
+++ b/owner/balance.go
@@ -56,8 +56,12 @@
 			if !p.Engines() || p.RoleSwitchMillis == 0 {
 				continue
 			}
-			surplus, to := roles.Surplus(v, name, o.changing())
+			changing := o.changing()
+			surplus, to := roles.Surplus(v, name, changing)
 			lasting := o.lasting(name, len(surplus), to, now)
+			if roles.Starved(v, name, changing) {
+				lasting = len(surplus)
+			}
 			mine := o.orderedHere(v, name, now)
 			for _, e := range surplus[:lasting] {
 				if mine[e.Name] {
@@ -151,6 +155,9 @@
 
 // order gives one order, unless the last one to the runner is recent.
 func (o *Owner) order(ctx context.Context, p *config.Pool, e *config.Endpoint, to config.Role, now time.Time) {
+	if o.board.Config.View().Emptied(e) {
+		return
+	}
 	number := route.Number(e.Name)
 	again := config.Millis(p.RoleSwitchMillis) + orderSlack
 	b := &o.balance
--- a/owner/order.go
+++ b/owner/order.go
@@ -38,7 +38,7 @@
 	order := wanted(v, b.spec)
 	ahead := b.spec.ChecksFence && st.Fence > v.Revision // another owner knows better
 	b.wrong = differs(order, st)
-	due := b.wrong && !ahead && now.Sub(b.ordered) > reorderAfter
+	due := b.wrong && !ahead && !v.Emptied(b.spec) && now.Sub(b.ordered) > reorderAfter
 	if due {
 		b.ordered = now
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -219,7 +219,10 @@
 	if b.ledger == nil {
 		return ReserveReply{}, result.Errorf(result.NoEndpoint, "%s is no decode endpoint", b.spec.Name)
 	}
-	at, refusal := b.reserve(now, a)
+	at, refusal := time.Time{}, o.refuseEmptied(b)
+	if refusal == nil {
+		at, refusal = b.reserve(now, a)
+	}
 	reply := ReserveReply{Code: result.OK, Digest: b.brief(now)}
 	if refusal != nil {
 		reply.Code, reply.Retry = refusal.Code, millis(refusal.RetryAfter)
@@ -257,6 +260,9 @@
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if refusal := o.refuseEmptied(b); refusal != nil {
+		return nil, EnqueueReply{Code: refusal.Code, Retry: millis(refusal.RetryAfter), Digest: b.brief(now)}
+	}
 	it, refusal := b.admit(now, a)
 	if refusal != nil {
 		return nil, EnqueueReply{Code: refusal.Code, Retry: millis(refusal.RetryAfter), Digest: b.brief(now)}
--- a/peer/news.go
+++ b/peer/news.go
@@ -25,10 +25,7 @@
 	if !in {
 		return
 	}
-	if v := r.board.Config.View(); v != nil {
-		r.board.Endpoints.Fit(v)
-	}
-	r.board.Wake.All()
+	r.layOut(from)
 	r.log.Info("roster in force", zap.Uint64("roster", ro.Revision), zap.Int("endpoints", len(ro.Endpoints)), zap.String("from", from))
 	r.tellAround()
 }
@@ -46,10 +43,7 @@
 		if laid := r.board.Config.LayOutWaiting(now); dropped == 0 && !laid {
 			return
 		}
-		if v := r.board.Config.View(); v != nil {
-			r.board.Endpoints.Fit(v)
-		}
-		r.board.Wake.All()
+		r.layOut("what was known")
 		if dropped == 0 {
 			return
 		}
@@ -68,16 +62,36 @@
 	if !in {
 		return
 	}
-	v := r.board.Config.View()
-	r.board.Endpoints.Fit(v)
+	r.layOut(from)
 	if r.Accepted != nil {
-		r.Accepted(v)
+		r.Accepted(r.board.Config.View())
 	}
-	r.board.Wake.All()
 	r.log.Info("revision in force", zap.Uint64("revision", revision), zap.String("from", from), zap.Int("bytes", len(src)), zap.Duration("behind", behind))
 	r.tellAround()
 }
 
+// layOut lays the tables out for the view in use, and says which failure domains are
+// being emptied since.
+func (r *Router) layOut(from string) {
+	defer r.board.Wake.All()
+	v := r.board.Config.View()
+	if v == nil {
+		return
+	}
+	r.board.Endpoints.Fit(v)
+	began, ended := r.board.Emptied.Note(v, from, time.Now())
+	for _, e := range began {
+		r.log.Info("failure domain is being emptied", zap.String("domain", e.Domain), zap.Uint64("revision", e.Revision), zap.String("from", from))
+	}
+	for _, e := range ended {
+		r.log.Info("failure domain is no longer emptied", zap.String("domain", e.Domain), zap.Uint64("revision", e.Revision),
+			zap.Uint64("roster", v.Roster), zap.Duration("after", time.Since(e.Since)), zap.String("from", from))
+	}
+	if len(began) > 0 && r.Emptied != nil {
+		r.Emptied(v)
+	}
+}
+
 // tellAround tells news to some peers now, and for a while to others. News that
 // comes soon after other news goes with what comes till then: where hundreds of
 // hosts start at once, each has news of all others.
--- a/peer/router.go
+++ b/peer/router.go
@@ -26,6 +26,9 @@
 	// Accepted is called with each revision that comes into force; it is
 	// set before the router is used, and may be nil.
 	Accepted func(v *config.View)
+	// Emptied is called when other failure domains are being emptied than before; it is
+	// set before the router is used, or nil.
+	Emptied func(v *config.View)
 
 	board *blackboard.Board
 	owner *owner.Owner
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -34,43 +34,6 @@
 	Follow(ctx context.Context, sink Sink)
 }
 
-// Store is a platform's store that can be listed and watched, in the
-// project's own terms. Nothing is ever written to it.
-type Store interface {
-	// List returns all that is published now. List and Watch give up when the
-	// store says nothing, as a Guard does.
-	List(ctx context.Context) (*State, error)
-	// Watch returns what changed after a revision of the store, as soon as
-	// something did or when wait is over. It returns ErrForgotten when the
-	// store no longer knows.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
-	// Close drops idle connections.
-	Close()
-}
-
-// ErrForgotten is returned for changes that the store has forgotten.
-var ErrForgotten = errors.New("the store has forgotten what changed since")
-
-// State is what a store holds.
-type State struct {
-	At        uint64 // revision of the store
-	Document  *Revision
-	Endpoints []config.Endpoint
-	Faults    []error       // items that could not be read, each naming its item
-	Took      time.Duration // the answer, from its beginning to its end
-}
-
-// Changes is what changed in a store, as of its end: an endpoint that went and
-// came again is Changed only, and one that came and went is Gone only.
-type Changes struct {
-	At       uint64
-	Document *Revision         // nil: unchanged
-	Changed  []config.Endpoint // new, or with a new state
-	Gone     []string          // names of endpoints
-	Faults   []error
-	Took     time.Duration // the answer, from its beginning to its end
-}
-
 // Follower follows a store: it lists once and then watches, and lists anew
 // when the store has forgotten. The zero values of its fields are set by
 // NewFollower.
@@ -82,17 +45,18 @@
 
 	at     uint64
 	known  map[string]config.Endpoint
-	lost   bool      // the store was out of reach at the last call
-	since  time.Time // since when
-	silent bool      // some call since then got no answer at all
-	fed    bool      // other hosts kept this one up to date at the last look
-	shaky  time.Time // until when the loss of a registration says nothing
+	empty  map[string]config.Evacuation // by failure domain that is being emptied
+	lost   bool                         // the store was out of reach at the last call
+	since  time.Time                    // since when
+	silent bool                         // some call since then got no answer at all
+	fed    bool                         // other hosts kept this one up to date at the last look
+	shaky  time.Time                    // until when the loss of a registration says nothing
 }
 
 // NewFollower returns a feed from a store whose changes have to be in force
 // within a bound; 0: lazyGather.
 func NewFollower(s Store, bound time.Duration, log *zap.Logger) *Follower {
-	f := &Follower{store: s, log: log, gather: lazyGather, known: map[string]config.Endpoint{}}
+	f := &Follower{store: s, log: log, gather: lazyGather, known: map[string]config.Endpoint{}, empty: map[string]config.Evacuation{}}
 	if bound > 0 {
 		f.gather = time.Duration(lazyShare * float64(bound))
 	}
@@ -193,6 +157,7 @@
 	for _, e := range s.Endpoints {
 		f.known[e.Name] = e
 	}
+	f.setEvacuated(s.Evacuated)
 	f.vanished(missing(before, f.known), false, now)
 	f.at = s.At
 	sink.Heard(now)
@@ -213,6 +178,7 @@
 		return
 	}
 	f.at, f.known = r.Revision, f.before(sink)
+	f.setEvacuated(r.Evacuated)
 }
 
 func (f *Follower) watch(ctx context.Context, sink Sink) error {
@@ -246,9 +212,10 @@
 		f.took = c.Took
 		sink.Offer(c.Document.Revision, []byte(c.Document.Document), "store")
 	}
-	if c.Document == nil && len(c.Changed)+len(c.Gone) == 0 {
+	if c.empty() {
 		return nil
 	}
+	f.evacuate(c)
 	for _, e := range c.Changed {
 		f.known[e.Name] = e
 	}
@@ -297,7 +264,7 @@
 }
 
 func (f *Follower) roster() *config.Roster {
-	r := &config.Roster{Revision: f.at}
+	r := &config.Roster{Revision: f.at, Evacuated: f.evacuated()}
 	for _, e := range f.known {
 		r.Endpoints = append(r.Endpoints, e)
 	}
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -36,33 +36,64 @@
 }
 
 // Surplus returns the runners of a pool that should take another role. Those that are
-// changing count for the role that they will have, and are left alone.
+// changing count for the role that they will have, and are left alone. Those of failure
+// domains that are being emptied count for nothing: the others have to do without them,
+// and they keep their roles for when they are taken back.
 func Surplus(v *config.View, pool string, changing func(e *config.Endpoint) bool) (surplus []*config.Endpoint, to config.Role) {
-	byRole := map[config.Role][]*config.Endpoint{}
+	t := count(v, pool, changing)
+	engines := t.reading + t.writing
+	need := Prefills(engines)
+	switch {
+	case engines < leastEngines && t.starved() && t.reading > 1:
+		return fullestDomainFirst(t.prefills, 1), config.Decode
+	case engines < leastEngines && t.starved() && t.writing > 1:
+		return fullestDomainFirst(t.decodes, 1), config.Prefill
+	case engines < leastEngines:
+		return nil, config.Decode
+	case t.reading > need:
+		return fullestDomainFirst(t.prefills, t.reading-need), config.Decode
+	case t.reading < need:
+		return fullestDomainFirst(t.decodes, need-t.reading), config.Prefill
+	}
+	return nil, config.Decode
+}
+
+// Starved reports whether all engines of one role of a pool are in failure domains that
+// are being emptied, so that the pool can answer nothing. That is no loss which may pass
+// in a moment, so the change of roles needn't be looked at for long before it is ordered.
+func Starved(v *config.View, pool string, changing func(e *config.Endpoint) bool) bool {
+	t := count(v, pool, changing)
+	return t.starved()
+}
+
+// tally counts the engines of a pool by the role that they have or are changing to.
+type tally struct {
+	prefills, decodes []*config.Endpoint // that aren't changing
+	reading, writing  int                // with those that are
+	emptied           int                // in failure domains that are being emptied
+}
+
+func (t *tally) starved() bool { return t.emptied > 0 && (t.reading == 0) != (t.writing == 0) }
+
+func count(v *config.View, pool string, changing func(e *config.Endpoint) bool) (t tally) {
 	coming := map[config.Role]int{}
 	for i := range v.Doc.Endpoints {
 		e := &v.Doc.Endpoints[i]
 		switch {
 		case e.Pool != pool || e.Leaving || !e.Lapsed.IsZero():
+		case v.Emptied(e):
+			t.emptied++
 		case changing(e):
 			coming[other(e.Role)]++
-		default:
-			byRole[e.Role] = append(byRole[e.Role], e)
+		case e.Role == config.Prefill:
+			t.prefills = append(t.prefills, e)
+		case e.Role == config.Decode:
+			t.decodes = append(t.decodes, e)
 		}
 	}
-	prefills, decodes := byRole[config.Prefill], byRole[config.Decode]
-	reading := len(prefills) + coming[config.Prefill]
-	engines := reading + len(decodes) + coming[config.Decode]
-	need := Prefills(engines)
-	switch {
-	case engines < leastEngines:
-		return nil, config.Decode
-	case reading > need:
-		return fullestDomainFirst(prefills, reading-need), config.Decode
-	case reading < need:
-		return fullestDomainFirst(decodes, need-reading), config.Prefill
-	}
-	return nil, config.Decode
+	t.reading = len(t.prefills) + coming[config.Prefill]
+	t.writing = len(t.decodes) + coming[config.Decode]
+	return t
 }
 
 // other returns the role that an engine of a role can be ordered into.
--- a/route/state.go
+++ b/route/state.go
@@ -79,7 +79,7 @@
 		e := &v.Doc.Endpoints[i]
 		n := Number(e.Name)
 		out[i] = State{Number: n, Index: i, Domain: domains[e.Domain], Region: v.RegionSet(v.Region[e.Domain]), Role: e.Role,
-			Spec: e, Leaving: e.Leaving, Digest: Digest{Number: n}}
+			Spec: e, Leaving: e.Leaving, Evacuated: v.Emptied(e), Digest: Digest{Number: n}}
 	}
 	return out
 }
