--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -97,9 +97,6 @@
 		return false, nil
 	}
 	kept := &config.Roster{Revision: r.Revision, Evacuated: r.Evacuated}
-	if t.roster != nil {
-		kept.Evacuated = config.EvacuatedAfter(t.roster.Evacuated, r.Evacuated, r.Revision)
-	}
 	lapses := t.lapses(now)
 	var faults error
 	for _, e := range r.Endpoints {
--- a/config/evacuation.go
+++ b/config/evacuation.go
@@ -1,10 +1,5 @@
 package config
 
-import (
-	"slices"
-	"strings"
-)
-
 // Evacuation says that operators have a failure domain emptied: nothing more is sent to
 // its endpoints until that is taken back.
 type Evacuation struct {
@@ -40,21 +35,3 @@
 	}
 	return len(r.Evacuated) == len(v.Evacuated)
 }
-
-// EvacuatedAfter returns the evacuations in force once a roster of a revision, which has
-// list, follows one that has old. A listing of a store in pages may tell of a moment
-// after its own revision; such a word outlives rosters that are older than it.
-func EvacuatedAfter(old, list []Evacuation, revision uint64) []Evacuation {
-	by := EvacuationsByDomain(list)
-	out := make([]Evacuation, 0, len(list))
-	for _, e := range old {
-		if _, told := by[e.Domain]; e.Revision > revision && !told {
-			out = append(out, e)
-		}
-	}
-	for _, e := range by {
-		out = append(out, e)
-	}
-	slices.SortFunc(out, func(a, b Evacuation) int { return strings.Compare(a.Domain, b.Domain) })
-	return out
-}
