entry, owner, node: requests of an emptied domain are placed anew; operators see it

A refusal of an endpoint that is being emptied says nothing of others, so it isn't taken for lack of room; a request whose prompt was read and for which no decode engine is left is told why (it was told 301, no room). Status and metrics tell which failure domains are being emptied, since when, by which revision and whom, and what runs there still.

--- /dev/null
+++ b/blackboard/evacuations_test.go
@@ -0,0 +1,145 @@
+package blackboard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/invariant"
+	"github.com/embercove/embercove/route"
+)
+
+// emptied returns a roster of endpoints, in domains d and e by turns, that has failure
+// domains emptied.
+func emptied(revision uint64, endpoints int, domains ...string) *config.Roster {
+	r := &config.Roster{Revision: revision}
+	for i := range endpoints {
+		r.Endpoints = append(r.Endpoints, config.Endpoint{Name: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("10.8.%d.%d:80", i/250, i%250+1),
+			Domain: "de"[i%2 : i%2+1], Pool: "p", Role: config.Service, Registered: true})
+	}
+	for _, d := range domains {
+		r.Evacuated = append(r.Evacuated, config.Evacuation{Domain: d, Revision: revision})
+	}
+	return r
+}
+
+const twoDomains = `{"failure_domains": [{"name": "d", "region": "r"}, {"name": "e", "region": "r"}], "targets": {"ttft_ms": 900, "tpot_ms": 10},
+"pools": [{"name": "p", "slots": 4}], "routes": [{"name": "r", "host": "h", "path_prefix": "/", "pools": [{"pool": "p", "weight": 1}]}]}`
+
+// TestEvacuationAtOnce checks that a change of what is being emptied doesn't wait for
+// the rest that a large roster is given, neither its beginning nor its end.
+func TestEvacuationAtOnce(t *testing.T) {
+	const endpoints = 3000
+	table, now := newConfigTable(new(invariant.Set)), time.Now()
+	if _, err := table.Offer(1, []byte(twoDomains)); err != nil {
+		t.Fatal(err)
+	}
+	steps := []struct {
+		roster *config.Roster
+		want   string
+	}{
+		{emptied(5, endpoints), "map[]"},
+		{emptied(6, endpoints, "d"), "map[d:{d 6}]"},
+		{emptied(7, endpoints), "map[]"},
+		{emptied(8, endpoints, "d", "e"), "map[d:{d 8} e:{e 8}]"},
+		{emptied(9, endpoints, "e"), "map[e:{e 9}]"},
+		{emptied(4, endpoints), "map[e:{e 9}]"}, // older
+	}
+	for i, s := range steps {
+		now = now.Add(time.Millisecond)
+		if _, err := table.OfferRoster(s.roster, now); err != nil {
+			t.Fatal(err)
+		}
+		if got := fmt.Sprint(table.View().Evacuated); got != s.want {
+			t.Errorf("step %d: %s in force, want %s", i, got, s.want)
+		}
+	}
+}
+
+// TestEvacuationKept has other things change, and checks that what is being emptied
+// stays in force and is told to peers.
+func TestEvacuationKept(t *testing.T) {
+	now := time.Now()
+	lapsed := emptied(6, 6, "d")
+	lapsed.Endpoints[3].Lapsed = now
+	cases := []struct {
+		name string
+		f    func(t *ConfigTable)
+	}{
+		{"nothing", func(*ConfigTable) {}},
+		{"a registration lapses and is dropped", func(t *ConfigTable) {
+			t.OfferRoster(lapsed, now)
+			t.DropLapsed(now.Add(config.LapsedKept + time.Second))
+		}},
+		{"a new document", func(t *ConfigTable) { t.Offer(2, []byte(twoDomains)) }},
+		{"an endpoint leaves", func(t *ConfigTable) { t.OfferRoster(emptied(6, 5, "d"), now) }},
+		{"an older roster comes", func(t *ConfigTable) { t.OfferRoster(emptied(4, 6), now) }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			table := newConfigTable(new(invariant.Set))
+			table.Offer(1, []byte(rosterDocument)) // knows d alone
+			table.OfferRoster(emptied(3, 6), now)
+			table.OfferRoster(emptied(5, 6, "d", "unknown"), now)
+			tc.f(table)
+			for i, s := range route.Layout(table.View()) {
+				if s.Evacuated != (s.Spec.Domain == "d") {
+					t.Errorf("endpoint %d of %s: emptied %v", i, s.Spec.Domain, s.Evacuated)
+				}
+			}
+			whole, _ := table.RosterSince(1)
+			_, change := table.RosterSince(4)
+			if whole == nil || change == nil || !names(whole.Evacuated)["d"] || !names(change.Evacuated)["d"] {
+				t.Fatalf("told: %+v, %+v", whole, change)
+			}
+			peer := newConfigTable(new(invariant.Set))
+			peer.OfferRoster(emptied(4, 6), now)
+			if in, err := peer.OfferRoster(peer.After(change), now); !in || err != nil {
+				t.Fatal(in, err)
+			}
+			peer.Offer(1, []byte(rosterDocument))
+			if _, on := peer.View().Evacuated["d"]; !on {
+				t.Errorf("a peer has %+v in force", peer.View().Evacuated)
+			}
+		})
+	}
+}
+
+func names(list []config.Evacuation) map[string]bool {
+	out := map[string]bool{}
+	for _, e := range list {
+		out[e.Domain] = true
+	}
+	return out
+}
+
+// TestEvacuationRows plays views and states what operators are told.
+func TestEvacuationRows(t *testing.T) {
+	table, start := new(EvacuationTable), time.Now()
+	steps := []struct {
+		evacuated []config.Evacuation
+		from      string
+		want      string // what began, ended and is listed
+	}{
+		{nil, "store", "[] [] []"},
+		{[]config.Evacuation{{Domain: "d", Revision: 5}}, "store", "[d@5 of store] [] [d@5 of store]"},
+		{[]config.Evacuation{{Domain: "d", Revision: 5}, {Domain: "e", Revision: 7}}, "peer h", "[e@7 of peer h] [] [d@5 of store e@7 of peer h]"},
+		{[]config.Evacuation{{Domain: "d", Revision: 9}}, "peer h", "[d@9 of peer h] [e@7 of peer h] [d@9 of peer h]"},
+		{nil, "store", "[] [d@9 of peer h] []"},
+	}
+	tell := func(rows []EvacuationRow) []string {
+		out := []string{}
+		for _, r := range rows {
+			out = append(out, fmt.Sprintf("%s@%d of %s", r.Domain, r.Revision, r.From))
+		}
+		return out
+	}
+	for i, s := range steps {
+		v := &config.View{Evacuated: config.EvacuationsByDomain(s.evacuated)}
+		began, ended := table.Note(v, s.from, start.Add(time.Duration(i)*time.Second))
+		if got := fmt.Sprint(tell(began), tell(ended), tell(table.List())); got != s.want {
+			t.Errorf("step %d: %s, want %s", i, got, s.want)
+		}
+	}
+}
--- a/entry/barred.go
+++ b/entry/barred.go
@@ -94,6 +94,9 @@
 	e.moveOn(ctx, j, p, owner.GivenUp, true)
 	if p.dec == nil {
 		e.drop(j, p, kv)
+		if none := e.nowhere(j, "decode endpoint", decodeList); !j.ran && none.Code != result.NoEndpoint {
+			return none
+		}
 		return e.wasted(j, p, errBarred)
 	}
 	if !sleep(ctx, min(time.Until(p.start), time.Until(lapses))) && ctx.Err() != nil {
@@ -102,3 +105,16 @@
 	}
 	return nil
 }
+
+// The endpoints of a role of a group.
+func prefillList(g *config.Group) []int { return g.Prefill }
+func decodeList(g *config.Group) []int  { return g.Decode }
+
+// lackOf returns the refusal that tells for lack of what a request isn't placed: that of
+// an endpoint whose failure domain is being emptied says nothing of the others.
+func lackOf(refusal, before *result.Error) *result.Error {
+	if refusal.Code == result.Evacuated {
+		return before
+	}
+	return refusal
+}
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/report"
+	"github.com/embercove/embercove/result"
 )
 
 // leavingScene is a pool of which endpoints leave at moments of a request's way.
@@ -28,6 +30,8 @@
 	left   map[string]bool
 	leaves map[string]bool // moments at which whoever is concerned leaves, once each
 	full   int             // decode calls that are refused first
+	empty  bool            // failure domain b, which has p2 and d2, or a is emptied instead
+	ahead  bool            // owners know of it, this host doesn't
 	order  []string        // of calls
 }
 
@@ -45,8 +49,11 @@
 		if name[0] == 'd' {
 			role = config.Decode
 		}
-		roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: name, Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: "a",
-			Pool: "p", Role: role, Model: "m", Version: "1", Leaving: s.left[name]})
+		roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: name, Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: s.domain(name),
+			Pool: "p", Role: role, Model: "m", Version: "1", Leaving: s.left[name] && !s.empty})
+		if s.empty && s.left[name] && role == config.Prefill && !s.ahead {
+			roster.Evacuated = append(roster.Evacuated, config.Evacuation{Domain: s.domain(name), Revision: roster.Revision})
+		}
 	}
 	if _, err := s.board.Config.OfferRoster(roster, time.Now()); err != nil {
 		s.t.Fatal(err)
@@ -54,11 +61,22 @@
 	s.board.Endpoints.Fit(s.board.Config.View())
 }
 
-// leave has an endpoint leave if it does so at this moment.
+// domain returns the failure domain of an endpoint.
+func (s *leavingScene) domain(name string) string {
+	if s.empty && name[1] == '2' {
+		return "b"
+	}
+	return "a"
+}
+
+// leave has an endpoint leave if it does so at this moment, or its failure domain be emptied.
 func (s *leavingScene) leave(moment, name string) {
 	if s.leaves[moment] {
 		s.leaves[moment] = false
 		s.left[name] = true
+		if s.empty {
+			s.left["p"+name[1:]], s.left["d"+name[1:]] = true, true
+		}
 		s.publish()
 	}
 }
@@ -74,11 +92,17 @@
 
 func (s *leavingScene) Enqueue(ctx context.Context, spec *config.Endpoint, a owner.EnqueueArgs) (owner.EnqueueReply, error) {
 	s.leave(atTurn, spec.Name)
+	if s.ahead && s.left[spec.Name] {
+		return owner.EnqueueReply{Code: result.Evacuated, Retry: 2000}, nil
+	}
 	return s.stubOwners.Enqueue(ctx, spec, a)
 }
 
 func (s *leavingScene) Reserve(ctx context.Context, spec *config.Endpoint, a owner.ReserveArgs) (owner.ReserveReply, error) {
 	s.order = append(s.order, "reserve "+spec.Name)
+	if s.ahead && s.left[spec.Name] {
+		return owner.ReserveReply{Code: result.Evacuated, Retry: 2000}, nil
+	}
 	return s.stubOwners.Reserve(ctx, spec, a)
 }
 
@@ -124,6 +148,32 @@
 
 func (o *oneChunk) Close() error { return nil }
 
+// run has one request go its way, while endpoints leave at some moments.
+func (s *leavingScene) run(t *testing.T, leaves []string) (*result.Error, string) {
+	settings := &config.Settings{Host: "h", Domain: "a", Region: "r"}
+	settings.SetDefaults()
+	s.t, s.board, s.left, s.leaves = t, blackboard.New(settings), map[string]bool{}, map[string]bool{}
+	document := strings.Replace(likelyDocument, `{"name": "a", "region": "r"}`, `{"name": "a", "region": "r", "link_bytes_per_second": 1000000000},
+		{"name": "b", "region": "r", "link_bytes_per_second": 1000000000}`, 1)
+	if _, err := s.board.Config.Offer(1, []byte(document)); err != nil {
+		t.Fatal(err)
+	}
+	for _, moment := range leaves {
+		s.leaves[moment] = true
+	}
+	s.publish()
+	e := New(s.board, s, s, report.NewRecorder(), zap.NewNop())
+	v := s.board.Config.View()
+	j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: defaultTeam, repeatable: true})
+	j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
+	rec := httptest.NewRecorder()
+	j.out = newPassage(rec, writeError)
+	j.work.MaxTokens = 100
+	j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
+	refusal := e.run(t.Context(), j)
+	return refusal, rec.Body.String()
+}
+
 // TestLeavesMeanwhile checks that a request which waits, for its turn, for its
 // prompt or for room, is not sent to an endpoint that has begun to leave in that
 // time, and is served by another.
@@ -142,27 +192,9 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				settings := &config.Settings{Host: "h", Domain: "a", Region: "r"}
-				settings.SetDefaults()
-				b := blackboard.New(settings)
-				if _, err := b.Config.Offer(1, []byte(likelyDocument)); err != nil {
-					t.Fatal(err)
-				}
-				s := &leavingScene{t: t, board: b, left: map[string]bool{}, leaves: map[string]bool{}, full: tc.full}
-				for _, moment := range tc.leaves {
-					s.leaves[moment] = true
-				}
-				s.publish()
-				e := New(b, s, s, report.NewRecorder(), zap.NewNop())
-				v := b.Config.View()
-				j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: defaultTeam, repeatable: true})
-				j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
-				rec := httptest.NewRecorder()
-				j.out = newPassage(rec, writeError)
-				j.work.MaxTokens = 100
-				j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
-				if refusal := e.run(t.Context(), j); refusal != nil || rec.Body.String() != "data: x\n\n" {
-					t.Errorf("%v, body %q, after %v", refusal, rec.Body, s.order)
+				s := &leavingScene{full: tc.full}
+				if refusal, body := s.run(t, tc.leaves); refusal != nil || body != "data: x\n\n" {
+					t.Errorf("%v, body %q, after %v", refusal, body, s.order)
 				}
 				for moment, still := range s.leaves {
 					if still {
--- a/entry/place.go
+++ b/entry/place.go
@@ -121,25 +121,16 @@
 		return e.placeDirect(ctx, j)
 	}
 	if last == nil {
-		last = e.nowhere(j, "prefill endpoint", func(g *config.Group) []int { return g.Prefill })
+		last = e.nowhere(j, "prefill endpoint", prefillList)
 	}
 	if last.Code == result.NoEndpoint { // prompts can be read, but no answer be written
-		if dec := e.nowhere(j, "decode endpoint", func(g *config.Group) []int { return g.Decode }); dec.Code != result.NoEndpoint {
+		if dec := e.nowhere(j, "decode endpoint", decodeList); dec.Code != result.NoEndpoint {
 			last = dec
 		}
 	}
 	return nil, last
 }
 
-// lackOf returns the refusal that tells for lack of what a request isn't placed: that of
-// an endpoint whose failure domain is being emptied says nothing of the others.
-func lackOf(refusal, before *result.Error) *result.Error {
-	if refusal.Code == result.Evacuated {
-		return before
-	}
-	return refusal
-}
-
 // turnLater gives the turn back if the decode engine has room only later, and
 // waits for another, so that the prefill engine's owner knows when it really
 // gets the prompt. The room stays reserved, unless there is no such turn.
@@ -230,7 +221,7 @@
 		j.pick.Drop(route.Number(p.dec.Name))
 	}
 	if last == nil {
-		last = e.nowhere(j, "decode endpoint", func(g *config.Group) []int { return g.Decode })
+		last = e.nowhere(j, "decode endpoint", decodeList)
 	}
 	return last
 }
--- a/entry/unreserved.go
+++ b/entry/unreserved.go
@@ -13,7 +13,7 @@
 // wherever the baseline says, and a decode engine is looked for afterwards.
 func (e *Entry) tryUnreserved(ctx context.Context, j *job) error {
 	p := &plan{}
-	p.Prefill = e.one(j, func(g *config.Group) []int { return g.Prefill })
+	p.Prefill = e.one(j, prefillList)
 	if p.Prefill < 0 {
 		return result.Errorf(result.NoEndpoint, "no prefill endpoint is in reach").After(time.Second)
 	}
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	p.Decode = e.one(j, func(g *config.Group) []int { return g.Decode })
+	p.Decode = e.one(j, decodeList)
 	if p.Decode < 0 {
 		e.abort(p.pre, p.readBy)
 		j.waste += p.cost
--- a/node/admin.go
+++ b/node/admin.go
@@ -69,6 +69,7 @@
 	Config    blackboard.ConfigStatus `json:"config"`
 	Hosts     []HostStatus            `json:"hosts"`
 	Endpoints []EndpointStatus        `json:"endpoints"`
+	Evacuated []EvacuationStatus      `json:"evacuations,omitempty"`
 	Quotas    []QuotaStatus           `json:"quotas"`
 	Sum       report.Sum              `json:"sum"`
 	TTFT      report.Quantiles        `json:"ttft"`
@@ -142,6 +143,7 @@
 			s.Endpoints = append(s.Endpoints, n.endpointStatus(v, &states[i], now))
 		}
 	})
+	s.Evacuated = n.evacuations(now)
 	return s
 }
 
@@ -161,6 +163,8 @@
 	switch f := st.Digest.Flags; {
 	case st.Leaving || f&route.FlagLeaving != 0:
 		return "leaving"
+	case st.Evacuated:
+		return "being emptied"
 	case f&route.FlagDown != 0:
 		return "down"
 	case f&route.FlagWrong != 0:
--- /dev/null
+++ b/node/evacuations.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"time"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/route"
+)
+
+// EvacuationStatus is a failure domain that is being emptied.
+type EvacuationStatus struct {
+	Domain   string  `json:"failure_domain"`
+	Since    float64 `json:"known_s"`  // for how long it is in force here
+	Revision uint64  `json:"revision"` // of the store, when it was published
+	From     string  `json:"from"`     // the store, or the peer that told
+	Running  int     `json:"running"`  // calls of this host that run there still
+}
+
+// evacuations lists the failure domains that are being emptied.
+func (n *Node) evacuations(now time.Time) []EvacuationStatus {
+	var out []EvacuationStatus
+	running := n.runningEmptied()
+	for _, row := range n.Board.Emptied.List() {
+		out = append(out, EvacuationStatus{row.Domain, now.Sub(row.Since).Seconds(), row.Revision, row.From, running[row.Domain]})
+	}
+	return out
+}
+
+// runningEmptied returns how many calls of this host run at the endpoints of each failure
+// domain that is being emptied.
+func (n *Node) runningEmptied() map[string]int {
+	out := map[string]int{}
+	n.Board.Endpoints.Read(func(_ *config.View, states []route.State) {
+		for i := range states {
+			if s := &states[i]; s.Evacuated {
+				out[s.Spec.Domain] += s.Sent
+			}
+		}
+	})
+	return out
+}
+
+// evacuationGauges are of the failure domains that are being emptied.
+func evacuationGauges(n *Node) []gauge {
+	return []gauge{
+		{"evacuations", "failure domains that are being emptied", false, func() float64 { return float64(len(n.Board.Emptied.List())) }},
+		{"evacuated_requests_running", "calls of this host that run in failure domains that are being emptied", false, func() float64 {
+			sum := 0
+			for _, r := range n.runningEmptied() {
+				sum += r
+			}
+			return float64(sum)
+		}},
+		{"evacuation_turned_away", "requests that asked or waited at endpoints of failure domains that are being emptied, refused by their owner here", true, func() float64 {
+			return float64(n.Owner.TurnedAway.Load())
+		}},
+	}
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -105,7 +105,7 @@
 }
 
 func observe(n *Node, meter metric.Meter) error {
-	for _, g := range gauges(n) {
+	for _, g := range append(gauges(n), evacuationGauges(n)...) {
 		cb := func(_ context.Context, o metric.Float64Observer) error {
 			o.Observe(g.read())
 			return nil
--- a/owner/empty.go
+++ b/owner/empty.go
@@ -29,6 +29,7 @@
 	if spec == nil || !v.Emptied(spec) {
 		return nil
 	}
+	o.TurnedAway.Add(1)
 	return emptied(spec)
 }
 
@@ -47,19 +48,21 @@
 	o.mu.Unlock()
 	for _, b := range books {
 		if spec := v.ByNumber[b.number]; spec != nil && v.Emptied(spec) {
-			b.empty(spec)
+			o.TurnedAway.Add(b.empty(spec))
 		}
 	}
 }
 
-// empty refuses the requests that wait.
-func (b *Book) empty(spec *config.Endpoint) {
+// empty refuses the requests that wait, and returns how many.
+func (b *Book) empty(spec *config.Endpoint) (n uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.queue == nil {
-		return
+		return 0
 	}
 	for _, it := range b.queue.Clear() {
 		it.Answer <- emptied(spec)
+		n++
 	}
+	return n
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -59,6 +59,8 @@
 	Orders   atomic.Uint64 // orders sent
 	Takeover atomic.Uint64 // endpoints taken over
 	Polls    atomic.Uint64 // calls to endpoints for control
+	// TurnedAway counts requests refused as their endpoint's failure domain is emptied.
+	TurnedAway atomic.Uint64
 }
 
 // New returns an owner without books.
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -38,17 +38,29 @@
 		change      string
 		to          config.Role
 		changing    []string
+		emptied     []string // failure domains
+		starved     bool
 	}{
-		{"balanced", "pdd" + "pdd" + "pdd", "[]", config.Decode, nil},
-		{"one reads too many", "ppd" + "pdd" + "pdd", "[r00]", config.Decode, nil},
-		{"the most crowded domain gives one", "ppd" + "dpd" + "dpd", "[r01]", config.Decode, nil},
-		{"too few read", "pdd" + "ddd" + "ddd", "[r01 r02]", config.Prefill, nil},
-		{"one that leaves doesn't read", "Pdd" + "pdd" + "pdd" + "d", "[r01]", config.Prefill, nil},
-		{"eight do with two that read", "pdd" + "pdd" + "dd", "[]", config.Decode, nil},
-		{"too few read, and one is on its way", "pdd" + "ddd" + "ddd", "[r02]", config.Prefill, []string{"r01"}},
-		{"too few read, and all are on their way", "pdd" + "ddd" + "ddd", "[]", config.Decode, []string{"r01", "r05"}},
-		{"one reads too many, and it is on its way", "ppd" + "pdd" + "pdd", "[]", config.Decode, []string{"r03"}},
-		{"too few runners for any change", "ppp", "[]", config.Decode, nil},
+		{"balanced", "pdd" + "pdd" + "pdd", "[]", config.Decode, nil, nil, false},
+		{"one reads too many", "ppd" + "pdd" + "pdd", "[r00]", config.Decode, nil, nil, false},
+		{"the most crowded domain gives one", "ppd" + "dpd" + "dpd", "[r01]", config.Decode, nil, nil, false},
+		{"too few read", "pdd" + "ddd" + "ddd", "[r01 r02]", config.Prefill, nil, nil, false},
+		{"one that leaves doesn't read", "Pdd" + "pdd" + "pdd" + "d", "[r01]", config.Prefill, nil, nil, false},
+		{"eight do with two that read", "pdd" + "pdd" + "dd", "[]", config.Decode, nil, nil, false},
+		{"too few read, and one is on its way", "pdd" + "ddd" + "ddd", "[r02]", config.Prefill, []string{"r01"}, nil, false},
+		{"too few read, and all are on their way", "pdd" + "ddd" + "ddd", "[]", config.Decode, []string{"r01", "r05"}, nil, false},
+		{"one reads too many, and it is on its way", "ppd" + "pdd" + "pdd", "[]", config.Decode, []string{"r03"}, nil, false},
+		{"too few runners for any change", "ppp", "[]", config.Decode, nil, nil, false},
+		{"all that read are emptied", "pdd" + "pdd" + "pdd", "[r01 r02]", config.Prefill, nil, []string{"d"}, true},
+		{"a domain is emptied that has its share of those that read", "ppd" + "ddd" + "ddd", "[r02]", config.Prefill, nil, []string{"d"}, false},
+		{"a domain is emptied in which nobody reads", "dpp" + "ddd" + "ddd", "[]", config.Decode, nil, []string{"d"}, false},
+		{"all that read are emptied, and one is on its way", "pdd" + "pdd" + "pdd", "[r02]", config.Prefill, []string{"r01"}, []string{"d"}, false},
+		{"the emptied domain had most of those that read", "pdd" + "ppd" + "pdd", "[r02]", config.Prefill, nil, []string{"d"}, false},
+		{"it is taken back, and others read meanwhile", "ppp" + "pdd" + "pdd", "[r00 r03]", config.Decode, nil, nil, false},
+		{"two are left that write", "pdd" + "pd", "[r01]", config.Prefill, nil, []string{"d", "f"}, true},
+		{"two are left that read", "dpp" + "dp", "[r01]", config.Decode, nil, []string{"d", "f"}, true},
+		{"one is left", "pdd", "[]", config.Decode, nil, []string{"d", "f"}, true},
+		{"none is left", "pdd" + "pdd", "[]", config.Decode, nil, []string{"d", "e", "f"}, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -56,7 +68,16 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			list, to := Surplus(v.WithRoster(rosterOf(1, tc.roles)), "p", func(e *config.Endpoint) bool { return slices.Contains(tc.changing, e.Name) })
+			roster := rosterOf(1, tc.roles)
+			for _, d := range tc.emptied {
+				roster.Evacuated = append(roster.Evacuated, config.Evacuation{Domain: d, Revision: 1})
+			}
+			v = v.WithRoster(roster)
+			changing := func(e *config.Endpoint) bool { return slices.Contains(tc.changing, e.Name) }
+			list, to := Surplus(v, "p", changing)
+			if got := Starved(v, "p", changing); got != tc.starved {
+				t.Errorf("starved: %v, want %v", got, tc.starved)
+			}
 			names := []string{}
 			for _, e := range list {
 				names = append(names, e.Name)
