--- a/owner/empty_test.go
+++ b/owner/empty_test.go
@@ -11,6 +11,7 @@
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/examples"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
 )
@@ -168,3 +169,38 @@
 		})
 	}
 }
+
+// TestEmptyNoOrder checks that an endpoint of a failure domain that is being emptied is
+// ordered into nothing, neither into a role nor into the state that a document states.
+func TestEmptyNoOrder(t *testing.T) {
+	for _, emptied := range []bool{false, true} {
+		o, eng, publish := emptyOwner(t, "ppdddd")
+		if emptied {
+			publish("d")
+		}
+		v := o.board.Config.View()
+		o.order(t.Context(), v.Pools["p"], v.ByName["r00"], config.Decode, time.Now())
+		if n := len(eng.orders); (n == 0) != emptied {
+			t.Errorf("emptied %v: %d orders into a role", emptied, n)
+		}
+
+		eng.orders = nil
+		if _, err := o.board.Config.Offer(3, examples.Domaskra); err != nil {
+			t.Fatal(err)
+		}
+		spec := o.board.Config.View().ByName["docket-decode-1"]
+		roster := &config.Roster{Revision: 20}
+		if emptied {
+			roster.Evacuated = []config.Evacuation{{Domain: spec.Domain, Revision: 20}}
+		}
+		if _, err := o.board.Config.OfferRoster(roster, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		v = o.board.Config.View()
+		b := newBook(v, v.ByName["docket-decode-1"], 1, time.Now())
+		o.correct(t.Context(), b, &endpoint.State{Role: "other"})
+		if n := len(eng.orders); (n == 0) != emptied {
+			t.Errorf("emptied %v: %d orders into a state", emptied, n)
+		}
+	}
+}
--- a/tool/remote.go
+++ b/tool/remote.go
@@ -122,6 +122,7 @@
 		}
 	})
 	t.quotas(all)
+	t.evacuations(all)
 	first := all[keys(all)[0]]
 	fmt.Fprintf(t.out, "\nas %s sees it:\n", first.Host)
 	t.table("HOST\tDOMAIN\tSTATE\tSILENT", func(w io.Writer) {
