--- a/entry/evacuated_test.go
+++ b/entry/evacuated_test.go
@@ -54,3 +54,34 @@
 		})
 	}
 }
+
+// TestEmptiedTurns has owners refuse turns and room as their engines are being emptied,
+// beside other refusals, and states whether a request is placed, or what it is told.
+func TestEmptiedTurns(t *testing.T) {
+	gone, late := result.Evacuated, result.TooLate
+	cases := []struct {
+		name              string
+		turns, rooms      []result.Code
+		prefills, decodes int
+		roomIn            int
+		code              result.Code
+	}{
+		{"one engine is emptied", []result.Code{gone}, nil, 2, 1, 0, result.OK},
+		{"one has no turn, then one is emptied", []result.Code{late, gone}, nil, 2, 1, 0, late},
+		{"one is emptied, then one has no turn", []result.Code{gone, late}, nil, 2, 1, 0, late},
+		{"one that was to write is emptied", nil, []result.Code{gone}, 1, 2, 0, result.OK},
+		{"it is emptied as a later turn is asked for", []result.Code{result.OK, gone}, nil, 2, 1, 900, result.OK},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stub := &stubOwners{turns: tc.turns, rooms: tc.rooms, roomIn: tc.roomIn}
+				e, j := placing(t, stub, tc.prefills, tc.decodes)
+				_, err := e.place(t.Context(), j)
+				if (err == nil) != (tc.code == result.OK) || err != nil && asResult(err).Code != tc.code {
+					t.Errorf("%v, want code %v; asked %v", err, tc.code, stub.asked)
+				}
+			})
+		})
+	}
+}
