--- a/publish/words_test.go
+++ b/publish/words_test.go
@@ -230,3 +230,51 @@
 		h.believed[d] = w.at
 	}
 }
+
+// TestWord plays single words, with what each host does, and states what host 1 has
+// emptied at the end. Host 0 finds out soon; host 1 isn't eager.
+func TestWord(t *testing.T) {
+	say := func(domain string, emptied bool) func(s *wordStore, _ []*wordHost) {
+		return func(s *wordStore, _ []*wordHost) { s.say(word{domain: domain, emptied: emptied}) }
+	}
+	follow := func(i int) func(s *wordStore, hosts []*wordHost) {
+		return func(_ *wordStore, hosts []*wordHost) { hosts[i].follow() }
+	}
+	tell := func(_ *wordStore, hosts []*wordHost) {
+		m := told{to: hosts[1]}
+		m.roster, m.change = hosts[0].board.Config.RosterSince(hosts[1].board.Config.RosterRevision())
+		m.arrive()
+	}
+	forget := func(s *wordStore, _ []*wordHost) { s.forgot = s.at }
+	cases := []struct {
+		name  string
+		steps []func(s *wordStore, hosts []*wordHost)
+		want  string
+	}{
+		{"listed", []func(*wordStore, []*wordHost){say("d", true), follow(1)}, "map[d:{d 2}]"},
+		{"watched, and nothing else", []func(*wordStore, []*wordHost){follow(1), say("d", true), follow(1)}, "map[d:{d 2}]"},
+		{"taken back, and nothing else", []func(*wordStore, []*wordHost){say("d", true), follow(1), say("d", false), follow(1)}, "map[]"},
+		{"taken back and published again between two watches", []func(*wordStore, []*wordHost){say("d", true), follow(1), say("d", false), say("d", true),
+			follow(1)}, "map[d:{d 4}]"},
+		{"told by a peer, and then an endpoint changes", []func(*wordStore, []*wordHost){follow(0), follow(1), say("d", true), follow(0), tell, say("", false),
+			follow(1)}, "map[d:{d 2}]"},
+		{"a peer told of its end, and then an endpoint changes", []func(*wordStore, []*wordHost){say("d", true), follow(0), follow(1), say("d", false), follow(0), tell,
+			say("", false), follow(1)}, "map[]"},
+		{"a peer tells an older word", []func(*wordStore, []*wordHost){say("d", true), follow(0), say("d", false), follow(1), tell}, "map[]"},
+		{"the store forgot, and meanwhile it was taken back", []func(*wordStore, []*wordHost){say("d", true), follow(1), say("d", false), forget, follow(1), follow(1)}, "map[]"},
+		{"the store forgot, and meanwhile it began", []func(*wordStore, []*wordHost){follow(1), say("d", true), say("", false), forget, follow(1), follow(1)}, "map[d:{d 2}]"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			store := &wordStore{at: 1}
+			hosts := []*wordHost{newWordHost(store, false), newWordHost(store, true)}
+			for _, step := range tc.steps {
+				step(store, hosts)
+			}
+			hosts[1].document()
+			if got := fmt.Sprint(hosts[1].board.Config.View().Evacuated); got != tc.want {
+				t.Errorf("%s, want %s", got, tc.want)
+			}
+		})
+	}
+}
