peer, entry, node: tables are laid out for the newest view; reasons counted

Two rosters that came at once could lay the tables out for the older one last: the view was read, and the table set, without a lock around both. Requests went by it until the next news, sent to a domain that is being emptied or an endpoint that had left.

requests_barred{reason} counts what bars kept requests from endpoints.

--- a/entry/barred.go
+++ b/entry/barred.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,6 +30,7 @@
 	})
 	switch b {
 	case route.BarGone, route.BarLeaving, route.BarEvacuated, route.BarHome:
+		e.barred.count(b)
 		return b
 	}
 	return route.BarNone
@@ -50,6 +52,29 @@
 	}
 }
 
+// barCounts counts, by bar, the requests that none of their endpoints was open to, and
+// the calls that weren't made as their endpoint was barred meanwhile.
+type barCounts struct {
+	mu sync.Mutex
+	by map[route.Bar]uint64
+}
+
+func (c *barCounts) count(b route.Bar) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.by == nil {
+		c.by = map[route.Bar]uint64{}
+	}
+	c.by[b]++
+}
+
+// Barred returns how often a bar kept a request from its endpoints.
+func (e *Entry) Barred(b route.Bar) uint64 {
+	e.barred.mu.Lock()
+	defer e.barred.mu.Unlock()
+	return e.barred.by[b]
+}
+
 // errBarred is why a call was not made.
 var errBarred = errors.New("the endpoint was barred while the request waited")
 
@@ -70,6 +95,7 @@
 			blamed = route.Blame(states, list(g), &j.pick)
 		}
 	})
+	e.barred.count(blamed)
 	switch blamed {
 	case route.BarEvacuated:
 		return result.Errorf(result.Evacuated, "no %s is open: %s", what, blamed).After(evacuatedBack)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,6 +46,7 @@
 	logs    *lineGate
 	back    *retry.ComeBack
 	began   time.Time
+	barred  barCounts
 }
 
 // New returns an entry over the board.
--- a/node/admin.go
+++ b/node/admin.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -279,6 +280,9 @@
 		c := route.Pick(v, states, &req)
 		if c.Prefill < 0 {
 			ex.Refusal = result.NoEndpoint.String()
+			if route.Blame(states, append(slices.Clone(r.Group.Prefill), r.Group.Decode...), &req) == route.BarEvacuated {
+				ex.Refusal = result.Evacuated.String()
+			}
 			return
 		}
 		ex.Prefill, ex.Decode = v.Doc.Endpoints[c.Prefill].Name, v.Doc.Endpoints[c.Decode].Name
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -16,6 +16,7 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"github.com/embercove/embercove/entry"
+	"github.com/embercove/embercove/route"
 )
 
 // metrics are the node's OpenTelemetry instruments, read by Prometheus. All
@@ -158,6 +159,16 @@
 	if err != nil {
 		return err
 	}
+	_, err = meter.Float64ObservableCounter("requests_barred", metric.WithDescription("requests, or calls of them, that endpoints were barred from, by what barred most"),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for _, b := range route.Bars() {
+				o.Observe(float64(n.entry.Barred(b)), metric.WithAttributes(attribute.String("reason", b.Label())))
+			}
+			return nil
+		}))
+	if err != nil {
+		return err
+	}
 	_, err = meter.Float64ObservableCounter("latency_bucket", metric.WithDescription("answers by kind whose first piece came within le seconds, cumulative"),
 		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
 			for _, row := range n.entry.Latency.All() {
--- a/peer/news.go
+++ b/peer/news.go
@@ -71,9 +71,12 @@
 }
 
 // layOut lays the tables out for the view in use, and says which failure domains are
-// being emptied since.
+// being emptied since. Two that came at once would else lay the tables out for the older
+// one last, and requests went by it until the next news.
 func (r *Router) layOut(from string) {
 	defer r.board.Wake.All()
+	r.layMu.Lock()
+	defer r.layMu.Unlock()
 	v := r.board.Config.View()
 	if v == nil {
 		return
--- a/peer/router.go
+++ b/peer/router.go
@@ -36,6 +36,8 @@
 	bulk  *pool // of fetches, whose answers may be large
 	log   *zap.Logger
 
+	layMu sync.Mutex // held while the tables are laid out; taken before all others
+
 	fetcher fetcher
 	packer  packer
 
--- a/route/gate.go
+++ b/route/gate.go
@@ -46,6 +46,19 @@
 	return "unknown"
 }
 
+// Bars lists all bars, in their order.
+func Bars() (out []Bar) {
+	for b := BarGone; b < bars; b++ {
+		out = append(out, b)
+	}
+	return out
+}
+
+// Label returns the bar as a label of metrics.
+func (b Bar) Label() string {
+	return [bars]string{"", "gone", "leaving", "emptied", "down", "wrong_state", "cut_off", "no_home", "other_region", "excluded"}[b]
+}
+
 // Barred returns why a request may not be sent to an endpoint of any role now; BarNone:
 // it may. Every way out asks it, when an endpoint is chosen and again just before the call.
 func Barred(s *State, r *Request) Bar {
--- a/route/gate_test.go
+++ b/route/gate_test.go
@@ -7,6 +7,17 @@
 	"github.com/embercove/embercove/config"
 )
 
+// TestLabels checks that each bar has a label of its own and words.
+func TestLabels(t *testing.T) {
+	seen := map[string]bool{"": true}
+	for _, b := range Bars() {
+		if l := b.Label(); seen[l] || b.String() == "unknown" {
+			t.Errorf("bar %d: label %q, %q", b, l, b)
+		}
+		seen[b.Label()] = true
+	}
+}
+
 // TestBarred changes one thing about an endpoint or a request and names what bars it.
 func TestBarred(t *testing.T) {
 	const own, other, third config.Regions = 1, 2, 4
