--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -89,6 +89,49 @@
 	}
 }
 
+// TestSettles has failure domains emptied and taken back in any pool, and checks that the
+// roles are settled once what is named has changed, that both are there wherever two
+// engines are left, and that none is named that is being emptied.
+func TestSettles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		letters := rapid.StringOfN(rapid.SampledFrom([]rune("pd")), 0, 40, -1).Draw(t, "roles")
+		base, err := config.NewView(1, []byte(balanceDocument))
+		if err != nil {
+			t.Fatal(err)
+		}
+		none := func(*config.Endpoint) bool { return false }
+		roster := rosterOf(1, letters)
+		for range 4 {
+			roster.Evacuated = nil
+			for _, d := range rapid.SliceOfDistinct(rapid.SampledFrom([]string{"d", "e", "f"}), rapid.ID).Draw(t, "emptied") {
+				roster.Evacuated = append(roster.Evacuated, config.Evacuation{Domain: d, Revision: 1})
+			}
+			v := base.WithRoster(roster)
+			surplus, to := Surplus(v, "p", none)
+			for _, e := range surplus {
+				if v.Emptied(e) {
+					t.Fatalf("%s is named, whose domain is being emptied", e.Name)
+				}
+				i := slices.IndexFunc(roster.Endpoints, func(o config.Endpoint) bool { return o.Name == e.Name })
+				roster.Endpoints[i].Role = to
+			}
+			v = base.WithRoster(roster)
+			if again, to := Surplus(v, "p", none); len(again) > 0 {
+				t.Fatalf("%d more should become %s", len(again), to)
+			}
+			left := 0
+			for i := range v.Doc.Endpoints {
+				if !v.Emptied(&v.Doc.Endpoints[i]) {
+					left++
+				}
+			}
+			if left > 1 && Starved(v, "p", none) {
+				t.Fatalf("of %d engines that are left all have one role", left)
+			}
+		}
+	})
+}
+
 // TestLasting has a pool looked at every half second, with as many runners out of
 // balance as the digits say, minus for the other way, and states how many are so for
 // long enough at the end.
