entry: a request isn't told of an evacuation while an endpoint is open

What barred most of some endpoints was told also where one was open and had refused the request for another reason: with two decode engines emptied and one open, a request whose prefill owner was paused was told 310 instead of 303 (TestNowhere).

--- a/entry/barred.go
+++ b/entry/barred.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,7 +93,10 @@
 	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
 		if g := j.group(v); g != nil {
 			e.bind(v, j, &j.pick)
-			blamed = route.Blame(states, list(g), &j.pick)
+			open := func(i int) bool { return route.Open(&states[i], &j.pick) }
+			if l := list(g); !slices.ContainsFunc(l, open) { // else no bar is why
+				blamed = route.Blame(states, l, &j.pick)
+			}
 		}
 	})
 	e.barred.count(blamed)
--- a/entry/evacuated_test.go
+++ b/entry/evacuated_test.go
@@ -85,3 +85,30 @@
 		})
 	}
 }
+
+// TestNowhere has engines emptied, and states what a request is told that was refused by
+// the others or finds none.
+func TestNowhere(t *testing.T) {
+	cases := []struct {
+		name    string
+		emptied []string // of p1, d1 and d3 in domain a, p2 and d2 in b
+		turns   []result.Code
+		code    result.Code
+	}{
+		{"all", []string{"a", "b"}, nil, result.Evacuated},
+		{"one of two, and the other's owner knows nothing of it", []string{"a"}, []result.Code{result.NoEndpoint}, result.NoEndpoint},
+		{"one of two, and the other has no turn", []string{"a"}, []result.Code{result.TooLate}, result.TooLate},
+		{"none, and neither is known to its owner", nil, []result.Code{result.NoEndpoint, result.NoEndpoint}, result.NoEndpoint},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &leavingScene{empty: true, more: []string{"d3"}, stubOwners: stubOwners{turns: tc.turns}}
+				s.emptied = tc.emptied
+				if refusal, _ := s.run(t, nil); refusal == nil || refusal.Code != tc.code {
+					t.Errorf("%v, want code %v; asked %v", refusal, tc.code, s.asked)
+				}
+			})
+		})
+	}
+}
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -25,14 +25,16 @@
 type leavingScene struct {
 	endpoint.Engine
 	stubOwners
-	t      *testing.T
-	board  *blackboard.Board
-	left   map[string]bool
-	leaves map[string]bool // moments at which whoever is concerned leaves, once each
-	full   int             // decode calls that are refused first
-	empty  bool            // failure domain b, which has p2 and d2, or a is emptied instead
-	ahead  bool            // owners know of it, this host doesn't
-	order  []string        // of calls
+	t       *testing.T
+	board   *blackboard.Board
+	left    map[string]bool
+	leaves  map[string]bool // moments at which whoever is concerned leaves, once each
+	full    int             // decode calls that are refused first
+	empty   bool            // failure domain b, which has p2 and d2, or a is emptied instead
+	more    []string        // further endpoints
+	emptied []string        // failure domains that are emptied from the beginning
+	ahead   bool            // owners know of it, this host doesn't
+	order   []string        // of calls
 }
 
 // Moments.
@@ -44,7 +46,10 @@
 
 func (s *leavingScene) publish() {
 	roster := &config.Roster{Revision: uint64(len(s.left) + 1)}
-	for i, name := range []string{"p1", "p2", "d1", "d2"} {
+	for _, d := range s.emptied {
+		roster.Evacuated = append(roster.Evacuated, config.Evacuation{Domain: d, Revision: roster.Revision})
+	}
+	for i, name := range append([]string{"p1", "p2", "d1", "d2"}, s.more...) {
 		role := config.Prefill
 		if name[0] == 'd' {
 			role = config.Decode
