--- a/entry/barred.go
+++ b/entry/barred.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,6 +31,7 @@
 	})
 	switch b {
 	case route.BarGone, route.BarLeaving, route.BarEvacuated, route.BarHome:
+		e.barred.count(b)
 		return b
 	}
 	return route.BarNone
@@ -50,6 +53,29 @@
 	}
 }
 
+// barCounts counts, by bar, the requests that none of their endpoints was open to, and
+// the calls that weren't made as their endpoint was barred meanwhile.
+type barCounts struct {
+	mu sync.Mutex
+	by map[route.Bar]uint64
+}
+
+func (c *barCounts) count(b route.Bar) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.by == nil {
+		c.by = map[route.Bar]uint64{}
+	}
+	c.by[b]++
+}
+
+// Barred returns how often a bar kept a request from its endpoints.
+func (e *Entry) Barred(b route.Bar) uint64 {
+	e.barred.mu.Lock()
+	defer e.barred.mu.Unlock()
+	return e.barred.by[b]
+}
+
 // errBarred is why a call was not made.
 var errBarred = errors.New("the endpoint was barred while the request waited")
 
@@ -67,9 +93,13 @@
 	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
 		if g := j.group(v); g != nil {
 			e.bind(v, j, &j.pick)
-			blamed = route.Blame(states, list(g), &j.pick)
+			open := func(i int) bool { return route.Open(&states[i], &j.pick) }
+			if l := list(g); !slices.ContainsFunc(l, open) { // else no bar is why
+				blamed = route.Blame(states, l, &j.pick)
+			}
 		}
 	})
+	e.barred.count(blamed)
 	switch blamed {
 	case route.BarEvacuated:
 		return result.Errorf(result.Evacuated, "no %s is open: %s", what, blamed).After(evacuatedBack)
@@ -94,6 +124,9 @@
 	e.moveOn(ctx, j, p, owner.GivenUp, true)
 	if p.dec == nil {
 		e.drop(j, p, kv)
+		if none := e.nowhere(j, "decode endpoint", decodeList); !j.ran && none.Code != result.NoEndpoint {
+			return none
+		}
 		return e.wasted(j, p, errBarred)
 	}
 	if !sleep(ctx, min(time.Until(p.start), time.Until(lapses))) && ctx.Err() != nil {
@@ -102,3 +135,16 @@
 	}
 	return nil
 }
+
+// The endpoints of a role of a group.
+func prefillList(g *config.Group) []int { return g.Prefill }
+func decodeList(g *config.Group) []int  { return g.Decode }
+
+// lackOf returns the refusal that tells for lack of what a request isn't placed: that of
+// an endpoint whose failure domain is being emptied says nothing of the others.
+func lackOf(refusal, before *result.Error) *result.Error {
+	if refusal.Code == result.Evacuated {
+		return before
+	}
+	return refusal
+}
--- a/entry/place.go
+++ b/entry/place.go
@@ -86,11 +86,12 @@
 			break
 		}
 		p := &plan{Choice: c, pre: &v.Doc.Endpoints[c.Prefill], dec: &v.Doc.Endpoints[c.Decode]}
-		if last = e.enqueue(ctx, j, p, notBefore); last != nil {
+		if refusal := e.enqueue(ctx, j, p, notBefore); refusal != nil {
+			last = lackOf(refusal, last)
 			if ctx.Err() != nil {
 				break
 			}
-			e.logRefused(j, p.pre, string(blackboard.PhaseQueue), last, c.Age)
+			e.logRefused(j, p.pre, string(blackboard.PhaseQueue), refusal, c.Age)
 			j.pick.Drop(route.Number(p.pre.Name))
 			asks++
 			continue
@@ -100,9 +101,14 @@
 		j.pick.Exclude = asked
 		if last == nil {
 			last = e.turnLater(ctx, j, p)
-		}
-		if last == nil {
-			return p, nil
+			if last == nil {
+				return p, nil
+			}
+			if last.Code == result.Evacuated && ctx.Err() == nil {
+				j.pick.Drop(route.Number(p.pre.Name))
+				last = nil
+				continue
+			}
 		}
 		e.returnTurn(p)
 		if ctx.Err() != nil || last.RetryAfter+p.Read+p.Move > j.slack() {
@@ -115,7 +121,12 @@
 		return e.placeDirect(ctx, j)
 	}
 	if last == nil {
-		last = e.nowhere(j, "prefill endpoint", func(g *config.Group) []int { return g.Prefill })
+		last = e.nowhere(j, "prefill endpoint", prefillList)
+	}
+	if last.Code == result.NoEndpoint { // prompts can be read, but no answer be written
+		if dec := e.nowhere(j, "decode endpoint", decodeList); dec.Code != result.NoEndpoint {
+			last = dec
+		}
 	}
 	return nil, last
 }
@@ -204,13 +215,13 @@
 			return refusal
 		}
 		e.logRefused(j, p.dec, string(blackboard.PhaseReserve), refusal, c.Age)
-		if last == nil || refusal.RetryAfter < last.RetryAfter {
-			last = refusal
+		if lack := lackOf(refusal, last); last == nil || lack.RetryAfter < last.RetryAfter {
+			last = lack
 		}
 		j.pick.Drop(route.Number(p.dec.Name))
 	}
 	if last == nil {
-		last = e.nowhere(j, "decode endpoint", func(g *config.Group) []int { return g.Decode })
+		last = e.nowhere(j, "decode endpoint", decodeList)
 	}
 	return last
 }
--- a/node/admin.go
+++ b/node/admin.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -69,6 +70,7 @@
 	Config    blackboard.ConfigStatus `json:"config"`
 	Hosts     []HostStatus            `json:"hosts"`
 	Endpoints []EndpointStatus        `json:"endpoints"`
+	Evacuated []EvacuationStatus      `json:"evacuations,omitempty"`
 	Quotas    []QuotaStatus           `json:"quotas"`
 	Sum       report.Sum              `json:"sum"`
 	TTFT      report.Quantiles        `json:"ttft"`
@@ -142,6 +144,7 @@
 			s.Endpoints = append(s.Endpoints, n.endpointStatus(v, &states[i], now))
 		}
 	})
+	s.Evacuated = n.evacuations(now)
 	return s
 }
 
@@ -161,6 +164,8 @@
 	switch f := st.Digest.Flags; {
 	case st.Leaving || f&route.FlagLeaving != 0:
 		return "leaving"
+	case st.Evacuated:
+		return "being emptied"
 	case f&route.FlagDown != 0:
 		return "down"
 	case f&route.FlagWrong != 0:
@@ -275,6 +280,9 @@
 		c := route.Pick(v, states, &req)
 		if c.Prefill < 0 {
 			ex.Refusal = result.NoEndpoint.String()
+			if route.Blame(states, append(slices.Clone(r.Group.Prefill), r.Group.Decode...), &req) == route.BarEvacuated {
+				ex.Refusal = result.Evacuated.String()
+			}
 			return
 		}
 		ex.Prefill, ex.Decode = v.Doc.Endpoints[c.Prefill].Name, v.Doc.Endpoints[c.Decode].Name
