queue: requests that are cleared no longer count as use of their teams

Cause: Clear took the requests off a queue without what their teams were noted to wait for. The one caller before dropped the queue with it; Owner.Empty keeps it, so that after an evacuation the teams whose requests were refused counted as above their share at that engine until its book was made anew, and their requests were pushed out. Change: Clear gives the waiting work back, as Take does. Conclusion: no trace of an emptied queue is left in the shares.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -260,10 +260,14 @@
 // Len returns how many requests wait.
 func (q *Queue) Len() int { return len(q.waiting) }
 
-// Clear takes all requests that wait and returns them.
+// Clear takes all requests that wait and returns them. Their teams have no longer used
+// what they waited for: else newcomers of others would push theirs out for good.
 func (q *Queue) Clear() []*Item {
 	out := q.waiting
 	q.waiting = nil
+	for _, it := range out {
+		q.share.wait(it.Team, -it.Work)
+	}
 	return out
 }
 
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -167,3 +167,28 @@
 		}
 	}
 }
+
+// TestClear has requests be cleared off a queue that goes on, and checks that what their
+// team waited for no longer counts as its use: another newcomer doesn't push it out.
+func TestClear(t *testing.T) {
+	q := New(evenWeights, config.DefaultTokensPerSecond)
+	for n := range 4 {
+		if _, err := q.Admit(at(0), newItem(n+1, 1, 3, 0, 300, 1500)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := len(q.Clear()); n != 4 || q.Len() != 0 || q.Backlog(at(0)) != 0 {
+		t.Fatalf("%d cleared, %d left", n, q.Len())
+	}
+	if use := q.share.use(at(0), 1); use > 1e-9 {
+		t.Errorf("a team of which nothing waits and nothing was sent has used %g s", use)
+	}
+	for n, team := range []uint32{1, 2} {
+		if _, err := q.Admit(at(0), newItem(n+5, team, 3, 0, 200, 400)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if pushed, err := q.Admit(at(0), newItem(7, 2, 3, 0, 200, 400)); len(pushed) != 0 || err == nil {
+		t.Errorf("a team that waits for as much pushes %d out (%v)", len(pushed), err)
+	}
+}
