--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -153,14 +153,16 @@
 
 func (o *oneChunk) Close() error { return nil }
 
+// twoDomains is likelyDocument with a failure domain b beside a.
+var twoDomains = strings.Replace(likelyDocument, `{"name": "a", "region": "r"}`, `{"name": "a", "region": "r", "link_bytes_per_second": 1000000000},
+	{"name": "b", "region": "r", "link_bytes_per_second": 1000000000}`, 1)
+
 // run has one request go its way, while endpoints leave at some moments.
 func (s *leavingScene) run(t *testing.T, leaves []string) (*result.Error, string) {
 	settings := &config.Settings{Host: "h", Domain: "a", Region: "r"}
 	settings.SetDefaults()
 	s.t, s.board, s.left, s.leaves = t, blackboard.New(settings), map[string]bool{}, map[string]bool{}
-	document := strings.Replace(likelyDocument, `{"name": "a", "region": "r"}`, `{"name": "a", "region": "r", "link_bytes_per_second": 1000000000},
-		{"name": "b", "region": "r", "link_bytes_per_second": 1000000000}`, 1)
-	if _, err := s.board.Config.Offer(1, []byte(document)); err != nil {
+	if _, err := s.board.Config.Offer(1, []byte(twoDomains)); err != nil {
 		t.Fatal(err)
 	}
 	for _, moment := range leaves {
--- /dev/null
+++ b/entry/unreserved_test.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/result"
+)
+
+// TestUnreservedRoster has a baseline choose endpoints after the roster has changed since
+// the request came, so that they have other places in the list: what is chosen by the view
+// in use is called, and nothing in a failure domain that is emptied by it. Where all are
+// emptied the request is refused as such.
+func TestUnreservedRoster(t *testing.T) {
+	cases := []struct {
+		name    string
+		emptied []string
+		calls   []string
+		code    result.Code
+	}{
+		{"one of two", []string{"b"}, []string{"read at prefill-0", "write at decode-2"}, result.OK},
+		{"both", []string{"a", "b"}, nil, result.Evacuated},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, j := placing(t, new(stubOwners), 2, 1)
+				s := &leavingScene{t: t, board: e.board, left: map[string]bool{"prefill-1": true}}
+				e.engine, j.out = s, newPassage(httptest.NewRecorder(), writeError)
+				if _, err := e.board.Config.Offer(2, []byte(twoDomains)); err != nil {
+					t.Fatal(err)
+				}
+				roster := &config.Roster{Revision: 2}
+				for _, d := range tc.emptied {
+					roster.Evacuated = append(roster.Evacuated, config.Evacuation{Domain: d, Revision: 2})
+				}
+				for i, name := range []string{"prefill-0", "prefill-1", "decode-2", "another-3"} {
+					spec := config.Endpoint{Name: name, Address: "10.0.0." + string("0123"[i]) + ":1", Domain: string("abab"[i]), Pool: "p", Role: config.Prefill, Model: "m", Version: "1"}
+					if i >= 2 {
+						spec.Role = config.Decode
+					}
+					roster.Endpoints = append(roster.Endpoints, spec)
+				}
+				if _, err := e.board.Config.OfferRoster(roster, time.Now()); err != nil {
+					t.Fatal(err)
+				}
+				e.board.Endpoints.Fit(e.board.Config.View())
+				err := e.tryUnreserved(t.Context(), j)
+				if !slices.Equal(s.order, tc.calls) {
+					t.Errorf("called %v, want %v (%v)", s.order, tc.calls, err)
+				}
+				if (err == nil) != (tc.code == result.OK) || err != nil && asResult(err).Code != tc.code {
+					t.Errorf("%v, want code %v", err, tc.code)
+				}
+			})
+		})
+	}
+}
