roles: a pool is starved only by engines of the lacking role that are emptied

Cause: any emptied engine of a pool made it count as starved where a role was lost, also one of the other role: readers that lose their registration for a moment, while a domain of decode engines is emptied, had all needed orders sent at the next look instead of after the 3 s that losses are given to pass. Change: the tally notes of which role engines are emptied.

--- a/roles/roles.go
+++ b/roles/roles.go
@@ -58,9 +58,10 @@
 	return nil, config.Decode
 }
 
-// Starved reports whether all engines of one role of a pool are in failure domains that
-// are being emptied, so that the pool can answer nothing. That is no loss which may pass
-// in a moment, so the change of roles needn't be looked at for long before it is ordered.
+// Starved reports whether a pool has no engine of one role left and some of that role are
+// in failure domains that are being emptied, so that it can answer nothing. That is no loss
+// which may pass in a moment, so the change of roles needn't be looked at for long before it
+// is ordered.
 func Starved(v *config.View, pool string, changing func(e *config.Endpoint) bool) bool {
 	t := count(v, pool, changing)
 	return t.starved()
@@ -68,21 +69,28 @@
 
 // tally counts the engines of a pool by the role that they have or are changing to.
 type tally struct {
-	prefills, decodes []*config.Endpoint // that aren't changing
-	reading, writing  int                // with those that are
-	emptied           int                // in failure domains that are being emptied
+	prefills, decodes []*config.Endpoint   // that aren't changing
+	reading, writing  int                  // with those that are
+	emptied           map[config.Role]bool // of which some are in failure domains that are being emptied
 }
 
-func (t *tally) starved() bool { return t.emptied > 0 && (t.reading == 0) != (t.writing == 0) }
+// starved reports whether one role alone is lacking, and engines of it are emptied.
+func (t *tally) starved() bool {
+	if t.reading == 0 {
+		return t.writing > 0 && t.emptied[config.Prefill]
+	}
+	return t.writing == 0 && t.emptied[config.Decode]
+}
 
 func count(v *config.View, pool string, changing func(e *config.Endpoint) bool) (t tally) {
 	coming := map[config.Role]int{}
+	t.emptied = map[config.Role]bool{}
 	for i := range v.Doc.Endpoints {
 		e := &v.Doc.Endpoints[i]
 		switch {
 		case e.Pool != pool || e.Leaving || !e.Lapsed.IsZero():
 		case v.Emptied(e):
-			t.emptied++
+			t.emptied[e.Role] = true
 		case changing(e):
 			coming[other(e.Role)]++
 		case e.Role == config.Prefill:
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -89,6 +89,43 @@
 	}
 }
 
+// TestStarved has engines of a pool emptied, and others lose their registration, which may
+// pass: a pool is starved only where it lacks those of a role that are emptied.
+func TestStarved(t *testing.T) {
+	cases := []struct {
+		name    string
+		roles   string
+		emptied string
+		lapsed  []int
+		want    bool
+	}{
+		{"those that read are emptied", "pdd" + "pdd", "d", nil, true},
+		{"those that write are emptied", "dpp" + "dpp", "d", nil, true},
+		{"they are emptied, and one that writes is lost", "pdd" + "pdd", "d", []int{1}, true},
+		{"some that write are emptied, and all that read are lost", "dpd" + "dpd", "d", []int{1, 4}, false},
+		{"some that read are emptied, and all that write are lost", "pdp" + "pdp", "d", []int{1, 4}, false},
+		{"all that read are lost", "pdd" + "pdd", "", []int{0, 3}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			v, err := config.NewView(1, []byte(balanceDocument))
+			if err != nil {
+				t.Fatal(err)
+			}
+			roster := rosterOf(1, tc.roles)
+			if tc.emptied != "" {
+				roster.Evacuated = []config.Evacuation{{Domain: tc.emptied, Revision: 1}}
+			}
+			for _, i := range tc.lapsed {
+				roster.Endpoints[i].Lapsed = time.Now()
+			}
+			if got := Starved(v.WithRoster(roster), "p", func(*config.Endpoint) bool { return false }); got != tc.want {
+				t.Errorf("starved: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
 // TestSettles has failure domains emptied and taken back in any pool, and checks that the
 // roles are settled once what is named has changed, that both are there wherever two
 // engines are left, and that none is named that is being emptied.
