owner: the test of orders in an emptied domain can fail

Cause: the row in which the own domain is emptied and too many read there passed with both checks removed (the tally's and the order's): its engines had been ordered before, in the time that the test doesn't look at, and an order isn't repeated within ten seconds. Change: that row empties the domain before the host may order, and looks at all of the time; a row beside it that empties nothing shows that orders go out then. No other row has changed. Conclusion: stricter; the code was right.

--- a/owner/empty_test.go
+++ b/owner/empty_test.go
@@ -123,15 +123,17 @@
 		name    string
 		roles   string
 		emptied []string
+		early   bool          // from the beginning, before this host may order
 		within  time.Duration // of the first order; 0: none in ten seconds
 		orders  int
 		to      config.Role
 	}{
-		{"nothing is emptied", "pdd" + "pdd" + "pdd", nil, 0, 0, ""},
-		{"all that read are emptied", "dpd" + "dpd" + "dpd", []string{"e"}, time.Second, 1, config.Prefill},
-		{"some that read are emptied", "dpp" + "dpd" + "dpd", []string{"e"}, 4 * time.Second, 1, config.Prefill},
-		{"the own domain is emptied, and too many read there", "ppp" + "ppd" + "ppd", []string{"d"}, 0, 0, ""},
-		{"all that write are emptied", "pdd" + "pdd" + "pdd", []string{"e", "f"}, time.Second, 1, config.Decode},
+		{"nothing is emptied", "pdd" + "pdd" + "pdd", nil, false, 0, 0, ""},
+		{"all that read are emptied", "dpd" + "dpd" + "dpd", []string{"e"}, false, time.Second, 1, config.Prefill},
+		{"some that read are emptied", "dpp" + "dpd" + "dpd", []string{"e"}, false, 4 * time.Second, 1, config.Prefill},
+		{"the own domain is emptied, and too many read there", "ppp" + "ppd" + "ppd", []string{"d"}, true, 0, 0, ""},
+		{"too many read in the own domain", "ppp" + "ppd" + "ppd", nil, true, time.Second, 2, config.Decode},
+		{"all that write are emptied", "pdd" + "pdd" + "pdd", []string{"e", "f"}, false, time.Second, 1, config.Decode},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -141,7 +143,7 @@
 				began := time.Now().Add(6 * time.Second)
 				balancer := o.Balancer()
 				for i := range 32 {
-					if i == 12 {
+					if i == 12 && !tc.early || i == 0 && tc.early {
 						publish(tc.emptied...)
 					}
 					o.board.Config.Heard(time.Now())
@@ -149,7 +151,7 @@
 					if work, _ := balancer.Next(time.Now()); work != nil {
 						work(t.Context())
 					}
-					if i < 12 && len(eng.orders) > 0 {
+					if i < 12 && !tc.early && len(eng.orders) > 0 {
 						eng.orders = nil // as it came: not what is looked at
 					}
 					if first == 0 && len(eng.orders) > 0 {
