region, entry, peer, owner: requests leave a region that can't serve them in time

A request that its own region's owners refuse now leaves for another region, if by a summary of that region (one a pool, some 14 B, told in exchanges) it would be in time there, the way included. The owner there has the last word and serves its own callers first. Plain services leave where the call would be late by what the host saw, or no endpoint is open. A pair never spans regions.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -21,6 +21,7 @@
 	Hosts     *HostTable
 	Domains   *DomainTable
 	Endpoints *EndpointTable
+	Regions   *RegionTable
 	Requests  *RequestTable
 	Keys      *KeyTable
 	Quotas    *quota.Accounts // of the teams whose limits this host holds
@@ -41,7 +42,7 @@
 	inv := new(invariant.Set)
 	b := &Board{
 		Settings: s, Number: request.HostNumber(s.Host), Incarnation: uint64(time.Now().UnixMilli()),
-		Config: newConfigTable(inv), Domains: newDomainTable(s.Domain), Endpoints: newEndpointTable(), Requests: newRequestTable(inv),
+		Config: newConfigTable(inv), Domains: newDomainTable(s.Domain), Endpoints: newEndpointTable(), Regions: newRegionTable(), Requests: newRequestTable(inv),
 		Keys: newKeyTable(), Quotas: quota.NewAccounts(rand.Uint64() << 16), Invariant: inv, Wake: newWake(), began: time.Now(),
 		Pause: NewPause(config.Millis(s.PauseMillis)),
 	}
--- a/blackboard/census.go
+++ b/blackboard/census.go
@@ -49,3 +49,14 @@
 		c.Changed = at
 	}
 }
+
+// Regions counts the hosts of each region that are live and don't leave.
+func (t *HostTable) Regions(now time.Time) map[string]int {
+	out := map[string]int{}
+	t.Each(now, func(h *Host, live bool) {
+		if live && !h.Leaving {
+			out[h.Region]++
+		}
+	})
+	return out
+}
--- /dev/null
+++ b/entry/away.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/region"
+	"github.com/embercove/embercove/result"
+	"github.com/embercove/embercove/route"
+)
+
+// A request that its own region can't serve in time may leave for another: the whole of
+// it, prompt and answer, to one region, once for each try. This host talks to the endpoints
+// there itself, so nobody can send it on.
+
+// away is where a request is outside of its region.
+type away struct {
+	region string         // empty: at home
+	home   config.Regions // where it came from
+	detour time.Duration
+	end    func() // notes that it has left the region again
+}
+
+// How far a request is carried round in regions.
+const (
+	mostAway = 2 // regions that are tried
+	awayAsks = 4 // prefill engines that are asked there, each for a message there and back
+)
+
+// Messages there and back that a request pays for outside of its region.
+const (
+	engineTrips  = 6 // turn, room, and a connection and a call at each of two engines
+	serviceTrips = 2 // a connection and a call
+)
+
+// goHome has a job look for endpoints in its own region.
+func (e *Entry) goHome(j *job) {
+	if !j.abroad() {
+		return
+	}
+	j.away.end()
+	j.pick.Region = j.away.home
+	j.away = away{}
+}
+
+// home returns the region of the host to which the job came.
+func (j *job) home() config.Regions {
+	if j.abroad() {
+		return j.away.home
+	}
+	return j.pick.Region
+}
+
+// candidate is another region with what the decision is made of.
+type candidate struct {
+	name  string
+	set   config.Regions
+	pool  uint32
+	hosts int // of it
+	region.There
+}
+
+// leave chooses the region that a job leaves for and has it look for endpoints there. The
+// regions in tried are out of the question. It returns false if the job stays.
+func (e *Entry) leave(j *job, n region.Need, trips int, tried config.Regions, list func(g *config.Group) []int) bool {
+	found := e.elsewhere(j, trips, tried, list)
+	if len(found) == 0 {
+		return false
+	}
+	theres := make([]region.There, len(found))
+	for i := range found {
+		theres[i] = found[i].There
+	}
+	to, verdicts := region.Choose(n, theres, rand.Float64(), rand.Float64())
+	j.regions = describe(found, verdicts, to)
+	if to < 0 {
+		for _, v := range verdicts {
+			e.board.Regions.Keep(v)
+		}
+		return false
+	}
+	e.goHome(j)
+	c := &found[to]
+	j.away = away{region: c.name, home: j.pick.Region, detour: c.Detour, end: e.board.Regions.Leave(config.NameNumber(c.name), c.pool)}
+	j.pick.Region = c.set
+	return true
+}
+
+// elsewhere returns the other regions that a job's request may be sent to at all, with
+// what is known of them.
+func (e *Entry) elsewhere(j *job, trips int, tried config.Regions, list func(g *config.Group) []int) (out []candidate) {
+	now := time.Now()
+	askers := e.board.Hosts.Regions(now)
+	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
+		g := j.group(v)
+		if g == nil || len(v.RegionNames) < 2 {
+			return
+		}
+		r := j.pick
+		r.Region, r.Now, r.Reach = j.home(), now, 0
+		e.bind(v, j, &r)
+		for _, name := range v.RegionNames {
+			set := v.RegionSet(name)
+			if set == 0 || set.Has(j.home()|tried) {
+				continue
+			}
+			c := candidate{name: name, set: set}
+			c.look(e.board, states, list(g), r, askers, trips)
+			out = append(out, c)
+		}
+	})
+	askersOf(out, askers[e.board.Settings.Region])
+	return out
+}
+
+// look fills in what is known of a region for a request.
+func (c *candidate) look(b *blackboard.Board, states []route.State, list []int, r route.Request, askers map[string]int, trips int) {
+	r.Region, r.Reach = c.set, 0
+	open := 0
+	for _, i := range list {
+		s := &states[i]
+		if s.Region != c.set {
+			continue
+		}
+		if c.pool == 0 {
+			c.pool = region.PoolNumber(s.Spec.Pool, s.Spec.Model)
+		}
+		if route.Open(s, &r) {
+			open++
+		}
+	}
+	number := config.NameNumber(c.name)
+	c.There = b.Regions.Find(number, c.pool, r.Now)
+	c.Open, c.Allowed = open, r.Homes == 0 || r.Homes.Has(c.set)
+	c.Detour = time.Duration(trips) * b.Regions.Trip(number)
+	c.hosts = askers[c.name]
+}
+
+// askersOf works out for each region how many hosts want what it offers: those of the own
+// region, and of others that offer nothing themselves.
+func askersOf(found []candidate, own int) {
+	for i := range found {
+		c := &found[i]
+		c.Askers = own
+		for k := range found {
+			if other := &found[k]; k != i && other.Known && other.Places == 0 {
+				c.Askers += other.hosts
+			}
+		}
+	}
+}
+
+// describe says of each region why the request goes there, or not.
+func describe(found []candidate, verdicts []region.Verdict, to int) string {
+	var b strings.Builder
+	for i, c := range found {
+		if i > 0 {
+			b.WriteString("; ")
+		}
+		if i == to {
+			b.WriteString("left for ")
+		}
+		b.WriteString(c.name + ": " + verdicts[i].String())
+	}
+	return b.String()
+}
+
+// abroad reports whether the job looks for endpoints outside of its region because that has
+// no place for it.
+func (j *job) abroad() bool { return j.away.region != "" }
+
+// needs returns what a request to engines needs outside of its region, after its own has
+// refused it.
+func (e *Entry) needs(j *job, refusal *result.Error) region.Need {
+	n := region.Need{Left: j.slack(), Homeless: refusal.Code == result.NoEndpoint || refusal.Code == result.Evacuated}
+	e.board.Endpoints.Read(func(v *config.View, _ []route.State) {
+		g := j.group(v)
+		if g == nil {
+			return
+		}
+		if len(g.Prefill) > 0 {
+			n.Work += time.Duration(float64(j.tokens) / v.Doc.Endpoints[g.Prefill[0]].TokensPerSecond * float64(time.Second))
+		}
+		if len(g.Decode) > 0 {
+			n.Work += route.LinkTime(&v.Doc.Endpoints[g.Decode[0]], int64(j.tokens)*kvBytes(v, j.work.Model))
+		}
+	})
+	return n
+}
--- a/entry/job.go
+++ b/entry/job.go
@@ -31,6 +31,8 @@
 	tokens   int // of the prompt
 	expected int // of the answer, by the caller's guess; 0: none
 	pick     route.Request
+	away     away
+	regions  string // what was decided about other regions, for the log
 	teamNum  uint32
 	drawn    float64 // of the team's quota, in its unit
 
@@ -149,6 +151,7 @@
 		}
 	}
 	err := run(ctx)
+	e.goHome(j)
 	if err == nil {
 		err = result.Errorf(result.OK, "")
 	}
--- a/entry/place.go
+++ b/entry/place.go
@@ -70,22 +70,57 @@
 // then, before the engine begins, decode memory for the moment it will end.
 // Without such memory the turn is given back and the request queues again,
 // as long as it can still be in time. Nothing has run when it refuses.
+//
+// A request that its own region refuses may be placed in another.
 func (e *Entry) place(ctx context.Context, j *job) (*plan, error) {
+	e.goHome(j)
 	if p := e.placeKept(ctx, j); p != nil {
 		return p, nil
 	}
+	p, refusal := e.placeThere(ctx, j, mostTurnAsks)
+	tried := j.home()
+	for range mostAway {
+		if refusal == nil || ctx.Err() != nil || !e.leave(j, e.needs(j, refusal), engineTrips, tried, engines) {
+			break
+		}
+		tried |= j.pick.Region
+		var there *result.Error
+		if p, there = e.placeThere(ctx, j, awayAsks); there == nil {
+			return p, nil
+		}
+	}
+	if refusal != nil {
+		e.goHome(j)
+		return nil, refusal
+	}
+	return p, nil
+}
+
+// engines lists a group's engines of which a request needs one at the least.
+func engines(g *config.Group) []int {
+	if len(g.Prefill) > 0 {
+		return g.Prefill
+	}
+	return g.Decode
+}
+
+// placeThere places a job among the endpoints of the regions that it may go to now, of
+// which so many may be asked for a turn.
+func (e *Entry) placeThere(ctx context.Context, j *job, mostAsks int) (*plan, *result.Error) {
 	asked := j.pick.Exclude // endpoints that have no room now are left out of this try only
 	var last *result.Error
 	notBefore := time.Now()
-	for asks, turns := 0, 0; asks < mostTurnAsks && turns < mostTurns; {
+	for asks, turns := 0, 0; asks < mostAsks && turns < mostTurns; {
 		if last != nil && j.slack() <= 0 {
 			break // a turn that was waited for and came to nothing has used up the time
 		}
+		j.pick.Pair = 0
 		c, v := e.choose(j, 0)
 		if c.Prefill < 0 {
 			break
 		}
 		p := &plan{Choice: c, pre: &v.Doc.Endpoints[c.Prefill], dec: &v.Doc.Endpoints[c.Decode]}
+		j.pick.Pair = v.RegionSet(v.Region[p.pre.Domain])
 		if last = e.enqueue(ctx, j, p, notBefore); last != nil {
 			if ctx.Err() != nil {
 				break
@@ -141,8 +176,9 @@
 
 // placeDirect places a request for which no prefill engine is in reach on a
 // decode engine that reads the prompt itself.
-func (e *Entry) placeDirect(ctx context.Context, j *job) (*plan, error) {
+func (e *Entry) placeDirect(ctx context.Context, j *job) (*plan, *result.Error) {
 	p := new(plan)
+	j.pick.Pair = 0
 	if refusal := e.reserveFrom(ctx, j, p, e.chooseDecode, 0); refusal != nil {
 		return nil, refusal
 	}
@@ -219,7 +255,7 @@
 func (e *Entry) reserve(ctx context.Context, j *job, p *plan, in time.Duration) *result.Error {
 	a := owner.ReserveArgs{Attempt: e.board.Requests.Open(j.id), Endpoint: route.Number(p.dec.Name), Tokens: j.tokens,
 		MaxAnswer: j.work.MaxTokens, Expected: j.expected, Mark: j.mark, Bytes: int64(j.tokens) * kvBytes(j.view, j.work.Model),
-		InMillis: ms(in), Slack: max(0, ms(j.slack()-in-p.Move)), Team: j.teamNum, Priority: j.priority}
+		InMillis: ms(in), Slack: max(0, ms(j.slack()-in-p.Move-j.away.detour)), Team: j.teamNum, Priority: j.priority, Abroad: j.abroad()}
 	p.decodeBy, p.reserved = a.Attempt, false
 	now := time.Now()
 	reply, err := e.owners.Reserve(ctx, p.dec, a)
@@ -252,13 +288,15 @@
 	p.readBy = e.board.Requests.Open(j.id)
 	defer e.board.Requests.Close(p.readBy)
 	a := owner.EnqueueArgs{Attempt: p.readBy, Endpoint: route.Number(p.pre.Name), Tokens: j.tokens, Head: j.pick.Head,
-		HasHead: j.pick.HasHead, Slack: ms(j.slack() - p.Move), NotYet: ms(time.Until(notBefore)),
-		Team: j.teamNum, Priority: j.priority}
+		HasHead: j.pick.HasHead, Slack: ms(j.slack() - p.Move - j.away.detour), NotYet: ms(time.Until(notBefore)),
+		Team: j.teamNum, Priority: j.priority, Abroad: j.abroad()}
 	if p.pre.Registered {
 		a.Expect = 1 + ms(p.Wait) + max(0, a.NotYet)
 	}
 	reply, err := e.owners.Enqueue(ctx, p.pre, a)
 	switch {
+	case err != nil && j.abroad() && ctx.Err() == nil: // nothing is known of what waits there
+		return result.Errorf(result.TooLate, "the owner of %s is out of reach", p.pre.Name).After(time.Second)
 	case err != nil && errors.Is(err, peer.ErrOutOfReach) && ctx.Err() == nil:
 		if p.Wait+p.Read+p.Move > j.slack() {
 			return result.Errorf(result.TooLate, "by the last report of %s the prompt would be read too late", p.pre.Name).After(p.Wait + p.Read)
--- a/entry/service.go
+++ b/entry/service.go
@@ -16,6 +16,7 @@
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/invariant"
+	"github.com/embercove/embercove/region"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
@@ -93,12 +94,41 @@
 	}
 }
 
-// chooseService takes the endpoint with the fewest calls from this host, of
+// chooseService takes an endpoint of the own region, unless by forecast the call is in
+// time in another region and not in its own, or its own has no endpoint for it.
+func (e *Entry) chooseService(j *job) *config.Endpoint {
+	e.goHome(j)
+	spec, here := e.bestService(j)
+	n := j.callNeeds(spec)
+	if spec != nil && here <= n.Left || !e.leave(j, n, serviceTrips, j.home(), services) {
+		return spec
+	}
+	if there, _ := e.bestService(j); there != nil {
+		return there
+	}
+	e.goHome(j)
+	return spec
+}
+
+func services(g *config.Group) []int { return g.Service }
+
+// callNeeds returns what a call needs outside of its region. One that no endpoint of its
+// own is open to leaves though it may be late.
+func (j *job) callNeeds(spec *config.Endpoint) region.Need {
+	n := region.Need{Left: time.Until(j.came.Add(time.Duration(aim * float64(j.target())))), Homeless: spec == nil}
+	if n.Homeless && j.deadline > 0 {
+		n.Left = time.Until(j.came.Add(j.deadline))
+	}
+	return n
+}
+
+// bestService takes the endpoint with the fewest calls from this host, of
 // the own failure domain first. Failures that were seen and a reach that was
 // lost weigh as calls. A call that has failed once isn't tried at an endpoint
-// that was just out of reach: it is refused instead, in time to go elsewhere.
-func (e *Entry) chooseService(j *job) *config.Endpoint {
-	var spec *config.Endpoint
+// that was just out of reach: it is refused instead, in time to go elsewhere. It returns
+// as well how long a call takes there by what was seen, forever if it was full or out of
+// reach just now.
+func (e *Entry) bestService(j *job) (spec *config.Endpoint, takes time.Duration) {
 	least := 0.0
 	j.pick.Now = time.Now()
 	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
@@ -113,11 +143,19 @@
 				continue
 			}
 			if cost := serviceCost(s, &j.pick); spec == nil || cost < least {
-				least, spec = cost, s.Spec
+				least, spec, takes = cost, s.Spec, callTakes(s, j.pick.Now)
 			}
 		}
 	})
-	return spec
+	return spec, takes
+}
+
+// callTakes returns how long a call at an endpoint takes by what this host saw.
+func callTakes(s *route.State, now time.Time) time.Duration {
+	if s.Seen.Shunned(now) || now.Before(s.Seen.Full) {
+		return forever
+	}
+	return time.Duration(s.Seen.Took * float64(time.Second))
 }
 
 // Costs of an endpoint of a service, in calls that it may have more of than
--- a/node/node.go
+++ b/node/node.go
@@ -133,6 +133,7 @@
 	n.log.Warn("the process was paused; beliefs are dropped", zap.Int("code", int(result.ProcessPaused)))
 	n.Board.Hosts.Renew(now)
 	n.Board.Endpoints.Drop()
+	n.Board.Regions.Drop()
 	n.Board.Keys.Restart(now)
 	n.Board.Quotas.Drop()
 }
--- a/owner/book.go
+++ b/owner/book.go
@@ -190,6 +190,9 @@
 	if f := b.flags(); f != 0 {
 		return time.Time{}, result.Errorf(result.NoEndpoint, "%s is down, leaving or in the wrong state", b.spec.Name).After(time.Second)
 	}
+	if refusal := b.ownRoomFirst(now, a); refusal != nil {
+		return time.Time{}, refusal
+	}
 	ask := ledger.Ask{Attempt: a.Attempt, Team: a.Team, Tokens: a.Tokens, MaxAnswer: a.MaxAnswer, Expected: a.Expected, Mark: a.Mark,
 		Bytes: a.Bytes, In: duration(a.InMillis), Slack: duration(a.Slack)}
 	return b.ledger.Reserve(now, ask, b.teamWeight)
@@ -201,6 +204,9 @@
 	if b.queue == nil || b.flags() != 0 {
 		return nil, result.Errorf(result.NoEndpoint, "%s takes no prompts now", b.spec.Name).After(time.Second)
 	}
+	if refusal := b.ownTurnsFirst(now, a); refusal != nil {
+		return nil, refusal
+	}
 	tokens, promised := b.uncached(a.Tokens, a.Head, a.HasHead)
 	work, lag := b.queue.Pace.Work(tokens), b.queue.Pace.Lag()
 	it := &queue.Item{Attempt: a.Attempt, Team: a.Team, Priority: a.Priority, Tokens: tokens, Work: work, Lag: lag, Promised: promised, Came: now,
--- a/owner/messages.go
+++ b/owner/messages.go
@@ -21,6 +21,7 @@
 	Expected  int    // tokens of the answer by the caller's own guess; 0: none
 	Mark      uint64 // of the id by which the engine lists the request; 0: the attempt itself
 	Forwarded bool   // by an owner that is leaving
+	Abroad    bool   // for a request that left its region
 	Bytes     int64  // to transfer
 	InMillis  int    // when the prefill is expected to end
 	Slack     int    // ms by which the start may come later
@@ -44,9 +45,10 @@
 	Tokens   int // of the prompt
 	Head     uint32
 	HasHead  bool
-	Slack    int // ms by which reading must have ended
-	Expect   int // ms that the wait is expected to take; 0: unknown
-	NotYet   int // ms before which reading should not end
+	Slack    int  // ms by which reading must have ended
+	Expect   int  // ms that the wait is expected to take; 0: unknown
+	NotYet   int  // ms before which reading should not end
+	Abroad   bool // for a request that left its region
 	Team     uint32
 	Priority int
 }
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -60,11 +60,12 @@
 	args.All = all
 	args.Want = r.wanted()
 	reply := new(ExchangeReply)
+	began := time.Now()
 	err := r.pool.call(ctx, h.Peers, methodExchange, &args, reply, r.timeout())
 	if errors.Is(err, ErrOutOfReach) {
 		// The connection may have gone silent, as all others may. Its answer may
 		// still come, so another takes the one of the new connection.
-		reply = new(ExchangeReply)
+		reply, began = new(ExchangeReply), time.Now()
 		err = r.pool.callAnew(ctx, h.Peers, methodExchange, &args, reply, r.timeout())
 	}
 	if err != nil {
@@ -76,6 +77,7 @@
 		r.mu.Unlock()
 	}
 	now := time.Now()
+	r.noteTrip(h, now.Sub(began))
 	r.takeIn(*reply, now)
 	r.compareMembers(reply.Members, now)
 	if !news {
@@ -181,6 +183,9 @@
 	if err != nil {
 		r.log.Warn("exchange", zap.String("from", e.From.Name), zap.Error(err))
 	}
+	if err := r.learnSummaries(e.Regions, now); err != nil {
+		r.log.Warn("exchange", zap.String("from", e.From.Name), zap.Error(err))
+	}
 	has := make(ages, len(ds))
 	for _, d := range ds {
 		r.board.Endpoints.Learn(d, now)
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -53,6 +53,7 @@
 	News     bool     // no digests are told of, either way
 	Members  uint64   // hash of the hosts that are taken for members
 	All      bool     // every heartbeat is asked for
+	Regions  []byte   // packed summaries of regions
 	Heard    uint32   // ms since the platform answered what the sender knows, and 1; 0: it never did
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -183,6 +183,9 @@
 			a.Names = append(a.Names, Name{h.Name, h.Domain, h.Region, h.Peers})
 		}
 	}
+	if !t.news {
+		a.Regions = r.summaries(now, t.to.Region)
+	}
 	if t.to.Region == self.Region && !t.news {
 		a.Digests = r.digests(now, t)
 	}
--- a/route/pick.go
+++ b/route/pick.go
@@ -19,6 +19,7 @@
 	Region    config.Regions // that of the entry host
 	Homes     config.Regions // in which it may be served; 0: in any
 	Reach     config.Regions // that it may leave its own for
+	Pair      config.Regions // in which its prompt is read, and so its answer written; 0: not chosen yet
 	Now       time.Time
 	Seed      uint64 // spreads the choices of many hosts over near-equal endpoints
 	// FixedPrefill is the number of a prefill endpoint that has already
@@ -119,7 +120,7 @@
 		}
 	}
 	for _, i := range r.Group.Decode {
-		if s := &states[i]; eligible(v, s, r) {
+		if s := &states[i]; eligible(v, s, r) && r.pairs(s) {
 			dec.add(decodeCost(v, s, r), i)
 		}
 	}
@@ -207,12 +208,19 @@
 	return cost * (1 + jitterShare*noise(r.Seed, s.Number))
 }
 
+// pairs reports whether a decode endpoint lies where the prompt is read.
+func (r *Request) pairs(s *State) bool { return r.Pair == 0 || r.Pair == s.Region }
+
 // crossCost is what a transfer between failure domains adds; it is infinite
-// where no link joins them.
+// where no link joins them, and between regions, where a gigabyte takes ten times as
+// long and is dear.
 func crossCost(v *config.View, p, d *State, r *Request) float64 {
 	if p.Domain == d.Domain {
 		return 0
 	}
+	if p.Region != d.Region {
+		return math.Inf(1)
+	}
 	rate := v.Doc.Domains[d.Domain].LinkBytesPerSecond
 	if rate == 0 {
 		return math.Inf(1)
@@ -235,7 +243,7 @@
 	best, least := -1, math.Inf(1)
 	for _, i := range r.Group.Decode {
 		s := &states[i]
-		if !eligible(v, s, r) {
+		if !eligible(v, s, r) || !r.pairs(s) {
 			continue
 		}
 		if cost := decodeCost(v, s, r); cost < least {
