region, peer, proof: a cut region costs a request one short call; tests of regions and of quotas over them

Quotas held over regions before: holders settle with those of every failure domain; the comment said otherwise.

--- a/blackboard/regions.go
+++ b/blackboard/regions.go
@@ -17,6 +17,7 @@
 	trips map[uint32]time.Duration
 	left  map[uint32]uint64 // requests that left for a region, since the start
 	kept  [region.Verdicts]uint64
+	quiet map[uint32]time.Time // until when a region is left alone in which an owner said nothing
 }
 
 // regionPool names a pool's endpoints in a region, by their numbers.
@@ -28,7 +29,7 @@
 }
 
 func newRegionTable() *RegionTable {
-	return &RegionTable{rows: map[regionPool]summaryRow{}, sent: map[regionPool]int{}, trips: map[uint32]time.Duration{}, left: map[uint32]uint64{}}
+	return &RegionTable{rows: map[regionPool]summaryRow{}, sent: map[regionPool]int{}, trips: map[uint32]time.Duration{}, left: map[uint32]uint64{}, quiet: map[uint32]time.Time{}}
 }
 
 // firstTrip is how long a message takes to another region and back, as long as none was
@@ -101,6 +102,25 @@
 	t.trips[number] = old + time.Duration(tripWeight*float64(d-old))
 }
 
+// quietFor is how long a host sends nothing more to a region in which an owner said nothing.
+// It may be one that froze; but a call that isn't answered costs a request a quarter of a
+// second of the half that it has left, and it has been refused at home.
+const quietFor = 2 * time.Second
+
+// Missed notes that an owner in a region said nothing.
+func (t *RegionTable) Missed(number uint32, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.quiet[number] = now.Add(quietFor)
+}
+
+// Quiet reports whether an owner in a region said nothing just now.
+func (t *RegionTable) Quiet(number uint32, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.quiet[number])
+}
+
 // Leave notes that a request leaves for a region's pool; the function it returns notes that
 // it has ended there.
 func (t *RegionTable) Leave(number, pool uint32) (end func()) {
--- a/entry/away.go
+++ b/entry/away.go
@@ -134,6 +134,9 @@
 	}
 	number := config.NameNumber(c.name)
 	c.There = b.Regions.Find(number, c.pool, r.Now)
+	if b.Regions.Quiet(number, r.Now) {
+		open = 0
+	}
 	c.Open, c.Allowed = open, r.Homes == 0 || r.Homes.Has(c.set)
 	c.Detour = time.Duration(trips) * b.Regions.Trip(number)
 	c.hosts = askers[c.name]
--- a/entry/place.go
+++ b/entry/place.go
@@ -128,6 +128,9 @@
 			e.logRefused(j, p.pre, string(blackboard.PhaseQueue), last, c.Age)
 			j.pick.Drop(route.Number(p.pre.Name))
 			asks++
+			if j.abroad() && e.board.Regions.Quiet(config.NameNumber(j.away.region), time.Now()) {
+				break
+			}
 			continue
 		}
 		turns++
@@ -296,6 +299,7 @@
 	reply, err := e.owners.Enqueue(ctx, p.pre, a)
 	switch {
 	case err != nil && j.abroad() && ctx.Err() == nil: // nothing is known of what waits there
+		e.board.Regions.Missed(config.NameNumber(j.away.region), time.Now())
 		return result.Errorf(result.TooLate, "the owner of %s is out of reach", p.pre.Name).After(time.Second)
 	case err != nil && errors.Is(err, peer.ErrOutOfReach) && ctx.Err() == nil:
 		if p.Wait+p.Read+p.Move > j.slack() {
--- a/peer/pool_test.go
+++ b/peer/pool_test.go
@@ -125,7 +125,7 @@
 				}
 				r := NewRouter(b, owner.New(b, endpoint.NewClient(nil), zap.NewNop()), dial, zap.NewNop())
 				began := time.Now()
-				err := r.callWatched(context.Background(), blackboard.Host{Peers: "127.0.0.1:2"}, methodEnqueue, &Nothing{}, &Nothing{}, 5*time.Second)
+				err := r.callWatched(context.Background(), blackboard.Host{Peers: "127.0.0.1:2"}, methodEnqueue, &Nothing{}, &Nothing{}, 5*time.Second, r.timeout())
 				took := time.Since(began)
 				switch {
 				case silent == 0 && (err != nil || took < 2*time.Second):
--- /dev/null
+++ b/peer/regions_test.go
@@ -0,0 +1,97 @@
+package peer
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/region"
+	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/route"
+)
+
+const regionsDocument = `{"failure_domains": [{"name": "a", "region": "north"}, {"name": "b", "region": "south"}, {"name": "c", "region": "west"}],
+"targets": {"ttft_ms": 900, "tpot_ms": 10}, "teams": [{"name": "red", "quota": {"rate": 100, "burst": 100}}],
+"models": [{"name": "m", "version": "1", "max_tokens": 1000, "kv_bytes_per_token": 1}], "endpoints": [
+{"name": "p", "address": "127.0.0.1:1", "failure_domain": "a", "role": "prefill", "model": "m", "tokens_per_second": 1000},
+{"name": "d", "address": "127.0.0.1:2", "failure_domain": "a", "role": "decode", "model": "m", "memory_tokens": 1000, "slots": 10, "step_micros": 100, "link_bytes_per_second": 1000}]}`
+
+// regionsHost returns a host of a failure domain that knows a host of each other.
+func regionsHost(t *testing.T, document, domain, name string) *Router {
+	t.Helper()
+	s := &config.Settings{Host: domain, Domain: domain, Region: name, Peers: "127.0.0.1:1"}
+	s.SetDefaults()
+	b := blackboard.New(s)
+	if _, err := b.Config.Offer(7, []byte(document)); err != nil {
+		t.Fatal(err)
+	}
+	v := b.Config.View()
+	b.Endpoints.Fit(v)
+	now := time.Now()
+	for _, d := range v.Doc.Domains {
+		b.Hosts.Learn(blackboard.Host{Name: d.Name, Number: request.HostNumber(d.Name), Domain: d.Name, Region: d.Region, Incarnation: 1, Beat: 1, Peers: "127.0.0.1:2"}, now)
+	}
+	b.Endpoints.Learn(route.Digest{Number: route.Number("p")}, now)
+	b.Endpoints.Learn(route.Digest{Number: route.Number("d"), FreeTokens: 900, FreeSlots: 9}, now)
+	return NewRouter(b, owner.New(b, endpoint.NewClient(nil), zap.NewNop()), nil, zap.NewNop())
+}
+
+// TestSummaries has a host tell one of another region of its own, which tells that on in
+// its region and not back, and older news doesn't take the place of newer.
+func TestSummaries(t *testing.T) {
+	now := time.Now()
+	north, south := regionsHost(t, regionsDocument, "a", "north"), regionsHost(t, regionsDocument, "b", "south")
+	n, pool := config.NameNumber("north"), region.PoolNumber("", "m")
+	told := north.summaries(now, "south")
+	if len(told) == 0 || len(told) > 16 {
+		t.Fatalf("told %d B of one pool, want some and 16 at the most", len(told))
+	}
+	if err := south.learnSummaries(told, now); err != nil {
+		t.Fatal(err)
+	}
+	row := south.board.Regions.Find(n, pool, now)
+	if !row.Known || row.Places == 0 {
+		t.Fatalf("learned %+v", row)
+	}
+	south.board.Regions.Learn(region.Summary{Region: n, Pool: pool, AgeMillis: 3000}, now)
+	if got := south.board.Regions.Find(n, pool, now); got.Places != row.Places {
+		t.Errorf("older news took the place of newer: %+v", got)
+	}
+	if on := south.summaries(now, "south"); len(on) != len(told) {
+		t.Errorf("tells %d B on in its region, want %d", len(on), len(told))
+	}
+	if back := south.summaries(now, "north"); len(back) != 0 {
+		t.Errorf("tells %d B of others to another region", len(back))
+	}
+	if err := south.learnSummaries([]byte{1, 2, 3}, now); err == nil {
+		t.Error("damaged summaries were taken")
+	}
+	later := now.Add(time.Minute)
+	if on := south.summaries(later, "south"); len(on) != 0 || south.board.Regions.Find(n, pool, later).Known {
+		t.Error("a summary is told on after a minute")
+	}
+}
+
+// TestOneRegionTellsNothing checks that a deployment of one region sends no byte more.
+func TestOneRegionTellsNothing(t *testing.T) {
+	r := regionsHost(t, quotaDocument, "d", "r")
+	if a := r.tell(telling{to: Name{Domain: "e", Region: "r"}}); a.Regions != nil {
+		t.Errorf("tells %d B of regions", len(a.Regions))
+	}
+}
+
+// TestReachOfAllRegions checks that holders of a team's limit settle with those of other
+// regions: else each region lets the whole limit in.
+func TestReachOfAllRegions(t *testing.T) {
+	now := time.Now()
+	r := regionsHost(t, regionsDocument, "b", "south")
+	if got := r.reach(now, config.NameNumber("red")).Domains; !slices.Equal(got, []string{"a", "c"}) {
+		t.Errorf("settles with the holders in %v, want a and c, which lie in other regions", got)
+	}
+}
--- a/peer/router.go
+++ b/peer/router.go
@@ -158,7 +158,7 @@
 		if a.Expect > 0 {
 			wait = r.timeout() + config.Millis(min(a.Slack, waitFactor*a.Expect+waitLeast))
 		}
-		err = r.callWatched(ctx, h, methodEnqueue, &a, &reply, wait)
+		err = r.callWatched(ctx, h, methodEnqueue, &a, &reply, wait, r.watchOf(a))
 	}
 	if err != nil || reply.Code == result.CallerGone {
 		left := owner.Release{Attempt: a.Attempt, Endpoint: a.Endpoint, Outcome: owner.GivenUp}
@@ -174,17 +174,30 @@
 	return reply, nil
 }
 
+// abroadWatch is how soon an owner of another region is asked for a sign of life. The
+// request has been refused at home, and is to be tried in a third region if this one is cut
+// off: with the ordinary time for a call, 625 ms of its 810 ms were gone by then.
+const abroadWatch = 100 * time.Millisecond
+
+// watchOf returns how long an owner may say nothing to a request for a turn.
+func (r *Router) watchOf(a owner.EnqueueArgs) time.Duration {
+	if a.Abroad {
+		return min(abroadWatch, r.timeout())
+	}
+	return r.timeout()
+}
+
 // callWatched makes a call that may take long. While it waits the host is asked
-// for a sign of life, so that one that froze or was cut off is found out soon.
-func (r *Router) callWatched(ctx context.Context, h blackboard.Host, method string, args, reply any, timeout time.Duration) error {
+// now and then for a sign of life, so that one that froze or was cut off is found out soon.
+func (r *Router) callWatched(ctx context.Context, h blackboard.Host, method string, args, reply any, timeout, watch time.Duration) error {
 	watched, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go func() {
-		for sleep(watched, r.timeout()) {
-			if r.pool.heardWithin(h.Peers, r.timeout()) {
+		for sleep(watched, watch) {
+			if r.pool.heardWithin(h.Peers, watch) {
 				continue
 			}
-			if err := r.pool.call(watched, h.Peers, methodPing, &Nothing{}, new(Beat), signPatience*r.timeout()/2); err != nil {
+			if err := r.pool.call(watched, h.Peers, methodPing, &Nothing{}, new(Beat), signPatience*watch/2); err != nil {
 				cancel(ErrOutOfReach)
 			}
 		}
--- a/quota/account.go
+++ b/quota/account.go
@@ -15,7 +15,7 @@
 
 // Reach is what a holder has in reach.
 type Reach struct {
-	Domains []string // the other failure domains of the region
+	Domains []string // the other failure domains, of all regions
 	// Part is the part of the own domain's hosts that is in reach, this one
 	// among them: 1 if all are.
 	Part float64
--- a/region/leave.go
+++ b/region/leave.go
@@ -8,7 +8,7 @@
 // The verdicts, in the order in which they are looked at.
 const (
 	Fits     Verdict = iota // by forecast it is in time there
-	Hopes                   // nothing is known there, but its own region has no endpoint at all
+	Hopes                   // nothing is known to be free there, but its own region has no endpoint at all
 	Bound                   // its homes keep the request from it
 	Closed                  // no endpoint there is open to the request, or it is cut off
 	Unknown                 // nothing was told of it lately
@@ -24,7 +24,7 @@
 	case Fits:
 		return "in time by forecast"
 	case Hopes:
-		return "nothing is known of it, and the own region has no endpoint"
+		return "nothing is known to be free there, and the own region has no endpoint"
 	case Bound:
 		return "the request's homes keep it from there"
 	case Closed:
@@ -89,8 +89,8 @@
 		return Closed
 	case t.Detour+n.Work > n.Left:
 		return Late
-	case !known && n.Homeless:
-		return Hopes
+	case n.Homeless && (!known || t.Places == 0 || t.Sent >= t.Part(draw)):
+		return Hopes // elsewhere or nowhere: the owner there has the last word
 	case !known:
 		return Unknown
 	case wait+t.Detour+n.Work > n.Left:
--- a/region/region.go
+++ b/region/region.go
@@ -43,8 +43,8 @@
 // 4 s old where it is used. One that has become wrong costs a message there and back,
 // because the owner there has the last word; TestWays compares half-lives.
 const (
-	trustHalf = 4 * time.Second  // after which it is worth half
-	trustMost = 12 * time.Second // after which it is worth nothing
+	trustHalf = 8 * time.Second  // after which it is worth half
+	trustMost = 24 * time.Second // after which it is worth nothing
 )
 
 // Trust returns what a summary of an age is worth, from 1 to 0.
@@ -142,7 +142,7 @@
 		return
 	}
 	age := s.Age(now)
-	if age < 0 || age > digestMost {
+	if s.At.IsZero() || age > digestMost {
 		return
 	}
 	p.age = max(p.age, age)
--- a/region/take.go
+++ b/region/take.go
@@ -24,7 +24,7 @@
 
 // ownPart is the part of a decode engine's memory and slots that is kept for callers of its
 // own region.
-const ownPart = 0.25
+const ownPart = 0.1
 
 // TakesRoom reports whether a decode engine takes a request of another region.
 func TakesRoom(r Room) bool {
--- /dev/null
+++ b/route/pair_test.go
@@ -0,0 +1,32 @@
+package route
+
+import "testing"
+
+// TestPairs checks that the two halves of a request stay in one region, whatever is
+// cheaper, and that an answer is written where its prompt was read.
+func TestPairs(t *testing.T) {
+	v := testView(t, 3, 3) // p2 and d2 lie in the other region
+	here, far := v.RegionSet("r"), v.RegionSet("far")
+	states := fresh(v)
+	for i := range v.Doc.Domains {
+		v.Doc.Domains[i].LinkBytesPerSecond = 1e9 // links lead everywhere
+	}
+	busy := func(list ...int) {
+		for _, i := range list {
+			states[i].Digest.QueueMillis, states[i].Digest.WaitMillis = 5000, 5000
+		}
+	}
+	busy(0, 1, 5) // the prefill engines here, the decode engine there
+	r := &Request{Group: &v.RouteByName("all").Group, Model: "m", Tokens: 1000, MaxAnswer: 100, Home: 0, Region: here, Reach: far, Now: now}
+	c := Pick(v, states, r)
+	if c.Prefill < 0 || states[c.Prefill].Region != states[c.Decode].Region {
+		t.Fatalf("chose %+v: a pair of two regions", c)
+	}
+	r.Pair = far
+	if i := PickDecode(v, states, r); i != 5 {
+		t.Errorf("the prompt was read in the other region, its answer is written at %d", i)
+	}
+	if c := Pick(v, states, r); c.Prefill != 2 || c.Decode != 5 {
+		t.Errorf("chose %+v for a prompt that was read in the other region", c)
+	}
+}
