--- a/blackboard/regions.go
+++ b/blackboard/regions.go
@@ -13,7 +13,7 @@
 type RegionTable struct {
 	mu    sync.Mutex
 	rows  map[regionPool]summaryRow
-	sent  map[regionPool]int // under way
+	sent  map[regionPool]int // since what the row tells was true
 	trips map[uint32]time.Duration
 	left  map[uint32]uint64 // requests that left for a region, since the start
 	kept  [region.Verdicts]uint64
@@ -46,7 +46,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if at.After(t.rows[k].at) {
-		t.rows[k] = summaryRow{s, at}
+		t.rows[k], t.sent[k] = summaryRow{s, at}, 0
 	}
 }
 
@@ -121,21 +121,12 @@
 	return now.Before(t.quiet[number])
 }
 
-// Leave notes that a request leaves for a region's pool; the function it returns notes that
-// it has ended there.
-func (t *RegionTable) Leave(number, pool uint32) (end func()) {
-	k := regionPool{number, pool}
+// Leave notes that a request leaves for a region's pool.
+func (t *RegionTable) Leave(number, pool uint32) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.sent[k]++
+	t.sent[regionPool{number, pool}]++
 	t.left[number]++
-	return sync.OnceFunc(func() {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if t.sent[k]--; t.sent[k] == 0 {
-			delete(t.sent, k)
-		}
-	})
 }
 
 // Keep notes why a request that its region couldn't serve didn't leave for another.
--- a/entry/away.go
+++ b/entry/away.go
@@ -21,7 +21,6 @@
 	region string         // empty: at home
 	home   config.Regions // where it came from
 	detour time.Duration
-	end    func() // notes that it has left the region again
 }
 
 // How far a request is carried round in regions.
@@ -41,7 +40,6 @@
 	if !j.abroad() {
 		return
 	}
-	j.away.end()
 	j.pick.Region = j.away.home
 	j.away = away{}
 }
@@ -84,7 +82,8 @@
 	}
 	e.goHome(j)
 	c := &found[to]
-	j.away = away{region: c.name, home: j.pick.Region, detour: c.Detour, end: e.board.Regions.Leave(config.NameNumber(c.name), c.pool)}
+	j.away = away{region: c.name, home: j.pick.Region, detour: c.Detour}
+	e.board.Regions.Leave(config.NameNumber(c.name), c.pool)
 	j.pick.Region = c.set
 	return true
 }
--- a/region/leave.go
+++ b/region/leave.go
@@ -57,7 +57,7 @@
 	Known   bool          // a summary was ever told
 	Age     time.Duration // of the summary
 	Detour  time.Duration // what the way there and back costs a request in all
-	Sent    int           // requests that this host has under way there
+	Sent    int           // requests that this host has sent there since the summary was true
 	Askers  int           // hosts of the regions that lack places, which share what it offers
 	Allowed bool          // by the request's homes
 	Open    int           // endpoints that are open to the request
@@ -65,9 +65,10 @@
 
 // partFactor is by how much a host may exceed its even part of an offer: requests come to
 // hosts in heaps, and the owner there has the last word. TestWays compares factors.
-const partFactor = 4
+const partFactor = 8
 
-// Part returns how many requests a host may have under way in a region: its part of what
+// Part returns how many requests a host may send to a region on one summary, in which the
+// earlier ones show: its part of what
 // is offered, as far as that is trusted. Of a part below one a draw in [0, 1) decides.
 func (t *There) Part(draw float64) int {
 	part := partFactor * float64(t.Places) * Trust(t.Age) / float64(max(1, t.Askers))
--- a/region/region.go
+++ b/region/region.go
@@ -55,16 +55,23 @@
 	return math.Exp2(-max(0, age).Seconds() / trustHalf.Seconds())
 }
 
-// What a region offers to others. Each endpoint stands for so many requests of theirs at
-// once: a prompt keeps an engine for a tenth of a second of the half second that a request
-// of another region is under way, and of the room of a decode engine a quarter is kept for
-// its own callers (TakesRoom).
+// What a region offers to others. A prefill engine that has room stands for so many
+// prompts: each keeps it for a tenth of a second, and a summary is a second old or more. A
+// decode engine stands for one to some requests, by its free memory, and a plain one for
+// some calls.
 const (
-	turnsEach = 4
-	roomsEach = 2
-	callsEach = 2
+	turnsEach     = 4
+	mostRoomsEach = 4
+	roomsOfAll    = 8 // requests that an empty decode engine stands for, as far as mostRoomsEach
+	callsEach     = 2
 )
 
+// rooms returns how many requests a decode engine that takes them stands for.
+func rooms(r Room) int {
+	left := float64(r.Free)/float64(max(1, r.Memory)) - ownPart
+	return min(max(1, int(roomsOfAll*left)), mostRoomsEach)
+}
+
 // nearLimit is the part of a region's engines of one role that must have room for it to
 // offer any. Below it the region's own callers are about to be refused themselves, and what
 // is free is some seconds ago.
@@ -76,23 +83,25 @@
 // tally counts a pool's endpoints of one role.
 type tally struct {
 	all, free int
+	takes     int           // requests that the free ones stand for
 	wait      time.Duration // of the free ones, summed up
 }
 
-func (t *tally) add(free bool, wait time.Duration) {
+func (t *tally) add(free bool, takes int, wait time.Duration) {
 	t.all++
 	if free {
 		t.free++
+		t.takes += takes
 		t.wait += wait
 	}
 }
 
-// offers returns how many requests the endpoints take, of each of which that has room.
-func (t *tally) offers(each int) int {
+// offers returns how many requests the endpoints take.
+func (t *tally) offers() int {
 	if t.all == 0 || float64(t.free) < nearLimit*float64(t.all) {
 		return 0
 	}
-	return t.free * each
+	return t.takes
 }
 
 // mean returns the mean wait at those that have room.
@@ -137,7 +146,7 @@
 	if s.Role == config.Service {
 		if s.Seen.Took > 0 {
 			took := time.Duration(s.Seen.Took * float64(time.Second))
-			p.calls.add(open && !now.Before(s.Seen.Full) && s.Seen.Failing(now) < failingMost, took)
+			p.calls.add(open && !now.Before(s.Seen.Full) && s.Seen.Failing(now) < failingMost, callsEach, took)
 		}
 		return
 	}
@@ -149,12 +158,12 @@
 	d := &s.Digest
 	if s.Role == config.Prefill {
 		queue := time.Duration(d.QueueMillis) * time.Millisecond
-		p.turns.add(open && TakesTurn(queue), queue)
+		p.turns.add(open && TakesTurn(queue), turnsEach, queue)
 		return
 	}
 	room := Room{Free: int(d.FreeTokens), Memory: s.Spec.MemoryTokens, Slots: int(d.FreeSlots), AllSlots: s.Spec.Slots,
 		Wait: time.Duration(d.WaitMillis) * time.Millisecond}
-	p.rooms.add(open && TakesRoom(room), 0)
+	p.rooms.add(open && TakesRoom(room), rooms(room), 0)
 }
 
 // failingMost is the share of failures from which an endpoint of a service is not offered.
@@ -163,14 +172,14 @@
 // summary returns what is told of the pool, and whether anything is known.
 func (p *pool) summary() (s Summary, known bool) {
 	if p.calls.all > 0 {
-		return Summary{Places: uint32(p.calls.offers(callsEach)), WaitMillis: uint32(p.calls.mean().Milliseconds())}, true
+		return Summary{Places: uint32(p.calls.offers()), WaitMillis: uint32(p.calls.mean().Milliseconds())}, true
 	}
 	if p.rooms.all == 0 {
 		return Summary{}, p.turns.all > 0
 	}
-	places := p.rooms.offers(roomsEach)
+	places := p.rooms.offers()
 	if p.turns.all > 0 {
-		places = min(places, p.turns.offers(turnsEach))
+		places = min(places, p.turns.offers())
 	}
 	return Summary{Places: uint32(places), WaitMillis: uint32(p.turns.mean().Milliseconds()), AgeMillis: uint32(p.age.Milliseconds() / 2)}, true
 }
