--- a/entry/away.go
+++ b/entry/away.go
@@ -92,7 +92,7 @@
 // what is known of them.
 func (e *Entry) elsewhere(j *job, trips int, tried config.Regions, list func(g *config.Group) []int) (out []candidate) {
 	now := time.Now()
-	askers := e.board.Hosts.Regions(now)
+	hosts := e.board.Hosts.Regions(now)
 	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
 		g := j.group(v)
 		if g == nil || len(v.RegionNames) < 2 {
@@ -101,22 +101,48 @@
 		r := j.pick
 		r.Region, r.Now, r.Reach = j.home(), now, 0
 		e.bind(v, j, &r)
-		for _, name := range v.RegionNames {
-			set := v.RegionSet(name)
-			if set == 0 || set.Has(j.home()|tried) {
-				continue
-			}
-			c := candidate{name: name, set: set}
-			c.look(e.board, states, list(g), r, askers, trips)
-			out = append(out, c)
-		}
+		out = candidates(e.board, v, states, list(g), r, hosts, trips, tried)
 	})
-	askersOf(out, askers[e.board.Settings.Region])
+	return out
+}
+
+// candidates returns the regions but the request's own and those that were tried, with what
+// is known of each.
+func candidates(b *blackboard.Board, v *config.View, states []route.State, list []int, r route.Request, hosts map[string]int, trips int, tried config.Regions) (out []candidate) {
+	for _, name := range v.RegionNames {
+		set := v.RegionSet(name)
+		if set == 0 || set.Has(r.Region|tried) {
+			continue
+		}
+		c := candidate{name: name, set: set, hosts: hosts[name]}
+		c.look(b, states, list, r, trips)
+		out = append(out, c)
+	}
+	askersOf(out, hosts[b.Settings.Region])
+	return out
+}
+
+// RegionChoice says whether a request would leave for a region.
+type RegionChoice struct {
+	Region string `json:"region"`
+	Why    string `json:"why"`
+}
+
+// ExplainRegions says for each other region whether a request for engines would leave for
+// it, if its own refused it now.
+func ExplainRegions(b *blackboard.Board, v *config.View, states []route.State, r route.Request, hosts map[string]int) (out []RegionChoice) {
+	if len(v.RegionNames) < 2 {
+		return nil
+	}
+	n := region.Need{Left: time.Duration(aim * float64(v.Doc.Targets.TTFT())), Work: workOf(v, r.Group, r.Tokens, r.Model)}
+	for _, c := range candidates(b, v, states, engines(r.Group), r, hosts, engineTrips, 0) {
+		out = append(out, RegionChoice{c.name, region.Judge(n, &c.There, 0).String()})
+	}
 	return out
 }
 
 // look fills in what is known of a region for a request.
-func (c *candidate) look(b *blackboard.Board, states []route.State, list []int, r route.Request, askers map[string]int, trips int) {
+func (c *candidate) look(b *blackboard.Board, states []route.State, list []int, r route.Request, trips int) {
 	r.Region, r.Reach = c.set, 0
 	open := 0
 	for _, i := range list {
@@ -138,7 +164,6 @@
 	}
 	c.Open, c.Allowed = open, r.Homes == 0 || r.Homes.Has(c.set)
 	c.Detour = time.Duration(trips) * b.Regions.Trip(number)
-	c.hosts = askers[c.name]
 }
 
 // askersOf works out for each region how many hosts want what it offers: those of the own
@@ -179,16 +204,20 @@
 func (e *Entry) needs(j *job, refusal *result.Error) region.Need {
 	n := region.Need{Left: j.slack(), Homeless: refusal.Code == result.NoEndpoint || refusal.Code == result.Evacuated}
 	e.board.Endpoints.Read(func(v *config.View, _ []route.State) {
-		g := j.group(v)
-		if g == nil {
-			return
-		}
-		if len(g.Prefill) > 0 {
-			n.Work += time.Duration(float64(j.tokens) / v.Doc.Endpoints[g.Prefill[0]].TokensPerSecond * float64(time.Second))
-		}
-		if len(g.Decode) > 0 {
-			n.Work += route.LinkTime(&v.Doc.Endpoints[g.Decode[0]], int64(j.tokens)*kvBytes(v, j.work.Model))
+		if g := j.group(v); g != nil {
+			n.Work = workOf(v, g, j.tokens, j.work.Model)
 		}
 	})
 	return n
 }
+
+// workOf returns how long a group's engines take to read a prompt and to move it.
+func workOf(v *config.View, g *config.Group, tokens int, model string) (d time.Duration) {
+	if len(g.Prefill) > 0 {
+		d += time.Duration(float64(tokens) / v.Doc.Endpoints[g.Prefill[0]].TokensPerSecond * float64(time.Second))
+	}
+	if len(g.Decode) > 0 {
+		d += route.LinkTime(&v.Doc.Endpoints[g.Decode[0]], int64(tokens)*kvBytes(v, model))
+	}
+	return d
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -9,6 +9,7 @@
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/entry"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/result"
@@ -70,6 +71,7 @@
 	Hosts     []HostStatus            `json:"hosts"`
 	Endpoints []EndpointStatus        `json:"endpoints"`
 	Quotas    []QuotaStatus           `json:"quotas"`
+	Regions   []RegionStatus          `json:"regions,omitempty"` // the other ones
 	Sum       report.Sum              `json:"sum"`
 	TTFT      report.Quantiles        `json:"ttft"`
 	TPOT      report.Quantiles        `json:"tpot"`
@@ -132,6 +134,7 @@
 	if v == nil {
 		return s
 	}
+	s.Regions = n.regions(v, now)
 	for _, a := range n.Board.Quotas.List(now) {
 		if t := v.TeamByNumber[a.Team]; t != nil {
 			s.Quotas = append(s.Quotas, QuotaStatus{t.Name, a.Limit.Rate, a.Level, a.Pace, a.Asked, a.Use, a.Missed})
@@ -222,6 +225,9 @@
 	Move       float64           `json:"move_s"`
 	Target     float64           `json:"ttft_target_s"`
 	Candidates []route.Candidate `json:"candidates"`
+	// Regions says of each other region whether the request would leave for it if its own
+	// refused it now.
+	Regions []entry.RegionChoice `json:"regions,omitempty"`
 }
 
 // explain answers for ?team=…&model=…&tokens=…&max_tokens=…&labels=k=v,k=v.
@@ -267,11 +273,13 @@
 	ex.Route = r.Name
 	req := route.Request{Group: &r.Group, Model: labels["model"], Tokens: tokens, MaxAnswer: answer, Home: v.DomainIndex(n.settings.Domain),
 		Region: v.RegionSet(n.settings.Region), Homes: v.Homes(r.Route, v.Teams[labels["team"]]), Now: time.Now()}
+	hosts := n.Board.Hosts.Regions(req.Now)
 	n.Board.Endpoints.Read(func(tv *config.View, states []route.State) {
 		if tv != v {
 			return // a revision came in between; the next call sees it
 		}
 		ex.Candidates = route.Explain(v, states, &req)
+		ex.Regions = entry.ExplainRegions(n.Board, v, states, req, hosts)
 		c := route.Pick(v, states, &req)
 		if c.Prefill < 0 {
 			ex.Refusal = result.NoEndpoint.String()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -120,6 +120,9 @@
 			return err
 		}
 	}
+	if err := observeRegions(n, meter); err != nil {
+		return err
+	}
 	return observeLabelled(n, meter)
 }
 
--- /dev/null
+++ b/node/regions.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/region"
+)
+
+// RegionStatus is another region as a host sees it.
+type RegionStatus struct {
+	Region string       `json:"region"`
+	Trip   float64      `json:"trip_ms"` // of a message there and back
+	Left   uint64       `json:"left"`    // requests that left for it
+	Quiet  bool         `json:"quiet"`   // an owner there said nothing just now
+	Pools  []PoolStatus `json:"pools"`
+}
+
+// PoolStatus is what is known of a pool in another region.
+type PoolStatus struct {
+	Pool   string  `json:"pool"`
+	Places uint32  `json:"places"` // that it offers to all other regions
+	Wait   float64 `json:"wait_ms"`
+	Age    float64 `json:"age_s"` // -1: never told of
+	Trust  float64 `json:"trust"` // what the summary is worth, from 1 to 0
+	Sent   int     `json:"sent"`  // by this host since the summary was true
+}
+
+// regions lists the other regions.
+func (n *Node) regions(v *config.View, now time.Time) (out []RegionStatus) {
+	for _, name := range v.RegionNames {
+		if name == n.settings.Region {
+			continue
+		}
+		number := config.NameNumber(name)
+		row := RegionStatus{Region: name, Trip: float64(n.Board.Regions.Trip(number).Microseconds()) / 1000,
+			Left: n.Board.Regions.Left(number), Quiet: n.Board.Regions.Quiet(number, now)}
+		for _, pool := range poolNames(v, name) {
+			row.Pools = append(row.Pools, n.poolStatus(number, pool, now))
+		}
+		out = append(out, row)
+	}
+	return out
+}
+
+func (n *Node) poolStatus(number uint32, pool string, now time.Time) PoolStatus {
+	t := n.Board.Regions.Find(number, config.NameNumber(pool), now)
+	out := PoolStatus{Pool: pool, Places: t.Places, Wait: float64(t.WaitMillis), Age: -1, Sent: t.Sent}
+	if t.Known {
+		out.Age, out.Trust = t.Age.Seconds(), region.Trust(t.Age)
+	}
+	return out
+}
+
+// poolNames returns the names of the pools with endpoints in a region; of endpoints without
+// a pool, that of their model.
+func poolNames(v *config.View, in string) (names []string) {
+	seen := map[string]bool{}
+	for i := range v.Doc.Endpoints {
+		e := &v.Doc.Endpoints[i]
+		name := e.Pool
+		if name == "" {
+			name = e.Model
+		}
+		if v.Region[e.Domain] == in && !seen[name] {
+			seen[name] = true
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// observeRegions registers what is counted by pair of regions, and by reason. A document
+// names 63 regions at the most, and the first of a pair is this host's.
+func observeRegions(n *Node, meter metric.Meter) error {
+	_, err := meter.Float64ObservableCounter("region_left", metric.WithDescription("requests that left this host's region for another"),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			v := n.Board.Config.View()
+			if v == nil {
+				return nil
+			}
+			for _, r := range n.regions(v, time.Now()) {
+				o.Observe(float64(r.Left), metric.WithAttributes(attribute.String("from", n.settings.Region), attribute.String("to", r.Region)))
+			}
+			return nil
+		}))
+	if err != nil {
+		return err
+	}
+	_, err = meter.Float64ObservableCounter("region_stayed", metric.WithDescription("other regions that a request could not leave for, by reason"),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for v, c := range n.Board.Regions.Kept() {
+				if c > 0 {
+					o.Observe(float64(c), metric.WithAttributes(attribute.String("reason", region.Verdict(v).String())))
+				}
+			}
+			return nil
+		}))
+	return err
+}
--- a/region/region.go
+++ b/region/region.go
@@ -72,10 +72,10 @@
 	return min(max(1, int(roomsOfAll*left)), mostRoomsEach)
 }
 
-// nearLimit is the part of a region's engines of one role that must have room for it to
+// nearLimit is the part of a region's engines of one role of which more must have room for it to
 // offer any. Below it the region's own callers are about to be refused themselves, and what
 // is free is some seconds ago.
-const nearLimit = 0.4
+const nearLimit = 0.25
 
 // digestMost is the age from which a digest says nothing of an engine's room.
 const digestMost = 6 * time.Second
@@ -98,7 +98,7 @@
 
 // offers returns how many requests the endpoints take.
 func (t *tally) offers() int {
-	if t.all == 0 || float64(t.free) < nearLimit*float64(t.all) {
+	if t.all == 0 || float64(t.free) <= nearLimit*float64(t.all) {
 		return 0
 	}
 	return t.takes
--- a/region/take.go
+++ b/region/take.go
@@ -6,9 +6,10 @@
 // is some seconds old is taken back at once, whoever still believes in it.
 
 // turnMost is the work queued before a prefill engine up to which it takes a prompt of
-// another region: what it reads in a quarter of a target of 900 ms. The callers of its own
-// region find the rest of the target as they would without.
-const turnMost = 225 * time.Millisecond
+// another region: half of what callers of its own may wait for with a target of 900 ms, so
+// that they find a turn after it. With 225 ms, half of the readers of two regions under
+// their usual load, with arrivals in heaps, counted as full, and offered nothing.
+const turnMost = 400 * time.Millisecond
 
 // TakesTurn reports whether a prefill engine with so much work queued takes prompts of
 // other regions.
