--- /dev/null
+++ b/entry/away_test.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/region"
+	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/route"
+)
+
+const awayDocument = `{"failure_domains": [{"name": "a", "region": "north"}, {"name": "b", "region": "south"}, {"name": "c", "region": "west"}],
+"targets": {"ttft_ms": 300, "tpot_ms": 10}, "teams": [{"name": "t", "regions": ["north", "west"]}],
+"pools": [{"name": "web", "takes_not_repeatable": true}],
+"routes": [{"name": "page", "host": "h", "path_prefix": "/", "pools": [{"pool": "web", "weight": 1}]}]}`
+
+// TestCallLeaves states what a host in the north has seen of its own two endpoints of a
+// service, and was told of the south and the west, and where a call goes.
+func TestCallLeaves(t *testing.T) {
+	const ms = time.Millisecond
+	south, west := config.NameNumber("south"), config.NameNumber("west")
+	type scene struct {
+		b      *blackboard.Board
+		states []route.State // n0, n1, s, w
+		j      *job
+	}
+	all := func(s *scene, f func(s *route.State)) {
+		f(&s.states[0])
+		f(&s.states[1])
+	}
+	slow := func(took time.Duration) func(s *scene) {
+		return func(s *scene) { all(s, func(st *route.State) { st.Seen.Took = took.Seconds() }) }
+	}
+	leave := func(s *scene) { all(s, func(st *route.State) { st.Leaving = true }) }
+	cases := []struct {
+		name string
+		see  func(s *scene)
+		want string // region of the endpoint; empty: none
+	}{
+		{"fast at home", slow(60 * ms), "north"},
+		{"too slow at home", slow(400 * ms), "south"},
+		{"twice as slow as elsewhere", slow(220 * ms), "south"},
+		{"slower, but the way costs more", slow(150 * ms), "north"},
+		{"full at home", func(s *scene) {
+			all(s, func(st *route.State) { st.Seen.Full = time.Now().Add(time.Second) })
+		}, "south"},
+		{"none at home", leave, "south"},
+		{"none at home, nothing told", func(s *scene) { leave(s); s.b.Regions.Drop() }, "south"},
+		{"too slow at home, nothing told", func(s *scene) { slow(400 * ms)(s); s.b.Regions.Drop() }, "north"},
+		{"too slow everywhere", func(s *scene) {
+			slow(400 * ms)(s)
+			s.b.Regions.Learn(region.Summary{Region: south, Pool: region.PoolNumber("web", ""), Places: 5, WaitMillis: 350}, time.Now().Add(time.Second))
+		}, "north"},
+		{"too slow at home, little time left", func(s *scene) { slow(400 * ms)(s); s.j.came = time.Now().Add(-220 * ms) }, "north"},
+		{"none at home, too late in any case", func(s *scene) { leave(s); s.j.came, s.j.deadline = time.Now().Add(-time.Second), 3 * time.Second }, "south"},
+		{"none at home, the owner in the south is silent", func(s *scene) { leave(s); s.b.Regions.Missed(south, time.Now()) }, ""},
+		{"none at home, its homes are elsewhere", func(s *scene) { leave(s); s.j.headers.team = s.j.view.Teams["t"] }, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &config.Settings{Host: "h", Domain: "a", Region: "north"}
+			s.SetDefaults()
+			b := blackboard.New(s)
+			if _, err := b.Config.Offer(1, []byte(awayDocument)); err != nil {
+				t.Fatal(err)
+			}
+			roster := &config.Roster{Revision: 1}
+			for i, d := range []string{"a", "a", "b"} {
+				roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i),
+					Domain: d, Pool: "web", Role: config.Service})
+			}
+			if _, err := b.Config.OfferRoster(roster, time.Now()); err != nil {
+				t.Fatal(err)
+			}
+			v, now := b.Config.View(), time.Now()
+			b.Endpoints.Fit(v)
+			for _, d := range v.Doc.Domains {
+				b.Hosts.Learn(blackboard.Host{Name: d.Name, Number: request.HostNumber(d.Name), Domain: d.Name, Region: d.Region, Incarnation: 1, Beat: 1}, now)
+			}
+			pool := region.PoolNumber("web", "")
+			b.Regions.Learn(region.Summary{Region: south, Pool: pool, Places: 5, WaitMillis: 60}, now)
+			b.Regions.Learn(region.Summary{Region: west, Pool: pool, Places: 50, WaitMillis: 10}, now) // where no endpoint is any more
+			b.Regions.Took(south, 16*ms)
+			e := &Entry{board: b}
+			j := &job{headers: headers{team: defaultTeam}, view: v, route: v.RouteFor("h", "/x"), pool: "web", tries: 1, came: now,
+				pick: route.Request{Home: v.DomainIndex("a"), Region: v.RegionSet("north")}}
+			b.Endpoints.Read(func(_ *config.View, states []route.State) { tc.see(&scene{b, states, j}) })
+			got := ""
+			if spec := e.chooseService(j); spec != nil {
+				got = v.Region[spec.Domain]
+			}
+			if got != tc.want {
+				t.Errorf("called in %q, want %q; %s", got, tc.want, j.regions)
+			}
+			if left := strings.Contains(j.regions, "left for"); left != (got == "south") || left != j.abroad() {
+				t.Errorf("the log says %q of a call in %q", j.regions, got)
+			}
+		})
+	}
+}
--- a/entry/service.go
+++ b/entry/service.go
@@ -99,8 +99,8 @@
 func (e *Entry) chooseService(j *job) *config.Endpoint {
 	e.goHome(j)
 	spec, here := e.bestService(j)
-	n := j.callNeeds(spec)
-	if spec != nil && here <= n.Left || !e.leave(j, n, serviceTrips, j.home(), services) {
+	n, stays := j.callNeeds(spec, here)
+	if stays || !e.leave(j, n, serviceTrips, j.home(), services) {
 		return spec
 	}
 	if there, _ := e.bestService(j); there != nil {
@@ -112,14 +112,30 @@
 
 func services(g *config.Group) []int { return g.Service }
 
-// callNeeds returns what a call needs outside of its region. One that no endpoint of its
-// own is open to leaves though it may be late.
-func (j *job) callNeeds(spec *config.Endpoint) region.Need {
-	n := region.Need{Left: time.Until(j.came.Add(time.Duration(aim * float64(j.target())))), Homeless: spec == nil}
-	if n.Homeless && j.deadline > 0 {
-		n.Left = time.Until(j.came.Add(j.deadline))
+// Calls vary, so of those that take half of what is left on average many are late. They
+// leave already if elsewhere, the way included, it takes half as long as here.
+const (
+	leavePart = 0.5 // of the time that is left
+	fasterBy  = 2
+)
+
+// callNeeds returns what a call needs outside of its region, where it takes so long at an
+// endpoint of its own, and whether it stays in any case. One that no endpoint of its own
+// is open to leaves though it may be late.
+func (j *job) callNeeds(spec *config.Endpoint, here time.Duration) (n region.Need, stays bool) {
+	n.Left = time.Until(j.came.Add(time.Duration(aim * float64(j.target()))))
+	switch {
+	case spec == nil:
+		n.Homeless = true
+		if j.deadline > 0 {
+			n.Left = time.Until(j.came.Add(j.deadline))
+		}
+	case float64(here) <= leavePart*float64(n.Left):
+		return n, true
+	default:
+		n.Left = min(n.Left, here/fasterBy)
 	}
-	return n
+	return n, false
 }
 
 // bestService takes the endpoint with the fewest calls from this host, of
