--- a/peer/regions_test.go
+++ b/peer/regions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,9 +81,13 @@
 
 // TestOneRegionTellsNothing checks that a deployment of one region sends no byte more.
 func TestOneRegionTellsNothing(t *testing.T) {
-	r := regionsHost(t, quotaDocument, "d", "r")
-	if a := r.tell(telling{to: Name{Domain: "e", Region: "r"}}); a.Regions != nil {
-		t.Errorf("tells %d B of regions", len(a.Regions))
+	one := strings.NewReplacer(`"south"`, `"north"`, `"west"`, `"north"`).Replace(regionsDocument)
+	r := regionsHost(t, one, "a", "north")
+	r.board.Regions.Learn(region.Summary{Region: 7, Pool: 7, Places: 7}, time.Now())
+	for _, to := range []string{"north", "other"} {
+		if a := r.tell(telling{to: Name{Domain: "b", Region: to}}); a.Regions != nil {
+			t.Errorf("tells %d B of regions", len(a.Regions))
+		}
 	}
 }
 
