--- a/entry/service.go
+++ b/entry/service.go
@@ -112,13 +112,6 @@
 
 func services(g *config.Group) []int { return g.Service }
 
-// Calls vary, so of those that take half of what is left on average many are late. They
-// leave already if elsewhere, the way included, it takes half as long as here.
-const (
-	leavePart = 0.5 // of the time that is left
-	fasterBy  = 2
-)
-
 // callNeeds returns what a call needs outside of its region, where it takes so long at an
 // endpoint of its own, and whether it stays in any case. One that no endpoint of its own
 // is open to leaves though it may be late.
@@ -133,7 +126,7 @@
 	case float64(here) <= leavePart*float64(n.Left):
 		return n, true
 	default:
-		n.Left = min(n.Left, here/fasterBy)
+		n.Left = min(n.Left, faster(here))
 	}
 	return n, false
 }
