--- a/entry/place.go
+++ b/entry/place.go
@@ -168,8 +168,8 @@
 			return p, nil
 		}
 		e.returnTurn(p)
-		if ctx.Err() != nil || last.RetryAfter+p.Read+p.Move > j.slack() {
-			break
+		if ctx.Err() != nil || j.abroad() || last.RetryAfter+p.Read+p.Move > j.slack() {
+			break // nobody waits for room outside of its region
 		}
 		if last.RetryAfter >= leaveAfter && !j.abroad() && turns == 1 {
 			if p := e.placeAway(ctx, j, e.needs(j, last.Code), mostAway); p != nil {
