entry: calls that all regions are too slow for are refused at once, not moved

A call that both endpoints of its region had refused counted as one without a region and went anywhere until its deadline. Now it goes only where calls take 0.6 of what is left of the target at the most, the way included.

--- a/entry/away_test.go
+++ b/entry/away_test.go
@@ -48,6 +48,14 @@
 		{"full at home", func(s *scene) {
 			all(s, func(st *route.State) { st.Seen.Full = time.Now().Add(time.Second) })
 		}, "south"},
+		{"both refused it, and it is fast elsewhere", func(s *scene) {
+			slow(60 * ms)(s)
+			all(s, func(st *route.State) { s.j.pick.Drop(st.Number) })
+		}, "south"},
+		{"both refused it, and it is slow elsewhere", func(s *scene) {
+			all(s, func(st *route.State) { s.j.pick.Drop(st.Number) })
+			s.b.Regions.Learn(region.Summary{Region: south, Pool: region.PoolNumber("web", ""), Places: 5, WaitMillis: 180}, time.Now().Add(time.Second))
+		}, ""},
 		{"none at home", leave, "south"},
 		{"none at home, nothing told", func(s *scene) { leave(s); s.b.Regions.Drop() }, "south"},
 		{"too slow at home, nothing told", func(s *scene) { slow(400 * ms)(s); s.b.Regions.Drop() }, "north"},
--- a/entry/service.go
+++ b/entry/service.go
@@ -99,7 +99,7 @@
 func (e *Entry) chooseService(j *job) *config.Endpoint {
 	e.goHome(j)
 	spec, here := e.bestService(j)
-	n, stays := j.callNeeds(spec, here)
+	n, stays := j.callNeeds(spec, here, e.homeless(j))
 	if stays || !e.leave(j, n, serviceTrips, j.home(), services) {
 		return spec
 	}
@@ -112,25 +112,50 @@
 
 func services(g *config.Group) []int { return g.Service }
 
+// surePart is the part of the time left in which a call has to be answered elsewhere on
+// average, so that most are in time. With all of it, where all regions had a burst calls
+// that would have been refused at once ran late in another: 2,972 late instead of 1,987.
+const surePart = 0.6
+
 // callNeeds returns what a call needs outside of its region, where it takes so long at an
-// endpoint of its own, and whether it stays in any case. One that no endpoint of its own
-// is open to leaves though it may be late.
-func (j *job) callNeeds(spec *config.Endpoint, here time.Duration) (n region.Need, stays bool) {
-	n.Left = time.Until(j.came.Add(time.Duration(aim * float64(j.target()))))
+// endpoint of its own, and whether it stays in any case. One whose region has no endpoint
+// for it leaves though it may be late.
+func (j *job) callNeeds(spec *config.Endpoint, here time.Duration, homeless bool) (n region.Need, stays bool) {
+	left := time.Until(j.came.Add(time.Duration(aim * float64(j.target()))))
+	n.Left = time.Duration(surePart * float64(left))
 	switch {
-	case spec == nil:
+	case homeless:
 		n.Homeless = true
 		if j.deadline > 0 {
 			n.Left = time.Until(j.came.Add(j.deadline))
 		}
-	case float64(here) <= leavePart*float64(n.Left):
+	case spec != nil && float64(here) <= leavePart*float64(left):
 		return n, true
-	default:
+	case spec != nil:
 		n.Left = min(n.Left, faster(here))
 	}
 	return n, false
 }
 
+// homeless reports whether no endpoint of a call's own region is open to it, those that
+// have refused it not counted out.
+func (e *Entry) homeless(j *job) bool {
+	none := true
+	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
+		g := j.group(v)
+		if g == nil {
+			return
+		}
+		r := j.pick
+		r.Exclude = [route.MostExcluded]uint32{}
+		e.bind(v, j, &r)
+		for _, i := range g.Service {
+			none = none && !route.Open(&states[i], &r)
+		}
+	})
+	return none
+}
+
 // bestService takes the endpoint with the fewest calls from this host, of
 // the own failure domain first. Failures that were seen and a reach that was
 // lost weigh as calls. A call that has failed once isn't tried at an endpoint
