cold, config, route: how many requests a cold endpoint bears, and until when it is cold

An endpoint says how long it is cold still and its pool how many requests a second it bears then. Nobody knew of either. The roster turns the time that is left into one of this process, and it is told to other hosts as time left again, because clocks differ; a cold endpoint registers with each heartbeat, of which only a moment that moves by over 500 ms is told around.

--- a/blackboard/changes.go
+++ b/blackboard/changes.go
@@ -1,6 +1,10 @@
 package blackboard
 
-import "github.com/embercove/embercove/config"
+import (
+	"time"
+
+	"github.com/embercove/embercove/config"
+)
 
 // rosterLog knows at which revision each endpoint of the roster last changed, so
 // that peers can be told what changed since theirs instead of everything.
@@ -42,19 +46,23 @@
 
 // RosterSince returns what a host with an earlier revision lacks: the change, or
 // the whole roster where that isn't known. Both are nil if it lacks nothing.
-func (t *ConfigTable) RosterSince(after uint64) (*config.Roster, *config.RosterChange) {
+func (t *ConfigTable) RosterSince(after uint64, now time.Time) (*config.Roster, *config.RosterChange) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
 	case t.roster == nil || t.roster.Revision <= after:
 		return nil, nil
 	case after < t.log.from:
-		return t.roster, nil
+		whole := &config.Roster{Revision: t.roster.Revision, Endpoints: make([]config.Endpoint, 0, len(t.roster.Endpoints))}
+		for _, e := range t.roster.Endpoints {
+			whole.Endpoints = append(whole.Endpoints, e.Told(now))
+		}
+		return whole, nil
 	}
 	c := &config.RosterChange{From: after, Revision: t.roster.Revision}
 	for _, e := range t.roster.Endpoints {
 		if t.log.changed[e.Name] > after {
-			c.Changed = append(c.Changed, e)
+			c.Changed = append(c.Changed, e.Told(now))
 		}
 	}
 	for name, at := range t.log.gone {
--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -107,6 +107,9 @@
 		if !e.Lapsed.IsZero() {
 			e.Lapsed = lapses(e.Name)
 		}
+		if e.ColdUntil.IsZero() { // told by another host
+			e = e.Heard(now)
+		}
 		if !e.Expired(now) {
 			kept.Endpoints = append(kept.Endpoints, e)
 		}
--- a/blackboard/config_test.go
+++ b/blackboard/config_test.go
@@ -106,7 +106,7 @@
 		if random.IntN(4) > 0 {
 			continue
 		}
-		full, change := one.RosterSince(other.RosterRevision())
+		full, change := one.RosterSince(other.RosterRevision(), now)
 		if change != nil {
 			changes++
 			rows += len(change.Changed) + len(change.Gone)
@@ -124,7 +124,7 @@
 	if whole != 1 || rows > 8*changes {
 		t.Errorf("%d whole rosters and %d rows in %d changes", whole, rows, changes)
 	}
-	if full, change := one.RosterSince(one.RosterRevision()); full != nil || change != nil {
+	if full, change := one.RosterSince(one.RosterRevision(), now); full != nil || change != nil {
 		t.Error("something is told to a host that lacks nothing")
 	}
 }
--- a/blackboard/endpoints.go
+++ b/blackboard/endpoints.go
@@ -44,6 +44,10 @@
 				states[i].Digest, states[i].At = old.Digest, old.At
 			}
 			states[i].Own, states[i].Sent, states[i].Seen = old.Own, old.Sent, old.Seen
+			states[i].MaybeCold, states[i].NoStart = old.MaybeCold, old.NoStart
+			if old.Evacuated && !states[i].Evacuated {
+				states[i].Suspect(time.Now())
+			}
 		}
 		states[i].CutOff = t.cutOff[states[i].Spec.Domain]
 	}
@@ -102,6 +106,9 @@
 	for i := range t.states {
 		if t.states[i].Spec.Domain == domain {
 			t.states[i].CutOff = until
+			if until.IsZero() {
+				t.states[i].Suspect(time.Now())
+			}
 		}
 	}
 }
--- a/config/check.go
+++ b/config/check.go
@@ -240,6 +240,8 @@
 	case Service:
 		c.within(f+".slots", float64(r.Slots), 1, 1e6)
 	}
+	c.within(f+".cold_per_s", r.ColdPerSecond, 0, 1e6)
+	c.within(f+".cold_start_ms", float64(r.ColdStartMillis), 0, 3_600_000)
 }
 
 func (c *checker) pools(rows []Pool) map[string]bool {
@@ -257,6 +259,8 @@
 		c.within(f+".tokens_per_second", r.TokensPerSecond, 1, 1e9)
 		c.within(f+".step_micros", float64(r.StepMicros), 1, 1e8)
 		c.within(f+".step_micros_each", float64(r.StepMicrosEach), 0, 1e8)
+		c.within(f+".cold_per_s", r.ColdPerSecond, 0, 1e6)
+		c.within(f+".cold_start_ms", float64(r.ColdStartMillis), 0, 3_600_000)
 		if r.Engines() {
 			c.within(f+".link_bytes_per_second", float64(r.LinkBytesPerSecond), 1, 1e15)
 		}
--- a/config/document.go
+++ b/config/document.go
@@ -89,6 +89,18 @@
 	// the endpoint left; zero: it stands. It is a time of this process: what
 	// another host sent is replaced when it is taken in.
 	Lapsed time.Time `json:"-"`
+
+	// ColdPerSecond is how many requests a second the endpoint bears while it is cold;
+	// 0: as many as ever.
+	ColdPerSecond float64 `json:"cold_per_s,omitempty"`
+	// ColdStartMillis is how long it stays cold after a start.
+	ColdStartMillis int `json:"cold_start_ms,omitempty"`
+	// ColdMillis is for how long it is still cold by its registration, from when that
+	// was told.
+	ColdMillis int `json:"-"`
+	// ColdUntil is the same as a time of this process; what another host sent is
+	// replaced when it is taken in.
+	ColdUntil time.Time `json:"-"`
 }
 
 // LapsedKept is how long an endpoint is used without its registration. One that
@@ -119,6 +131,8 @@
 	StepMicros          int     `json:"step_micros"`       // first guess
 	StepMicrosEach      int     `json:"step_micros_each"`  // first guess
 	NotRepeatableAllows bool    `json:"takes_not_repeatable"`
+	ColdPerSecond       float64 `json:"cold_per_s,omitempty"`    // requests that a cold endpoint bears; 0: as many as ever
+	ColdStartMillis     int     `json:"cold_start_ms,omitempty"` // for which an endpoint is cold after a start
 }
 
 // Engines reports whether the pool's endpoints are model runners.
--- a/config/roster.go
+++ b/config/roster.go
@@ -84,7 +84,7 @@
 			continue
 		}
 		kept++
-		if e.Leaving && !old.Leaving || e.Lapsed != old.Lapsed || e.Address != old.Address || e.Pool != old.Pool {
+		if e.Leaving && !old.Leaving || e.Lapsed != old.Lapsed || e.ColdUntil.Sub(old.ColdUntil) > SameCold || e.Address != old.Address || e.Pool != old.Pool {
 			return true
 		}
 	}
@@ -106,6 +106,10 @@
 	if e.LinkBytesPerSecond == 0 {
 		e.LinkBytesPerSecond = p.LinkBytesPerSecond
 	}
+	setInt(&e.ColdStartMillis, p.ColdStartMillis)
+	if e.ColdPerSecond == 0 {
+		e.ColdPerSecond = p.ColdPerSecond
+	}
 	e.NotRepeatableAllows = e.NotRepeatableAllows || p.NotRepeatableAllows
 	e.GrowsMemory = p.Engines()
 }
--- a/config/settings.go
+++ b/config/settings.go
@@ -44,6 +44,11 @@
 	// QuotaTolerance is how much more of a team's quota than its rate and burst may be
 	// let in, in units of quotas, before operators object.
 	QuotaTolerance float64 `json:"quota_tolerance"`
+	// ColdOverrun and ColdTolerance say how many requests a second a cold endpoint may
+	// be sent before operators object: what it bears times the first, and the second
+	// beyond that. 0 stands for an overrun of 1.
+	ColdOverrun   float64 `json:"cold_overrun"`
+	ColdTolerance float64 `json:"cold_tolerance"`
 	// GraceSeconds is what a planned stop may take before the process is
 	// killed; 0: drain_s and lame_duck_ms hold as they stand.
 	GraceSeconds float64 `json:"stop_grace_s"`
@@ -171,6 +176,8 @@
 	c.within("retry_budget.window_s", s.RetryBudget.Seconds, 0, 3600)
 	c.within("retry_budget.extra", s.RetryBudget.Extra, 0, 1e6)
 	c.within("quota_tolerance", s.QuotaTolerance, 0, 1e12)
+	c.within("cold_overrun", s.ColdOverrun, 0, 1e6)
+	c.within("cold_tolerance", s.ColdTolerance, 0, 1e9)
 	c.within("stop_grace_s", s.GraceSeconds, 0, 86_400)
 	c.within("change_ms", s.ChangeMillis, 0, 86_400_000)
 	c.within("memory_mb", s.MemoryMegabytes, 16, 1<<20)
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -134,7 +134,7 @@
 // answerFetch returns what a host lacks. The roster is read first: who takes it
 // over must get every document that was published before it.
 func (r *Router) answerFetch(a *FetchArgs) (reply FetchReply, err error) {
-	reply.Roster, reply.Change = r.board.Config.RosterSince(a.Roster)
+	reply.Roster, reply.Change = r.board.Config.RosterSince(a.Roster, time.Now())
 	newest := r.board.Config.Newest()
 	if newest.Revision <= a.After {
 		return reply, nil
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -191,7 +191,7 @@
 	before := f.before(sink)
 	f.known = make(map[string]config.Endpoint, len(s.Endpoints))
 	for _, e := range s.Endpoints {
-		f.known[e.Name] = e
+		f.known[e.Name] = e.Heard(now)
 	}
 	f.vanished(missing(before, f.known), false, now)
 	f.at = s.At
@@ -250,7 +250,7 @@
 		return nil
 	}
 	for _, e := range c.Changed {
-		f.known[e.Name] = e
+		f.known[e.Name] = e.Heard(now)
 	}
 	var gone []config.Endpoint
 	for _, name := range c.Gone {
--- a/result/result.go
+++ b/result/result.go
@@ -44,6 +44,7 @@
 	TeamQuota       Code = 309
 	Evacuated       Code = 310
 	NoHome          Code = 311
+	Cold            Code = 312
 	OutcomeUnknown  Code = 400
 	AnswerBroken    Code = 401
 	CallerGone      Code = 402
@@ -93,6 +94,7 @@
 	{TeamQuota, "team_quota", 429, true, true, "The team asks for more than its quota over all hosts.", "Compare the team's quota with what it asks: embercove status."},
 	{Evacuated, "evacuated", 503, true, true, "All endpoints of the request are in failure domains that are being emptied.", "Look at evacuations in embercove status; end one, or wait."},
 	{NoHome, "no_home", 503, true, true, "No endpoint is in reach in a region in which the request may be served.", "Compare regions of the route and the team with where endpoints are."},
+	{Cold, "cold", 503, true, true, "The endpoints of the request are cold, and each is given as many requests as it bears.", "Look at cold_s of endpoints in embercove status; wait some seconds."},
 	{OutcomeUnknown, "outcome_unknown", 502, false, false, "The request may have run; its answer is not known.", "Look for hosts or endpoints that died."},
 	{AnswerBroken, "answer_broken", 502, false, true, "The answer stopped part-way and could not be resumed.", "Look for endpoints that died."},
 	{CallerGone, "caller_gone", 499, false, false, "The caller left before its answer was whole.", "Nothing."},
--- a/route/gate.go
+++ b/route/gate.go
@@ -15,6 +15,7 @@
 	BarCutOff        // its failure domain is cut off from this host
 	BarHome          // its region is not one in which the request may be served
 	BarRegion        // in another region, which the request has no reason to go to
+	BarCold          // cold, and no start is to be had there yet
 	BarExcluded      // refused or failed the request before
 	bars
 )
@@ -40,6 +41,8 @@
 		return "its region is none in which the request may be served"
 	case BarRegion:
 		return "in another region"
+	case BarCold:
+		return "cold, with no start to be had yet"
 	case BarExcluded:
 		return "refused or failed this request before"
 	}
@@ -64,6 +67,8 @@
 		return BarHome
 	case !(r.Region | r.Reach).Has(s.Region):
 		return BarRegion
+	case r.Now.Before(s.NoStart) && s.Cold(r.Now):
+		return BarCold
 	case r.Excluded(s.Number):
 		return BarExcluded
 	}
--- a/route/gate_test.go
+++ b/route/gate_test.go
@@ -24,6 +24,14 @@
 		{"emptied and down", func(s *State, _ *Request) { s.Evacuated, s.Digest.Flags = true, FlagDown }, BarEvacuated},
 		{"cut off", func(s *State, r *Request) { s.CutOff = r.Now.Add(time.Second) }, BarCutOff},
 		{"cut off until now", func(s *State, r *Request) { s.CutOff = r.Now }, BarNone},
+		{"cold", func(s *State, r *Request) { s.ColdUntil = r.Now.Add(time.Second) }, BarNone},
+		{"cold without a start", func(s *State, r *Request) {
+			s.ColdUntil, s.NoStart = r.Now.Add(time.Second), r.Now.Add(time.Millisecond)
+		}, BarCold},
+		{"cold by its owner's word without a start", func(s *State, r *Request) {
+			s.Digest.Flags, s.At, s.NoStart = FlagCold, r.Now, r.Now.Add(time.Millisecond)
+		}, BarCold},
+		{"no longer cold", func(s *State, r *Request) { s.ColdUntil, s.NoStart = r.Now, r.Now.Add(time.Second) }, BarNone},
 		{"excluded", func(s *State, r *Request) { r.Drop(s.Number) }, BarExcluded},
 		{"another region", func(s *State, _ *Request) { s.Region = other }, BarRegion},
 		{"another region that it may leave for", func(s *State, r *Request) { s.Region, r.Reach = other, other }, BarNone},
@@ -33,7 +41,7 @@
 		{"a home that it has no reason to leave for", func(s *State, r *Request) { s.Region, r.Homes = other, own|other }, BarRegion},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			s := &State{Number: 7, Region: own}
+			s := &State{Number: 7, Region: own, Spec: &config.Endpoint{ColdPerSecond: 21}}
 			r := &Request{Region: own, Now: now}
 			tc.change(s, r)
 			if got := Barred(s, r); got != tc.want || Open(s, r) != (tc.want == BarNone) {
--- a/route/state.go
+++ b/route/state.go
@@ -19,6 +19,7 @@
 	FlagDown    = 1 << iota // the owner can't reach the endpoint
 	FlagLeaving             // the endpoint is leaving
 	FlagWrong               // not in the state that was ordered
+	FlagCold                // cold by what its owner knows
 )
 
 // HeadDigest tells how many tokens an endpoint has cached of prompts that
@@ -58,6 +59,9 @@
 	Leaving   bool      // by the configuration
 	Evacuated bool      // its failure domain is being emptied
 	CutOff    time.Time // until when its failure domain counts as cut off from this host
+	ColdUntil time.Time // until when it is cold by its registration
+	MaybeCold time.Time // until when it may be though its registration doesn't say so
+	NoStart   time.Time // before which its owner gives out no start while it is cold
 	Digest    Digest
 	At        time.Time // when the digest was true; zero: never heard of
 	Own       bool      // this host owns it: to ask it costs no message
@@ -79,7 +83,7 @@
 		e := &v.Doc.Endpoints[i]
 		n := Number(e.Name)
 		out[i] = State{Number: n, Index: i, Domain: domains[e.Domain], Region: v.RegionSet(v.Region[e.Domain]), Role: e.Role,
-			Spec: e, Leaving: e.Leaving, Digest: Digest{Number: n}}
+			Spec: e, Leaving: e.Leaving, ColdUntil: e.ColdUntil, Digest: Digest{Number: n}}
 	}
 	return out
 }
