owner, peer, entry: the owner of a cold endpoint gives out its starts

The owner is the one by its own view, whoever doubts it; it gives out what package cold allows by how much of its failure domain it sees and for how long nothing has changed there. Where it is out of reach nothing is sent. What was granted while an endpoint was warm counts for a second when it turns cold.

--- a/blackboard/doc.go
+++ b/blackboard/doc.go
@@ -7,7 +7,7 @@
 //
 // Lock order. Each table has one lock, and no method holds it while calling
 // out of its table. Code that needs several takes them in this order:
-// owner.Owner, owner.Book, ConfigTable, HostTable, DomainTable,
+// owner.Owner, owner.Book, owner.Starts, ConfigTable, HostTable, DomainTable,
 // EndpointTable, RequestTable, KeyTable, quota.Accounts. Only the owner holds a lock of its own while it reads
 // a table; the tables never call each other.
 //
--- a/entry/barred.go
+++ b/entry/barred.go
@@ -55,24 +55,31 @@
 
 // barredSince is the failure of a try whose endpoint was barred before it was called.
 func barredSince(spec *config.Endpoint, b route.Bar) *retryable {
-	refusal := result.Errorf(result.EndpointRefused, "%s while the request waited: %s", spec.Name, b).After(time.Second)
+	code := result.EndpointRefused
+	if b == route.BarCold {
+		code = result.Cold
+	}
+	refusal := result.Errorf(code, "%s while the request waited: %s", spec.Name, b).After(time.Second)
 	return &retryable{name: spec.Name, refusal: refusal}
 }
 
 // nowhere is the refusal of a job that no endpoint of a list is open to, with what bars
 // most of them.
 func (e *Entry) nowhere(j *job, what string, list func(g *config.Group) []int) *result.Error {
-	blamed := route.BarNone
+	blamed, back := route.BarNone, time.Second
 	j.pick.Now = time.Now()
 	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
 		if g := j.group(v); g != nil {
 			e.bind(v, j, &j.pick)
 			blamed = route.Blame(states, list(g), &j.pick)
+			back = coldBack(states, list(g), j.pick.Now)
 		}
 	})
 	switch blamed {
 	case route.BarEvacuated:
 		return result.Errorf(result.Evacuated, "no %s is open: %s", what, blamed).After(evacuatedBack)
+	case route.BarCold:
+		return result.Errorf(result.Cold, "no %s is open: %s", what, blamed).After(back)
 	case route.BarHome:
 		return result.Errorf(result.NoHome, "no %s is open: %s", what, blamed).After(time.Second)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,6 +30,7 @@
 	Touched(number uint32, n int)
 	Draw(ctx context.Context, t *config.Team, n float64) quota.Answer
 	GiveBack(t *config.Team, n float64)
+	Start(ctx context.Context, spec *config.Endpoint, wait time.Duration) peer.Start
 }
 
 // Entry serves callers. Use New.
@@ -46,6 +47,8 @@
 	logs    *lineGate
 	back    *retry.ComeBack
 	began   time.Time
+
+	Unstarted atomic.Uint64 // calls for which a cold endpoint had no start in time
 }
 
 // New returns an entry over the board.
--- a/entry/place_test.go
+++ b/entry/place_test.go
@@ -76,6 +76,10 @@
 
 func (s *stubOwners) GiveBack(*config.Team, float64) {}
 
+func (s *stubOwners) Start(context.Context, *config.Endpoint, time.Duration) peer.Start {
+	return peer.Start{Given: true, Until: time.Now().Add(time.Second)}
+}
+
 // TestTurnLater checks that a request which has its turn at a prefill engine long
 // before there is room for its answer gives the turn back and takes a later one,
 // so that the engine's owner knows when the prompt comes.
--- a/entry/read.go
+++ b/entry/read.go
@@ -25,6 +25,11 @@
 	if p.readBy.Number == 0 {
 		p.readBy = e.board.Requests.Open(j.id)
 	}
+	if r := e.start(ctx, j, p.pre); r != nil {
+		e.returnTurn(p)
+		e.board.Requests.Close(p.readBy)
+		return nil, r
+	}
 	e.setPhase(j, blackboard.PhasePrefill, func(r *blackboard.Request) {
 		r.Prefill = p.pre.Name
 		r.Open = append(r.Open, p.readBy.Number)
--- a/entry/service.go
+++ b/entry/service.go
@@ -77,14 +77,18 @@
 			}
 			return e.nowhere(j, "endpoint of the service", func(g *config.Group) []int { return g.Service })
 		}
-		err := e.callService(ctx, j, spec)
-		if err == nil {
-			return nil
-		}
-		if j.out.complete() {
-			return result.Errorf(result.AnswerBroken, "%s broke off its answer", spec.Name)
+		failed := e.start(ctx, j, spec)
+		if failed == nil {
+			err := e.callService(ctx, j, spec)
+			if err == nil {
+				return nil
+			}
+			if j.out.complete() {
+				return result.Errorf(result.AnswerBroken, "%s broke off its answer", spec.Name)
+			}
+			failed = e.failed(spec, err)
 		}
-		if refusal := e.mayRetry(ctx, j, e.failed(spec, err)); refusal != nil {
+		if refusal := e.mayRetry(ctx, j, failed); refusal != nil {
 			return refusal
 		}
 		if !sleep(ctx, backoffStart) {
@@ -124,6 +128,7 @@
 // another before that one is taken.
 const (
 	otherDomainCalls = 4
+	coldCalls        = 8 // a failure domain that returns is filled once the others are busy
 	failingCalls     = 12.0
 	shunnedCalls     = 1000.0
 	fullCalls        = 50.0
@@ -135,6 +140,9 @@
 	if s.Domain != r.Home {
 		cost += otherDomainCalls
 	}
+	if s.Cold(r.Now) {
+		cost += coldCalls
+	}
 	if s.Seen.Shunned(r.Now) {
 		cost += shunnedCalls
 	}
--- a/entry/write.go
+++ b/entry/write.go
@@ -28,6 +28,12 @@
 				return err
 			}
 		}
+		if r := e.start(ctx, j, p.dec); r != nil {
+			if err := e.moveFrom(ctx, j, p, kv, lapses, route.BarCold); err != nil {
+				return err
+			}
+			continue
+		}
 		before := j.out.pieces()
 		err := e.decodeOnce(ctx, j, p, kv)
 		if err == nil {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -49,6 +49,7 @@
 	books map[uint32]*Book
 
 	balance balance
+	Starts  *Starts // at cold endpoints
 
 	nextAdopt   time.Time
 	fingerprint uint64 // of the members and the revision that owned was worked out for
@@ -65,6 +66,7 @@
 func New(b *blackboard.Board, e endpoint.Engine, log *zap.Logger) *Owner {
 	o := &Owner{board: b, engine: e, log: log, books: map[uint32]*Book{}}
 	o.balance.ordered, o.balance.looks, o.balance.orderer = map[uint32]time.Time{}, map[string]*roles.Looks{}, map[uint32]tenure{}
+	o.Starts = newStarts(b, time.Now())
 	b.Pause.OnWake(o.dropBeliefs)
 	return o
 }
@@ -226,6 +228,7 @@
 		return reply, nil
 	}
 	reply.InMillis = max(0, millis(at.Sub(now)))
+	o.Starts.Note(b.spec, now)
 	return reply, nil
 }
 
@@ -247,7 +250,9 @@
 	reply = EnqueueReply{Code: result.OK, Digest: b.brief(time.Now())}
 	if refusal != nil {
 		reply.Code, reply.Retry = refusal.Code, millis(refusal.RetryAfter)
+		return reply, nil
 	}
+	o.Starts.Note(b.spec, time.Now())
 	return reply, nil
 }
 
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -10,6 +10,7 @@
 // Names of the remote methods.
 const (
 	methodReserve  = "P.Reserve"
+	methodStart    = "P.Start"
 	methodEnqueue  = "P.Enqueue"
 	methodRelease  = "P.Release"
 	methodExchange = "P.Exchange"
