cold, owner: starts are given out by votes of the failure domain's hosts

A host knew its right to give out starts by how long it had seen the same others. With 60 hosts, others count as gone after a silence of 18 to 36 s, with 300 after 113 to 191 s (proof, virtual time), so nothing was given out for that long, and a host that is cut off would have gone on for as long. Now each host of the endpoint's failure domain gives its vote to one owner at a time for 2.45 s, asked for every 250 ms while an endpoint is cold, and an owner gives out its part of the bound by the votes of the last 800 ms.

--- /dev/null
+++ b/cold/vote_test.go
@@ -0,0 +1,115 @@
+package cold
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var one, two = Holder{1, 1}, Holder{2, 1}
+
+// TestVotes names to whom a host gives its vote.
+func TestVotes(t *testing.T) {
+	v := NewVotes(begin)
+	at := func(d time.Duration) time.Time { return begin.Add(d) }
+	for _, tc := range []struct {
+		name     string
+		at       time.Duration
+		endpoint uint32
+		to       Holder
+		want     bool
+	}{
+		{"just begun", Kept - 1, 7, one, false},
+		{"the first that asks", Kept, 7, one, true},
+		{"another one", Kept + 1, 7, two, false},
+		{"another endpoint", Kept + 1, 8, two, true},
+		{"the first again", Kept + time.Second, 7, one, true},
+		{"the first, started anew", Kept + time.Second, 7, Holder{1, 2}, false},
+		{"another one before it is free", 2*Kept + time.Second - 1, 7, two, false},
+		{"another one once it is free", 2*Kept + time.Second, 7, two, true},
+		{"the first, too late", 2*Kept + time.Second, 7, one, false},
+	} {
+		v.Forget(at(tc.at))
+		if got := v.Give(at(tc.at), tc.endpoint, tc.to); got != tc.want {
+			t.Errorf("%s: %v", tc.name, got)
+		}
+	}
+}
+
+// TestRight checks what part a holder has by the votes that count.
+func TestRight(t *testing.T) {
+	var r Right
+	r.Ask(4)
+	if p := r.Part(begin); p != 0 {
+		t.Errorf("%v without a vote", p)
+	}
+	r.Take(1, begin, 4)
+	r.Take(2, begin.Add(100*time.Millisecond), 4)
+	if p := r.Part(begin.Add(Lease - 1)); p != 0.5 {
+		t.Errorf("%v with two votes of four", p)
+	}
+	if p := r.Part(begin.Add(Lease)); p != 0.25 {
+		t.Errorf("%v once a vote has lapsed", p)
+	}
+	r.Take(2, begin.Add(100*time.Millisecond), 8)
+	if p := r.Part(begin.Add(Lease)); p != 0.125 {
+		t.Errorf("%v where another knows of eight", p)
+	}
+}
+
+// holder is a host that gives out starts in TestAnySecond.
+type holder struct {
+	Holder
+	pace  Pace
+	right Right
+}
+
+// TestAnySecond has several hosts ask for the votes of some others at any moments, reach
+// any of them, die, be started anew, and give out starts for any sequence of asks, waits and
+// delays. Whatever is used within one second stays below the bound.
+func TestAnySecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := Bound(rapid.Float64Range(1, 60).Draw(t, "bears"), rapid.Float64Range(0, 3).Draw(t, "overrun"),
+			rapid.Float64Range(0, 20).Draw(t, "tolerance"))
+		voters := make([]*Votes, rapid.IntRange(1, 6).Draw(t, "voters"))
+		for i := range voters {
+			voters[i] = NewVotes(begin.Add(-time.Hour))
+		}
+		holders := make([]*holder, rapid.IntRange(1, 4).Draw(t, "holders"))
+		for i := range holders {
+			holders[i] = &holder{Holder: Holder{Host: uint32(i), Incarnation: 1}}
+		}
+		var used []time.Duration
+		for at, end := time.Duration(0), 8*time.Second; at < end; at += 10 * time.Millisecond {
+			now := begin.Add(at)
+			h := rapid.SampledFrom(holders).Draw(t, "who")
+			switch n := rapid.IntRange(0, 99).Draw(t, "what"); {
+			case n < 20: // a round, of which some answers are lost and some late
+				h.right.Ask(len(voters))
+				for i, v := range voters {
+					asked := now.Add(-time.Duration(rapid.Int64Range(0, int64(150*time.Millisecond)).Draw(t, "under way")))
+					if rapid.Bool().Draw(t, "reached") && v.Give(now, 7, h.Holder) {
+						h.right.Take(uint32(i), asked, len(voters))
+					}
+				}
+			case n == 20: // a voter starts anew
+				voters[rapid.IntRange(0, len(voters)-1).Draw(t, "voter")] = NewVotes(now)
+			case n == 21: // a holder starts anew
+				*h = holder{Holder: Holder{h.Host, h.Incarnation + 1}}
+			default:
+				for range rapid.IntRange(0, 8).Draw(t, "asks") {
+					in, given := h.pace.Ask(now, bound*h.right.Part(now), MostWait)
+					if given {
+						used = append(used, at+in+time.Duration(rapid.Int64Range(0, int64(Lag)).Draw(t, "late")))
+					}
+				}
+			}
+		}
+		slices.Sort(used)
+		if n := fullest(used); float64(n) > bound {
+			t.Fatalf("%d used in one second, %v allowed", n, bound)
+		}
+	})
+}
--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -29,6 +29,10 @@
 	return p.other.Tell(endpoint), nil
 }
 
+func (p pairPeers) Vote(_ context.Context, _ blackboard.Host, a VoteArgs) (VoteReply, error) {
+	return p.other.Starts.Vote(a), nil
+}
+
 const poolDocument = `{"failure_domains": [{"name": "d", "region": "r"}], "targets": {"ttft_ms": 900, "tpot_ms": 10},
 "models": [{"name": "m", "version": "1", "max_tokens": 90000, "kv_bytes_per_token": 1}],
 "pools": [{"name": "p", "memory_tokens": 90000, "slots": 64, "link_bytes_per_second": 1000000000}],
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -36,6 +36,8 @@
 	Handover(ctx context.Context, host blackboard.Host, h Handover) error
 	// Inherit asks a host what it has reserved of an endpoint.
 	Inherit(ctx context.Context, host blackboard.Host, endpoint uint32) (Handover, error)
+	// Vote asks a host for its votes for endpoints that are cold.
+	Vote(ctx context.Context, host blackboard.Host, a VoteArgs) (VoteReply, error)
 }
 
 // Owner holds the books of owned endpoints.
@@ -66,7 +68,7 @@
 func New(b *blackboard.Board, e endpoint.Engine, log *zap.Logger) *Owner {
 	o := &Owner{board: b, engine: e, log: log, books: map[uint32]*Book{}}
 	o.balance.ordered, o.balance.looks, o.balance.orderer = map[uint32]time.Time{}, map[string]*roles.Looks{}, map[uint32]tenure{}
-	o.Starts = newStarts(b, time.Now())
+	o.Starts = newStarts(b, func() Peers { return o.peers }, log)
 	b.Pause.OnWake(o.dropBeliefs)
 	return o
 }
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -11,6 +11,7 @@
 const (
 	methodReserve  = "P.Reserve"
 	methodStart    = "P.Start"
+	methodVote     = "P.Vote"
 	methodEnqueue  = "P.Enqueue"
 	methodRelease  = "P.Release"
 	methodExchange = "P.Exchange"
--- a/peer/starts.go
+++ b/peer/starts.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/cold"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/owner"
@@ -46,6 +47,18 @@
 	return Start{Given: reply.Given, In: in, Until: asked.Add(in + cold.Lag)}
 }
 
+// Vote implements owner.Peers.
+func (r *Router) Vote(ctx context.Context, h blackboard.Host, a owner.VoteArgs) (reply owner.VoteReply, err error) {
+	err = r.pool.call(ctx, h.Peers, methodVote, &a, &reply, min(startTimeout, r.timeout()))
+	return reply, err
+}
+
+// Vote answers another host.
+func (s *server) Vote(a *owner.VoteArgs, reply *owner.VoteReply) error {
+	*reply = s.r.owner.Starts.Vote(*a)
+	return nil
+}
+
 // Start answers another host.
 func (s *server) Start(a *owner.StartArgs, reply *owner.StartReply) (err error) {
 	*reply, err = s.r.owner.Starts.Ask(*a)
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -26,14 +26,15 @@
 
 // Options say what a cluster is made of.
 type Options struct {
-	Document []byte                        // a configuration document
-	Change   func(d *config.Document)      // adjusts it before it is published; may be nil
-	Settings func(s *config.Settings)      // adjusts each host's settings; may be nil
-	Hosts    int                           // entry hosts, spread over the failure domains
-	Network  *fake.Network                 // nil: loopback
-	Log      *zap.Logger                   // nil: nothing is logged
-	Fatal    func(msg string)              // called when an invariant breaks; nil: counted only
-	Faults   func(name string) fake.Faults // of each stand-in at the start; may be nil
+	Document []byte                          // a configuration document
+	Change   func(d *config.Document)        // adjusts it before it is published; may be nil
+	Settings func(s *config.Settings)        // adjusts each host's settings; may be nil
+	Hosts    int                             // entry hosts, spread over the failure domains
+	Network  *fake.Network                   // nil: loopback
+	Zone     func(s *config.Settings) string // where on the network a host stands; nil: in its failure domain
+	Log      *zap.Logger                     // nil: nothing is logged
+	Fatal    func(msg string)                // called when an invariant breaks; nil: counted only
+	Faults   func(name string) fake.Faults   // of each stand-in at the start; may be nil
 }
 
 // Cluster is a running deployment.
@@ -262,7 +263,7 @@
 		opts = append(opts, node.WithLog(c.opts.Log))
 	}
 	if c.opts.Network != nil {
-		opts = append(opts, node.WithNetwork(func(a string) (net.Listener, error) { return c.opts.Network.Listen(s.Domain, a), nil }, c.dial(s.Domain)))
+		opts = append(opts, node.WithNetwork(func(a string) (net.Listener, error) { return c.opts.Network.Listen(c.zone(s), a), nil }, c.dial(c.zone(s))))
 	}
 	if c.opts.Fatal != nil {
 		opts = append(opts, node.WithFatal(c.opts.Fatal))
@@ -274,6 +275,14 @@
 	return nd, nd.Start()
 }
 
+// zone returns where on the network a host stands.
+func (c *Cluster) zone(s *config.Settings) string {
+	if c.opts.Zone != nil {
+		return c.opts.Zone(s)
+	}
+	return s.Domain
+}
+
 // Restart starts host i anew, as a new incarnation, after it was stopped.
 func (c *Cluster) Restart(i int) error {
 	nd, err := c.startNode(i)
