--- /dev/null
+++ b/blackboard/cold_test.go
@@ -0,0 +1,113 @@
+package blackboard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/invariant"
+	"github.com/embercove/embercove/route"
+)
+
+const coldDocument = `{"failure_domains": [{"name": "d", "region": "r"}, {"name": "own", "region": "r"}], "targets": {"ttft_ms": 900, "tpot_ms": 10},
+"pools": [{"name": "p", "cold_per_s": 21, "cold_start_ms": 3000}],
+"routes": [{"name": "x", "host": "h", "path_prefix": "/", "pools": [{"pool": "p", "weight": 1}]}]}`
+
+func coldEndpoint(millis int) config.Endpoint {
+	return config.Endpoint{Name: "e", Address: "10.0.0.1:1", Domain: "d", Pool: "p", Role: config.Service, ColdMillis: millis}
+}
+
+// TestColdRoster plays what a cold endpoint registers, to one host by the store and to
+// another by the first, and names until when both take it for cold and whether the second
+// was told anything.
+func TestColdRoster(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	one, other := newConfigTable(new(invariant.Set)), newConfigTable(new(invariant.Set))
+	for i, tc := range []struct {
+		at, left int // ms
+		until    int // ms by the first host's clock; the second's is 100 ms later
+		told     bool
+	}{
+		{0, 3000, 3000, true},
+		{1200, 1800, 3000, false},    // the next heartbeat says the same
+		{1300, 1690, 2990, false},    // and one that was under way for longer
+		{2400, 0, 0, true},           // warm, earlier than it said
+		{5000, 3000, 8000, true},     // cold again
+		{6000, 3000, 9000, true},     // started anew within a heartbeat
+		{12_000, 3000, 15_000, true}, // started anew, and nobody heard that it was warm
+	} {
+		at := now.Add(config.Millis(tc.at))
+		r := &config.Roster{Revision: uint64(i + 1), Endpoints: []config.Endpoint{coldEndpoint(tc.left).Heard(at)}}
+		if _, err := one.OfferRoster(r, at); err != nil {
+			t.Fatal(err)
+		}
+		later := at.Add(100 * time.Millisecond)
+		full, change := one.RosterSince(other.RosterRevision(), later)
+		told := full != nil
+		if change != nil {
+			told = len(change.Changed) > 0
+			full = other.After(change)
+		}
+		if told != tc.told {
+			t.Errorf("at %d ms: told %v, want %v", tc.at, told, tc.told)
+		}
+		if _, err := other.OfferRoster(full, later); err != nil {
+			t.Fatal(err)
+		}
+		for k, table := range []*ConfigTable{one, other} {
+			got, want := table.Roster().Endpoints[0].ColdUntil, now.Add(config.Millis(tc.until))
+			if tc.until == 0 {
+				want = time.Time{}
+			}
+			if got.Sub(want).Abs() > time.Duration(k)*50*time.Millisecond {
+				t.Errorf("at %d ms host %d takes it for cold until %s, want %s", tc.at, k, got, want)
+			}
+		}
+	}
+}
+
+// TestSuspected checks that endpoints whose failure domain comes back, from being emptied
+// or from being cut off, count as cold for as long as a start leaves them so, and stay so
+// when the table is laid out anew.
+func TestSuspected(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		leave func(b *Board)
+		back  func(b *Board)
+	}{
+		{"cut off", func(b *Board) { b.Endpoints.SetCutOff("d", time.Now().Add(time.Hour)) }, func(b *Board) { b.Endpoints.SetCutOff("d", time.Time{}) }},
+		{"emptied", func(b *Board) {
+			b.Endpoints.Touch(route.Number("e"), func(s *route.State) { s.Evacuated = true })
+		}, func(*Board) {}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &config.Settings{Host: "h", Domain: "own", Region: "r"}
+			s.SetDefaults()
+			b := New(s)
+			if _, err := b.Config.Offer(1, []byte(coldDocument)); err != nil {
+				t.Fatal(err)
+			}
+			fit := func(revision uint64) {
+				if _, err := b.Config.OfferRoster(&config.Roster{Revision: revision, Endpoints: []config.Endpoint{coldEndpoint(0)}}, time.Now()); err != nil {
+					t.Fatal(err)
+				}
+				b.Endpoints.Fit(b.Config.View())
+			}
+			cold := func(in time.Duration) (is bool) {
+				b.Endpoints.Find(route.Number("e"), func(_ *config.View, s *route.State) { is = s.Cold(time.Now().Add(in)) })
+				return is
+			}
+			fit(1)
+			if cold(0) {
+				t.Error("cold before anything happened")
+			}
+			tc.leave(b)
+			tc.back(b)
+			fit(2)
+			fit(3)
+			if !cold(0) || cold(3100*time.Millisecond) {
+				t.Errorf("cold now %v, in 3.1 s %v", cold(0), cold(3100*time.Millisecond))
+			}
+		})
+	}
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -101,6 +101,8 @@
 	Slow     float64     `json:"slow"`
 	Failing  uint8       `json:"failing_pct"`
 	Age      float64     `json:"digest_age_s"` // -1: never heard of
+	Cold     float64     `json:"cold_s"`       // for which it is or may be cold still; 0: it is warm
+	Starts   uint64      `json:"starts"`       // that this host has given out there while it was cold
 }
 
 // QuotaStatus is a team's quota in a failure domain, as the host that holds it there
@@ -147,7 +149,7 @@
 
 func (n *Node) endpointStatus(v *config.View, st *route.State, now time.Time) EndpointStatus {
 	es := EndpointStatus{Endpoint: st.Spec.Name, Role: st.Role, Domain: st.Spec.Domain, State: stateName(st), Queue: st.Digest.QueueMillis,
-		Free: st.Digest.FreeTokens, Slots: st.Digest.FreeSlots, Slow: st.Slow(), Failing: st.Digest.FailPct, Age: -1}
+		Free: st.Digest.FreeTokens, Slots: st.Digest.FreeSlots, Slow: st.Slow(), Failing: st.Digest.FailPct, Age: -1, Cold: st.ColdFor(now).Seconds(), Starts: n.Owner.Starts.Count(st.Number)}
 	if !st.At.IsZero() {
 		es.Age = now.Sub(st.At).Seconds()
 	}
@@ -165,6 +167,8 @@
 		return "down"
 	case f&route.FlagWrong != 0:
 		return "being ordered"
+	case st.Cold(time.Now()):
+		return "cold"
 	case st.At.IsZero():
 		return "unknown"
 	}
--- a/route/cold.go
+++ b/route/cold.go
@@ -16,6 +16,14 @@
 		s.Digest.Flags&FlagCold != 0 && now.Sub(s.At) < coldToldFor
 }
 
+// ColdFor returns for how long an endpoint is or may be cold still, as far as this is known.
+func (s *State) ColdFor(now time.Time) time.Duration {
+	if !s.Cold(now) {
+		return 0
+	}
+	return max(time.Millisecond, s.ColdUntil.Sub(now), s.MaybeCold.Sub(now))
+}
+
 // Suspect takes an endpoint for cold for as long as a start leaves it so, from now on: its
 // failure domain was emptied or cut off, and word of it is up to a heartbeat late.
 func (s *State) Suspect(now time.Time) {
--- a/route/explain.go
+++ b/route/explain.go
@@ -18,6 +18,7 @@
 	Uncached int         `json:"uncached_tokens"`
 	Free     int32       `json:"free_tokens"`
 	Age      float64     `json:"digest_age_s"` // -1: never heard of
+	Cold     float64     `json:"cold_s,omitempty"` // for which it is or may be cold still
 	Chosen   bool        `json:"chosen"`
 }
 
@@ -29,7 +30,7 @@
 	for _, i := range append(append([]int{}, r.Group.Prefill...), r.Group.Decode...) {
 		s := &states[i]
 		row := Candidate{Endpoint: s.Spec.Name, Role: s.Role, Domain: s.Spec.Domain, Cost: -1, Why: why(v, s, r),
-			Queue: float64(s.Digest.QueueMillis) / 1000, Free: s.Digest.FreeTokens, Age: -1,
+			Queue: float64(s.Digest.QueueMillis) / 1000, Free: s.Digest.FreeTokens, Age: -1, Cold: s.ColdFor(r.Now).Seconds(),
 			Chosen: i == c.Prefill || i == c.Decode}
 		if !s.At.IsZero() {
 			row.Age = math.Round(r.Now.Sub(s.At).Seconds()*1000) / 1000
