--- /dev/null
+++ b/owner/starts_test.go
@@ -0,0 +1,105 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/cold"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/route"
+)
+
+// coldOwner returns the owner of a host that is alone and has a cold endpoint.
+func coldOwner(t *testing.T) *Owner {
+	t.Helper()
+	s := &config.Settings{Host: "h1", Domain: "d", Region: "r", Peers: "127.0.0.1:1", PauseMillis: 600_000} // nothing moves its mark here
+	s.SetDefaults()
+	b := blackboard.New(s)
+	if _, err := b.Config.Offer(1, []byte(poolDocument)); err != nil {
+		t.Fatal(err)
+	}
+	o := New(b, endpoint.NewClient(nil), zap.NewNop())
+	row := config.Endpoint{Name: "e", Address: "127.0.0.1:9", Domain: "d", Pool: "p", Role: config.Decode, ColdPerSecond: 21, ColdMillis: 60_000}
+	if _, err := o.board.Config.OfferRoster(&config.Roster{Revision: 2, Endpoints: []config.Endpoint{row}}, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	o.board.Endpoints.Fit(o.board.Config.View())
+	o.board.Endpoints.SetOwn(func(uint32) bool { return true })
+	return o
+}
+
+// TestStartsWake checks that a host that is the only one gives out starts once it has run
+// for long enough to have no vote out, and none after a pause, until it has again.
+func TestStartsWake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := coldOwner(t)
+		number := config.NameNumber("e")
+		given := func() bool {
+			o.Starts.tick(context.Background())
+			reply, err := o.Starts.Ask(StartArgs{Endpoint: number})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return reply.Given
+		}
+		if given() {
+			t.Error("a start was given out by a process that has just begun")
+		}
+		time.Sleep(cold.Kept)
+		if !given() {
+			t.Error("no start is given out by the only host")
+		}
+		o.Starts.Wake(time.Now())
+		if given() {
+			t.Error("a start was given out after a pause")
+		}
+		time.Sleep(cold.Kept)
+		if !given() {
+			t.Error("no start is given out long after a pause")
+		}
+		if n := o.Starts.Count(number); n != 1 {
+			t.Errorf("%d starts counted since the pause, want 1", n)
+		}
+	})
+}
+
+// TestStartsUnknown asks for starts and votes of an endpoint that is not there.
+func TestStartsUnknown(t *testing.T) {
+	o := coldOwner(t)
+	if _, err := o.Starts.Ask(StartArgs{Endpoint: 77}); err == nil {
+		t.Error("a start at an unknown endpoint")
+	}
+	if r := o.Starts.Vote(VoteArgs{Host: 1, Endpoints: []uint32{77}}); len(r.Given) != 1 || r.Given[0] {
+		t.Errorf("a vote for an unknown endpoint: %+v", r)
+	}
+	a := VoteArgs{Endpoints: []uint32{config.NameNumber("e")}}
+	o.Starts.take(a, 1, time.Now(), VoteReply{Given: []bool{true, true}})
+	if o.Starts.Count(a.Endpoints[0]) != 0 {
+		t.Error("an answer of another length was taken in")
+	}
+}
+
+// TestColdDigest checks that an owner tells of a cold endpoint, also to hosts whose roster
+// is old, and that it takes requests for it.
+func TestColdDigest(t *testing.T) {
+	o := coldOwner(t)
+	number := config.NameNumber("e")
+	reply, err := o.Reserve(context.Background(), ReserveArgs{Attempt: request.Attempt{Number: 1}, Endpoint: number, Tokens: 10, MaxAnswer: 10})
+	if err != nil || reply.Code != 0 && reply.Code.Info().NotRun {
+		t.Errorf("refused with %v, %v", reply.Code, err)
+	}
+	if reply.Digest.Flags&route.FlagCold == 0 {
+		t.Errorf("flags %b don't tell that it is cold", reply.Digest.Flags)
+	}
+	s := route.State{Spec: &config.Endpoint{ColdPerSecond: 21}, Digest: reply.Digest, At: time.Now()}
+	if !s.Cold(time.Now()) || s.Cold(time.Now().Add(time.Minute)) {
+		t.Error("an owner's word holds for no time, or for ever")
+	}
+}
--- a/route/explain.go
+++ b/route/explain.go
@@ -17,7 +17,7 @@
 	Queue    float64     `json:"queue_s"`
 	Uncached int         `json:"uncached_tokens"`
 	Free     int32       `json:"free_tokens"`
-	Age      float64     `json:"digest_age_s"` // -1: never heard of
+	Age      float64     `json:"digest_age_s"`     // -1: never heard of
 	Cold     float64     `json:"cold_s,omitempty"` // for which it is or may be cold still
 	Chosen   bool        `json:"chosen"`
 }
--- a/route/pick_test.go
+++ b/route/pick_test.go
@@ -91,6 +91,19 @@
 		{name: "slow", change: func(s []State, _ *Request) { s[p0].Digest.SlowPct = 300 }, pre: []int{p3}, dec: []int{d0, d3}},
 		{name: "refused before", change: func(_ []State, r *Request) { r.Drop(Number("p0")); r.Drop(Number("d3")) }, pre: []int{p3}, dec: []int{d0}},
 		{name: "called already", change: func(_ []State, r *Request) { r.FixedPrefill = Number("p3") }, pre: []int{p3}, dec: []int{d0, d3}},
+		{name: "cold", change: func(s []State, _ *Request) {
+			for _, i := range []int{p0, d0} {
+				cold := *s[i].Spec
+				cold.ColdPerSecond = 21
+				s[i].Spec, s[i].ColdUntil = &cold, now.Add(time.Second)
+			}
+		}, pre: []int{p3}, dec: []int{d3}},
+		{name: "cold, and busy elsewhere", change: func(s []State, _ *Request) {
+			cold := *s[p0].Spec
+			cold.ColdPerSecond = 21
+			s[p0].Spec, s[p0].ColdUntil, s[p3].Digest.QueueMillis = &cold, now.Add(time.Second), 800
+			s[p1].Digest.QueueMillis, s[p4].Digest.QueueMillis = 800, 800
+		}, pre: []int{p0}, dec: []int{d0, d3}},
 		{name: "old digests", change: func(s []State, _ *Request) { s[d0].At = now.Add(-time.Minute) }, pre: []int{p0, p3}, dec: []int{d3}},
 		{name: "a model that none serves", change: func(_ []State, r *Request) { r.Model = "other" }, nothing: true},
 		{name: "nothing in the region", change: func(_ []State, r *Request) { r.Region = 0 }, nothing: true},
