owner, entry: the first ask for a start asks for votes at once; a cold endpoint costs 0.08 s

An ask without votes now asks for them at once and is asked again 30 ms later, and a call waits for a start that comes within its 0.4 s.

--- a/entry/start.go
+++ b/entry/start.go
@@ -17,8 +17,6 @@
 	coldWait = 400 * time.Millisecond
 	// coldWaitLeast is what a call may wait in any case: late is better than refused.
 	coldWaitLeast = 100 * time.Millisecond
-	// startAsks is how often a start is asked for that came too late to be used.
-	startAsks = 2
 	// startRest is the least time for which an endpoint isn't asked for a start after
 	// it had none.
 	startRest = 20 * time.Millisecond
@@ -27,23 +25,24 @@
 // start waits until a call may go to an endpoint. It returns why it may not: the endpoint
 // is cold and no start is to be had there in time. Nothing has run then.
 func (e *Entry) start(ctx context.Context, j *job, spec *config.Endpoint) *retryable {
-	for range startAsks {
-		if !e.cold(spec) {
-			return nil
-		}
-		wait := max(coldWaitLeast, min(coldWait, j.slack()))
-		s := e.owners.Start(ctx, spec, wait)
+	wait := max(coldWaitLeast, min(coldWait, j.slack()))
+	for end := time.Now().Add(wait); e.cold(spec); {
+		left := time.Until(end)
+		s := e.owners.Start(ctx, spec, max(0, left))
 		if !s.Given {
-			return e.noStart(spec, s.In, wait)
+			s.In = max(s.In, startRest)
+		}
+		if !s.Given && s.In > left {
+			return e.noStart(spec, s.In, left)
 		}
 		if !sleep(ctx, s.In) {
 			return &retryable{name: spec.Name, refusal: result.Errorf(result.TooLate, "the caller's time ended before %s had a start", spec.Name)}
 		}
-		if time.Now().Before(s.Until) {
+		if s.Given && time.Now().Before(s.Until) {
 			return nil
 		}
 	}
-	return e.noStart(spec, startRest, 0)
+	return nil
 }
 
 // cold reports whether an endpoint is cold now.
--- a/owner/starts.go
+++ b/owner/starts.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,6 +65,7 @@
 	asked time.Time // last, for a start
 	used  time.Time
 	given uint64
+	alone int   // rounds of votes since it last had any
 	cold  bool // when it was last looked at
 }
 
@@ -112,7 +114,7 @@
 // Ask answers a StartArgs from this or another host.
 func (s *Starts) Ask(a StartArgs) (StartReply, error) {
 	s.board.Pause.Check()
-	_, spec, err := s.spec(a.Endpoint)
+	v, spec, err := s.spec(a.Endpoint)
 	if err != nil {
 		return StartReply{}, err
 	}
@@ -121,7 +123,11 @@
 	defer s.mu.Unlock()
 	p := s.pace(a.Endpoint, now)
 	p.asked = now
-	in, given := p.Ask(now, s.bound(spec)*p.right.Part(now), min(duration(a.Wait), cold.MostWait))
+	part := p.right.Part(now)
+	if part == 0 && s.first(v, p, spec, now) {
+		return StartReply{InMillis: millis(firstRound)}, nil
+	}
+	in, given := p.Ask(now, s.bound(spec)*part, min(duration(a.Wait), cold.MostWait))
 	if !given {
 		s.Refused.Add(1)
 		return StartReply{InMillis: millis(min(in, mostRetry))}, nil
@@ -131,6 +137,30 @@
 	return StartReply{Given: true, InMillis: millis(in)}, nil
 }
 
+// first asks for votes at once for an endpoint that nobody was asked for lately, and reports
+// whether they may come soon; the caller holds the lock. Without it the first calls to an
+// endpoint that has turned cold wait for the next round, and prompts were read in vain.
+func (s *Starts) first(v *config.View, p *pace, spec *config.Endpoint, now time.Time) bool {
+	if p.alone > 1 || !s.owns(v, spec, now) {
+		return false
+	}
+	if p.alone == 0 {
+		p.alone++
+		go s.round(context.Background(), spec.Domain, v.Region[spec.Domain], []*config.Endpoint{spec})
+	}
+	return true
+}
+
+// owns reports whether this host owns an endpoint by its own view.
+func (s *Starts) owns(v *config.View, spec *config.Endpoint, now time.Time) bool {
+	h, ok := Of(s.board, v, spec, now)
+	return ok && h.Number == s.board.Number
+}
+
+// firstRound is when to ask again for a start while the first votes are asked for: what a
+// call to another host takes, and some more.
+const firstRound = 30 * time.Millisecond
+
 // mostRetry is the longest time to come back for a start: by then this host may have votes,
 // or another one.
 const mostRetry = time.Second
--- a/owner/votes.go
+++ b/owner/votes.go
@@ -40,7 +40,7 @@
 	rounds := map[string][]*config.Endpoint{} // by failure domain
 	for _, st := range s.concern(now) {
 		s.logCold(&st, now)
-		if h, ok := Of(s.board, v, st.Spec, now); ok && h.Number == s.board.Number {
+		if s.owns(v, st.Spec, now) {
 			rounds[st.Spec.Domain] = append(rounds[st.Spec.Domain], st.Spec)
 		}
 	}
@@ -82,7 +82,11 @@
 	for _, spec := range specs {
 		n := route.Number(spec.Name)
 		a.Endpoints = append(a.Endpoints, n)
-		s.pace(n, now).right.Ask(len(hosts))
+		p := s.pace(n, now)
+		p.right.Ask(len(hosts))
+		if p.alone++; p.right.Part(now) > 0 {
+			p.alone = 0
+		}
 	}
 	s.mu.Unlock()
 	var wait sync.WaitGroup
--- a/route/pick.go
+++ b/route/pick.go
@@ -76,7 +76,7 @@
 	costFailing     = 2.000 // every recent attempt failed
 	costFill        = 0.080 // a full batch against an empty one
 	costSeenFailing = 1.000 // every recent call from this host failed
-	costCold        = 0.250 // cold: slow itself, and a start has to be asked for; small, so that one that returns is filled slowly and not left
+	costCold        = 0.080 // cold: slow itself, and a start has to be asked for; small, so that one that returns is filled slowly and not left
 	costShunned     = 8.000 // out of reach when this host last tried
 	jitterShare     = 0.10  // of a cost, by which near-equal endpoints trade places
 )
