--- a/entry/start.go
+++ b/entry/start.go
@@ -33,7 +33,7 @@
 			s.In = max(s.In, startRest)
 		}
 		if !s.Given && s.In > left {
-			return e.noStart(spec, s.In, left)
+			return e.noStart(j, spec, s.In, left)
 		}
 		if !sleep(ctx, s.In) {
 			return &retryable{name: spec.Name, refusal: result.Errorf(result.TooLate, "the caller's time ended before %s had a start", spec.Name)}
@@ -53,11 +53,13 @@
 
 // noStart notes that there is no start at an endpoint before some time for a call that
 // would wait, and returns the refusal.
-func (e *Entry) noStart(spec *config.Endpoint, in, wait time.Duration) *retryable {
+func (e *Entry) noStart(j *job, spec *config.Endpoint, in, wait time.Duration) *retryable {
 	until := time.Now().Add(max(startRest, in-wait))
 	e.board.Endpoints.Touch(route.Number(spec.Name), func(s *route.State) { s.NoStart = until })
 	e.Unstarted.Add(1)
-	return &retryable{name: spec.Name, refusal: result.Errorf(result.Cold, "%s: %s", spec.Name, route.BarCold).After(in)}
+	refusal := result.Errorf(result.Cold, "%s: %s", spec.Name, route.BarCold).After(in)
+	e.logRefused(j, spec, "start", refusal, 0)
+	return &retryable{name: spec.Name, refusal: refusal}
 }
 
 // coldBack is when one of some endpoints that are all cold will have a start.
