--- a/cold/ways_test.go
+++ b/cold/ways_test.go
@@ -118,7 +118,6 @@
 	hosts    []*wayHost
 	messages int
 	used     []time.Duration
-	asked    int
 }
 
 // reaches reports whether a host reaches another.
--- a/owner/starts.go
+++ b/owner/starts.go
@@ -65,7 +65,7 @@
 	asked time.Time // last, for a start
 	used  time.Time
 	given uint64
-	alone int   // rounds of votes since it last had any
+	alone int  // rounds of votes since it last had any
 	cold  bool // when it was last looked at
 }
 
