owner: an endpoint that was down counts as cold when it answers again

A failure domain that is cut off from the store hears of no registration, while its own hosts go on sending there: an endpoint that started anew in it is sent what a warm one is. Its owner's polls tell that it was down. What is granted while starts are asked for is no longer counted twice.

--- a/owner/book.go
+++ b/owner/book.go
@@ -26,12 +26,15 @@
 	ledger *ledger.Ledger // decode
 	queue  *queue.Queue   // prefill
 
-	ready    bool // the endpoint's own list was read since the tenure began
-	state    endpoint.State
-	fails    int // state polls that failed in a row
-	wrong    bool
-	changing time.Time // until when it is about to have another role
-	ordered  time.Time
+	ready bool // the endpoint's own list was read since the tenure began
+	state endpoint.State
+	fails int // state polls that failed in a row
+	wrong bool
+	// maybeCold is until when it may be cold because it was out of reach: it may have
+	// started anew, and where the store is out of reach no registration tells.
+	maybeCold time.Time
+	changing  time.Time // until when it is about to have another role
+	ordered   time.Time
 
 	failed float64 // share of attempts that failed lately, as of failedAt
 	trust  float64 // how far the cache feed proved true
@@ -96,7 +99,7 @@
 	b.fadeFailures(now)
 	d := route.Digest{Number: b.number, FailPct: uint8(min(1, b.failed) * 100),
 		TrustPct: uint8(b.trust * 100), Flags: b.flags()}
-	if now.Before(b.spec.ColdUntil) {
+	if now.Before(b.spec.ColdUntil) || now.Before(b.maybeCold) {
 		d.Flags |= route.FlagCold
 	}
 	switch {
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -162,6 +162,7 @@
 	}
 	if b.fails >= downAfter {
 		o.log.Info("endpoint is back", zap.String("endpoint", b.spec.Name))
+		b.maybeCold = now.Add(config.Millis(b.spec.ColdStartMillis))
 	}
 	restarted := b.state.Incarnation != 0 && st.Incarnation != b.state.Incarnation
 	b.fails, b.state = 0, *st
--- a/owner/starts.go
+++ b/owner/starts.go
@@ -172,7 +172,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pace(route.Number(spec.Name), now).Note(now, s.bound(spec))
+	if p := s.pace(route.Number(spec.Name), now); now.Sub(p.asked) > askedLately { // else a start was asked for
+		p.Note(now, s.bound(spec))
+	}
 }
 
 // Vote answers a VoteArgs from this or another host.
--- a/owner/starts_test.go
+++ b/owner/starts_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/blackboard"
@@ -70,6 +71,51 @@
 	})
 }
 
+// downEngine answers reports once it is back.
+type downEngine struct {
+	endpoint.Engine
+	back bool
+}
+
+func (e *downEngine) State(context.Context, string) (*endpoint.State, error) {
+	if !e.back {
+		return nil, errors.New("refused")
+	}
+	return new(endpoint.State), nil
+}
+
+func (e *downEngine) Traits() endpoint.Traits { return endpoint.Traits{} }
+
+// TestBackCold checks that an endpoint which was out of its owner's reach counts as cold
+// for as long as a start leaves it so, whatever its registration says.
+func TestBackCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := coldOwner(t)
+		engine := new(downEngine)
+		o.engine = engine
+		spec := *o.board.Config.View().ByName["e"]
+		spec.ColdUntil, spec.ColdStartMillis = time.Time{}, 3000
+		b := newBook(o.board.Config.View(), &spec, 1, time.Now())
+		cold := func() bool { return b.digest(time.Now(), true).Flags&route.FlagCold != 0 }
+		for range downAfter {
+			o.pollState(t.Context(), b)
+		}
+		if cold() {
+			t.Error("cold while it is down")
+		}
+		engine.back = true
+		o.pollState(t.Context(), b)
+		if !cold() {
+			t.Error("not taken for cold as it came back")
+		}
+		time.Sleep(3100 * time.Millisecond)
+		o.pollState(t.Context(), b)
+		if cold() {
+			t.Error("taken for cold for longer than a start leaves it so")
+		}
+	})
+}
+
 // TestStartsUnknown asks for starts and votes of an endpoint that is not there.
 func TestStartsUnknown(t *testing.T) {
 	o := coldOwner(t)
