--- a/blackboard/doc.go
+++ b/blackboard/doc.go
@@ -8,7 +8,7 @@
 // Lock order. Each table has one lock, and no method holds it while calling
 // out of its table. Code that needs several takes them in this order:
 // the lock under which peer.Router lays tables out, owner.Owner, owner.Book,
-// ConfigTable, HostTable, DomainTable, EndpointTable, EvacuationTable, RegionTable,
+// owner.Starts, ConfigTable, HostTable, DomainTable, EndpointTable, EvacuationTable, RegionTable,
 // RequestTable, KeyTable, quota.Accounts. Only these two hold a lock of their own while
 // they use a table; the tables never call each other.
 //
--- a/blackboard/evacuations_test.go
+++ b/blackboard/evacuations_test.go
@@ -88,8 +88,8 @@
 					t.Errorf("endpoint %d of %s: emptied %v", i, s.Spec.Domain, s.Evacuated)
 				}
 			}
-			whole, _ := table.RosterSince(1)
-			_, change := table.RosterSince(4)
+			whole, _ := table.RosterSince(1, now)
+			_, change := table.RosterSince(4, now)
 			if whole == nil || change == nil || !names(whole.Evacuated)["d"] || !names(change.Evacuated)["d"] {
 				t.Fatalf("told: %+v, %+v", whole, change)
 			}
--- /dev/null
+++ b/cold/cold_test.go
@@ -0,0 +1,118 @@
+package cold
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fullest returns the most of some moments, in order, that lie within one second.
+func fullest(used []time.Duration) (most int) {
+	for first, last := 0, 0; last < len(used); last++ {
+		for used[last]-used[first] > time.Second {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// TestBound names bounds of settings that are there and that are missing.
+func TestBound(t *testing.T) {
+	for _, tc := range []struct{ perSecond, overrun, tolerance, want float64 }{
+		{21, 1.5, 5, 36.5}, {21, 0, 0, 21}, {0, 1.5, 5, 0}, {0.2, 0, 0, 1}, {-1, 1.5, 5, 0},
+	} {
+		if got := Bound(tc.perSecond, tc.overrun, tc.tolerance); got != tc.want {
+			t.Errorf("%v: %v", tc, got)
+		}
+	}
+}
+
+// TestBears checks that a host that has had the right for long gives out what the endpoint
+// bears, and that one that asks for more is told the true time.
+func TestBears(t *testing.T) {
+	share := Bound(21, 1.5, 5)
+	var p Pace
+	given := 0
+	for at := time.Duration(0); at < 10*time.Second; at += time.Second / 21 {
+		if _, ok := p.Ask(begin.Add(at), share, 0); ok {
+			given++
+		}
+	}
+	if given < 210 {
+		t.Errorf("%d of 210 were given", given)
+	}
+	now := begin.Add(time.Minute)
+	for range 10 {
+		p.Ask(now, share, 0)
+	}
+	in, _ := p.Ask(now, share, 0)
+	if _, ok := p.Ask(now.Add(in-time.Millisecond), share, 0); ok {
+		t.Error("a start was given before the time that was told")
+	}
+	if _, ok := p.Ask(now.Add(in), share, 0); !ok {
+		t.Errorf("no start after %s, which was told", in)
+	}
+}
+
+// TestLate has starts used as late as they may be and, from some moment on, at once, so that
+// most of them come together.
+func TestLate(t *testing.T) {
+	for _, share := range []float64{1, 2, 7.3, 29.2, 500} {
+		var p Pace
+		var used []time.Duration
+		for at := time.Duration(0); at < 6*time.Second; at += time.Millisecond {
+			if _, ok := p.Ask(begin.Add(at), share, 0); !ok {
+				continue
+			}
+			if at < 3*time.Second {
+				used = append(used, at+Lag)
+			} else {
+				used = append(used, at)
+			}
+		}
+		slices.Sort(used)
+		if n := fullest(used); float64(n) > share {
+			t.Errorf("%d used in one second of a share of %v", n, share)
+		}
+	}
+}
+
+// TestSmallShares checks that a share of less than one start gives out none, and that a
+// refused ask uses nothing up.
+func TestSmallShares(t *testing.T) {
+	var p Pace
+	for _, share := range []float64{0, 0.99} {
+		if in, ok := p.Ask(begin, share, time.Hour); ok || in != Never {
+			t.Errorf("a share of %v: %s, %v", share, in, ok)
+		}
+	}
+	var q Pace
+	for range 1000 {
+		q.Ask(begin, 1, 0)
+	}
+	if in, ok := q.Ask(begin, 1, time.Minute); ok || in != Never {
+		t.Errorf("one start in all: %s, %v", in, ok)
+	}
+	if in, ok := q.Ask(begin, 1+1e-12, time.Minute); ok || in != Never {
+		t.Errorf("hardly more than one start in all: %s, %v", in, ok)
+	}
+}
+
+// TestNote checks that what was sent while an endpoint was warm counts when it turns cold.
+func TestNote(t *testing.T) {
+	share := 29.2
+	var p Pace
+	for i := range 100 {
+		p.Note(begin.Add(time.Duration(i)*10*time.Millisecond), share)
+	}
+	now := begin.Add(time.Second)
+	if in, ok := p.Ask(now, share, 0); ok || in > 1200*time.Millisecond {
+		t.Errorf("after 100 in a second: %s, %v", in, ok)
+	}
+	if _, ok := p.Ask(now.Add(1200*time.Millisecond), share, 0); !ok {
+		t.Error("what was noted is not forgotten")
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -36,6 +36,8 @@
 	Handover(ctx context.Context, host blackboard.Host, h Handover) error
 	// Inherit asks a host what it has reserved of an endpoint.
 	Inherit(ctx context.Context, host blackboard.Host, endpoint uint32) (Handover, error)
+	// Vote asks a host for its votes for endpoints that are cold.
+	Vote(ctx context.Context, host blackboard.Host, a VoteArgs) (VoteReply, error)
 }
 
 // Owner holds the books of owned endpoints.
@@ -49,6 +51,7 @@
 	books map[uint32]*Book
 
 	balance balance
+	Starts  *Starts // at cold endpoints
 
 	nextAdopt   time.Time
 	fingerprint uint64 // of the members and the revision that owned was worked out for
@@ -67,6 +70,7 @@
 func New(b *blackboard.Board, e endpoint.Engine, log *zap.Logger) *Owner {
 	o := &Owner{board: b, engine: e, log: log, books: map[uint32]*Book{}}
 	o.balance.ordered, o.balance.looks, o.balance.orderer = map[uint32]time.Time{}, map[string]*roles.Looks{}, map[uint32]tenure{}
+	o.Starts = newStarts(b, func() Peers { return o.peers }, log)
 	b.Pause.OnWake(o.dropBeliefs)
 	return o
 }
@@ -231,6 +235,7 @@
 		return reply, nil
 	}
 	reply.InMillis = max(0, millis(at.Sub(now)))
+	o.Starts.Note(b.spec, now)
 	return reply, nil
 }
 
@@ -252,7 +257,9 @@
 	reply = EnqueueReply{Code: result.OK, Digest: b.brief(time.Now())}
 	if refusal != nil {
 		reply.Code, reply.Retry = refusal.Code, millis(refusal.RetryAfter)
+		return reply, nil
 	}
+	o.Starts.Note(b.spec, time.Now())
 	return reply, nil
 }
 
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -10,6 +10,8 @@
 // Names of the remote methods.
 const (
 	methodReserve  = "P.Reserve"
+	methodStart    = "P.Start"
+	methodVote     = "P.Vote"
 	methodEnqueue  = "P.Enqueue"
 	methodRelease  = "P.Release"
 	methodExchange = "P.Exchange"
--- a/publish/words_test.go
+++ b/publish/words_test.go
@@ -174,7 +174,7 @@
 			"ask": func(*rapid.T) {
 				from, to := pick("from"), pick("to")
 				m := told{to: to}
-				m.roster, m.change = from.board.Config.RosterSince(to.board.Config.RosterRevision())
+				m.roster, m.change = from.board.Config.RosterSince(to.board.Config.RosterRevision(), time.Now())
 				mail = append(mail, m)
 			},
 			"arrive": func(t *rapid.T) {
@@ -242,7 +242,7 @@
 	}
 	tell := func(_ *wordStore, hosts []*wordHost) {
 		m := told{to: hosts[1]}
-		m.roster, m.change = hosts[0].board.Config.RosterSince(hosts[1].board.Config.RosterRevision())
+		m.roster, m.change = hosts[0].board.Config.RosterSince(hosts[1].board.Config.RosterRevision(), time.Now())
 		m.arrive()
 	}
 	forget := func(s *wordStore, _ []*wordHost) { s.forgot = s.at }
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -24,14 +24,15 @@
 
 // Options say what a cluster is made of.
 type Options struct {
-	Document []byte                        // a configuration document
-	Change   func(d *config.Document)      // adjusts it before it is published; may be nil
-	Settings func(s *config.Settings)      // adjusts each host's settings; may be nil
-	Hosts    int                           // entry hosts, spread over the failure domains
-	Network  *fake.Network                 // nil: loopback
-	Log      *zap.Logger                   // nil: nothing is logged
-	Fatal    func(msg string)              // called when an invariant breaks; nil: counted only
-	Faults   func(name string) fake.Faults // of each stand-in at the start; may be nil
+	Document []byte                          // a configuration document
+	Change   func(d *config.Document)        // adjusts it before it is published; may be nil
+	Settings func(s *config.Settings)        // adjusts each host's settings; may be nil
+	Hosts    int                             // entry hosts, spread over the failure domains
+	Network  *fake.Network                   // nil: loopback
+	Zone     func(s *config.Settings) string // where on the network a host stands; nil: in its failure domain
+	Log      *zap.Logger                     // nil: nothing is logged
+	Fatal    func(msg string)                // called when an invariant breaks; nil: counted only
+	Faults   func(name string) fake.Faults   // of each stand-in at the start; may be nil
 }
 
 // Cluster is a running deployment.
--- a/trial/hosts.go
+++ b/trial/hosts.go
@@ -111,7 +111,7 @@
 		opts = append(opts, node.WithLog(c.opts.Log))
 	}
 	if c.opts.Network != nil {
-		opts = append(opts, node.WithNetwork(func(a string) (net.Listener, error) { return c.opts.Network.Listen(s.Domain, a), nil }, c.dial(s.Domain)))
+		opts = append(opts, node.WithNetwork(func(a string) (net.Listener, error) { return c.opts.Network.Listen(c.zone(s), a), nil }, c.dial(c.zone(s))))
 	}
 	if c.opts.Fatal != nil {
 		opts = append(opts, node.WithFatal(c.opts.Fatal))
@@ -123,6 +123,14 @@
 	return nd, nd.Start()
 }
 
+// zone returns where on the network a host stands.
+func (c *Cluster) zone(s *config.Settings) string {
+	if c.opts.Zone != nil {
+		return c.opts.Zone(s)
+	}
+	return s.Domain
+}
+
 // Restart starts host i anew, as a new incarnation, after it was stopped.
 func (c *Cluster) Restart(i int) error {
 	nd, err := c.startNode(i)
