copies, entry, platform: an answer that may not be read again goes on from a copy

Engines offer copies of a run's memory that grow with it. A silent engine is asked for its report before its answer goes on elsewhere.

--- a/config/document.go
+++ b/config/document.go
@@ -119,6 +119,8 @@
 	StepMicros          int     `json:"step_micros"`       // first guess
 	StepMicrosEach      int     `json:"step_micros_each"`  // first guess
 	NotRepeatableAllows bool    `json:"takes_not_repeatable"`
+	Copies              bool    `json:"copies,omitempty"` // endpoints keep copies of the memory of each other's answers
+	Moves               bool    `json:"moves,omitempty"`  // an answer that runs can be moved to another endpoint
 }
 
 // Engines reports whether the pool's endpoints are model runners.
--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -53,6 +53,9 @@
 	// as long as it has room, tells of them in its cache feed, and does not
 	// read them again.
 	DecodeKeeps bool
+	// Copies says that endpoints whose pool offers it keep copies of the memory
+	// of each other's runs, from which a run goes on.
+	Copies bool
 }
 
 // Work is one request as an engine is given it.
@@ -65,6 +68,17 @@
 	Until time.Time
 	// LastMark is the mark of the last piece that the caller was given.
 	LastMark string
+	// Backup is the address of an endpoint that is to keep a copy of the run's
+	// memory as it grows; empty: none.
+	Backup string
+	// Copy is what the answer goes on from as the same run; nil: it is a new one.
+	Copy *Copy
+}
+
+// Copy is a copy of a run's memory at another endpoint than the one that runs it.
+type Copy struct {
+	Address string // of the endpoint that keeps it
+	Handle  string // by which that endpoint knows it
 }
 
 // AnswerHead is the head of an endpoint's answer.
--- a/endpoint/error.go
+++ b/endpoint/error.go
@@ -15,6 +15,7 @@
 	Status     int // HTTP status; 0 without an answer
 	MayHaveRun bool
 	Elsewhere  bool    // another endpoint has the address
+	GivenUp    bool    // its answer was given up over what it said: the endpoint may work on
 	Answer     *Answer // what the endpoint said, where the caller may see it
 	Cause      error
 }
@@ -50,6 +51,13 @@
 	return errors.As(err, &ce) && ce.Elsewhere
 }
 
+// GivenUp reports whether err is a call that was given up over what the endpoint said,
+// so that it may still work on it for a moment.
+func GivenUp(err error) bool {
+	var ce *CallError
+	return errors.As(err, &ce) && ce.GivenUp
+}
+
 // Unreachable reports whether err means that no connection came about.
 func Unreachable(err error) bool {
 	var ce *CallError
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,6 +43,7 @@
 	budgets *retry.Budgets
 	turn    atomic.Uint64 // for round robin and seeds
 	Latency LatencyRecorder
+	Copies  Copies
 	logs    *lineGate
 	back    *retry.ComeBack
 	began   time.Time
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"io"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/copies"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/invariant"
 	"github.com/embercove/embercove/owner"
@@ -28,7 +28,7 @@
 	j.sends++
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := newWatchdog(e.firstStall(j, p), cancel)
+	w := newWatchdog(e.firstStall(j, p), cancel, e.asks(limited, p))
 	defer w.stop()
 	number := route.Number(p.dec.Name)
 	e.owners.Touched(number, 1)
@@ -55,6 +55,9 @@
 	}()
 	work := *j.work
 	work.ResumeFrom, work.Transfer = j.out.pieces(), kv
+	if p.copy != nil {
+		work.Backup = p.copy.spec.Address
+	}
 	if m := j.out.lastMark(); m != "" {
 		work.LastMark = m
 	}
@@ -74,9 +77,7 @@
 	if !errors.As(err, &ce) || ce.Answer == nil {
 		return
 	}
-	if j.last != nil {
-		j.last.Body.Close()
-	}
+	j.forget()
 	j.last = ce.Answer
 }
 
@@ -94,17 +95,23 @@
 }
 
 // firstStall returns how long an engine may write nothing at first. A request
-// that can't be sent again has nothing to gain by giving up.
+// that can't be sent again, nor go on from a copy, has nothing to gain by giving up.
 func (e *Entry) firstStall(j *job, p *plan) time.Duration {
-	if !e.traits.ReadingRuns && !j.repeatable {
+	switch {
+	case p.copy != nil:
+		return copies.Quiet(forever) + p.Move
+	case !e.traits.ReadingRuns && !j.repeatable:
 		return forever
 	}
 	return time.Duration(e.board.Settings.StallMillis)*time.Millisecond + p.Move
 }
 
 // laterStall is the same once it has begun.
-func (e *Entry) laterStall(j *job) time.Duration {
-	if !e.traits.ReadingRuns && !j.repeatable {
+func (e *Entry) laterStall(j *job, p *plan) time.Duration {
+	switch {
+	case p.copy != nil:
+		return copies.Quiet(time.Duration(p.dec.PieceTokens()) * e.usualStep(j))
+	case !e.traits.ReadingRuns && !j.repeatable:
 		return forever
 	}
 	return tokenStall
@@ -139,7 +146,7 @@
 			j.phase(3)
 		}
 		if !w.begun {
-			w.begin(e.laterStall(j))
+			w.begin(e.laterStall(j, p))
 			e.setPhase(j, blackboard.PhaseDecode, nil)
 		}
 		w.progress()
@@ -148,50 +155,11 @@
 		inv.Check(c.ID == p.decodeBy.String(), invariant.OwnAnswer, "request %s: chunk of %s in attempt %s", j.id, c.ID, p.decodeBy)
 		j.out.open(s.Head())
 		if err := j.out.piece(c); err != nil {
-			return &endpoint.CallError{Address: p.dec.Address, MayHaveRun: true, Cause: err}
+			return &endpoint.CallError{Address: p.dec.Address, MayHaveRun: true, GivenUp: true, Cause: err}
 		}
 	}
 }
 
 func broken(p *plan, cause string) error {
-	return &endpoint.CallError{Address: p.dec.Address, MayHaveRun: true, Cause: errors.New(cause)}
-}
-
-// watchdog cancels a call that makes no progress.
-type watchdog struct {
-	limit time.Duration
-	timer *time.Timer
-	fired atomic.Bool
-	begun bool // the answer has begun
-	first time.Time
-	last  time.Time
-}
-
-func newWatchdog(limit time.Duration, cancel func()) *watchdog {
-	w := &watchdog{limit: limit}
-	w.timer = time.AfterFunc(limit, func() {
-		w.fired.Store(true)
-		cancel()
-	})
-	return w
-}
-
-// begin sets the limit that holds once the answer has begun.
-func (w *watchdog) begin(limit time.Duration) {
-	w.begun, w.limit, w.first = true, limit, time.Now()
-}
-
-func (w *watchdog) progress() {
-	w.last = time.Now()
-	w.timer.Reset(w.limit)
-}
-
-func (w *watchdog) stop() { w.timer.Stop() }
-
-// since returns the time from the first piece to the last.
-func (w *watchdog) since() time.Duration {
-	if !w.begun {
-		return 0
-	}
-	return w.last.Sub(w.first)
+	return &endpoint.CallError{Address: p.dec.Address, MayHaveRun: true, GivenUp: true, Cause: errors.New(cause)}
 }
--- a/entry/write.go
+++ b/entry/write.go
@@ -22,14 +22,19 @@
 		lapses = time.Now().Add(kept(kv))
 	}
 	full, lost := 0, 0
+	defer func() { e.dropCopy(j, p) }()
 	for {
 		for b := e.bars(j, p.dec); b != route.BarNone; b = e.bars(j, p.dec) {
 			if err := e.moveFrom(ctx, j, p, kv, lapses, b); err != nil {
 				return err
 			}
 		}
+		e.secure(ctx, j, p)
 		before := j.out.pieces()
 		err := e.decodeOnce(ctx, j, p, kv)
+		if err != nil {
+			err = e.goOn(ctx, j, p, err, j.out.pieces() > before)
+		}
 		if err == nil {
 			e.board.Requests.Close(p.decodeBy)
 			e.budgets.Earn(j.team.Name, p.dec.Name, j.view.Doc.Limits.RetryShare)
--- a/ledger/growing.go
+++ b/ledger/growing.go
@@ -70,6 +70,9 @@
 	size := float64(r.prompt) + l.written(r, t, step)
 	o.tokens += p * size
 	o.tokensVar += p * (1 - p) * size * size
+	if r.copied {
+		return
+	}
 	o.n += p
 	o.nVar += p * (1 - p)
 }
--- a/ledger/rows.go
+++ b/ledger/rows.go
@@ -23,6 +23,7 @@
 	listed    time.Time // when that came
 	lease     time.Time // until when it stands without being seen at the engine
 	seen      bool      // the engine's own list has it
+	copied    bool      // a copy of an answer that another engine writes: it takes memory and no slot
 }
 
 // span returns when the row's transfer begins and ends. A request that the
--- a/owner/book.go
+++ b/owner/book.go
@@ -192,6 +192,9 @@
 	}
 	ask := ledger.Ask{Attempt: a.Attempt, Team: a.Team, Tokens: a.Tokens, MaxAnswer: a.MaxAnswer, Expected: a.Expected, Mark: a.Mark,
 		Bytes: a.Bytes, In: duration(a.InMillis), Slack: duration(a.Slack)}
+	if a.Spare > 0 {
+		return now, b.ledger.ReserveCopy(now, ask, a.Spare)
+	}
 	return b.ledger.Reserve(now, ask, b.teamWeight)
 }
 
--- a/owner/messages.go
+++ b/owner/messages.go
@@ -26,6 +26,9 @@
 	Slack     int    // ms by which the start may come later
 	Team      uint32
 	Priority  int
+	// Spare asks for room for a copy of an answer that another endpoint writes, beside
+	// which so many tokens have to stay free; 0: the answer is written here.
+	Spare int
 }
 
 // ReserveReply grants a reservation (Code is result.OK) or refuses it.
