--- /dev/null
+++ b/copies/copies_test.go
@@ -0,0 +1,101 @@
+package copies
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/route"
+)
+
+const document = `{"targets": {"ttft_ms": 1000, "tpot_ms": 100, "objective": 0.9}, "models": [{"name": "m", "version": "1", "max_tokens": 9000, "kv_bytes_per_token": 1000}],
+ "failure_domains": [{"name": "a", "region": "r"}, {"name": "b", "region": "r"}, {"name": "c", "region": "s"}],
+ "routes": [{"name": "r", "host": "h", "path_prefix": "/", "pools": [{"pool": "p", "weight": 1}]}],
+ "pools": [{"name": "p", "memory_tokens": 10000, "slots": 8, "link_bytes_per_second": 1000000, "copies": true}]}`
+
+// fleet returns a view with a decode engine in each of the domains, all idle.
+func fleet(t *testing.T, domains ...string) (*config.View, []route.State, *route.Request) {
+	t.Helper()
+	v, err := config.NewView(1, []byte(document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	roster := &config.Roster{Revision: 1}
+	for i, d := range domains {
+		roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: fmt.Sprint("e", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: d,
+			Pool: "p", Role: config.Decode, Model: "m", Version: "1"})
+	}
+	v = v.WithRoster(roster)
+	states := route.Layout(v)
+	now := time.Now()
+	for i := range states {
+		states[i].At, states[i].Digest.FreeTokens, states[i].Digest.FreeSlots = now, 10_000, 8
+	}
+	all := v.RegionSet("r")
+	return v, states, &route.Request{Model: "m", Tokens: 1000, Region: all, Now: now}
+}
+
+// TestPlace states where the copy of an answer goes that engine 0, in domain a, writes.
+func TestPlace(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(s []route.State)
+		want   int
+	}{
+		{"another domain of the region", func([]route.State) {}, 2},
+		{"the own domain, where the other has no room", func(s []route.State) { s[2].Digest.FreeTokens = 3000 }, 1},
+		{"nowhere: only an engine of another region has room", func(s []route.State) { s[1].Digest.FreeTokens, s[2].Digest.FreeTokens = 0, 0 }, -1},
+		{"not where the domain is being emptied", func(s []route.State) { s[2].Evacuated = true }, 1},
+		{"not at an engine that leaves", func(s []route.State) { s[2].Leaving = true }, 1},
+		{"not at an engine of which nothing is known", func(s []route.State) { s[2].At = time.Time{} }, 1},
+		{"not at one that fails", func(s []route.State) { s[2].Digest.FailPct = 90 }, 1},
+		{"not at one that was out of reach just now", func(s []route.State) { s[2].Seen.Note(s[2].At, route.SightGone, 0) }, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			v, states, q := fleet(t, "a", "a", "b", "c")
+			tc.change(states)
+			if got := Place(v, states, []int{0, 1, 2, 3}, q, Run{Tokens: 1000, Answer: 500, Engine: 0}); got != tc.want {
+				t.Errorf("engine %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestWants states which answers get a copy by what the pool lost lately.
+func TestWants(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(s []route.State)
+		policy Policy
+		again  bool
+		want   bool
+	}{
+		{"all", func([]route.State) {}, Policy{}, false, true},
+		{"all, one that may be read again", func([]route.State) {}, Policy{}, true, false},
+		{"by loss, calm", func([]route.State) {}, Policy{LeastChance: 0.02}, false, false},
+		{"by loss, a neighbour is down", func(s []route.State) { s[1].Digest.Flags = route.FlagDown }, Policy{LeastChance: 0.02}, false, true},
+		{"by loss, its own engine fails some", func(s []route.State) { s[0].Digest.FailPct = 3 }, Policy{LeastChance: 0.02}, false, true},
+		{"by loss, another fails some", func(s []route.State) { s[1].Digest.FailPct = 3 }, Policy{LeastChance: 0.02}, false, false},
+		{"none", func(s []route.State) { s[0].Digest.FailPct = 100 }, Policy{LeastChance: 2}, false, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			_, states, q := fleet(t, "a", "a", "b", "b")
+			tc.change(states)
+			if got := tc.policy.Wants(Run{Again: tc.again}, Chance(states, []int{0, 1, 2, 3}, 0, q.Now)); got != tc.want {
+				t.Errorf("wants one: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestQuiet states how long an engine may be silent.
+func TestQuiet(t *testing.T) {
+	for pause, want := range map[time.Duration]time.Duration{0: quietLeast, 50 * time.Millisecond: 150 * time.Millisecond, time.Hour: quietMost} {
+		if got := Quiet(pause); got != want {
+			t.Errorf("%s after pauses of %s, want %s", got, pause, want)
+		}
+	}
+}
--- a/entry/copy.go
+++ b/entry/copy.go
@@ -120,8 +120,7 @@
 		e.releaseDecode(j, p, owner.Failed)
 	}
 	p.dec, p.decodeBy, p.copy, p.lastDec = c.spec, c.by, nil, first.dec
-	e.log.Info("answer goes on from its copy", zap.String("id", j.id.String()), zap.String("from", first.dec.Name), zap.String("to", c.spec.Name),
-		zap.Int("pieces", j.out.pieces()), zap.Error(err))
+	e.logCopy(j, "answer goes on from its copy", first.dec, c.spec)
 	next := e.continued(ctx, j, p)
 	switch {
 	case next == nil:
@@ -134,6 +133,7 @@
 		return next
 	}
 	e.Copies.Gone.Add(1)
+	e.logCopy(j, "no copy to go on from", first.dec, c.spec)
 	e.releaseDecode(j, p, owner.GivenUp)
 	p.dec, p.decodeBy = first.dec, first.decodeBy
 	return err
@@ -154,6 +154,16 @@
 	}
 }
 
+// logCopy writes a line for what became of an answer's copy.
+func (e *Entry) logCopy(j *job, msg string, from, to *config.Endpoint) {
+	ok, lost := e.logs.admit(time.Now(), &j.logged, false)
+	if !ok {
+		return
+	}
+	e.log.Info(msg, zap.Stringer("id", j.id), zap.String("caller_id", j.callerID()), zap.String("endpoint", to.Name), zap.String("from", from.Name),
+		zap.Int("pieces", j.out.pieces()), zap.Uint64("lines_left_out", lost))
+}
+
 // continued makes the call that goes on from a copy, at the endpoint that keeps it,
 // and relays the rest of the answer.
 func (e *Entry) continued(ctx context.Context, j *job, p *plan) (err error) {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -69,6 +69,11 @@
 		{"orphans_cancelled", "orphaned attempts cancelled at endpoints", true, func() float64 { return float64(n.Owner.Reaped.Load()) }},
 		{"orders_sent", "orders sent to endpoints", true, func() float64 { return float64(n.Owner.Orders.Load()) }},
 		{"takeovers", "endpoints taken over", true, func() float64 { return float64(n.Owner.Takeover.Load()) }},
+		{"copies_begun", "answers that began with a place for a copy of their memory", true, func() float64 { return float64(n.entry.Copies.Begun.Load()) }},
+		{"copies_without_room", "answers that should have had a copy and for which no engine had room", true, func() float64 { return float64(n.entry.Copies.NoRoom.Load()) }},
+		{"copies_taken_up", "answers that went on from a copy and ended whole", true, func() float64 { return float64(n.entry.Copies.TakenUp.Load()) }},
+		{"copies_gone", "answers that were to go on from a copy that was not there", true, func() float64 { return float64(n.entry.Copies.Gone.Load()) }},
+		{"copied_prompt_tokens", "tokens of prompts whose memory was to be copied", true, func() float64 { return float64(n.entry.Copies.Tokens.Load()) }},
 		{"pauses", "pauses of the process that were noticed", true, func() float64 { return float64(n.Board.Pause.Count()) }},
 		{"requests_good", "requests answered within both targets", true, func() float64 { return float64(n.Record.Sum().Good) }},
 		{"requests_judged", "requests that count against the objective", true, func() float64 {
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -20,6 +20,8 @@
 	msgCallFailed = "call failed"
 	msgNoRoom     = "no room"
 	msgRefused    = "request refused"
+	msgGoesOn     = "answer goes on from its copy"
+	msgNoCopy     = "no copy to go on from"
 )
 
 // Line is one log line. Fields that a line doesn't have are at their zero
@@ -37,6 +39,7 @@
 	Name       string    `json:"name"`
 	Detail     string    `json:"detail"`
 	Endpoint   string    `json:"endpoint"`
+	From       string    `json:"from"`
 	Address    string    `json:"address"`
 	Phase      string    `json:"phase"`
 	Try        int       `json:"try"`
@@ -161,6 +164,10 @@
 	case msgCallFailed:
 		return fmt.Sprintf("%s: try %d at %s (%s) failed after %s and %d pieces, may have run %v: %s",
 			l.Phase, l.Try, l.Endpoint, l.Address, seconds(l.Took), l.Pieces, l.MayHaveRun, l.Error)
+	case msgGoesOn:
+		return fmt.Sprintf("decode: goes on at %s, from its copy of what %s wrote, after %d pieces", l.Endpoint, l.From, l.Pieces)
+	case msgNoCopy:
+		return fmt.Sprintf("decode: %s has no copy of what %s wrote", l.Endpoint, l.From)
 	case msgEnd:
 		return fmt.Sprintf("ended as %d %s under revision %d and roster %d, route %s, prefill %s, decode %s, %d pieces, first after %s",
 			l.Code, l.Name, l.Revision, l.Roster, l.Route, orNone(l.Prefill), orNone(l.Decode), l.Tokens, seconds(l.TTFT))
