copies: none where the pool's memory is short, none taken up before it can be there

Copies are begun only while 0.4 of the memory of the region's engines is free and nobody waits at the engine that is to keep it. Not measured yet.

--- a/copies/copies.go
+++ b/copies/copies.go
@@ -22,16 +22,20 @@
 	LeastChance float64
 	// Again says that answers which may be read again get one too.
 	Again bool
+	// PoolSpare is the share of the memory of a region's engines that has to be free
+	// for a copy to be begun. A copy that is begun stays as long as its answer, some
+	// seconds, and can't be called off: what a burst needs then has to be free now.
+	PoolSpare float64
 }
 
 // Standing is the policy in force.
-var Standing = Policy{LeastChance: 0}
+var Standing = Policy{LeastChance: 0, PoolSpare: 0.4}
 
 // Run is an answer that is about to be written.
 type Run struct {
 	Again  bool // it may be read again
 	Tokens int  // of the prompt
-	Answer int  // tokens that it may come to
+	Answer int  // tokens that it is expected to come to
 	Engine int  // index of the state of the engine that will write it
 }
 
@@ -47,11 +51,34 @@
 	CallerGone bool
 	MayHaveRun bool // else the request is placed anew, and nothing is lost
 	Works      bool // the engine may still work on it: it neither ended it nor is out of reach
+	// Grown is how long the answer has been written. Before a first part can have
+	// arrived there is nothing to go on from, and an engine that loses what it is sent
+	// before it looks for the copy runs the request a second time.
+	Grown time.Duration
 }
 
+// FirstPart is how long an answer is written until a first part of its memory has come
+// to where its copy is kept: parts are sent some times a second.
+const FirstPart = 250 * time.Millisecond
+
 // GoesOn reports whether the answer may go on from its copy. While the first engine may
 // work on it, it may not: the request would run twice at once.
-func (e End) GoesOn() bool { return e.Copied && !e.CallerGone && e.MayHaveRun && !e.Works }
+func (e End) GoesOn() bool {
+	return e.Copied && !e.CallerGone && e.MayHaveRun && !e.Works && e.Grown >= FirstPart
+}
+
+// Affords reports whether the engines of the region of the one that writes have so much
+// memory free that a copy may be begun.
+func (p Policy) Affords(states []route.State, list []int, engine int) bool {
+	free, all := 0, 0
+	for _, i := range list {
+		if s := &states[i]; s.Region == states[engine].Region && !s.At.IsZero() && s.Digest.Flags&route.FlagDown == 0 {
+			free += max(0, int(s.Digest.FreeTokens))
+			all += s.Spec.MemoryTokens
+		}
+	}
+	return float64(free) >= p.PoolSpare*float64(all)
+}
 
 // Chance returns the chance that an answer loses its engine, between 0 and 1: the
 // share of calls that a pool's endpoints failed lately, or that of the engine itself
@@ -111,7 +138,7 @@
 
 // holds reports whether an endpoint is known to have room for a copy.
 func holds(s *route.State, q *route.Request, r Run) bool {
-	if s.At.IsZero() || s.Seen.Shunned(q.Now) || q.Now.Before(s.Seen.Full) {
+	if s.At.IsZero() || s.Digest.WaitMillis > 0 || s.Seen.Shunned(q.Now) || q.Now.Before(s.Seen.Full) {
 		return false
 	}
 	return int(s.Digest.FreeTokens) >= r.Tokens+r.Answer+Spare(s.Spec)
--- a/copies/copies_test.go
+++ b/copies/copies_test.go
@@ -49,6 +49,7 @@
 		{"not where the domain is being emptied", func(s []route.State) { s[2].Evacuated = true }, 1},
 		{"not at an engine that leaves", func(s []route.State) { s[2].Leaving = true }, 1},
 		{"not at an engine of which nothing is known", func(s []route.State) { s[2].At = time.Time{} }, 1},
+		{"not where requests wait", func(s []route.State) { s[2].Digest.WaitMillis = 100 }, 1},
 		{"not at one that fails", func(s []route.State) { s[2].Digest.FailPct = 90 }, 1},
 		{"not at one that was out of reach just now", func(s []route.State) { s[2].Seen.Note(s[2].At, route.SightGone, 0) }, 1},
 	}
@@ -91,6 +92,36 @@
 	}
 }
 
+// TestAffords states how full a region's engines may be for a copy to be begun.
+func TestAffords(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(s []route.State)
+		want   bool
+	}{
+		{"idle", func([]route.State) {}, true},
+		{"nearly full", func(s []route.State) {
+			s[0].Digest.FreeTokens, s[1].Digest.FreeTokens, s[2].Digest.FreeTokens = 0, 2000, 2000
+		}, false},
+		{"others are overfull", func(s []route.State) { s[0].Digest.FreeTokens, s[1].Digest.FreeTokens = -5000, -5000 }, false},
+		{"the region is full, another is not", func(s []route.State) {
+			s[0].Digest.FreeTokens, s[1].Digest.FreeTokens, s[2].Digest.FreeTokens = 0, 0, 0
+		}, false},
+		{"what is down has no room", func(s []route.State) {
+			s[1].Digest.Flags, s[2].Digest.Flags, s[0].Digest.FreeTokens = route.FlagDown, route.FlagDown, 1000
+		}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			_, states, _ := fleet(t, "a", "a", "b", "c")
+			tc.change(states)
+			if got := (Policy{PoolSpare: 0.4}).Affords(states, []int{0, 1, 2, 3}, 0); got != tc.want {
+				t.Errorf("%v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
 // TestQuiet states how long an engine may be silent.
 func TestQuiet(t *testing.T) {
 	for pause, want := range map[time.Duration]time.Duration{0: quietLeast, 50 * time.Millisecond: 150 * time.Millisecond, time.Hour: quietMost} {
--- a/copies/model_test.go
+++ b/copies/model_test.go
@@ -18,7 +18,8 @@
 
 	got    int  // pieces that the caller has, in order
 	asked  bool // the entry host asks the first engine whether it lives
-	closed bool // the entry host has given the first engine up
+	closed bool // the entry host has closed its connection to the first engine
+	seen   bool // the first engine has seen that, and ends the run
 	second bool // the second engine was called
 	refuse bool // it had no copy
 	next   int  // pieces that the second engine has made, counted from the first of all
@@ -27,7 +28,7 @@
 }
 
 // running reports whether the first engine works where the entry host reaches it.
-func (w world) running() bool { return !w.down && !w.dark && !w.closed && w.wrote < pieces }
+func (w world) running() bool { return !w.down && !w.dark && !w.seen && w.wrote < pieces }
 
 // steps lists the worlds that may follow.
 func (w world) steps() (out []world) {
@@ -38,15 +39,16 @@
 			out = append(out, n)
 		}
 	}
-	step(!w.down && !w.closed && w.wrote < pieces, func(n *world) {
+	step(!w.down && !w.seen && w.wrote < pieces, func(n *world) {
 		n.wrote++
 		n.ended = n.wrote == pieces
 	})
 	step(!w.down && !w.dark && w.sent < w.wrote, func(n *world) { n.sent++ })
-	step(!w.down && !w.closed && !w.ended && w.copied < w.wrote, func(n *world) { n.copied = n.wrote })
+	step(!w.down && !w.seen && !w.ended && w.copied < w.wrote, func(n *world) { n.copied = n.wrote })
 	step(!w.down && w.wrote < pieces, func(n *world) { n.down = true })
 	step(!w.down && !w.dark, func(n *world) { n.dark = true })
-	step(w.dark, func(n *world) { n.dark = false }) // a late answer, if it was not closed
+	step(w.dark, func(n *world) { n.dark, n.seen = false, n.closed }) // it is told of what was closed before all else
+	step(w.closed && !w.dark, func(n *world) { n.seen = true })
 	step(!w.left, func(n *world) { n.left = true })
 	step(w.left, func(n *world) { n.closed, n.done = true, true })
 	step(!w.second && !w.closed && w.got < w.sent, func(n *world) { n.got++; n.asked = false })
@@ -64,7 +66,7 @@
 
 // goOn is what the entry host does once it has given the first engine up.
 func (w *world) goOn(works bool) {
-	if !(End{Copied: true, CallerGone: w.left, MayHaveRun: true, Works: works}).GoesOn() {
+	if !(End{Copied: true, CallerGone: w.left, MayHaveRun: true, Works: works, Grown: FirstPart}).GoesOn() {
 		w.done = true
 		return
 	}
--- a/entry/copy.go
+++ b/entry/copy.go
@@ -85,7 +85,10 @@
 			return
 		}
 		e.bind(v, j, &q)
-		r := copies.Run{Again: j.repeatable, Tokens: j.tokens, Answer: j.work.MaxTokens, Engine: engine}
+		r := copies.Run{Again: j.repeatable, Tokens: j.tokens, Answer: j.likely(), Engine: engine}
+		if !copies.Standing.Affords(states, g.Decode, engine) {
+			return
+		}
 		if wanted = copies.Standing.Wants(r, copies.Chance(states, g.Decode, engine, q.Now)); !wanted {
 			return
 		}
@@ -96,6 +99,14 @@
 	return spec, wanted
 }
 
+// likely returns the tokens that the answer is taken to come to.
+func (j *job) likely() int {
+	if j.expected == 0 {
+		return j.work.MaxTokens / 2
+	}
+	return min(int(likelyExcess*float64(j.expected)), j.work.MaxTokens)
+}
+
 // dropCopy gives back what is reserved for a copy. The engine that keeps it frees it
 // by itself, when the run has ended or no part of it comes any more.
 func (e *Entry) dropCopy(j *job, p *plan) {
@@ -142,10 +153,18 @@
 // mayGoOn reports whether an answer that ended with err may go on from a copy: it has
 // one, its first engine no longer works on it, and the copy's engine may be sent to.
 func (e *Entry) mayGoOn(ctx context.Context, j *job, p *plan, err error) bool {
-	end := copies.End{Copied: p.copy != nil, CallerGone: ctx.Err() != nil, MayHaveRun: endpoint.MayHaveRun(err), Works: endpoint.GivenUp(err)}
+	end := copies.End{Copied: p.copy != nil, CallerGone: ctx.Err() != nil, MayHaveRun: endpoint.MayHaveRun(err), Works: endpoint.GivenUp(err), Grown: j.grown()}
 	return end.GoesOn() && e.bars(j, p.copy.spec) == route.BarNone && e.budgets.Further(j.pool, time.Now(), 1)
 }
 
+// grown returns how long ago the caller was given the first piece; 0: it has none.
+func (j *job) grown() time.Duration {
+	if j.out.pieces() == 0 {
+		return 0
+	}
+	return time.Since(j.came) - j.phases[3]
+}
+
 // forget drops the failure that an endpoint answered with.
 func (j *job) forget() {
 	if j.last != nil {
