--- a/entry/copy.go
+++ b/entry/copy.go
@@ -86,10 +86,10 @@
 		}
 		e.bind(v, j, &q)
 		r := copies.Run{Again: j.repeatable, Tokens: j.tokens, Answer: j.likely(), Engine: engine}
-		if !copies.Standing.Affords(states, g.Decode, engine) {
+		if !e.CopyPolicy.Affords(states, g.Decode, engine) {
 			return
 		}
-		if wanted = copies.Standing.Wants(r, copies.Chance(states, g.Decode, engine, q.Now)); !wanted {
+		if wanted = e.CopyPolicy.Wants(r, copies.Chance(states, g.Decode, engine, q.Now)); !wanted {
 			return
 		}
 		if i := copies.Place(v, states, g.Decode, &q, r); i >= 0 {
@@ -191,7 +191,7 @@
 	j.sends++
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := newWatchdog(forever, cancel, nil)
+	w := newWatchdog(forever, forever, cancel, func() bool { return e.lives(limited, p.dec.Address) })
 	defer w.stop()
 	number := route.Number(p.dec.Name)
 	e.owners.Touched(number, 1)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/copies"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/peer"
@@ -44,9 +45,12 @@
 	turn    atomic.Uint64 // for round robin and seeds
 	Latency LatencyRecorder
 	Copies  Copies
-	logs    *lineGate
-	back    *retry.ComeBack
-	began   time.Time
+	// CopyPolicy says which answers get a copy of their memory; it is set before the
+	// entry serves.
+	CopyPolicy copies.Policy
+	logs       *lineGate
+	back       *retry.ComeBack
+	began      time.Time
 }
 
 // New returns an entry over the board.
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -28,7 +28,8 @@
 	j.sends++
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := newWatchdog(e.firstStall(j, p), cancel, e.asks(limited, p))
+	w := newWatchdog(e.firstStall(j, p), e.mostSilent(j), cancel, func() bool { return e.lives(limited, p.dec.Address) })
+	w.asks.Store(p.copy != nil)
 	defer w.stop()
 	number := route.Number(p.dec.Name)
 	e.owners.Touched(number, 1)
@@ -106,15 +107,26 @@
 	return time.Duration(e.board.Settings.StallMillis)*time.Millisecond + p.Move
 }
 
-// laterStall is the same once it has begun.
+// laterStall returns how long it may write nothing once it has begun. Where the answer
+// can go on elsewhere, an engine that is silent for longer than it should be is asked
+// whether it lives.
 func (e *Entry) laterStall(j *job, p *plan) time.Duration {
-	switch {
-	case p.copy != nil:
-		return copies.Quiet(time.Duration(p.dec.PieceTokens()) * e.usualStep(j))
-	case !e.traits.ReadingRuns && !j.repeatable:
+	if p.copy == nil && !j.repeatable && !e.traits.ReadingRuns {
 		return forever
 	}
-	return tokenStall
+	if !e.traits.HangUpAborts {
+		return tokenStall
+	}
+	return copies.Quiet(time.Duration(p.dec.PieceTokens()) * e.usualStep(j))
+}
+
+// mostSilent returns how long an engine that lives may be silent. One whose answer may
+// not be read again is waited for to the end: it may go on, and must not do so twice.
+func (e *Entry) mostSilent(j *job) time.Duration {
+	if j.repeatable {
+		return tokenStall
+	}
+	return forever
 }
 
 // relay passes the stream on: each piece once, in order, and a clean end only
@@ -147,6 +159,7 @@
 		}
 		if !w.begun {
 			w.begin(e.laterStall(j, p))
+			w.asks.Store(e.traits.HangUpAborts)
 			e.setPhase(j, blackboard.PhaseDecode, nil)
 		}
 		w.progress()
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -13,24 +13,27 @@
 type watchdog struct {
 	limit time.Duration
 	timer *time.Timer
-	moves atomic.Uint64 // signs of progress
+	moved atomic.Int64 // when it last made progress, in ns
+	asks  atomic.Bool  // the engine is asked whether it lives before the call is cancelled
 	fired atomic.Bool
 	begun bool // the answer has begun
 	first time.Time
 	last  time.Time
 }
 
-// newWatchdog returns a watchdog that cancels after limit. If lives is not nil it is
-// asked first whether the endpoint lives; one that does is waited for.
-func newWatchdog(limit time.Duration, cancel func(), lives func() bool) *watchdog {
+// newWatchdog returns a watchdog that cancels after limit. Where it asks, an engine that
+// lives is waited for until it has been silent for most.
+func newWatchdog(limit, most time.Duration, cancel func(), lives func() bool) *watchdog {
 	w := &watchdog{limit: limit}
+	w.moved.Store(time.Now().UnixNano())
 	w.timer = time.AfterFunc(limit, func() {
-		moves := w.moves.Load()
-		if lives != nil && lives() {
-			w.timer.Reset(askAgain)
+		moved := w.moved.Load()
+		silent := func() time.Duration { return time.Since(time.Unix(0, moved)) }
+		if w.asks.Load() && silent() < most && lives() {
+			w.timer.Reset(max(0, min(askAgain, most-silent())))
 			return
 		}
-		if w.moves.Load() != moves {
+		if w.moved.Load() != moved {
 			return // it went on in the meantime, and the timer is set
 		}
 		w.fired.Store(true)
@@ -46,7 +49,7 @@
 
 func (w *watchdog) progress() {
 	w.last = time.Now()
-	w.moves.Add(1)
+	w.moved.Store(w.last.UnixNano())
 	w.timer.Reset(w.limit)
 }
 
@@ -70,16 +73,6 @@
 	askAgain = 500 * time.Millisecond // until a silent engine that lives is asked again
 )
 
-// asks returns how an engine is asked whether it lives before it is given up; nil: it is
-// not asked. One whose answer can't go on from a copy is judged by its silence alone.
-func (e *Entry) asks(ctx context.Context, p *plan) func() bool {
-	if p.copy == nil {
-		return nil
-	}
-	address := p.dec.Address
-	return func() bool { return e.lives(ctx, address) }
-}
-
 // lives reports whether an engine that is silent answers, or may well: only one that
 // says nothing at all, or at whose address nothing listens, counts as lost.
 func (e *Entry) lives(ctx context.Context, address string) bool {
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/copies"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/entry"
 	"github.com/embercove/embercove/invariant"
@@ -44,6 +45,7 @@
 	entry    *entry.Entry
 	metrics  *metrics
 	lines    LogLines // nil: not counted
+	copies   copies.Policy
 	log      *zap.Logger
 	listen   func(address string) (net.Listener, error)
 	dial     endpoint.Dial
@@ -94,9 +96,12 @@
 	return func(n *Node) { n.Board.Invariant.Fatal = f }
 }
 
+// WithCopies has other answers get copies of their memory than copies.Standing says.
+func WithCopies(p copies.Policy) Option { return func(n *Node) { n.copies = p } }
+
 // New returns a node that isn't running yet.
 func New(s *config.Settings, opts ...Option) (*Node, error) {
-	n := &Node{settings: s, Board: blackboard.New(s), Record: report.NewRecorder(), log: zap.NewNop(), store: new(meter.Traffic), failed: make(chan error, 4),
+	n := &Node{settings: s, Board: blackboard.New(s), Record: report.NewRecorder(), log: zap.NewNop(), store: new(meter.Traffic), failed: make(chan error, 4), copies: copies.Standing,
 		listen: func(a string) (net.Listener, error) { return net.Listen("tcp", a) }}
 	for _, o := range opts {
 		o(n)
@@ -110,6 +115,7 @@
 	n.Owner = owner.New(n.Board, n.engine, n.log)
 	n.Router = peer.NewRouter(n.Board, n.Owner, peer.Dial(n.dial), n.log)
 	n.entry = entry.New(n.Board, n.engine, n.Router, n.Record, n.log)
+	n.entry.CopyPolicy = n.copies
 	if n.feed == nil {
 		n.platform = publish.NewClient(s.Platform, n.dial)
 	}
