--- a/config/document.go
+++ b/config/document.go
@@ -133,6 +133,8 @@
 	NotRepeatableAllows bool    `json:"takes_not_repeatable"`
 	ColdPerSecond       float64 `json:"cold_per_s,omitempty"`    // requests that a cold endpoint bears; 0: as many as ever
 	ColdStartMillis     int     `json:"cold_start_ms,omitempty"` // for which an endpoint is cold after a start
+	Copies              bool    `json:"copies,omitempty"`        // endpoints keep copies of the memory of each other's answers
+	Moves               bool    `json:"moves,omitempty"`         // an answer that runs can be moved to another endpoint
 }
 
 // Engines reports whether the pool's endpoints are model runners.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/copies"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/peer"
@@ -44,10 +45,14 @@
 	budgets *retry.Budgets
 	turn    atomic.Uint64 // for round robin and seeds
 	Latency LatencyRecorder
-	logs    *lineGate
-	back    *retry.ComeBack
-	began   time.Time
-	barred  barCounts
+	Copies  Copies
+	// CopyPolicy says which answers get a copy of their memory; it is set before the
+	// entry serves.
+	CopyPolicy copies.Policy
+	logs       *lineGate
+	back       *retry.ComeBack
+	began      time.Time
+	barred     barCounts
 
 	Unstarted atomic.Uint64 // calls for which a cold endpoint had no start in time
 }
--- /dev/null
+++ b/entry/watchdog.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// watchdog cancels a call that makes no progress.
+type watchdog struct {
+	limit time.Duration
+	timer *time.Timer
+	moved atomic.Int64 // when it last made progress, in ns
+	asks  atomic.Bool  // the engine is asked whether it lives before the call is cancelled
+	fired atomic.Bool
+	begun bool // the answer has begun
+	first time.Time
+	last  time.Time
+}
+
+// newWatchdog returns a watchdog that cancels after limit. Where it asks, an engine that
+// lives is waited for until it has been silent for most.
+func newWatchdog(limit, most time.Duration, cancel func(), lives func() bool) *watchdog {
+	w := &watchdog{limit: limit}
+	w.moved.Store(time.Now().UnixNano())
+	w.timer = time.AfterFunc(limit, func() {
+		moved := w.moved.Load()
+		silent := func() time.Duration { return time.Since(time.Unix(0, moved)) }
+		if w.asks.Load() && silent() < most && lives() {
+			w.timer.Reset(max(0, min(askAgain, most-silent())))
+			return
+		}
+		if w.moved.Load() != moved {
+			return // it went on in the meantime, and the timer is set
+		}
+		w.fired.Store(true)
+		cancel()
+	})
+	return w
+}
+
+// begin sets the limit that holds once the answer has begun.
+func (w *watchdog) begin(limit time.Duration) {
+	w.begun, w.limit, w.first = true, limit, time.Now()
+}
+
+func (w *watchdog) progress() {
+	w.last = time.Now()
+	w.moved.Store(w.last.UnixNano())
+	w.timer.Reset(w.limit)
+}
+
+func (w *watchdog) stop() { w.timer.Stop() }
+
+// since returns the time from the first piece to the last.
+func (w *watchdog) since() time.Duration {
+	if !w.begun {
+		return 0
+	}
+	return w.last.Sub(w.first)
+}
+
+// An engine that writes nothing is asked for its report, which takes no place there.
+// One that answers lives and is only slow: its answer is waited for, because a run that
+// is given up where it might go on may be run twice. One that says nothing is down or
+// out of reach.
+const (
+	askWait  = 60 * time.Millisecond  // for an answer; a report takes some milliseconds
+	askTimes = 2                      // a single packet that is lost is no sign
+	askAgain = 500 * time.Millisecond // until a silent engine that lives is asked again
+)
+
+// lives reports whether an engine that is silent answers, or may well: only one that
+// says nothing at all, or at whose address nothing listens, counts as lost.
+func (e *Entry) lives(ctx context.Context, address string) bool {
+	for range askTimes {
+		limited, cancel := context.WithTimeout(ctx, askWait)
+		_, err := e.engine.State(limited, address)
+		silent := limited.Err() != nil
+		cancel()
+		switch {
+		case ctx.Err() != nil:
+			return true // the call is over
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return false
+		case !silent:
+			return true
+		}
+	}
+	return false
+}
