--- a/proof/cold_test.go
+++ b/proof/cold_test.go
@@ -22,8 +22,9 @@
 	coldName  = "decode-5"
 	coldBears = 21
 	coldMost  = 36.5 // in any one second: 21 times 1.5, and 5
-	// coldAlike is in which time hosts agree again after a change, and some more: those
-	// of which one is gone are settled after a silence, a second and what starts may lag.
+	// coldAlike is in which time hosts agree again on who owns the endpoint after a change:
+	// a killed host is gone everywhere after 7 s (TestHundreds), and its votes are free
+	// 2.45 s later.
 	coldAlike = 12 * time.Second
 )
 
