--- a/copies/copies.go
+++ b/copies/copies.go
@@ -29,7 +29,7 @@
 }
 
 // Standing is the policy in force.
-var Standing = Policy{LeastChance: 0.1, PoolSpare: 0.4}
+var Standing = Policy{LeastChance: 0.1, PoolSpare: 0.6}
 
 // Run is an answer that is about to be written.
 type Run struct {
