entry, route: owners' word that a domain is being emptied rules out the domain

Cause: found in review: refusals as evacuated counted against the 12 turns and 8 rooms that a request asks for. A host that hadn't heard yet refused it with 303 although others were open; the larger the pool, the likelier. Change: after two such words the failure domain is barred for this try, and they don't count as asks.

--- a/entry/barred.go
+++ b/entry/barred.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/bits"
 	"slices"
 	"sync"
 	"time"
@@ -147,6 +148,24 @@
 func prefillList(g *config.Group) []int { return g.Prefill }
 func decodeList(g *config.Group) []int  { return g.Decode }
 
+// heardEmptied takes in that an owner refused a job as the failure domain of its endpoint
+// is being emptied, of which this host hasn't heard. After two such words nothing more is
+// asked there in this try: of a pool of 15 that read and 49 that write, 12 turns or 8 rooms
+// refused so used up all asks of a request, though others were open. One word alone may be
+// that of an owner that hasn't heard of the end. It returns how many asks the refusal counts
+// for: it tells nothing of endpoints elsewhere, but one of a failure domain that the words
+// have no place for is to be bounded like any other.
+func (j *job) heardEmptied(v *config.View, spec *config.Endpoint) (asks int) {
+	i := v.DomainIndex(spec.Domain)
+	if i < 0 || i >= bits.UintSize {
+		return 1
+	}
+	domain := uint64(1) << i
+	j.pick.Shut |= j.emptied & domain
+	j.emptied |= domain
+	return 0
+}
+
 // lackOf returns the refusal that tells for lack of what a request isn't placed: that of
 // an endpoint whose failure domain is being emptied says nothing of the others.
 func lackOf(refusal, before *result.Error) *result.Error {
--- /dev/null
+++ b/entry/emptied_test.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/report"
+	"github.com/embercove/embercove/result"
+)
+
+// emptiedOwners know that a failure domain is being emptied, of which the host hasn't heard.
+type emptiedOwners struct {
+	stubOwners
+	domain string
+	asked  int // of that domain
+}
+
+func (o *emptiedOwners) Enqueue(ctx context.Context, spec *config.Endpoint, a owner.EnqueueArgs) (owner.EnqueueReply, error) {
+	if spec.Domain == o.domain {
+		o.asked++
+		return owner.EnqueueReply{Code: result.Evacuated, Retry: 2000}, nil
+	}
+	return o.stubOwners.Enqueue(ctx, spec, a)
+}
+
+func (o *emptiedOwners) Reserve(ctx context.Context, spec *config.Endpoint, a owner.ReserveArgs) (owner.ReserveReply, error) {
+	if spec.Domain == o.domain {
+		o.asked++
+		return owner.ReserveReply{Code: result.Evacuated, Retry: 2000}, nil
+	}
+	return o.stubOwners.Reserve(ctx, spec, a)
+}
+
+// TestEmptiedMany has the owners of many engines of the own failure domain refuse, as it is
+// being emptied, before the host has heard of it: the request goes to the one pair of the
+// other domain, after few asks.
+func TestEmptiedMany(t *testing.T) {
+	const readers, writers, mostAsked = 15, 49, 4
+	synctest.Test(t, func(t *testing.T) {
+		s := &config.Settings{Host: "h", Domain: "a", Region: "r"}
+		s.SetDefaults()
+		b := blackboard.New(s)
+		if _, err := b.Config.Offer(1, []byte(twoDomains)); err != nil {
+			t.Fatal(err)
+		}
+		roster := &config.Roster{Revision: 1}
+		add := func(domain string, role config.Role) {
+			n := len(roster.Endpoints)
+			roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: fmt.Sprintf("%s-%d", role, n), Address: fmt.Sprintf("10.0.0.%d:1", n),
+				Domain: domain, Pool: "p", Role: role, Model: "m", Version: "1"})
+		}
+		for range readers {
+			add("a", config.Prefill)
+		}
+		for range writers {
+			add("a", config.Decode)
+		}
+		add("b", config.Prefill)
+		add("b", config.Decode)
+		if _, err := b.Config.OfferRoster(roster, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		v := b.Config.View()
+		b.Endpoints.Fit(v)
+		owners := &emptiedOwners{domain: "a"}
+		e := New(b, endpoint.NewClient(nil), owners, report.NewRecorder(), zap.NewNop())
+		j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: defaultTeam, repeatable: true})
+		j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
+		j.out, j.work.MaxTokens = &passage{}, 100
+		j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
+		p, err := e.place(t.Context(), j)
+		if err != nil || p.pre.Domain != "b" || p.dec.Domain != "b" {
+			t.Fatalf("%+v, %v; %d asks in the emptied domain", p, err, owners.asked)
+		}
+		if owners.asked > mostAsked {
+			t.Errorf("%d asks in the emptied domain, want at most %d", owners.asked, mostAsked)
+		}
+	})
+}
--- a/entry/job.go
+++ b/entry/job.go
@@ -31,6 +31,7 @@
 	tokens   int // of the prompt
 	expected int // of the answer, by the caller's guess; 0: none
 	pick     route.Request
+	emptied  uint64 // failure domains, as in pick.Shut, of which one owner said in this try that they are
 	away     away
 	regions  string // what was decided about other regions, for the log
 	teamNum  uint32
--- a/entry/place.go
+++ b/entry/place.go
@@ -76,6 +76,7 @@
 // A request that its own region refuses may be placed in another.
 func (e *Entry) place(ctx context.Context, j *job) (*plan, error) {
 	e.goHome(j)
+	j.pick.Shut, j.emptied = 0, 0
 	if p := e.placeKept(ctx, j); p != nil {
 		return p, nil
 	}
@@ -157,7 +158,11 @@
 			}
 			e.logRefused(j, p.pre, string(blackboard.PhaseQueue), refusal, c.Age)
 			j.pick.Drop(route.Number(p.pre.Name))
-			asks++
+			if refusal.Code == result.Evacuated {
+				asks += j.heardEmptied(v, p.pre)
+			} else {
+				asks++
+			}
 			if j.abroad() && e.board.Regions.Quiet(config.NameNumber(j.away.region), time.Now()) {
 				break
 			}
@@ -172,6 +177,7 @@
 				return p, nil
 			}
 			if last.Code == result.Evacuated && ctx.Err() == nil {
+				asks += j.heardEmptied(v, p.pre)
 				j.pick.Drop(route.Number(p.pre.Name))
 				last = nil
 				continue
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -31,7 +31,7 @@
 func (e *Entry) reserveFrom(ctx context.Context, j *job, p *plan, choose func(*job) (route.Choice, *config.View), in time.Duration) *result.Error {
 	e.setPhase(j, blackboard.PhaseReserve, nil)
 	var last *result.Error
-	for range decodeAsks {
+	for asks := 0; asks < decodeAsks; {
 		c, v := choose(j)
 		if c.Decode < 0 {
 			break
@@ -46,6 +46,11 @@
 			last = lack
 		}
 		j.pick.Drop(route.Number(p.dec.Name))
+		if refusal.Code == result.Evacuated {
+			asks += j.heardEmptied(v, p.dec)
+		} else {
+			asks++
+		}
 	}
 	if last == nil {
 		last = e.nowhere(j, "decode endpoint", decodeList)
--- a/route/gate.go
+++ b/route/gate.go
@@ -68,7 +68,7 @@
 	switch {
 	case s.Leaving || s.Digest.Flags&FlagLeaving != 0:
 		return BarLeaving
-	case s.Evacuated:
+	case s.Evacuated, r.Shut&(1<<s.Domain) != 0:
 		return BarEvacuated
 	case s.Digest.Flags&FlagDown != 0:
 		return BarDown
--- a/route/gate_test.go
+++ b/route/gate_test.go
@@ -32,6 +32,8 @@
 		{"down", func(s *State, _ *Request) { s.Digest.Flags = FlagDown }, BarDown},
 		{"wrong state", func(s *State, _ *Request) { s.Digest.Flags = FlagWrong }, BarWrong},
 		{"emptied", func(s *State, _ *Request) { s.Evacuated = true }, BarEvacuated},
+		{"emptied by owners' word", func(s *State, r *Request) { s.Domain, r.Shut = 3, 1<<3 }, BarEvacuated},
+		{"another is emptied by owners' word", func(s *State, r *Request) { s.Domain, r.Shut = 3, 1<<2 }, BarNone},
 		{"emptied and down", func(s *State, _ *Request) { s.Evacuated, s.Digest.Flags = true, FlagDown }, BarEvacuated},
 		{"cut off", func(s *State, r *Request) { s.CutOff = r.Now.Add(time.Second) }, BarCutOff},
 		{"cut off until now", func(s *State, r *Request) { s.CutOff = r.Now }, BarNone},
--- a/route/pick.go
+++ b/route/pick.go
@@ -19,6 +19,7 @@
 	Region    config.Regions // that of the entry host
 	Homes     config.Regions // in which it may be served; 0: in any
 	Reach     config.Regions // that it may leave its own for
+	Shut      uint64         // failure domains, by their index, that owners say are being emptied
 	Pair      config.Regions // in which its prompt is read, and so its answer written; 0: not chosen yet
 	Now       time.Time
 	Seed      uint64 // spreads the choices of many hosts over near-equal endpoints
