meter, peer, node: bytes and calls between hosts by what they are for

Cause: control_bytes counted all traffic between hosts in one sum, so nobody could say what the busiest host spends it on. Ruled out: counting around each call in peer, which sees no bytes; a connection for each purpose, which makes more of them. Change: a codec in peer with the messages of net/rpc's own (gob after gob) counts each message by its method, and exchanges by what they tell: exchange, news, members, fetch, owners, books, quotas, keys, pings. On metrics as peer_bytes_in, peer_bytes_out, peer_calls_made and peer_calls_answered with the label purpose. An answer with every heartbeat says so (2 B), so that it is counted as what it is.

--- a/node/metrics.go
+++ b/node/metrics.go
@@ -16,6 +16,7 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"github.com/embercove/embercove/entry"
+	"github.com/embercove/embercove/meter"
 )
 
 // metrics are the node's OpenTelemetry instruments, read by Prometheus. All
@@ -136,8 +137,35 @@
 	}
 }
 
+// observeSpent registers what is spent with other hosts, by purpose.
+func observeSpent(n *Node, m metric.Meter) error {
+	for _, g := range []struct {
+		name, help string
+		read       func(s *meter.Spent) uint64
+	}{
+		{"peer_bytes_in", "bytes of messages received from other hosts, by what for", func(s *meter.Spent) uint64 { return s.In.Load() }},
+		{"peer_bytes_out", "bytes of messages sent to other hosts, by what for", func(s *meter.Spent) uint64 { return s.Out.Load() }},
+		{"peer_calls_made", "calls made to other hosts, by what for", func(s *meter.Spent) uint64 { return s.Made.Load() }},
+		{"peer_calls_answered", "calls of other hosts answered, by what for", func(s *meter.Spent) uint64 { return s.Answered.Load() }},
+	} {
+		_, err := m.Float64ObservableCounter(g.name, metric.WithDescription(g.help), metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for _, p := range meter.Purposes() {
+				o.Observe(float64(g.read(n.Router.Spent.Of(p))), metric.WithAttributes(attribute.String("purpose", p.String())))
+			}
+			return nil
+		}))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // observeLabelled registers the values with a label of few values.
 func observeLabelled(n *Node, meter metric.Meter) error {
+	if err := observeSpent(n, meter); err != nil {
+		return err
+	}
 	_, err := meter.Float64ObservableCounter("requests_ended", metric.WithDescription("requests ended, by result code"),
 		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
 			for code, c := range n.Board.Requests.Ended() {
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -67,6 +67,7 @@
 type pool struct {
 	dial    Dial
 	traffic *meter.Traffic
+	spent   *meter.Ledger
 
 	mu    sync.Mutex
 	conns map[string]*rpc.Client
@@ -86,11 +87,11 @@
 // beyond the timeout; the next one comes.
 const deadAfter = 2
 
-func newPool(dial Dial, t *meter.Traffic) *pool {
+func newPool(dial Dial, t *meter.Traffic, spent *meter.Ledger) *pool {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	return &pool{dial: dial, traffic: t, conns: map[string]*rpc.Client{}, peers: map[string]*contact{}}
+	return &pool{dial: dial, traffic: t, spent: spent, conns: map[string]*rpc.Client{}, peers: map[string]*contact{}}
 }
 
 // of returns what was seen of a peer; the caller holds the lock.
@@ -158,7 +159,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c = rpc.NewClient(&notedConn{countedConn: counted(conn, p.traffic), read: &p.of(addr).read})
+	c = newClient(&notedConn{countedConn: counted(conn, p.traffic), read: &p.of(addr).read}, p.spent)
 	if old := p.conns[addr]; old != nil || p.shut {
 		c.Close()
 		if old == nil {
@@ -229,7 +230,7 @@
 	}
 	p.mu.Lock()
 	old := p.conns[addr]
-	c := rpc.NewClient(&notedConn{countedConn: counted(conn, p.traffic), read: &p.of(addr).read})
+	c := newClient(&notedConn{countedConn: counted(conn, p.traffic), read: &p.of(addr).read}, p.spent)
 	p.mu.Unlock()
 	p.traffic.Calls.Add(1)
 	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
--- a/peer/pool_test.go
+++ b/peer/pool_test.go
@@ -64,7 +64,7 @@
 					near, far := net.Pipe()
 					go srv.ServeConn(far)
 					return near, nil
-				}, new(meter.Traffic))
+				}, new(meter.Traffic), new(meter.Ledger))
 				got := ""
 				for range tc.calls {
 					err := p.call(context.Background(), "h", methodPing, &Nothing{}, new(Beat), limit)
--- a/peer/router.go
+++ b/peer/router.go
@@ -22,6 +22,7 @@
 // or a peer.
 type Router struct {
 	Traffic meter.Traffic // with other hosts
+	Spent   meter.Ledger  // the same by purpose
 	Fetches meter.Fetches // of what other hosts have and this one lacks
 	// Accepted is called with each revision that comes into force; it is
 	// set before the router is used, and may be nil.
@@ -55,8 +56,8 @@
 // dial uses TCP.
 func NewRouter(b *blackboard.Board, o *owner.Owner, dial Dial, log *zap.Logger) *Router {
 	r := &Router{board: b, owner: o, log: log, releases: map[string][]owner.Release{}, unknown: map[uint32]bool{}, listed: map[uint32]bool{}, missed: map[uint32]int{}, differs: true}
-	r.pool = newPool(dial, &r.Traffic)
-	r.bulk = newPool(dial, &r.Traffic)
+	r.pool = newPool(dial, &r.Traffic, &r.Spent)
+	r.bulk = newPool(dial, &r.Traffic, &r.Spent)
 	o.SetPeers(r)
 	return r
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -133,7 +133,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			srv.ServeConn(counted(c, &r.Traffic))
+			srv.ServeCodec(&answering{wire: newWire(counted(c, &r.Traffic), &r.Spent)})
 			mu.Lock()
 			defer mu.Unlock()
 			delete(open, c)
@@ -170,7 +170,7 @@
 	now := time.Now()
 	self := r.board.Hosts.Self()
 	a := ExchangeArgs{From: Name{self.Name, self.Domain, self.Region, self.Peers}, Revision: r.board.Config.Revision(),
-		Roster: r.board.Config.RosterRevision(), Fence: r.owner.Fence(), Heads: t.heads, News: t.news,
+		Roster: r.board.Config.RosterRevision(), Fence: r.owner.Fence(), Heads: t.heads, News: t.news, All: t.all,
 		Beats: r.beats(now, t.news, t.all), Members: r.board.Hosts.Members(now)}
 	if ago, ever := r.board.Config.HeardFor(now); ever {
 		a.Heard = 1 + uint32(max(0, ago).Milliseconds())
