peer: a host that joins waits for a late answer instead of asking again

Cause: hosts that start together all join by the same few seeds. An exchange was given up after the time of a call (150 ms) and made again over a new connection; the start, the rounds, the seeds' rounds and news of documents each made their own. With 300 hosts each made 25 exchanges a second with two seeds, which owed them 8 MB a second over links of 10 Mbit/s. No answer came in time, none was taken in, and each host took itself for the only one: TestMany with 300 and 3,000: after 2 s hosts knew four others, a seed had sent 8,752 KB; TestSpent: after 5.5 s two others, and each owned all 3,000 endpoints. Ruled out: what the hosts wait for is neither the store (the listing of 3,000 runners is there after 1 s on all) nor the waits of 0.5 and 4 s before endpoints are taken over. Change: while a host joins (4 s), one exchange is under way with each address, it waits for 1.5 s, and whoever started it goes on after the time of a call. Figures (virtual time, 300 hosts before 3,000 runners, all links 10 Mbit/s, TestSpent): after 1 s the middle host knows 295 others instead of 2, after 1.5 s the hosts' own views give 3,003 owners for 3,000 endpoints. TestServingSoon (300 and 600) failed first: two hosts known, no owners, 298 of 300 with a roster; it passes with 300 known, 602 owners and 100 of 100 requests answered. Conclusion: the start of 300 hosts no longer collapses. Smaller fleets were not compared.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -49,8 +49,30 @@
 // ahead.
 func (r *Router) exchangeWith(ctx context.Context, h blackboard.Host) { r.exchange(ctx, h, false) }
 
-// exchange makes one exchange; one of news alone carries no digests.
+// exchange makes one exchange; one of news alone carries no digests. While this host
+// joins, one at a time is made with each other host, and it returns before a late answer.
 func (r *Router) exchange(ctx context.Context, h blackboard.Host, news bool) {
+	if !r.board.Joining(time.Now()) {
+		r.exchangeWithin(ctx, h, news, r.timeout())
+		return
+	}
+	if !r.joins.begin(h.Peers) {
+		return
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer r.joins.end(h.Peers)
+		r.exchangeWithin(ctx, h, news, joinPatience)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(r.timeout()):
+	}
+}
+
+// exchangeWithin makes one exchange whose answer has to come in time.
+func (r *Router) exchangeWithin(ctx context.Context, h blackboard.Host, news bool, patience time.Duration) {
 	r.mu.Lock()
 	r.told++
 	heads := r.told%headsEvery == 0
@@ -60,12 +82,12 @@
 	args.All = all
 	args.Want = r.wanted()
 	reply := new(ExchangeReply)
-	err := r.pool.call(ctx, h.Peers, methodExchange, &args, reply, r.timeout())
+	err := r.pool.call(ctx, h.Peers, methodExchange, &args, reply, patience)
 	if errors.Is(err, ErrOutOfReach) {
 		// The connection may have gone silent, as all others may. Its answer may
 		// still come, so another takes the one of the new connection.
 		reply = new(ExchangeReply)
-		err = r.pool.callAnew(ctx, h.Peers, methodExchange, &args, reply, r.timeout())
+		err = r.pool.callAnew(ctx, h.Peers, methodExchange, &args, reply, patience)
 	}
 	if err != nil {
 		return
--- a/peer/router.go
+++ b/peer/router.go
@@ -35,6 +35,7 @@
 	log   *zap.Logger
 
 	fetcher fetcher
+	joins   joins
 	packer  packer
 
 	mu       sync.Mutex
