peer: whole rosters go packed

Cause: of 300 hosts that start before 3,000 endpoints (TestSpent, virtual time), each fetches the whole roster once from another while its own listing of the store is under way: 153 kB each, and one host gave ten, 1.5 MB, which made it the busiest of the first 8 s (372 kB a second, the middle host 207). Ruled out: not fetching while the first listing is under way; a host that restarts while the store is out of reach would wait 1.5 s for it before it asks its neighbours. Change: a whole roster goes as zstd of gob, packed once for each revision. Hosts of other versions that fetch one have to list the store, as the field has a new name.

--- a/peer/document.go
+++ b/peer/document.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"bytes"
+	"encoding/gob"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -8,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
 )
 
 // PackedDocument is a document on its way to another host. A change of one limit
@@ -35,6 +38,9 @@
 	mu       sync.Mutex
 	revision uint64
 	forms    map[uint64][]byte // by the revision of the base
+
+	roster uint64 // revision of the roster that whole is
+	whole  []byte
 }
 
 // pack packs a document against the one that the asker has; nil: none.
@@ -58,6 +64,41 @@
 	return out, errors.Wrapf(err, "pack revision %d", doc.Revision)
 }
 
+// packRoster packs a whole roster. One of 3,000 endpoints takes 17 kB instead of 131,
+// and hosts that start together ask one of them for it: ten did in virtual time.
+func (p *packer) packRoster(r *config.Roster) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.whole != nil && p.roster == r.Revision {
+		return p.whole, nil
+	}
+	var plain bytes.Buffer
+	if err := gob.NewEncoder(&plain).Encode(r); err != nil {
+		return nil, errors.Wrapf(err, "pack roster %d", r.Revision)
+	}
+	packed, err := compress(plain.Bytes(), nil)
+	if err != nil {
+		return nil, errors.Wrapf(err, "pack roster %d", r.Revision)
+	}
+	p.roster, p.whole = r.Revision, packed
+	return packed, nil
+}
+
+// unpackRoster returns the roster that another host packed.
+func unpackRoster(packed []byte) (*config.Roster, error) {
+	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(packWorkers), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(mostUnpack))
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack roster")
+	}
+	defer dec.Close()
+	plain, err := dec.DecodeAll(packed, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack roster")
+	}
+	r := new(config.Roster)
+	return r, errors.Wrap(gob.NewDecoder(bytes.NewReader(plain)).Decode(r), "unpack roster")
+}
+
 // compress returns a text as zstd, with the base as its dictionary.
 func compress(text []byte, base *blackboard.Source) ([]byte, error) {
 	options := []zstd.EOption{zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(packWorkers), zstd.WithWindowSize(packWindow), zstd.WithLowerEncoderMem(true)}
--- a/peer/document_test.go
+++ b/peer/document_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -140,3 +142,38 @@
 		t.Error("after the last, nobody may fetch")
 	}
 }
+
+// TestPackedRoster sends rosters one after the other, and states how large they may be.
+func TestPackedRoster(t *testing.T) {
+	roster := func(revision uint64, endpoints int) *config.Roster {
+		r := &config.Roster{Revision: revision}
+		for i := range endpoints {
+			r.Endpoints = append(r.Endpoints, config.Endpoint{Name: fmt.Sprintf("i-%x", i*7919%0xffffff), Address: fmt.Sprintf("10.8.%d.%d:80", i/250, i%250),
+				Domain: "ab"[i%2 : i%2+1], Pool: "llm", Role: config.Decode, Registered: true, Leaving: i%9 == 0})
+		}
+		return r
+	}
+	var p packer
+	for _, tc := range []struct {
+		r    *config.Roster
+		most int // bytes packed
+	}{{roster(1, 0), 500}, {roster(2, 10), 600}, {roster(3, 3000), 24_000}, {roster(3, 3000), 24_000}, {roster(4, 2999), 24_000}} {
+		packed, err := p.packRoster(tc.r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := unpackRoster(packed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.Revision != tc.r.Revision || !slices.EqualFunc(got.Endpoints, tc.r.Endpoints, func(a, b config.Endpoint) bool { return reflect.DeepEqual(a, b) }) {
+			t.Errorf("roster %d of %d endpoints came as %d of %d", tc.r.Revision, len(tc.r.Endpoints), got.Revision, len(got.Endpoints))
+		}
+		if len(packed) > tc.most {
+			t.Errorf("roster of %d endpoints takes %d bytes, want %d at the most", len(tc.r.Endpoints), len(packed), tc.most)
+		}
+	}
+	if _, err := unpackRoster([]byte("no zstd")); err == nil {
+		t.Error("a broken roster was unpacked")
+	}
+}
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/config"
 )
 
 // Exchanges only tell of revisions; who lacks one fetches it. A document may be
@@ -101,12 +103,25 @@
 		}
 		r.Offer(reply.Document.Revision, src, "peer "+from.Name)
 	}
+	if ro := r.rosterOf(reply, from); ro != nil {
+		r.OfferRoster(ro, "peer "+from.Name)
+	}
+}
+
+// rosterOf returns the roster that a peer told of, nil if there is none to take over.
+func (r *Router) rosterOf(reply *FetchReply, from Name) *config.Roster {
 	if reply.Change != nil {
-		reply.Roster = r.board.Config.After(reply.Change)
+		return r.board.Config.After(reply.Change)
 	}
-	if reply.Roster != nil {
-		r.OfferRoster(reply.Roster, "peer "+from.Name)
+	if len(reply.Whole) == 0 {
+		return nil
 	}
+	ro, err := unpackRoster(reply.Whole)
+	if err != nil {
+		r.log.Warn("fetched roster is broken", zap.String("from", from.Name), zap.Error(err))
+		return nil
+	}
+	return ro
 }
 
 // askFor makes the call of a fetch.
@@ -134,7 +149,12 @@
 // answerFetch returns what a host lacks. The roster is read first: who takes it
 // over must get every document that was published before it.
 func (r *Router) answerFetch(a *FetchArgs) (reply FetchReply, err error) {
-	reply.Roster, reply.Change = r.board.Config.RosterSince(a.Roster)
+	whole, change := r.board.Config.RosterSince(a.Roster)
+	if reply.Change = change; whole != nil {
+		if reply.Whole, err = r.packer.packRoster(whole); err != nil {
+			return reply, err
+		}
+	}
 	newest := r.board.Config.Newest()
 	if newest.Revision <= a.After {
 		return reply, nil
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -66,11 +66,10 @@
 	Roster uint64 // revision of its roster
 }
 
-// FetchReply carries a document, revision 0: nothing newer; and a roster, nil:
-// none newer.
+// FetchReply carries a document, revision 0: nothing newer; and a roster.
 type FetchReply struct {
 	Document PackedDocument
-	Roster   *config.Roster       // nil: as FetchArgs.Roster says, or Change tells it
+	Whole    []byte               // a packed roster; empty: none newer than FetchArgs.Roster, or Change tells it
 	Change   *config.RosterChange // since the asker's roster
 }
 
