--- a/peer/seed.go
+++ b/peer/seed.go
@@ -37,11 +37,16 @@
 	return blackboard.Every(config.Millis(r.board.Settings.HeartbeatMillis), func(ctx context.Context) {
 		seeds := r.seedList()
 		round++
-		if len(seeds) == 0 || !seeks(round, r.live(), rand.Float64()) {
+		live := r.live()
+		if len(seeds) == 0 || !seeks(round, live, rand.Float64()) {
 			return
 		}
-		if a := seeds[rand.IntN(len(seeds))]; a != r.board.Settings.Peers {
-			r.exchangeWith(ctx, blackboard.Host{Peers: a, Region: r.board.Settings.Region})
+		to := blackboard.Host{Peers: seeds[rand.IntN(len(seeds))]}
+		if live <= 1 {
+			to.Region = r.board.Settings.Region
+		} // else it is told of no endpoints, which its neighbours tell it of
+		if to.Peers != r.board.Settings.Peers {
+			r.exchangeWith(ctx, to)
 		}
 	})
 }
