peer: in rounds of which others meet a seed, a host meets a neighbour

Ruled out: chance; load (virtual time). Longer bounds are no way. Change: a host that meets no seed in its eighth round has an exchange with a partner.

--- a/peer/seed.go
+++ b/peer/seed.go
@@ -38,7 +38,11 @@
 		seeds := r.seedList()
 		round++
 		live := r.live()
-		if len(seeds) == 0 || !seeks(round, live, rand.Float64()) {
+		if len(seeds) == 0 {
+			return
+		}
+		if !seeks(round, live, rand.Float64()) {
+			r.insteadOfSeed(ctx, round)
 			return
 		}
 		to := blackboard.Host{Peers: seeds[rand.IntN(len(seeds))]}
@@ -67,6 +71,18 @@
 	r.seeds = append([]string{}, seeds...)
 }
 
+// insteadOfSeed makes an exchange with a partner in a round of which others meet a seed.
+// Without, digests of other failure domains were 3.5 to 4 s old at 90 in 100 of 300 hosts
+// instead of 3: what all hosts sent through the seeds had been of use.
+func (r *Router) insteadOfSeed(ctx context.Context, round int) {
+	if round%seedEvery != 0 {
+		return
+	}
+	if h, ok := r.partner(uint64(round/seedEvery), time.Now()); ok {
+		r.exchangeWith(ctx, h)
+	}
+}
+
 // live returns how many hosts are known to live, this one included.
 func (r *Router) live() (n int) {
 	r.board.Hosts.Each(time.Now(), func(h *blackboard.Host, live bool) {
