cold: what voters know of each other holds into the next round

Cause: Right.Ask set the number of hosts that may vote back to what the holder itself knows, while the votes of the round before went on counting. A holder that has met few hosts of a failure domain of many thus had the whole bound, at each round until the first voter who knows more answered. Change: each vote keeps what its giver knows; the most of those that count holds. Measured: TestRight, a vote of a host that knows of eight, then a new round of a holder that knows of one: part 1 before, 0.125 now. Conclusion: part of the bound is never more than by the best informed vote in force.

--- a/cold/vote.go
+++ b/cold/vote.go
@@ -63,29 +63,37 @@
 
 // Right is the votes that a holder has for an endpoint. The zero value has none.
 type Right struct {
-	votes map[uint32]time.Time // until when each counts, by host
-	of    int                  // hosts that may vote
+	votes map[uint32]counted // by host
+	of    int                // hosts that may vote, by what the holder knows
 }
 
-// Ask begins a round of votes among so many hosts.
+// counted is a vote that a holder has.
+type counted struct {
+	until time.Time
+	of    int // hosts that may vote, by what the one who gave it knows
+}
+
+// Ask begins a round of votes among so many hosts. What those know whose votes count still
+// holds until they answer: a holder that has met few hosts would else take their votes for
+// those of all, at each round for as long as the answers take.
 func (r *Right) Ask(of int) { r.of = of }
 
 // Take takes in the vote of a host that was asked for it at a moment; of is how many hosts
 // may vote by what that one knows.
 func (r *Right) Take(host uint32, asked time.Time, of int) {
 	if r.votes == nil {
-		r.votes = map[uint32]time.Time{}
+		r.votes = map[uint32]counted{}
 	}
-	r.votes[host] = asked.Add(Lease)
-	r.of = max(r.of, of)
+	r.votes[host] = counted{asked.Add(Lease), of}
 }
 
 // Part returns the part of the hosts whose votes count.
 func (r *Right) Part(now time.Time) float64 {
-	n := 0
-	for host, until := range r.votes {
-		if now.Before(until) {
+	n, of := 0, r.of
+	for host, v := range r.votes {
+		if now.Before(v.until) {
 			n++
+			of = max(of, v.of)
 		} else {
 			delete(r.votes, host)
 		}
@@ -93,5 +101,5 @@
 	if n == 0 {
 		return 0
 	}
-	return float64(n) / float64(max(n, r.of))
+	return float64(n) / float64(max(n, of))
 }
--- a/cold/vote_test.go
+++ b/cold/vote_test.go
@@ -57,6 +57,17 @@
 	if p := r.Part(begin.Add(Lease)); p != 0.125 {
 		t.Errorf("%v where another knows of eight", p)
 	}
+	r.Ask(1)
+	if p := r.Part(begin.Add(Lease)); p != 0.125 {
+		t.Errorf("%v in the next round, until the one who knows of eight answers", p)
+	}
+	if p := r.Part(begin.Add(Lease + 100*time.Millisecond)); p != 0 {
+		t.Errorf("%v once all votes have lapsed", p)
+	}
+	r.Take(1, begin.Add(Lease), 1)
+	if p := r.Part(begin.Add(Lease + 100*time.Millisecond)); p != 1 {
+		t.Errorf("%v once the word of eight has lapsed", p)
+	}
 }
 
 // holder is a host that gives out starts in TestAnySecond.
