owner: all first calls to an endpoint that turns cold are told to ask again

Cause: the round of votes that the first call begins was counted twice, by the call and by the round. Calls that came while its answers were under way were told that there is no start, with 1 s to come back, so that their hosts left the endpoint alone for up to 0.9 s though the owner has votes some milliseconds later. Change: until when the first round may bring votes is a time of its own; until then all are told to ask again in 30 ms. Conclusion: an endpoint that turns cold is used by all who ask, from its first votes on.

--- a/owner/starts.go
+++ b/owner/starts.go
@@ -65,8 +65,9 @@
 	asked time.Time // last, for a start
 	used  time.Time
 	given uint64
-	alone int  // rounds of votes since it last had any
-	cold  bool // when it was last looked at
+	alone int       // rounds of votes since it last had any
+	soon  time.Time // until when the first round may bring votes
+	cold  bool      // when it was last looked at
 }
 
 func newStarts(b *blackboard.Board, peers func() Peers, log *zap.Logger) *Starts {
@@ -139,16 +140,18 @@
 
 // first asks for votes at once for an endpoint that nobody was asked for lately, and reports
 // whether they may come soon; the caller holds the lock. Without it the first calls to an
-// endpoint that has turned cold wait for the next round, and prompts were read in vain.
+// endpoint that has turned cold wait for the next round, and prompts were read in vain. Calls
+// that come before the first answers are told the same: those told that there is none leave
+// the endpoint alone for what is left of mostRetry.
 func (s *Starts) first(v *config.View, p *pace, spec *config.Endpoint, now time.Time) bool {
-	if p.alone > 1 || !s.owns(v, spec, now) {
+	if !s.owns(v, spec, now) {
 		return false
 	}
-	if p.alone == 0 {
-		p.alone++
+	if p.alone == 0 && !now.Before(p.soon) {
+		p.soon = now.Add(startsTick)
 		go s.round(context.Background(), spec.Domain, v.Region[spec.Domain], []*config.Endpoint{spec})
 	}
-	return true
+	return now.Before(p.soon)
 }
 
 // owns reports whether this host owns an endpoint by its own view.
--- a/owner/starts_test.go
+++ b/owner/starts_test.go
@@ -71,6 +71,41 @@
 	})
 }
 
+// TestFirstAsks has several calls ask for starts at an endpoint that has just turned cold,
+// while the first votes for it are asked for: all are told to ask again at once.
+func TestFirstAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, other := coldOwner(t), coldOwner(t)
+		o.board.Hosts.Learn(blackboard.Host{Name: "h2", Number: request.HostNumber("h2"), Domain: "d", Region: "r", Peers: "127.0.0.1:2",
+			Incarnation: 1, Beat: 1}, time.Now())
+		o.board.Hosts.Renew(time.Now().Add(time.Hour))
+		o.SetPeers(slowPeers{pairPeers{other}})
+		spec := o.board.Config.View().ByName["e"]
+		if !o.Starts.owns(o.board.Config.View(), spec, time.Now()) {
+			t.Fatal("another owns it")
+		}
+		for k := range 5 {
+			reply, err := o.Starts.Ask(StartArgs{Endpoint: config.NameNumber("e"), Wait: 100})
+			if err != nil || reply.Given || reply.InMillis != int(firstRound.Milliseconds()) {
+				t.Errorf("call %d: %+v, %v, want one in %s", k, reply, err, firstRound)
+			}
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(startsTick)
+		if reply, _ := o.Starts.Ask(StartArgs{Endpoint: config.NameNumber("e")}); reply.InMillis != int(mostRetry.Milliseconds()) {
+			t.Errorf("%+v where the first round brought no vote, want one in %s", reply, mostRetry)
+		}
+	})
+}
+
+// slowPeers answer after 20 ms.
+type slowPeers struct{ pairPeers }
+
+func (p slowPeers) Vote(ctx context.Context, h blackboard.Host, a VoteArgs) (VoteReply, error) {
+	time.Sleep(20 * time.Millisecond)
+	return p.pairPeers.Vote(ctx, h, a)
+}
+
 // downEngine answers reports once it is back.
 type downEngine struct {
 	endpoint.Engine
--- a/owner/votes.go
+++ b/owner/votes.go
@@ -84,6 +84,9 @@
 		a.Endpoints = append(a.Endpoints, n)
 		p := s.pace(n, now)
 		p.right.Ask(len(hosts))
+		if p.alone == 0 {
+			p.soon = now.Add(startsTick)
+		}
 		if p.alone++; p.right.Part(now) > 0 {
 			p.alone = 0
 		}
