--- a/entry/start_test.go
+++ b/entry/start_test.go
@@ -111,6 +111,48 @@
 	}
 }
 
+// copyCalls is an engine that keeps copies.
+type copyCalls struct{ *startScene }
+
+func (copyCalls) Traits() endpoint.Traits { return endpoint.Traits{HangUpAborts: true, Copies: true} }
+
+// TestStartBeforeCall checks that nothing is asked for between the start at a cold engine and
+// the call that uses it: room for a copy of the answer is reserved before.
+func TestStartBeforeCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := &config.Settings{Host: "h", Domain: "a", Region: "r"}
+		settings.SetDefaults()
+		b := blackboard.New(settings)
+		if _, err := b.Config.Offer(1, []byte(strings.Replace(likelyDocument, `"slots"`, `"cold_per_s": 21, "copies": true, "slots"`, 1))); err != nil {
+			t.Fatal(err)
+		}
+		s := &startScene{leavingScene: &leavingScene{t: t, board: b, left: map[string]bool{}}}
+		s.publish()
+		for _, name := range []string{"d1", "d2"} {
+			b.Endpoints.Touch(route.Number(name), func(st *route.State) {
+				st.At, st.Digest.FreeTokens, st.Digest.FreeSlots = time.Now(), int32(st.Spec.MemoryTokens), 64
+				if name == "d1" {
+					st.MaybeCold = time.Now().Add(time.Hour)
+				} else {
+					st.Digest.FailPct = 90
+				}
+			})
+		}
+		e := New(b, copyCalls{s}, s, report.NewRecorder(), zap.NewNop())
+		v := b.Config.View()
+		j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: defaultTeam})
+		j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
+		j.out, j.work.MaxTokens = newPassage(httptest.NewRecorder(), writeError), 100
+		j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
+		if refusal := e.run(t.Context(), j); refusal != nil {
+			t.Error(refusal)
+		}
+		if got, want := strings.Join(s.order[max(0, len(s.order)-3):], ", "), "reserve d2, start at d1, write at d1"; got != want {
+			t.Errorf("at last %s; want %s", got, want)
+		}
+	})
+}
+
 // serviceCalls is a plain service that answers.
 type serviceCalls struct {
 	*startScene
