entry: an endpoint is looked at again after the wait for a start

Cause: a call to a cold endpoint waits up to 0.4 s for its start, after the look whether it may go there. One that left or was emptied meanwhile was called all the same. Change: the same look once more when the wait is over; barred, the request goes elsewhere. Measured: TestLeftBeforeStart, which has the endpoint leave as a start 300 ms ahead is asked for: read at p2 and write at d2, which have left, before; both go elsewhere now. Tests of entry with -race and platform's of copies, cold endpoints and evacuations pass. Conclusion: the look is the last thing before a call that had to wait.

--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -44,6 +44,7 @@
 	atTurn    = "as its turn comes"
 	atReading = "as the prompt is read"
 	atFull    = "as it is full"
+	atStart   = "as a start is asked for"
 )
 
 func (s *leavingScene) publish() {
--- a/entry/start.go
+++ b/entry/start.go
@@ -23,8 +23,10 @@
 )
 
 // start waits until a call may go to an endpoint. It returns why it may not: the endpoint
-// is cold and no start is to be had there in time. Nothing has run then.
+// is cold and no start is to be had there in time, or it was barred while the call waited.
+// Nothing has run then.
 func (e *Entry) start(ctx context.Context, j *job, spec *config.Endpoint) *retryable {
+	waited := false
 	wait := max(coldWaitLeast, min(coldWait, j.slack()))
 	for end := time.Now().Add(wait); e.cold(spec); {
 		left := time.Until(end)
@@ -38,10 +40,17 @@
 		if !sleep(ctx, s.In) {
 			return &retryable{name: spec.Name, refusal: result.Errorf(result.TooLate, "the caller's time ended before %s had a start", spec.Name)}
 		}
+		waited = true
 		if s.Given && time.Now().Before(s.Until) {
-			return nil
+			break
 		}
 	}
+	if !waited {
+		return nil
+	}
+	if b := e.bars(j, spec); b != route.BarNone {
+		return barredSince(spec, b)
+	}
 	return nil
 }
 
--- a/entry/start_test.go
+++ b/entry/start_test.go
@@ -23,10 +23,14 @@
 type startScene struct {
 	*leavingScene
 	script []peer.Start // in the order in which starts are asked for; then each is given at once
+	whole  int          // starts before the moment atStart
 }
 
 func (s *startScene) Start(_ context.Context, spec *config.Endpoint, _ time.Duration) peer.Start {
 	s.order = append(s.order, "start at "+spec.Name)
+	if s.whole--; s.whole < 0 {
+		s.leave(atStart, spec.Name)
+	}
 	start := peer.Start{Given: true, Until: time.Now().Add(time.Second)}
 	if len(s.script) > 0 {
 		start, s.script = s.script[0], s.script[1:]
@@ -153,6 +157,50 @@
 	})
 }
 
+// TestLeftBeforeStart checks that a request which waits for a start at an endpoint that
+// leaves meanwhile goes elsewhere, before its prompt is read and before its answer is written.
+func TestLeftBeforeStart(t *testing.T) {
+	later := peer.Start{Given: true, In: 300 * time.Millisecond}
+	for _, tc := range []struct {
+		name   string
+		before int // calls that have had their start
+		script []peer.Start
+		want   string
+	}{
+		{"before it is read", 0, []peer.Start{later}, "start at p, start at p, read at p, start at d, write at d"},
+		{"before it is written", 1, []peer.Start{{Given: true}, later}, "start at p, read at p, start at d, start at d, write at d"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				settings := &config.Settings{Host: "h", Domain: "a", Region: "r"}
+				settings.SetDefaults()
+				b := blackboard.New(settings)
+				if _, err := b.Config.Offer(1, []byte(strings.Replace(likelyDocument, `"slots"`, `"cold_per_s": 21, "slots"`, 1))); err != nil {
+					t.Fatal(err)
+				}
+				s := &startScene{leavingScene: &leavingScene{t: t, board: b, left: map[string]bool{}, leaves: map[string]bool{}}, script: tc.script, whole: tc.before}
+				s.publish()
+				for _, name := range []string{"p1", "p2", "d1", "d2"} {
+					b.Endpoints.Touch(route.Number(name), func(st *route.State) { st.MaybeCold = time.Now().Add(time.Hour) })
+				}
+				s.leaves[atStart] = true
+				e := New(b, s, s, report.NewRecorder(), zap.NewNop())
+				v := b.Config.View()
+				j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: defaultTeam})
+				j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
+				j.out, j.work.MaxTokens = newPassage(httptest.NewRecorder(), writeError), 100
+				j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
+				if refusal := e.run(t.Context(), j); refusal != nil {
+					t.Error(refusal)
+				}
+				if got := s.calls(); got != tc.want {
+					t.Errorf("%s; want %s", got, tc.want)
+				}
+			})
+		})
+	}
+}
+
 // serviceCalls is a plain service that answers.
 type serviceCalls struct {
 	*startScene
