owner: only endpoints whose pool names a bound are told of as cold

Cause: the owner set FlagCold by the endpoint's own word alone, route.Cold asks for a bound of the pool as well, and summaries of regions read any flag as closed. An endpoint that says it is cold in a pool without a bound was sent what a warm one is, and its region offered none of it. Change: the flag needs the bound too. Measured: TestColdUnbound: flags 1000 before, 0 now. With flag 1000 region.Summarize offers 0 places of an empty engine, else 4. Conclusion: without a bound nothing is different for a cold endpoint.

--- a/owner/book.go
+++ b/owner/book.go
@@ -99,7 +99,7 @@
 	b.fadeFailures(now)
 	d := route.Digest{Number: b.number, FailPct: uint8(min(1, b.failed) * 100),
 		TrustPct: uint8(b.trust * 100), Flags: b.flags()}
-	if now.Before(b.spec.ColdUntil) || now.Before(b.maybeCold) {
+	if b.spec.ColdPerSecond > 0 && (now.Before(b.spec.ColdUntil) || now.Before(b.maybeCold)) {
 		d.Flags |= route.FlagCold
 	}
 	switch {
--- a/owner/starts_test.go
+++ b/owner/starts_test.go
@@ -184,3 +184,15 @@
 		t.Error("an owner's word holds for no time, or for ever")
 	}
 }
+
+// TestColdUnbound checks that an owner doesn't tell of a cold endpoint whose pool names no
+// bound: nobody limits what it is sent then, and other regions read a flag as closed.
+func TestColdUnbound(t *testing.T) {
+	o := coldOwner(t)
+	spec := *o.board.Config.View().ByName["e"]
+	spec.ColdPerSecond = 0
+	b := newBook(o.board.Config.View(), &spec, 1, time.Now())
+	if f := b.digest(time.Now(), true).Flags; f&route.FlagCold != 0 {
+		t.Errorf("flags %b tell that it is cold", f)
+	}
+}
