owner: room for a copy doesn't count as sent to a warm endpoint

Cause: where copies and cold endpoints were joined, each reservation was noted as a request about to be sent, those for copies as well, to which nothing is sent. An engine that keeps copies and turns cold was given up to a second of its starts less. Change: reservations for copies are not noted. Measured: TestNoted: a reservation with 10 tokens to spare noted before, not now; others are. Conclusion: what counts is what arrives; an answer that goes on from a copy asks for a start.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -235,7 +235,9 @@
 		return reply, nil
 	}
 	reply.InMillis = max(0, millis(at.Sub(now)))
-	o.Starts.Note(b.spec, now)
+	if a.Spare == 0 { // nothing is sent for a copy
+		o.Starts.Note(b.spec, now)
+	}
 	return reply, nil
 }
 
--- a/owner/starts_test.go
+++ b/owner/starts_test.go
@@ -14,6 +14,7 @@
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
 )
 
@@ -196,3 +197,24 @@
 		t.Errorf("flags %b tell that it is cold", f)
 	}
 }
+
+// TestNoted checks what counts as sent to a warm endpoint: reservations do, but not those
+// for copies, to which nothing is sent.
+func TestNoted(t *testing.T) {
+	for _, spare := range []int{0, 10} {
+		o := coldOwner(t)
+		number := config.NameNumber("e")
+		row := config.Endpoint{Name: "e", Address: "127.0.0.1:9", Domain: "d", Pool: "p", Role: config.Decode, ColdPerSecond: 21}
+		if _, err := o.board.Config.OfferRoster(&config.Roster{Revision: 3, Endpoints: []config.Endpoint{row}}, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		o.board.Endpoints.Fit(o.board.Config.View())
+		reply, err := o.Reserve(context.Background(), ReserveArgs{Attempt: request.Attempt{Number: 1}, Endpoint: number, Tokens: 10, MaxAnswer: 10, Spare: spare})
+		if err != nil || reply.Code != result.OK {
+			t.Fatalf("refused with %v, %v", reply.Code, err)
+		}
+		if noted := o.Starts.paces[number] != nil; noted != (spare == 0) {
+			t.Errorf("with %d tokens to spare noted: %v", spare, noted)
+		}
+	}
+}
