owner: a vote counts a failure domain's hosts once, not for each endpoint

Cause: each endpoint of a message had all known hosts looked through and those of its domain copied, under the lock that asks for starts need. Hosts vote four times a second for every owner with a cold endpoint. Change: the number is kept for the message, whose endpoints are of one domain. Conclusion: a vote costs with the hosts or with the endpoints, no longer with both.

--- a/owner/starts.go
+++ b/owner/starts.go
@@ -186,11 +186,15 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	voters := map[string]int{} // by failure domain; mostly one
 	for _, n := range a.Endpoints {
 		given, of := false, 0
 		if v, spec, err := s.spec(n); err == nil {
-			hosts, _ := s.board.Hosts.Voters(spec.Domain, v.Region[spec.Domain], now)
-			given, of = s.votes.Give(now, n, cold.Holder{Host: a.Host, Incarnation: a.Incarnation}), len(hosts)
+			if voters[spec.Domain] == 0 {
+				hosts, _ := s.board.Hosts.Voters(spec.Domain, v.Region[spec.Domain], now)
+				voters[spec.Domain] = len(hosts)
+			}
+			given, of = s.votes.Give(now, n, cold.Holder{Host: a.Host, Incarnation: a.Incarnation}), voters[spec.Domain]
 		}
 		reply.Given, reply.Of = append(reply.Given, given), append(reply.Of, of)
 	}
--- a/owner/starts_test.go
+++ b/owner/starts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,7 +20,7 @@
 )
 
 // coldOwner returns the owner of a host that is alone and has a cold endpoint.
-func coldOwner(t *testing.T) *Owner {
+func coldOwner(t testing.TB) *Owner {
 	t.Helper()
 	s := &config.Settings{Host: "h1", Domain: "d", Region: "r", Peers: "127.0.0.1:1", PauseMillis: 600_000} // nothing moves its mark here
 	s.SetDefaults()
@@ -218,3 +219,31 @@
 		}
 	}
 }
+
+// BenchmarkVote measures a vote for ten endpoints of a failure domain of 75 hosts, of 300.
+func BenchmarkVote(b *testing.B) {
+	o := coldOwner(b)
+	roster := &config.Roster{Revision: 3}
+	a := VoteArgs{Host: 1, Incarnation: 1}
+	for k := range 10 {
+		name := fmt.Sprintf("e%d", k)
+		roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: name, Address: "127.0.0.1:9", Domain: "d", Pool: "p", Role: config.Decode})
+		a.Endpoints = append(a.Endpoints, config.NameNumber(name))
+	}
+	if _, err := o.board.Config.OfferRoster(roster, time.Now()); err != nil {
+		b.Fatal(err)
+	}
+	for k := range 299 {
+		name, domain := fmt.Sprintf("other%d", k), "elsewhere"
+		if k < 74 {
+			domain = "d"
+		}
+		o.board.Hosts.Learn(blackboard.Host{Name: name, Number: request.HostNumber(name), Domain: domain, Region: "r", Peers: "127.0.0.1:2", Incarnation: 1, Beat: 1}, time.Now())
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if r := o.Starts.Vote(a); r.Of[9] != 75 {
+			b.Fatalf("%+v", r)
+		}
+	}
+}
