--- a/owner/starts_test.go
+++ b/owner/starts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,11 +15,12 @@
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
 )
 
 // coldOwner returns the owner of a host that is alone and has a cold endpoint.
-func coldOwner(t *testing.T) *Owner {
+func coldOwner(t testing.TB) *Owner {
 	t.Helper()
 	s := &config.Settings{Host: "h1", Domain: "d", Region: "r", Peers: "127.0.0.1:1", PauseMillis: 600_000} // nothing moves its mark here
 	s.SetDefaults()
@@ -71,6 +73,41 @@
 	})
 }
 
+// TestFirstAsks has several calls ask for starts at an endpoint that has just turned cold,
+// while the first votes for it are asked for: all are told to ask again at once.
+func TestFirstAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, other := coldOwner(t), coldOwner(t)
+		o.board.Hosts.Learn(blackboard.Host{Name: "h2", Number: request.HostNumber("h2"), Domain: "d", Region: "r", Peers: "127.0.0.1:2",
+			Incarnation: 1, Beat: 1}, time.Now())
+		o.board.Hosts.Renew(time.Now().Add(time.Hour))
+		o.SetPeers(slowPeers{pairPeers{other}})
+		spec := o.board.Config.View().ByName["e"]
+		if !o.Starts.owns(o.board.Config.View(), spec, time.Now()) {
+			t.Fatal("another owns it")
+		}
+		for k := range 5 {
+			reply, err := o.Starts.Ask(StartArgs{Endpoint: config.NameNumber("e"), Wait: 100})
+			if err != nil || reply.Given || reply.InMillis != int(firstRound.Milliseconds()) {
+				t.Errorf("call %d: %+v, %v, want one in %s", k, reply, err, firstRound)
+			}
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(startsTick)
+		if reply, _ := o.Starts.Ask(StartArgs{Endpoint: config.NameNumber("e")}); reply.InMillis != int(mostRetry.Milliseconds()) {
+			t.Errorf("%+v where the first round brought no vote, want one in %s", reply, mostRetry)
+		}
+	})
+}
+
+// slowPeers answer after 20 ms.
+type slowPeers struct{ pairPeers }
+
+func (p slowPeers) Vote(ctx context.Context, h blackboard.Host, a VoteArgs) (VoteReply, error) {
+	time.Sleep(20 * time.Millisecond)
+	return p.pairPeers.Vote(ctx, h, a)
+}
+
 // downEngine answers reports once it is back.
 type downEngine struct {
 	endpoint.Engine
@@ -149,3 +186,64 @@
 		t.Error("an owner's word holds for no time, or for ever")
 	}
 }
+
+// TestColdUnbound checks that an owner doesn't tell of a cold endpoint whose pool names no
+// bound: nobody limits what it is sent then, and other regions read a flag as closed.
+func TestColdUnbound(t *testing.T) {
+	o := coldOwner(t)
+	spec := *o.board.Config.View().ByName["e"]
+	spec.ColdPerSecond = 0
+	b := newBook(o.board.Config.View(), &spec, 1, time.Now())
+	if f := b.digest(time.Now(), true).Flags; f&route.FlagCold != 0 {
+		t.Errorf("flags %b tell that it is cold", f)
+	}
+}
+
+// TestNoted checks what counts as sent to a warm endpoint: reservations do, but not those
+// for copies, to which nothing is sent.
+func TestNoted(t *testing.T) {
+	for _, spare := range []int{0, 10} {
+		o := coldOwner(t)
+		number := config.NameNumber("e")
+		row := config.Endpoint{Name: "e", Address: "127.0.0.1:9", Domain: "d", Pool: "p", Role: config.Decode, ColdPerSecond: 21}
+		if _, err := o.board.Config.OfferRoster(&config.Roster{Revision: 3, Endpoints: []config.Endpoint{row}}, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		o.board.Endpoints.Fit(o.board.Config.View())
+		reply, err := o.Reserve(context.Background(), ReserveArgs{Attempt: request.Attempt{Number: 1}, Endpoint: number, Tokens: 10, MaxAnswer: 10, Spare: spare})
+		if err != nil || reply.Code != result.OK {
+			t.Fatalf("refused with %v, %v", reply.Code, err)
+		}
+		if noted := o.Starts.paces[number] != nil; noted != (spare == 0) {
+			t.Errorf("with %d tokens to spare noted: %v", spare, noted)
+		}
+	}
+}
+
+// BenchmarkVote measures a vote for ten endpoints of a failure domain of 75 hosts, of 300.
+func BenchmarkVote(b *testing.B) {
+	o := coldOwner(b)
+	roster := &config.Roster{Revision: 3}
+	a := VoteArgs{Host: 1, Incarnation: 1}
+	for k := range 10 {
+		name := fmt.Sprintf("e%d", k)
+		roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: name, Address: "127.0.0.1:9", Domain: "d", Pool: "p", Role: config.Decode})
+		a.Endpoints = append(a.Endpoints, config.NameNumber(name))
+	}
+	if _, err := o.board.Config.OfferRoster(roster, time.Now()); err != nil {
+		b.Fatal(err)
+	}
+	for k := range 299 {
+		name, domain := fmt.Sprintf("other%d", k), "elsewhere"
+		if k < 74 {
+			domain = "d"
+		}
+		o.board.Hosts.Learn(blackboard.Host{Name: name, Number: request.HostNumber(name), Domain: domain, Region: "r", Peers: "127.0.0.1:2", Incarnation: 1, Beat: 1}, time.Now())
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if r := o.Starts.Vote(a); r.Of[9] != 75 {
+			b.Fatalf("%+v", r)
+		}
+	}
+}
