entry: a watch that is stopped while it asks stays stopped

Cause: the watch over a silent engine's answer sets its timer again after the engine was asked. When the call ended while it was asked, stop came first, the ended call counted as an engine that lives, and the timer was set anew every 0.5 s: for 24 h where the answer may not be read again, with the whole request kept in memory. A piece that came while the engine was asked had its limit replaced by 0.5 s as well.

Change: the timer is set and stopped under a lock, and not set once the call has ended or gone on.

--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -12,7 +13,9 @@
 // watchdog cancels a call that makes no progress.
 type watchdog struct {
 	limit time.Duration
+	mu    sync.Mutex // held while the timer is set or stopped
 	timer *time.Timer
+	over  bool         // the call has ended
 	moved atomic.Int64 // when it last made progress, in ns
 	asks  atomic.Bool  // the engine is asked whether it lives before the call is cancelled
 	fired atomic.Bool
@@ -30,7 +33,7 @@
 		moved := w.moved.Load()
 		silent := func() time.Duration { return time.Since(time.Unix(0, moved)) }
 		if w.asks.Load() && silent() < most && lives() {
-			w.timer.Reset(max(0, min(askAgain, most-silent())))
+			w.again(moved, max(0, min(askAgain, most-silent())))
 			return
 		}
 		if w.moved.Load() != moved {
@@ -48,12 +51,31 @@
 }
 
 func (w *watchdog) progress() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.last = time.Now()
 	w.moved.Store(w.last.UnixNano())
 	w.timer.Reset(w.limit)
 }
 
-func (w *watchdog) stop() { w.timer.Stop() }
+// again sets the timer for an engine that lives, unless the call has ended or gone on
+// while the engine was asked.
+func (w *watchdog) again(moved int64, after time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.over && w.moved.Load() == moved {
+		w.timer.Reset(after)
+	}
+}
+
+// stop ends the watch, also where the engine is being asked: a timer set after it would
+// ask in vain every askAgain, as long as an answer is waited for.
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.over = true
+	w.timer.Stop()
+}
 
 // since returns the time from the first piece to the last.
 func (w *watchdog) since() time.Duration {
