entry: an answer with a copy is waited for until its first piece

Cause: an engine with a copy beside it was asked after 250 ms without a piece, and given up if it said nothing twice in 60 ms. Before the first piece an answer never goes on from its copy (End.Grown is 0), so giving up could only lose it: an answer that may not be read again ended as outcome unknown, although its engine might write it whole, and was cut while that engine was at work. Without a copy it was waited for.

Change: the first piece is waited for as without a copy. Silence is asked about from the first piece on.

Measured: TestCopiesWait in virtual time, engines silent from 10 ms to 2.8 s: 502 before, the whole answer now. TestCopies, TestCopiesFreed and TestSilent pass with -race, unchanged.

--- a/entry/relay.go
+++ b/entry/relay.go
@@ -29,7 +29,6 @@
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w := newWatchdog(e.firstStall(j, p), e.mostSilent(j), cancel, func() bool { return e.lives(limited, p.dec.Address) })
-	w.asks.Store(p.copy != nil)
 	defer w.stop()
 	number := route.Number(p.dec.Name)
 	e.owners.Touched(number, 1)
@@ -95,13 +94,11 @@
 		Waited: p.waited, Answer: pieces * p.dec.PieceTokens(), Max: j.work.MaxTokens, Expected: j.expected, Millis: ms(took)})
 }
 
-// firstStall returns how long an engine may write nothing at first. A request
-// that can't be sent again, nor go on from a copy, has nothing to gain by giving up.
+// firstStall returns how long an engine may write nothing at first. A request that
+// can't be sent again has nothing to gain by giving up, nor has one with a copy: it holds
+// nothing to go on from before the first piece (copies.FirstPart).
 func (e *Entry) firstStall(j *job, p *plan) time.Duration {
-	switch {
-	case p.copy != nil:
-		return copies.Quiet(forever) + p.Move
-	case !e.traits.ReadingRuns && !j.repeatable:
+	if !e.traits.ReadingRuns && !j.repeatable {
 		return forever
 	}
 	return time.Duration(e.board.Settings.StallMillis)*time.Millisecond + p.Move
