entry: an ask during which this host was held up tells nothing

Cause: a silent engine counted as lost after two asks of 60 ms each without an answer.

Change: an ask that ended 20 ms late or more counts for nothing; another is made, five at most, and then the engine counts as living and is asked again after 0.5 s.

--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -93,12 +93,17 @@
 	askWait  = 60 * time.Millisecond  // for an answer; a report takes some milliseconds
 	askTimes = 2                      // a single packet that is lost is no sign
 	askAgain = 500 * time.Millisecond // until a silent engine that lives is asked again
+	askLate  = 20 * time.Millisecond  // timers fire some milliseconds late; beyond it this host was held up
+	askMost  = 5                      // asks, those during which this host was held up among them
 )
 
 // lives reports whether an engine that is silent answers, or may well: only one that
-// says nothing at all, or at whose address nothing listens, counts as lost.
+// says nothing at all, or at whose address nothing listens, counts as lost. An ask during
+// which this host did not run for a time tells nothing: the answer may have come.
 func (e *Entry) lives(ctx context.Context, address string) bool {
-	for range askTimes {
+	unheard := 0
+	for range askMost {
+		began := time.Now()
 		limited, cancel := context.WithTimeout(ctx, askWait)
 		_, err := e.engine.State(limited, address)
 		silent := limited.Err() != nil
@@ -110,7 +115,12 @@
 			return false
 		case !silent:
 			return true
+		case time.Since(began) < askWait+askLate:
+			unheard++
+		}
+		if unheard == askTimes {
+			return false
 		}
 	}
-	return false
+	return true
 }
