entry: a caller that leaves is no failure of the copy's engine

Cause: an answer that went on from a copy and ended in any way that may have run was told to the engine's owner as failed, also where the caller had left: a sound engine counted as failing, and the chance of loss that begins copies rose.

Change: the outcome is judged as that of any decode call.

Measured: TestCopiesLeft: 2 engines counted as failing before, 1 now (the one that broke off).

--- a/entry/copy.go
+++ b/entry/copy.go
@@ -140,7 +140,7 @@
 		j.forget()
 		return nil
 	case endpoint.MayHaveRun(next):
-		e.releaseDecode(j, p, owner.Failed)
+		e.releaseDecode(j, p, outcomeOf(ctx, next))
 		return next
 	}
 	e.Copies.Gone.Add(1)
