--- a/entry/copy.go
+++ b/entry/copy.go
@@ -140,7 +140,7 @@
 		j.forget()
 		return nil
 	case endpoint.MayHaveRun(next):
-		e.releaseDecode(j, p, owner.Failed)
+		e.releaseDecode(j, p, outcomeOf(ctx, next))
 		return next
 	}
 	e.Copies.Gone.Add(1)
@@ -192,7 +192,8 @@
 	j.sends++
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := newWatchdog(forever, forever, cancel, func() bool { return e.lives(limited, p.dec.Address) })
+	address := p.dec.Address // a watch that was stopped may still ask
+	w := newWatchdog(forever, forever, cancel, func() bool { return e.lives(limited, address) })
 	defer w.stop()
 	number := route.Number(p.dec.Name)
 	e.owners.Touched(number, 1)
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -12,7 +13,9 @@
 // watchdog cancels a call that makes no progress.
 type watchdog struct {
 	limit time.Duration
+	mu    sync.Mutex // held while the timer is set or stopped
 	timer *time.Timer
+	over  bool         // the call has ended
 	moved atomic.Int64 // when it last made progress, in ns
 	asks  atomic.Bool  // the engine is asked whether it lives before the call is cancelled
 	fired atomic.Bool
@@ -30,7 +33,7 @@
 		moved := w.moved.Load()
 		silent := func() time.Duration { return time.Since(time.Unix(0, moved)) }
 		if w.asks.Load() && silent() < most && lives() {
-			w.timer.Reset(max(0, min(askAgain, most-silent())))
+			w.again(moved, max(0, min(askAgain, most-silent())))
 			return
 		}
 		if w.moved.Load() != moved {
@@ -48,12 +51,31 @@
 }
 
 func (w *watchdog) progress() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.last = time.Now()
 	w.moved.Store(w.last.UnixNano())
 	w.timer.Reset(w.limit)
 }
 
-func (w *watchdog) stop() { w.timer.Stop() }
+// again sets the timer for an engine that lives, unless the call has ended or gone on
+// while the engine was asked.
+func (w *watchdog) again(moved int64, after time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.over && w.moved.Load() == moved {
+		w.timer.Reset(after)
+	}
+}
+
+// stop ends the watch, also where the engine is being asked: a timer set after it would
+// ask in vain every askAgain, as long as an answer is waited for.
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.over = true
+	w.timer.Stop()
+}
 
 // since returns the time from the first piece to the last.
 func (w *watchdog) since() time.Duration {
@@ -71,12 +93,17 @@
 	askWait  = 60 * time.Millisecond  // for an answer; a report takes some milliseconds
 	askTimes = 2                      // a single packet that is lost is no sign
 	askAgain = 500 * time.Millisecond // until a silent engine that lives is asked again
+	askLate  = 20 * time.Millisecond  // timers fire some milliseconds late; beyond it this host was held up
+	askMost  = 5                      // asks, those during which this host was held up among them
 )
 
 // lives reports whether an engine that is silent answers, or may well: only one that
-// says nothing at all, or at whose address nothing listens, counts as lost.
+// says nothing at all, or at whose address nothing listens, counts as lost. An ask during
+// which this host did not run for a time tells nothing: the answer may have come.
 func (e *Entry) lives(ctx context.Context, address string) bool {
-	for range askTimes {
+	unheard := 0
+	for range askMost {
+		began := time.Now()
 		limited, cancel := context.WithTimeout(ctx, askWait)
 		_, err := e.engine.State(limited, address)
 		silent := limited.Err() != nil
@@ -88,7 +115,12 @@
 			return false
 		case !silent:
 			return true
+		case time.Since(began) < askWait+askLate:
+			unheard++
+		}
+		if unheard == askTimes {
+			return false
 		}
 	}
-	return false
+	return true
 }
