entry: homes in other regions are not left for once more

Cause: a request whose own region is none of its homes goes to those without leaving (Reach). When they refused it, it left for them once more: they were asked twice, the second time as for others' callers, and an owner of any of them that said nothing had the region quieted that was named, not its own. Reach also kept regions of an earlier revision. Ruled out: leaving out Reach as it is when it leaves; TestHomesChange shows that homes which came into force while it waited were not asked before. Change: regions in reach when the try began are not left for; bind sets Reach anew. Measured: TestHomesAskedOnce, two asks for a turn before, one after.

--- a/entry/away.go
+++ b/entry/away.go
@@ -64,6 +64,10 @@
 	return j.pick.Region
 }
 
+// reach returns the regions that the job goes to without leaving: its own, and where that
+// is none of its homes, those.
+func (j *job) reach() config.Regions { return j.home() | j.pick.Reach }
+
 // candidate is another region with what the decision is made of.
 type candidate struct {
 	name  string
--- /dev/null
+++ b/entry/away_state_test.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/region"
+	"github.com/embercove/embercove/report"
+	"github.com/embercove/embercove/result"
+)
+
+// askedOwners refuses as it is told, and writes down who was asked for a turn.
+type askedOwners struct {
+	*leavingScene
+	full     int           // asks for room that are refused with a wait of fullFor
+	fullFor  time.Duration // after which there is room
+	late     string        // the prefill engine that refuses turns, after lateFor
+	lateFor  time.Duration
+	turnAsks []string
+}
+
+func (s *askedOwners) Enqueue(_ context.Context, spec *config.Endpoint, a owner.EnqueueArgs) (owner.EnqueueReply, error) {
+	s.turnAsks = append(s.turnAsks, fmt.Sprintf("%s in %d", spec.Name, a.NotYet))
+	if spec.Name == s.late {
+		time.Sleep(s.lateFor)
+		return owner.EnqueueReply{Code: result.TooLate, Retry: 5000}, nil
+	}
+	time.Sleep(time.Duration(a.NotYet) * time.Millisecond)
+	return owner.EnqueueReply{Code: result.OK}, nil
+}
+
+func (s *askedOwners) Reserve(context.Context, *config.Endpoint, owner.ReserveArgs) (owner.ReserveReply, error) {
+	if s.full > 0 {
+		s.full--
+		return owner.ReserveReply{Code: result.NoDecodeMemory, Retry: ms(s.fullFor)}, nil
+	}
+	return owner.ReserveReply{Code: result.OK}, nil
+}
+
+// awayScene returns an entry in region r, a job there, and owners in r and s. s offers places.
+func awayScene(t *testing.T, homes string) (*Entry, *job, *askedOwners) {
+	s := &askedOwners{leavingScene: homesScene(t, homes, "")}
+	v := s.board.Config.View()
+	s.board.Regions.Learn(region.Summary{Region: config.NameNumber("s"), Pool: region.PoolNumber("p", "m"), Places: 50}, time.Now())
+	e := New(s.board, s, s, report.NewRecorder(), zap.NewNop())
+	j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: v.Teams["t"], repeatable: true})
+	j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
+	j.out, j.work.MaxTokens = newPassage(httptest.NewRecorder(), writeError), 100
+	j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
+	return e, j, s
+}
+
+// TestHomesAskedOnce checks that a request which goes to its homes in other regions in any
+// case doesn't leave for them once more after they refused it.
+func TestHomesAskedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, j, s := awayScene(t, `"s"`)
+		s.late = "p2"
+		if _, err := e.place(t.Context(), j); err == nil {
+			t.Error("placed without a turn")
+		}
+		if left := s.board.Regions.Left(config.NameNumber("s")); left != 0 || len(s.turnAsks) != 1 {
+			t.Errorf("left %d times, asked for a turn %v; want one ask", left, s.turnAsks)
+		}
+	})
+}
--- a/entry/barred.go
+++ b/entry/barred.go
@@ -47,9 +47,9 @@
 	if team == nil {
 		team = j.team
 	}
-	r.Homes = v.Homes(rv.Route, team)
+	r.Homes, r.Reach = v.Homes(rv.Route, team), 0
 	if r.Homes != 0 && !r.Homes.Has(r.Region) {
-		r.Reach |= r.Homes
+		r.Reach = r.Homes
 	}
 }
 
--- a/entry/place.go
+++ b/entry/place.go
@@ -82,11 +82,12 @@
 	if p := e.placeEarly(ctx, j); p != nil {
 		return p, nil
 	}
+	reach := j.reach()
 	p, refusal := e.placeThere(ctx, j, mostTurnAsks)
 	if refusal == nil {
 		return p, nil
 	}
-	if p := e.placeAway(ctx, j, e.needs(j, refusal.Code), mostAway); p != nil {
+	if p := e.placeAway(ctx, j, e.needs(j, refusal.Code), mostAway, reach); p != nil {
 		return p, nil
 	}
 	return nil, refusal
@@ -104,13 +105,12 @@
 	}
 	n := e.needs(j, result.TooLate)
 	n.Left = min(n.Left, faster(c.Wait)+n.Work)
-	return e.placeAway(ctx, j, n, 1)
+	return e.placeAway(ctx, j, n, 1, j.reach())
 }
 
 // placeAway places a job that its own region can't serve, or not soon, in another, of which
 // so many are tried; nil: it stays.
-func (e *Entry) placeAway(ctx context.Context, j *job, n region.Need, most int) *plan {
-	tried := j.home()
+func (e *Entry) placeAway(ctx context.Context, j *job, n region.Need, most int, tried config.Regions) *plan {
 	for range most {
 		n.Left = min(n.Left, j.slack())
 		if ctx.Err() != nil || !e.leave(j, n, engineTrips, tried, engines) {
@@ -182,7 +182,7 @@
 			break // nobody waits for room outside of its region
 		}
 		if last.RetryAfter >= leaveAfter && !j.abroad() && turns == 1 {
-			if p := e.placeAway(ctx, j, e.needs(j, last.Code), mostAway); p != nil {
+			if p := e.placeAway(ctx, j, e.needs(j, last.Code), mostAway, j.reach()); p != nil {
 				return p, nil
 			}
 		}
--- a/entry/service.go
+++ b/entry/service.go
@@ -104,7 +104,7 @@
 	e.goHome(j)
 	spec, here := e.bestService(j)
 	n, stays := j.callNeeds(spec, here, e.homeless(j))
-	if stays || !e.leave(j, n, serviceTrips, j.home(), services) {
+	if stays || !e.leave(j, n, serviceTrips, j.reach(), services) {
 		return spec
 	}
 	if there, _ := e.bestService(j); there != nil {
