entry: a request that was refused elsewhere waits for room at home no longer than it must

Cause: while it waits for room at home a request tries other regions. When they refused it, the wait that its own region had named began anew, so it came later by the time that the try took: up to 250 ms a region where one is cut off. Change: the moment is set before the other regions are tried. Measured: TestRoomAfterAway, room after 200 ms and a refusal elsewhere after 120 ms: the turn at home was asked for 200 ms later before, 80 ms after.

--- a/entry/away_state_test.go
+++ b/entry/away_state_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,3 +74,18 @@
 		}
 	})
 }
+
+// TestRoomAfterAway checks that a request which was refused elsewhere while it waits for
+// room at home waits until there is room, not so long once more.
+func TestRoomAfterAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, j, s := awayScene(t, "")
+		s.full, s.fullFor, s.late, s.lateFor = 1, 200*time.Millisecond, "p2", 120*time.Millisecond
+		if _, err := e.place(t.Context(), j); err != nil {
+			t.Error(err)
+		}
+		if want := []string{"p1 in 0", "p2 in 0", "p1 in 80"}; !slices.Equal(s.turnAsks, want) {
+			t.Errorf("asked for a turn %v, want %v", s.turnAsks, want)
+		}
+	})
+}
--- a/entry/place.go
+++ b/entry/place.go
@@ -181,12 +181,12 @@
 		if ctx.Err() != nil || j.abroad() || last.RetryAfter+p.Read+p.Move > j.slack() {
 			break // nobody waits for room outside of its region
 		}
+		notBefore = time.Now().Add(last.RetryAfter)
 		if last.RetryAfter >= leaveAfter && !j.abroad() && turns == 1 {
 			if p := e.placeAway(ctx, j, e.needs(j, last.Code), mostAway, j.reach()); p != nil {
 				return p, nil
 			}
 		}
-		notBefore = time.Now().Add(last.RetryAfter)
 	}
 	j.pick.Exclude = asked
 	if last == nil && e.traits.DecodeReads {
