entry: a try forgets where the prompt of the one before was read

Cause: Pair, the region in which a prompt is read, was set anew only once the pair was chosen. The look for a long wait at home, before that, and an answer that goes on where its prompt is kept went by the Pair of the try before: after one in another region no endpoint at home fitted, so a second try didn't leave early, and an answer that goes on found no other engine when the one that kept its prompt failed. Change: place clears Pair first. Measured: TestPairOfATry, the turn was asked for at the busy engine at home before, in the other region after.

--- a/entry/away_state_test.go
+++ b/entry/away_state_test.go
@@ -17,6 +17,7 @@
 	"github.com/embercove/embercove/region"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/result"
+	"github.com/embercove/embercove/route"
 )
 
 // askedOwners refuses as it is told, and writes down who was asked for a turn.
@@ -75,6 +76,22 @@
 	})
 }
 
+// TestPairOfATry checks that a try doesn't look for endpoints where the prompt was read in
+// the one before: else it doesn't see that its own region would have it wait.
+func TestPairOfATry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, j, s := awayScene(t, "")
+		s.board.Endpoints.Learn(route.Digest{Number: route.Number("p1"), QueueMillis: 700}, time.Now())
+		j.pick.Pair = j.view.RegionSet("s")
+		if _, err := e.place(t.Context(), j); err != nil {
+			t.Error(err)
+		}
+		if want := []string{"p2 in 0"}; !slices.Equal(s.turnAsks, want) {
+			t.Errorf("asked for a turn %v, want %v", s.turnAsks, want)
+		}
+	})
+}
+
 // TestRoomAfterAway checks that a request which was refused elsewhere while it waits for
 // room at home waits until there is room, not so long once more.
 func TestRoomAfterAway(t *testing.T) {
--- a/entry/place.go
+++ b/entry/place.go
@@ -76,6 +76,7 @@
 // A request that its own region refuses may be placed in another.
 func (e *Entry) place(ctx context.Context, j *job) (*plan, error) {
 	e.goHome(j)
+	j.pick.Pair = 0 // that of the try before, maybe of another region
 	if p := e.placeKept(ctx, j); p != nil {
 		return p, nil
 	}
