entry: a refusal in a deployment of one region looks for no other

Cause: each refusal, and each call of a plain service that was slow, went through the table of hosts to count those of each region before it was seen that there is only one; and each call of a service looked at its endpoints a second time, though one of them was open. Change: elsewhere ends at once where there is one region; homeless is asked only if no endpoint was found, as one that was found is open.

--- a/entry/away.go
+++ b/entry/away.go
@@ -104,9 +104,15 @@
 	return true
 }
 
+// alone reports whether there is no other region.
+func (e *Entry) alone() bool { return len(e.board.Config.View().RegionNames) < 2 }
+
 // elsewhere returns the other regions that a job's request may be sent to at all, with
 // what is known of them.
 func (e *Entry) elsewhere(j *job, trips int, tried config.Regions, list func(g *config.Group) []int) (out []candidate) {
+	if e.alone() {
+		return nil
+	}
 	now := time.Now()
 	hosts := e.board.Hosts.Regions(now)
 	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
--- a/entry/away_state_test.go
+++ b/entry/away_state_test.go
@@ -11,11 +11,13 @@
 
 	"go.uber.org/zap"
 
+	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/region"
 	"github.com/embercove/embercove/report"
+	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
 )
@@ -106,3 +108,18 @@
 		}
 	})
 }
+
+// TestOneRegionCostsNothing checks that a refusal in a deployment of one region doesn't go
+// through its hosts to find where else the request could go: refusals come in bursts.
+func TestOneRegionCostsNothing(t *testing.T) {
+	e, j := placing(t, new(stubOwners), 1, 1)
+	now := time.Now()
+	for i := range 350 {
+		name := fmt.Sprintf("h%d", i)
+		e.board.Hosts.Learn(blackboard.Host{Name: name, Number: request.HostNumber(name), Domain: "a", Region: "r", Incarnation: 1, Beat: 1}, now)
+	}
+	n := e.needs(j, result.TooLate)
+	if got := testing.AllocsPerRun(10, func() { e.placeAway(t.Context(), j, n, mostAway, j.reach()) }); got > 0 {
+		t.Errorf("%g allocations", got)
+	}
+}
--- a/entry/place.go
+++ b/entry/place.go
@@ -97,7 +97,7 @@
 // placeEarly places a job in another region before its own is asked, if it would wait long
 // for its turn there; nil: it stays.
 func (e *Entry) placeEarly(ctx context.Context, j *job) *plan {
-	if len(e.board.Config.View().RegionNames) < 2 {
+	if e.alone() {
 		return nil
 	}
 	c, _ := e.choose(j, 0)
--- a/entry/service.go
+++ b/entry/service.go
@@ -103,7 +103,7 @@
 func (e *Entry) chooseService(j *job) *config.Endpoint {
 	e.goHome(j)
 	spec, here := e.bestService(j)
-	n, stays := j.callNeeds(spec, here, e.homeless(j))
+	n, stays := j.callNeeds(spec, here, spec == nil && e.homeless(j))
 	if stays || !e.leave(j, n, serviceTrips, j.reach(), services) {
 		return spec
 	}
