--- a/entry/away.go
+++ b/entry/away.go
@@ -233,6 +233,14 @@
 	return n
 }
 
+// engines lists a group's engines of which a request needs one at the least.
+func engines(g *config.Group) []int {
+	if len(g.Prefill) > 0 {
+		return g.Prefill
+	}
+	return g.Decode
+}
+
 // workOf returns how long a group's engines take to read a prompt and to move it.
 func workOf(v *config.View, g *config.Group, tokens int, model string) (d time.Duration) {
 	if len(g.Prefill) > 0 {
--- a/entry/place.go
+++ b/entry/place.go
@@ -126,14 +126,6 @@
 	return nil
 }
 
-// engines lists a group's engines of which a request needs one at the least.
-func engines(g *config.Group) []int {
-	if len(g.Prefill) > 0 {
-		return g.Prefill
-	}
-	return g.Decode
-}
-
 // placeThere places a job among the endpoints of the regions that it may go to now, of
 // which so many may be asked for a turn.
 func (e *Entry) placeThere(ctx context.Context, j *job, mostAsks int) (*plan, *result.Error) {
