--- a/entry/away.go
+++ b/entry/away.go
@@ -64,6 +64,10 @@
 	return j.pick.Region
 }
 
+// reach returns the regions that the job goes to without leaving: its own, and where that
+// is none of its homes, those.
+func (j *job) reach() config.Regions { return j.home() | j.pick.Reach }
+
 // candidate is another region with what the decision is made of.
 type candidate struct {
 	name  string
@@ -100,9 +104,15 @@
 	return true
 }
 
+// alone reports whether there is no other region.
+func (e *Entry) alone() bool { return len(e.board.Config.View().RegionNames) < 2 }
+
 // elsewhere returns the other regions that a job's request may be sent to at all, with
 // what is known of them.
 func (e *Entry) elsewhere(j *job, trips int, tried config.Regions, list func(g *config.Group) []int) (out []candidate) {
+	if e.alone() {
+		return nil
+	}
 	now := time.Now()
 	hosts := e.board.Hosts.Regions(now)
 	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
@@ -223,6 +233,14 @@
 	return n
 }
 
+// engines lists a group's engines of which a request needs one at the least.
+func engines(g *config.Group) []int {
+	if len(g.Prefill) > 0 {
+		return g.Prefill
+	}
+	return g.Decode
+}
+
 // workOf returns how long a group's engines take to read a prompt and to move it.
 func workOf(v *config.View, g *config.Group, tokens int, model string) (d time.Duration) {
 	if len(g.Prefill) > 0 {
--- a/entry/place.go
+++ b/entry/place.go
@@ -77,17 +77,19 @@
 func (e *Entry) place(ctx context.Context, j *job) (*plan, error) {
 	e.goHome(j)
 	j.pick.Shut, j.emptied = 0, 0
+	j.pick.Pair = 0 // that of the try before, maybe of another region
 	if p := e.placeKept(ctx, j); p != nil {
 		return p, nil
 	}
 	if p := e.placeEarly(ctx, j); p != nil {
 		return p, nil
 	}
+	reach := j.reach()
 	p, refusal := e.placeThere(ctx, j, mostTurnAsks)
 	if refusal == nil {
 		return p, nil
 	}
-	if p := e.placeAway(ctx, j, e.needs(j, refusal.Code), mostAway); p != nil {
+	if p := e.placeAway(ctx, j, e.needs(j, refusal.Code), mostAway, reach); p != nil {
 		return p, nil
 	}
 	return nil, refusal
@@ -96,7 +98,7 @@
 // placeEarly places a job in another region before its own is asked, if it would wait long
 // for its turn there; nil: it stays.
 func (e *Entry) placeEarly(ctx context.Context, j *job) *plan {
-	if len(e.board.Config.View().RegionNames) < 2 {
+	if e.alone() {
 		return nil
 	}
 	c, _ := e.choose(j, 0)
@@ -105,13 +107,12 @@
 	}
 	n := e.needs(j, result.TooLate)
 	n.Left = min(n.Left, faster(c.Wait)+n.Work)
-	return e.placeAway(ctx, j, n, 1)
+	return e.placeAway(ctx, j, n, 1, j.reach())
 }
 
 // placeAway places a job that its own region can't serve, or not soon, in another, of which
 // so many are tried; nil: it stays.
-func (e *Entry) placeAway(ctx context.Context, j *job, n region.Need, most int) *plan {
-	tried := j.home()
+func (e *Entry) placeAway(ctx context.Context, j *job, n region.Need, most int, tried config.Regions) *plan {
 	for range most {
 		n.Left = min(n.Left, j.slack())
 		if ctx.Err() != nil || !e.leave(j, n, engineTrips, tried, engines) {
@@ -126,14 +127,6 @@
 	return nil
 }
 
-// engines lists a group's engines of which a request needs one at the least.
-func engines(g *config.Group) []int {
-	if len(g.Prefill) > 0 {
-		return g.Prefill
-	}
-	return g.Decode
-}
-
 // placeThere places a job among the endpoints of the regions that it may go to now, of
 // which so many may be asked for a turn.
 func (e *Entry) placeThere(ctx context.Context, j *job, mostAsks int) (*plan, *result.Error) {
@@ -187,12 +180,12 @@
 		if ctx.Err() != nil || j.abroad() || last.RetryAfter+p.Read+p.Move > j.slack() {
 			break // nobody waits for room outside of its region
 		}
+		notBefore = time.Now().Add(last.RetryAfter)
 		if last.RetryAfter >= leaveAfter && !j.abroad() && turns == 1 {
-			if p := e.placeAway(ctx, j, e.needs(j, last.Code), mostAway); p != nil {
+			if p := e.placeAway(ctx, j, e.needs(j, last.Code), mostAway, j.reach()); p != nil {
 				return p, nil
 			}
 		}
-		notBefore = time.Now().Add(last.RetryAfter)
 	}
 	j.pick.Exclude = asked
 	if last == nil && e.traits.DecodeReads {
