entry: a region that refused a request isn't asked again in the same try

Cause: found in review: a request may leave early, while it waits for room and at the end, each counted by itself; one of two regions was asked three times, at 48 ms and some messages each, most where all regions lack places.

--- a/entry/away_state_test.go
+++ b/entry/away_state_test.go
@@ -109,6 +109,26 @@
 	})
 }
 
+// TestAwayOnce checks that a region which refused a request is not asked again in the same
+// try, though the request may leave early, while it waits for room and at the end.
+func TestAwayOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, j, s := awayScene(t, "")
+		s.board.Endpoints.Learn(route.Digest{Number: route.Number("p1"), QueueMillis: 700}, time.Now())
+		s.full, s.fullFor, s.late = 3, 150*time.Millisecond, "p2"
+		_, _ = e.place(t.Context(), j)
+		asks := 0
+		for _, ask := range s.turnAsks {
+			if ask == "p2 in 0" {
+				asks++
+			}
+		}
+		if asks != 1 || len(s.turnAsks) < 2 {
+			t.Errorf("asked for a turn %v, want the other region's once", s.turnAsks)
+		}
+	})
+}
+
 // TestOneRegionCostsNothing checks that a refusal in a deployment of one region doesn't go
 // through its hosts to find where else the request could go: refusals come in bursts.
 func TestOneRegionCostsNothing(t *testing.T) {
--- a/entry/job.go
+++ b/entry/job.go
@@ -33,9 +33,12 @@
 	pick     route.Request
 	emptied  uint64 // failure domains, as in pick.Shut, of which one owner said in this try that they are
 	away     away
-	regions  string // what was decided about other regions, for the log
-	teamNum  uint32
-	drawn    float64 // of the team's quota, in its unit
+	// refusedIn are the regions that it left for in this try and that refused it: it leaves
+	// early, during a wait and at the end, and asked one of two regions three times so.
+	refusedIn config.Regions
+	regions   string // what was decided about other regions, for the log
+	teamNum   uint32
+	drawn     float64 // of the team's quota, in its unit
 
 	ran      bool             // some call may have run at an endpoint
 	started  bool             // not repeatable: it was started
--- a/entry/place.go
+++ b/entry/place.go
@@ -76,7 +76,7 @@
 // A request that its own region refuses may be placed in another.
 func (e *Entry) place(ctx context.Context, j *job) (*plan, error) {
 	e.goHome(j)
-	j.pick.Shut, j.emptied = 0, 0
+	j.pick.Shut, j.emptied, j.refusedIn = 0, 0, 0
 	j.pick.Pair = 0 // that of the try before, maybe of another region
 	if p := e.placeKept(ctx, j); p != nil {
 		return p, nil
@@ -113,12 +113,12 @@
 // placeAway places a job that its own region can't serve, or not soon, in another, of which
 // so many are tried; nil: it stays.
 func (e *Entry) placeAway(ctx context.Context, j *job, n region.Need, most int, tried config.Regions) *plan {
-	for range most {
+	for i := 0; i < most && j.refusedIn.Len() < mostAway; i++ {
 		n.Left = min(n.Left, j.slack())
-		if ctx.Err() != nil || !e.leave(j, n, engineTrips, tried, engines) {
+		if ctx.Err() != nil || !e.leave(j, n, engineTrips, tried|j.refusedIn, engines) {
 			break
 		}
-		tried |= j.pick.Region
+		j.refusedIn |= j.pick.Region // unless it is placed there
 		if p, there := e.placeThere(ctx, j, awayAsks); there == nil {
 			return p
 		}
