config, node, owner, platform, entry, peer: eight long files cut by subject

Change: moved, not changed: checks of what a fleet is made of; status; the planned stop; what a book learns; what an owner serves; a runner's own calls and its cache feed; turns; releases.

--- /dev/null
+++ b/node/status.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"time"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/report"
+	"github.com/embercove/embercove/route"
+)
+
+// Status is what one host says of itself and of what it sees.
+type Status struct {
+	Host      string                  `json:"host"`
+	Domain    string                  `json:"failure_domain"`
+	Region    string                  `json:"region"`
+	Up        float64                 `json:"up_s"`
+	Leaving   bool                    `json:"leaving"`
+	Config    blackboard.ConfigStatus `json:"config"`
+	Hosts     []HostStatus            `json:"hosts"`
+	Endpoints []EndpointStatus        `json:"endpoints"`
+	Evacuated []EvacuationStatus      `json:"evacuations,omitempty"`
+	Quotas    []QuotaStatus           `json:"quotas"`
+	Regions   []RegionStatus          `json:"regions,omitempty"` // the other ones
+	Sum       report.Sum              `json:"sum"`
+	TTFT      report.Quantiles        `json:"ttft"`
+	TPOT      report.Quantiles        `json:"tpot"`
+	Progress  int                     `json:"requests_in_progress"`
+	Pauses    uint64                  `json:"pauses"`
+	Broken    map[string]uint64       `json:"invariants_broken"`
+}
+
+// HostStatus is one entry host as another sees it.
+type HostStatus struct {
+	Host    string  `json:"host"`
+	Domain  string  `json:"failure_domain"`
+	Live    bool    `json:"live"`
+	Leaving bool    `json:"leaving"`
+	Doubted bool    `json:"doubted"`
+	Silent  float64 `json:"silent_s"`
+}
+
+// EndpointStatus is one endpoint as a host sees it.
+type EndpointStatus struct {
+	Endpoint string      `json:"endpoint"`
+	Role     config.Role `json:"role"`
+	Domain   string      `json:"failure_domain"`
+	Owner    string      `json:"owner"` // empty: no live host in its domain
+	State    string      `json:"state"`
+	Queue    uint32      `json:"queue_ms"`
+	Free     int32       `json:"free_tokens"`
+	Slots    int32       `json:"free_slots"`
+	Slow     float64     `json:"slow"`
+	Failing  uint8       `json:"failing_pct"`
+	Age      float64     `json:"digest_age_s"` // -1: never heard of
+	Cold     float64     `json:"cold_s"`       // for which it is or may be cold still; 0: it is warm
+	Starts   uint64      `json:"starts"`       // that this host has given out there while it was cold
+}
+
+// QuotaStatus is a team's quota in a failure domain, as the host that holds it there
+// sees it. Figures are in the quota's unit.
+type QuotaStatus struct {
+	Team    string   `json:"team"`
+	Rate    float64  `json:"rate"` // a second, over all hosts
+	Free    float64  `json:"free"` // 0 and below: requests are refused
+	Used    float64  `json:"used"` // let in a second, lately, in this failure domain
+	Asked   float64  `json:"asked"`
+	Use     float64  `json:"use"` // part of the rate that is let in everywhere
+	Unheard []string `json:"unheard,omitempty"`
+}
+
+// Status returns what PathStatus shows.
+func (n *Node) Status() Status {
+	now := time.Now()
+	ttft, tpot := n.Record.Times()
+	s := Status{Host: n.settings.Host, Domain: n.settings.Domain, Region: n.settings.Region, Leaving: n.Board.Leaving(),
+		Up: now.Sub(time.UnixMilli(int64(n.Board.Incarnation))).Seconds(), Config: n.Board.Config.Status(now), Sum: n.Record.Sum(),
+		TTFT: ttft, TPOT: tpot, Progress: n.Board.Requests.Len(), Pauses: n.Board.Pause.Count(), Broken: map[string]uint64{}}
+	for name, c := range n.Board.Invariant.Counts() {
+		s.Broken[string(name)] = c
+	}
+	for _, h := range n.Board.Hosts.List() {
+		s.Hosts = append(s.Hosts, HostStatus{h.Name, h.Domain, n.Board.Hosts.Live(h, now), h.Leaving, h.Doubted, now.Sub(h.Advanced).Seconds()})
+	}
+	v := n.Board.Config.View()
+	if v == nil {
+		return s
+	}
+	s.Regions = n.regions(v, now)
+	for _, a := range n.Board.Quotas.List(now) {
+		if t := v.TeamByNumber[a.Team]; t != nil {
+			s.Quotas = append(s.Quotas, QuotaStatus{t.Name, a.Limit.Rate, a.Level, a.Pace, a.Asked, a.Use, a.Missed})
+		}
+	}
+	n.Board.Endpoints.Read(func(v *config.View, states []route.State) {
+		for i := range states {
+			s.Endpoints = append(s.Endpoints, n.endpointStatus(v, &states[i], now))
+		}
+	})
+	s.Evacuated = n.evacuations(now)
+	return s
+}
+
+func (n *Node) endpointStatus(v *config.View, st *route.State, now time.Time) EndpointStatus {
+	es := EndpointStatus{Endpoint: st.Spec.Name, Role: st.Role, Domain: st.Spec.Domain, State: stateName(st), Queue: st.Digest.QueueMillis,
+		Free: st.Digest.FreeTokens, Slots: st.Digest.FreeSlots, Slow: st.Slow(), Failing: st.Digest.FailPct, Age: -1, Cold: st.ColdFor(now).Seconds(), Starts: n.Owner.Starts.Count(st.Number)}
+	if !st.At.IsZero() {
+		es.Age = now.Sub(st.At).Seconds()
+	}
+	if h, ok := owner.Of(n.Board, v, st.Spec, now); ok {
+		es.Owner = h.Name
+	}
+	return es
+}
+
+func stateName(st *route.State) string {
+	switch f := st.Digest.Flags; {
+	case st.Leaving || f&route.FlagLeaving != 0:
+		return "leaving"
+	case st.Evacuated:
+		return "being emptied"
+	case f&route.FlagDown != 0:
+		return "down"
+	case f&route.FlagWrong != 0:
+		return "being ordered"
+	case st.Cold(time.Now()):
+		return "cold"
+	case st.At.IsZero():
+		return "unknown"
+	}
+	return "ok"
+}
--- /dev/null
+++ b/peer/releases.go
@@ -0,0 +1,47 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/owner"
+)
+
+// flushEvery is how long releases to a peer are gathered.
+const flushEvery = 40 * time.Millisecond
+
+// Release tells the endpoint's owner that an attempt has ended. It doesn't
+// wait; a release that is lost is made good by the endpoint's own list.
+func (r *Router) Release(spec *config.Endpoint, rel owner.Release) {
+	h, self, err := r.ownerOf(spec)
+	if err != nil {
+		return
+	}
+	if self {
+		r.owner.Release([]owner.Release{rel})
+		return
+	}
+	r.mu.Lock()
+	r.releases[h.Peers] = append(r.releases[h.Peers], rel)
+	r.mu.Unlock()
+	if rel.Outcome == owner.GivenUp || rel.Outcome == owner.Left {
+		go r.Flush(context.Background())
+	}
+}
+
+// Flush sends the gathered releases. It is a controller of its own, every
+// flushEvery.
+func (r *Router) Flush(ctx context.Context) {
+	r.mu.Lock()
+	batch := r.releases
+	r.releases = map[string][]owner.Release{}
+	r.mu.Unlock()
+	for addr, rows := range batch {
+		_ = r.pool.call(ctx, addr, methodRelease, &ReleaseArgs{Rows: rows}, &Nothing{}, r.timeout())
+	}
+}
+
+// Flusher returns the controller that sends gathered releases.
+func (r *Router) Flusher() blackboard.Controller { return blackboard.Every(flushEvery, r.Flush) }
