internal/wait, entry, peer, publish: one way to wait for a time

Cause: three functions of the same lines (entry, peer, publish). Change: package wait holds the one; names that hid it changed.

--- a/entry/barred.go
+++ b/entry/barred.go
@@ -11,6 +11,7 @@
 
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/internal/wait"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
@@ -137,7 +138,7 @@
 		}
 		return e.wasted(j, p, errBarred)
 	}
-	if !sleep(ctx, min(time.Until(p.start), time.Until(lapses))) && ctx.Err() != nil {
+	if !wait.For(ctx, min(time.Until(p.start), time.Until(lapses))) && ctx.Err() != nil {
 		e.discard(j, p, kv)
 		return asResult(ctx.Err())
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/internal/wait"
 	"github.com/embercove/embercove/invariant"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/result"
@@ -39,7 +40,7 @@
 		if refusal := e.mayRetry(ctx, j, again); refusal != nil {
 			return refusal
 		}
-		if !sleep(ctx, backoff/2+rand.N(backoff)) {
+		if !wait.For(ctx, backoff/2+rand.N(backoff)) {
 			return again.refusal
 		}
 		backoff = min(2*backoff, backoffMost)
@@ -92,21 +93,6 @@
 	return e.budgets.Further(j.pool, time.Now(), calls)
 }
 
-// sleep waits unless the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func asResult(err error) *result.Error {
 	var re *result.Error
 	if errors.As(err, &re) {
@@ -143,10 +129,10 @@
 	}
 	j.phase(0)
 	if p.pre == nil {
-		sleep(ctx, time.Until(p.start))
+		wait.For(ctx, time.Until(p.start))
 		return e.write(ctx, j, p, nil)
 	}
-	if !sleep(ctx, p.early()) {
+	if !wait.For(ctx, p.early()) {
 		e.returnTurn(p)
 		e.releaseDecode(j, p, owner.GivenUp)
 		return asResult(ctx.Err())
@@ -162,7 +148,7 @@
 		return err
 	}
 	j.phase(2)
-	if !sleep(ctx, min(time.Until(p.start), kept(kv)/2)) {
+	if !wait.For(ctx, min(time.Until(p.start), kept(kv)/2)) {
 		e.discard(j, p, kv)
 		return asResult(ctx.Err())
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -15,6 +15,7 @@
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/internal/wait"
 	"github.com/embercove/embercove/invariant"
 	"github.com/embercove/embercove/region"
 	"github.com/embercove/embercove/request"
@@ -92,7 +93,7 @@
 		if refusal := e.mayRetry(ctx, j, failed); refusal != nil {
 			return refusal
 		}
-		if !sleep(ctx, backoffStart) {
+		if !wait.For(ctx, backoffStart) {
 			return asResult(ctx.Err())
 		}
 	}
--- a/entry/start.go
+++ b/entry/start.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/internal/wait"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
 )
@@ -27,8 +28,8 @@
 // Nothing has run then.
 func (e *Entry) start(ctx context.Context, j *job, spec *config.Endpoint) *retryable {
 	waited := false
-	wait := max(coldWaitLeast, min(coldWait, j.slack()))
-	for end := time.Now().Add(wait); e.cold(spec); {
+	most := max(coldWaitLeast, min(coldWait, j.slack()))
+	for end := time.Now().Add(most); e.cold(spec); {
 		left := time.Until(end)
 		s := e.owners.Start(ctx, spec, max(0, left))
 		if !s.Given {
@@ -37,7 +38,7 @@
 		if !s.Given && s.In > left {
 			return e.noStart(j, spec, s.In, left)
 		}
-		if !sleep(ctx, s.In) {
+		if !wait.For(ctx, s.In) {
 			return &retryable{name: spec.Name, refusal: result.Errorf(result.TooLate, "the caller's time ended before %s had a start", spec.Name)}
 		}
 		waited = true
--- a/entry/write.go
+++ b/entry/write.go
@@ -9,6 +9,7 @@
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/internal/wait"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
@@ -96,7 +97,7 @@
 			e.moveIfRoom(ctx, j, p)
 		}
 		pause := max(fullWait/2+rand.N(fullWait), time.Until(p.start))
-		if !sleep(ctx, min(pause, time.Until(lapses))) {
+		if !wait.For(ctx, min(pause, time.Until(lapses))) {
 			e.discard(j, p, kv)
 			return asResult(ctx.Err())
 		}
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/internal/wait"
 )
 
 // Exchanges only tell of revisions; who lacks one fetches it. A document may be
@@ -130,7 +131,7 @@
 	defer cancel(nil)
 	go func() {
 		silence := fetchSilence * r.timeout()
-		for sleep(ctx, silence) {
+		for wait.For(ctx, silence) {
 			if !r.bulk.readWithin(from.Peers, silence) {
 				cancel(ErrOutOfReach)
 			}
--- a/peer/router.go
+++ b/peer/router.go
@@ -11,6 +11,7 @@
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/internal/wait"
 	"github.com/embercove/embercove/meter"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/request"
@@ -200,7 +201,7 @@
 	watched, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go func() {
-		for sleep(watched, watch) {
+		for wait.For(watched, watch) {
 			if r.pool.heardWithin(h.Peers, watch) {
 				continue
 			}
@@ -216,18 +217,6 @@
 	return err
 }
 
-// sleep waits unless the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // signPatience is how long a sign of life may take, in halves of the time for a
 // call: a packet that was lost is sent again after some 200 ms.
 const signPatience = 3
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/internal/wait"
 )
 
 // Sink takes in what is published.
@@ -91,7 +92,7 @@
 			err = f.list(ctx, sink)
 			listed = err == nil
 			if listed && !sink.Eager() {
-				rest(ctx, listedRest)
+				wait.For(ctx, listedRest)
 			}
 		} else {
 			err = f.watch(ctx, sink)
@@ -104,7 +105,7 @@
 			retry = retryFirst
 			continue
 		}
-		rest(ctx, spread(retry))
+		wait.For(ctx, spread(retry))
 		retry = min(2*retry, retryMost)
 	}
 }
@@ -133,15 +134,6 @@
 	return time.Duration(float64(d) * (1 - retryJitter + 2*retryJitter*rand.Float64()))
 }
 
-func rest(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (f *Follower) list(ctx context.Context, sink Sink) error {
 	ctx, cancel := context.WithTimeout(ctx, ListSilence+answerMost)
 	defer cancel()
@@ -182,24 +174,24 @@
 }
 
 func (f *Follower) watch(ctx context.Context, sink Sink) error {
-	fed, eager, wait := sink.Fed(), sink.Eager(), followWait
+	fed, eager, held := sink.Fed(), sink.Eager(), followWait
 	f.noteFed(fed && !eager)
 	if fed && !eager {
 		// A watch of each host is answered for each change: of 5,057 calls that 295
 		// hosts made in a minute of changes, ten watching hosts need a tenth.
-		rest(ctx, fedTick)
+		wait.For(ctx, fedTick)
 		return nil
 	}
 	switch {
 	case !eager:
-		wait = lazyWait
+		held = lazyWait
 		f.catchUp(sink)
 	case f.lost:
-		wait = lostWait
+		held = lostWait
 	}
-	limited, cancel := context.WithTimeout(ctx, wait+answerMost)
+	limited, cancel := context.WithTimeout(ctx, held+answerMost)
 	defer cancel()
-	c, err := f.store.Watch(limited, f.at, wait)
+	c, err := f.store.Watch(limited, f.at, held)
 	if err != nil {
 		return err
 	}
@@ -231,7 +223,7 @@
 	// Also where only the document changed: by the roster's revision peers know
 	// what they needn't ask the store for.
 	sink.OfferRoster(f.roster(), "store")
-	rest(ctx, f.pause(eager))
+	wait.For(ctx, f.pause(eager))
 	return nil
 }
 
