region: places of cold endpoints are not offered to other regions

Cause: found in review: a summary closed an endpoint by its owner's word that it is cold, not by its registration or because its failure domain has just come back; after an evacuation a region would offer all its free places, which starts give out one by one.

--- a/region/region_test.go
+++ b/region/region_test.go
@@ -106,6 +106,11 @@
 		}, 0, true},
 		{"prompts wait", func(s []route.State) { s[0].Digest.QueueMillis, s[1].Digest.QueueMillis = 450, 450 }, 0, true},
 		{"a prefill engine leaves", func(s []route.State) { s[0].Leaving = true }, turnsEach, true},
+		{"a prefill engine is cold by its registration", func(s []route.State) {
+			spec := *s[0].Spec
+			spec.ColdPerSecond = 21
+			s[0].Spec, s[0].ColdUntil = &spec, now.Add(time.Second)
+		}, turnsEach, true},
 		{"emptied", func(s []route.State) {
 			for i := range s {
 				s[i].Evacuated = true
