--- a/entry/away_state_test.go
+++ b/entry/away_state_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
-	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/region"
 	"github.com/embercove/embercove/report"
@@ -56,10 +55,8 @@
 	v := s.board.Config.View()
 	s.board.Regions.Learn(region.Summary{Region: config.NameNumber("s"), Pool: region.PoolNumber("p", "m"), Places: 50}, time.Now())
 	e := New(s.board, s, s, report.NewRecorder(), zap.NewNop())
-	j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: v.Teams["t"], repeatable: true})
-	j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
-	j.out, j.work.MaxTokens = newPassage(httptest.NewRecorder(), writeError), 100
-	j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
+	j := promptedJob(e, v, v.Teams["t"])
+	j.out = newPassage(httptest.NewRecorder(), writeError)
 	return e, j, s
 }
 
--- a/entry/emptied_test.go
+++ b/entry/emptied_test.go
@@ -73,10 +73,8 @@
 		b.Endpoints.Fit(v)
 		owners := &emptiedOwners{domain: "a"}
 		e := New(b, endpoint.NewClient(nil), owners, report.NewRecorder(), zap.NewNop())
-		j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: defaultTeam, repeatable: true})
-		j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
-		j.out, j.work.MaxTokens = &passage{}, 100
-		j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
+		j := promptedJob(e, v, defaultTeam)
+		j.out = &passage{}
 		p, err := e.place(t.Context(), j)
 		if err != nil || p.pre.Domain != "b" || p.dec.Domain != "b" {
 			t.Fatalf("%+v, %v; %d asks in the emptied domain", p, err, owners.asked)
--- a/entry/held_test.go
+++ b/entry/held_test.go
@@ -41,13 +41,11 @@
 			h.full = full
 			e := New(h.board, h, h, report.NewRecorder(), zap.NewNop())
 			v := h.board.Config.View()
-			j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: v.Teams["t"], repeatable: true})
+			j := promptedJob(e, v, v.Teams["t"])
 			if err := h.board.Requests.Begin(blackboard.Request{ID: j.id, Team: "t"}, 0, 0); err != nil {
 				t.Fatal(err)
 			}
-			j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
-			j.out, j.work.MaxTokens = newPassage(httptest.NewRecorder(), writeError), 100
-			j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
+			j.out = newPassage(httptest.NewRecorder(), writeError)
 			if refusal := e.run(t.Context(), j); refusal != nil {
 				t.Fatal(refusal)
 			}
--- a/entry/homes_test.go
+++ b/entry/homes_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
-	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/result"
 )
@@ -49,10 +48,8 @@
 func (s *leavingScene) homesRun() (*result.Error, []string) {
 	e := New(s.board, s, s, report.NewRecorder(), zap.NewNop())
 	v := s.board.Config.View()
-	j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: v.Teams["t"], repeatable: true})
-	j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
-	j.out, j.work.MaxTokens = newPassage(httptest.NewRecorder(), writeError), 100
-	j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
+	j := promptedJob(e, v, v.Teams["t"])
+	j.out = newPassage(httptest.NewRecorder(), writeError)
 	refusal := e.run(s.t.Context(), j)
 	return refusal, slices.DeleteFunc(s.order, func(c string) bool { return strings.HasPrefix(c, "reserve") })
 }
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -178,12 +178,9 @@
 	s.publish()
 	e := New(s.board, s, s, report.NewRecorder(), zap.NewNop())
 	v := s.board.Config.View()
-	j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: defaultTeam, repeatable: true})
-	j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
+	j := promptedJob(e, v, defaultTeam)
 	rec := httptest.NewRecorder()
 	j.out = newPassage(rec, writeError)
-	j.work.MaxTokens = 100
-	j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
 	refusal := e.run(t.Context(), j)
 	return refusal, rec.Body.String()
 }
--- a/entry/place_test.go
+++ b/entry/place_test.go
@@ -114,6 +114,16 @@
 	}
 }
 
+// promptedJob returns a job of a team for pool p: a prompt of 100 tokens for model m, and
+// an answer of 100 at the most.
+func promptedJob(e *Entry, v *config.View, team *config.Team) *job {
+	j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: team, repeatable: true})
+	j.pool, j.prompted, j.tokens = "p", true, 100
+	j.work = &endpoint.Work{Completion: endpoint.Completion{MaxTokens: 100}}
+	j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
+	return j
+}
+
 // placing returns an entry before a pool of so many engines of each role, and a job
 // that is to be placed there.
 func placing(t *testing.T, stub *stubOwners, prefills, decodes int) (*Entry, *job) {
@@ -139,11 +149,8 @@
 	v := b.Config.View()
 	b.Endpoints.Fit(v)
 	e := New(b, endpoint.NewClient(nil), stub, report.NewRecorder(), zap.NewNop())
-	j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: defaultTeam, repeatable: true})
-	j.pool, j.prompted, j.tokens, j.work = "p", true, 100, &endpoint.Work{}
+	j := promptedJob(e, v, defaultTeam)
 	j.out = &passage{}
-	j.work.MaxTokens = 100
-	j.pick.Model, j.pick.Tokens, j.pick.MaxAnswer = "m", 100, 100
 	return e, j
 }
 
