peer, publish: logs tell a deaf connection, old word and slow work apart

Cause: the record's lines say that a fetch failed, not over which connection, and that a revision came into force, not how old the host's knowledge was nor what the work took. The three hypotheses of the incident look alike in them. Change: fetch failed names what was wanted and since when its connection is kept; revision in force names the age of the store's last answer and the time of taking over; store lost names how long the call had lasted. No logic is changed.

--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -71,7 +71,7 @@
 	go func() {
 		for more := true; more; a, more = r.fetcher.end() {
 			if r.lacks(a) {
-				r.fetch(a.from)
+				r.fetch(a)
 			}
 		}
 	}()
@@ -85,11 +85,14 @@
 
 // fetch gets what is newer from a peer and judges it like what comes from the
 // platform.
-func (r *Router) fetch(from Name) {
+func (r *Router) fetch(a ahead) {
+	from := a.from
+	open := r.bulk.openFor(from.Peers)
 	reply, err := r.askFor(from)
 	if err != nil {
 		r.Fetches.Failed.Add(1)
-		r.log.Warn("fetch failed", zap.String("from", from.Name), zap.Duration("behind", r.board.Config.Behind(time.Now())), zap.Error(err))
+		r.log.Warn("fetch failed", zap.String("from", from.Name), zap.Uint64("revision", a.revision), zap.Uint64("roster", a.roster),
+			zap.Duration("behind", r.board.Config.Behind(time.Now())), zap.Duration("connection_open", open), zap.Error(err))
 		return
 	}
 	r.Fetches.Done.Add(1)
--- a/peer/news.go
+++ b/peer/news.go
@@ -53,7 +53,9 @@
 
 // Offer offers a revision to the board and lays the tables out for it.
 func (r *Router) Offer(revision uint64, src []byte, from string) {
-	behind := r.board.Config.Behind(time.Now())
+	came := time.Now()
+	behind := r.board.Config.Behind(came)
+	heard, _ := r.board.Config.HeardFor(came)
 	in, err := r.board.Config.Offer(revision, src)
 	if err != nil {
 		r.log.Warn("revision not accepted", zap.Uint64("revision", revision), zap.String("from", from), zap.Error(err))
@@ -66,7 +68,8 @@
 	if r.Accepted != nil {
 		r.Accepted(r.board.Config.View())
 	}
-	r.log.Info("revision in force", zap.Uint64("revision", revision), zap.String("from", from), zap.Int("bytes", len(src)), zap.Duration("behind", behind))
+	r.log.Info("revision in force", zap.Uint64("revision", revision), zap.String("from", from), zap.Int("bytes", len(src)),
+		zap.Duration("behind", behind), zap.Duration("store_heard_ago", heard), zap.Duration("taken_over_in", time.Since(came)))
 	r.tellAround()
 }
 
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -80,6 +80,7 @@
 	heard  time.Time    // when it last answered
 	missed int          // calls since then that it didn't answer in time
 	read   atomic.Int64 // when a byte last came from it, in nanoseconds since 1970
+	opened time.Time    // when the connection that is kept was opened; of no meaning where none is
 }
 
 // deadAfter is how many calls in a row a peer must leave unanswered until its
@@ -167,10 +168,20 @@
 		}
 		return old, nil
 	}
-	p.conns[addr] = c
+	p.conns[addr], p.of(addr).opened = c, time.Now()
 	return c, nil
 }
 
+// openFor returns for how long the connection to a peer has been open; 0: there is none.
+func (p *pool) openFor(addr string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[addr] == nil {
+		return 0
+	}
+	return time.Since(p.of(addr).opened)
+}
+
 // drop closes a connection that hung or broke.
 func (p *pool) drop(addr string, c *rpc.Client) {
 	p.mu.Lock()
@@ -257,7 +268,7 @@
 		c.Close()
 		return
 	}
-	p.conns[addr] = c
+	p.conns[addr], p.of(addr).opened = c, time.Now()
 	p.mu.Unlock()
 	if old != nil {
 		time.AfterFunc(retireAfter, func() { old.Close() })
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -52,6 +52,7 @@
 	silent bool                         // some call since then got no answer at all
 	fed    bool                         // other hosts kept this one up to date at the last look
 	shaky  time.Time                    // until when the loss of a registration says nothing
+	asked  time.Time                    // when the last call was made
 }
 
 // NewFollower returns a feed from a store whose changes have to be in force
@@ -88,6 +89,7 @@
 	listed := false
 	for ctx.Err() == nil {
 		var err error
+		f.asked = time.Now()
 		if !listed {
 			err = f.list(ctx, sink)
 			listed = err == nil
@@ -120,7 +122,7 @@
 		f.lost = lost
 		if lost {
 			f.since = time.Now()
-			f.log.Warn("store lost", zap.Uint64("at", f.at), zap.Error(err))
+			f.log.Warn("store lost", zap.Uint64("at", f.at), zap.Duration("after", time.Since(f.asked)), zap.Error(err))
 		} else {
 			f.silent = false
 			f.log.Info("store regained", zap.Uint64("at", f.at))
