--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -49,7 +49,7 @@
 		Pause: NewPause(config.Millis(s.PauseMillis)),
 	}
 	b.Hosts = newHostTable(Host{
-		Name: s.Host, Number: b.Number, Domain: s.Domain, Region: s.Region, Peers: s.Peers,
+		Name: s.Host, Number: b.Number, Domain: s.Domain, Region: s.Region, Peers: s.PeersAt(),
 		Incarnation: b.Incarnation, Noted: time.Now(),
 	}, config.Millis(s.SuspectMillis), config.Millis(s.HeartbeatMillis))
 	return b
--- a/cmd/embercoved/soak_test.go
+++ b/cmd/embercoved/soak_test.go
@@ -6,15 +6,14 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/internal/fake"
 	"github.com/embercove/embercove/load"
 )
 
@@ -33,123 +32,12 @@
 	228: "the same",
 }
 
-// Modes of a proxy.
-const (
-	pass       = iota
-	delayed    // bytes come late
-	reset      // open connections are reset, new ones refused
-	silentUp   // what callers send vanishes
-	silentDown // what the endpoint answers vanishes
-	modes
-)
-
-var modeNames = [modes]string{"pass", "delayed", "reset", "silent up", "silent down"}
-
-// proxy stands between the hosts and one endpoint, on loopback.
-type proxy struct {
-	l      net.Listener
-	target string
-	mode   atomic.Int32
-
-	mu   sync.Mutex
-	open map[net.Conn]bool
-}
-
-func newProxy(t *testing.T, target string) *proxy {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := &proxy{l: l, target: target, open: map[net.Conn]bool{}}
-	go p.run()
-	t.Cleanup(func() {
-		l.Close()
-		p.cut()
-	})
-	return p
-}
-
-func (p *proxy) run() {
-	for {
-		c, err := p.l.Accept()
-		if err != nil {
-			return
-		}
-		go p.join(c)
-	}
-}
-
-func (p *proxy) join(c net.Conn) {
-	defer c.Close()
-	if p.mode.Load() == reset {
-		c.(*net.TCPConn).SetLinger(0)
-		return
-	}
-	up, err := net.Dial("tcp", p.target)
-	if err != nil {
-		c.(*net.TCPConn).SetLinger(0)
-		return
-	}
-	defer up.Close()
-	p.mu.Lock()
-	p.open[c], p.open[up] = true, true
-	p.mu.Unlock()
-	done := make(chan struct{}, 2)
-	go p.copy(up, c, silentUp, done)
-	go p.copy(c, up, silentDown, done)
-	<-done
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.open, c)
-	delete(p.open, up)
-}
-
-func (p *proxy) copy(to, from net.Conn, silent int32, done chan struct{}) {
-	defer func() { done <- struct{}{} }()
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buf)
-		if err != nil {
-			return
-		}
-		switch mode := p.mode.Load(); {
-		case mode == silent:
-			continue // and what was swallowed makes the rest useless
-		case mode == delayed:
-			time.Sleep(80 * time.Millisecond)
-		}
-		if _, err := to.Write(buf[:n]); err != nil {
-			return
-		}
-	}
-}
-
-// cut resets every open connection.
-func (p *proxy) cut() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.open {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			tcp.SetLinger(0)
-		}
-		c.Close()
-	}
-}
-
-// set changes the mode. Leaving a silent one cuts the connections: their
-// streams have holes.
-func (p *proxy) set(mode int32) {
-	if old := p.mode.Swap(mode); mode == reset || old == silentUp || old == silentDown {
-		p.cut()
-	}
-}
-
 // soak is one seed being played.
 type soak struct {
 	t       *testing.T
 	c       *procs
 	r       *rand.Rand
-	proxies map[string]*proxy
+	proxies map[string]*fake.Proxy
 	wg      sync.WaitGroup
 
 	mu     sync.Mutex
@@ -170,7 +58,7 @@
 	d := *s.c.doc
 	d.Endpoints = append([]config.Endpoint(nil), d.Endpoints...)
 	for i := range d.Endpoints {
-		d.Endpoints[i].Address = s.proxies[d.Endpoints[i].Name].l.Addr().String()
+		d.Endpoints[i].Address = s.proxies[d.Endpoints[i].Name].Address()
 	}
 	control(s.t, s.c.platform, "/control/publish", d)
 }
@@ -202,10 +90,10 @@
 	switch s.r.IntN(6) {
 	case 0, 1:
 		e := s.c.doc.Endpoints[s.r.IntN(len(s.c.doc.Endpoints))].Name
-		mode := int32(1 + s.r.IntN(modes-1))
-		s.note("%s: %s for %s", e, modeNames[mode], lasts)
-		s.proxies[e].set(mode)
-		s.later(lasts, func() { s.proxies[e].set(pass) })
+		mode := fake.Mode(1 + s.r.IntN(int(fake.SilentDown)))
+		s.note("%s: %s for %s", e, mode, lasts)
+		s.proxies[e].Set(mode)
+		s.later(lasts, func() { s.proxies[e].Set(fake.Pass) })
 	case 2:
 		s.note("platform down for %s", lasts)
 		s.get("/control/down?v=1")
@@ -283,10 +171,15 @@
 }
 
 func playSoak(t *testing.T, seed uint64) {
-	s := &soak{t: t, c: startProcs(t, soakHosts, nil), r: rand.New(rand.NewPCG(seed, 9)), proxies: map[string]*proxy{},
+	s := &soak{t: t, c: startProcs(t, soakHosts, nil), r: rand.New(rand.NewPCG(seed, 9)), proxies: map[string]*fake.Proxy{},
 		struck: map[int]bool{}, busy: map[int]bool{}, began: time.Now()}
 	for _, e := range s.c.doc.Endpoints {
-		s.proxies[e.Name] = newProxy(t, e.Address)
+		p, err := fake.NewProxy(e.Address, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Close)
+		s.proxies[e.Name] = p
 	}
 	s.publish()
 	for h := range s.c.hosts {
@@ -310,7 +203,7 @@
 	rs := <-over
 	s.wg.Wait()
 	for _, p := range s.proxies {
-		p.set(pass)
+		p.Set(fake.Pass)
 	}
 	s.judge(rs)
 	if t.Failed() {
--- a/config/settings.go
+++ b/config/settings.go
@@ -8,12 +8,16 @@
 // Settings are what one process is started with. Everything else comes from
 // the platform or from peers.
 type Settings struct {
-	Host     string `json:"host"`           // unique name of the entry host
-	Domain   string `json:"failure_domain"` // the failure domain it stands in
-	Region   string `json:"region"`
-	Callers  string `json:"callers_address"` // IP:port of the caller listener
-	Peers    string `json:"peers_address"`   // IP:port of the net/rpc listener
-	Admin    string `json:"admin_address"`   // IP:port of the admin listener
+	Host    string `json:"host"`           // unique name of the entry host
+	Domain  string `json:"failure_domain"` // the failure domain it stands in
+	Region  string `json:"region"`
+	Callers string `json:"callers_address"` // IP:port of the caller listener
+	Peers   string `json:"peers_address"`   // IP:port of the net/rpc listener
+	// PeersAnnounced is the IP:port at which other hosts reach the net/rpc listener
+	// where something stands before it; empty: peers_address.
+	PeersAnnounced string `json:"peers_announced"`
+
+	Admin    string `json:"admin_address"` // IP:port of the admin listener
 	Platform string `json:"platform_address"`
 	Metrics  string `json:"metrics_address"` // IP:port that serves the metrics as well; empty: the admin listener alone
 	// Seeds are peer addresses to ask before the platform's list is known.
@@ -138,6 +142,14 @@
 	}
 }
 
+// PeersAt returns the address by which other hosts know this one.
+func (s *Settings) PeersAt() string {
+	if s.PeersAnnounced != "" {
+		return s.PeersAnnounced
+	}
+	return s.Peers
+}
+
 // Check returns every fault of s.
 func (s *Settings) Check() FieldErrors {
 	var c checker
@@ -146,6 +158,9 @@
 	c.name("region", s.Region)
 	c.address("callers_address", s.Callers)
 	c.address("peers_address", s.Peers)
+	if s.PeersAnnounced != "" {
+		c.address("peers_announced", s.PeersAnnounced)
+	}
 	c.address("admin_address", s.Admin)
 	c.address("platform_address", s.Platform)
 	if s.Metrics != "" {
--- a/internal/fake/link.go
+++ b/internal/fake/link.go
@@ -6,15 +6,18 @@
 	"time"
 )
 
-// link is a host's link to the network, with a rate for each direction. All
+// Link is a host's link to the network, with a rate for each direction. All
 // connections of the host share it, piece by piece. A nil link has no limit.
-type link struct {
+type Link struct {
 	rate int // bytes a second
 
 	mu   sync.Mutex
 	free [2]time.Time // when what waits for each direction will have passed
 }
 
+// NewLink returns a link with a rate, in bytes a second and direction.
+func NewLink(rate int) *Link { return &Link{rate: rate} }
+
 // linkPiece is how many bytes of one connection pass before those of the next.
 const linkPiece = 8 << 10
 
@@ -31,11 +34,11 @@
 func (n *Network) SetRate(host string, rate int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.links[host] = &link{rate: rate}
+	n.links[host] = NewLink(rate)
 }
 
 // linkOf returns a host's link, nil if it has no limit.
-func (n *Network) linkOf(host string) *link {
+func (n *Network) linkOf(host string) *Link {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.links[host]
@@ -51,7 +54,7 @@
 }
 
 // pass returns when so many bytes have passed after those that came before.
-func (l *link) pass(bytes int, d direction) {
+func (l *Link) pass(bytes int, d direction) {
 	if l == nil {
 		return
 	}
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -20,13 +20,13 @@
 	cuts      map[[2]string]bool
 	healed    chan struct{}
 	silenced  int              // how often all open connections went silent
-	links     map[string]*link // by host, those that have a rate
+	links     map[string]*Link // by host, those that have a rate
 	Delay     func(fromZone, toZone string) time.Duration
 }
 
 // NewNetwork returns a network without cuts or delays.
 func NewNetwork() *Network {
-	return &Network{listeners: map[string]*listener{}, zone: map[string]string{}, cuts: map[[2]string]bool{}, links: map[string]*link{}, healed: make(chan struct{})}
+	return &Network{listeners: map[string]*listener{}, zone: map[string]string{}, cuts: map[[2]string]bool{}, links: map[string]*Link{}, healed: make(chan struct{})}
 }
 
 type listener struct {
@@ -177,7 +177,7 @@
 	dead     chan struct{} // the other end is gone
 	once     sync.Once
 
-	fromLink, toLink *link
+	fromLink, toLink *Link
 }
 
 // buffered is how many writes wait before a writer has to.
@@ -191,7 +191,7 @@
 }
 
 // start begins to deliver what is written, over the links of both ends.
-func (c *conn) start(from, to *link) {
+func (c *conn) start(from, to *Link) {
 	c.fromLink, c.toLink = from, to
 	go c.deliver()
 }
--- a/peer/quota.go
+++ b/peer/quota.go
@@ -143,7 +143,7 @@
 		return false
 	}
 	for _, a := range r.seedList() {
-		if a != r.board.Settings.Peers {
+		if a != r.board.Settings.PeersAt() {
 			return true
 		}
 	}
--- a/peer/seed.go
+++ b/peer/seed.go
@@ -49,7 +49,7 @@
 		if live <= 1 {
 			to.Region = r.board.Settings.Region
 		} // else it is told of no endpoints, which its neighbours tell it of
-		if to.Peers != r.board.Settings.Peers {
+		if to.Peers != r.board.Settings.PeersAt() {
 			r.exchangeWith(ctx, to)
 		}
 	})
@@ -98,7 +98,7 @@
 func (r *Router) Seed(ctx context.Context, addrs []string) {
 	var wg sync.WaitGroup
 	for _, a := range addrs {
-		if a != r.board.Settings.Peers {
+		if a != r.board.Settings.PeersAt() {
 			wg.Go(func() { r.exchangeWith(ctx, blackboard.Host{Peers: a, Region: r.board.Settings.Region}) })
 		}
 	}
