peer: a connection for fetches that says nothing is given up

A fetch that is given up for silence was cancelled by its caller, and only a time-out of the call itself counted against the connection (pool.call), so the kept connection for fetches stayed for good. Once open connections had gone silent, each later fetch from the same host failed after 0.3 s. Ruled out: the document's size (the fault shows with ten routes), the processor (virtual time). Change: a fetch that got no answer closes its connection and is made once more at once, over a new one; up to four hosts that told of something newer meanwhile are asked next, who told of the most first.

--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,11 +24,16 @@
 	revision, roster uint64
 }
 
+// mostAhead is how many hosts that told of something newer are remembered during a fetch.
+// Where a fetch fails, the next one is asked at once: with one alone, hosts waited until
+// somebody told them again, up to 0.6 s each time on 58 real processes.
+const mostAhead = 4
+
 // fetcher makes sure that one fetch runs at a time. The zero value works.
 type fetcher struct {
 	mu   sync.Mutex
 	busy bool
-	next *ahead // who told of more during the fetch; nil: nobody
+	next []ahead // who told of more during the fetch, the last one last
 }
 
 // begin reports whether the caller has to fetch. Otherwise a fetch is running,
@@ -39,22 +45,30 @@
 		f.busy = true
 		return true
 	}
-	if n := f.next; n == nil || a.revision >= n.revision && a.roster >= n.roster {
-		f.next = &a
+	f.next = slices.DeleteFunc(f.next, func(n ahead) bool { return n.from.Peers == a.from.Peers })
+	if len(f.next) == mostAhead {
+		f.next = slices.Delete(f.next, 0, 1)
 	}
+	f.next = append(f.next, a)
 	return false
 }
 
-// end returns who is to be asked next, if anybody.
+// end returns who is to be asked next, if anybody: of those remembered, who told of the most.
 func (f *fetcher) end() (ahead, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.next == nil {
+	if len(f.next) == 0 {
 		f.busy = false
 		return ahead{}, false
 	}
-	a := *f.next
-	f.next = nil
+	most := 0
+	for i, n := range f.next {
+		if m := f.next[most]; n.revision >= m.revision && n.roster >= m.roster {
+			most = i
+		}
+	}
+	a := f.next[most]
+	f.next = slices.Delete(f.next, most, most+1)
 	return a, true
 }
 
@@ -87,12 +101,8 @@
 // platform.
 func (r *Router) fetch(a ahead) {
 	from := a.from
-	open := r.bulk.openFor(from.Peers)
-	reply, err := r.askFor(from)
+	reply, err := r.askAgain(a)
 	if err != nil {
-		r.Fetches.Failed.Add(1)
-		r.log.Warn("fetch failed", zap.String("from", from.Name), zap.Uint64("revision", a.revision), zap.Uint64("roster", a.roster),
-			zap.Duration("behind", r.board.Config.Behind(time.Now())), zap.Duration("connection_open", open), zap.Error(err))
 		return
 	}
 	r.Fetches.Done.Add(1)
@@ -128,7 +138,27 @@
 	return ro
 }
 
-// askFor makes the call of a fetch.
+// askAgain makes the call of a fetch, once more over a new connection where the one that
+// was kept says nothing: open connections may go silent for good while new ones work.
+func (r *Router) askAgain(a ahead) (*FetchReply, error) {
+	for {
+		open := r.bulk.openFor(a.from.Peers)
+		reply, err := r.askFor(a.from)
+		if err == nil {
+			return reply, nil
+		}
+		r.Fetches.Failed.Add(1)
+		r.log.Warn("fetch failed", zap.String("from", a.from.Name), zap.Uint64("revision", a.revision), zap.Uint64("roster", a.roster),
+			zap.Duration("behind", r.board.Config.Behind(time.Now())), zap.Duration("connection_open", open), zap.Error(err))
+		if open == 0 || !silent(err) || !r.lacks(a) {
+			return nil, err
+		}
+	}
+}
+
+// askFor makes the call of a fetch. A connection that it got no answer on is given up:
+// kept, each later fetch from that host failed on it, and after such an event on 58 hosts
+// changes took 2.5 s instead of 0.3 s to be in force (virtual time).
 func (r *Router) askFor(from Name) (*FetchReply, error) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
@@ -147,6 +177,9 @@
 	if err != nil && context.Cause(ctx) != nil {
 		err = context.Cause(ctx)
 	}
+	if silent(err) {
+		r.bulk.giveUp(from.Peers)
+	}
 	return reply, err
 }
 
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -192,6 +192,16 @@
 	c.Close()
 }
 
+// giveUp closes the connection that is kept to a peer.
+func (p *pool) giveUp(addr string) {
+	p.mu.Lock()
+	c := p.conns[addr]
+	p.mu.Unlock()
+	if c != nil {
+		p.drop(addr, c)
+	}
+}
+
 // call makes one call, bounded by the timeout. A connection that was broken
 // before the call is opened anew once; all methods may be repeated, since
 // their effect is keyed by attempt.
