peer, publish, blackboard: how fresh a host's knowledge is bounds how long it relies on it

Cause: a host that others keep up to date relied on word of the store that was up to 6 s old, with a bound of 3 s; one that knew that it lacked something still counted as kept up to date, for two seconds or three rounds; a watch waited for 8 s, on a connection that may have gone silent; and what was told was fresher than true: a host said that the store had answered before it had taken the answer over, read its revision before the answer's age, and took an answer that had lain unread while its process was stopped for one of now. Class: word or a connection that is used without a bound on its age. Change: a host relies on others for 0.75 of the bound, counted from the store's answer, and not once it has lacked something for 0.25 of it, rosters as well; a watch ends when what the host knows is 0.9 of the bound old; Heard comes last, with the moment as of which it holds; old answers of a process that was held up don't count as new. So that hosts needn't ask by themselves, the two hosts of a domain that read the store tell it at most each second what they have in force.

--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -26,9 +26,7 @@
 	since    time.Time // when the revision in force was accepted
 	heard    time.Time // when the platform last answered this host, or one that told all it knows
 	told     time.Time // the same of what others told alone
-	toldAt   time.Time // when they last told
-	newest   uint64    // highest revision that another host told of
-	newestAt time.Time // since when this host is behind; of no meaning while it is not
+	lack     lack
 	sources  []Source  // documents that were in force, the newest last
 	laidOut  time.Time // when a roster was last put into the view in use
 	waiting  bool      // the roster is newer than the view in use
@@ -217,10 +215,9 @@
 
 // RosterRevision returns the revision of the roster; 0 before the first.
 func (t *ConfigTable) RosterRevision() uint64 {
-	if r := t.Roster(); r != nil {
-		return r.Revision
-	}
-	return 0
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rosterRevision()
 }
 
 // Heard notes that what is known here is what the platform answered at a moment.
@@ -232,24 +229,23 @@
 	}
 }
 
-// Told notes that another host, whose knowledge this one has, told now of an answer that
-// the platform gave at a moment, to it or to one that it heard of it from.
-func (t *ConfigTable) Told(at, now time.Time) {
+// Told notes that another host, whose knowledge this one has, told of an answer that the
+// platform gave at a moment, to it or to one that it heard of it from.
+func (t *ConfigTable) Told(at time.Time) {
 	t.Heard(at)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.toldAt = now
 	if at.After(t.told) {
 		t.told = at
 	}
 }
 
-// ToldWithin reports whether other hosts told within d of an answer of the platform
-// that is no older than age.
-func (t *ConfigTable) ToldWithin(now time.Time, d, age time.Duration) bool {
+// ToldWithin reports whether other hosts told of an answer of the platform that is no
+// older than d.
+func (t *ConfigTable) ToldWithin(now time.Time, d time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return now.Sub(t.toldAt) < d && now.Sub(t.told) < age
+	return now.Sub(t.told) < d
 }
 
 // HeardFor returns how long ago the platform last answered, and whether it ever did.
--- a/blackboard/config_test.go
+++ b/blackboard/config_test.go
@@ -151,13 +151,21 @@
 		after int // seconds since the start
 		want  time.Duration
 	}{
-		{"another has the first", func() bool { return table.HeardOf(3, at(0)) }, true, 2, 2 * time.Second},
-		{"told again", func() bool { return table.HeardOf(3, at(3)) }, false, 4, 4 * time.Second},
-		{"a later one", func() bool { return table.HeardOf(5, at(5)) }, true, 6, 6 * time.Second},
-		{"an earlier one", func() bool { return table.HeardOf(4, at(6)) }, false, 7, 7 * time.Second},
+		{"another has the first", func() bool { return table.HeardOf(3, 0, at(0)) }, true, 2, 2 * time.Second},
+		{"told again", func() bool { return table.HeardOf(3, 0, at(3)) }, false, 4, 4 * time.Second},
+		{"a later one", func() bool { return table.HeardOf(5, 0, at(5)) }, true, 6, 6 * time.Second},
+		{"an earlier one", func() bool { return table.HeardOf(4, 0, at(6)) }, false, 7, 7 * time.Second},
 		{"the later one comes", func() bool { _, err := table.Offer(5, []byte(rosterDocument)); return err != nil }, false, 8, 0},
-		{"told of what is in force", func() bool { return table.HeardOf(5, at(9)) }, false, 10, 0},
-		{"and of the next", func() bool { return table.HeardOf(6, at(11)) }, true, 12, time.Second},
+		{"told of what is in force", func() bool { return table.HeardOf(5, 0, at(9)) }, false, 10, 0},
+		{"and of the next", func() bool { return table.HeardOf(6, 0, at(11)) }, true, 12, time.Second},
+		{"which comes", func() bool { _, err := table.Offer(6, []byte(rosterDocument)); return err != nil }, false, 13, 0},
+		{"of a roster alone", func() bool { return table.HeardOf(6, 4, at(14)) }, false, 16, 2 * time.Second},
+		{"and a configuration", func() bool { return table.HeardOf(7, 4, at(17)) }, true, 18, 4 * time.Second},
+		{"the roster comes", func() bool {
+			in, err := table.OfferRoster(&config.Roster{Revision: 4}, at(18))
+			return !in || err != nil
+		}, false, 19, 5 * time.Second},
+		{"and the configuration", func() bool { _, err := table.Offer(7, []byte(rosterDocument)); return err != nil }, false, 20, 0},
 	}
 	for _, s := range steps {
 		if news := s.do(); news != s.news {
--- a/blackboard/pause.go
+++ b/blackboard/pause.go
@@ -13,6 +13,7 @@
 	limit time.Duration
 	start time.Time
 	last  atomic.Int64 // monotonic, ns since start
+	held  atomic.Int64 // when a gap over heldUp last ended, ns since start; 0: none did
 	count atomic.Uint64
 
 	mu     sync.Mutex
@@ -44,7 +45,7 @@
 	if at-time.Duration(p.last.Load()) <= p.limit {
 		return false // another goroutine saw to it
 	}
-	p.last.Store(int64(at))
+	p.move(at)
 	if last == 0 {
 		return false // the first tick
 	}
@@ -58,7 +59,32 @@
 // tick is Touch by the ticker: it moves the mark after checking the gap.
 func (p *Pause) tick() {
 	p.Check()
-	p.last.Store(int64(time.Since(p.start)))
+	p.move(time.Since(p.start))
+}
+
+// heldUpTicks is after how many ticks that didn't come the process counts as held up: one
+// may be late on a busy machine.
+const heldUpTicks = 2
+
+// heldUp returns the gap from which the process counts as held up.
+func (p *Pause) heldUp() time.Duration { return heldUpTicks * p.limit / ticksInLimit }
+
+// move moves the mark.
+func (p *Pause) move(at time.Duration) {
+	if last := time.Duration(p.last.Swap(int64(at))); last > 0 && at-last > p.heldUp() {
+		p.held.Store(int64(at))
+	}
+}
+
+// RanSince reports whether the process hasn't been held up since a moment, for less time
+// also than a pause takes. What it reads after that may have come long before.
+func (p *Pause) RanSince(at time.Time) bool {
+	now := time.Since(p.start)
+	if last := time.Duration(p.last.Load()); last > 0 && now-last > p.heldUp() {
+		return false
+	}
+	held := time.Duration(p.held.Load())
+	return held == 0 || p.start.Add(held).Before(at)
 }
 
 // Count returns how many pauses were noticed.
--- a/node/node.go
+++ b/node/node.go
@@ -167,7 +167,7 @@
 	}
 	n.goRun(func() error { n.Router.Seed(ctx, n.settings.Seeds); return nil })
 	if n.feed != nil {
-		n.goRun(func() error { n.feed.Follow(ctx, sink{n}); return nil })
+		n.goRun(func() error { n.feed.Follow(ctx, sink{n, ctx}); return nil })
 	} else {
 		n.goRun(func() error { n.watchConfig(ctx); return nil })
 		n.goRun(func() error { n.watchHosts(ctx); return nil })
--- a/node/sink.go
+++ b/node/sink.go
@@ -1,13 +1,17 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/embercove/embercove/config"
 )
 
 // sink takes in what a feed brings.
-type sink struct{ n *Node }
+type sink struct {
+	n   *Node
+	ctx context.Context // of the feed
+}
 
 func (s sink) Offer(revision uint64, src []byte, from string) { s.n.Router.Offer(revision, src, from) }
 
@@ -29,6 +33,16 @@
 // eagerKey is what the eager hosts of a domain are chosen by.
 const eagerKey = 0x6561676572
 
-func (s sink) Heard(now time.Time) { s.n.Board.Config.Heard(now) }
+func (s sink) Heard(asked, at time.Time) {
+	if !s.n.Board.Pause.RanSince(asked) {
+		at = asked
+	}
+	s.n.Board.Config.Heard(at)
+	if s.Eager() {
+		s.n.Router.TellDomain(s.ctx)
+	}
+}
+
+func (s sink) HeardFor() (time.Duration, bool) { return s.n.Board.Config.HeardFor(time.Now()) }
 
 func (s sink) Fed() bool { return s.n.Router.Fed(time.Now()) }
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -174,6 +174,8 @@
 		return meter.Keys
 	case methodPing:
 		return meter.Pings
+	case methodStanding:
+		return meter.News
 	}
 	return meter.Books
 }
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -213,14 +213,7 @@
 		r.board.Endpoints.Learn(d, now)
 		has[d.Number] = d.AgeMillis
 	}
-	if r.board.Config.HeardOf(e.Revision, now) {
-		r.log.Info("later revision heard of", zap.Uint64("revision", e.Revision), zap.Uint64("in_force", r.board.Config.Revision()), zap.String("from", e.From.Name))
-	}
-	told := ahead{from: e.From, revision: e.Revision, roster: e.Roster}
-	if e.Heard > 0 && !r.lacks(told) {
-		r.board.Config.Told(now.Add(-time.Duration(e.Heard-1)*time.Millisecond), now)
-	}
-	r.catchUp(told)
+	r.learnStanding(ahead{from: e.From, revision: e.Revision, roster: e.Roster}, e.Heard, now)
 	if changed {
 		r.board.Wake.All()
 	}
--- a/peer/fed.go
+++ b/peer/fed.go
@@ -1,23 +1,41 @@
 package peer
 
-import "time"
+import (
+	"time"
+
+	"github.com/embercove/embercove/config"
+)
 
 // Hosts that other hosts keep up to date don't ask the platform by themselves: with
 // a watch each, 295 hosts made 5,057 calls in a minute of changes.
 
+// What a host may rely on that others keep up to date, in shares of the time within which
+// a change has to be in force. Else it asks the platform by itself.
+const (
+	// fedShare is how old the platform's last answer to any host may be. If all hosts
+	// that ask are stopped, or lose the platform without a sign, a change that comes
+	// then is noticed when their last answer is so old; the rest is for one answer, which
+	// takes 0.4 s with a document of a megabyte over 10 Mbit/s. The hosts that ask get
+	// an answer every two seconds at the most, each at its own time.
+	fedShare = 0.75
+	// behindShare is how long it may lack what others are known to have: a fetch over a
+	// connection that says nothing is given up after two time-outs of a call, and one more
+	// over a new connection mostly takes less than one.
+	behindShare = 0.25
+)
+
+// fedFor and behindFor stand for these shares where the bound is unknown.
 const (
-	// fedFor is how old the platform's last answer to any host may be. The eager
-	// hosts get one every two seconds, and exchanges take as long again to tell of it
-	// among 300 hosts. It bounds how late a change is if all eager hosts lose the
-	// platform and notice nothing.
-	fedFor = 6 * time.Second
-	// fedRounds is in how many rounds some host must have told of it. A host that is
-	// cut off from the others, but not from the platform, asks by itself after that.
-	fedRounds = 3
-	fedLeast  = 2 * time.Second
+	fedFor    = 6 * time.Second
+	behindFor = time.Second
 )
 
-// Fed reports whether other hosts have told lately what the platform holds.
+// Fed reports whether other hosts keep this one up to date: whether they have told lately
+// what the platform holds, and this one has all that they have.
 func (r *Router) Fed(now time.Time) bool {
-	return r.board.Config.ToldWithin(now, max(fedLeast, fedRounds*r.every()), fedFor)
+	fresh, behind := fedFor, behindFor
+	if bound := config.FractionMillis(r.board.Settings.ChangeMillis); bound > 0 {
+		fresh, behind = time.Duration(fedShare*float64(bound)), time.Duration(behindShare*float64(bound))
+	}
+	return r.board.Config.ToldWithin(now, fresh) && r.board.Config.Behind(now) < behind
 }
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -25,6 +25,7 @@
 	methodKept     = "P.Kept"
 	methodDraw     = "P.Draw"
 	methodSettle   = "P.Settle"
+	methodStanding = "P.Standing"
 )
 
 // Beat is a heartbeat of a host, handed on.
--- a/peer/server.go
+++ b/peer/server.go
@@ -168,12 +168,14 @@
 // digests of endpoints to hosts of the region.
 func (r *Router) tell(t telling) ExchangeArgs {
 	now := time.Now()
+	// Read first: an answer that is taken over meanwhile would make older revisions look fresh.
+	heard, ever := r.board.Config.HeardFor(now)
 	self := r.board.Hosts.Self()
 	a := ExchangeArgs{From: Name{self.Name, self.Domain, self.Region, self.Peers}, Revision: r.board.Config.Revision(),
 		Roster: r.board.Config.RosterRevision(), Fence: r.owner.Fence(), Heads: t.heads, News: t.news, All: t.all,
 		Beats: r.beats(now, t.news, t.all), Members: r.board.Hosts.Members(now)}
-	if ago, ever := r.board.Config.HeardFor(now); ever {
-		a.Heard = 1 + uint32(max(0, ago).Milliseconds())
+	if ever {
+		a.Heard = heardMillis(heard)
 	}
 	for _, h := range r.board.Hosts.Accused(now, goneTold) {
 		a.Gone = append(a.Gone, beatOf(&h))
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -25,8 +25,11 @@
 	Eager() bool
 	// Fed reports whether other hosts have told lately what the store holds.
 	Fed() bool
-	// Heard notes that the platform answered.
-	Heard(now time.Time)
+	// Heard notes that what is known here is what the platform held at a moment. asked is
+	// when the call was made: a process that was held up since may read an old answer.
+	Heard(asked, at time.Time)
+	// HeardFor returns how old what is known here is, and whether anything is.
+	HeardFor() (age time.Duration, ever bool)
 }
 
 // Feed brings what is published to a sink.
@@ -42,6 +45,7 @@
 	store  Store
 	log    *zap.Logger
 	gather time.Duration // from a change to when the next is known, of hosts that aren't eager
+	most   time.Duration // that a watch waits, and for which the store may be unheard
 	took   time.Duration // that the last answer with a document took
 
 	at     uint64
@@ -58,9 +62,10 @@
 // NewFollower returns a feed from a store whose changes have to be in force
 // within a bound; 0: lazyGather.
 func NewFollower(s Store, bound time.Duration, log *zap.Logger) *Follower {
-	f := &Follower{store: s, log: log, gather: lazyGather, known: map[string]config.Endpoint{}, empty: map[string]config.Evacuation{}}
+	f := &Follower{store: s, log: log, gather: lazyGather, most: lazyWait, known: map[string]config.Endpoint{}, empty: map[string]config.Evacuation{}}
 	if bound > 0 {
 		f.gather = time.Duration(lazyShare * float64(bound))
+		f.most = time.Duration(unheardShare * float64(bound))
 	}
 	return f
 }
@@ -69,14 +74,24 @@
 // because a watch whose answer was lost, or that a store cut when it dropped
 // its history, says nothing more, and that may happen to all hosts at the same time.
 const (
-	followWait  = 2 * time.Second
-	lazyWait    = 8 * time.Second        // of hosts that aren't eager
-	fedTick     = 250 * time.Millisecond // between looks whether others still tell what the store holds
-	listedRest  = 500 * time.Millisecond // after a listing, in which other hosts get to know this one and tell it what changes
-	lostWait    = 200 * time.Millisecond // after a call that failed: one that hangs as the store returns holds up what changed meanwhile
-	gatherFor   = 120 * time.Millisecond // after a change, as changes come in bursts
-	lazyGather  = time.Second            // the same of hosts that aren't eager, where no bound is known
-	lazyShare   = 0.7                    // of the bound in which a change has to be in force: the rest is for an answer that is lost
+	followWait = 2 * time.Second
+	lazyWait   = 8 * time.Second        // of hosts that aren't eager, where no bound is known
+	fedTick    = 250 * time.Millisecond // between looks whether others still tell what the store holds
+	listedRest = 500 * time.Millisecond // after a listing, in which other hosts get to know this one and tell it what changes
+	lostWait   = 200 * time.Millisecond // after a call that failed: one that hangs as the store returns holds up what changed meanwhile
+	gatherFor  = 120 * time.Millisecond // after a change, as changes come in bursts
+	lazyGather = time.Second            // the same of hosts that aren't eager, where no bound is known
+	lazyShare  = 0.7                    // of the bound in which a change has to be in force: the rest is for an answer that is lost
+	// unheardShare is how long a host may hear nothing of the store, as a share of the
+	// bound in which a change has to be in force. A watch that says nothing for good is
+	// given up after so long and WatchSilence, and its successor's answer comes over a new
+	// connection: all that within the time after such an event in which hosts aren't yet
+	// held to the bound, which is longer than the bound by a second. Where a host rests
+	// after a change, its next watch is the shorter for it.
+	unheardShare = 0.9
+	// leastHold is the part of it that a watch waits at the least: many hosts ask while
+	// the store is out of reach, and each call counts.
+	leastHold   = 3
 	retryFirst  = 100 * time.Millisecond
 	retryMost   = 800 * time.Millisecond
 	retryJitter = 0.3
@@ -88,6 +103,9 @@
 	retry := retryFirst
 	listed := false
 	for ctx.Err() == nil {
+		if listed && f.restFed(ctx, sink) {
+			continue
+		}
 		var err error
 		f.asked = time.Now()
 		if !listed {
@@ -139,6 +157,7 @@
 func (f *Follower) list(ctx context.Context, sink Sink) error {
 	ctx, cancel := context.WithTimeout(ctx, ListSilence+answerMost)
 	defer cancel()
+	asked := time.Now()
 	s, err := f.store.List(ctx)
 	if err != nil {
 		return err
@@ -154,12 +173,12 @@
 	f.setEvacuated(s.Evacuated)
 	f.vanished(missing(before, f.known), false, now)
 	f.at = s.At
-	sink.Heard(now)
 	if s.Document != nil {
 		f.took = s.Took
 		sink.Offer(s.Document.Revision, []byte(s.Document.Document), "store")
 	}
 	sink.OfferRoster(f.roster(), "store")
+	sink.Heard(asked, asked)
 	return nil
 }
 
@@ -176,21 +195,12 @@
 }
 
 func (f *Follower) watch(ctx context.Context, sink Sink) error {
-	fed, eager, held := sink.Fed(), sink.Eager(), followWait
-	f.noteFed(fed && !eager)
-	if fed && !eager {
-		// A watch of each host is answered for each change: of 5,057 calls that 295
-		// hosts made in a minute of changes, ten watching hosts need a tenth.
-		wait.For(ctx, fedTick)
-		return nil
-	}
-	switch {
-	case !eager:
-		held = lazyWait
+	eager := sink.Eager()
+	if !eager {
 		f.catchUp(sink)
-	case f.lost:
-		held = lostWait
 	}
+	held := f.hold(sink, eager)
+	asked := time.Now()
 	limited, cancel := context.WithTimeout(ctx, held+answerMost)
 	defer cancel()
 	c, err := f.store.Watch(limited, f.at, held)
@@ -201,12 +211,13 @@
 	now := time.Now()
 	f.judgeOutage(now)
 	f.at = max(f.at, c.At)
-	sink.Heard(now)
 	if c.Document != nil {
 		f.took = c.Took
 		sink.Offer(c.Document.Revision, []byte(c.Document.Document), "store")
 	}
 	if c.empty() {
+		// What nothing happened to for all of the wait is known as of its end.
+		sink.Heard(asked, earlier(now, asked.Add(held)))
 		return nil
 	}
 	f.evacuate(c)
@@ -225,10 +236,48 @@
 	// Also where only the document changed: by the roster's revision peers know
 	// what they needn't ask the store for.
 	sink.OfferRoster(f.roster(), "store")
+	// Only now: others take over how fresh this host is with the revisions that it has.
+	sink.Heard(asked, now)
 	wait.For(ctx, f.pause(eager))
 	return nil
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// hold returns how long the next watch may wait: until what this host knows is as old as
+// it may become.
+func (f *Follower) hold(sink Sink, eager bool) time.Duration {
+	if eager && f.lost {
+		return lostWait
+	}
+	most := f.most
+	if eager {
+		most = min(most, followWait)
+	}
+	age, ever := sink.HeardFor()
+	if !ever {
+		return most
+	}
+	return max(f.most/leastHold, min(most, f.most-age))
+}
+
+// restFed waits a little where other hosts keep this one up to date, and reports whether
+// they do. A watch of each host is answered for each change: of 5,057 calls that 295 hosts
+// made in a minute of changes, ten watching hosts need a tenth.
+func (f *Follower) restFed(ctx context.Context, sink Sink) bool {
+	fed := sink.Fed() && !sink.Eager()
+	f.noteFed(fed)
+	if fed {
+		wait.For(ctx, fedTick)
+	}
+	return fed
+}
+
 // noteFed logs when other hosts begin or cease to keep this one up to date.
 func (f *Follower) noteFed(fed bool) {
 	if fed == f.fed {
--- a/publish/follow_test.go
+++ b/publish/follow_test.go
@@ -74,6 +74,7 @@
 	roster *config.Roster
 	lazy   bool
 	fed    bool
+	age    time.Duration // of what is known; 0: nothing is
 }
 
 func (s *stubSink) Offer(uint64, []byte, string)           {}
@@ -81,7 +82,8 @@
 func (s *stubSink) Roster() *config.Roster                 { return s.roster }
 func (s *stubSink) Eager() bool                            { return !s.lazy }
 func (s *stubSink) Fed() bool                              { return s.fed }
-func (s *stubSink) Heard(time.Time)                        {}
+func (s *stubSink) Heard(time.Time, time.Time)             {}
+func (s *stubSink) HeardFor() (time.Duration, bool)        { return s.age, s.age > 0 }
 func (s *stubSink) names() string {
 	var out []string
 	if s.roster != nil {
@@ -327,3 +329,113 @@
 		})
 	}
 }
+
+// freshStore is a store whose answers are scripted, for what a follower says of how fresh
+// a host is. It notes how long each watch may wait.
+type freshStore struct {
+	answers []Changes
+	held    []time.Duration
+}
+
+func (s *freshStore) List(context.Context) (*State, error) {
+	return &State{At: 1, Document: &Revision{Revision: 1, Document: "d"}}, nil
+}
+
+func (s *freshStore) Watch(ctx context.Context, _ uint64, held time.Duration) (*Changes, error) {
+	s.held = append(s.held, held)
+	if len(s.answers) == 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	c := s.answers[0]
+	s.answers = s.answers[1:]
+	if c.empty() && c.Document == nil {
+		time.Sleep(held)
+	}
+	return &c, nil
+}
+
+func (s *freshStore) Close() {}
+
+// freshSink notes what is in force when a follower says how fresh that is.
+type freshSink struct {
+	stubSink
+	began    time.Time
+	revision uint64
+	said     []string
+}
+
+func (s *freshSink) Offer(revision uint64, _ []byte, _ string) {
+	time.Sleep(300 * time.Millisecond) // a large document
+	s.revision = revision
+}
+
+func (s *freshSink) Heard(_, at time.Time) {
+	roster := uint64(0)
+	if s.roster != nil {
+		roster = s.roster.Revision
+	}
+	s.said = append(s.said, fmt.Sprintf("%d/%d as of %s", s.revision, roster, at.Sub(s.began)))
+}
+
+// TestFreshness plays answers of a store, and states what the host says to have as of when.
+// It must not call itself fresh before it has taken over what it heard: other hosts go by it.
+func TestFreshness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &freshStore{answers: []Changes{{At: 1}, {At: 5, Document: &Revision{Revision: 5, Document: "e"}, Changed: rows([]string{"a1"}, nil)}, {At: 5}}}
+		sink := &freshSink{began: time.Now()}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go NewFollower(store, 3*time.Second, zap.NewNop()).Follow(ctx, sink)
+		time.Sleep(10 * time.Second)
+		want := []string{"1/1 as of 0s", "1/1 as of 2.3s", "5/5 as of 2.3s", "5/5 as of 4.72s"}
+		if !slices.Equal(sink.said, want) {
+			t.Errorf("said %q, want %q", sink.said, want)
+		}
+	})
+}
+
+// TestHold states how long a watch may wait, by what the host is and how old what it knows is.
+func TestHold(t *testing.T) {
+	const bound = 3 * time.Second
+	cases := []struct {
+		name        string
+		bound, age  time.Duration
+		eager, lost bool
+		want        time.Duration
+	}{
+		{"one that is just informed", bound, time.Millisecond, false, false, 2699 * time.Millisecond},
+		{"one that knows nothing yet", bound, 0, false, false, 2700 * time.Millisecond},
+		{"after a rest", bound, 1500 * time.Millisecond, false, false, 1200 * time.Millisecond},
+		{"long without word", bound, 9 * time.Second, false, false, 900 * time.Millisecond},
+		{"one that finds out soon", bound, time.Millisecond, true, false, 2 * time.Second},
+		{"one that finds out soon, without the store", bound, time.Second, true, true, 200 * time.Millisecond},
+		{"a tight bound", 2 * time.Second, time.Millisecond, true, false, 1799 * time.Millisecond},
+		{"no bound", 0, time.Millisecond, false, false, 7999 * time.Millisecond},
+	}
+	for _, tc := range cases {
+		f := NewFollower(&freshStore{}, tc.bound, zap.NewNop())
+		f.lost = tc.lost
+		if got := f.hold(&stubSink{age: tc.age}, tc.eager); got != tc.want {
+			t.Errorf("%s: %s, want %s", tc.name, got, tc.want)
+		}
+	}
+}
+
+// TestLostWhileFed checks that only an answer of the store counts as its return, not that
+// other hosts keep this one up to date.
+func TestLostWhileFed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, sink := NewFollower(&stubStore{steps: []step{{list: []string{"a1"}}, {fail: errDown}}}, 0, zap.NewNop()), &stubSink{lazy: true}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go f.Follow(ctx, sink)
+		time.Sleep(time.Second)
+		sink.fed = true
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		if !f.lost {
+			t.Error("the store counts as regained though nobody asked it")
+		}
+	})
+}
