--- a/peer/fed.go
+++ b/peer/fed.go
@@ -14,10 +14,10 @@
 const (
 	// fedShare is how old the platform's last answer to any host may be. If all hosts
 	// that ask are stopped, or lose the platform without a sign, a change that comes
-	// then is noticed when their last answer is so old; the rest is for one answer, which
-	// takes 0.4 s with a document of a megabyte over 10 Mbit/s. The hosts that ask get
-	// an answer every two seconds at the most, each at its own time.
-	fedShare = 0.75
+	// then is noticed when their last answer is so old; the rest is for the answer, which
+	// takes a second with a document of a megabyte over 10 Mbit/s, and for telling it.
+	// The hosts that ask get an answer in a third of the bound, each at its own time.
+	fedShare = 0.45
 	// behindShare is how long it may lack what others are known to have: a fetch over a
 	// connection that says nothing is given up after two time-outs of a call, and one more
 	// over a new connection mostly takes less than one.
--- a/peer/standing.go
+++ b/peer/standing.go
@@ -19,11 +19,10 @@
 }
 
 // standingEach is the least time between two times that a host tells its domain. Two hosts
-// of a domain do, each after an answer of the platform, which comes every two seconds at
-// the most: so the others know within fedShare of any bound from three seconds on that
-// nothing has changed. Without it, word of the answers went by exchanges, took longer, and
+// of a domain do, each after an answer of the platform, which comes in a third of the bound
+// at the latest: so the others know within fedShare of it that nothing has changed. Without it, word of the answers went by exchanges, took longer, and
 // 58 hosts at rest made 279 calls to the platform in 30 s instead of 60 (virtual time).
-const standingEach = time.Second
+const standingEach = 500 * time.Millisecond
 
 // TellDomain tells the live hosts of the own failure domain what this one has in force. It
 // is called after each answer of the platform, by the hosts that ask it for others.
--- a/peer/standing_test.go
+++ b/peer/standing_test.go
@@ -17,7 +17,7 @@
 )
 
 // TestFed tells a host what another has in force, and states for how long it relies on
-// that. With a bound of four seconds that is three, and one for what it lacks.
+// that. With a bound of four seconds that is 1.8, and one for what it lacks.
 func TestFed(t *testing.T) {
 	const bound = 4 * time.Second
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
@@ -32,9 +32,9 @@
 	}{
 		{"nothing", bound, 1, 1, 0, 0, false},
 		{"the same, fresh", bound, 1, 1, 1, 0, true},
-		{"some time later", bound, 1, 1, 1, ms(2900), true},
-		{"too late", bound, 1, 1, 1, ms(3100), false},
-		{"word that is old", bound, 1, 1, 2501, ms(600), false},
+		{"some time later", bound, 1, 1, 1, ms(1700), true},
+		{"too late", bound, 1, 1, 1, ms(1900), false},
+		{"word that is old", bound, 1, 1, 1301, ms(600), false},
 		{"a later revision", bound, 2, 1, 1, ms(100), false},
 		{"a later roster", bound, 1, 2, 1, ms(100), false},
 		{"an earlier one", bound, 0, 0, 1, 0, true},
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -46,6 +46,7 @@
 	log    *zap.Logger
 	gather time.Duration // from a change to when the next is known, of hosts that aren't eager
 	most   time.Duration // that a watch waits, and for which the store may be unheard
+	follow time.Duration // that a watch of an eager host waits
 	took   time.Duration // that the last answer with a document took
 
 	at     uint64
@@ -62,10 +63,11 @@
 // NewFollower returns a feed from a store whose changes have to be in force
 // within a bound; 0: lazyGather.
 func NewFollower(s Store, bound time.Duration, log *zap.Logger) *Follower {
-	f := &Follower{store: s, log: log, gather: lazyGather, most: lazyWait, known: map[string]config.Endpoint{}, empty: map[string]config.Evacuation{}}
+	f := &Follower{store: s, log: log, gather: lazyGather, most: lazyWait, follow: followWait, known: map[string]config.Endpoint{}, empty: map[string]config.Evacuation{}}
 	if bound > 0 {
 		f.gather = time.Duration(lazyShare * float64(bound))
 		f.most = time.Duration(unheardShare * float64(bound))
+		f.follow = time.Duration(followShare * float64(bound))
 	}
 	return f
 }
@@ -89,6 +91,11 @@
 	// held to the bound, which is longer than the bound by a second. Where a host rests
 	// after a change, its next watch is the shorter for it.
 	unheardShare = 0.9
+	// followShare is the part of the bound after which an eager host hears of the store
+	// also where nothing changes, and tells its failure domain. By that the others notice
+	// that nobody hears of it any more: where all eager hosts were stopped, others asked
+	// after 2.2 s with a wait of two seconds, and a large document came too late.
+	followShare = 1.0 / 3
 	// leastHold is the part of it that a watch waits at the least: many hosts ask while
 	// the store is out of reach, and each call counts.
 	leastHold   = 3
@@ -118,10 +125,10 @@
 			err = f.watch(ctx, sink)
 			// What happened since may be longer than what is: a watch that broke
 			// off, because it told of too much, isn't repeated.
-			listed = !errors.Is(err, ErrForgotten) && !errors.Is(err, ErrBroken)
+			listed = !relist(err) && !errors.Is(err, ErrBroken)
 		}
 		f.noteReach(ctx, err)
-		if err == nil || !listed && errors.Is(err, ErrForgotten) {
+		if err == nil || !listed && relist(err) {
 			retry = retryFirst
 			continue
 		}
@@ -130,9 +137,12 @@
 	}
 }
 
+// relist reports whether the store's answer means that it has to be listed.
+func relist(err error) bool { return errors.Is(err, ErrForgotten) || errors.Is(err, ErrLong) }
+
 // noteReach logs when the store is lost and regained.
 func (f *Follower) noteReach(ctx context.Context, err error) {
-	if ctx.Err() != nil || errors.Is(err, ErrForgotten) {
+	if ctx.Err() != nil || relist(err) {
 		return
 	}
 	f.silent = f.silent || errors.Is(err, context.DeadlineExceeded)
@@ -257,7 +267,7 @@
 	}
 	most := f.most
 	if eager {
-		most = min(most, followWait)
+		most = min(most, f.follow)
 	}
 	age, ever := sink.HeardFor()
 	if !ever {
--- a/publish/follow_test.go
+++ b/publish/follow_test.go
@@ -109,6 +109,7 @@
 		{name: "listed", steps: []step{{list: all}}, want: "a1 a2 a3 a4 a5"},
 		{name: "come and gone", steps: []step{{list: all}, {come: []string{"a6"}}, {gone: []string{"a1"}}}, want: "a2 a3 a4 a5 a6"},
 		{name: "the store forgets", steps: []step{{list: all}, {fail: ErrForgotten}, {list: all[1:]}}, want: "a2 a3 a4 a5"},
+		{name: "a watch's answer is longer than a listing", steps: []step{{list: all}, {fail: ErrLong}, {list: all[1:]}}, want: "a2 a3 a4 a5"},
 		{name: "a watch's answer breaks off", steps: []step{{list: all}, {fail: ErrBroken}, {list: all[1:]}}, want: "a2 a3 a4 a5"},
 		{name: "an outage lets registrations run out", steps: []step{{list: all}, {fail: errDown}, {fail: errDown, after: outageLeast}, {gone: all[:2]}},
 			want: "a1 a2 a3 a4 a5"},
@@ -388,7 +389,7 @@
 		defer cancel()
 		go NewFollower(store, 3*time.Second, zap.NewNop()).Follow(ctx, sink)
 		time.Sleep(10 * time.Second)
-		want := []string{"1/1 as of 0s", "1/1 as of 2.3s", "5/5 as of 2.3s", "5/5 as of 4.72s"}
+		want := []string{"1/1 as of 0s", "1/1 as of 1.3s", "5/5 as of 1.3s", "5/5 as of 2.72s"}
 		if !slices.Equal(sink.said, want) {
 			t.Errorf("said %q, want %q", sink.said, want)
 		}
@@ -408,9 +409,9 @@
 		{"one that knows nothing yet", bound, 0, false, false, 2700 * time.Millisecond},
 		{"after a rest", bound, 1500 * time.Millisecond, false, false, 1200 * time.Millisecond},
 		{"long without word", bound, 9 * time.Second, false, false, 900 * time.Millisecond},
-		{"one that finds out soon", bound, time.Millisecond, true, false, 2 * time.Second},
+		{"one that finds out soon", bound, time.Millisecond, true, false, time.Second},
 		{"one that finds out soon, without the store", bound, time.Second, true, true, 200 * time.Millisecond},
-		{"a tight bound", 2 * time.Second, time.Millisecond, true, false, 1799 * time.Millisecond},
+		{"a tight bound", 2 * time.Second, time.Millisecond, true, false, 2 * time.Second / 3},
 		{"no bound", 0, time.Millisecond, false, false, 7999 * time.Millisecond},
 	}
 	for _, tc := range cases {
--- a/publish/guard.go
+++ b/publish/guard.go
@@ -25,6 +25,9 @@
 // twice as long beside other traffic.
 const answerMost = 15 * time.Second
 
+// ErrLong is returned for a watch whose answer has more than a listing would.
+var ErrLong = errors.New("the store's answer is longer than a listing")
+
 // ErrBroken is returned for an answer that began and didn't end.
 var ErrBroken = errors.New("the store's answer broke off")
 
@@ -101,7 +104,7 @@
 	g.mu.Unlock()
 	defer g.cancel(nil)
 	switch cause := context.Cause(g.ctx); {
-	case err == nil || errors.Is(err, ErrForgotten):
+	case err == nil || errors.Is(err, ErrForgotten) || errors.Is(err, ErrLong):
 		return err
 	case begun:
 		return errors.Wrapf(ErrBroken, "after %d bytes: %v", bytes, err)
