platform, publish, blackboard, owner, entry: an endpoint that starts again under its name is another process

The same name was taken for the same process everywhere, and an entry that could not be read left the one before it in use after a watch. Change: config.Endpoint.Born, and the incarnation of reports, hold the moment of the start; an earlier start is never believed after a later one (listings, watches, rosters of other hosts, reports). An owner that learns of a new start forgets what the process before held and asks at once; an engine whose report is of a later process counts as lost to those that wait for its answer. An entry with a field missing, of another type, out of range, or with a state or stage that isn't known names no endpoint to use, whatever stood there; the log says each fault once.

--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -95,15 +95,18 @@
 		return false, nil
 	}
 	kept := &config.Roster{Revision: r.Revision, Evacuated: r.Evacuated}
-	lapses := t.lapses(now)
+	known := t.knownEndpoints()
 	var faults error
 	for _, e := range r.Endpoints {
+		if was := known[e.Name]; was != nil && e.StartedBefore(was) {
+			e = *was
+		}
 		if err := config.CheckRegistered(&e); err != nil {
 			faults = errors.Wrapf(err, "endpoint %q", e.Name)
 			continue
 		}
 		if !e.Lapsed.IsZero() {
-			e.Lapsed = lapses(e.Name)
+			e.Lapsed = t.lapsedAt(known[e.Name], now)
 		}
 		if e.ColdUntil.IsZero() { // told by another host
 			e = e.Heard(now)
@@ -163,26 +166,29 @@
 	return true
 }
 
-// lapses returns since when, by this process's clock, the endpoint of a name is
-// without its registration: from now on if it had one, and for too long if it
-// wasn't known. The caller holds the lock.
-func (t *ConfigTable) lapses(now time.Time) func(name string) time.Time {
+// knownEndpoints returns the endpoints of the roster by name; the caller holds the lock.
+func (t *ConfigTable) knownEndpoints() map[string]*config.Endpoint {
 	if t.roster == nil {
-		return func(string) time.Time { return now }
+		return nil
 	}
-	since := make(map[string]time.Time, len(t.roster.Endpoints))
-	for _, e := range t.roster.Endpoints {
-		since[e.Name] = now
-		if !e.Lapsed.IsZero() {
-			since[e.Name] = e.Lapsed
-		}
+	known := make(map[string]*config.Endpoint, len(t.roster.Endpoints))
+	for i := range t.roster.Endpoints {
+		known[t.roster.Endpoints[i].Name] = &t.roster.Endpoints[i]
 	}
-	return func(name string) time.Time {
-		if at, known := since[name]; known {
-			return at
-		}
+	return known
+}
+
+// lapsedAt returns since when, by this process's clock, an endpoint is without its
+// registration: from now on if it had one, and for too long if it wasn't known, unless
+// nothing was. The caller holds the lock.
+func (t *ConfigTable) lapsedAt(was *config.Endpoint, now time.Time) time.Time {
+	switch {
+	case was == nil && t.roster != nil:
 		return now.Add(-2 * config.LapsedKept)
+	case was == nil || was.Lapsed.IsZero():
+		return now
 	}
+	return was.Lapsed
 }
 
 // DropLapsed drops endpoints that have been without a registration for too
--- a/config/change.go
+++ b/config/change.go
@@ -31,5 +31,5 @@
 func SameRegistration(a, b *Endpoint) bool {
 	return a.Name == b.Name && a.Address == b.Address && a.Domain == b.Domain && a.Pool == b.Pool && a.Role == b.Role &&
 		a.Slots == b.Slots && a.Leaving == b.Leaving && a.Model == b.Model && a.Version == b.Version &&
-		a.Lapsed.IsZero() == b.Lapsed.IsZero() && sameCold(a, b)
+		a.Lapsed.IsZero() == b.Lapsed.IsZero() && a.Born == b.Born && sameCold(a, b)
 }
--- a/config/document.go
+++ b/config/document.go
@@ -90,6 +90,11 @@
 	// another host sent is replaced when it is taken in.
 	Lapsed time.Time `json:"-"`
 
+	// Born is when the endpoint's process started, in ms since 1970 by the endpoint's own
+	// clock; 0: unknown. With the name it tells one process from another: one that starts
+	// again under its name holds nothing of before. No clock of a host is compared with it.
+	Born int64 `json:"-"`
+
 	// ColdPerSecond is how many requests a second the endpoint bears while it is cold;
 	// 0: as many as ever.
 	ColdPerSecond float64 `json:"cold_per_s,omitempty"`
@@ -113,6 +118,12 @@
 	return !e.Lapsed.IsZero() && now.Sub(e.Lapsed) > LapsedKept
 }
 
+// StartedBefore reports whether e tells of an earlier start than another registration of
+// the same name. Such a word is late, whatever brought it: it is never believed.
+func (e *Endpoint) StartedBefore(other *Endpoint) bool {
+	return e.Born != 0 && other.Born != 0 && e.Born < other.Born
+}
+
 // PieceTokens returns how many tokens one piece of the endpoint's streams holds.
 func (e *Endpoint) PieceTokens() int { return max(1, e.TokensPerPiece) }
 
--- a/config/roster.go
+++ b/config/roster.go
@@ -76,7 +76,7 @@
 }
 
 // Outdated reports whether a later roster takes an endpoint away, or work from one, that
-// the view may still give work to, whether the view has only few of its endpoints, or
+// the view may still give work to, tells of a new start of one, whether the view has only few of its endpoints, or
 // whether other failure domains are being emptied.
 func (v *View) Outdated(r *Roster) bool {
 	if !v.SameEvacuations(r) {
@@ -90,7 +90,7 @@
 			continue
 		}
 		kept++
-		if e.Leaving && !old.Leaving || e.Lapsed != old.Lapsed || e.ColdUntil.Sub(old.ColdUntil) > SameCold || e.Address != old.Address || e.Pool != old.Pool {
+		if e.Leaving && !old.Leaving || e.Lapsed != old.Lapsed || e.ColdUntil.Sub(old.ColdUntil) > SameCold || e.Address != old.Address || e.Pool != old.Pool || e.Born != old.Born {
 			return true
 		}
 	}
--- a/entry/copy.go
+++ b/entry/copy.go
@@ -192,8 +192,8 @@
 	j.sends++
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
-	address := p.dec.Address // a watch that was stopped may still ask
-	w := newWatchdog(forever, forever, cancel, func() bool { return e.lives(limited, address) })
+	at := processOf(p.dec) // a watch that was stopped may still ask
+	w := newWatchdog(forever, forever, cancel, func() bool { return e.lives(limited, at) })
 	defer w.stop()
 	number := route.Number(p.dec.Name)
 	e.owners.Touched(number, 1)
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -28,8 +28,8 @@
 	j.sends++
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
-	address := p.dec.Address // a watch that was stopped may still ask
-	w := newWatchdog(e.firstStall(j, p), e.mostSilent(j), cancel, func() bool { return e.lives(limited, address) })
+	at := processOf(p.dec) // a watch that was stopped may still ask
+	w := newWatchdog(e.firstStall(j, p), e.mostSilent(j), cancel, func() bool { return e.lives(limited, at) })
 	defer w.stop()
 	number := route.Number(p.dec.Name)
 	e.owners.Touched(number, 1)
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
 )
 
 // watchdog cancels a call that makes no progress.
@@ -97,15 +100,29 @@
 	askMost  = 5                      // asks, those during which this host was held up among them
 )
 
+// process is the process of an engine that a call was made to.
+type process struct {
+	address string
+	born    int64 // as in config.Endpoint
+}
+
+// processOf returns the one that an endpoint's registration tells of.
+func processOf(spec *config.Endpoint) process { return process{spec.Address, spec.Born} }
+
+// ended reports whether a report is of a later process.
+func (p process) ended(st *endpoint.State) bool {
+	return p.born > 0 && st != nil && st.Incarnation > uint64(p.born)
+}
+
 // lives reports whether an engine that is silent answers, or may well: only one that
-// says nothing at all, or at whose address nothing listens, counts as lost. An ask during
-// which this host did not run for a time tells nothing: the answer may have come.
-func (e *Entry) lives(ctx context.Context, address string) bool {
+// says nothing at all, or at whose address nothing listens, counts as lost, and one that
+// has started again since: it holds nothing of what ran. An ask during which this host did not run for a time tells nothing: the answer may have come.
+func (e *Entry) lives(ctx context.Context, at process) bool {
 	unheard := 0
 	for range askMost {
 		began := time.Now()
 		limited, cancel := context.WithTimeout(ctx, askWait)
-		_, err := e.engine.State(limited, address)
+		st, err := e.engine.State(limited, at.address)
 		silent := limited.Err() != nil
 		cancel()
 		switch {
@@ -114,7 +131,7 @@
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return false
 		case !silent:
-			return true
+			return err != nil || !at.ended(st)
 		case time.Since(began) < askWait+askLate:
 			unheard++
 		}
--- a/entry/watchdog_test.go
+++ b/entry/watchdog_test.go
@@ -51,6 +51,7 @@
 	endpoint.Engine
 	takes []time.Duration // of one ask after the other; the last one's of all further ones
 	asked int
+	born  uint64 // of the process that answers
 }
 
 func (a *askedEngine) State(ctx context.Context, _ string) (*endpoint.State, error) {
@@ -60,7 +61,7 @@
 	if ctx.Err() != nil {
 		return nil, errors.Wrap(ctx.Err(), "report")
 	}
-	return &endpoint.State{}, nil
+	return &endpoint.State{Incarnation: a.born}, nil
 }
 
 // TestLives states which engines count as lost: those that say nothing to two asks, of
@@ -72,20 +73,26 @@
 		takes []time.Duration
 		lives bool
 		asked int
+		born  int64  // of the process that was called
+		now   uint64 // of the one that answers
 	}{
-		{"answers", []time.Duration{prompt}, true, 1},
-		{"a report is lost", []time.Duration{silent, prompt}, true, 2},
-		{"says nothing", []time.Duration{silent}, false, 2},
-		{"the host is held up, and the engine answers", []time.Duration{heldUp, silent, prompt}, true, 3},
-		{"the host is held up, and the engine says nothing", []time.Duration{heldUp, silent}, false, 3},
-		{"the host is held up again and again", []time.Duration{heldUp}, true, askMost},
+		{"answers", []time.Duration{prompt}, true, 1, 0, 0},
+		{"the same process answers", []time.Duration{prompt}, true, 1, 7, 7},
+		{"a later one answers", []time.Duration{prompt}, false, 1, 7, 8},
+		{"one that doesn't tell its start answers", []time.Duration{prompt}, true, 1, 7, 0},
+		{"the start of the one that was called isn't known", []time.Duration{prompt}, true, 1, 0, 8},
+		{"a report is lost", []time.Duration{silent, prompt}, true, 2, 0, 0},
+		{"says nothing", []time.Duration{silent}, false, 2, 0, 0},
+		{"the host is held up, and the engine answers", []time.Duration{heldUp, silent, prompt}, true, 3, 0, 0},
+		{"the host is held up, and the engine says nothing", []time.Duration{heldUp, silent}, false, 3, 0, 0},
+		{"the host is held up again and again", []time.Duration{heldUp}, true, askMost, 0, 0},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				a := &askedEngine{takes: tc.takes}
+				a := &askedEngine{takes: tc.takes, born: tc.now}
 				e := &Entry{engine: a}
-				if lives := e.lives(t.Context(), "10.0.0.1:80"); lives != tc.lives || a.asked != tc.asked {
+				if lives := e.lives(t.Context(), process{address: "10.0.0.1:80", born: tc.born}); lives != tc.lives || a.asked != tc.asked {
 					t.Errorf("lives %v after %d asks, want %v after %d", lives, a.asked, tc.lives, tc.asked)
 				}
 			})
--- a/owner/book.go
+++ b/owner/book.go
@@ -86,10 +86,34 @@
 	if spec == nil || v == b.view || spec.Role != b.role {
 		return
 	}
+	again := spec.Born > b.spec.Born && b.spec.Born != 0
 	b.view, b.spec = v, spec
 	if b.ledger != nil {
 		b.ledger.Fit(v, spec, share)
 	}
+	if again {
+		b.restart(time.Now())
+	}
+}
+
+// late reports whether a report is of a process that has ended since, and was long under
+// way; the caller holds the lock.
+func (b *Book) late(st *endpoint.State) bool {
+	return st.Incarnation != 0 && st.Incarnation < max(b.state.Incarnation, uint64(max(0, b.spec.Born)))
+}
+
+// restart forgets what the endpoint held before it started again under its name, and has
+// it asked at once; the caller holds the lock. What was only reserved there stays: it may
+// still come.
+func (b *Book) restart(now time.Time) {
+	b.heads, b.feed = map[uint32]uint32{}, 0
+	b.state, b.fails = endpoint.State{Incarnation: uint64(max(0, b.spec.Born)), Lists: b.state.Lists}, 0
+	b.changing, b.wrong = time.Time{}, false
+	b.maybeCold = now.Add(config.Millis(b.spec.ColdStartMillis))
+	if b.ledger != nil {
+		b.ledger.Listed(now, nil)
+	}
+	b.nextState, b.nextList, b.nextFeed = now, now, now
 }
 
 // digest returns what others are told of the endpoint; the caller holds the
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -160,18 +160,29 @@
 		b.mu.Unlock()
 		return
 	}
+	if b.late(st) {
+		b.mu.Unlock()
+		return
+	}
 	if b.fails >= downAfter {
 		o.log.Info("endpoint is back", zap.String("endpoint", b.spec.Name))
 		b.maybeCold = now.Add(config.Millis(b.spec.ColdStartMillis))
 	}
+	if st.Incarnation == 0 {
+		st.Incarnation = b.state.Incarnation // it isn't told this time
+	}
 	restarted := b.state.Incarnation != 0 && st.Incarnation != b.state.Incarnation
+	if restarted {
+		o.log.Info("endpoint started again", zap.String("endpoint", b.spec.Name), zap.Uint64("incarnation", st.Incarnation))
+		b.restart(now)
+		b.nextState = now.Add(config.Millis(o.board.Settings.PollMillis))
+	}
 	b.fails, b.state = 0, *st
 	if st.Lists {
 		o.takeList(b, now, st.Held)
 		b.ready, b.nextList = true, now.Add(config.Millis(o.board.Settings.PollMillis))
 	}
-	if restarted {
-		b.heads, b.feed = map[uint32]uint32{}, 0
+	if restarted && !st.Lists {
 		b.nextList = now
 	}
 	b.mu.Unlock()
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -58,12 +58,13 @@
 	fed    bool                         // other hosts kept this one up to date at the last look
 	shaky  time.Time                    // until when the loss of a registration says nothing
 	asked  time.Time                    // when the last call was made
+	said   map[string]bool              // faults of published items that were logged
 }
 
 // NewFollower returns a feed from a store whose changes have to be in force
 // within a bound; 0: lazyGather.
 func NewFollower(s Store, bound time.Duration, log *zap.Logger) *Follower {
-	f := &Follower{store: s, log: log, gather: lazyGather, most: lazyWait, follow: followWait, known: map[string]config.Endpoint{}, empty: map[string]config.Evacuation{}}
+	f := &Follower{store: s, log: log, gather: lazyGather, most: lazyWait, follow: followWait, known: map[string]config.Endpoint{}, empty: map[string]config.Evacuation{}, said: map[string]bool{}}
 	if bound > 0 {
 		f.gather = time.Duration(lazyShare * float64(bound))
 		f.most = time.Duration(unheardShare * float64(bound))
@@ -178,7 +179,10 @@
 	before := f.before(sink)
 	f.known = make(map[string]config.Endpoint, len(s.Endpoints))
 	for _, e := range s.Endpoints {
-		f.known[e.Name] = e.Heard(now)
+		f.learn(before, e, now)
+	}
+	for _, name := range s.Unusable {
+		delete(before, name) // it didn't vanish, so nothing speaks for its endpoint
 	}
 	f.setEvacuated(s.Evacuated)
 	f.vanished(missing(before, f.known), false, now)
@@ -192,6 +196,16 @@
 	return nil
 }
 
+// learn takes in a registration. One of an earlier start than is known is late: a process
+// that ended wrote it, or it was long under way.
+func (f *Follower) learn(before map[string]config.Endpoint, e config.Endpoint, now time.Time) {
+	e = e.Heard(now)
+	if was, known := before[e.Name]; known && e.StartedBefore(&was) {
+		e = was
+	}
+	f.known[e.Name] = e
+}
+
 // catchUp takes over what peers have told of since the last answer, so that the
 // store needn't tell it again. Whoever tells of a roster knows the document
 // that was published before it.
@@ -232,7 +246,10 @@
 	}
 	f.evacuate(c)
 	for _, e := range c.Changed {
-		f.known[e.Name] = e.Heard(now)
+		f.learn(f.known, e, now)
+	}
+	for _, name := range c.Unusable {
+		delete(f.known, name)
 	}
 	var gone []config.Endpoint
 	for _, name := range c.Gone {
@@ -310,8 +327,18 @@
 	return max(gatherFor, f.gather-f.took)
 }
 
+// mostSaid is how many faults are remembered, so that each is logged once.
+const mostSaid = 256
+
 func (f *Follower) faults(faults []error) {
 	for _, err := range faults {
+		if f.said[err.Error()] {
+			continue
+		}
+		if len(f.said) == mostSaid {
+			clear(f.said)
+		}
+		f.said[err.Error()] = true
 		f.log.Warn("published item left out", zap.Error(err))
 	}
 }
--- a/publish/store.go
+++ b/publish/store.go
@@ -32,6 +32,7 @@
 	Document  *Revision
 	Endpoints []config.Endpoint
 	Evacuated []config.Evacuation
+	Unusable  []string      // names of endpoints whose registrations can't be read
 	Faults    []error       // items that could not be read, each naming its item
 	Took      time.Duration // the answer, from its beginning to its end
 }
@@ -44,6 +45,7 @@
 	Document *Revision         // nil: unchanged
 	Changed  []config.Endpoint // new, or with a new state
 	Gone     []string          // names of endpoints
+	Unusable []string          // the same of those whose registrations can't be read any more
 	// Evacuated began or were published anew; Returned are the failure domains whose
 	// evacuations were taken back.
 	Evacuated []config.Evacuation
@@ -54,5 +56,5 @@
 
 // empty reports whether nothing but the revision is told.
 func (c *Changes) empty() bool {
-	return c.Document == nil && len(c.Changed)+len(c.Gone)+len(c.Evacuated)+len(c.Returned) == 0
+	return c.Document == nil && len(c.Changed)+len(c.Gone)+len(c.Unusable)+len(c.Evacuated)+len(c.Returned) == 0
 }
