internal/fake: what a proxy keeps of a silent connection ends some time after its other end

Cause: a run of TestFleetSoak with 100 hosts used up 20,000 descriptors: both ends of connections that had gone silent stayed open to the end. Change: they are closed five seconds after one of them was.

--- a/internal/fake/proxy.go
+++ b/internal/fake/proxy.go
@@ -108,7 +108,7 @@
 	go p.copy(way, c, up, getting, done)
 	<-done
 	if way.deaf.Load() {
-		return // the other end isn't told; Reset ends it
+		time.Sleep(deafKept) // the other end isn't told
 	}
 	p.mu.Lock()
 	delete(p.open, way)
@@ -117,6 +117,10 @@
 	up.Close()
 }
 
+// deafKept is how long an end of a connection that says nothing stays open once the other
+// is closed: longer than anybody waits for an answer on it.
+const deafKept = 5 * time.Second
+
 // swallows reports whether a mode lets what goes one way vanish.
 func (m Mode) swallows(d direction) bool {
 	return m == SilentUp && d == sending || m == SilentDown && d == getting
