--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -142,7 +142,7 @@
 // was kept says nothing: open connections may go silent for good while new ones work.
 func (r *Router) askAgain(a ahead) (*FetchReply, error) {
 	for {
-		open := r.bulk.openFor(a.from.Peers)
+		open, kept := r.bulk.openFor(a.from.Peers)
 		reply, err := r.askFor(a.from)
 		if err == nil {
 			return reply, nil
@@ -150,7 +150,7 @@
 		r.Fetches.Failed.Add(1)
 		r.log.Warn("fetch failed", zap.String("from", a.from.Name), zap.Uint64("revision", a.revision), zap.Uint64("roster", a.roster),
 			zap.Duration("behind", r.board.Config.Behind(time.Now())), zap.Duration("connection_open", open), zap.Error(err))
-		if open == 0 || !silent(err) || !r.lacks(a) {
+		if !kept || !silent(err) || !r.lacks(a) {
 			return nil, err
 		}
 	}
--- a/peer/fetch_test.go
+++ b/peer/fetch_test.go
@@ -1,9 +1,20 @@
 package peer
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/internal/fake"
+	"github.com/embercove/embercove/owner"
 )
 
 // TestFetcher has hosts tell of something newer during a fetch, and checks that fetches
@@ -49,3 +60,42 @@
 		})
 	}
 }
+
+// TestFetchSilenced has the connection for fetches go silent, as all open ones may, and
+// checks that a fetch still gets what is newer, over a new one, and the next fetch as well.
+func TestFetchSilenced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := fake.NewNetwork()
+		router := func(name, peers string) *Router {
+			s := &config.Settings{Host: name, Domain: "d", Region: "r", Peers: peers, RPCMillis: 150}
+			s.SetDefaults()
+			b := blackboard.New(s)
+			return NewRouter(b, owner.New(b, endpoint.NewClient(nil), zap.NewNop()), mem.Dialer("z"), zap.NewNop())
+		}
+		asker, giver := router("a", "10.0.0.1:81"), router("b", "10.0.0.2:81")
+		ctx, cancel := context.WithCancel(context.Background())
+		served := make(chan error)
+		l := mem.Listen("z", "10.0.0.2:81")
+		go func() { served <- giver.Serve(ctx, l) }()
+		for revision := uint64(1); revision <= 4; revision++ {
+			giver.Offer(revision, []byte(newsDocument), "test")
+			began := time.Now()
+			asker.fetch(ahead{from: Name{Name: "b", Peers: "10.0.0.2:81"}, revision: revision})
+			if got := asker.board.Config.Revision(); got != revision {
+				t.Errorf("revision %d is in force after the fetch, want %d", got, revision)
+			}
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("the fetch took %s", took)
+			}
+			if revision%2 == 1 {
+				mem.Silence()
+			}
+		}
+		asker.Close()
+		giver.Close()
+		cancel()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -172,14 +172,15 @@
 	return c, nil
 }
 
-// openFor returns for how long the connection to a peer has been open; 0: there is none.
-func (p *pool) openFor(addr string) time.Duration {
+// openFor returns for how long the connection to a peer has been open, and whether there
+// is one.
+func (p *pool) openFor(addr string) (d time.Duration, kept bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns[addr] == nil {
-		return 0
+		return 0, false
 	}
-	return time.Since(p.of(addr).opened)
+	return time.Since(p.of(addr).opened), true
 }
 
 // drop closes a connection that hung or broke.
--- a/publish/follow_test.go
+++ b/publish/follow_test.go
@@ -427,7 +427,8 @@
 // other hosts keep this one up to date.
 func TestLostWhileFed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, sink := NewFollower(&stubStore{steps: []step{{list: []string{"a1"}}, {fail: errDown}}}, 0, zap.NewNop()), &stubSink{lazy: true}
+		steps := append([]step{{list: []string{"a1"}}}, slices.Repeat([]step{{fail: errDown}}, 20)...)
+		f, sink := NewFollower(&stubStore{steps: steps}, 0, zap.NewNop()), &stubSink{lazy: true}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go f.Follow(ctx, sink)
