publish, peer, platform: long files cut by subject, test setup in one place, plainer names

Change: publish/pace.go (when a store is asked), peer/conn.go (connections), equalLinks, testRouter; Fed is Relies: whether a host relies on others' word. Behaviour is the same. A test for starts in what a store tells, as the mutant of it survived.

--- a/node/sink.go
+++ b/node/sink.go
@@ -45,4 +45,4 @@
 
 func (s sink) HeardFor() (time.Duration, bool) { return s.n.Board.Config.HeardFor(time.Now()) }
 
-func (s sink) Fed() bool { return s.n.Router.Fed(time.Now()) }
+func (s sink) Relies() bool { return s.n.Router.Relies(time.Now()) }
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -5,12 +5,7 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
-	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
-	"github.com/embercove/embercove/endpoint"
-	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/route"
 )
 
@@ -20,9 +15,8 @@
 // TestNews checks that news carries the revisions that it is about, and no
 // digests, however many endpoints there are.
 func TestNews(t *testing.T) {
-	s := &config.Settings{Host: "a", Domain: "d", Region: "r", Peers: "127.0.0.1:1"}
-	s.SetDefaults()
-	b := blackboard.New(s)
+	r := testRouter("a", "127.0.0.1:1", 0, nil)
+	b := r.board
 	if _, err := b.Config.Offer(7, []byte(exchangeDocument)); err != nil {
 		t.Fatal(err)
 	}
@@ -38,7 +32,6 @@
 	for _, e := range roster.Endpoints {
 		b.Endpoints.Learn(route.Digest{Number: config.NameNumber(e.Name), FreeSlots: 4}, now)
 	}
-	r := NewRouter(b, owner.New(b, endpoint.NewClient(nil), zap.NewNop()), nil, zap.NewNop())
 	for _, news := range []bool{false, true} {
 		a := r.tell(telling{to: Name{Region: "r"}, news: news})
 		if a.Revision != 7 || a.Roster != 9 {
--- a/peer/fetch_test.go
+++ b/peer/fetch_test.go
@@ -8,13 +8,7 @@
 	"testing/synctest"
 	"time"
 
-	"go.uber.org/zap"
-
-	"github.com/embercove/embercove/blackboard"
-	"github.com/embercove/embercove/config"
-	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/internal/fake"
-	"github.com/embercove/embercove/owner"
 )
 
 // TestFetcher has hosts tell of something newer during a fetch, and checks that fetches
@@ -66,13 +60,7 @@
 func TestFetchSilenced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mem := fake.NewNetwork()
-		router := func(name, peers string) *Router {
-			s := &config.Settings{Host: name, Domain: "d", Region: "r", Peers: peers, RPCMillis: 150}
-			s.SetDefaults()
-			b := blackboard.New(s)
-			return NewRouter(b, owner.New(b, endpoint.NewClient(nil), zap.NewNop()), mem.Dialer("z"), zap.NewNop())
-		}
-		asker, giver := router("a", "10.0.0.1:81"), router("b", "10.0.0.2:81")
+		asker, giver := testRouter("a", "10.0.0.1:81", 0, mem.Dialer("z")), testRouter("b", "10.0.0.2:81", 0, mem.Dialer("z"))
 		ctx, cancel := context.WithCancel(context.Background())
 		served := make(chan error)
 		l := mem.Listen("z", "10.0.0.2:81")
--- a/peer/news_test.go
+++ b/peer/news_test.go
@@ -5,27 +5,17 @@
 	"sync"
 	"testing"
 
-	"go.uber.org/zap"
-
-	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
-	"github.com/embercove/embercove/endpoint"
-	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/route"
 )
 
-const newsDocument = `{"failure_domains": [{"name": "d", "region": "r"}], "targets": {"ttft_ms": 900, "tpot_ms": 10},
-"pools": [{"name": "p", "slots": 4}], "routes": [{"name": "r", "host": "h", "path_prefix": "/", "pools": [{"pool": "p", "weight": 1}]}]}`
-
 // TestNewsInOrder has many rosters come at once, from the store and from peers, each of
 // which empties a failure domain or takes it back, and checks that the table that requests
 // are placed by is laid out for the last of them, and that operators are told the same.
 func TestNewsInOrder(t *testing.T) {
 	const rounds, at = 2000, 8 // rosters that come at the same time
-	s := &config.Settings{Host: "h", Domain: "d", Region: "r"}
-	s.SetDefaults()
-	b := blackboard.New(s)
-	r := NewRouter(b, owner.New(b, endpoint.NewClient(nil), zap.NewNop()), nil, zap.NewNop())
+	r := testRouter("h", "", 0, nil)
+	b := r.board
 	r.Offer(1, []byte(newsDocument), "test")
 	for round := range rounds {
 		var wg sync.WaitGroup
--- a/peer/standing.go
+++ b/peer/standing.go
@@ -20,7 +20,7 @@
 
 // standingEach is the least time between two times that a host tells its domain. Two hosts
 // of a domain do, each after an answer of the platform, which comes in a third of the bound
-// at the latest: so the others know within fedShare of it that nothing has changed. Without it, word of the answers went by exchanges, took longer, and
+// at the latest: so the others know within relyShare of it that nothing has changed. Without it, word of the answers went by exchanges, took longer, and
 // 58 hosts at rest made 279 calls to the platform in 30 s instead of 60 (virtual time).
 const standingEach = 500 * time.Millisecond
 
--- a/peer/standing_test.go
+++ b/peer/standing_test.go
@@ -1,24 +1,14 @@
 package peer
 
 import (
-	"context"
-	"net"
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"github.com/pkg/errors"
-	"go.uber.org/zap"
-
-	"github.com/embercove/embercove/blackboard"
-	"github.com/embercove/embercove/config"
-	"github.com/embercove/embercove/endpoint"
-	"github.com/embercove/embercove/owner"
 )
 
-// TestFed tells a host what another has in force, and states for how long it relies on
+// TestRely tells a host what another has in force, and states for how long it relies on
 // that. With a bound of four seconds that is 1.8, and one for what it lacks.
-func TestFed(t *testing.T) {
+func TestRely(t *testing.T) {
 	const bound = 4 * time.Second
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	cases := []struct {
@@ -44,43 +34,31 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := standingRouter(t, tc.bound)
+				r := informedRouter(t, tc.bound)
 				r.learnStanding(ahead{revision: tc.revision, roster: tc.roster, from: Name{Name: "other"}}, tc.heard, time.Now())
 				time.Sleep(tc.after)
-				if got := r.Fed(time.Now()); got != tc.want {
-					t.Errorf("fed: %v, want %v", got, tc.want)
+				if got := r.Relies(time.Now()); got != tc.want {
+					t.Errorf("relies: %v, want %v", got, tc.want)
 				}
 			})
 		})
 	}
 }
 
-// standingRouter returns a router of a host that has revision 1 and roster 1.
-func standingRouter(t *testing.T, bound time.Duration) *Router {
-	s := &config.Settings{Host: "h", Domain: "d", Region: "r", ChangeMillis: float64(bound.Milliseconds())}
-	s.SetDefaults()
-	b := blackboard.New(s)
-	refused := func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }
-	r := NewRouter(b, owner.New(b, endpoint.NewClient(nil), zap.NewNop()), refused, zap.NewNop())
-	r.Offer(1, []byte(newsDocument), "test")
-	r.OfferRoster(&config.Roster{Revision: 1}, "test")
-	return r
-}
-
-// TestBehindNotFed has a host know of a later revision that it can't get, after it was
+// TestRelyBehind has a host know of a later revision that it can't get, after it was
 // told that it has all.
-func TestBehindNotFed(t *testing.T) {
+func TestRelyBehind(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const bound = 4 * time.Second
-		r := standingRouter(t, bound)
+		r := informedRouter(t, bound)
 		r.learnStanding(ahead{revision: 1, roster: 1, from: Name{Name: "other"}}, 1, time.Now())
 		r.learnStanding(ahead{revision: 2, roster: 1, from: Name{Name: "third"}}, 1, time.Now())
 		time.Sleep(900 * time.Millisecond)
-		if !r.Fed(time.Now()) {
+		if !r.Relies(time.Now()) {
 			t.Error("a fetch isn't waited for")
 		}
 		time.Sleep(200 * time.Millisecond)
-		if r.Fed(time.Now()) {
+		if r.Relies(time.Now()) {
 			t.Error("it relies on others though it has lacked a revision for over a second")
 		}
 	})
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,8 +22,9 @@
 	// Eager reports whether this host is one of those that find out soon
 	// when the store's watches say nothing. The others hear of it from them.
 	Eager() bool
-	// Fed reports whether other hosts have told lately what the store holds.
-	Fed() bool
+	// Relies reports whether this host relies on others, which have told lately what the
+	// store holds.
+	Relies() bool
 	// Heard notes that what is known here is what the platform held at a moment. asked is
 	// when the call was made: a process that was held up since may read an old answer.
 	Heard(asked, at time.Time)
@@ -55,7 +55,7 @@
 	lost   bool                         // the store was out of reach at the last call
 	since  time.Time                    // since when
 	silent bool                         // some call since then got no answer at all
-	fed    bool                         // other hosts kept this one up to date at the last look
+	relies bool                         // other hosts kept this one up to date at the last look
 	shaky  time.Time                    // until when the loss of a registration says nothing
 	asked  time.Time                    // when the last call was made
 	said   map[string]bool              // faults of published items that were logged
@@ -73,45 +73,13 @@
 	return f
 }
 
-// How a store is followed. A waiting watch counts as one call. It is short,
-// because a watch whose answer was lost, or that a store cut when it dropped
-// its history, says nothing more, and that may happen to all hosts at the same time.
-const (
-	followWait = 2 * time.Second
-	lazyWait   = 8 * time.Second        // of hosts that aren't eager, where no bound is known
-	fedTick    = 250 * time.Millisecond // between looks whether others still tell what the store holds
-	listedRest = 500 * time.Millisecond // after a listing, in which other hosts get to know this one and tell it what changes
-	lostWait   = 200 * time.Millisecond // after a call that failed: one that hangs as the store returns holds up what changed meanwhile
-	gatherFor  = 120 * time.Millisecond // after a change, as changes come in bursts
-	lazyGather = time.Second            // the same of hosts that aren't eager, where no bound is known
-	lazyShare  = 0.7                    // of the bound in which a change has to be in force: the rest is for an answer that is lost
-	// unheardShare is how long a host may hear nothing of the store, as a share of the
-	// bound in which a change has to be in force. A watch that says nothing for good is
-	// given up after so long and WatchSilence, and its successor's answer comes over a new
-	// connection: all that within the time after such an event in which hosts aren't yet
-	// held to the bound, which is longer than the bound by a second. Where a host rests
-	// after a change, its next watch is the shorter for it.
-	unheardShare = 0.9
-	// followShare is the part of the bound after which an eager host hears of the store
-	// also where nothing changes, and tells its failure domain. By that the others notice
-	// that nobody hears of it any more: where all eager hosts were stopped, others asked
-	// after 2.2 s with a wait of two seconds, and a large document came too late.
-	followShare = 1.0 / 3
-	// leastHold is the part of it that a watch waits at the least: many hosts ask while
-	// the store is out of reach, and each call counts.
-	leastHold   = 3
-	retryFirst  = 100 * time.Millisecond
-	retryMost   = 800 * time.Millisecond
-	retryJitter = 0.3
-)
-
 // Follow implements Feed.
 func (f *Follower) Follow(ctx context.Context, sink Sink) {
 	defer f.store.Close()
 	retry := retryFirst
 	listed := false
 	for ctx.Err() == nil {
-		if listed && f.restFed(ctx, sink) {
+		if listed && f.rest(ctx, sink) {
 			continue
 		}
 		var err error
@@ -159,12 +127,6 @@
 	}
 }
 
-// spread moves d by retryJitter to both sides, so that a fleet that was cut
-// off doesn't come back all at once.
-func spread(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 - retryJitter + 2*retryJitter*rand.Float64()))
-}
-
 func (f *Follower) list(ctx context.Context, sink Sink) error {
 	ctx, cancel := context.WithTimeout(ctx, ListSilence+answerMost)
 	defer cancel()
@@ -269,64 +231,6 @@
 	return nil
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-// hold returns how long the next watch may wait: until what this host knows is as old as
-// it may become.
-func (f *Follower) hold(sink Sink, eager bool) time.Duration {
-	if eager && f.lost {
-		return lostWait
-	}
-	most := f.most
-	if eager {
-		most = min(most, f.follow)
-	}
-	age, ever := sink.HeardFor()
-	if !ever {
-		return most
-	}
-	return max(f.most/leastHold, min(most, f.most-age))
-}
-
-// restFed waits a little where other hosts keep this one up to date, and reports whether
-// they do. A watch of each host is answered for each change: of 5,057 calls that 295 hosts
-// made in a minute of changes, ten watching hosts need a tenth.
-func (f *Follower) restFed(ctx context.Context, sink Sink) bool {
-	fed := sink.Fed() && !sink.Eager()
-	f.noteFed(fed)
-	if fed {
-		wait.For(ctx, fedTick)
-	}
-	return fed
-}
-
-// noteFed logs when other hosts begin or cease to keep this one up to date.
-func (f *Follower) noteFed(fed bool) {
-	if fed == f.fed {
-		return
-	}
-	f.fed = fed
-	if fed {
-		f.log.Info("kept up to date by other hosts", zap.Uint64("at", f.at))
-	} else {
-		f.log.Info("asks the store itself", zap.Uint64("at", f.at))
-	}
-}
-
-// pause returns how long to rest after a change. A host that isn't eager leaves
-// time for the next answer, which may bring a document over a narrow link.
-func (f *Follower) pause(eager bool) time.Duration {
-	if eager {
-		return gatherFor
-	}
-	return max(gatherFor, f.gather-f.took)
-}
-
 // mostSaid is how many faults are remembered, so that each is logged once.
 const mostSaid = 256
 
--- a/publish/follow_test.go
+++ b/publish/follow_test.go
@@ -73,7 +73,7 @@
 type stubSink struct {
 	roster *config.Roster
 	lazy   bool
-	fed    bool
+	relies bool
 	age    time.Duration // of what is known; 0: nothing is
 }
 
@@ -81,7 +81,7 @@
 func (s *stubSink) OfferRoster(r *config.Roster, _ string) { s.roster = r }
 func (s *stubSink) Roster() *config.Roster                 { return s.roster }
 func (s *stubSink) Eager() bool                            { return !s.lazy }
-func (s *stubSink) Fed() bool                              { return s.fed }
+func (s *stubSink) Relies() bool                           { return s.relies }
 func (s *stubSink) Heard(time.Time, time.Time)             {}
 func (s *stubSink) HeardFor() (time.Duration, bool)        { return s.age, s.age > 0 }
 func (s *stubSink) names() string {
@@ -423,9 +423,9 @@
 	}
 }
 
-// TestLostWhileFed checks that only an answer of the store counts as its return, not that
+// TestLostWhileRelying checks that only an answer of the store counts as its return, not that
 // other hosts keep this one up to date.
-func TestLostWhileFed(t *testing.T) {
+func TestLostWhileRelying(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		steps := append([]step{{list: []string{"a1"}}}, slices.Repeat([]step{{fail: errDown}}, 20)...)
 		f, sink := NewFollower(&stubStore{steps: steps}, 0, zap.NewNop()), &stubSink{lazy: true}
@@ -433,7 +433,7 @@
 		defer cancel()
 		go f.Follow(ctx, sink)
 		time.Sleep(time.Second)
-		sink.fed = true
+		sink.relies = true
 		time.Sleep(3 * time.Second)
 		synctest.Wait()
 		if !f.lost {
@@ -441,3 +441,35 @@
 		}
 	})
 }
+
+// TestFollowStarts has an endpoint register with several starts, one after the other, and
+// states which is in force: an earlier one is never believed after a later one.
+func TestFollowStarts(t *testing.T) {
+	born := func(at int64) func(e *config.Endpoint) { return func(e *config.Endpoint) { e.Born = at } }
+	one := []string{"a1"}
+	cases := []struct {
+		name  string
+		steps []step
+		want  int64
+	}{
+		{"a later one", []step{{list: one, others: born(5)}, {come: one, others: born(6)}}, 6},
+		{"an earlier one in a watch", []step{{list: one, others: born(5)}, {come: one, others: born(4)}}, 5},
+		{"an earlier one in a listing", []step{{list: one, others: born(5)}, {fail: ErrForgotten}, {list: one, others: born(4)}}, 5},
+		{"an earlier one once it had gone", []step{{list: one, others: born(5)}, {gone: one}, {come: one, others: born(4)}}, 4},
+		{"one that isn't told", []step{{list: one, others: born(5)}, {come: one}}, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sink := new(stubSink)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				go NewFollower(&stubStore{steps: tc.steps}, 0, zap.NewNop()).Follow(ctx, sink)
+				time.Sleep(5 * time.Second)
+				if got := sink.roster.Endpoints[0].Born; got != tc.want {
+					t.Errorf("start %d, want %d", got, tc.want)
+				}
+			})
+		})
+	}
+}
--- a/publish/words_test.go
+++ b/publish/words_test.go
@@ -121,7 +121,7 @@
 }
 func (h *wordHost) Roster() *config.Roster { return h.board.Config.Roster() }
 func (h *wordHost) Eager() bool            { return !h.lazy }
-func (h *wordHost) Fed() bool              { return false }
+func (h *wordHost) Relies() bool           { return false }
 func (h *wordHost) Heard(_, _ time.Time)   {}
 func (h *wordHost) HeardFor() (time.Duration, bool) {
 	return 0, false
