--- a/blackboard/pause.go
+++ b/blackboard/pause.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// RanSince reports whether the process hasn't been held up since a moment, for less time
-// also than a pause takes. What it reads after that may have come long before.
+// RanSince reports whether the process has run since a moment without being held up, be it
+// for less time than a pause takes. What it reads after it was may have come long before.
 func (p *Pause) RanSince(at time.Time) bool {
 	now := time.Since(p.start)
 	if last := time.Duration(p.last.Load()); last > 0 && now-last > p.heldUp() {
--- a/config/roster.go
+++ b/config/roster.go
@@ -76,8 +76,8 @@
 }
 
 // Outdated reports whether a later roster takes an endpoint away, or work from one, that
-// the view may still give work to, tells of a new start of one, whether the view has only few of its endpoints, or
-// whether other failure domains are being emptied.
+// the view may still give work to, tells of a new start of one, whether the view has only
+// few of its endpoints, or whether other failure domains are being emptied.
 func (v *View) Outdated(r *Roster) bool {
 	if !v.SameEvacuations(r) {
 		return true
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -116,7 +116,8 @@
 
 // lives reports whether an engine that is silent answers, or may well: only one that
 // says nothing at all, or at whose address nothing listens, counts as lost, and one that
-// has started again since: it holds nothing of what ran. An ask during which this host did not run for a time tells nothing: the answer may have come.
+// has started again since: it holds nothing of what ran. An ask during which this host did
+// not run for a time tells nothing: the answer may have come.
 func (e *Entry) lives(ctx context.Context, at process) bool {
 	unheard := 0
 	for range askMost {
--- a/owner/restart_test.go
+++ b/owner/restart_test.go
@@ -49,6 +49,11 @@
 			e.state = report(second, nil)
 			o.pollState(t.Context(), b)
 		}, 1, false},
+		{"its report tells of it, and then its registration", func(o *Owner, b *Book, e *reportEngine) {
+			e.state = report(second, held[:1])
+			o.pollState(t.Context(), b)
+			registered(o, 20, second)
+		}, 2, false},
 		{"a report of the process before comes late", func(o *Owner, b *Book, e *reportEngine) {
 			registered(o, 20, second)
 			b.fit(o.board.Config.View(), 1)
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -25,8 +25,9 @@
 }
 
 // mostAhead is how many hosts that told of something newer are remembered during a fetch.
-// Where a fetch fails, the next one is asked at once: with one alone, hosts waited until
-// somebody told them again, up to 0.6 s each time on 58 real processes.
+// Where a fetch fails, the next one is asked at once instead of whoever tells again: one of
+// 58 real processes had six fetches fail in a row, for 1.8 s, after its connections had gone
+// silent.
 const mostAhead = 4
 
 // fetcher makes sure that one fetch runs at a time. The zero value works.
--- a/peer/router.go
+++ b/peer/router.go
@@ -57,7 +57,7 @@
 	differs  bool      // others named other members
 	askedAll time.Time // when all heartbeats were last asked for
 	spreadAt time.Time // when news was last told around, or will be
-	stoodAt  time.Time // when the own domain was last told what is in force here
+	domainAt time.Time // when the own domain was last told what is in force here
 }
 
 // NewRouter returns a router over the board and this host's own owner. A nil
--- a/peer/standing.go
+++ b/peer/standing.go
@@ -42,9 +42,9 @@
 func (r *Router) TellDomain(ctx context.Context) {
 	now := time.Now()
 	r.mu.Lock()
-	due := now.Sub(r.stoodAt) >= standingEach
+	due := now.Sub(r.domainAt) >= standingEach
 	if due {
-		r.stoodAt = now
+		r.domainAt = now
 	}
 	r.mu.Unlock()
 	if !due {
