endpoint, entry, pace: hosts say which limits endpoints name

Sight for an incident: nothing in the logs told that endpoints name a limit of requests, nor how much hosts sent them since. Engines hand on what the head of an answer says, hosts log when an endpoint begins to name a limit, names another and names none, and count their calls to those that do (calls_limited). What can't be read is logged once in 10 s and counted. Nothing is decided by it yet.

--- a/blackboard/endpoints.go
+++ b/blackboard/endpoints.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/pace"
 	"github.com/embercove/embercove/route"
 )
 
@@ -45,6 +46,8 @@
 			}
 			states[i].Own, states[i].Sent, states[i].Seen = old.Own, old.Sent, old.Seen
 			states[i].MaybeCold, states[i].NoStart = old.MaybeCold, old.NoStart
+			states[i].Limit = old.Limit
+			states[i].Limit.Restarted(states[i].Spec.Born)
 			if old.Evacuated && !states[i].Evacuated {
 				states[i].Suspect(time.Now())
 			}
@@ -97,6 +100,12 @@
 	}
 }
 
+// Hear takes in what an answer of an endpoint said of its limit, and returns what that changes.
+func (t *EndpointTable) Hear(number uint32, now time.Time, w pace.Word) (c pace.Change) {
+	t.Touch(number, func(s *route.State) { c = s.Limit.Hear(now, w) })
+	return c
+}
+
 // SetCutOff sets until when a failure domain's endpoints are out of the
 // question; the zero time ends it.
 func (t *EndpointTable) SetCutOff(domain string, until time.Time) {
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -120,6 +120,16 @@
 	KeepMillis int    // how long the endpoint keeps an exported result
 	Team       string // that the request belongs to; empty: none has to answer for it
 	Repeatable bool
+	// Hear is told what the head of the answer says of the endpoint's limit, as the head
+	// arrives; nil: nobody is.
+	Hear func(Said)
+}
+
+// hear tells what an answer's head says of the endpoint's limit.
+func (c *Call) hear(h http.Header) {
+	if c.Hear != nil {
+		c.Hear(ReadLimit(h.Values(HeaderLimit)))
+	}
 }
 
 // post sends a completion to the endpoint of a call and returns its answer, of
@@ -138,6 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
+	call.hear(res.Header)
 	if res.StatusCode != http.StatusOK {
 		return nil, problem(call.Address, res)
 	}
@@ -180,6 +191,7 @@
 	if err != nil {
 		return nil, err
 	}
+	call.hear(res.Header)
 	if res.StatusCode == http.StatusServiceUnavailable {
 		return nil, problem(call.Address, res)
 	}
@@ -203,6 +215,9 @@
 		return problem(addr, res)
 	}
 	defer res.Body.Close()
+	if s, is := out.(*State); is {
+		s.Said = ReadLimit(res.Header.Values(HeaderLimit))
+	}
 	if out == nil {
 		_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxReport))
 		return errors.Wrap(err, path)
--- a/endpoint/wire.go
+++ b/endpoint/wire.go
@@ -29,6 +29,10 @@
 	HeaderTeam       = "X-Team" // that the request belongs to
 )
 
+// HeaderLimit is how an endpoint in need names in its answers how many requests a second it
+// takes, from all hosts together and for as long as it says so.
+const HeaderLimit = "X-Request-Limit"
+
 // BytesPerToken is how many bytes of prompt the router counts as one token.
 // Engines count for themselves; the router's figure only has to be close.
 const BytesPerToken = 4
@@ -143,6 +147,8 @@
 	// reports carry it; Lists says so.
 	Held  []Running `json:"-"`
 	Lists bool      `json:"-"`
+	// Said is what the report's head says of the endpoint's limit.
+	Said Said `json:"-"`
 }
 
 // Running is one row of an endpoint's list of what it holds.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/embercove/embercove/copies"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/pace"
 	"github.com/embercove/embercove/peer"
 	"github.com/embercove/embercove/quarantine"
 	"github.com/embercove/embercove/quota"
@@ -37,6 +38,7 @@
 	Trial(ctx context.Context, a quarantine.Ask) quarantine.Reply
 	TrialDone(f request.Fingerprint, holder uint64, settled bool)
 	TellMarks(rows []quarantine.Row)
+	Heard(spec *config.Endpoint, w pace.Word)
 }
 
 // Entry serves callers. Use New.
@@ -60,8 +62,11 @@
 	barred     barCounts
 	ends       ends
 	waiting    waiting
+	slips      slips
 
-	Unstarted atomic.Uint64 // calls for which a cold endpoint had no start in time
+	Unstarted  atomic.Uint64 // calls for which a cold endpoint had no start in time
+	Limited    atomic.Uint64 // calls to endpoints that named a limit
+	Unreadable atomic.Uint64 // limits that endpoints named and that can't be read
 }
 
 // New returns an entry over the board.
--- a/entry/place_test.go
+++ b/entry/place_test.go
@@ -15,6 +15,7 @@
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/pace"
 	"github.com/embercove/embercove/peer"
 	"github.com/embercove/embercove/quarantine"
 	"github.com/embercove/embercove/quota"
@@ -83,6 +84,7 @@
 }
 func (s *stubOwners) TrialDone(request.Fingerprint, uint64, bool) {}
 func (s *stubOwners) TellMarks([]quarantine.Row)                  {}
+func (s *stubOwners) Heard(*config.Endpoint, pace.Word)           {}
 
 func (s *stubOwners) Start(context.Context, *config.Endpoint, time.Duration) peer.Start {
 	return peer.Start{Given: true, Until: time.Now().Add(time.Second)}
--- a/entry/read.go
+++ b/entry/read.go
@@ -166,7 +166,7 @@
 
 func (e *Entry) call(j *job, spec *config.Endpoint, a request.Attempt) endpoint.Call {
 	call := endpoint.Call{Address: spec.Address, Attempt: a.String(), Name: spec.Name, Version: j.view.WantVersion(spec), Repeatable: j.repeatable,
-		KeepMillis: spec.ResultKeepMillis}
+		KeepMillis: spec.ResultKeepMillis, Hear: e.hearer(spec)}
 	if j.team != defaultTeam {
 		call.Team = j.team.Name
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -78,6 +78,8 @@
 		{"starts_given", "starts at cold endpoints that this host gave out", true, func() float64 { return float64(n.Owner.Starts.Given.Load()) }},
 		{"starts_refused", "asks for a start at a cold endpoint that this host refused", true, func() float64 { return float64(n.Owner.Starts.Refused.Load()) }},
 		{"calls_unstarted", "calls of this host for which a cold endpoint had no start in time", true, func() float64 { return float64(n.entry.Unstarted.Load()) }},
+		{"calls_limited", "calls of this host to endpoints that named a limit", true, func() float64 { return float64(n.entry.Limited.Load()) }},
+		{"limits_unreadable", "limits that endpoints named and that can't be read", true, func() float64 { return float64(n.entry.Unreadable.Load()) }},
 		{"orders_sent", "orders sent to endpoints", true, func() float64 { return float64(n.Owner.Orders.Load()) }},
 		{"takeovers", "endpoints taken over", true, func() float64 { return float64(n.Owner.Takeover.Load()) }},
 		{"copies_begun", "answers that began with a place for a copy of their memory", true, func() float64 { return float64(n.entry.Copies.Begun.Load()) }},
--- a/route/state.go
+++ b/route/state.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/pace"
 )
 
 // Flags of a digest.
@@ -56,12 +57,13 @@
 	Region    config.Regions // the one that it lies in
 	Role      config.Role
 	Spec      *config.Endpoint
-	Leaving   bool      // by the configuration
-	Evacuated bool      // its failure domain is being emptied
-	CutOff    time.Time // until when its failure domain counts as cut off from this host
-	ColdUntil time.Time // until when it is cold by its registration
-	MaybeCold time.Time // until when it may be though its registration doesn't say so
-	NoStart   time.Time // before which its owner gives out no start while it is cold
+	Leaving   bool        // by the configuration
+	Evacuated bool        // its failure domain is being emptied
+	CutOff    time.Time   // until when its failure domain counts as cut off from this host
+	ColdUntil time.Time   // until when it is cold by its registration
+	MaybeCold time.Time   // until when it may be though its registration doesn't say so
+	NoStart   time.Time   // before which its owner gives out no start while it is cold
+	Limit     pace.Belief // of how many requests a second it takes
 	Digest    Digest
 	At        time.Time // when the digest was true; zero: never heard of
 	Own       bool      // this host owns it: to ask it costs no message
