pace, entry, owner, peer: an endpoint that names a limit gets that much from all hosts

What callers and operators saw: endpoints that named a limit of requests a second got three times as many, from hosts that had passed these answers on.

Cause: what an answer says of its endpoint was passed on and believed by nobody; nothing in the code had a place for it.

Change: package cold, which gave out the starts at cold endpoints over all hosts, becomes pace and serves both, with one Pace, one set of votes and one start before each call; only the terms differ (ColdTerms, LimitTerms). New are what is believed of an endpoint (Word, Belief: the newest word holds, and an answer without a limit takes back only what was named before its call was sent), who goes first (Order), what a caller that was refused is told (Promise), and what a host sends that reaches no owner (Lone). Hosts tell each other at once when a limit begins and ends; asks for starts carry what the asker knows and bring back what the owner knows. A decode engine's start is had before its prompt is read. A try that found no start is no try.

Why it holds: every call of a request is made after entry.start, at the four places where beginRun is; what is given out has the votes of the endpoint's failure domain, so two that take themselves for the owner share the limit.

--- a/blackboard/endpoints.go
+++ b/blackboard/endpoints.go
@@ -45,8 +45,8 @@
 				states[i].Digest, states[i].At = old.Digest, old.At
 			}
 			states[i].Own, states[i].Sent, states[i].Seen = old.Own, old.Sent, old.Seen
-			states[i].MaybeCold, states[i].NoStart = old.MaybeCold, old.NoStart
-			states[i].Limit = old.Limit
+			states[i].MaybeCold, states[i].NoStart, states[i].Back = old.MaybeCold, old.NoStart, old.Back
+			states[i].Limit, states[i].LimitedUntil, states[i].LimitTold = old.Limit, old.LimitedUntil, old.LimitTold
 			states[i].Limit.Restarted(states[i].Spec.Born)
 			if old.Evacuated && !states[i].Evacuated {
 				states[i].Suspect(time.Now())
@@ -101,8 +101,15 @@
 }
 
 // Hear takes in what an answer of an endpoint said of its limit, and returns what that changes.
+// now is by package clock.
 func (t *EndpointTable) Hear(number uint32, now time.Time, w pace.Word) (c pace.Change) {
-	t.Touch(number, func(s *route.State) { c = s.Limit.Hear(now, w) })
+	t.Touch(number, func(s *route.State) {
+		c = s.Limit.Hear(now, w)
+		s.LimitedUntil = time.Now().Add(s.Limit.Fresh(now))
+		if c == pace.ChangeEnded {
+			s.NoStart, s.Back = time.Time{}, time.Time{}
+		}
+	})
 	return c
 }
 
--- a/copies/copies.go
+++ b/copies/copies.go
@@ -137,9 +137,9 @@
 }
 
 // holds reports whether an endpoint is known to have room for a copy, and bears a request
-// more when the answer goes on there: a cold one may not.
+// more when the answer goes on there: one that is cold or names a limit may not.
 func holds(s *route.State, q *route.Request, r Run) bool {
-	if s.At.IsZero() || s.Cold(q.Now) || s.Digest.WaitMillis > 0 || s.Seen.Shunned(q.Now) || q.Now.Before(s.Seen.Full) {
+	if s.At.IsZero() || s.Cold(q.Now) || s.Limited(q.Now) || s.Digest.WaitMillis > 0 || s.Seen.Shunned(q.Now) || q.Now.Before(s.Seen.Full) {
 		return false
 	}
 	return int(s.Digest.FreeTokens) >= r.Tokens+r.Answer+Spare(s.Spec)
--- a/entry/barred.go
+++ b/entry/barred.go
@@ -83,21 +83,28 @@
 
 // barredSince is the failure of a try whose endpoint was barred before it was called.
 func barredSince(spec *config.Endpoint, b route.Bar) *retryable {
-	code := result.EndpointRefused
+	refusal := result.Errorf(codeOf(b), "%s while the request waited: %s", spec.Name, b).After(time.Second)
+	return &retryable{name: spec.Name, refusal: refusal}
+}
+
+// codeOf returns the code of a refusal by one endpoint over what bars it.
+func codeOf(b route.Bar) result.Code {
 	switch b {
 	case route.BarCold:
-		code = result.Cold
+		return result.Cold
+	case route.BarLimited:
+		return result.Limited
 	case route.BarTrial:
-		code = result.UnderTrial
+		return result.UnderTrial
 	}
-	refusal := result.Errorf(code, "%s while the request waited: %s", spec.Name, b).After(time.Second)
-	return &retryable{name: spec.Name, refusal: refusal}
+	return result.EndpointRefused
 }
 
 // nowhere is the refusal of a job that no endpoint of a list is open to, with what bars
 // most of them.
 func (e *Entry) nowhere(j *job, what string, list func(g *config.Group) []int) *result.Error {
-	blamed, back := route.BarNone, time.Second
+	blamed := route.BarNone
+	var numbers []uint32
 	j.pick.Now = time.Now()
 	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
 		if g := j.group(v); g != nil {
@@ -106,15 +113,17 @@
 			if l := list(g); !slices.ContainsFunc(l, open) { // else no bar is why
 				blamed = route.Blame(states, l, &j.pick)
 			}
-			back = coldBack(states, list(g), j.pick.Now)
+			for _, i := range list(g) {
+				numbers = append(numbers, states[i].Number)
+			}
 		}
 	})
 	e.barred.count(blamed)
 	switch blamed {
 	case route.BarEvacuated:
 		return result.Errorf(result.Evacuated, "no %s is open: %s", what, blamed).After(evacuatedBack)
-	case route.BarCold:
-		return result.Errorf(result.Cold, "no %s is open: %s", what, blamed).After(back)
+	case route.BarCold, route.BarLimited:
+		return result.Errorf(codeOf(blamed), "no %s is open: %s", what, blamed).After(e.startBack(numbers))
 	case route.BarHome:
 		return result.Errorf(result.NoHome, "no %s is open: %s", what, blamed).After(time.Second)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,7 +34,7 @@
 	Touched(number uint32, n int)
 	Draw(ctx context.Context, t *config.Team, n float64) quota.Answer
 	GiveBack(t *config.Team, n float64)
-	Start(ctx context.Context, spec *config.Endpoint, wait time.Duration) peer.Start
+	Start(ctx context.Context, spec *config.Endpoint, a peer.StartAsk) peer.Start
 	Trial(ctx context.Context, a quarantine.Ask) quarantine.Reply
 	TrialDone(f request.Fingerprint, holder uint64, settled bool)
 	TellMarks(rows []quarantine.Row)
--- a/entry/job.go
+++ b/entry/job.go
@@ -51,6 +51,7 @@
 	read     int              // tokens read in all
 	attempts int              // calls that may have run at an endpoint
 	tries    int              // passes of the whole way
+	unsent   int              // passes that count as none, as no call was made
 	reads    int              // calls to prefill endpoints
 	sends    int              // calls to decode endpoints or services
 	phases   [5]time.Duration // for the log: since came, at the end of each
--- a/entry/place_test.go
+++ b/entry/place_test.go
@@ -86,7 +86,7 @@
 func (s *stubOwners) TellMarks([]quarantine.Row)                  {}
 func (s *stubOwners) Heard(*config.Endpoint, pace.Word)           {}
 
-func (s *stubOwners) Start(context.Context, *config.Endpoint, time.Duration) peer.Start {
+func (s *stubOwners) Start(context.Context, *config.Endpoint, peer.StartAsk) peer.Start {
 	return peer.Start{Given: true, Until: time.Now().Add(time.Second)}
 }
 
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -78,6 +78,10 @@
 		return result.Errorf(reply.Code, "no decode memory on %s in time", p.dec.Name).After(time.Duration(reply.Retry) * time.Millisecond)
 	}
 	p.reserved, p.start = true, now.Add(time.Duration(reply.InMillis)*time.Millisecond)
+	if refusal := e.startAhead(ctx, j, p, in); refusal != nil {
+		e.releaseDecode(j, p, owner.GivenUp)
+		return refusal
+	}
 	return nil
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -40,6 +40,7 @@
 		if !errors.As(err, &again) {
 			return asResult(err)
 		}
+		j.uncount(again)
 		if refusal := e.mayRetry(ctx, j, again); refusal != nil {
 			return refusal
 		}
@@ -55,6 +56,7 @@
 type retryable struct {
 	name       string // of the endpoint
 	stay       bool   // it may be tried again at the endpoint
+	unsent     bool   // it had no start there, and no call was made
 	mayHaveRun bool
 	refusal    *result.Error // what the caller is told when there is no other try
 }
@@ -62,6 +64,19 @@
 // Error implements the error interface.
 func (r *retryable) Error() string { return r.refusal.Error() }
 
+// mostUnsent is how many tries that made no call count as none: as many as a request can leave
+// out.
+const mostUnsent = route.MostExcluded
+
+// uncount has a try that made no call count as none: endpoints that have no start are found
+// out one after the other.
+func (j *job) uncount(r *retryable) {
+	if r.unsent && j.unsent < mostUnsent {
+		j.unsent++
+		j.tries--
+	}
+}
+
 // mayRetry returns nil if the job may be tried again, else what to say.
 func (e *Entry) mayRetry(ctx context.Context, j *job, r *retryable) *result.Error {
 	switch {
@@ -73,7 +88,7 @@
 		return r.refusal
 	case j.tries >= j.view.Doc.Limits.MaxAttempts, r.mayHaveRun && j.attempts >= j.mostAttempts():
 		return r.refusal
-	case !e.affords(j, r):
+	case !r.unsent && !e.affords(j, r):
 		if j.ran {
 			return r.refusal
 		}
--- a/entry/service.go
+++ b/entry/service.go
@@ -101,9 +101,13 @@
 			}
 			failed = e.failed(spec, err)
 		}
+		j.uncount(failed)
 		if refusal := e.mayRetry(ctx, j, failed); refusal != nil {
 			return refusal
 		}
+		if failed.unsent {
+			continue
+		}
 		if !wait.For(ctx, backoffStart) {
 			return asResult(ctx.Err())
 		}
@@ -213,6 +217,7 @@
 const (
 	otherDomainCalls = 4
 	coldCalls        = 8 // a failure domain that returns is filled once the others are busy
+	limitedCalls     = 8 // one that names a limit takes what the others have no room for
 	failingCalls     = 12.0
 	shunnedCalls     = 1000.0
 	fullCalls        = 50.0
@@ -227,6 +232,9 @@
 	if s.Cold(r.Now) {
 		cost += coldCalls
 	}
+	if s.Limited(r.Now) {
+		cost += limitedCalls
+	}
 	if s.Seen.Shunned(r.Now) {
 		cost += shunnedCalls
 	}
--- a/entry/start_test.go
+++ b/entry/start_test.go
@@ -26,7 +26,7 @@
 	whole  int          // starts before the moment atStart
 }
 
-func (s *startScene) Start(_ context.Context, spec *config.Endpoint, _ time.Duration) peer.Start {
+func (s *startScene) Start(_ context.Context, spec *config.Endpoint, _ peer.StartAsk) peer.Start {
 	s.order = append(s.order, "start at "+spec.Name)
 	if s.whole--; s.whole < 0 {
 		s.leave(atStart, spec.Name)
--- a/entry/write.go
+++ b/entry/write.go
@@ -43,11 +43,13 @@
 			continue
 		}
 		e.secure(ctx, j, p) // before the start, which lapses
-		if r := e.start(ctx, j, p.dec); r != nil {
-			if err := e.moveFrom(ctx, j, p, kv, lapses, route.BarCold); err != nil {
-				return err
+		if !p.begins.take(p.dec) {
+			if r := e.start(ctx, j, p.dec); r != nil {
+				if err := e.moveFrom(ctx, j, p, kv, lapses, route.BarCold); err != nil {
+					return err
+				}
+				continue
 			}
-			continue
 		}
 		before := j.out.pieces()
 		err := e.decodeOnce(ctx, j, p, kv)
--- a/node/status.go
+++ b/node/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/clock"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/report"
@@ -55,7 +56,11 @@
 	Failing  uint8       `json:"failing_pct"`
 	Age      float64     `json:"digest_age_s"` // -1: never heard of
 	Cold     float64     `json:"cold_s"`       // for which it is or may be cold still; 0: it is warm
-	Starts   uint64      `json:"starts"`       // that this host has given out there while it was cold
+	Starts   uint64      `json:"starts"`       // that this host has given out there while it was cold or named a limit
+	Refused  uint64      `json:"starts_refused"`
+	// Limit is how many requests a second the endpoint names that it takes; nil: it names none.
+	Limit      *float64 `json:"limit_per_s,omitempty"`
+	LimitSince float64  `json:"limit_since_s,omitempty"` // for how long
 }
 
 // QuotaStatus is a team's quota in a failure domain, as the host that holds it there
@@ -104,7 +109,11 @@
 
 func (n *Node) endpointStatus(v *config.View, st *route.State, now time.Time) EndpointStatus {
 	es := EndpointStatus{Endpoint: st.Spec.Name, Role: st.Role, Domain: st.Spec.Domain, State: stateName(st), Queue: st.Digest.QueueMillis,
-		Free: st.Digest.FreeTokens, Slots: st.Digest.FreeSlots, Slow: st.Slow(), Failing: st.Digest.FailPct, Age: -1, Cold: st.ColdFor(now).Seconds(), Starts: n.Owner.Starts.Count(st.Number)}
+		Free: st.Digest.FreeTokens, Slots: st.Digest.FreeSlots, Slow: st.Slow(), Failing: st.Digest.FailPct, Age: -1, Cold: st.ColdFor(now).Seconds()}
+	es.Starts, es.Refused = n.Owner.Starts.Count(st.Number)
+	if w := st.Limit.Word(); w.Named {
+		es.Limit, es.LimitSince = &w.PerSecond, clock.Now().Sub(st.Limit.Since).Seconds()
+	}
 	if !st.At.IsZero() {
 		es.Age = now.Sub(st.At).Seconds()
 	}
@@ -126,6 +135,8 @@
 		return "being ordered"
 	case st.Cold(time.Now()):
 		return "cold"
+	case st.Limit.Word().Named:
+		return "limited"
 	case st.At.IsZero():
 		return "unknown"
 	}
--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -10,6 +10,7 @@
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/pace"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/route"
 )
@@ -29,6 +30,9 @@
 	return p.other.Tell(endpoint), nil
 }
 
+func (p pairPeers) Heard(*config.Endpoint, pace.Word)     {}
+func (p pairPeers) LimitTold(*config.Endpoint, pace.Told) {}
+
 func (p pairPeers) Vote(_ context.Context, _ blackboard.Host, a VoteArgs) (VoteReply, error) {
 	return p.other.Starts.Vote(a), nil
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -21,6 +21,7 @@
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/pace"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/roles"
@@ -35,8 +36,12 @@
 	Handover(ctx context.Context, host blackboard.Host, h Handover) error
 	// Inherit asks a host what it has reserved of an endpoint.
 	Inherit(ctx context.Context, host blackboard.Host, endpoint uint32) (Handover, error)
-	// Vote asks a host for its votes for endpoints that are cold.
+	// Vote asks a host for its votes for endpoints whose starts are given out.
 	Vote(ctx context.Context, host blackboard.Host, a VoteArgs) (VoteReply, error)
+	// Heard takes in what an answer of an endpoint to this host said of its limit.
+	Heard(spec *config.Endpoint, w pace.Word)
+	// LimitTold takes in what another host told of an endpoint's limit.
+	LimitTold(spec *config.Endpoint, t pace.Told)
 }
 
 // Owner holds the books of owned endpoints.
@@ -50,7 +55,7 @@
 	books map[uint32]*Book
 
 	balance balance
-	Starts  *Starts // at cold endpoints
+	Starts  *Starts // at endpoints that are cold or name a limit
 
 	nextAdopt   time.Time
 	fingerprint uint64 // of the members and the revision that owned was worked out for
--- a/owner/starts_test.go
+++ b/owner/starts_test.go
@@ -11,9 +11,9 @@
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/blackboard"
-	"github.com/embercove/embercove/cold"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/pace"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
@@ -55,7 +55,7 @@
 		if given() {
 			t.Error("a start was given out by a process that has just begun")
 		}
-		time.Sleep(cold.Kept)
+		time.Sleep(pace.BindingCold)
 		if !given() {
 			t.Error("no start is given out by the only host")
 		}
@@ -63,11 +63,11 @@
 		if given() {
 			t.Error("a start was given out after a pause")
 		}
-		time.Sleep(cold.Kept)
+		time.Sleep(pace.BindingCold)
 		if !given() {
 			t.Error("no start is given out long after a pause")
 		}
-		if n := o.Starts.Count(number); n != 1 {
+		if n, _ := o.Starts.Count(number); n != 1 {
 			t.Errorf("%d starts counted since the pause, want 1", n)
 		}
 	})
@@ -164,7 +164,7 @@
 	}
 	a := VoteArgs{Endpoints: []uint32{config.NameNumber("e")}}
 	o.Starts.take(a, 1, time.Now(), VoteReply{Given: []bool{true, true}})
-	if o.Starts.Count(a.Endpoints[0]) != 0 {
+	if n, _ := o.Starts.Count(a.Endpoints[0]); n != 0 {
 		t.Error("an answer of another length was taken in")
 	}
 }
--- a/owner/votes.go
+++ b/owner/votes.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/clock"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/route"
 )
@@ -29,18 +30,17 @@
 	return blackboard.Every(startsTick, func(ctx context.Context) { o.Starts.tick(ctx) })
 }
 
-// tick asks for votes for the endpoints that this host owns and that are cold, or that
-// others take for cold, and forgets what nobody asks for.
+// tick asks for votes for the endpoints that this host owns and that are cold or name a limit,
+// or of which others say so, and forgets what nobody asks for.
 func (s *Starts) tick(ctx context.Context) {
 	v := s.board.Config.View()
 	if v == nil {
 		return
 	}
-	now := time.Now()
 	rounds := map[string][]*config.Endpoint{} // by failure domain
-	for _, st := range s.concern(now) {
-		s.logCold(&st, now)
-		if s.owns(v, st.Spec, now) {
+	for _, st := range s.concern(clock.Now()) {
+		s.logCold(&st)
+		if s.owns(v, st.Spec, time.Now()) {
 			rounds[st.Spec.Domain] = append(rounds[st.Spec.Domain], st.Spec)
 		}
 	}
@@ -60,10 +60,15 @@
 			delete(s.paces, n)
 		}
 	}
+	for n, l := range s.lones {
+		if now.Sub(l.used) > idlePace {
+			delete(s.lones, n)
+		}
+	}
 	s.mu.Unlock()
 	s.board.Endpoints.Read(func(_ *config.View, states []route.State) {
 		for i := range states {
-			if st := &states[i]; asked[st.Number] || st.Own && st.Cold(now) {
+			if st := &states[i]; asked[st.Number] || st.Own && (st.Cold(time.Now()) || st.Limit.Fresh(now) > 0) {
 				out = append(out, *st)
 			}
 		}
@@ -74,8 +79,8 @@
 // round asks the hosts of a failure domain for their votes for endpoints in it, and waits
 // for the answers.
 func (s *Starts) round(ctx context.Context, domain, region string, specs []*config.Endpoint) {
-	now := time.Now()
-	hosts, alive := s.board.Hosts.Voters(domain, region, now)
+	now := clock.Now()
+	hosts, alive := s.board.Hosts.Voters(domain, region, time.Now())
 	self := s.board.Hosts.Self()
 	a := VoteArgs{Host: self.Number, Incarnation: self.Incarnation}
 	s.mu.Lock()
@@ -123,10 +128,11 @@
 }
 
 // logCold logs an endpoint that has turned cold or warm.
-func (s *Starts) logCold(st *route.State, now time.Time) {
+func (s *Starts) logCold(st *route.State) {
+	now := time.Now()
 	is := st.Cold(now)
 	s.mu.Lock()
-	p := s.pace(st.Number, now)
+	p := s.pace(st.Number, clock.Now())
 	was, given := p.cold, p.given
 	p.cold = is
 	s.mu.Unlock()
--- a/cold/cold_test.go
+++ b/pace/pace_test.go
@@ -1,4 +1,4 @@
-package cold
+package pace
 
 import (
 	"slices"
@@ -19,12 +19,12 @@
 	return most
 }
 
-// TestBound names bounds of settings that are there and that are missing.
-func TestBound(t *testing.T) {
+// TestColdBound names bounds of settings that are there and that are missing.
+func TestColdBound(t *testing.T) {
 	for _, tc := range []struct{ perSecond, overrun, tolerance, want float64 }{
 		{21, 1.5, 5, 36.5}, {21, 0, 0, 21}, {0, 1.5, 5, 0}, {0.2, 0, 0, 1}, {-1, 1.5, 5, 0},
 	} {
-		if got := Bound(tc.perSecond, tc.overrun, tc.tolerance); got != tc.want {
+		if got := ColdBound(tc.perSecond, tc.overrun, tc.tolerance); got != tc.want {
 			t.Errorf("%v: %v", tc, got)
 		}
 	}
@@ -33,11 +33,11 @@
 // TestBears checks that a host that has had the right for long gives out what the endpoint
 // bears, and that one that asks for more is told the true time.
 func TestBears(t *testing.T) {
-	share := Bound(21, 1.5, 5)
+	share := ColdBound(21, 1.5, 5)
 	var p Pace
 	given := 0
 	for at := time.Duration(0); at < 10*time.Second; at += time.Second / 21 {
-		if _, ok := p.Ask(begin.Add(at), share, 0); ok {
+		if _, ok := p.Ask(begin.Add(at), ColdTerms(share), 0); ok {
 			given++
 		}
 	}
@@ -46,13 +46,13 @@
 	}
 	now := begin.Add(time.Minute)
 	for range 10 {
-		p.Ask(now, share, 0)
+		p.Ask(now, ColdTerms(share), 0)
 	}
-	in, _ := p.Ask(now, share, 0)
-	if _, ok := p.Ask(now.Add(in-time.Millisecond), share, 0); ok {
+	in, _ := p.Ask(now, ColdTerms(share), 0)
+	if _, ok := p.Ask(now.Add(in-time.Millisecond), ColdTerms(share), 0); ok {
 		t.Error("a start was given before the time that was told")
 	}
-	if _, ok := p.Ask(now.Add(in), share, 0); !ok {
+	if _, ok := p.Ask(now.Add(in), ColdTerms(share), 0); !ok {
 		t.Errorf("no start after %s, which was told", in)
 	}
 }
@@ -64,7 +64,7 @@
 		var p Pace
 		var used []time.Duration
 		for at := time.Duration(0); at < 6*time.Second; at += time.Millisecond {
-			if _, ok := p.Ask(begin.Add(at), share, 0); !ok {
+			if _, ok := p.Ask(begin.Add(at), ColdTerms(share), 0); !ok {
 				continue
 			}
 			if at < 3*time.Second {
@@ -85,18 +85,18 @@
 func TestSmallShares(t *testing.T) {
 	var p Pace
 	for _, share := range []float64{0, 0.99} {
-		if in, ok := p.Ask(begin, share, time.Hour); ok || in != Never {
+		if in, ok := p.Ask(begin, ColdTerms(share), time.Hour); ok || in != Never {
 			t.Errorf("a share of %v: %s, %v", share, in, ok)
 		}
 	}
 	var q Pace
 	for range 1000 {
-		q.Ask(begin, 1, 0)
+		q.Ask(begin, ColdTerms(1), 0)
 	}
-	if in, ok := q.Ask(begin, 1, time.Minute); ok || in != Never {
+	if in, ok := q.Ask(begin, ColdTerms(1), time.Minute); ok || in != Never {
 		t.Errorf("one start in all: %s, %v", in, ok)
 	}
-	if in, ok := q.Ask(begin, 1+1e-12, time.Minute); ok || in != Never {
+	if in, ok := q.Ask(begin, ColdTerms(1+1e-12), time.Minute); ok || in != Never {
 		t.Errorf("hardly more than one start in all: %s, %v", in, ok)
 	}
 }
@@ -106,13 +106,13 @@
 	share := 29.2
 	var p Pace
 	for i := range 100 {
-		p.Note(begin.Add(time.Duration(i)*10*time.Millisecond), share)
+		p.Note(begin.Add(time.Duration(i)*10*time.Millisecond), ColdTerms(share))
 	}
 	now := begin.Add(time.Second)
-	if in, ok := p.Ask(now, share, 0); ok || in > 1200*time.Millisecond {
+	if in, ok := p.Ask(now, ColdTerms(share), 0); ok || in > 1200*time.Millisecond {
 		t.Errorf("after 100 in a second: %s, %v", in, ok)
 	}
-	if _, ok := p.Ask(now.Add(1200*time.Millisecond), share, 0); !ok {
+	if _, ok := p.Ask(now.Add(1200*time.Millisecond), ColdTerms(share), 0); !ok {
 		t.Error("what was noted is not forgotten")
 	}
 }
--- a/cold/vote.go
+++ b/pace/vote.go
@@ -1,4 +1,4 @@
-package cold
+package pace
 
 import "time"
 
@@ -11,13 +11,22 @@
 	// Lease is for how long a vote counts from when it was asked for. It is asked for
 	// every 250 ms, so that one round may be lost whole.
 	Lease = 800 * time.Millisecond
-	// MostWait is how far ahead starts are given out.
-	MostWait = 400 * time.Millisecond
-	// Kept is for how long a host gives its vote to nobody else: until what was given out
-	// by it is used, and a second more, as that is what the bound is counted over.
-	Kept = Lease + MostWait + Lag + time.Second
+	// Binding is for how long a host gives its vote to nobody else: until what was given out by
+	// it is used.
+	Binding = Lease + MostWait + Lag
+	// BindingCold is the same where the endpoint may be cold, and longer by the window that the
+	// bound of cold endpoints is counted over, as that bound has no room for two bursts in it.
+	BindingCold = Binding + ColdWindow
 )
 
+// bindingFor returns for how long a vote for an endpoint is given to nobody else.
+func bindingFor(mayBeCold bool) time.Duration {
+	if mayBeCold {
+		return BindingCold
+	}
+	return Binding
+}
+
 // Holder is a process that asks for votes. One that was started anew knows nothing of
 // what its predecessor gave out, and is another.
 type Holder struct {
@@ -41,14 +50,15 @@
 
 // Give gives the vote for an endpoint to a holder, and reports whether it did. A process
 // that has just begun may have given it to another before, and gives none.
-func (v *Votes) Give(now time.Time, endpoint uint32, h Holder) bool {
-	if now.Sub(v.began) < Kept {
+func (v *Votes) Give(now time.Time, endpoint uint32, mayBeCold bool, h Holder) bool {
+	bound := bindingFor(mayBeCold)
+	if now.Sub(v.began) < bound {
 		return false
 	}
 	if cur, ok := v.given[endpoint]; ok && cur.to != h && now.Before(cur.until) {
 		return false
 	}
-	v.given[endpoint] = vote{h, now.Add(Kept)}
+	v.given[endpoint] = vote{h, now.Add(bound)}
 	return true
 }
 
--- a/cold/vote_test.go
+++ b/pace/vote_test.go
@@ -1,4 +1,4 @@
-package cold
+package pace
 
 import (
 	"slices"
@@ -21,18 +21,18 @@
 		to       Holder
 		want     bool
 	}{
-		{"just begun", Kept - 1, 7, one, false},
-		{"the first that asks", Kept, 7, one, true},
-		{"another one", Kept + 1, 7, two, false},
-		{"another endpoint", Kept + 1, 8, two, true},
-		{"the first again", Kept + time.Second, 7, one, true},
-		{"the first, started anew", Kept + time.Second, 7, Holder{1, 2}, false},
-		{"another one before it is free", 2*Kept + time.Second - 1, 7, two, false},
-		{"another one once it is free", 2*Kept + time.Second, 7, two, true},
-		{"the first, too late", 2*Kept + time.Second, 7, one, false},
+		{"just begun", BindingCold - 1, 7, one, false},
+		{"the first that asks", BindingCold, 7, one, true},
+		{"another one", BindingCold + 1, 7, two, false},
+		{"another endpoint", BindingCold + 1, 8, two, true},
+		{"the first again", BindingCold + time.Second, 7, one, true},
+		{"the first, started anew", BindingCold + time.Second, 7, Holder{1, 2}, false},
+		{"another one before it is free", 2*BindingCold + time.Second - 1, 7, two, false},
+		{"another one once it is free", 2*BindingCold + time.Second, 7, two, true},
+		{"the first, too late", 2*BindingCold + time.Second, 7, one, false},
 	} {
 		v.Forget(at(tc.at))
-		if got := v.Give(at(tc.at), tc.endpoint, tc.to); got != tc.want {
+		if got := v.Give(at(tc.at), tc.endpoint, true, tc.to); got != tc.want {
 			t.Errorf("%s: %v", tc.name, got)
 		}
 	}
@@ -82,7 +82,7 @@
 // delays. Whatever is used within one second stays below the bound.
 func TestAnySecond(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		bound := Bound(rapid.Float64Range(1, 60).Draw(t, "bears"), rapid.Float64Range(0, 3).Draw(t, "overrun"),
+		bound := ColdBound(rapid.Float64Range(1, 60).Draw(t, "bears"), rapid.Float64Range(0, 3).Draw(t, "overrun"),
 			rapid.Float64Range(0, 20).Draw(t, "tolerance"))
 		voters := make([]*Votes, rapid.IntRange(1, 6).Draw(t, "voters"))
 		for i := range voters {
@@ -101,7 +101,7 @@
 				h.right.Ask(len(voters))
 				for i, v := range voters {
 					asked := now.Add(-time.Duration(rapid.Int64Range(0, int64(150*time.Millisecond)).Draw(t, "under way")))
-					if rapid.Bool().Draw(t, "reached") && v.Give(now, 7, h.Holder) {
+					if rapid.Bool().Draw(t, "reached") && v.Give(now, 7, true, h.Holder) {
 						h.right.Take(uint32(i), asked, len(voters))
 					}
 				}
@@ -111,7 +111,7 @@
 				*h = holder{Holder: Holder{h.Host, h.Incarnation + 1}}
 			default:
 				for range rapid.IntRange(0, 8).Draw(t, "asks") {
-					in, given := h.pace.Ask(now, bound*h.right.Part(now), MostWait)
+					in, given := h.pace.Ask(now, ColdTerms(bound*h.right.Part(now)), MostWait)
 					if given {
 						used = append(used, at+in+time.Duration(rapid.Int64Range(0, int64(Lag)).Draw(t, "late")))
 					}
--- a/cold/ways_test.go
+++ b/pace/ways_test.go
@@ -1,4 +1,4 @@
-package cold
+package pace
 
 import (
 	"math/rand/v2"
@@ -155,7 +155,7 @@
 
 // give asks a host for a start.
 func (f *fleet) give(i int, at time.Duration, share float64) (time.Duration, bool) {
-	return f.hosts[i].pace.Ask(begin.Add(at), share, MostWait)
+	return f.hosts[i].pace.Ask(begin.Add(at), ColdTerms(share), MostWait)
 }
 
 // way decides whether and when a request at a host may be sent.
@@ -191,7 +191,7 @@
 			if j := k * domains; j != o {
 				f.messages += 2
 			}
-			if f.reaches(o, k*domains, at) && f.hosts[k*domains].votes.Give(now, 7, Holder{uint32(o), h.incarnation}) {
+			if f.reaches(o, k*domains, at) && f.hosts[k*domains].votes.Give(now, 7, true, Holder{uint32(o), h.incarnation}) {
 				h.right.Take(uint32(k), now, len(h.apart))
 			}
 		}
@@ -210,7 +210,7 @@
 				f.messages += 2
 				if f.reaches(i, o, at) && f.owner(o, at) == o {
 					for range want {
-						if _, ok := f.hosts[o].pace.Ask(begin.Add(at), voted(f, o, at), 0); ok {
+						if _, ok := f.hosts[o].pace.Ask(begin.Add(at), ColdTerms(voted(f, o, at)), 0); ok {
 							h.lent++
 						}
 					}
--- a/pace/word.go
+++ b/pace/word.go
@@ -1,9 +1,12 @@
 package pace
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Word is what an answer of an endpoint said of how many requests a second the endpoint takes,
-// from all hosts together.
+// from all hosts together. The zero value: nothing was heard.
 type Word struct {
 	Named     bool    // it named a limit; else it came without one
 	PerSecond float64 // requests
@@ -14,6 +17,28 @@
 	Born int64 // start of the endpoint's process; 0: unknown
 }
 
+// Told is a word as hosts tell it each other, whose clocks differ.
+type Told struct {
+	Heard     bool
+	Named     bool
+	PerSecond float64
+	AgeMillis int64
+	Born      int64
+}
+
+// Tell returns the word for another host.
+func (w Word) Tell(now time.Time) Told {
+	return Told{!w.At.IsZero(), w.Named, w.PerSecond, now.Sub(w.At).Milliseconds(), w.Born}
+}
+
+// Word returns what was told, as heard now.
+func (t Told) Word(now time.Time) Word {
+	if !t.Heard {
+		return Word{}
+	}
+	return Word{t.Named, t.PerSecond, now.Add(-time.Duration(t.AgeMillis) * time.Millisecond), t.Born}
+}
+
 // Change is what a word changes in what is believed.
 type Change uint8
 
@@ -32,11 +57,26 @@
 
 // Belief is what is believed of an endpoint: its newest word. The zero value has heard none.
 type Belief struct {
-	word Word
 	// Since is when this host first heard of a limit that is named still, by package clock.
 	Since time.Time
+
+	word   Word
+	lifted time.Time // when this host heard that the limit is over
+	before float64   // the limit until then
 }
 
+const (
+	// freshFor is how long a named limit makes its endpoint the dearer choice. Later a request
+	// may find out whether it still holds.
+	freshFor = 2 * time.Second
+	// rampFor is how long an endpoint whose limit is over is still sent no more than rises by
+	// so much: all hosts hear of the end at once, and it has less in progress than the others.
+	rampFor    = 750 * time.Millisecond
+	rampDouble = 125 * time.Millisecond
+	// rampLeast is where the rise begins at the least, in requests a second.
+	rampLeast = 4.0
+)
+
 // Hear takes a word in and returns what it changes. An earlier process of the endpoint has
 // nothing to say for a later one; of the words of one process the newest holds, whoever heard it.
 func (b *Belief) Hear(now time.Time, w Word) Change {
@@ -56,6 +96,7 @@
 	case w.Named && w.PerSecond != before.PerSecond:
 		return ChangeValue
 	case !w.Named && before.Named:
+		b.lifted, b.before = now, before.PerSecond
 		return ChangeEnded
 	}
 	return ChangeNone
@@ -71,3 +112,24 @@
 
 // Word returns the newest word.
 func (b *Belief) Word() Word { return b.word }
+
+// Limit returns how many requests a second the endpoint may be sent now by all hosts together,
+// where that is bounded.
+func (b *Belief) Limit(now time.Time) (perSecond float64, bounded bool) {
+	if b.word.Named {
+		return b.word.PerSecond, true
+	}
+	since := now.Sub(b.lifted)
+	if b.lifted.IsZero() || since >= rampFor {
+		return 0, false
+	}
+	return max(b.before, rampLeast) * math.Exp2(since.Seconds()/rampDouble.Seconds()), true
+}
+
+// Fresh returns for how long still the endpoint is the dearer choice.
+func (b *Belief) Fresh(now time.Time) time.Duration {
+	if !b.word.Named {
+		return 0
+	}
+	return max(0, freshFor-now.Sub(b.word.At))
+}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -12,6 +12,7 @@
 	methodReserve   = "P.Reserve"
 	methodStart     = "P.Start"
 	methodVote      = "P.Vote"
+	methodLimit     = "P.Limit"
 	methodEnqueue   = "P.Enqueue"
 	methodRelease   = "P.Release"
 	methodExchange  = "P.Exchange"
--- a/peer/quota.go
+++ b/peer/quota.go
@@ -118,11 +118,15 @@
 			}
 		}
 	}
-	even := 1 / float64(c.Hosts)
+	return r.board.Quotas.Alone(time.Now(), team, n, r.evenPart(c))
+}
+
+// evenPart returns this host's even part of the fleet.
+func (r *Router) evenPart(c blackboard.Census) float64 {
 	if r.unmet(c) {
-		even = metNobody
+		return metNobody
 	}
-	return r.board.Quotas.Alone(time.Now(), team, n, even)
+	return 1 / float64(c.Hosts)
 }
 
 // mostHolders is how many hosts are asked to let one request in. An ask that fails takes
--- a/proof/cold_test.go
+++ b/proof/cold_test.go
@@ -14,6 +14,7 @@
 	"github.com/embercove/embercove/examples"
 	"github.com/embercove/embercove/internal/fake"
 	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/peer"
 	"github.com/embercove/embercove/trial"
 )
 
@@ -93,7 +94,7 @@
 		if down || v == nil {
 			continue
 		}
-		start := n.Router.Start(context.Background(), v.ByName[coldName], wait)
+		start := n.Router.Start(context.Background(), v.ByName[coldName], peer.StartAsk{Wait: wait})
 		if !start.Given {
 			continue
 		}
--- a/route/cold.go
+++ b/route/cold.go
@@ -24,6 +24,10 @@
 	return max(time.Millisecond, s.ColdUntil.Sub(now), s.MaybeCold.Sub(now))
 }
 
+// Limited reports whether an endpoint has just named a limit: it takes what others have no room
+// for, and a request may find out later whether the limit still holds.
+func (s *State) Limited(now time.Time) bool { return now.Before(s.LimitedUntil) }
+
 // Suspect takes an endpoint for cold for as long as a start leaves it so, from now on: its
 // failure domain was emptied or cut off, and word of it is up to a heartbeat late.
 func (s *State) Suspect(now time.Time) {
--- a/route/gate.go
+++ b/route/gate.go
@@ -16,6 +16,7 @@
 	BarHome          // its region is not one in which the request may be served
 	BarRegion        // in another region, which the request has no reason to go to
 	BarCold          // cold, and no start is to be had there yet
+	BarLimited       // it names a limit, and no start is to be had there yet
 	BarExcluded      // refused or failed the request before
 	BarTrial         // a request that is tried with it may end it runs there
 	bars
@@ -44,6 +45,8 @@
 		return "in another region"
 	case BarCold:
 		return "cold, with no start to be had yet"
+	case BarLimited:
+		return "at the limit that it names, with no start to be had yet"
 	case BarExcluded:
 		return "refused or failed this request before"
 	case BarTrial:
@@ -62,7 +65,7 @@
 
 // Label returns the bar as a label of metrics.
 func (b Bar) Label() string {
-	return [bars]string{"", "gone", "leaving", "emptied", "down", "wrong_state", "cut_off", "no_home", "other_region", "cold", "excluded", "trial"}[b]
+	return [bars]string{"", "gone", "leaving", "emptied", "down", "wrong_state", "cut_off", "no_home", "other_region", "cold", "limited", "excluded", "trial"}[b]
 }
 
 // Barred returns why a request may not be sent to an endpoint of any role now; BarNone:
@@ -85,6 +88,8 @@
 		return BarRegion
 	case r.Now.Before(s.NoStart) && s.Cold(r.Now):
 		return BarCold
+	case r.Now.Before(s.NoStart) && s.Limit.Word().Named:
+		return BarLimited
 	case r.Excluded(s.Number):
 		return BarExcluded
 	}
--- a/route/pick.go
+++ b/route/pick.go
@@ -81,6 +81,7 @@
 	costSeenFailing = 1.000 // every recent call from this host failed
 	costHurt        = 0.100 // on trial: for each request in progress there, which may end with it; ten of them are worth a second more
 	costCold        = 0.080 // cold: slow itself, and a start has to be asked for; small, so that one that returns is filled slowly and not left
+	costLimited     = 0.080 // names a limit: it takes what the others have no room for
 	costShunned     = 8.000 // out of reach when this host last tried
 	jitterShare     = 0.10  // of a cost, by which near-equal endpoints trade places
 )
@@ -206,6 +207,9 @@
 	if s.Cold(r.Now) {
 		cost += costCold
 	}
+	if s.Limited(r.Now) {
+		cost += costLimited
+	}
 	if s.Domain != r.Home {
 		cost += costOtherDomain
 	}
--- a/route/state.go
+++ b/route/state.go
@@ -51,24 +51,27 @@
 // State is an endpoint as one host sees it: its configuration and the last
 // digest.
 type State struct {
-	Number    uint32
-	Index     int            // in the configuration's list
-	Domain    int            // index in the configuration's list
-	Region    config.Regions // the one that it lies in
-	Role      config.Role
-	Spec      *config.Endpoint
-	Leaving   bool        // by the configuration
-	Evacuated bool        // its failure domain is being emptied
-	CutOff    time.Time   // until when its failure domain counts as cut off from this host
-	ColdUntil time.Time   // until when it is cold by its registration
-	MaybeCold time.Time   // until when it may be though its registration doesn't say so
-	NoStart   time.Time   // before which its owner gives out no start while it is cold
-	Limit     pace.Belief // of how many requests a second it takes
-	Digest    Digest
-	At        time.Time // when the digest was true; zero: never heard of
-	Own       bool      // this host owns it: to ask it costs no message
-	Sent      int       // sent by this host and not ended
-	Seen      Experience
+	Number       uint32
+	Index        int            // in the configuration's list
+	Domain       int            // index in the configuration's list
+	Region       config.Regions // the one that it lies in
+	Role         config.Role
+	Spec         *config.Endpoint
+	Leaving      bool        // by the configuration
+	Evacuated    bool        // its failure domain is being emptied
+	CutOff       time.Time   // until when its failure domain counts as cut off from this host
+	ColdUntil    time.Time   // until when it is cold by its registration
+	MaybeCold    time.Time   // until when it may be though its registration doesn't say so
+	NoStart      time.Time   // before which its owner gives out no start
+	Back         time.Time   // when a caller that has no start there is to come back
+	Limit        pace.Belief // of how many requests a second it takes
+	LimitedUntil time.Time   // until when it is the dearer choice as it names a limit
+	LimitTold    time.Time   // when its owner was last told that it names another limit, by package clock
+	Digest       Digest
+	At           time.Time // when the digest was true; zero: never heard of
+	Own          bool      // this host owns it: to ask it costs no message
+	Sent         int       // sent by this host and not ended
+	Seen         Experience
 }
 
 // Number returns the number that stands for an endpoint's name in messages.
@@ -167,6 +170,14 @@
 	return x.Failed * math.Exp2(-now.Sub(x.At).Seconds()/failureHalf.Seconds())
 }
 
+// Free reports whether an endpoint can take a request more, by what this host knows.
+func (s *State) Free(now time.Time) bool {
+	if s.Limited(now) || s.Cold(now) || s.Seen.Shunned(now) || now.Before(s.Seen.Full) {
+		return false
+	}
+	return s.Role != config.Decode || s.At.IsZero() || s.Digest.FreeSlots > 0
+}
+
 // Shunned reports whether the endpoint counts as out of reach.
 func (x *Experience) Shunned(now time.Time) bool { return now.Before(x.Shun) }
 
