pace, peer, owner: limits under faults, told again, and polls that don't add to them

- a host could keep to a limit that the others knew to be over: an answer that takes a limit back is of the moment its call was sent, and nobody told of a later one.
- polls of an engine that names a limit come on top of it: they are a tenth of it at the most, and no further apart than 3 s.

--- a/blackboard/endpoints.go
+++ b/blackboard/endpoints.go
@@ -46,7 +46,8 @@
 			}
 			states[i].Own, states[i].Sent, states[i].Seen = old.Own, old.Sent, old.Seen
 			states[i].MaybeCold, states[i].NoStart, states[i].Back = old.MaybeCold, old.NoStart, old.Back
-			states[i].Limit, states[i].LimitedUntil, states[i].LimitTold = old.Limit, old.LimitedUntil, old.LimitTold
+			states[i].Limit, states[i].LimitedUntil = old.Limit, old.LimitedUntil
+			states[i].LimitTold, states[i].LimitNews = old.LimitTold, old.LimitNews
 			states[i].Limit.Restarted(states[i].Spec.Born)
 			if old.Evacuated && !states[i].Evacuated {
 				states[i].Suspect(time.Now())
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -7,10 +7,13 @@
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/clock"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/ledger"
+	"github.com/embercove/embercove/pace"
 	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/route"
 )
 
 // pollTimeout bounds a control call to an endpoint.
@@ -92,6 +95,7 @@
 func (o *Owner) poll(ctx context.Context, b *Book) {
 	s := o.board.Settings
 	now := time.Now()
+	every := o.pollEach(b, config.Millis(s.PollMillis))
 	b.mu.Lock()
 	b.fit(o.board.Config.View(), o.share(o.board.Config.View()))
 	state, list, feed := !b.nextState.After(now), !b.nextList.After(now), o.feeds(b) && !b.nextFeed.After(now)
@@ -100,7 +104,6 @@
 			*t = now.Add(every)
 		}
 	}
-	every := config.Millis(s.PollMillis)
 	if b.ledger != nil && b.ledger.Unpaced() {
 		every = min(every, listSoon)
 	}
@@ -127,6 +130,27 @@
 	o.board.Endpoints.Learn(d, time.Now())
 }
 
+const (
+	// pollPart is the part of the limit that an endpoint names that polls may come to.
+	pollPart = 0.1
+	// pollMost is the longest time between two polls: what is known of an endpoint is stale then.
+	pollMost = 3 * time.Second
+)
+
+// pollEach returns the time between two polls of an endpoint. One in need counts what it gets,
+// and whether it counts polls isn't known: they come to so little that the sum stays at its limit.
+func (o *Owner) pollEach(b *Book, usual time.Duration) time.Duration {
+	perSecond, limited := 0.0, false
+	o.board.Endpoints.Find(b.number, func(_ *config.View, s *route.State) { perSecond, limited = s.Limit.Limit(clock.Now()) })
+	if !limited {
+		return usual
+	}
+	if perSecond*pollPart*pollMost.Seconds() <= 1 {
+		return max(usual, pollMost)
+	}
+	return max(usual, time.Duration(float64(time.Second)/(perSecond*pollPart)))
+}
+
 // feeds reports whether an endpoint's cache feed is followed all the time. What
 // decode endpoints keep is looked up when it is asked for.
 func (o *Owner) feeds(b *Book) bool { return b.queue != nil && !o.engine.Traits().DecodeKeeps }
@@ -151,6 +175,7 @@
 	st, err := o.engine.State(ctx, b.spec.Address)
 	o.Polls.Add(1)
 	now := time.Now()
+	o.heard(b, st, err)
 	b.mu.Lock()
 	if err != nil {
 		b.fails++
@@ -189,6 +214,18 @@
 	o.correct(ctx, b, st)
 }
 
+// heard takes in what a report says of the endpoint's limit. Where it names none that says
+// nothing: reports needn't name it.
+func (o *Owner) heard(b *Book, st *endpoint.State, err error) {
+	if err != nil || !st.Said.Named || o.peers == nil {
+		return
+	}
+	b.mu.Lock()
+	spec := b.spec
+	b.mu.Unlock()
+	o.peers.Heard(spec, pace.Word{Named: true, PerSecond: st.Said.PerSecond, At: clock.Now(), Born: spec.Born})
+}
+
 func (o *Owner) pollList(ctx context.Context, b *Book) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
--- a/pace/order.go
+++ b/pace/order.go
@@ -22,10 +22,12 @@
 
 // Order says who goes first where more is asked than may start. Who looks further ahead than
 // others takes the starts before them and isn't refused for their sake: the more urgent, and
-// teams that have had no more than others. Nobody is shut out. The zero value has seen nobody.
+// teams that have had no more than others. Some starts go to whoever asks first, so that nobody
+// is shut out where the more urgent ask for all there is. The zero value has seen nobody.
 type Order struct {
-	had map[uint32]float64 // starts that teams had, fading
-	at  time.Time          // of had
+	given int                // starts so far
+	had   map[uint32]float64 // starts that teams had, fading
+	at    time.Time          // of had
 }
 
 const (
@@ -35,6 +37,8 @@
 	// and orderGrain is a number of starts that is too little for that.
 	unfair     = 1.5
 	orderGrain = 2.0
+	// openEach is of how many starts one goes to whoever asks first.
+	openEach = 4
 	// mostTeams bounds how many teams are remembered.
 	mostTeams = 64
 	// forgotten is what is left of a team's starts when it is forgotten.
@@ -44,6 +48,9 @@
 // Ahead returns how far ahead a start may be given out to one that would wait for so long.
 func (o *Order) Ahead(now time.Time, a Asker, wait time.Duration) time.Duration {
 	o.fade(now)
+	if o.given%openEach == openEach-1 {
+		return min(wait, MostWait)
+	}
 	ahead := MostWait - time.Duration(max(0, a.Priority))*rankWait
 	if o.above(a.Team) {
 		ahead -= rankWait
@@ -63,6 +70,7 @@
 // Had notes that one who asked was given a start.
 func (o *Order) Had(now time.Time, a Asker) {
 	o.fade(now)
+	o.given++
 	if _, known := o.had[a.Team]; !known && len(o.had) >= mostTeams {
 		return
 	}
--- a/pace/ways_test.go
+++ b/pace/ways_test.go
@@ -105,6 +105,7 @@
 	votes       *Votes
 	right       Right
 	pace        Pace
+	lone        Lone
 	incarnation uint64
 	apart       []time.Duration // since when each host of the endpoint's domain is out of reach; 0: it is in reach
 	lent        int
--- a/pace/word.go
+++ b/pace/word.go
@@ -126,6 +126,15 @@
 	return max(b.before, rampLeast) * math.Exp2(since.Seconds()/rampDouble.Seconds()), true
 }
 
+// Changed reports whether a limit has just begun to be named, or is just over.
+func (b *Belief) Changed(now time.Time) bool {
+	at := b.Since
+	if !b.word.Named {
+		at = b.lifted
+	}
+	return !at.IsZero() && now.Sub(at) < rampFor
+}
+
 // Fresh returns for how long still the endpoint is the dearer choice.
 func (b *Belief) Fresh(now time.Time) time.Duration {
 	if !b.word.Named {
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -32,6 +32,26 @@
 		r.tellLimit(spec)
 	case pace.ChangeValue:
 		r.tellOwner(spec)
+	case pace.ChangeNone:
+		r.confirmLimit(spec)
+	}
+}
+
+// limitAgain is how long after the last word of a change it is told again, with what is known by
+// then.
+const limitAgain = 100 * time.Millisecond
+
+// confirmLimit tells of a change again for some time, with a later answer. One that took a limit
+// back is of the moment at which its call was sent: hosts that had heard the limit a moment later
+// keep to it, and those that take it for over see no change any more. Words are lost, too.
+func (r *Router) confirmLimit(spec *config.Endpoint) {
+	due := false
+	r.board.Endpoints.Find(config.NameNumber(spec.Name), func(_ *config.View, s *route.State) {
+		now := clock.Now()
+		due = s.Limit.Changed(now) && now.Sub(s.LimitNews) >= limitAgain
+	})
+	if due {
+		r.tellLimit(spec)
 	}
 }
 
@@ -54,6 +74,7 @@
 // tellLimit tells all live hosts what this one knows of an endpoint's limit.
 func (r *Router) tellLimit(spec *config.Endpoint) {
 	args := LimitArgs{Endpoint: config.NameNumber(spec.Name), Limit: r.limitOf(spec)}
+	r.noteLimitNews(args.Endpoint)
 	for _, group := range standingGroups(r.otherHosts(time.Now(), anyHost)) {
 		go r.tellLimitTo(context.Background(), group, args)
 	}
@@ -94,10 +115,16 @@
 	}
 }
 
+// noteLimitNews notes that hosts are told of an endpoint's limit.
+func (r *Router) noteLimitNews(number uint32) {
+	r.board.Endpoints.Touch(number, func(s *route.State) { s.LimitNews = clock.Now() })
+}
+
 // Limit takes in what another host tells of an endpoint's limit.
 func (s *server) Limit(a *LimitArgs, _ *Nothing) error {
 	if v := s.r.board.Config.View(); v != nil && v.ByNumber[a.Endpoint] != nil {
 		s.r.LimitTold(v.ByNumber[a.Endpoint], a.Limit)
+		s.r.noteLimitNews(a.Endpoint)
 	}
 	for _, n := range a.Onward {
 		go s.r.tellLimitTo(s.ctx, []uint32{n}, LimitArgs{Endpoint: a.Endpoint, Limit: a.Limit})
--- a/proof/cold_test.go
+++ b/proof/cold_test.go
@@ -37,15 +37,21 @@
 	stop  chan struct{}
 	wait  sync.WaitGroup
 
+	limit float64 // requests a second that the endpoint names; 0: it is cold
+
 	mu   sync.Mutex
 	used []time.Time
+	told []time.Time // when each host last heard of the limit for the first time; zero: it hasn't
 }
 
 const farPart = " far"
 
-func startCold(t *testing.T, hosts int) *coldScene {
+func startCold(t *testing.T, hosts int) *coldScene { return startShared(t, hosts, 0) }
+
+// startShared starts a fleet whose shared endpoint names a limit, or is cold.
+func startShared(t *testing.T, hosts int, limit float64) *coldScene {
 	t.Helper()
-	s := &coldScene{scene: &scene{t: t, net: fake.NewNetwork(), gone: map[int]bool{}}, hosts: hosts, stop: make(chan struct{})}
+	s := &coldScene{limit: limit, told: make([]time.Time, hosts), scene: &scene{t: t, net: fake.NewNetwork(), gone: map[int]bool{}}, hosts: hosts, stop: make(chan struct{})}
 	c, err := trial.Start(trial.Options{Document: examples.Domaskra, Hosts: hosts, Network: s.net, Fatal: s.fail,
 		Change: func(d *config.Document) {
 			hundreds(d)
@@ -70,7 +76,13 @@
 	}
 	s.Cluster = c
 	for i := range hosts {
-		s.wait.Go(func() { s.ask(i) })
+		s.wait.Go(func() {
+			if limit > 0 {
+				s.askLimited(i)
+				return
+			}
+			s.ask(i)
+		})
 	}
 	return s
 }
@@ -179,6 +191,7 @@
 		s.t.Error(err)
 	}
 	s.down[i] = false
+	s.told[i] = time.Time{}
 }
 
 // TestCold has several hundred hosts share one cold endpoint and cuts them in two, part
@@ -208,13 +221,9 @@
 	})
 }
 
-// TestColdFaults has one thing fail at a time while hosts share a cold endpoint.
-func TestColdFaults(t *testing.T) {
-	const hosts = 60
-	for _, tc := range []struct {
-		name   string
-		strike func(s *coldScene)
-	}{
+// sharedFaults are what befalls a fleet that shares an endpoint, one at a time.
+func sharedFaults() []sharedFault {
+	return []sharedFault{
 		{"its owner is killed", func(s *coldScene) { s.killHost(s.owner()) }},
 		{"its owner is killed and restarted", func(s *coldScene) {
 			i := s.owner()
@@ -259,7 +268,19 @@
 				s.pass(2 * time.Second)
 			}
 		}},
-	} {
+	}
+}
+
+// sharedFault is something that befalls a fleet.
+type sharedFault struct {
+	name   string
+	strike func(s *coldScene)
+}
+
+// TestColdFaults has one thing fail at a time while hosts share a cold endpoint.
+func TestColdFaults(t *testing.T) {
+	const hosts = 60
+	for _, tc := range sharedFaults() {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := startCold(t, hosts)
