entry: engines that were closed to a request in turn are looked at again

What callers saw: half a minute after many requests that end engines, one of 20 under suspicion was refused as no_decode_memory, after its prompt was read, though engines were free. Change: those left out so are looked at again each 50 ms while the prompt's result is kept; after that the try gives back what it holds and is made again. Why it holds: engines are closed for the time of an answer, and a trial is given only where fewer are closed or spoken for than there are.

--- a/entry/barred.go
+++ b/entry/barred.go
@@ -143,8 +143,14 @@
 		return barredSince(p.dec, b)
 	}
 	e.moveOn(ctx, j, p, owner.GivenUp, true)
+	if p.dec == nil && b == route.BarTrial {
+		e.lookAgain(ctx, j, p, lapses)
+	}
 	if p.dec == nil {
 		e.drop(j, p, kv)
+		if b == route.BarTrial {
+			return closedInTurn(j, p)
+		}
 		if none := e.nowhere(j, "decode endpoint", decodeList); !j.ran && none.Code != result.NoEndpoint {
 			return none
 		}
--- a/entry/place.go
+++ b/entry/place.go
@@ -27,6 +27,7 @@
 	begins   begins          // the start that it has at the decode engine already
 	copy     *backup         // keeps a copy of the answer's memory; nil: none does
 	lastDec  *config.Endpoint
+	open     [route.MostExcluded]uint32 // endpoints that were left out before its answer was to be written
 }
 
 // lastOr returns the decode endpoint that was tried last.
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -89,6 +89,30 @@
 	return refusal
 }
 
+// closedAgain is when engines are looked at again at each of which another suspect ran.
+const closedAgain = 50 * time.Millisecond
+
+// lookAgain finds a decode engine for a result that is still kept, after another suspect ran at
+// one after the other. They were left out as they were closed just then, which they are for the
+// time of an answer only: left out for good, requests were refused beside free engines.
+func (e *Entry) lookAgain(ctx context.Context, j *job, p *plan, lapses time.Time) {
+	if time.Until(lapses) < lastMoment+closedAgain || !wait.For(ctx, closedAgain) {
+		return
+	}
+	e.board.Requests.Close(p.decodeBy)
+	j.pick.Exclude = p.open
+	e.findDecode(ctx, j, p)
+}
+
+// closedInTurn is what becomes of a try whose result lapsed so, after it has given back what it
+// held: it is tried again.
+func closedInTurn(j *job, p *plan) error {
+	j.pick.Exclude = p.open
+	r := barredSince(p.lastDec, route.BarTrial)
+	r.stay = true
+	return r
+}
+
 // ask is mayRun and mayRunAt; a says all of what is asked but whose it is.
 func (e *Entry) ask(ctx context.Context, j *job, a quarantine.Ask, most time.Duration) (elsewhere bool, refusal *result.Error) {
 	if e.board.Suspects.Quiet() {
--- a/entry/write.go
+++ b/entry/write.go
@@ -24,6 +24,7 @@
 		lapses = time.Now().Add(kept(kv))
 	}
 	full, lost := 0, 0
+	p.open = j.pick.Exclude
 	defer func() { e.dropCopy(j, p) }()
 	for {
 		for b := e.bars(j, p.dec); b != route.BarNone; b = e.bars(j, p.dec) {
@@ -200,6 +201,12 @@
 		return
 	}
 	j.pick.Drop(route.Number(p.dec.Name))
+	e.findDecode(ctx, j, p)
+}
+
+// findDecode finds the job's result a decode engine that isn't left out. p.dec is nil when
+// there is none.
+func (e *Entry) findDecode(ctx context.Context, j *job, p *plan) {
 	p.dec = nil
 	c, v := e.chooseDecode(j)
 	if c.Decode < 0 {
