route, config: a host keeps to its part of the connections that a service takes

A pool's connections, which one endpoint takes from all hosts together, were checked as a setting and used by nobody, and an endpoint resets what is beyond them: such a call may have run, and its caller is told no more than that. Change: a plain service is barred to a host that has its even part of the connections in progress (nine tenths of them are shared out); its callers are refused at once as too_late and told to come back after some part of a usual call. Engines need no bar: what they run at once is reserved by their owners, and is less. Why it holds: the parts of all hosts that are known add up to less than all; it needs no message. What it costs: callers that all stick to one host get that host's part alone.

--- a/entry/barred.go
+++ b/entry/barred.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/bits"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -124,12 +125,28 @@
 		return result.Errorf(result.Evacuated, "no %s is open: %s", what, blamed).After(evacuatedBack)
 	case route.BarCold, route.BarLimited:
 		return result.Errorf(codeOf(blamed), "no %s is open: %s", what, blamed).After(e.startBack(numbers))
+	case route.BarConnections:
+		return result.Errorf(result.TooLate, "no %s is open: %s", what, blamed).After(e.usualCall(numbers))
 	case route.BarHome:
 		return result.Errorf(result.NoHome, "no %s is open: %s", what, blamed).After(time.Second)
 	}
 	return result.Errorf(result.NoEndpoint, "no %s that the route allows is in reach", what).After(time.Second)
 }
 
+// usualCall returns when a caller is to come back whose endpoints all have as many calls as they
+// take: after some part of the time of a usual call, by which one of them is over. It is spread,
+// as callers are refused together.
+func (e *Entry) usualCall(list []uint32) time.Duration {
+	took := 0.0
+	for _, number := range list {
+		e.board.Endpoints.Find(number, func(_ *config.View, s *route.State) { took = max(took, s.Seen.Took) })
+	}
+	if took == 0 {
+		return time.Second
+	}
+	return time.Duration((0.5 + rand.Float64()) * took * float64(time.Second))
+}
+
 // evacuatedBack is when callers are told to come back whose endpoints are all being
 // emptied. Nobody says for how long; operators' work takes some seconds at the least.
 const evacuatedBack = 2 * time.Second
--- a/route/gate.go
+++ b/route/gate.go
@@ -1,24 +1,27 @@
 package route
 
+import "github.com/embercove/embercove/config"
+
 // Bar is why a request may not go to an endpoint now.
 type Bar uint8
 
 // The bars, in the order in which they are looked at. Those that hold for any request
 // come first.
 const (
-	BarNone      Bar = iota
-	BarGone          // no longer in the configuration
-	BarLeaving       // the endpoint leaves
-	BarEvacuated     // its failure domain is being emptied
-	BarDown          // out of its owner's reach
-	BarWrong         // not in the state that was ordered
-	BarCutOff        // its failure domain is cut off from this host
-	BarHome          // its region is not one in which the request may be served
-	BarRegion        // in another region, which the request has no reason to go to
-	BarCold          // cold, and no start is to be had there yet
-	BarLimited       // it names a limit, and no start is to be had there yet
-	BarExcluded      // refused or failed the request before
-	BarTrial         // a request that is tried with it may end it runs there
+	BarNone        Bar = iota
+	BarGone            // no longer in the configuration
+	BarLeaving         // the endpoint leaves
+	BarEvacuated       // its failure domain is being emptied
+	BarDown            // out of its owner's reach
+	BarWrong           // not in the state that was ordered
+	BarCutOff          // its failure domain is cut off from this host
+	BarHome            // its region is not one in which the request may be served
+	BarRegion          // in another region, which the request has no reason to go to
+	BarCold            // cold, and no start is to be had there yet
+	BarLimited         // it names a limit, and no start is to be had there yet
+	BarConnections     // this host's part of the connections that it takes is used up
+	BarExcluded        // refused or failed the request before
+	BarTrial           // a request that is tried with it may end it runs there
 	bars
 )
 
@@ -47,6 +50,8 @@
 		return "cold, with no start to be had yet"
 	case BarLimited:
 		return "at the limit that it names, with no start to be had yet"
+	case BarConnections:
+		return "this host's part of the connections that it takes is used up"
 	case BarExcluded:
 		return "refused or failed this request before"
 	case BarTrial:
@@ -65,7 +70,7 @@
 
 // Label returns the bar as a label of metrics.
 func (b Bar) Label() string {
-	return [bars]string{"", "gone", "leaving", "emptied", "down", "wrong_state", "cut_off", "no_home", "other_region", "cold", "limited", "excluded", "trial"}[b]
+	return [bars]string{"", "gone", "leaving", "emptied", "down", "wrong_state", "cut_off", "no_home", "other_region", "cold", "limited", "connections", "excluded", "trial"}[b]
 }
 
 // Barred returns why a request may not be sent to an endpoint of any role now; BarNone:
@@ -90,12 +95,28 @@
 		return BarCold
 	case r.Now.Before(s.NoStart) && s.Limit.Word().Named:
 		return BarLimited
+	case !s.connects(r.Hosts):
+		return BarConnections
 	case r.Excluded(s.Number):
 		return BarExcluded
 	}
 	return BarNone
 }
 
+// connectionsPart is the part of an endpoint's connections that hosts share. Calls that are just
+// being made aren't counted yet, and a host that starts isn't known to the others at once.
+const connectionsPart = 0.9
+
+// connects reports whether one more call keeps this host within its even part of the connections
+// that a plain service takes from all hosts. It resets what is beyond them, and a call that it
+// reset may have run. What engines run at once is known to their owners, and is less.
+func (s *State) connects(hosts int) bool {
+	if s.Role != config.Service || s.Spec.Connections == 0 {
+		return true
+	}
+	return s.Sent < max(1, int(connectionsPart*float64(s.Spec.Connections)/float64(max(1, hosts))))
+}
+
 // Open reports whether a request may be sent to an endpoint of any role now.
 func Open(s *State, r *Request) bool { return Barred(s, r) == BarNone }
 
--- a/route/pick.go
+++ b/route/pick.go
@@ -22,6 +22,7 @@
 	Shut      uint64         // failure domains, by their index, that owners say are being emptied
 	Pair      config.Regions // in which its prompt is read, and so its answer written; 0: not chosen yet
 	Now       time.Time
+	Hosts     int    // of the fleet, as far as this one knows
 	Trial     bool   // it may end the endpoint that runs it: it goes where fewest are in progress
 	Seed      uint64 // spreads the choices of many hosts over near-equal endpoints
 	// FixedPrefill is the number of a prefill endpoint that has already
