--- /dev/null
+++ b/entry/limited_test.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/clock"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/pace"
+	"github.com/embercove/embercove/peer"
+	"github.com/embercove/embercove/report"
+	"github.com/embercove/embercove/result"
+	"github.com/embercove/embercove/route"
+)
+
+// TestNoStartNoTry has a service of eight endpoints, most or all of which name a limit that is
+// used up. Finding that out costs no try: the call is made where there is a start, or refused
+// at once with the soonest time at which there is one.
+func TestNoStartNoTry(t *testing.T) {
+	const endpoints = 8
+	none := peer.Start{In: 700 * time.Millisecond, Back: 900 * time.Millisecond}
+	for _, tc := range []struct {
+		name    string
+		without int // endpoints that have no start
+		code    result.Code
+	}{
+		{"the last one has one", endpoints - 1, 0},
+		{"none has one", endpoints, result.Limited},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				settings := &config.Settings{Host: "h", Domain: "a", Region: "r"}
+				settings.SetDefaults()
+				b := blackboard.New(settings)
+				if _, err := b.Config.Offer(1, []byte(serviceDocument)); err != nil {
+					t.Fatal(err)
+				}
+				roster := &config.Roster{Revision: 1}
+				for i := range endpoints {
+					roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: fmt.Sprint("s", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: "a", Pool: "web", Role: config.Service})
+				}
+				if _, err := b.Config.OfferRoster(roster, time.Now()); err != nil {
+					t.Fatal(err)
+				}
+				v := b.Config.View()
+				b.Endpoints.Fit(v)
+				for i := range endpoints {
+					b.Endpoints.Hear(route.Number(fmt.Sprint("s", i)), clock.Now(), pace.Word{Named: true, PerSecond: 1, At: clock.Now()})
+				}
+				s := &startScene{leavingScene: &leavingScene{t: t, board: b}}
+				for range tc.without {
+					s.script = append(s.script, none)
+				}
+				e := New(b, serviceCalls{s}, s, report.NewRecorder(), zap.NewNop())
+				j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: defaultTeam})
+				j.pool, j.work, j.out = "web", &endpoint.Work{}, newPassage(httptest.NewRecorder(), writeError)
+				began := time.Now()
+				refusal := e.runService(t.Context(), j)
+				if took := time.Since(began); took > 100*time.Millisecond {
+					t.Errorf("it took %v", took)
+				}
+				if tc.code == 0 {
+					if refusal != nil || !strings.HasPrefix(s.order[len(s.order)-1], "call ") {
+						t.Errorf("refused with %v after %v", refusal, s.order)
+					}
+					return
+				}
+				if refusal == nil || refusal.Code != tc.code || !refusal.NotRun() || refusal.RetryAfter < none.In || refusal.RetryAfter > none.Back {
+					t.Errorf("refused with %+v, want %s", refusal, tc.code)
+				}
+				next := e.newJob(v, v.RouteFor("h", "/x"), headers{team: defaultTeam})
+				next.pool, next.work, next.out = "web", &endpoint.Work{}, newPassage(httptest.NewRecorder(), writeError)
+				asked := len(s.order)
+				if again := e.runService(t.Context(), next); again == nil || again.Code != tc.code || len(s.order) != asked {
+					t.Errorf("the next call: %v after %v, want it refused with no ask", again, s.order[asked:])
+				}
+			})
+		})
+	}
+}
