owner: a registration of an earlier start than its report told of forgets nothing

What callers saw: nothing known; an owner forgot what an engine held, until its next report, when a registration of an earlier start came after a report of a later one. Cause: the registration was compared for being another than the report's, not a later one. Change: it has to be later.

--- a/owner/book.go
+++ b/owner/book.go
@@ -86,7 +86,7 @@
 	if spec == nil || v == b.view || spec.Role != b.role {
 		return
 	}
-	again := spec.Born > b.spec.Born && b.spec.Born != 0 && uint64(spec.Born) != b.state.Incarnation // else its report told before
+	again := spec.Born > b.spec.Born && b.spec.Born != 0 && uint64(spec.Born) > b.state.Incarnation // else its report told before of this start, or a later one
 	b.view, b.spec = v, spec
 	if b.ledger != nil {
 		b.ledger.Fit(v, spec, share)
--- a/owner/restart_test.go
+++ b/owner/restart_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/embercove/embercove/endpoint"
 )
 
@@ -112,3 +115,54 @@
 		}
 	}
 }
+
+// TestStartsWithPolls has an engine start again any number of times, while reports and
+// registrations tell of its starts in any order, late ones among them. What its owner takes for
+// held there is what the newest process that it heard of has said.
+func TestStartsWithPolls(t *testing.T) {
+	const first = 1_796_251_000_000
+	rapid.Check(t, func(rt *rapid.T) {
+		o, _, _ := emptyOwner(t, "ddd")
+		e := new(reportEngine)
+		o.engine = e
+		revision := uint64(10)
+		register := func(born int64) {
+			revision++
+			r := rosterOf(revision, "ddd")
+			r.Endpoints[0].Born = born
+			if _, err := o.board.Config.OfferRoster(r, time.Now()); err != nil {
+				rt.Fatal(err)
+			}
+		}
+		register(first)
+		v := o.board.Config.View()
+		b := newBook(v, v.ByName["r00"], 1, time.Now())
+		newest, known, want := int64(first), int64(first), 0
+		for event := range rapid.IntRange(1, 16).Draw(rt, "events") {
+			if rapid.Bool().Draw(rt, "starts again") {
+				newest++
+			}
+			born := rapid.Int64Range(first, newest).Draw(rt, "tells of the start")
+			if rapid.Bool().Draw(rt, "by its registration") {
+				register(born)
+				b.fit(o.board.Config.View(), 1)
+				if born > known {
+					known, want = born, 0
+				}
+			} else {
+				var held []endpoint.Running
+				for k := range rapid.IntRange(0, 3).Draw(rt, "held") {
+					held = append(held, endpoint.Running{ID: fmt.Sprintf("a-%d-%d", event, k), Tokens: 100, Written: 1})
+				}
+				e.state = endpoint.State{Incarnation: uint64(born), Lists: true, Held: held}
+				o.pollState(t.Context(), b)
+				if born >= known {
+					known, want = born, len(held)
+				}
+			}
+			if n := b.ledger.Len(); n != want {
+				rt.Fatalf("%d rows, want %d, of the start %d (event %d, of the start %d)", n, want, known-first, event, born-first)
+			}
+		}
+	})
+}
