--- a/node/metrics.go
+++ b/node/metrics.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
+	"github.com/embercove/embercove/clock"
 	"github.com/embercove/embercove/entry"
 	"github.com/embercove/embercove/meter"
 	"github.com/embercove/embercove/route"
@@ -89,6 +90,7 @@
 		{"copies_gone", "answers that were to go on from a copy that was not there", true, func() float64 { return float64(n.entry.Copies.Gone.Load()) }},
 		{"copied_prompt_tokens", "tokens of prompts whose memory was to be copied", true, func() float64 { return float64(n.entry.Copies.Tokens.Load()) }},
 		{"pauses", "pauses of the process that were noticed", true, func() float64 { return float64(n.Board.Pause.Count()) }},
+		{"suspended_seconds", "for which the machine was suspended since the process started", true, func() float64 { return clock.Suspended().Seconds() }},
 		{"requests_good", "requests answered within both targets", true, func() float64 { return float64(n.Record.Sum().Good) }},
 		{"requests_judged", "requests that count against the objective", true, func() float64 {
 			s := n.Record.Sum()
