--- a/proof/limit_test.go
+++ b/proof/limit_test.go
@@ -184,3 +184,40 @@
 		}
 	}
 }
+
+// TestLimitConfirmed has one host hear a limit just after another was sent the answer without one
+// that ends it. The host keeps to it, as its word is the later one, until an answer of a later
+// call is told, though that changes nothing for who tells it.
+func TestLimitConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 5.7
+		s := startShared(t, 6, limit)
+		close(s.stop) // nobody calls
+		s.wait.Wait()
+		time.Sleep(2 * time.Second)
+		hear := func(i int, named bool, at time.Time) {
+			n := s.Nodes[i]
+			n.Router.Heard(n.Board.Config.View().ByName[coldName], pace.Word{Named: named, PerSecond: limit, At: at})
+		}
+		now := clock.Now()
+		hear(0, true, now)
+		time.Sleep(limitNews)
+		if n := s.lacking(true); n > 0 {
+			t.Errorf("%d hosts haven't heard of the limit", n)
+		}
+		time.Sleep(time.Second) // the limit is news no longer
+		now = clock.Now()
+		hear(1, true, now.Add(100*time.Millisecond))
+		hear(0, false, now.Add(50*time.Millisecond))
+		time.Sleep(limitNews)
+		if n := s.lacking(false); n != 1 {
+			t.Errorf("%d hosts keep to the limit, want the one that heard it last", n)
+		}
+		hear(0, false, now.Add(200*time.Millisecond))
+		time.Sleep(limitNews)
+		if n := s.lacking(false); n > 0 {
+			t.Errorf("%d hosts keep to the limit after an answer of a later call", n)
+		}
+		s.scene.end()
+	})
+}
