--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -59,9 +59,8 @@
 
 // meetTime is how long a host that starts takes to meet the others: two exchanges
 // with a seed, and a time-out of one that is silent. Until then it would take itself
-// for the only host of its domain and all endpoints for its own: 250 hosts that
-// started at once asked 45 decode engines for 17,652 reports in a minute, ten for
-// each one that was due (virtual time).
+// for the only host of its domain and all endpoints for its own, and hundreds of hosts
+// that start at once would each ask all endpoints for their reports.
 const meetTime = 500 * time.Millisecond
 
 // Meeting reports whether the host has only just started and knows of seeds that it
--- a/blackboard/choice.go
+++ b/blackboard/choice.go
@@ -155,8 +155,8 @@
 }
 
 // Candidates are the live, not leaving hosts of a failure domain at one moment, for
-// choices of many keys. First of the table looks through all hosts for each key: of
-// 300 hosts before 3,000 endpoints, that took most of the processor time.
+// choices of many keys. First of the table looks through all hosts for each key, which is
+// dear where hundreds of hosts choose for thousands of endpoints.
 type Candidates struct {
 	hosts   []Host
 	doubted int // how many of them are, which come last
--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -120,11 +120,9 @@
 }
 
 // layOutEach is the least time between two rosters that are put into the view in use
-// though nothing urgent changed, for each endpoint. To lay out 3,000 endpoints and all
-// that follows from them takes some 10 ms of a core and 12 MB of memory
-// (BenchmarkRosterChange), and while roles are ordered the roster changes several times
-// a second. So a change waits for up to 1.4 s there; rosters of up to layOutFree, which
-// take less than a millisecond, are laid out at once.
+// though nothing urgent changed, for each endpoint. What laying out takes grows with the
+// endpoints (BenchmarkRosterChange), and while roles are ordered the roster changes several
+// times a second. Rosters of up to layOutFree cost little and are laid out at once.
 const (
 	layOutEach = 500 * time.Microsecond
 	layOutFree = 200 // endpoints
--- a/blackboard/hosts.go
+++ b/blackboard/hosts.go
@@ -222,8 +222,8 @@
 }
 
 // Each calls f with every known host and whether it is live, in no order. f must
-// not call the table. It copies no table, which List does: with 295 hosts that took
-// a quarter of the processor time of a fleet in virtual time.
+// not call the table. It copies no table, which List does, as it is called often and
+// there may be hundreds of hosts.
 func (t *HostTable) Each(now time.Time, f func(h *Host, live bool)) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
--- a/entry/place.go
+++ b/entry/place.go
@@ -40,9 +40,8 @@
 
 // How many owners are asked for one try, before the request is refused for lack of
 // room. In a large pool what is told of queues is some seconds old, and in a burst
-// those that seemed to be the shortest are full: with four turns asked for, of a pool
-// of 15 that read, half of the requests of a burst were refused while seven engines
-// were given little. An ask takes some milliseconds.
+// those that seemed to be the shortest are full, while others that are little asked
+// for have room. An ask takes some milliseconds.
 const (
 	mostTurnAsks = 12 // prefill engines that have no turn in time
 	mostTurns    = 4  // turns that are given back for lack of decode memory
@@ -201,8 +200,8 @@
 }
 
 // leaveAfter is how long room may be waited for at home by a request that another region
-// has a place for now: the way there and back costs about as much, and of 300 requests that
-// were refused for lack of room two thirds had no time left for it after the wait.
+// has a place for now: the way there and back costs about as much, and after a longer wait
+// most have no time left for it.
 const leaveAfter = 100 * time.Millisecond
 
 // placeDirect places a request for which no prefill engine is in reach on a
--- a/entry/read.go
+++ b/entry/read.go
@@ -57,8 +57,7 @@
 	rel := owner.Release{Attempt: p.readBy, Endpoint: number, Millis: ms(time.Since(began))}
 	if err == nil {
 		// The attempt stays open: its result is kept until the answer begins or it is
-		// dropped, and what isn't open is cancelled by the engine's owner as orphaned. One
-		// of some 700 requests under load lost its result so (virtual time, 30 hosts).
+		// dropped, and what isn't open is cancelled by the engine's owner as orphaned.
 		rel.Cached = ans.Usage.CachedTokens
 		if e.worthTelling(p, rel) {
 			e.owners.Release(p.pre, rel)
--- a/entry/service.go
+++ b/entry/service.go
@@ -133,8 +133,8 @@
 func services(g *config.Group) []int { return g.Service }
 
 // surePart is the part of the time left in which a call has to be answered elsewhere on
-// average, so that most are in time. With all of it, where all regions had a burst calls
-// that would have been refused at once ran late in another: 2,972 late instead of 1,987.
+// average, so that most are in time. With all of it calls that would be refused at once run
+// late in another region where all regions have a burst.
 const surePart = 0.6
 
 // callNeeds returns what a call needs outside of its region, where it takes so long at an
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -80,8 +80,8 @@
 
 // waitsOn is what becomes of a try that gives back what it holds over a refusal at its decode
 // engine. One that had no trial in time tries again, as it may wait for longer while it holds
-// nothing: refused instead, one of 1,500 requests sent alike was lost in 1 of 8 runs where
-// engines ended before the first answer to them (virtual time).
+// nothing: of many requests sent alike, while engines end before the first answer, the last
+// would be refused.
 func waitsOn(refusal *result.Error, spec *config.Endpoint) error {
 	if refusal.Code == result.UnderTrial {
 		return barredSince(spec, route.BarTrial)
--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -77,9 +77,8 @@
 }
 
 // mostJoining is how many endpoints a host takes over at the most while it joins. One
-// that would own more has not met the others yet: of 150 hosts before 1,500 endpoints,
-// which own ten each, all together asked for 35,000 reports in their first two seconds,
-// as those that had met few others took hundreds for theirs (virtual time).
+// that would own more has not met the others yet: of many hosts that start together each
+// would take hundreds of endpoints for its own, and ask all of them for their reports.
 const mostJoining = 32
 
 // tooMany reports whether a host would own more endpoints than it takes over as it joins.
--- a/owner/balance.go
+++ b/owner/balance.go
@@ -97,8 +97,8 @@
 }
 
 // orderable returns the runners of the own failure domain whose orderer this host is. It
-// is worked out anew only when the members or the roster have changed: for 100 hosts
-// before 1,000 endpoints it took a seventh of the processor time at rest.
+// is worked out anew only when the members or the roster have changed, as it looks through
+// all endpoints and is asked for all the time.
 func (o *Owner) orderable(v *config.View, now time.Time) []int {
 	members := o.board.Hosts.Members(now)
 	o.balance.mu.Lock()
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -83,8 +83,8 @@
 }
 
 // advance brings the level up to a moment. The first one finds it full. What was given out by
-// other terms counts for a second of the new ones at the most: by a rate of 200 a second 80 may
-// be given out ahead, which at one of 0.5 would stand for two minutes.
+// other terms counts for a second of the new ones at the most: what was given out ahead by a high
+// rate would else stand for minutes of a low one.
 func (p *Pace) advance(now time.Time, t Terms) {
 	if p.at.IsZero() {
 		p.level, p.at = t.Burst, now
--- a/peer/document.go
+++ b/peer/document.go
@@ -64,8 +64,8 @@
 	return out, errors.Wrapf(err, "pack revision %d", doc.Revision)
 }
 
-// packRoster packs a whole roster. One of 3,000 endpoints takes 17 kB instead of 131,
-// and hosts that start together ask one of them for it: ten did in virtual time.
+// packRoster packs a whole roster, to an eighth of its size: hosts that start together
+// ask one of them for it.
 func (p *packer) packRoster(r *config.Roster) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -133,10 +133,8 @@
 
 // exchangeBudget is what exchanges may cost a host, in bytes a second. A host starts
 // one exchange in each round and answers one on average. Where the region is large,
-// rounds become longer instead of dearer. With 2,500, and 32 heartbeats in each,
-// digests of 74 endpoints were 4.5 s and 7 s old at 90 in 100 of 300 hosts, in the own
-// failure domain and elsewhere; with 4,000 they are 2.5 s and 3 s old, and all traffic
-// with peers is 6 KB a second, of 15 KB that control may take in all.
+// rounds become longer instead of dearer, and digests older. It leaves room for all other
+// traffic with peers in the 15 KB a second that control may take.
 const exchangeBudget = 4000
 
 // every returns the time of a round.
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -157,9 +157,8 @@
 	}
 }
 
-// askFor makes the call of a fetch. A connection that it got no answer on is given up:
-// kept, each later fetch from that host failed on it, and after such an event on 58 hosts
-// changes took 2.5 s instead of 0.3 s to be in force (virtual time).
+// askFor makes the call of a fetch. A connection that it got no answer on is given up: kept,
+// each later fetch from that host would fail on it, and changes come into force seconds later.
 func (r *Router) askFor(from Name) (*FetchReply, error) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
--- a/peer/partner.go
+++ b/peer/partner.go
@@ -48,9 +48,8 @@
 	return []scope{scopeNear, scopeRegion, scopeFar}
 }
 
-// A host that exchanged with each of hundreds in turn would keep a connection to each:
-// of 295 hosts one had 1,304 descriptors open at the most, and 493 with this bound and
-// smaller exchanges. So it keeps to some of a scope, chosen by rendezvous hash, and
+// A host that exchanged with each of hundreds in turn would keep a connection to each, and
+// run out of descriptors. So it keeps to some of a scope, chosen by rendezvous hash, and
 // meets others now and then. Both ways together they join a scope as well as if all
 // were met.
 const (
--- a/peer/quota.go
+++ b/peer/quota.go
@@ -30,8 +30,7 @@
 const holderKey = 0x71756f7461 << 24
 
 // holderGroups is into how many groups teams fall whose limits one host holds, so that
-// what holders tell each other of many teams goes in one message: of 730 teams, 350 hosts
-// and four failure domains each host would tell some 25 others a second, by arithmetic six.
+// what holders tell each other of many teams goes in one message.
 const holderGroups = 64
 
 // keyOf returns the key by whose rendezvous hash a team's holders are chosen.
@@ -106,7 +105,7 @@
 // Draw asks for a team's request of n units to be let in, by the team's holder, the one
 // that stands in for it or, if both are out of reach, by this host's own part of the
 // limit. Without the second, all hosts let a request in by themselves as a holder is
-// lost: 245 ran in a window for which a quota allows 242, of 60 hosts in virtual time.
+// lost, and together more than the quota allows.
 func (r *Router) Draw(ctx context.Context, t *config.Team, n float64) quota.Answer {
 	team, now := r.limited(t), time.Now()
 	c := r.board.Hosts.Census(now)
--- a/peer/rely.go
+++ b/peer/rely.go
@@ -7,7 +7,7 @@
 )
 
 // Hosts that other hosts keep up to date don't ask the platform by themselves: with
-// a watch each, 295 hosts made 5,057 calls in a minute of changes.
+// a watch each, hundreds of hosts make as many calls for each change.
 
 // What a host may rely on that others keep up to date, in shares of the time within which
 // a change has to be in force. Else it asks the platform by itself.
--- a/peer/seed.go
+++ b/peer/seed.go
@@ -72,8 +72,8 @@
 }
 
 // insteadOfSeed makes an exchange with a partner in a round of which others meet a seed.
-// Without, digests of other failure domains were 3.5 to 4 s old at 90 in 100 of 300 hosts
-// instead of 3: what all hosts sent through the seeds had been of use.
+// Without, digests of other failure domains get older: what all hosts send through the
+// seeds is of use.
 func (r *Router) insteadOfSeed(ctx context.Context, round int) {
 	if round%seedEvery != 0 {
 		return
--- a/peer/server.go
+++ b/peer/server.go
@@ -214,8 +214,8 @@
 	return pack(someOf(told))
 }
 
-// mostDigests is how many digests an exchange tells of, some 4 KB. Of 1,500 endpoints it
-// would take 40 KB, rounds would have to last 20 s to stay within their budget, and
+// mostDigests is how many digests an exchange tells of, some 4 KB. With those of thousands of
+// endpoints rounds would have to last many seconds to stay within their budget, and
 // heartbeats and names, which go the same way, would be as late.
 const mostDigests = 160
 
@@ -230,9 +230,8 @@
 	return func(s *route.State) bool { return home < 0 || s.Domain == home }
 }
 
-// someOf returns mostDigests of the digests, each with the same chance. With all sorted by
-// age for each exchange, 100 hosts before 1,000 endpoints used 15.0% of their share of a
-// processor, 8.5% before exchanges became short and many.
+// someOf returns mostDigests of the digests, each with the same chance. To sort all of them by
+// age for each exchange would cost more than the exchange.
 func someOf(ds []route.Digest) []route.Digest {
 	if len(ds) <= mostDigests {
 		return ds
--- a/peer/settle.go
+++ b/peer/settle.go
@@ -33,8 +33,7 @@
 
 // Settle answers a holder of another failure domain, about the teams that this host
 // holds. A host that is asked in the place of the holder, which the asker can't reach,
-// says nothing: its word that nothing is asked here let 271 requests run in a window
-// for which a quota allows 242, of 60 hosts in virtual time.
+// says nothing: by its word that nothing is asked here others would let in all of the limit.
 func (s *server) Settle(a *SettleArgs, reply *SettleReply) error {
 	now := time.Now()
 	for _, row := range a.Rows {
--- a/peer/standing.go
+++ b/peer/standing.go
@@ -25,15 +25,12 @@
 // standingEach is the least time between two times that a host tells its domain. Two hosts
 // of a domain do, each after an answer of the platform, which comes in a third of the bound
 // at the latest: so the others know within relyShare of it that nothing has changed. Without
-// it, word of the answers went by exchanges, took longer, and 58 hosts at rest made 279 calls
-// to the platform in 30 s instead of 60 (virtual time).
+// it, word of the answers goes by exchanges and takes longer, and others ask the platform
+// themselves.
 const standingEach = 500 * time.Millisecond
 
 // A host tells each of few others itself, and of many one in each group, which tells the
-// rest of its group. With all of 150 hosts told by two, these made 149 calls a second and
-// took 8.8 kB/s for it, more than all other control (300 hosts, virtual time). In groups every
-// host makes two calls a second more: the middle one of 60 hosts in two domains 4.07 in all,
-// where 4 are allowed, so the few are some more.
+// rest of its group: where two tell hundreds, that is more than all other control of theirs.
 const (
 	standingFew   = 40 // hosts that are told directly
 	standingGroup = 12 // hosts of a group
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -68,8 +68,8 @@
 }
 
 // beatOfPeer asks a host for its heartbeat. One that has missed a ping is asked over a
-// new connection: where all open ones had gone silent, 60 hosts took each other for
-// gone 1,878 times, because both pings went over the same connection.
+// new connection: where all open ones have gone silent, hosts would take each other for
+// gone, as both pings go over the same connection.
 func (r *Router) beatOfPeer(ctx context.Context, h blackboard.Host) (b Beat, err error) {
 	r.mu.Lock()
 	missed := r.missed[h.Number] > 0
@@ -83,9 +83,8 @@
 }
 
 // lastBeat returns the last heartbeat that a host can have sent which answered the
-// ping before those that it missed. Heartbeats of many hosts are long under way:
-// by the last one that its watcher had seen, a killed host of 300 was taken for
-// live again and again, for up to 16 s in virtual time.
+// ping before those that it missed. Heartbeats of many hosts are long under way: by the
+// last one that its watcher had seen, a killed host would be taken for live again and again.
 func (r *Router) lastBeat(h blackboard.Host) uint64 {
 	return h.Beat + uint64(watchEvery/r.heartbeat()) + 1
 }
--- a/publish/pace.go
+++ b/publish/pace.go
@@ -68,8 +68,8 @@
 }
 
 // rest waits a little where other hosts keep this one up to date, and reports whether
-// they do. A watch of each host is answered for each change: of 5,057 calls that 295 hosts
-// made in a minute of changes, ten watching hosts need a tenth.
+// they do. A watch of each host is answered for each change, and a few watching hosts need a
+// small part of those calls.
 func (f *Follower) rest(ctx context.Context, sink Sink) bool {
 	relies := sink.Relies() && !sink.Eager()
 	f.noteRelying(relies)
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -9,9 +9,8 @@
 // under suspicion costs; other requests cost no message.
 //
 // The load that this answers: one caller with one body whose request ends each endpoint that
-// begins to run it, sent again and again to any host. Without it endpoints ended 54 times in
-// 30 s and 34 of 300 other requests were served, with it 3 times and 300 (two hosts, six
-// endpoints that write and are back after 3 s, virtual time).
+// begins to run it, sent again and again to any host. Each end takes with it what else is in
+// progress there, so that most other requests fail.
 //
 // How blame is found. All requests in progress at an endpoint ended with it, and one of them
 // may have done it, or none. So
--- a/quarantine/event.go
+++ b/quarantine/event.go
@@ -3,8 +3,7 @@
 import "time"
 
 // Who had just begun where a process ended explains the end for all others that were in
-// progress there, on all hosts: in 29 of 29 ends that were looked into, one of the 1 to 11
-// calls that broke off had brought nothing yet. So a request that runs beside several that
+// progress there, on all hosts: what ends a process does so soon after it was sent. So a request that runs beside several that
 // each end an endpoint isn't suspected with them. Where all who had just begun are cleared,
 // or nobody had, the others are suspected.
 
--- a/quarantine/mark.go
+++ b/quarantine/mark.go
@@ -90,8 +90,7 @@
 }
 
 // YoungFor is how long after a call was made its request counts as having just begun, if it
-// has brought a piece: twice as long as it took those that ended endpoints (45 to 127 ms, 29
-// ends). One that has brought nothing yet has just begun however long that takes.
+// has brought a piece. One that has brought nothing yet has just begun however long that takes.
 const YoungFor = 250 * time.Millisecond
 
 // Run is one call to an endpoint that runs a request.
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -40,13 +40,11 @@
 	firstChance  = time.Minute
 	chanceGrowth = 5
 	// sureAfter is how long after its third end a request rests before it is blamed: other
-	// ends, which go on without it, show by then that there are other causes. With 2 s, 3 of
-	// 300 sends of innocent requests were refused as blamed in one of three runs.
+	// ends, which go on without it, show by then that there are other causes.
 	sureAfter = 10 * time.Second
 	// mostOthers is how many ends within othersWithin of a request's last one, at which it
-	// wasn't, speak for other causes: beside 60 requests that each end endpoints, some of 20
-	// that were sent again and again and had done nothing were there three times by chance
-	// (virtual time). Two requests that end endpoints at the same time have three such ends
+	// wasn't, speak for other causes: beside many requests that each end endpoints, some that
+	// are sent again and again and do nothing are there three times by chance. Two requests that end endpoints at the same time have three such ends
 	// of each other. One among others isn't blamed; it rests, first for firstRest and then
 	// each time restGrowth times as long, so that one that does end endpoints is sent three
 	// times in the next 100 s, or until nothing else has ended for othersWithin: what ends
--- a/quota/account.go
+++ b/quota/account.go
@@ -92,8 +92,8 @@
 
 // Open returns the account of a holder that begins to hold a team's limit. The id
 // has to be another for each account. Where no other host can have let anything in it
-// begins with the burst: with the little of an unsettled one, 25 requests were refused in
-// the first two seconds of a calm day of 16 teams, the first since all hosts started.
+// begins with the burst: with the little of an unsettled one, requests within the limit would
+// be refused in the first seconds after all hosts have started.
 func Open(now time.Time, id uint64, l Limit, r Reach) *Account {
 	a := &Account{id: id, limit: l, at: now, others: map[string]*other{}}
 	a.level = opened * a.accrual(now, r)
