route: an endpoint's connections are its pool's, and not told with rosters

A field more in each registration made rosters larger than their test allows (TestPackedRoster: 514 bytes, 510 allowed). The pool is known to every host.

--- a/config/check_fleet.go
+++ b/config/check_fleet.go
@@ -86,7 +86,6 @@
 		c.within(f+".slots", float64(r.Slots), 1, 1e6)
 	}
 	c.within(f+".cold_per_s", r.ColdPerSecond, 0, 1e6)
-	c.within(f+".connections", float64(r.Connections), 0, 1e6)
 	c.within(f+".cold_start_ms", float64(r.ColdStartMillis), 0, 3_600_000)
 }
 
--- a/config/document.go
+++ b/config/document.go
@@ -95,9 +95,6 @@
 	// again under its name holds nothing of before. No clock of a host is compared with it.
 	Born int64 `json:"-"`
 
-	// Connections is how many the endpoint takes from all hosts together; 0: any number.
-	Connections int `json:"connections,omitempty"`
-
 	// ColdPerSecond is how many requests a second the endpoint bears while it is cold;
 	// 0: as many as ever.
 	ColdPerSecond float64 `json:"cold_per_s,omitempty"`
--- a/config/roster.go
+++ b/config/roster.go
@@ -112,7 +112,6 @@
 	if e.LinkBytesPerSecond == 0 {
 		e.LinkBytesPerSecond = p.LinkBytesPerSecond
 	}
-	setInt(&e.Connections, p.Connections)
 	setInt(&e.ColdStartMillis, p.ColdStartMillis)
 	if e.ColdPerSecond == 0 {
 		e.ColdPerSecond = p.ColdPerSecond
--- a/route/gate.go
+++ b/route/gate.go
@@ -111,10 +111,10 @@
 // that a plain service takes from all hosts. It resets what is beyond them, and a call that it
 // reset may have run. What engines run at once is known to their owners, and is less.
 func (s *State) connects(hosts int) bool {
-	if s.Role != config.Service || s.Spec.Connections == 0 {
+	if s.Role != config.Service || s.Connections == 0 {
 		return true
 	}
-	return s.Sent < max(1, int(connectionsPart*float64(s.Spec.Connections)/float64(max(1, hosts))))
+	return s.Sent < max(1, int(connectionsPart*float64(s.Connections)/float64(max(1, hosts))))
 }
 
 // Open reports whether a request may be sent to an endpoint of any role now.
--- a/route/state.go
+++ b/route/state.go
@@ -72,6 +72,7 @@
 	At           time.Time // when the digest was true; zero: never heard of
 	Own          bool      // this host owns it: to ask it costs no message
 	Sent         int       // sent by this host and not ended
+	Connections  int       // that the endpoint takes from all hosts together; 0: any number
 	Seen         Experience
 }
 
@@ -90,6 +91,9 @@
 		n := Number(e.Name)
 		out[i] = State{Number: n, Index: i, Domain: domains[e.Domain], Region: v.RegionSet(v.Region[e.Domain]), Role: e.Role,
 			Spec: e, Leaving: e.Leaving, Evacuated: v.Emptied(e), ColdUntil: e.ColdUntil, Digest: Digest{Number: n}}
+		if p := v.Pools[e.Pool]; p != nil {
+			out[i].Connections = p.Connections
+		}
 	}
 	return out
 }
