entry: a decode engine that has no start for its limit is named as limited

A request whose kept result found no start at a decode engine that names a limit was told that the engine is cold. The try carries what barred it. Besides, plainer names (heldStart) and a constant for the spread of a usual call.

--- a/entry/barred.go
+++ b/entry/barred.go
@@ -85,7 +85,7 @@
 // barredSince is the failure of a try whose endpoint was barred before it was called.
 func barredSince(spec *config.Endpoint, b route.Bar) *retryable {
 	refusal := result.Errorf(codeOf(b), "%s while the request waited: %s", spec.Name, b).After(time.Second)
-	return &retryable{name: spec.Name, refusal: refusal}
+	return &retryable{name: spec.Name, bar: b, refusal: refusal}
 }
 
 // codeOf returns the code of a refusal by one endpoint over what bars it.
@@ -144,9 +144,13 @@
 	if took == 0 {
 		return time.Second
 	}
-	return time.Duration((0.5 + rand.Float64()) * took * float64(time.Second))
+	return time.Duration((callSpread + rand.Float64()) * took * float64(time.Second))
 }
 
+// callSpread is the least part of a usual call after which such a caller comes back; the most is
+// that and a whole one.
+const callSpread = 0.5
+
 // evacuatedBack is when callers are told to come back whose endpoints are all being
 // emptied. Nobody says for how long; operators' work takes some seconds at the least.
 const evacuatedBack = 2 * time.Second
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,7 +64,7 @@
 	waiting    waiting
 	slips      slips
 
-	Unstarted  atomic.Uint64 // calls for which a cold endpoint had no start in time
+	Unstarted  atomic.Uint64 // calls for which there was no start in time
 	Limited    atomic.Uint64 // calls to endpoints that named a limit
 	Unreadable atomic.Uint64 // limits that endpoints named and that can't be read
 }
--- a/entry/place.go
+++ b/entry/place.go
@@ -24,7 +24,7 @@
 	stalls   int             // transfers to this engine that stalled
 	waited   bool            // the decode engine was full when the prompt was read
 	kept     bool            // the decode engine keeps the prompt
-	begins   begins          // the start that it has at the decode engine already
+	held     heldStart       // the start that it has at the decode engine already
 	copy     *backup         // keeps a copy of the answer's memory; nil: none does
 	lastDec  *config.Endpoint
 	open     [route.MostExcluded]uint32 // endpoints that were left out before its answer was to be written
--- a/entry/run.go
+++ b/entry/run.go
@@ -54,9 +54,10 @@
 // retryable is a failure after which the request may be tried again
 // elsewhere, if it may be repeated or did not run.
 type retryable struct {
-	name       string // of the endpoint
-	stay       bool   // it may be tried again at the endpoint
-	unsent     bool   // it had no start there, and no call was made
+	name       string    // of the endpoint
+	stay       bool      // it may be tried again at the endpoint
+	unsent     bool      // it had no start there, and no call was made
+	bar        route.Bar // what barred the endpoint before the call; BarNone: nothing did
 	mayHaveRun bool
 	refusal    *result.Error // what the caller is told when there is no other try
 }
--- a/entry/start.go
+++ b/entry/start.go
@@ -93,7 +93,7 @@
 	most := max(pace.LeastWait, min(pace.MostWait, j.slack()))
 	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
 		g := j.group(v)
-		if g == nil || !e.limitedOnly(v, states, spec) {
+		if g == nil || !limitedOnly(v, states, spec) {
 			return
 		}
 		r := j.pick
@@ -110,7 +110,7 @@
 }
 
 // limitedOnly reports whether an endpoint names a limit and isn't cold.
-func (e *Entry) limitedOnly(v *config.View, states []route.State, spec *config.Endpoint) bool {
+func limitedOnly(v *config.View, states []route.State, spec *config.Endpoint) bool {
 	i, known := v.Number[spec.Name]
 	return known && states[i].Limited(time.Now()) && !states[i].Cold(time.Now())
 }
@@ -136,14 +136,14 @@
 	e.Unstarted.Add(1)
 	refusal := result.Errorf(codeOf(b), "%s: %s", spec.Name, b).After(max(s.In, s.Back))
 	e.logRefused(j, spec, "start", refusal, 0)
-	return &retryable{name: spec.Name, unsent: true, refusal: refusal}
+	return &retryable{name: spec.Name, unsent: true, bar: b, refusal: refusal}
 }
 
 // startAhead asks for the start of an answer before its prompt is read, where the endpoint
 // that is to write it names a limit: what it doesn't take is not to be read for it. in is when
 // the prompt will be read.
 func (e *Entry) startAhead(ctx context.Context, j *job, p *plan, in time.Duration) *result.Error {
-	p.begins = begins{}
+	p.held = heldStart{}
 	b := e.startBar(p.dec)
 	if b != route.BarLimited {
 		return nil
@@ -154,7 +154,7 @@
 		return e.noStart(j, p.dec, b, s, most).refusal
 	}
 	p.start = later(p.start, time.Now().Add(s.In))
-	p.begins = begins{at: p.dec.Name, until: s.Until.Add(min(aheadMost, max(in, time.Until(p.start))+p.Move+aheadKept))}
+	p.held = heldStart{at: p.dec.Name, until: s.Until.Add(min(aheadMost, max(in, time.Until(p.start))+p.Move+aheadKept))}
 	return nil
 }
 
@@ -165,16 +165,16 @@
 	return a
 }
 
-// begins is the start that a plan has for its answer; the zero value: none.
-type begins struct {
+// heldStart is the start that a plan has for its answer already; the zero value: none.
+type heldStart struct {
 	at    string // endpoint
 	until time.Time
 }
 
 // take uses the start up, and reports whether there is one at an endpoint.
-func (b *begins) take(spec *config.Endpoint) bool {
-	there := b.at == spec.Name && clock.Now().Before(b.until)
-	*b = begins{}
+func (h *heldStart) take(spec *config.Endpoint) bool {
+	there := h.at == spec.Name && clock.Now().Before(h.until)
+	*h = heldStart{}
 	return there
 }
 
--- a/entry/write.go
+++ b/entry/write.go
@@ -44,9 +44,9 @@
 			continue
 		}
 		e.secure(ctx, j, p) // before the start, which lapses
-		if !p.begins.take(p.dec) {
+		if !p.held.take(p.dec) {
 			if r := e.start(ctx, j, p.dec); r != nil {
-				if err := e.moveFrom(ctx, j, p, kv, lapses, route.BarCold); err != nil {
+				if err := e.moveFrom(ctx, j, p, kv, lapses, r.bar); err != nil {
 					return err
 				}
 				continue
