--- a/pace/limit_ways_test.go
+++ b/pace/limit_ways_test.go
@@ -11,33 +11,9 @@
 // TestWays, with five times as much asked as the endpoint takes. What each host may do that
 // reaches no owner is a part of a way.
 
-// limitWay decides whether and when a request at a host may be sent.
-type limitWay struct {
-	name  string
-	round func(f *fleet, i int, at time.Duration)
-	start func(f *fleet, i int, at time.Duration) (time.Duration, bool)
-}
-
 // limitWays are the ways for a limit; the first is the one that is kept.
-func limitWays(limit float64) []limitWay {
+func limitWays(limit float64) []way {
 	even := func(f *fleet) float64 { return 1 / float64(len(f.hosts)) }
-	rounds := func(mayBeCold bool) func(f *fleet, o int, at time.Duration) {
-		return func(f *fleet, o int, at time.Duration) {
-			if f.owner(o, at) != o || o%domains != 0 {
-				return
-			}
-			h, now := f.hosts[o], begin.Add(at)
-			h.right.Ask(len(h.apart))
-			for k := range h.apart {
-				if j := k * domains; j != o {
-					f.messages += 2
-				}
-				if f.reaches(o, k*domains, at) && f.hosts[k*domains].votes.Give(now, 7, mayBeCold, Holder{uint32(o), h.incarnation}) {
-					h.right.Take(uint32(k), now, len(h.apart))
-				}
-			}
-		}
-	}
 	byOwner := func(voted bool, alone func(f *fleet, i int, at time.Duration) (time.Duration, bool)) func(f *fleet, i int, at time.Duration) (time.Duration, bool) {
 		return func(f *fleet, i int, at time.Duration) (time.Duration, bool) {
 			o, part := f.owner(i, at), 1.0
@@ -62,7 +38,7 @@
 		return f.hosts[i].pace.Ask(begin.Add(at), LimitTerms(limit, 1), MostWait)
 	}
 	none := func(*fleet, int, time.Duration) {}
-	return []limitWay{
+	return []way{
 		{"owner with votes, alone half of an even part", rounds(false), byOwner(true, lone)},
 		{"the same, votes kept as for cold ones", rounds(true), byOwner(true, lone)},
 		{"owner with votes, alone nothing", rounds(false), byOwner(true, nothing)},
@@ -76,7 +52,7 @@
 
 // playLimit plays a load a way, and returns the most in a window and how much was used of what
 // the endpoint takes.
-func playLimit(l *wayLoad, w limitWay, limit float64, hosts int, oneHost bool) (f *fleet, most int, used float64) {
+func playLimit(l *wayLoad, w way, limit float64, hosts int, oneHost bool) (f *fleet, most int, used float64) {
 	f = &fleet{load: l}
 	rng := rand.New(rand.NewPCG(1, 2))
 	for range hosts {
--- a/pace/ways_test.go
+++ b/pace/ways_test.go
@@ -166,6 +166,25 @@
 	start func(f *fleet, i int, at time.Duration) (time.Duration, bool)
 }
 
+// rounds returns what has an owner ask for votes.
+func rounds(mayBeCold bool) func(f *fleet, o int, at time.Duration) {
+	return func(f *fleet, o int, at time.Duration) {
+		if f.owner(o, at) != o || o%domains != 0 {
+			return
+		}
+		h, now := f.hosts[o], begin.Add(at)
+		h.right.Ask(len(h.apart))
+		for k := range h.apart {
+			if j := k * domains; j != o {
+				f.messages += 2
+			}
+			if f.reaches(o, k*domains, at) && f.hosts[k*domains].votes.Give(now, 7, mayBeCold, Holder{uint32(o), h.incarnation}) {
+				h.right.Take(uint32(k), now, len(h.apart))
+			}
+		}
+	}
+}
+
 func ways() []way {
 	toOwner := func(share func(f *fleet, o int, at time.Duration) float64) func(f *fleet, i int, at time.Duration) (time.Duration, bool) {
 		return func(f *fleet, i int, at time.Duration) (time.Duration, bool) {
@@ -182,21 +201,7 @@
 	voted := func(f *fleet, o int, at time.Duration) float64 {
 		return wayBound * f.hosts[o].right.Part(begin.Add(at))
 	}
-	poll := func(f *fleet, o int, at time.Duration) {
-		if f.owner(o, at) != o || o%domains != 0 {
-			return
-		}
-		h, now := f.hosts[o], begin.Add(at)
-		h.right.Ask(len(h.apart))
-		for k := range h.apart {
-			if j := k * domains; j != o {
-				f.messages += 2
-			}
-			if f.reaches(o, k*domains, at) && f.hosts[k*domains].votes.Give(now, 7, true, Holder{uint32(o), h.incarnation}) {
-				h.right.Take(uint32(k), now, len(h.apart))
-			}
-		}
-	}
+	poll := rounds(true)
 	none := func(*fleet, int, time.Duration) {}
 	return []way{
 		{"owner with votes", poll, toOwner(voted)},
--- a/proof/cold_test.go
+++ b/proof/cold_test.go
@@ -75,24 +75,22 @@
 		t.Fatal(err)
 	}
 	s.Cluster = c
+	ask := s.ask
+	if limit > 0 {
+		ask = s.askLimited
+	}
 	for i := range hosts {
-		s.wait.Go(func() {
-			if limit > 0 {
-				s.askLimited(i)
-				return
-			}
-			s.ask(i)
-		})
+		s.wait.Go(func() { s.askOn(i, ask) })
 	}
 	return s
 }
 
-// ask has a host call the endpoint as often as it is given starts, and more often than it bears.
-func (s *coldScene) ask(i int) {
-	const (
-		pause = 300 * time.Millisecond
-		wait  = 200 * time.Millisecond
-	)
+// askWait is how long a host waits for a start.
+const askWait = 200 * time.Millisecond
+
+// askOn has a host ask again and again until the scene is over.
+func (s *coldScene) askOn(i int, ask func(i int, r *peer.Router, spec *config.Endpoint)) {
+	const pause = 300 * time.Millisecond
 	for {
 		select {
 		case <-s.stop:
@@ -102,20 +100,23 @@
 		s.mu.Lock()
 		n, down := s.Nodes[i], s.down[i]
 		s.mu.Unlock()
-		v := n.Board.Config.View()
-		if down || v == nil {
-			continue
-		}
-		start := n.Router.Start(context.Background(), v.ByName[coldName], peer.StartAsk{Wait: wait})
-		if !start.Given {
-			continue
+		if v := n.Board.Config.View(); !down && v != nil {
+			ask(i, n.Router, v.ByName[coldName])
 		}
-		time.Sleep(start.In)
-		s.mu.Lock()
-		if now := time.Now(); now.Before(start.Until) && !s.down[i] {
-			s.used = append(s.used, now)
-		}
-		s.mu.Unlock()
+	}
+}
+
+// ask has a host call the endpoint if it is given a start.
+func (s *coldScene) ask(i int, r *peer.Router, spec *config.Endpoint) {
+	start := r.Start(context.Background(), spec, peer.StartAsk{Wait: askWait})
+	if !start.Given {
+		return
+	}
+	time.Sleep(start.In)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); now.Before(start.Until) && !s.down[i] {
+		s.used = append(s.used, now)
 	}
 }
 
--- a/proof/limit_test.go
+++ b/proof/limit_test.go
@@ -28,37 +28,19 @@
 	return known
 }
 
-// askLimited has a host call the endpoint, each 300 ms if it may. It asks for a start once it
-// has heard of the limit, and each answer names the limit while there is one.
-func (s *coldScene) askLimited(i int) {
-	const (
-		pause = 300 * time.Millisecond
-		wait  = 200 * time.Millisecond
-	)
-	for {
-		select {
-		case <-s.stop:
+// askLimited has a host call the endpoint. It asks for a start once it has heard of the limit, and
+// each answer names the limit while there is one.
+func (s *coldScene) askLimited(i int, r *peer.Router, spec *config.Endpoint) {
+	if s.knows(i) {
+		start := r.Start(context.Background(), spec, peer.StartAsk{Wait: askWait, Warm: true})
+		if !start.Given {
 			return
-		case <-time.After(pause + time.Duration(i)*time.Millisecond/4):
 		}
-		s.mu.Lock()
-		n, down := s.Nodes[i], s.down[i]
-		s.mu.Unlock()
-		v := n.Board.Config.View()
-		if down || v == nil {
-			continue
-		}
-		if s.knows(i) {
-			start := n.Router.Start(context.Background(), v.ByName[coldName], peer.StartAsk{Wait: wait, Warm: true})
-			if !start.Given {
-				continue
-			}
-			if time.Sleep(start.In); !clock.Now().Before(start.Until) {
-				continue
-			}
+		if time.Sleep(start.In); !clock.Now().Before(start.Until) {
+			return
 		}
-		s.call(i, n.Router, v.ByName[coldName])
 	}
+	s.call(i, r, spec)
 }
 
 // call has a host call the endpoint and hear its answer.
