pace: a limit ends though its endpoint's start is no longer told

What callers would see: an endpoint that had told its start and then registers without one kept its limit for good, as its later words counted as an earlier process's. Found by reading. An unknown start is no earlier one. TestBelief fails before: a row of it took an unknown start for an earlier process; that row was wrong, and three are in its place.

--- a/pace/word.go
+++ b/pace/word.go
@@ -80,8 +80,8 @@
 // Hear takes a word in and returns what it changes. An earlier process of the endpoint has
 // nothing to say for a later one; of the words of one process the newest holds, whoever heard it.
 func (b *Belief) Hear(now time.Time, w Word) Change {
-	if w.Born < b.word.Born {
-		return ChangeNone
+	if w.Born != 0 && w.Born < b.word.Born {
+		return ChangeNone // where the start isn't told, it may be the same process
 	}
 	b.Restarted(w.Born)
 	if !w.At.After(b.word.At) {
