--- a/route/explain.go
+++ b/route/explain.go
@@ -19,7 +19,9 @@
 	Free     int32       `json:"free_tokens"`
 	Age      float64     `json:"digest_age_s"`     // -1: never heard of
 	Cold     float64     `json:"cold_s,omitempty"` // for which it is or may be cold still
-	Chosen   bool        `json:"chosen"`
+	// Limit is how many requests a second the endpoint names that it takes; nil: it names none.
+	Limit  *float64 `json:"limit_per_s,omitempty"`
+	Chosen bool     `json:"chosen"`
 }
 
 // Explain lists every endpoint that the route allows with its cost, the
@@ -35,6 +37,9 @@
 		if !s.At.IsZero() {
 			row.Age = math.Round(r.Now.Sub(s.At).Seconds()*1000) / 1000
 		}
+		if w := s.Limit.Word(); w.Named {
+			row.Limit = &w.PerSecond
+		}
 		if row.Why == "" {
 			row.Cost = decodeCost(v, s, r)
 			if s.Role == config.Prefill {
