--- /dev/null
+++ b/pace/word_test.go
@@ -0,0 +1,120 @@
+package pace
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestWords has an endpoint's answers come in any order at two hosts that tell each other in any
+// order: both believe the newest word in the end, of the newest process.
+func TestWords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var words []Word
+		for range rapid.IntRange(1, 8).Draw(t, "words") {
+			words = append(words, Word{Named: rapid.Bool().Draw(t, "named"), PerSecond: float64(rapid.IntRange(0, 3).Draw(t, "limit")),
+				At: begin.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "at")) * time.Millisecond), Born: int64(rapid.IntRange(1, 2).Draw(t, "born"))})
+		}
+		newest := words[0]
+		for _, w := range words[1:] {
+			if w.Born > newest.Born || w.Born == newest.Born && w.At.After(newest.At) {
+				newest = w
+			}
+		}
+		var hosts [2]Belief
+		now := begin.Add(time.Minute)
+		for i := range hosts {
+			for _, w := range rapid.Permutation(words).Draw(t, "order") {
+				hosts[i].Hear(now, w)
+				other := hosts[i].Word().Tell(now).Word(now)
+				if rapid.Bool().Draw(t, "told") {
+					hosts[1-i].Hear(now, other)
+				}
+			}
+		}
+		for i := range hosts {
+			// Of words of one moment the one that came first holds.
+			if w := hosts[i].Word(); w.Born != newest.Born || !w.At.Equal(newest.At) {
+				t.Fatalf("host %d believes %+v, want %+v", i, w, newest)
+			}
+		}
+	})
+}
+
+// TestBelief follows an endpoint that names a limit, another, and none, and one that starts again.
+func TestBelief(t *testing.T) {
+	at := func(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+	var b Belief
+	for _, tc := range []struct {
+		name    string
+		now     int
+		word    Word
+		want    Change
+		limit   float64
+		bounded bool
+	}{
+		{"nothing named", 0, Word{At: at(-50), Born: 1}, ChangeNone, 0, false},
+		{"named", 100, Word{Named: true, PerSecond: 5, At: at(100), Born: 1}, ChangeBegan, 5, true},
+		{"an answer that was under way", 120, Word{At: at(90), Born: 1}, ChangeNone, 5, true},
+		{"an older name", 130, Word{Named: true, PerSecond: 9, At: at(95), Born: 1}, ChangeNone, 5, true},
+		{"the same", 200, Word{Named: true, PerSecond: 5, At: at(200), Born: 1}, ChangeNone, 5, true},
+		{"another one", 300, Word{Named: true, PerSecond: 2, At: at(300), Born: 1}, ChangeValue, 2, true},
+		{"none, sent before", 340, Word{At: at(290), Born: 1}, ChangeNone, 2, true},
+		{"none, sent since", 400, Word{At: at(310), Born: 1}, ChangeEnded, rampLeast, true},
+		{"a name that came before", 410, Word{Named: true, PerSecond: 3, At: at(305), Born: 1}, ChangeNone, math.NaN(), true},
+		{"none again", 1300, Word{At: at(1250), Born: 1}, ChangeNone, 0, false},
+		{"named again", 1400, Word{Named: true, PerSecond: 1, At: at(1400), Born: 1}, ChangeBegan, 1, true},
+		{"a process whose start isn't told", 1500, Word{At: at(1450)}, ChangeEnded, rampLeast, true},
+		{"named by the same", 1550, Word{Named: true, PerSecond: 1, At: at(1550)}, ChangeBegan, 1, true},
+		{"a process of a start", 1560, Word{Named: true, PerSecond: 1, At: at(1560), Born: 1}, ChangeNone, 1, true},
+		{"a later process", 1600, Word{At: at(1550), Born: 2}, ChangeNone, 0, false},
+		{"the process before", 1700, Word{Named: true, PerSecond: 1, At: at(1700), Born: 1}, ChangeNone, 0, false},
+	} {
+		if got := b.Hear(at(tc.now), tc.word); got != tc.want {
+			t.Errorf("%s: %s, want %s", tc.name, got, tc.want)
+		}
+		limit, bounded := b.Limit(at(tc.now))
+		if bounded != tc.bounded || !math.IsNaN(tc.limit) && math.Abs(limit-tc.limit) > 0.01 {
+			t.Errorf("%s: %v, %v, want %v, %v", tc.name, limit, bounded, tc.limit, tc.bounded)
+		}
+	}
+	b = Belief{}
+	b.Hear(at(0), Word{Named: true, PerSecond: 5, At: at(0)})
+	if f := b.Fresh(at(500)); f != freshFor-500*time.Millisecond {
+		t.Errorf("the dearer choice for %v", f)
+	}
+	if f := b.Fresh(at(60_000)); f != 0 {
+		t.Errorf("the dearer choice for %v a minute later", f)
+	}
+	if b.Restarted(7); b.Word().Named != true {
+		t.Error("forgotten for a process whose start was not known before")
+	}
+}
+
+// TestRamp checks that what an endpoint is sent after its limit is over rises without a jump
+// and is unbounded within a second.
+func TestRamp(t *testing.T) {
+	var b Belief
+	b.Hear(begin, Word{Named: true, PerSecond: 5.7, At: begin})
+	b.Hear(begin.Add(time.Second), Word{At: begin.Add(900 * time.Millisecond)})
+	before, p, used := 5.7, Pace{}, 0
+	for at := time.Second; at < time.Second+rampFor; at += time.Millisecond {
+		now := begin.Add(at)
+		limit, bounded := b.Limit(now)
+		if !bounded || limit < before || limit > 1.02*before {
+			t.Fatalf("%v, %v %v after the end, %v just before", limit, bounded, at-time.Second, before)
+		}
+		before = limit
+		if _, ok := p.Ask(now, LimitTerms(limit, 1), 0); ok {
+			used++
+		}
+	}
+	if used < 20 || used > 120 {
+		t.Errorf("%d used as it rose", used)
+	}
+	if _, bounded := b.Limit(begin.Add(2 * time.Second)); bounded {
+		t.Error("bounded a second after the end")
+	}
+}
