--- a/blackboard/changes.go
+++ b/blackboard/changes.go
@@ -4,69 +4,83 @@
 	"time"
 
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/internal/trie"
 )
 
-// rosterLog knows at which revision each endpoint of the roster last changed, so
+// rosterLog knows which endpoints of the roster changed at which revision, so
 // that peers can be told what changed since theirs instead of everything.
 type rosterLog struct {
-	from    uint64 // nothing is known of changes up to this revision
-	changed map[string]uint64
-	gone    map[string]uint64
+	from  uint64 // nothing is known of changes up to this revision
+	steps []step // in the order of their revisions
 }
 
-// mostGone bounds how many endpoints that went are remembered.
-const mostGone = 4096
+// step is the change of one endpoint.
+type step struct {
+	revision uint64
+	number   uint32
+	name     string
+}
+
+// mostSteps bounds the changes that are remembered. Who is behind by more is told the whole
+// roster, which is packed once for all who ask.
+const mostSteps = 4096
 
 // note takes in that a roster replaced another. A change between two revisions
 // counts as one at the later: who has one between them is told it again.
 func (l *rosterLog) note(old, now *config.Roster) {
-	if old == nil || len(l.gone) > mostGone {
-		*l = rosterLog{from: now.Revision, changed: map[string]uint64{}, gone: map[string]uint64{}}
-	}
 	if old == nil {
+		*l = rosterLog{from: now.Revision}
 		return
 	}
-	before := make(map[string]*config.Endpoint, len(old.Endpoints))
-	for i := range old.Endpoints {
-		before[old.Endpoints[i].Name] = &old.Endpoints[i]
-	}
-	for i := range now.Endpoints {
-		e := &now.Endpoints[i]
-		if was := before[e.Name]; was == nil || !config.SameRegistration(was, e) {
-			l.changed[e.Name] = now.Revision
-			delete(l.gone, e.Name)
+	trie.Diff(old.Endpoints, now.Endpoints, func(number uint32, a, b *config.Endpoint) {
+		if a != nil && (b == nil || a.Name != b.Name) {
+			l.steps = append(l.steps, step{now.Revision, number, a.Name})
 		}
-		delete(before, e.Name)
+		if b != nil && (a == nil || !config.SameRegistration(a, b)) {
+			l.steps = append(l.steps, step{now.Revision, number, b.Name})
+		}
+	})
+	l.trim()
+}
+
+// trim forgets the older half of what is remembered once there is too much.
+func (l *rosterLog) trim() {
+	if len(l.steps) <= mostSteps {
+		return
+	}
+	cut := len(l.steps) - mostSteps/2
+	l.from = l.steps[cut-1].revision
+	for cut < len(l.steps) && l.steps[cut].revision == l.from {
+		cut++ // of a revision all is known or nothing
 	}
-	for name := range before {
-		l.gone[name] = now.Revision
-		delete(l.changed, name)
+	l.steps = append([]step(nil), l.steps[cut:]...)
+}
+
+// since returns the names and numbers of endpoints that changed after a revision.
+func (l *rosterLog) since(after uint64) map[string]uint32 {
+	out := map[string]uint32{}
+	for i := len(l.steps) - 1; i >= 0 && l.steps[i].revision > after; i-- {
+		out[l.steps[i].name] = l.steps[i].number
 	}
+	return out
 }
 
 // RosterSince returns what a host with an earlier revision lacks: the change, or
 // the whole roster where that isn't known. Both are nil if it lacks nothing.
-func (t *ConfigTable) RosterSince(after uint64, now time.Time) (*config.Roster, *config.RosterChange) {
+func (t *ConfigTable) RosterSince(after uint64, now time.Time) (*config.RosterList, *config.RosterChange) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
 	case t.roster == nil || t.roster.Revision <= after:
 		return nil, nil
 	case after < t.log.from:
-		whole := &config.Roster{Revision: t.roster.Revision, Evacuated: t.roster.Evacuated, Endpoints: make([]config.Endpoint, 0, len(t.roster.Endpoints))}
-		for _, e := range t.roster.Endpoints {
-			whole.Endpoints = append(whole.Endpoints, e.Told(now))
-		}
-		return whole, nil
+		return t.roster.List(now), nil
 	}
 	c := &config.RosterChange{From: after, Revision: t.roster.Revision, Evacuated: t.roster.Evacuated}
-	for _, e := range t.roster.Endpoints {
-		if t.log.changed[e.Name] > after {
+	for name, number := range t.log.since(after) {
+		if e := t.roster.Endpoints.Get(number); e != nil && e.Name == name {
 			c.Changed = append(c.Changed, e.Told(now))
-		}
-	}
-	for name, at := range t.log.gone {
-		if at > after {
+		} else {
 			c.Gone = append(c.Gone, name)
 		}
 	}
--- a/blackboard/choice.go
+++ b/blackboard/choice.go
@@ -188,6 +188,18 @@
 	return c
 }
 
+// AnyIn reports whether a failure domain has a live, not leaving host.
+func (t *HostTable) AnyIn(domain string, now time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, h := range t.hosts {
+		if h.Domain == domain && !h.Leaving && t.live(h, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Empty reports whether the failure domain has no such host.
 func (c *Candidates) Empty() bool { return len(c.hosts) == 0 }
 
--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/internal/trie"
 	"github.com/embercove/embercove/invariant"
 	"github.com/embercove/embercove/result"
 )
@@ -18,8 +19,8 @@
 	inUse atomic.Pointer[config.View]
 
 	mu       sync.Mutex
-	base     *config.View   // the document in force, without a roster
 	roster   *config.Roster // nil before the first
+	lapsed   config.Lapsed  // of the roster
 	log      rosterLog
 	rejected uint64 // highest revision that was rejected
 	cause    string
@@ -27,9 +28,7 @@
 	heard    time.Time // when the platform last answered this host, or one that told all it knows
 	told     time.Time // the same of what others told alone
 	lack     lack
-	sources  []Source  // documents that were in force, the newest last
-	laidOut  time.Time // when a roster was last put into the view in use
-	waiting  bool      // the roster is newer than the view in use
+	sources  []Source // documents that were in force, the newest last
 }
 
 func newConfigTable(inv *invariant.Set) *ConfigTable { return &ConfigTable{inv: inv} }
@@ -75,10 +74,13 @@
 		}
 		return false, result.Errorf(result.RevisionInvalid, "revision %d: %v", revision, err)
 	}
-	t.base = v
 	t.keepSource(v)
-	old := t.inUse.Swap(v.WithRoster(t.roster))
-	t.waiting = false
+	if cur == nil {
+		v = v.WithRoster(t.roster)
+	} else {
+		v = v.WithRosterOf(cur)
+	}
+	old := t.inUse.Swap(v)
 	t.inv.Check(old == nil || old.Revision < revision, invariant.RevisionRises, "from %v to %d", old, revision)
 	t.since = time.Now()
 	return true, nil
@@ -94,74 +96,63 @@
 	if t.roster != nil && r.Revision <= t.roster.Revision {
 		return false, nil
 	}
-	kept := &config.Roster{Revision: r.Revision, Evacuated: r.Evacuated}
-	known := t.knownEndpoints()
+	judged := map[uint32]*config.Endpoint{}
 	var faults error
-	for _, e := range r.Endpoints {
-		if was := known[e.Name]; was != nil && e.StartedBefore(was) {
-			e = *was
-		}
-		if err := config.CheckRegistered(&e); err != nil {
-			faults = errors.Wrapf(err, "endpoint %q", e.Name)
-			continue
-		}
-		if !e.Lapsed.IsZero() {
-			e.Lapsed = t.lapsedAt(known[e.Name], now)
+	trie.Diff(t.known(), r.Endpoints, func(number uint32, was, told *config.Endpoint) {
+		if told == nil {
+			return
 		}
-		if e.ColdUntil.IsZero() { // told by another host
-			e = e.Heard(now)
+		e, err := t.judge(was, told, now)
+		if err != nil {
+			faults = errors.Wrapf(err, "endpoint %q", told.Name)
 		}
-		if !e.Expired(now) {
-			kept.Endpoints = append(kept.Endpoints, e)
-		}
-	}
-	t.useRoster(kept, now)
+		judged[number] = e
+	})
+	t.useRoster(&config.Roster{Revision: r.Revision, Endpoints: config.Apply(r.Endpoints, judged), Evacuated: r.Evacuated})
 	return true, faults
 }
 
-// layOutEach is the least time between two rosters that are put into the view in use
-// though nothing urgent changed, for each endpoint. What laying out takes grows with the
-// endpoints (BenchmarkRosterChange), and while roles are ordered the roster changes several
-// times a second. Rosters of up to layOutFree cost little and are laid out at once.
-const (
-	layOutEach = 500 * time.Microsecond
-	layOutFree = 200 // endpoints
-)
-
-// useRoster takes a roster over, and puts it in force if it is due; the caller holds the
-// lock.
-func (t *ConfigTable) useRoster(r *config.Roster, now time.Time) {
-	t.log.note(t.roster, r)
-	t.roster, t.waiting = r, true
-	if v := t.inUse.Load(); v != nil && v.Roster > 0 && !v.Outdated(r) && now.Sub(t.laidOut) < t.layOutRest() {
-		return
+// known returns the endpoints of the roster; the caller holds the lock.
+func (t *ConfigTable) known() config.Endpoints {
+	if t.roster == nil {
+		return config.Endpoints{}
 	}
-	t.layOut(now)
-}
-
-func (t *ConfigTable) layOutRest() time.Duration {
-	return time.Duration(max(0, len(t.roster.Endpoints)-layOutFree)) * layOutEach
+	return t.roster.Endpoints
 }
 
-// layOut puts the roster into the view in use; the caller holds the lock.
-func (t *ConfigTable) layOut(now time.Time) {
-	if t.base == nil {
-		return
+// judge returns an endpoint as it is used, of what was known of its number and what is told;
+// nil: it isn't. The caller holds the lock.
+func (t *ConfigTable) judge(was, told *config.Endpoint, now time.Time) (*config.Endpoint, error) {
+	if was != nil && was.Name != told.Name {
+		was = nil
+	}
+	e := *told
+	if was != nil && e.StartedBefore(was) {
+		e = *was
+	}
+	if err := config.CheckRegistered(&e); err != nil {
+		return nil, err
+	}
+	if !e.Lapsed.IsZero() {
+		e.Lapsed = t.lapsedAt(was, now)
+	}
+	if e.ColdUntil.IsZero() { // told by another host
+		e = e.Heard(now)
 	}
-	t.inUse.Store(t.base.WithRoster(t.roster))
-	t.laidOut, t.waiting = now, false
+	if e.Expired(now) {
+		return nil, nil
+	}
+	return &e, nil
 }
 
-// LayOutWaiting puts a roster in force that has waited for long enough, and reports
-// whether it did.
-func (t *ConfigTable) LayOutWaiting(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.waiting || t.base == nil || now.Sub(t.laidOut) < t.layOutRest() {
-		return false
+// useRoster takes a roster over and puts it in force; the caller holds the lock.
+func (t *ConfigTable) useRoster(r *config.Roster) {
+	trie.Diff(t.known(), r.Endpoints, func(number uint32, _, now *config.Endpoint) { t.lapsed.Note(number, now) })
+	t.log.note(t.roster, r)
+	t.roster = r
+	if v := t.inUse.Load(); v != nil {
+		t.inUse.Store(v.WithRoster(r))
 	}
-	t.layOut(now)
-	return true
 }
 
 // Roster returns the endpoints that registered themselves, or nil.
--- a/blackboard/endpoints.go
+++ b/blackboard/endpoints.go
@@ -1,6 +1,7 @@
 package blackboard
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -9,86 +10,43 @@
 	"github.com/embercove/embercove/route"
 )
 
-// EndpointTable holds the digests of endpoints, in the order of the
-// configuration's list, ready for route to decide from.
+// EndpointTable holds what is known of endpoints, ready for route to decide from.
 type EndpointTable struct {
-	mu       sync.RWMutex
-	view     *config.View
-	states   []route.State
-	byNumber map[uint32]int
-	cutOff   map[string]time.Time // until when failure domains count as cut off
+	mu    sync.RWMutex
+	fleet *route.Fleet
 }
 
-func newEndpointTable() *EndpointTable {
-	return &EndpointTable{byNumber: map[uint32]int{}, cutOff: map[string]time.Time{}}
-}
+func newEndpointTable() *EndpointTable { return &EndpointTable{fleet: route.NewFleet(nil)} }
 
-// Fit lays the table out for a revision, keeping what is known of endpoints
-// that stay.
+// Fit goes on to another view, keeping what is known of endpoints that stay.
 func (t *EndpointTable) Fit(v *config.View) {
-	t.mu.RLock()
-	same := t.view == v
-	t.mu.RUnlock()
-	if same {
-		return
-	}
-	states := route.Layout(v)
-	byNumber := make(map[uint32]int, len(states))
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for i := range states {
-		n := states[i].Number
-		byNumber[n] = i
-		if j, ok := t.byNumber[n]; ok {
-			old := &t.states[j]
-			if old.Role == states[i].Role { // else it tells of other work
-				states[i].Digest, states[i].At = old.Digest, old.At
-			}
-			states[i].Own, states[i].Sent, states[i].Seen = old.Own, old.Sent, old.Seen
-			states[i].MaybeCold, states[i].NoStart, states[i].Back = old.MaybeCold, old.NoStart, old.Back
-			states[i].Limit, states[i].LimitedUntil = old.Limit, old.LimitedUntil
-			states[i].LimitTold, states[i].LimitNews = old.LimitTold, old.LimitNews
-			states[i].Limit.Restarted(states[i].Spec.Born)
-			if old.Evacuated && !states[i].Evacuated {
-				states[i].Suspect(time.Now())
-			}
-		}
-		states[i].CutOff = t.cutOff[states[i].Spec.Domain]
-	}
-	t.view, t.states, t.byNumber = v, states, byNumber
+	t.fleet.Fit(v, time.Now())
 }
 
 // Learn takes in a digest that was age old when it came; the fresher one
 // stays. It reports whether the digest was taken.
 func (t *EndpointTable) Learn(d route.Digest, now time.Time) bool {
-	at := now.Add(-time.Duration(d.AgeMillis) * time.Millisecond)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	i, ok := t.byNumber[d.Number]
-	if !ok || !at.After(t.states[i].At) {
-		return false
-	}
-	if d.Heads == nil {
-		d.Heads = t.states[i].Digest.Heads
-	}
-	t.states[i].Digest, t.states[i].At = d, at
-	return true
+	return t.fleet.Learn(d, now)
 }
 
-// Read calls f with the states. f must not keep or change them; it may be
+// Read calls f with the fleet. f must not keep or change its states; it may be
 // called by many at once.
-func (t *EndpointTable) Read(f func(v *config.View, states []route.State)) {
+func (t *EndpointTable) Read(f func(fleet *route.Fleet)) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	f(t.view, t.states)
+	f(t.fleet)
 }
 
 // Find calls f with the state of an endpoint, if there is one. f must not keep or change it.
 func (t *EndpointTable) Find(number uint32, f func(v *config.View, s *route.State)) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	if i, ok := t.byNumber[number]; ok {
-		f(t.view, &t.states[i])
+	if s := t.fleet.Find(number); s != nil {
+		f(t.fleet.View, s)
 	}
 }
 
@@ -96,8 +54,8 @@
 func (t *EndpointTable) Touch(number uint32, f func(s *route.State)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if i, ok := t.byNumber[number]; ok {
-		f(&t.states[i])
+	if s := t.fleet.Find(number); s != nil {
+		f(s)
 	}
 }
 
@@ -119,40 +77,51 @@
 func (t *EndpointTable) SetCutOff(domain string, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.cutOff[domain] = until
-	for i := range t.states {
-		if t.states[i].Spec.Domain == domain {
-			t.states[i].CutOff = until
-			if until.IsZero() {
-				t.states[i].Suspect(time.Now())
-			}
-		}
-	}
+	t.fleet.SetCutOff(domain, until, time.Now())
 }
 
-// SetOwn marks which endpoints this host owns.
-func (t *EndpointTable) SetOwn(own func(number uint32) bool) {
+// SetOwn notes whether this host owns an endpoint.
+func (t *EndpointTable) SetOwn(number uint32, own bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for i := range t.states {
-		t.states[i].Own = own(t.states[i].Number)
-	}
+	t.fleet.SetOwn(number, own)
+}
+
+// Wanted says which digests are asked for.
+type Wanted struct {
+	Domain  string        // of this failure domain; empty: of all
+	MaxAge  time.Duration // younger than this
+	Most    int           // so many at the most, each with the same chance
+	Lacking func(number, ageMillis uint32) bool
 }
 
-// Digests returns the digests that are younger than maxAge, with their age.
-func (t *EndpointTable) Digests(now time.Time, maxAge time.Duration, want func(s *route.State) bool) []route.Digest {
+// Digests returns digests with their age. It looks at the endpoints of the failure domain
+// alone, and takes no room for those that aren't drawn.
+func (t *EndpointTable) Digests(now time.Time, w Wanted) []route.Digest {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	out := make([]route.Digest, 0, len(t.states))
-	for i := range t.states {
-		s := &t.states[i]
+	states := t.fleet.All()
+	if w.Domain != "" {
+		states = t.fleet.In(w.Domain)
+	}
+	var drawn []*route.State
+	seen := 0
+	for s := range states {
 		age := now.Sub(s.At)
-		if s.At.IsZero() || age > maxAge || !want(s) {
+		if s.At.IsZero() || age > w.MaxAge || !w.Lacking(s.Number, uint32(age.Milliseconds())) {
 			continue
 		}
-		d := s.Digest
-		d.AgeMillis = uint32(age.Milliseconds())
-		out = append(out, d)
+		seen++
+		if len(drawn) < w.Most {
+			drawn = append(drawn, s)
+		} else if i := rand.IntN(seen); i < w.Most {
+			drawn[i] = s
+		}
+	}
+	out := make([]route.Digest, len(drawn))
+	for i, s := range drawn {
+		out[i] = s.Digest
+		out[i].AgeMillis = uint32(now.Sub(s.At).Milliseconds())
 	}
 	return out
 }
@@ -161,8 +130,5 @@
 func (t *EndpointTable) Drop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for i := range t.states {
-		t.states[i].Digest = route.Digest{Number: t.states[i].Number, Heads: t.states[i].Digest.Heads}
-		t.states[i].At = time.Time{}
-	}
+	t.fleet.Drop()
 }
--- a/cmd/embercove-fake/main.go
+++ b/cmd/embercove-fake/main.go
@@ -111,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	spec := v.ByName[o.endpoint]
+	spec := v.Endpoint(o.endpoint)
 	if spec == nil || spec.Role == config.Service {
 		return nil, fmt.Errorf("-endpoint %q: no runner of the document", o.endpoint)
 	}
--- a/config/change.go
+++ b/config/change.go
@@ -1,6 +1,9 @@
 package config
 
-import "slices"
+import (
+	"reflect"
+	"time"
+)
 
 // RosterChange is what changed in a roster since an earlier revision, as of
 // Revision. It may be laid over any roster from From to Revision.
@@ -13,17 +16,13 @@
 
 // With returns the roster that a change makes of r.
 func (r *Roster) With(c *RosterChange) *Roster {
-	out := &Roster{Revision: c.Revision, Evacuated: c.Evacuated}
-	replaced := make(map[string]bool, len(c.Changed))
-	for _, e := range c.Changed {
-		replaced[e.Name] = true
+	out := &Roster{Revision: c.Revision, Endpoints: r.Endpoints, Evacuated: c.Evacuated}
+	for _, name := range c.Gone {
+		out.Endpoints = Remove(out.Endpoints, name)
 	}
-	for _, e := range r.Endpoints {
-		if !replaced[e.Name] && !slices.Contains(c.Gone, e.Name) {
-			out.Endpoints = append(out.Endpoints, e)
-		}
+	for i := range c.Changed {
+		out.Endpoints = Put(out.Endpoints, &c.Changed[i])
 	}
-	out.Endpoints = append(out.Endpoints, c.Changed...)
 	return out
 }
 
@@ -33,3 +32,32 @@
 		a.Slots == b.Slots && a.Leaving == b.Leaving && a.Model == b.Model && a.Version == b.Version &&
 		a.Lapsed.IsZero() == b.Lapsed.IsZero() && a.Born == b.Born && sameCold(a, b)
 }
+
+// SameEndpoint reports whether two endpoints are the same in all that they say and that is
+// known of them here.
+func SameEndpoint(a, b *Endpoint) bool { return reflect.DeepEqual(a, b) }
+
+// RosterList is a roster as other hosts are told of it.
+type RosterList struct {
+	Revision  uint64
+	Endpoints []Endpoint
+	Evacuated []Evacuation
+}
+
+// List returns the roster as other hosts are told of it now.
+func (r *Roster) List(now time.Time) *RosterList {
+	out := &RosterList{Revision: r.Revision, Evacuated: r.Evacuated, Endpoints: make([]Endpoint, 0, r.Endpoints.Len())}
+	for _, e := range r.Endpoints.All() {
+		out.Endpoints = append(out.Endpoints, e.Told(now))
+	}
+	return out
+}
+
+// Roster returns the roster of a list.
+func (l *RosterList) Roster() *Roster {
+	rows := make([]*Endpoint, len(l.Endpoints))
+	for i := range rows {
+		rows[i] = &l.Endpoints[i]
+	}
+	return &Roster{Revision: l.Revision, Endpoints: EndpointsOf(rows), Evacuated: l.Evacuated}
+}
--- a/config/view.go
+++ b/config/view.go
@@ -16,13 +16,10 @@
 	Source   []byte // the bytes as published, for peers that are behind
 	Doc      *Document
 
-	ByName map[string]*Endpoint
-	Number map[string]int // index of an endpoint by name
-	Teams  map[string]*Team
-	// Numbers, ByNumber and TeamByNumber serve messages, which carry
-	// numbers for names.
-	Numbers      []uint32
-	ByNumber     map[uint32]*Endpoint
+	// Endpoints are the document's own and those that registered themselves.
+	Endpoints Endpoints
+	Teams     map[string]*Team
+	// TeamByNumber serves messages, which carry numbers for names.
 	TeamByNumber map[uint32]*Team
 	teamByKey    map[[sha256.Size]byte]*Team
 	Models       map[string]*Model // by model and adapter name
@@ -35,32 +32,25 @@
 	// Evacuated are the failure domains that are being emptied.
 	Evacuated map[string]Evacuation
 
-	registered int // endpoints of the roster
-
-	byName map[string]*RouteView
-	byPath map[string]*RouteView // by host and prefix
-	groups map[string]*Group     // by pool
-}
-
-// Group lists the endpoints that a request may go to, as indices into
-// Doc.Endpoints.
-type Group struct {
-	Prefill, Decode, Service []int
+	layout   *layout
+	roster   *Roster     // nil: none
+	byDomain []Endpoints // by the index of the failure domain
+	byName   map[string]*RouteView
+	byPath   map[string]*RouteView // by host and prefix
 }
 
 // Share is a part of a route's requests and where it goes.
 type Share struct {
 	Pool   *Pool
 	Weight int
-	Group  *Group
 }
 
-// RouteView is a route with its selectors parsed and resolved.
+// RouteView is a route with its selectors parsed.
 type RouteView struct {
 	*Route
-	requests Selector
-	Group    Group
-	// Shares are set on routes that name pools; Group then is empty.
+	requests                 Selector
+	prefill, decode, service Selector
+	// Shares are set on routes that name pools instead of selectors.
 	Shares []Share
 }
 
@@ -81,24 +71,12 @@
 // index fills in everything that is worked out from the document.
 func (v *View) index() {
 	d := v.Doc
-	v.ByName, v.Number, v.Teams = map[string]*Endpoint{}, map[string]int{}, map[string]*Team{}
+	v.Teams, v.TeamByNumber = map[string]*Team{}, map[uint32]*Team{}
 	v.Models, v.Region, v.Pools = map[string]*Model{}, map[string]string{}, map[string]*Pool{}
 	v.teamByKey = map[[sha256.Size]byte]*Team{}
-	v.ByNumber, v.TeamByNumber, v.Numbers = map[uint32]*Endpoint{}, map[uint32]*Team{}, nil
-	v.byName, v.byPath, v.groups = map[string]*RouteView{}, map[string]*RouteView{}, map[string]*Group{}
+	v.byName, v.byPath = map[string]*RouteView{}, map[string]*RouteView{}
 	for i := range d.Pools {
 		v.Pools[d.Pools[i].Name] = &d.Pools[i]
-		v.groups[d.Pools[i].Name] = new(Group)
-	}
-	for i := range d.Endpoints {
-		e := &d.Endpoints[i]
-		v.ByName[e.Name] = e
-		v.Number[e.Name] = i
-		v.Numbers = append(v.Numbers, NameNumber(e.Name))
-		v.ByNumber[v.Numbers[i]] = e
-		if g := v.groups[e.Pool]; g != nil {
-			g.add(i, e.Role)
-		}
 	}
 	for i := range d.Teams {
 		v.Teams[d.Teams[i].Name] = &d.Teams[i]
@@ -118,56 +96,47 @@
 	v.indexRegions()
 	v.Routes = make([]RouteView, len(d.Routes))
 	for i := range d.Routes {
-		v.Routes[i] = v.resolve(&d.Routes[i])
+		v.Routes[i] = v.routeView(&d.Routes[i])
 		v.byName[d.Routes[i].Name] = &v.Routes[i]
 		if d.Routes[i].PathPrefix != "" {
 			v.byPath[d.Routes[i].Host+d.Routes[i].PathPrefix] = &v.Routes[i]
 		}
 	}
+	v.layout = &layout{d.Pools, d.Domains, d.Endpoints}
+	v.indexEndpoints()
 }
 
-// add puts an endpoint of a role into the group.
-func (g *Group) add(i int, role Role) {
-	switch role {
-	case Prefill:
-		g.Prefill = append(g.Prefill, i)
-	case Decode:
-		g.Decode = append(g.Decode, i)
-	case Service:
-		g.Service = append(g.Service, i)
-	}
-}
-
-// resolve lists a route's endpoints once, so that no selector is evaluated
-// for each request.
-func (v *View) resolve(r *Route) RouteView {
+// routeView parses a route's selectors, or finds its pools.
+func (v *View) routeView(r *Route) RouteView {
 	rv := RouteView{Route: r}
 	if r.PathPrefix != "" {
 		for _, s := range r.Pools {
-			rv.Shares = append(rv.Shares, Share{Pool: v.Pools[s.Pool], Weight: s.Weight, Group: v.groups[s.Pool]})
+			rv.Shares = append(rv.Shares, Share{Pool: v.Pools[s.Pool], Weight: s.Weight})
 		}
 		return rv
 	}
 	rv.requests, _ = ParseSelector(r.Requests)
-	list := func(text string, role Role) []int {
-		sel, _ := ParseSelector(text)
-		var out []int
-		for i, e := range v.Doc.Endpoints {
-			if e.Role == role && sel.Matches(e.Labels) {
-				out = append(out, i)
-			}
-		}
-		return out
-	}
-	if r.Service != "" {
-		rv.Group.Service = list(r.Service, Service)
-		return rv
-	}
-	rv.Group.Prefill = list(r.Prefill, Prefill)
-	rv.Group.Decode = list(r.Decode, Decode)
+	rv.prefill, _ = ParseSelector(r.Prefill)
+	rv.decode, _ = ParseSelector(r.Decode)
+	rv.service, _ = ParseSelector(r.Service)
 	return rv
 }
 
+// Selects reports whether a route's selectors take an endpoint.
+func (r *RouteView) Selects(e *Endpoint) bool {
+	switch {
+	case r.PathPrefix != "" || (r.Service != "") != (e.Role == Service):
+		return false
+	case e.Role == Service:
+		return r.service.Matches(e.Labels)
+	case e.Role == Prefill:
+		return r.prefill.Matches(e.Labels)
+	case e.Role == Decode:
+		return r.decode.Matches(e.Labels)
+	}
+	return false
+}
+
 // Match returns the first route whose selector takes the labels, or nil.
 func (v *View) Match(set map[string]string, service bool) *RouteView {
 	for i := range v.Routes {
@@ -229,24 +198,13 @@
 	return &r.Shares[0]
 }
 
-// Reaches returns the group of endpoints that a request of a pool may go to
-// under this route; nil if the route no longer leads to the pool. Routes with
-// selectors have one group for all.
-func (r *RouteView) Reaches(pool string) *Group {
-	if len(r.Shares) == 0 {
-		return &r.Group
-	}
-	for i := range r.Shares {
-		if r.Shares[i].Pool.Name == pool {
-			return r.Shares[i].Group
-		}
-	}
-	return nil
+// Reaches reports whether the route leads to a pool.
+func (r *RouteView) Reaches(pool string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Pool.Name == pool })
 }
 
-// Serves reports whether endpoint i is configured for the model or adapter.
-func (v *View) Serves(i int, model string) bool {
-	e := &v.Doc.Endpoints[i]
+// Serves reports whether the endpoint is configured for the model or adapter.
+func (e *Endpoint) Serves(model string) bool {
 	return e.Model == model || slices.Contains(e.Adapters, model)
 }
 
--- a/copies/copies.go
+++ b/copies/copies.go
@@ -33,10 +33,10 @@
 
 // Run is an answer that is about to be written.
 type Run struct {
-	Again  bool // it may be read again
-	Tokens int  // of the prompt
-	Answer int  // tokens that it is expected to come to
-	Engine int  // index of the state of the engine that will write it
+	Again  bool         // it may be read again
+	Tokens int          // of the prompt
+	Answer int          // tokens that it is expected to come to
+	Engine *route.State // the engine that will write it
 }
 
 // Wants reports whether an answer gets a copy, by the chance that it loses its engine.
@@ -69,10 +69,10 @@
 
 // Affords reports whether the engines of the region of the one that writes have so much
 // memory free that a copy may be begun.
-func (p Policy) Affords(states []route.State, list []int, engine int) bool {
+func (p Policy) Affords(list []*route.State, engine *route.State) bool {
 	free, all := 0, 0
-	for _, i := range list {
-		if s := &states[i]; s.Region == states[engine].Region && !s.At.IsZero() && s.Digest.Flags&route.FlagDown == 0 {
+	for _, s := range list {
+		if s.Region == engine.Region && !s.At.IsZero() && s.Digest.Flags&route.FlagDown == 0 {
 			free += max(0, int(s.Digest.FreeTokens))
 			all += s.Spec.MemoryTokens
 		}
@@ -84,15 +84,15 @@
 // share of calls that a pool's endpoints failed lately, or that of the engine itself
 // where it is larger. Endpoints that are out of reach of their owners count in full: an
 // engine that went down took all its answers along, and others often follow it.
-func Chance(states []route.State, list []int, engine int, now time.Time) float64 {
+func Chance(list []*route.State, engine *route.State, now time.Time) float64 {
 	if len(list) == 0 {
 		return 0
 	}
 	sum := 0.0
-	for _, i := range list {
-		sum += failing(&states[i], now)
+	for _, s := range list {
+		sum += failing(s, now)
 	}
-	return max(sum/float64(len(list)), failing(&states[engine], now))
+	return max(sum/float64(len(list)), failing(engine, now))
 }
 
 func failing(s *route.State, now time.Time) float64 {
@@ -117,20 +117,19 @@
 	costOtherOwner = 0.1 // a message to another host
 )
 
-// Place returns the index of the endpoint that is to keep a copy of an answer's
-// memory; -1: none is open that has room for it and for others besides. It lies in
+// Place returns the endpoint that is to keep a copy of an answer's
+// memory; nil: none is open that has room for it and for others besides. It lies in
 // the region of the engine that writes: between regions a move takes ten times as
 // long. The request's bars hold for a copy as they do for a run.
-func Place(v *config.View, states []route.State, list []int, q *route.Request, r Run) int {
-	best, least := -1, 0.0
-	from := &states[r.Engine]
-	for _, i := range list {
-		s := &states[i]
-		if i == r.Engine || s.Region != from.Region || !route.Open(s, q) || !v.Serves(s.Index, q.Model) || !holds(s, q, r) {
+func Place(list []*route.State, q *route.Request, r Run) (best *route.State) {
+	least := 0.0
+	from := r.Engine
+	for _, s := range list {
+		if s == from || s.Region != from.Region || !route.Open(s, q) || !s.Spec.Serves(q.Model) || !holds(s, q, r) {
 			continue
 		}
-		if cost := placeCost(s, from, q.Now); best < 0 || cost < least {
-			best, least = i, cost
+		if cost := placeCost(s, from, q.Now); best == nil || cost < least {
+			best, least = s, cost
 		}
 	}
 	return best
--- a/entry/away.go
+++ b/entry/away.go
@@ -79,7 +79,7 @@
 
 // leave chooses the region that a job leaves for and has it look for endpoints there. The
 // regions in tried are out of the question. It returns false if the job stays.
-func (e *Entry) leave(j *job, n region.Need, trips int, tried config.Regions, list func(g *config.Group) []int) bool {
+func (e *Entry) leave(j *job, n region.Need, trips int, tried config.Regions, list func(g *route.Group) []*route.State) bool {
 	found := e.elsewhere(j, trips, tried, list)
 	if len(found) == 0 {
 		return false
@@ -109,35 +109,36 @@
 
 // elsewhere returns the other regions that a job's request may be sent to at all, with
 // what is known of them.
-func (e *Entry) elsewhere(j *job, trips int, tried config.Regions, list func(g *config.Group) []int) (out []candidate) {
+func (e *Entry) elsewhere(j *job, trips int, tried config.Regions, list func(g *route.Group) []*route.State) (out []candidate) {
 	if e.alone() {
 		return nil
 	}
 	now := time.Now()
 	hosts := e.board.Hosts.Regions(now)
-	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
-		g := j.group(v)
+	e.board.Endpoints.Read(func(fleet *route.Fleet) {
+		v := fleet.View
+		g := j.group(fleet)
 		if g == nil || len(v.RegionNames) < 2 {
 			return
 		}
 		r := j.pick
 		r.Region, r.Now, r.Reach = j.home(), now, 0
 		e.bind(v, j, &r)
-		out = candidates(e.board, v, states, list(g), r, hosts, trips, tried)
+		out = candidates(e.board, v, list(g), r, hosts, trips, tried)
 	})
 	return out
 }
 
 // candidates returns the regions but the request's own and those that were tried, with what
 // is known of each.
-func candidates(b *blackboard.Board, v *config.View, states []route.State, list []int, r route.Request, hosts map[string]int, trips int, tried config.Regions) (out []candidate) {
+func candidates(b *blackboard.Board, v *config.View, list []*route.State, r route.Request, hosts map[string]int, trips int, tried config.Regions) (out []candidate) {
 	for _, name := range v.RegionNames {
 		set := v.RegionSet(name)
 		if set == 0 || set.Has(r.Region|tried) {
 			continue
 		}
 		c := candidate{name: name, set: set, hosts: hosts[name]}
-		c.look(b, states, list, r, trips)
+		c.look(b, list, r, trips)
 		out = append(out, c)
 	}
 	askersOf(out, hosts[b.Settings.Region])
@@ -152,23 +153,22 @@
 
 // ExplainRegions says for each other region whether a request for engines would leave for
 // it, if its own refused it now.
-func ExplainRegions(b *blackboard.Board, v *config.View, states []route.State, r route.Request, hosts map[string]int) (out []RegionChoice) {
+func ExplainRegions(b *blackboard.Board, v *config.View, r route.Request, hosts map[string]int) (out []RegionChoice) {
 	if len(v.RegionNames) < 2 {
 		return nil
 	}
 	n := region.Need{Left: time.Duration(aim * float64(v.Doc.Targets.TTFT())), Work: workOf(v, r.Group, r.Tokens, r.Model)}
-	for _, c := range candidates(b, v, states, engines(r.Group), r, hosts, engineTrips, 0) {
+	for _, c := range candidates(b, v, engines(r.Group), r, hosts, engineTrips, 0) {
 		out = append(out, RegionChoice{c.name, region.Judge(n, &c.There, 0).String()})
 	}
 	return out
 }
 
 // look fills in what is known of a region for a request.
-func (c *candidate) look(b *blackboard.Board, states []route.State, list []int, r route.Request, trips int) {
+func (c *candidate) look(b *blackboard.Board, list []*route.State, r route.Request, trips int) {
 	r.Region, r.Reach = c.set, 0
 	open := 0
-	for _, i := range list {
-		s := &states[i]
+	for _, s := range list {
 		if s.Region != c.set {
 			continue
 		}
@@ -225,8 +225,9 @@
 // refused it.
 func (e *Entry) needs(j *job, refusal result.Code) region.Need {
 	n := region.Need{Left: j.slack(), Homeless: refusal == result.NoEndpoint || refusal == result.Evacuated}
-	e.board.Endpoints.Read(func(v *config.View, _ []route.State) {
-		if g := j.group(v); g != nil {
+	e.board.Endpoints.Read(func(fleet *route.Fleet) {
+		v := fleet.View
+		if g := j.group(fleet); g != nil {
 			n.Work = workOf(v, g, j.tokens, j.work.Model)
 		}
 	})
@@ -234,20 +235,20 @@
 }
 
 // engines lists a group's engines of which a request needs one at the least.
-func engines(g *config.Group) []int {
-	if len(g.Prefill) > 0 {
-		return g.Prefill
+func engines(g *route.Group) []*route.State {
+	if list := g.Prefill.All(); len(list) > 0 {
+		return list
 	}
-	return g.Decode
+	return g.Decode.All()
 }
 
 // workOf returns how long a group's engines take to read a prompt and to move it.
-func workOf(v *config.View, g *config.Group, tokens int, model string) (d time.Duration) {
-	if len(g.Prefill) > 0 {
-		d += time.Duration(float64(tokens) / v.Doc.Endpoints[g.Prefill[0]].TokensPerSecond * float64(time.Second))
+func workOf(v *config.View, g *route.Group, tokens int, model string) (d time.Duration) {
+	if list := g.Prefill.All(); len(list) > 0 {
+		d += time.Duration(float64(tokens) / list[0].Spec.TokensPerSecond * float64(time.Second))
 	}
-	if len(g.Decode) > 0 {
-		d += route.LinkTime(&v.Doc.Endpoints[g.Decode[0]], int64(tokens)*kvBytes(v, model))
+	if list := g.Decode.All(); len(list) > 0 {
+		d += route.LinkTime(list[0].Spec, int64(tokens)*kvBytes(v, model))
 	}
 	return d
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -99,13 +99,24 @@
 // guesses are right in the median and often far off.
 const likelyExcess = 1.5
 
+// mostSteps is how many engines tell the usual time of a step.
+const mostSteps = 64
+
+// someOf returns some endpoints of a list, of the host's failure domain if there are any.
+func someOf(l route.List, home int) []*route.State {
+	list := l.In(home)
+	if len(list) == 0 {
+		list = l.All()
+	}
+	return list[:min(len(list), mostSteps)]
+}
+
 // usualStep returns the time of a decode step in the job's pool, by the slowest
-// of its engines and a usual batch.
+// of some of its engines and a usual batch.
 func (e *Entry) usualStep(j *job) (step time.Duration) {
-	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
-		if g := j.group(v); g != nil {
-			for _, i := range g.Decode {
-				s := &states[i]
+	e.board.Endpoints.Read(func(fleet *route.Fleet) {
+		if g := j.group(fleet); g != nil {
+			for _, s := range someOf(g.Decode, j.pick.Home) {
 				step = max(step, time.Duration(s.Slow()*float64(route.StepTime(s.Spec, likelyBatch))))
 			}
 		}
@@ -153,21 +164,18 @@
 
 // group returns the endpoints that a job may go to under the revision in
 // force: the route may have moved since it was admitted.
-func (j *job) group(v *config.View) *config.Group {
-	r := v.RouteByName(j.route.Name)
+func (j *job) group(fleet *route.Fleet) *route.Group {
+	r := fleet.View.RouteByName(j.route.Name)
 	if r == nil {
 		return nil
 	}
-	if j.pool == "" {
-		return &r.Group
-	}
-	if g := r.Reaches(j.pool); g != nil {
-		return g
+	if j.pool == "" || r.Reaches(j.pool) {
+		return fleet.Group(r, j.pool)
 	}
 	share := r.Draw(j.pick.Seed >> 32)
 	if share == nil || share.Pool.Engines() != j.prompted {
 		return nil
 	}
 	j.pool = share.Pool.Name
-	return share.Group
+	return fleet.Group(r, j.pool)
 }
--- a/entry/copy.go
+++ b/entry/copy.go
@@ -79,22 +79,23 @@
 	}
 	q, number := j.pick, route.Number(p.dec.Name)
 	q.Now = time.Now()
-	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
-		g, pool := j.group(v), v.Pools[p.dec.Pool]
-		engine, there := v.Number[p.dec.Name]
-		if g == nil || pool == nil || !pool.Copies || !there || states[engine].Number != number {
+	e.board.Endpoints.Read(func(fleet *route.Fleet) {
+		v := fleet.View
+		g, pool := j.group(fleet), v.Pools[p.dec.Pool]
+		engine := fleet.Find(number)
+		if g == nil || pool == nil || !pool.Copies || engine == nil {
 			return
 		}
 		e.bind(v, j, &q)
 		r := copies.Run{Again: j.repeatable, Tokens: j.tokens, Answer: j.likely(), Engine: engine}
-		if !e.CopyPolicy.Affords(states, g.Decode, engine) {
+		if !e.CopyPolicy.Affords(g.Decode.All(), engine) {
 			return
 		}
-		if wanted = e.CopyPolicy.Wants(r, copies.Chance(states, g.Decode, engine, q.Now)); !wanted {
+		if wanted = e.CopyPolicy.Wants(r, copies.Chance(g.Decode.All(), engine, q.Now)); !wanted {
 			return
 		}
-		if i := copies.Place(v, states, g.Decode, &q, r); i >= 0 {
-			spec = states[i].Spec
+		if s := copies.Place(g.Decode.All(), &q, r); s != nil {
+			spec = s.Spec
 		}
 	})
 	return spec, wanted
--- a/entry/job.go
+++ b/entry/job.go
@@ -131,7 +131,7 @@
 // newJob returns a job of a route; what is asked for is still to be set.
 func (e *Entry) newJob(v *config.View, r *config.RouteView, hd headers) *job {
 	j := &job{headers: hd, id: e.board.NextID(), view: v, route: r, came: time.Now(), teamNum: config.NameNumber(hd.team.Name)}
-	j.pick = route.Request{Group: &r.Group, Hosts: e.board.Hosts.Len(), Home: v.DomainIndex(e.board.Settings.Domain), Region: v.RegionSet(e.board.Settings.Region),
+	j.pick = route.Request{Hosts: e.board.Hosts.Len(), Home: v.DomainIndex(e.board.Settings.Domain), Region: v.RegionSet(e.board.Settings.Region),
 		Seed: e.turn.Add(1)<<32 ^ uint64(e.board.Number)}
 	return j
 }
--- a/entry/kept.go
+++ b/entry/kept.go
@@ -32,7 +32,7 @@
 	if spec == nil {
 		return nil
 	}
-	p := &plan{Choice: route.Choice{Prefill: -1}, dec: spec, kept: true}
+	p := &plan{Choice: route.Choice{}, dec: spec, kept: true}
 	if refusal := e.reserve(ctx, j, p, 0); refusal != nil {
 		e.logRefused(j, spec, "kept", refusal, 0)
 		return nil
@@ -43,14 +43,15 @@
 
 // decodes lists the decode engines that a job may go to now.
 func (e *Entry) decodes(j *job) (specs []*config.Endpoint) {
-	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
-		g := j.group(v)
+	e.board.Endpoints.Read(func(fleet *route.Fleet) {
+		v := fleet.View
+		g := j.group(fleet)
 		if g == nil {
 			return
 		}
 		e.bind(v, j, &j.pick)
-		for _, i := range g.Decode {
-			if s := &states[i]; route.Open(s, &j.pick) && v.Serves(s.Index, j.pick.Model) {
+		for _, s := range g.Decode.All() {
+			if route.Open(s, &j.pick) && s.Spec.Serves(j.pick.Model) {
 				specs = append(specs, s.Spec)
 			}
 		}
--- a/entry/place.go
+++ b/entry/place.go
@@ -51,15 +51,16 @@
 // choose asks route for a pair; fixed is the number of a prefill endpoint
 // that has called the request, 0 for none.
 func (e *Entry) choose(j *job, fixed uint32) (route.Choice, *config.View) {
-	c := route.Choice{Prefill: -1, Decode: -1}
+	c := route.Choice{}
 	var view *config.View
 	j.pick.Now = time.Now()
 	j.pick.FixedPrefill = fixed
-	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
+	e.board.Endpoints.Read(func(fleet *route.Fleet) {
+		v := fleet.View
 		view = v
-		if j.pick.Group = j.group(v); j.pick.Group != nil {
+		if j.pick.Group = j.group(fleet); j.pick.Group != nil {
 			e.bind(v, j, &j.pick)
-			c = route.Pick(v, states, &j.pick)
+			c = fleet.Pick(&j.pick)
 		}
 	})
 	return c, view
@@ -99,7 +100,7 @@
 		return nil
 	}
 	c, _ := e.choose(j, 0)
-	if c.Prefill < 0 || float64(c.Wait) <= leavePart*float64(j.slack()) {
+	if c.Prefill == nil || float64(c.Wait) <= leavePart*float64(j.slack()) {
 		return nil
 	}
 	n := e.needs(j, result.TooLate)
@@ -136,10 +137,10 @@
 		}
 		j.pick.Pair = 0
 		c, v := e.choose(j, 0)
-		if c.Prefill < 0 {
+		if c.Prefill == nil {
 			break
 		}
-		p := &plan{Choice: c, pre: &v.Doc.Endpoints[c.Prefill], dec: &v.Doc.Endpoints[c.Decode]}
+		p := &plan{Choice: c, pre: c.Prefill, dec: c.Decode}
 		j.pick.Pair = v.RegionSet(v.Region[p.pre.Domain])
 		if refusal := e.enqueue(ctx, j, p, notBefore); refusal != nil {
 			last = lackOf(refusal, last)
@@ -217,18 +218,15 @@
 
 // chooseDecode asks route for a decode endpoint alone.
 func (e *Entry) chooseDecode(j *job) (route.Choice, *config.View) {
-	c := route.Choice{Prefill: -1, Decode: -1}
+	c := route.Choice{}
 	var view *config.View
 	j.pick.Now = time.Now()
-	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
+	e.board.Endpoints.Read(func(fleet *route.Fleet) {
+		v := fleet.View
 		view = v
-		if j.pick.Group = j.group(v); j.pick.Group != nil {
+		if j.pick.Group = j.group(fleet); j.pick.Group != nil {
 			e.bind(v, j, &j.pick)
-			c.Decode = route.PickDecode(v, states, &j.pick)
-		}
-		if c.Decode >= 0 {
-			c.Age = states[c.Decode].Age(j.pick.Now)
-			c.Move = route.LinkTime(states[c.Decode].Spec, int64(j.tokens)*kvBytes(v, j.work.Model))
+			c = fleet.PickDecode(&j.pick)
 		}
 	})
 	return c, view
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -17,7 +17,7 @@
 	fixed := route.Number(p.pre.Name)
 	choose := func(j *job) (route.Choice, *config.View) {
 		c, v := e.choose(j, fixed)
-		if c.Decode < 0 { // the prefill engine may have left since it called
+		if c.Decode == nil { // the prefill engine may have left since it called
 			return e.chooseDecode(j)
 		}
 		return c, v
@@ -33,10 +33,10 @@
 	var last *result.Error
 	for asks := 0; asks < decodeAsks; {
 		c, v := choose(j)
-		if c.Decode < 0 {
+		if c.Decode == nil {
 			break
 		}
-		p.Decode, p.dec, p.Move = c.Decode, &v.Doc.Endpoints[c.Decode], c.Move
+		p.dec, p.Move = c.Decode, c.Move
 		refusal := e.reserve(ctx, j, p, in)
 		if refusal == nil || ctx.Err() != nil {
 			return refusal
--- a/entry/service.go
+++ b/entry/service.go
@@ -81,7 +81,7 @@
 			if j.last != nil {
 				return result.Errorf(result.AnswerBroken, "the service failed, and no other endpoint of it is in reach")
 			}
-			return e.nowhere(j, "endpoint of the service", func(g *config.Group) []int { return g.Service })
+			return e.nowhere(j, "endpoint of the service", services)
 		}
 		elsewhere, refusal := e.mayRunAt(ctx, j, spec, quarantine.Running)
 		if refusal != nil {
@@ -130,7 +130,7 @@
 	return spec
 }
 
-func services(g *config.Group) []int { return g.Service }
+func services(g *route.Group) []*route.State { return g.Service.All() }
 
 // surePart is the part of the time left in which a call has to be answered elsewhere on
 // average, so that most are in time. With all of it calls that would be refused at once run
@@ -161,16 +161,17 @@
 // have refused it not counted out.
 func (e *Entry) homeless(j *job) bool {
 	none := true
-	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
-		g := j.group(v)
+	e.board.Endpoints.Read(func(fleet *route.Fleet) {
+		v := fleet.View
+		g := j.group(fleet)
 		if g == nil {
 			return
 		}
 		r := j.pick
 		r.Exclude = [route.MostExcluded]uint32{}
 		e.bind(v, j, &r)
-		for _, i := range g.Service {
-			none = none && !route.Open(&states[i], &r)
+		for _, s := range g.Service.All() {
+			none = none && !route.Open(s, &r)
 		}
 	})
 	return none
--- a/entry/service_choice.go
+++ b/entry/service_choice.go
@@ -14,22 +14,18 @@
 // as well how long a call takes there by what was seen, forever if it was full or out of
 // reach just now.
 func (e *Entry) bestService(j *job) (spec *config.Endpoint, takes time.Duration) {
-	least := 0.0
 	j.pick.Now = time.Now()
-	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
-		g := j.group(v)
-		if g == nil {
+	e.board.Endpoints.Read(func(fleet *route.Fleet) {
+		if j.pick.Group = j.group(fleet); j.pick.Group == nil {
 			return
 		}
-		e.bind(v, j, &j.pick)
-		for _, i := range g.Service {
-			s := &states[i]
-			if !route.Open(s, &j.pick) || !j.repeatable && !s.Spec.NotRepeatableAllows || j.tries > 1 && s.Seen.Shunned(j.pick.Now) {
-				continue
-			}
-			if cost := serviceCost(s, &j.pick); spec == nil || cost < least {
-				least, spec, takes = cost, s.Spec, callTakes(s, j.pick.Now)
-			}
+		e.bind(fleet.View, j, &j.pick)
+		open := func(s *route.State) bool {
+			return route.Open(s, &j.pick) && (j.repeatable || s.Spec.NotRepeatableAllows) && !(j.tries > 1 && s.Seen.Shunned(j.pick.Now))
+		}
+		best := fleet.PickService(&j.pick, open, func(s *route.State) float64 { return serviceCost(s, &j.pick) })
+		if best != nil {
+			spec, takes = best.Spec, callTakes(best, j.pick.Now)
 		}
 	})
 	return spec, takes
--- a/entry/start.go
+++ b/entry/start.go
@@ -91,16 +91,16 @@
 // shouldn't stand in line for long, and not at all while others of the pool have room.
 func (e *Entry) startWait(j *job, spec *config.Endpoint) time.Duration {
 	most := max(pace.LeastWait, min(pace.MostWait, j.slack()))
-	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
-		g := j.group(v)
-		if g == nil || !limitedOnly(v, states, spec) {
+	e.board.Endpoints.Read(func(fleet *route.Fleet) {
+		v := fleet.View
+		g := j.group(fleet)
+		if g == nil || !limitedOnly(fleet, spec) {
 			return
 		}
 		r := j.pick
 		r.Now = time.Now()
 		e.bind(v, j, &r)
-		for _, i := range listOf(g, spec.Role) {
-			s := &states[i]
+		for _, s := range g.Of(spec.Role).All() {
 			if s.Spec.Name != spec.Name && route.Open(s, &r) && s.Free(r.Now) {
 				most = 0
 			}
@@ -110,20 +110,9 @@
 }
 
 // limitedOnly reports whether an endpoint names a limit and isn't cold.
-func limitedOnly(v *config.View, states []route.State, spec *config.Endpoint) bool {
-	i, known := v.Number[spec.Name]
-	return known && states[i].Limited(time.Now()) && !states[i].Cold(time.Now())
-}
-
-// listOf returns the endpoints of a role of a group.
-func listOf(g *config.Group, r config.Role) []int {
-	switch r {
-	case config.Prefill:
-		return g.Prefill
-	case config.Decode:
-		return g.Decode
-	}
-	return g.Service
+func limitedOnly(fleet *route.Fleet, spec *config.Endpoint) bool {
+	s := fleet.Find(route.Number(spec.Name))
+	return s != nil && s.Limited(time.Now()) && !s.Cold(time.Now())
 }
 
 // noStart notes that there is no start at an endpoint before some time for a call that
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -55,9 +55,9 @@
 	if e.board.Suspects.Quiet() {
 		return 0
 	}
-	e.board.Endpoints.Read(func(v *config.View, _ []route.State) {
-		if g := j.group(v); g != nil {
-			n = len(g.Decode) + len(g.Service)
+	e.board.Endpoints.Read(func(fleet *route.Fleet) {
+		if g := j.group(fleet); g != nil {
+			n = len(g.Decode.All()) + len(g.Service.All())
 		}
 	})
 	return max(1, n)
--- a/entry/unreserved.go
+++ b/entry/unreserved.go
@@ -38,16 +38,17 @@
 
 // one chooses an endpoint as the baseline does, of the view in use; nil: none is open. The
 // view that the request came by may have others at the same places of its list.
-func (e *Entry) one(j *job, list func(g *config.Group) []int) (spec *config.Endpoint) {
+func (e *Entry) one(j *job, list func(g *route.Group) []*route.State) (spec *config.Endpoint) {
 	turn := e.turn.Add(1)
 	j.pick.Now, j.pick.Seed = time.Now(), j.pick.Seed*0x9e3779b97f4a7c15+turn
-	e.board.Endpoints.Read(func(v *config.View, states []route.State) {
-		if j.pick.Group = j.group(v); j.pick.Group == nil {
+	e.board.Endpoints.Read(func(fleet *route.Fleet) {
+		v := fleet.View
+		if j.pick.Group = j.group(fleet); j.pick.Group == nil {
 			return
 		}
 		e.bind(v, j, &j.pick)
-		if i := route.PickOne(v, states, list(j.pick.Group), v.Doc.Policy.Mode, turn, &j.pick); i >= 0 {
-			spec = &v.Doc.Endpoints[i]
+		if s := route.PickOne(list(j.pick.Group), v.Doc.Policy.Mode, turn, &j.pick); s != nil {
+			spec = s.Spec
 		}
 	})
 	return spec
--- a/entry/write.go
+++ b/entry/write.go
@@ -178,11 +178,11 @@
 func (e *Entry) moveIfRoom(ctx context.Context, j *job, p *plan) {
 	old := *p
 	j.pick.Drop(route.Number(p.dec.Name))
-	c, v := e.choose(j, 0)
-	if c.Decode < 0 {
+	c, _ := e.choose(j, 0)
+	if c.Decode == nil {
 		return
 	}
-	p.Decode, p.dec, p.Move = c.Decode, &v.Doc.Endpoints[c.Decode], c.Move
+	p.dec, p.Move = c.Decode, c.Move
 	if refusal := e.reserve(ctx, j, p, 0); refusal != nil || !p.reserved {
 		e.board.Requests.Close(p.decodeBy)
 		*p = old
@@ -208,13 +208,13 @@
 // there is none.
 func (e *Entry) findDecode(ctx context.Context, j *job, p *plan) {
 	p.dec = nil
-	c, v := e.chooseDecode(j)
-	if c.Decode < 0 {
+	c, _ := e.chooseDecode(j)
+	if c.Decode == nil {
 		p.decodeBy = e.board.Requests.Open(j.id)
 		return
 	}
 	p.stalls = 0
-	p.Decode, p.dec, p.Move = c.Decode, &v.Doc.Endpoints[c.Decode], c.Move
+	p.dec, p.Move = c.Decode, c.Move
 	p.Wait, p.Read = 0, 0
 	if refusal := e.reserve(ctx, j, p, 0); refusal != nil {
 		p.decodeBy = e.board.Requests.Open(j.id) // its admission decides
--- a/node/admin.go
+++ b/node/admin.go
@@ -158,24 +158,25 @@
 		return ex
 	}
 	ex.Route = r.Name
-	req := route.Request{Group: &r.Group, Model: labels["model"], Tokens: tokens, MaxAnswer: answer, Home: v.DomainIndex(n.settings.Domain),
+	req := route.Request{Model: labels["model"], Tokens: tokens, MaxAnswer: answer, Home: v.DomainIndex(n.settings.Domain),
 		Region: v.RegionSet(n.settings.Region), Homes: v.Homes(r.Route, v.Teams[labels["team"]]), Now: time.Now()}
 	hosts := n.Board.Hosts.Regions(req.Now)
-	n.Board.Endpoints.Read(func(tv *config.View, states []route.State) {
-		if tv != v {
+	n.Board.Endpoints.Read(func(fleet *route.Fleet) {
+		if fleet.View != v {
 			return // a revision came in between; the next call sees it
 		}
-		ex.Candidates = route.Explain(v, states, &req)
-		ex.Regions = entry.ExplainRegions(n.Board, v, states, req, hosts)
-		c := route.Pick(v, states, &req)
-		if c.Prefill < 0 {
+		req.Group = fleet.Group(r, "")
+		ex.Candidates = fleet.Explain(&req)
+		ex.Regions = entry.ExplainRegions(n.Board, v, req, hosts)
+		c := fleet.Pick(&req)
+		if c.Prefill == nil {
 			ex.Refusal = result.NoEndpoint.String()
-			if route.Blame(states, append(slices.Clone(r.Group.Prefill), r.Group.Decode...), &req) == route.BarEvacuated {
+			if route.Blame(slices.Concat(req.Group.Prefill.All(), req.Group.Decode.All()), &req) == route.BarEvacuated {
 				ex.Refusal = result.Evacuated.String()
 			}
 			return
 		}
-		ex.Prefill, ex.Decode = v.Doc.Endpoints[c.Prefill].Name, v.Doc.Endpoints[c.Decode].Name
+		ex.Prefill, ex.Decode = c.Prefill.Name, c.Decode.Name
 		ex.Wait, ex.Read, ex.Move = c.Wait.Seconds(), c.Read.Seconds(), c.Move.Seconds()
 		if ex.Wait+ex.Read+ex.Move > ex.Target {
 			ex.Refusal = result.TooLate.String() + " by the last digests; the owner decides"
--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/route"
 )
 
@@ -30,9 +29,9 @@
 // domain that is being emptied.
 func (n *Node) runningEmptied() map[string]int {
 	out := map[string]int{}
-	n.Board.Endpoints.Read(func(_ *config.View, states []route.State) {
-		for i := range states {
-			if s := &states[i]; s.Evacuated {
+	n.Board.Endpoints.Read(func(fleet *route.Fleet) {
+		for s := range fleet.All() {
+			if s.Evacuated {
 				out[s.Spec.Domain] += s.Sent
 			}
 		}
--- a/node/regions.go
+++ b/node/regions.go
@@ -60,8 +60,7 @@
 // a pool, that of their model.
 func poolNames(v *config.View, in string) (names []string) {
 	seen := map[string]bool{}
-	for i := range v.Doc.Endpoints {
-		e := &v.Doc.Endpoints[i]
+	for _, e := range v.Endpoints.All() {
 		name := e.Pool
 		if name == "" {
 			name = e.Model
--- a/node/status.go
+++ b/node/status.go
@@ -98,9 +98,9 @@
 			s.Quotas = append(s.Quotas, QuotaStatus{t.Name, a.Limit.Rate, a.Level, a.Pace, a.Asked, a.Use, a.Missed})
 		}
 	}
-	n.Board.Endpoints.Read(func(v *config.View, states []route.State) {
-		for i := range states {
-			s.Endpoints = append(s.Endpoints, n.endpointStatus(v, &states[i], now))
+	n.Board.Endpoints.Read(func(fleet *route.Fleet) {
+		for st := range fleet.All() {
+			s.Endpoints = append(s.Endpoints, n.endpointStatus(fleet.View, st, now))
 		}
 	})
 	s.Evacuated = n.evacuations(now)
--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -23,17 +23,7 @@
 		return
 	}
 	o.nextAdopt = now.Add(adoptEvery)
-	if fingerprint := o.board.Hosts.Fingerprint(now) ^ v.Digest ^ v.Roster; fingerprint != o.fingerprint || o.owned == nil {
-		owns := o.owner(v, now)
-		if o.board.Joining(now) && tooMany(v, owns) {
-			return
-		}
-		before := o.owned
-		o.fingerprint, o.owned = fingerprint, o.workOut(v, owns, now)
-		o.handLost(v, before, now)
-		owned := o.owned
-		o.board.Endpoints.SetOwn(func(n uint32) bool { return owned[n] })
-	}
+	o.workOut(v, now)
 	for n, b := range o.books {
 		if !o.owned[n] && b.idle(now) {
 			delete(o.books, n)
@@ -41,12 +31,89 @@
 	}
 }
 
+// workOut brings up to date which endpoints this host owns; the caller holds the lock. Where
+// only the roster changed it looks at the endpoints that did.
+func (o *Owner) workOut(v *config.View, now time.Time) {
+	members := o.board.Hosts.Fingerprint(now)
+	if o.owned != nil && o.ownedBy.members == members && o.ownedBy.view == v {
+		return
+	}
+	gained, lost := o.changes(v, members, now)
+	if o.board.Joining(now) && len(o.owned)+o.fresh(gained)-len(lost) > mostJoining {
+		return
+	}
+	o.take(v, gained, lost, now)
+	o.ownedBy = ownedBy{members, v}
+}
+
+// changes returns which endpoints this host owns that it didn't, or that changed, and which
+// it owns no longer; the caller holds the lock.
+func (o *Owner) changes(v *config.View, members uint64, now time.Time) (gained, lost []uint32) {
+	owns := o.owner(v, now)
+	look := func(number uint32, e *config.Endpoint) {
+		switch mine := e != nil && owns(e, number); {
+		case mine:
+			gained = append(gained, number)
+		case o.owned[number]:
+			lost = append(lost, number)
+		}
+	}
+	before := o.ownedBy.view
+	if o.owned != nil && o.ownedBy.members == members && v.SharesLayout(before) && v.Doc.Policy.Mode == before.Doc.Policy.Mode {
+		config.Differing(before, v, look)
+		return gained, lost
+	}
+	for _, d := range o.perhapsOwned(v, now) {
+		for number, e := range d.All() {
+			if owns(e, number) {
+				gained = append(gained, number)
+			}
+		}
+	}
+	for number := range o.owned {
+		if e := v.Endpoints.Get(number); e == nil || !owns(e, number) {
+			lost = append(lost, number)
+		}
+	}
+	return gained, lost
+}
+
+// fresh returns how many of some endpoints this host didn't own yet.
+func (o *Owner) fresh(gained []uint32) (n int) {
+	for _, number := range gained {
+		if !o.owned[number] {
+			n++
+		}
+	}
+	return n
+}
+
+// take begins and ends what comes with owning endpoints; the caller holds the lock.
+func (o *Owner) take(v *config.View, gained, lost []uint32, now time.Time) {
+	if o.owned == nil {
+		o.owned = map[uint32]bool{}
+	}
+	for _, n := range gained {
+		e := v.Endpoints.Get(n)
+		o.owned[n] = true
+		if b := o.books[n]; b == nil || b.role != e.Role {
+			o.open(v, e, now)
+		}
+		o.board.Endpoints.SetOwn(n, true)
+	}
+	for _, n := range lost {
+		delete(o.owned, n)
+		o.board.Endpoints.SetOwn(n, false)
+	}
+	o.handLost(v, lost, now)
+}
+
 // handLost tells new owners what this host has reserved of endpoints that it
 // owned until now; the caller holds the lock.
-func (o *Owner) handLost(v *config.View, before map[uint32]bool, now time.Time) {
-	for n := range before {
+func (o *Owner) handLost(v *config.View, lost []uint32, now time.Time) {
+	for _, n := range lost {
 		b := o.books[n]
-		if o.owned[n] || b == nil || b.ledger == nil || o.peers == nil {
+		if b == nil || b.ledger == nil || o.peers == nil {
 			continue
 		}
 		if next, ok := Of(o.board, v, b.spec, now); ok && next.Number != o.board.Number {
@@ -59,39 +126,30 @@
 	}
 }
 
-// workOut opens the books of endpoints that this host owns and returns their
-// numbers; the caller holds the lock.
-func (o *Owner) workOut(v *config.View, owns ownership, now time.Time) map[uint32]bool {
-	owned := map[uint32]bool{}
-	for i := range v.Doc.Endpoints {
-		e, n := &v.Doc.Endpoints[i], v.Numbers[i]
-		if !owns(e, n) {
-			continue
-		}
-		owned[n] = true
-		if b := o.books[n]; b == nil || b.role != e.Role {
-			o.open(v, e, now)
-		}
-	}
-	return owned
-}
-
 // mostJoining is how many endpoints a host takes over at the most while it joins. One
 // that would own more has not met the others yet: of many hosts that start together each
 // would take hundreds of endpoints for its own, and ask all of them for their reports.
 const mostJoining = 32
 
-// tooMany reports whether a host would own more endpoints than it takes over as it joins.
-func tooMany(v *config.View, owns ownership) bool {
-	n := 0
-	for i := range v.Doc.Endpoints {
-		if owns(&v.Doc.Endpoints[i], v.Numbers[i]) {
-			if n++; n > mostJoining {
-				return true
-			}
+// ownedBy is what the owned endpoints were worked out by.
+type ownedBy struct {
+	members uint64 // fingerprint
+	view    *config.View
+}
+
+// perhapsOwned returns the endpoints that this host may own: those of its failure domain, and
+// of those without a host of their own. Where owners don't follow from endpoints it may own
+// any.
+func (o *Owner) perhapsOwned(v *config.View, now time.Time) (out []config.Endpoints) {
+	if v.Doc.Policy.Mode.Single() {
+		return []config.Endpoints{v.Endpoints}
+	}
+	for _, d := range v.Doc.Domains {
+		if d.Name == o.board.Settings.Domain || !o.board.Hosts.AnyIn(d.Name, now) {
+			out = append(out, v.InDomain(d.Name))
 		}
 	}
-	return false
+	return out
 }
 
 // ownership tells whether this host owns an endpoint of a number, by its view of the
--- a/owner/balance.go
+++ b/owner/balance.go
@@ -78,9 +78,8 @@
 // made good where members changed meanwhile.
 func (o *Owner) orderedHere(v *config.View, pool string, now time.Time) map[string]bool {
 	out := map[string]bool{}
-	for _, i := range o.orderable(v, now) {
-		e := &v.Doc.Endpoints[i]
-		if e.Pool == pool && o.tenured(v.Numbers[i], now) {
+	for _, e := range o.orderable(v, now) {
+		if e.Pool == pool && o.tenured(route.Number(e.Name), now) {
 			out[e.Name] = true
 		}
 	}
@@ -93,13 +92,13 @@
 	members uint64
 	view    *config.View
 	at      time.Time // when it last held
-	mine    []int     // indices of the view's endpoints
+	mine    []*config.Endpoint
 }
 
 // orderable returns the runners of the own failure domain whose orderer this host is. It
 // is worked out anew only when the members or the roster have changed, as it looks through
 // all endpoints and is asked for all the time.
-func (o *Owner) orderable(v *config.View, now time.Time) []int {
+func (o *Owner) orderable(v *config.View, now time.Time) []*config.Endpoint {
 	members := o.board.Hosts.Members(now)
 	o.balance.mu.Lock()
 	last := o.balance.last
@@ -111,9 +110,9 @@
 	o.balance.mu.Unlock()
 	next := ordersOf{members: members, view: v, at: now}
 	hosts := o.board.Hosts.Candidates(o.board.Settings.Domain, now)
-	for i := range v.Doc.Endpoints {
-		if v.Doc.Endpoints[i].Domain == o.board.Settings.Domain && o.takesOrders(hosts, v.Numbers[i], now) == o.board.Number {
-			next.mine = append(next.mine, i)
+	for number, e := range v.InDomain(o.board.Settings.Domain).All() {
+		if o.takesOrders(hosts, number, now) == o.board.Number {
+			next.mine = append(next.mine, e)
 		}
 	}
 	o.balance.mu.Lock()
@@ -143,11 +142,9 @@
 // role than it is registered with.
 func (o *Owner) changing() func(e *config.Endpoint) bool {
 	numbers := map[uint32]bool{}
-	o.board.Endpoints.Read(func(_ *config.View, states []route.State) {
-		for i := range states {
-			if states[i].Digest.Flags&route.FlagWrong != 0 {
-				numbers[states[i].Number] = true
-			}
+	o.board.Endpoints.Read(func(fleet *route.Fleet) {
+		for s := range fleet.Wrong() {
+			numbers[s.Number] = true
 		}
 	})
 	return func(e *config.Endpoint) bool { return len(numbers) > 0 && numbers[route.Number(e.Name)] }
--- a/owner/book.go
+++ b/owner/book.go
@@ -82,7 +82,7 @@
 
 // fit takes over a new revision.
 func (b *Book) fit(v *config.View, share float64) {
-	spec := v.ByName[b.spec.Name]
+	spec := v.Endpoint(b.spec.Name)
 	if spec == nil || v == b.view || spec.Role != b.role {
 		return
 	}
--- a/owner/empty.go
+++ b/owner/empty.go
@@ -25,7 +25,7 @@
 	if v == nil {
 		return nil
 	}
-	spec := v.ByNumber[b.number]
+	spec := v.Endpoints.Get(b.number)
 	if spec == nil || !v.Emptied(spec) {
 		return nil
 	}
@@ -47,7 +47,7 @@
 	}
 	o.mu.Unlock()
 	for _, b := range books {
-		if spec := v.ByNumber[b.number]; spec != nil && v.Emptied(spec) {
+		if spec := v.Endpoints.Get(b.number); spec != nil && v.Emptied(spec) {
 			o.TurnedAway.Add(b.empty(spec))
 		}
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -57,9 +57,9 @@
 	balance balance
 	Starts  *Starts // at endpoints that are cold or name a limit
 
-	nextAdopt   time.Time
-	fingerprint uint64 // of the members and the revision that owned was worked out for
-	owned       map[uint32]bool
+	nextAdopt time.Time
+	owned     map[uint32]bool // nil: not worked out yet
+	ownedBy   ownedBy
 
 	// Counters for metrics and tests.
 	Reaped   atomic.Uint64 // orphaned attempts that were cancelled
@@ -118,7 +118,7 @@
 	if v == nil {
 		return nil, result.Errorf(result.NotReady, "no configuration yet")
 	}
-	spec := v.ByNumber[number]
+	spec := v.Endpoints.Get(number)
 	if spec == nil {
 		return nil, result.Errorf(result.NoEndpoint, "endpoint %d is not in revision %d", number, v.Revision)
 	}
@@ -156,14 +156,15 @@
 	return b
 }
 
-// poolPace returns the medians of the paces that are told of a pool's endpoints
-// of a role.
+// mostPaces is how many endpoints' paces make a median.
+const mostPaces = 64
+
+// poolPace returns the medians of the paces that are told of endpoints like this one.
 func (o *Owner) poolPace(spec *config.Endpoint) (d route.Digest) {
 	var slow, lag []uint32
-	o.board.Endpoints.Read(func(_ *config.View, states []route.State) {
-		for i := range states {
-			s := &states[i]
-			if s.Spec.Pool == spec.Pool && s.Role == spec.Role && s.Digest.SlowPct > 0 {
+	o.board.Endpoints.Read(func(fleet *route.Fleet) {
+		for _, s := range fleet.Alike(spec) {
+			if s.Digest.SlowPct > 0 && len(slow) < mostPaces {
 				slow = append(slow, uint32(s.Digest.SlowPct))
 				lag = append(lag, s.Digest.LagMillis)
 			}
@@ -203,6 +204,9 @@
 func (o *Owner) dropBeliefs(now time.Time) {
 	o.mu.Lock()
 	books := o.books
+	for number := range o.owned {
+		o.board.Endpoints.SetOwn(number, false)
+	}
 	o.books, o.owned = map[uint32]*Book{}, nil
 	o.mu.Unlock()
 	for _, b := range books {
@@ -245,7 +249,7 @@
 
 // owns reports whether this host is the book's owner by its own view.
 func (o *Owner) owns(v *config.View, b *Book, now time.Time) bool {
-	spec := v.ByNumber[b.number]
+	spec := v.Endpoints.Get(b.number)
 	if spec == nil {
 		return false
 	}
@@ -260,8 +264,7 @@
 		return nil
 	}
 	var out []string
-	for i := range v.Doc.Endpoints {
-		e := &v.Doc.Endpoints[i]
+	for _, e := range v.Endpoints.All() {
 		if h, ok := Of(o.board, v, e, now); ok && h.Number == o.board.Number {
 			out = append(out, e.Name)
 		}
--- a/owner/starts.go
+++ b/owner/starts.go
@@ -109,7 +109,7 @@
 	if v == nil {
 		return nil, nil, result.Errorf(result.NotReady, "no configuration yet")
 	}
-	spec := v.ByNumber[number]
+	spec := v.Endpoints.Get(number)
 	if spec == nil {
 		return nil, nil, result.Errorf(result.NoEndpoint, "endpoint %d is not in revision %d", number, v.Revision)
 	}
--- a/owner/votes.go
+++ b/owner/votes.go
@@ -66,9 +66,14 @@
 		}
 	}
 	s.mu.Unlock()
-	s.board.Endpoints.Read(func(_ *config.View, states []route.State) {
-		for i := range states {
-			if st := &states[i]; asked[st.Number] || st.Own && (st.Cold(time.Now()) || st.Limit.Fresh(now) > 0) {
+	s.board.Endpoints.Read(func(fleet *route.Fleet) {
+		for st := range fleet.Own() {
+			if !asked[st.Number] && (st.Cold(time.Now()) || st.Limit.Fresh(now) > 0) {
+				out = append(out, *st)
+			}
+		}
+		for n, lately := range asked {
+			if st := fleet.Find(n); lately && st != nil {
 				out = append(out, *st)
 			}
 		}
--- a/peer/document.go
+++ b/peer/document.go
@@ -66,7 +66,7 @@
 
 // packRoster packs a whole roster, to an eighth of its size: hosts that start together
 // ask one of them for it.
-func (p *packer) packRoster(r *config.Roster) ([]byte, error) {
+func (p *packer) packRoster(r *config.RosterList) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.whole != nil && p.roster == r.Revision {
@@ -85,7 +85,7 @@
 }
 
 // unpackRoster returns the roster that another host packed.
-func unpackRoster(packed []byte) (*config.Roster, error) {
+func unpackRoster(packed []byte) (*config.RosterList, error) {
 	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(packWorkers), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(mostUnpack))
 	if err != nil {
 		return nil, errors.Wrap(err, "unpack roster")
@@ -95,7 +95,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "unpack roster")
 	}
-	r := new(config.Roster)
+	r := new(config.RosterList)
 	return r, errors.Wrap(gob.NewDecoder(bytes.NewReader(plain)).Decode(r), "unpack roster")
 }
 
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -136,7 +136,7 @@
 		r.log.Warn("fetched roster is broken", zap.String("from", from.Name), zap.Error(err))
 		return nil
 	}
-	return ro
+	return ro.Roster()
 }
 
 // askAgain makes the call of a fetch, once more over a new connection where the one that
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -122,8 +122,8 @@
 
 // Limit takes in what another host tells of an endpoint's limit.
 func (s *server) Limit(a *LimitArgs, _ *Nothing) error {
-	if v := s.r.board.Config.View(); v != nil && v.ByNumber[a.Endpoint] != nil {
-		s.r.LimitTold(v.ByNumber[a.Endpoint], a.Limit)
+	if v := s.r.board.Config.View(); v != nil && v.Endpoints.Get(a.Endpoint) != nil {
+		s.r.LimitTold(v.Endpoints.Get(a.Endpoint), a.Limit)
 		s.r.noteLimitNews(a.Endpoint)
 	}
 	for _, n := range a.Onward {
--- a/peer/news.go
+++ b/peer/news.go
@@ -26,7 +26,7 @@
 		return
 	}
 	r.layOut(from)
-	r.log.Info("roster in force", zap.Uint64("roster", ro.Revision), zap.Int("endpoints", len(ro.Endpoints)), zap.String("from", from))
+	r.log.Info("roster in force", zap.Uint64("roster", ro.Revision), zap.Int("endpoints", ro.Endpoints.Len()), zap.String("from", from))
 	r.tellAround()
 }
 
@@ -34,19 +34,15 @@
 const lapseTick = 250 * time.Millisecond
 
 // Lapser returns the controller that stops using endpoints which have been
-// without a registration for too long, and puts rosters in force that waited.
-// Nothing is told around: each host comes to it by itself.
+// without a registration for too long. Nothing is told around: each host comes to it by
+// itself.
 func (r *Router) Lapser() blackboard.Controller {
 	return blackboard.Every(lapseTick, func(context.Context) {
-		now := time.Now()
-		dropped := r.board.Config.DropLapsed(now)
-		if laid := r.board.Config.LayOutWaiting(now); dropped == 0 && !laid {
-			return
-		}
-		r.layOut("what was known")
+		dropped := r.board.Config.DropLapsed(time.Now())
 		if dropped == 0 {
 			return
 		}
+		r.layOut("what was known")
 		r.log.Info("lapsed registrations dropped", zap.Uint64("roster", r.board.Config.RosterRevision()), zap.Int("endpoints", dropped))
 	})
 }
--- a/peer/regions.go
+++ b/peer/regions.go
@@ -30,9 +30,10 @@
 // ownSummaries returns those of the own region, as this host sees it.
 func (r *Router) ownSummaries(now time.Time) (out []region.Summary) {
 	name := r.board.Settings.Region
-	r.board.Endpoints.Read(func(v *config.View, states []route.State) {
+	r.board.Endpoints.Read(func(fleet *route.Fleet) {
+		v := fleet.View
 		if v != nil {
-			out = region.Summarize(states, v.RegionSet(name), config.NameNumber(name), now)
+			out = region.Summarize(fleet.All(), v.RegionSet(name), config.NameNumber(name), now)
 		}
 	})
 	return out
--- a/peer/server.go
+++ b/peer/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/rpc"
 	"sync"
@@ -10,9 +9,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/owner"
-	"github.com/embercove/embercove/route"
 )
 
 // server answers other hosts. Its methods are the remote ones.
@@ -38,7 +37,7 @@
 	if !s.r.board.Leaving() || v == nil {
 		return nil
 	}
-	return v.ByNumber[endpoint]
+	return v.Endpoints.Get(endpoint)
 }
 
 func (s *server) Inherit(a *InheritArgs, reply *owner.Handover) error {
@@ -159,9 +158,9 @@
 const fresher = 100
 
 // lacks reports whether a host is without a digest, or has an older one.
-func (k ages) lacks(d *route.Digest) bool {
-	age, known := k[d.Number]
-	return !known || d.AgeMillis+fresher < age
+func (k ages) lacks(number, ageMillis uint32) bool {
+	age, known := k[number]
+	return !known || ageMillis+fresher < age
 }
 
 // tell returns what this host knows, for another host: heartbeats to all,
@@ -199,19 +198,14 @@
 	for _, d := range r.owner.Digests(now) {
 		r.board.Endpoints.Learn(d, now)
 	}
-	ds := r.board.Endpoints.Digests(now, maxDigestAge, r.useful(t.to.Domain))
-	told := ds[:0]
-	for _, d := range ds {
-		if !t.knows.lacks(&d) {
-			continue
-		}
-		d.Heads = d.Heads[:min(len(d.Heads), toldHeads)]
+	ds := r.board.Endpoints.Digests(now, blackboard.Wanted{Domain: r.useful(t.to.Domain), MaxAge: maxDigestAge, Most: mostDigests, Lacking: t.knows.lacks})
+	for i := range ds {
+		ds[i].Heads = ds[i].Heads[:min(len(ds[i].Heads), toldHeads)]
 		if !t.heads {
-			d.Heads = nil
+			ds[i].Heads = nil
 		}
-		told = append(told, d)
 	}
-	return pack(someOf(told))
+	return pack(ds)
 }
 
 // mostDigests is how many digests an exchange tells of, some 4 KB. With those of thousands of
@@ -219,28 +213,14 @@
 // heartbeats and names, which go the same way, would be as late.
 const mostDigests = 160
 
-// useful returns which endpoints' digests another host has most use for: where there are
-// more than an exchange tells of, those of its own failure domain.
-func (r *Router) useful(domain string) func(s *route.State) bool {
+// useful returns the failure domain whose digests another host has most use for: where there
+// are more endpoints than an exchange tells of, its own; empty: all.
+func (r *Router) useful(domain string) string {
 	v := r.board.Config.View()
-	home := -1
-	if v != nil && len(v.Doc.Endpoints) > mostDigests {
-		home = v.DomainIndex(domain)
-	}
-	return func(s *route.State) bool { return home < 0 || s.Domain == home }
-}
-
-// someOf returns mostDigests of the digests, each with the same chance. To sort all of them by
-// age for each exchange would cost more than the exchange.
-func someOf(ds []route.Digest) []route.Digest {
-	if len(ds) <= mostDigests {
-		return ds
-	}
-	for i := range mostDigests {
-		k := i + rand.IntN(len(ds)-i)
-		ds[i], ds[k] = ds[k], ds[i]
+	if v != nil && v.Endpoints.Len() > mostDigests && v.DomainIndex(domain) >= 0 {
+		return domain
 	}
-	return ds[:mostDigests]
+	return ""
 }
 
 // toldHeads is how many cached prompts of an endpoint are told of, and
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/internal/trie"
 	"github.com/embercove/embercove/internal/wait"
 )
 
@@ -50,7 +51,8 @@
 	took   time.Duration // that the last answer with a document took
 
 	at     uint64
-	known  map[string]config.Endpoint
+	known  config.Endpoints
+	lapsed config.Lapsed                // of the known ones
 	empty  map[string]config.Evacuation // by failure domain that is being emptied
 	lost   bool                         // the store was out of reach at the last call
 	since  time.Time                    // since when
@@ -64,7 +66,7 @@
 // NewFollower returns a feed from a store whose changes have to be in force
 // within a bound; 0: lazyGather.
 func NewFollower(s Store, bound time.Duration, log *zap.Logger) *Follower {
-	f := &Follower{store: s, log: log, gather: lazyGather, most: lazyWait, follow: followWait, known: map[string]config.Endpoint{}, empty: map[string]config.Evacuation{}, said: map[string]bool{}}
+	f := &Follower{store: s, log: log, gather: lazyGather, most: lazyWait, follow: followWait, empty: map[string]config.Evacuation{}, said: map[string]bool{}}
 	if bound > 0 {
 		f.gather = time.Duration(lazyShare * float64(bound))
 		f.most = time.Duration(unheardShare * float64(bound))
@@ -139,12 +141,9 @@
 	now := time.Now()
 	f.judgeOutage(now)
 	before := f.before(sink)
-	f.known = make(map[string]config.Endpoint, len(s.Endpoints))
-	for _, e := range s.Endpoints {
-		f.learn(before, e, now)
-	}
+	f.use(f.listed(before, s.Endpoints, now))
 	for _, name := range s.Unusable {
-		delete(before, name) // it didn't vanish, so nothing speaks for its endpoint
+		before = config.Remove(before, name) // it didn't vanish, so nothing speaks for its endpoint
 	}
 	f.setEvacuated(s.Evacuated)
 	f.vanished(missing(before, f.known), false, now)
@@ -153,19 +152,44 @@
 		f.took = s.Took
 		sink.Offer(s.Document.Revision, []byte(s.Document.Document), "store")
 	}
-	sink.OfferRoster(f.roster(), "store")
+	f.offer(sink)
 	sink.Heard(asked, asked)
 	return nil
 }
 
-// learn takes in a registration. One of an earlier start than is known is late: a process
-// that ended wrote it, or it was long under way.
-func (f *Follower) learn(before map[string]config.Endpoint, e config.Endpoint, now time.Time) {
-	e = e.Heard(now)
-	if was, known := before[e.Name]; known && e.StartedBefore(&was) {
-		e = was
+// offer offers the endpoints to the sink, and goes on from what it made of them.
+func (f *Follower) offer(sink Sink) {
+	sink.OfferRoster(&config.Roster{Revision: f.at, Endpoints: f.known, Evacuated: f.evacuated()}, "store")
+	if r := sink.Roster(); r != nil && r.Revision == f.at {
+		f.use(r.Endpoints)
+	}
+}
+
+// use takes endpoints for those that are known.
+func (f *Follower) use(known config.Endpoints) {
+	trie.Diff(f.known, known, func(number uint32, _, now *config.Endpoint) { f.lapsed.Note(number, now) })
+	f.known = known
+}
+
+// listed returns the endpoints of a listing. Those that say what is known already stay the
+// same, so that hardly anything differs from before.
+func (f *Follower) listed(before config.Endpoints, list []config.Endpoint, now time.Time) config.Endpoints {
+	rows := make([]*config.Endpoint, len(list))
+	for i, e := range list {
+		e = e.Heard(now)
+		rows[i] = learned(before, &e)
 	}
-	f.known[e.Name] = e
+	return config.EndpointsOf(rows)
+}
+
+// learned returns what is known of an endpoint after a registration of it. One of an earlier
+// start than is known is late: a process that ended wrote it, or it was long under way.
+func learned(before config.Endpoints, e *config.Endpoint) *config.Endpoint {
+	was := before.Get(config.NameNumber(e.Name))
+	if was != nil && was.Name == e.Name && (e.StartedBefore(was) || config.SameEndpoint(was, e)) {
+		return was
+	}
+	return e
 }
 
 // catchUp takes over what peers have told of since the last answer, so that the
@@ -176,7 +200,8 @@
 	if r == nil || r.Revision <= f.at {
 		return
 	}
-	f.at, f.known = r.Revision, f.before(sink)
+	f.at = r.Revision
+	f.use(r.Endpoints)
 	f.setEvacuated(r.Evacuated)
 }
 
@@ -207,24 +232,12 @@
 		return nil
 	}
 	f.evacuate(c)
-	for _, e := range c.Changed {
-		f.learn(f.known, e, now)
-	}
-	for _, name := range c.Unusable {
-		delete(f.known, name)
-	}
-	var gone []config.Endpoint
-	for _, name := range c.Gone {
-		if e, ok := f.known[name]; ok {
-			gone = append(gone, e)
-			delete(f.known, name)
-		}
-	}
+	gone := f.change(c, now)
 	f.vanished(gone, true, now)
 	f.expire(now)
 	// Also where only the document changed: by the roster's revision peers know
 	// what they needn't ask the store for.
-	sink.OfferRoster(f.roster(), "store")
+	f.offer(sink)
 	// Only now: others take over how fresh this host is with the revisions that it has.
 	sink.Heard(asked, now)
 	wait.For(ctx, f.pause(eager))
@@ -247,10 +260,22 @@
 	}
 }
 
-func (f *Follower) roster() *config.Roster {
-	r := &config.Roster{Revision: f.at, Evacuated: f.evacuated()}
-	for _, e := range f.known {
-		r.Endpoints = append(r.Endpoints, e)
+// change takes in what a watch told of endpoints, and returns those that are gone.
+func (f *Follower) change(c *Changes, now time.Time) (gone []*config.Endpoint) {
+	known := f.known
+	for _, e := range c.Changed {
+		e = e.Heard(now)
+		known = config.Put(known, learned(known, &e))
+	}
+	for _, name := range c.Unusable {
+		known = config.Remove(known, name)
+	}
+	for _, name := range c.Gone {
+		if e := known.Get(config.NameNumber(name)); e != nil && e.Name == name {
+			gone = append(gone, e)
+			known = config.Remove(known, name)
+		}
 	}
-	return r
+	f.use(known)
+	return gone
 }
--- a/publish/lapse.go
+++ b/publish/lapse.go
@@ -1,11 +1,13 @@
 package publish
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/internal/trie"
 )
 
 // A registration that vanishes says that its endpoint has left, but not always:
@@ -38,69 +40,88 @@
 }
 
 // before returns the endpoints that were known, from the store or from peers.
-func (f *Follower) before(sink Sink) map[string]config.Endpoint {
+func (f *Follower) before(sink Sink) config.Endpoints {
 	if r := sink.Roster(); r != nil {
-		out := make(map[string]config.Endpoint, len(r.Endpoints))
-		for _, e := range r.Endpoints {
-			out[e.Name] = e
-		}
-		return out
+		return r.Endpoints
 	}
 	return f.known
 }
 
 // missing returns the endpoints of before that are not in now.
-func missing(before, now map[string]config.Endpoint) []config.Endpoint {
-	var out []config.Endpoint
-	for name, e := range before {
-		if _, there := now[name]; !there {
-			out = append(out, e)
+func missing(before, now config.Endpoints) (out []*config.Endpoint) {
+	trie.Diff(before, now, func(_ uint32, was, is *config.Endpoint) {
+		if was != nil && (is == nil || is.Name != was.Name) {
+			out = append(out, was)
 		}
-	}
+	})
 	return out
 }
 
 // vanished judges endpoints whose registrations are gone, and keeps those that
 // may not have left. told says that the store told of the end of each; else
 // they are only missing from a listing, where a lapsed one is missing again.
-func (f *Follower) vanished(gone []config.Endpoint, told bool, now time.Time) {
-	all := float64(len(gone) + len(f.known))
+func (f *Follower) vanished(gone []*config.Endpoint, told bool, now time.Time) {
+	all := float64(len(gone) + f.known.Len())
 	mass := len(gone) > 1 && float64(len(gone)) > massShare*all
 	shaky := now.Before(f.shaky) && len(gone) >= someLeast && float64(len(gone)) >= someShare*all
-	kept := 0
+	var kept []*config.Endpoint
 	for _, e := range gone {
 		again := !told && !e.Lapsed.IsZero()
-		if e.Leaving || f.taken(e.Address) || !again && !shaky && !mass {
+		if e.Leaving || !again && !shaky && !mass {
 			continue
 		}
 		if e.Lapsed.IsZero() {
-			e.Lapsed = now
+			lapsed := *e
+			lapsed.Lapsed = now
+			e = &lapsed
 		}
-		f.known[e.Name] = e
-		kept++
+		kept = append(kept, e)
 	}
+	kept = f.notTaken(kept)
+	known := f.known
+	for _, e := range kept {
+		known = config.Put(known, e)
+	}
+	f.use(known)
 	f.expire(now)
 	if len(gone) > 0 {
-		f.log.Info("registrations vanished", zap.Int("endpoints", len(gone)), zap.Int("kept", kept), zap.Bool("after_outage", shaky))
+		f.log.Info("registrations vanished", zap.Int("endpoints", len(gone)), zap.Int("kept", len(kept)), zap.Bool("after_outage", shaky))
 	}
 }
 
-// taken reports whether another endpoint has registered at an address.
-func (f *Follower) taken(address string) bool {
-	for _, e := range f.known {
-		if e.Address == address && e.Lapsed.IsZero() {
-			return true
+// notTaken returns the endpoints at whose addresses no other has registered. It looks
+// through all that are known, but only while registrations are in doubt.
+func (f *Follower) notTaken(list []*config.Endpoint) []*config.Endpoint {
+	if len(list) == 0 {
+		return nil
+	}
+	taken := make(map[string]bool, len(list))
+	for _, e := range list {
+		taken[e.Address] = false
+	}
+	for _, e := range f.known.All() {
+		if _, asked := taken[e.Address]; asked && e.Lapsed.IsZero() {
+			taken[e.Address] = true
 		}
 	}
-	return false
+	return slices.DeleteFunc(list, func(e *config.Endpoint) bool { return taken[e.Address] })
 }
 
 // expire drops endpoints that were without a registration for long, or whose
 // address another has.
 func (f *Follower) expire(now time.Time) {
-	for name, e := range f.known {
-		if !e.Lapsed.IsZero() && (e.Expired(now) || f.taken(e.Address)) {
-			delete(f.known, name)
+	lapsed := f.lapsed.All()
+	if len(lapsed) == 0 {
+		return
+	}
+	known := f.known
+	for _, e := range lapsed {
+		known = config.Remove(known, e.Name)
+	}
+	for _, e := range f.notTaken(lapsed) {
+		if !e.Expired(now) {
+			known = config.Put(known, e)
 		}
 	}
+	f.use(known)
 }
--- a/region/region.go
+++ b/region/region.go
@@ -11,6 +11,7 @@
 package region
 
 import (
+	"iter"
 	"math"
 	"time"
 
@@ -115,11 +116,10 @@
 
 // Summarize returns the summaries of a region's pools, as a host there sees them. Pools of
 // which the host knows nothing are left out.
-func Summarize(states []route.State, own config.Regions, number uint32, now time.Time) []Summary {
+func Summarize(states iter.Seq[*route.State], own config.Regions, number uint32, now time.Time) []Summary {
 	pools := map[uint32]*pool{}
 	var order []uint32
-	for i := range states {
-		s := &states[i]
+	for s := range states {
 		if s.Region != own {
 			continue
 		}
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -43,19 +43,22 @@
 	t := count(v, pool, changing)
 	engines := t.reading + t.writing
 	need := Prefills(engines)
+	from, n := config.Prefill, 0
 	switch {
 	case engines < leastEngines && t.starved() && t.reading > 1:
-		return fullestDomainFirst(t.prefills, 1), config.Decode
+		n = 1
 	case engines < leastEngines && t.starved() && t.writing > 1:
-		return fullestDomainFirst(t.decodes, 1), config.Prefill
+		from, n = config.Decode, 1
 	case engines < leastEngines:
-		return nil, config.Decode
 	case t.reading > need:
-		return fullestDomainFirst(t.prefills, t.reading-need), config.Decode
+		n = t.reading - need
 	case t.reading < need:
-		return fullestDomainFirst(t.decodes, need-t.reading), config.Prefill
+		from, n = config.Decode, need-t.reading
+	}
+	if n == 0 {
+		return nil, config.Decode
 	}
-	return nil, config.Decode
+	return fullestDomainFirst(steady(v, pool, from, changing), n), other(from)
 }
 
 // Starved reports whether a pool has no engine of one role left and some of that role are
@@ -69,41 +72,57 @@
 
 // tally counts the engines of a pool by the role that they have or are changing to.
 type tally struct {
-	prefills, decodes []*config.Endpoint   // that aren't changing
-	reading, writing  int                  // with those that are
-	emptied           map[config.Role]bool // of which some are in failure domains that are being emptied
+	reading, writing               int
+	readersEmptied, writersEmptied bool // some are in failure domains that are being emptied
 }
 
 // starved reports whether one role alone is lacking, and engines of it are emptied.
 func (t *tally) starved() bool {
 	if t.reading == 0 {
-		return t.writing > 0 && t.emptied[config.Prefill]
+		return t.writing > 0 && t.readersEmptied
 	}
-	return t.writing == 0 && t.emptied[config.Decode]
+	return t.writing == 0 && t.writersEmptied
 }
 
+// counts reports whether an endpoint is an engine of a pool that is there for requests.
+func counts(e *config.Endpoint, pool string) bool {
+	return e.Pool == pool && !e.Leaving && e.Lapsed.IsZero() && e.Role != config.Service
+}
+
+// count looks at all endpoints, and allocates nothing: it is asked twice a second.
 func count(v *config.View, pool string, changing func(e *config.Endpoint) bool) (t tally) {
-	coming := map[config.Role]int{}
-	t.emptied = map[config.Role]bool{}
-	for i := range v.Doc.Endpoints {
-		e := &v.Doc.Endpoints[i]
-		switch {
-		case e.Pool != pool || e.Leaving || !e.Lapsed.IsZero():
-		case v.Emptied(e):
-			t.emptied[e.Role] = true
-		case changing(e):
-			coming[other(e.Role)]++
-		case e.Role == config.Prefill:
-			t.prefills = append(t.prefills, e)
-		case e.Role == config.Decode:
-			t.decodes = append(t.decodes, e)
+	for _, e := range v.Endpoints.All() {
+		if !counts(e, pool) {
+			continue
+		}
+		role := e.Role
+		if v.Emptied(e) {
+			t.readersEmptied = t.readersEmptied || role == config.Prefill
+			t.writersEmptied = t.writersEmptied || role == config.Decode
+			continue
+		}
+		if changing(e) {
+			role = other(role)
+		}
+		if role == config.Prefill {
+			t.reading++
+		} else {
+			t.writing++
 		}
 	}
-	t.reading = len(t.prefills) + coming[config.Prefill]
-	t.writing = len(t.decodes) + coming[config.Decode]
 	return t
 }
 
+// steady lists the engines of a role that may be ordered into the other.
+func steady(v *config.View, pool string, role config.Role, changing func(e *config.Endpoint) bool) (out []*config.Endpoint) {
+	for _, e := range v.Endpoints.All() {
+		if counts(e, pool) && e.Role == role && !v.Emptied(e) && !changing(e) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // other returns the role that an engine of a role can be ordered into.
 func other(r config.Role) config.Role {
 	if r == config.Prefill {
--- a/route/baseline.go
+++ b/route/baseline.go
@@ -1,56 +1,41 @@
 package route
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/embercove/embercove/config"
 )
 
 // PickOne chooses an endpoint among the candidates by one of the baselines'
 // ways, without regard to reservations. turn is a counter for round robin.
-// It returns -1 when no candidate is eligible.
-func PickOne(v *config.View, states []State, candidates []int, mode config.PolicyMode, turn uint64, r *Request) int {
-	n := 0
-	for _, i := range candidates {
-		if eligible(v, &states[i], r) {
-			n++
+// It returns nil when no candidate is eligible.
+func PickOne(list []*State, mode config.PolicyMode, turn uint64, r *Request) *State {
+	var open []*State
+	for _, s := range list {
+		if eligible(s, r) {
+			open = append(open, s)
 		}
 	}
+	n := len(open)
 	if n == 0 {
-		return -1
+		return nil
 	}
-	pick := func(k int) int { return nth(v, states, candidates, k, r) }
+	slices.SortFunc(open, func(a, b *State) int { return cmp.Compare(a.Number, b.Number) })
 	switch mode {
 	case config.ModeRoundRobin:
-		return pick(int(turn % uint64(n)))
+		return open[turn%uint64(n)]
 	case config.ModeTwoChoices:
-		a, b := pick(int(noise(r.Seed, 1)*float64(n))), pick(int(noise(r.Seed, 2)*float64(n)))
-		if lagged(&states[b]) < lagged(&states[a]) {
+		a, b := open[int(noise(r.Seed, 1)*float64(n))], open[int(noise(r.Seed, 2)*float64(n))]
+		if lagged(b) < lagged(a) {
 			return b
 		}
 		return a
 	case config.ModeLagged:
-		best := -1
-		for _, i := range candidates {
-			if s := &states[i]; eligible(v, s, r) && (best < 0 || lagged(s) < lagged(&states[best])) {
-				best = i
-			}
-		}
-		return best
+		return slices.MinFunc(open, func(a, b *State) int { return cmp.Compare(lagged(a), lagged(b)) })
 	default:
-		return pick(int(noise(r.Seed, 0) * float64(n)))
-	}
-}
-
-func nth(v *config.View, states []State, candidates []int, k int, r *Request) int {
-	for _, i := range candidates {
-		if !eligible(v, &states[i], r) {
-			continue
-		}
-		if k == 0 {
-			return i
-		}
-		k--
+		return open[int(noise(r.Seed, 0)*float64(n))]
 	}
-	return -1
 }
 
 // lagged is the load that the last report gave, with what this host has sent
--- a/route/explain.go
+++ b/route/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 
 	"github.com/embercove/embercove/config"
@@ -26,14 +27,13 @@
 
 // Explain lists every endpoint that the route allows with its cost, the
 // cheapest first.
-func Explain(v *config.View, states []State, r *Request) []Candidate {
-	c := Pick(v, states, r)
+func (f *Fleet) Explain(r *Request) []Candidate {
+	v, c := f.View, f.Pick(r)
 	var out []Candidate
-	for _, i := range append(append([]int{}, r.Group.Prefill...), r.Group.Decode...) {
-		s := &states[i]
-		row := Candidate{Endpoint: s.Spec.Name, Role: s.Role, Domain: s.Spec.Domain, Cost: -1, Why: why(v, s, r),
+	for _, s := range slices.Concat(r.Group.Prefill.All(), r.Group.Decode.All()) {
+		row := Candidate{Endpoint: s.Spec.Name, Role: s.Role, Domain: s.Spec.Domain, Cost: -1, Why: why(s, r),
 			Queue: float64(s.Digest.QueueMillis) / 1000, Free: s.Digest.FreeTokens, Age: -1, Cold: s.ColdFor(r.Now).Seconds(),
-			Chosen: i == c.Prefill || i == c.Decode}
+			Chosen: s.Spec == c.Prefill || s.Spec == c.Decode}
 		if !s.At.IsZero() {
 			row.Age = math.Round(r.Now.Sub(s.At).Seconds()*1000) / 1000
 		}
@@ -63,11 +63,11 @@
 }
 
 // why says what rules an endpoint out, or "".
-func why(v *config.View, s *State, r *Request) string {
+func why(s *State, r *Request) string {
 	if b := Barred(s, r); b != BarNone {
 		return b.String()
 	}
-	if !v.Serves(s.Index, r.Model) {
+	if !s.Spec.Serves(r.Model) {
 		return "does not serve the model"
 	}
 	return ""
--- /dev/null
+++ b/route/fleet_test.go
@@ -0,0 +1,117 @@
+package route
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/embercove/embercove/config"
+)
+
+// fleetDocument returns a document of some pools, with a route by selectors.
+func fleetDocument(slots int, second bool) string {
+	pools := fmt.Sprintf(`{"name": "p", "memory_tokens": 9000, "slots": %d, "link_bytes_per_second": 1, "cold_start_ms": 3000, "cold_per_s": 2}`, slots)
+	if second {
+		pools += `, {"name": "q", "slots": 4}`
+	}
+	return `{"failure_domains": [{"name": "a", "region": "r"}, {"name": "b", "region": "s"}], "targets": {"ttft_ms": 1, "tpot_ms": 1},
+	"models": [{"name": "m", "version": "1", "max_tokens": 9, "kv_bytes_per_token": 1}], "pools": [` + pools + `],
+	"routes": [{"name": "all", "requests": "*", "prefill": "*", "decode": "*"}, {"name": "p", "host": "h", "path_prefix": "/", "pools": [{"pool": "p", "weight": 1}]}],
+	"endpoints": [{"name": "own", "address": "127.0.1.1:1", "failure_domain": "a", "role": "prefill", "model": "m", "tokens_per_second": 10000}]}`
+}
+
+// TestFitDifferences plays documents and rosters in random orders to a fleet that goes from
+// view to view, and holds it against one that is laid out for the last view alone: what was
+// taken in by differences has to be the same as what is read anew.
+func TestFitDifferences(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		roster := &config.Roster{}
+		view := func(revision uint64) *config.View {
+			src := fleetDocument(rapid.IntRange(1, 2).Draw(t, "slots"), rapid.Bool().Draw(t, "second pool"))
+			v, err := config.NewView(revision, []byte(src))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return v
+		}
+		v := view(1)
+		f := NewFleet(v)
+		for revision := uint64(2); revision < 40; revision++ {
+			next := *roster
+			next.Revision = revision
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				v = view(revision).WithRosterOf(v)
+			case 1:
+				next.Evacuated = nil
+				for _, d := range rapid.SliceOfDistinct(rapid.SampledFrom([]string{"a", "b"}), rapid.ID).Draw(t, "emptied") {
+					next.Evacuated = append(next.Evacuated, config.Evacuation{Domain: d, Revision: revision})
+				}
+			case 2:
+				next.Endpoints = config.Remove(next.Endpoints, drawName(t))
+			default:
+				for range rapid.IntRange(1, 3).Draw(t, "changes") {
+					next.Endpoints = config.Put(next.Endpoints, drawEndpoint(t))
+				}
+			}
+			roster = &next
+			v = v.WithRoster(roster)
+			if rapid.Bool().Draw(t, "laid out") {
+				f.Fit(v, now)
+			}
+		}
+		f.Fit(v, now)
+		anew, err := config.NewView(v.Revision, v.Source)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := describeFleet(f), describeFleet(NewFleet(anew.WithRoster(roster))); !slices.Equal(got, want) {
+			t.Fatalf("by differences\n%q\nread anew\n%q", got, want)
+		}
+	})
+}
+
+func drawName(t *rapid.T) string { return fmt.Sprint("e", rapid.IntRange(0, 12).Draw(t, "name")) }
+
+func drawEndpoint(t *rapid.T) *config.Endpoint {
+	return &config.Endpoint{Name: drawName(t), Address: "10.0.0.1:1", Domain: rapid.SampledFrom([]string{"a", "b", "unknown"}).Draw(t, "domain"),
+		Pool: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "pool"), Role: rapid.SampledFrom([]config.Role{config.Prefill, config.Decode, config.Service}).Draw(t, "role"),
+		Leaving: rapid.Bool().Draw(t, "leaving")}
+}
+
+// describeFleet tells all that a fleet holds of its view, in order.
+func describeFleet(f *Fleet) (out []string) {
+	for s := range f.All() {
+		out = append(out, fmt.Sprintf("%d %+v %d %d %v %v", s.Number, *s.Spec, s.Domain, s.Region, s.Leaving, s.Evacuated))
+		if f.View.Endpoints.Get(s.Number) != s.Spec || f.View.InDomain(s.Spec.Domain).Get(s.Number) != s.Spec {
+			out = append(out, "not of the view: "+s.Spec.Name)
+		}
+	}
+	groups := map[string]*Group{"route all": f.routes["all"]}
+	for name, g := range f.pools {
+		groups[name] = g
+	}
+	for name, g := range groups {
+		for _, r := range []config.Role{config.Prefill, config.Decode, config.Service} {
+			l := g.Of(r)
+			rows := [][]*State{l.All(), l.In(0), l.In(1)}
+			for i, row := range rows {
+				names := make([]string, 0, len(row))
+				for _, s := range row {
+					if f.Find(s.Number) != s {
+						names = append(names, "not of the fleet: ")
+					}
+					names = append(names, s.Spec.Name)
+				}
+				slices.Sort(names)
+				out = append(out, fmt.Sprintf("%s %s %d: %v", name, r, i, names))
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/route/gate.go
+++ b/route/gate.go
@@ -123,10 +123,10 @@
 // Blame returns what bars most of some endpoints from a request, of which it may go to
 // none; BarNone: there are none. Regions that it has no reason to go to don't count
 // where anything else bars.
-func Blame(states []State, list []int, r *Request) Bar {
+func Blame(list []*State, r *Request) Bar {
 	var counts [bars]int
-	for _, i := range list {
-		counts[Barred(&states[i], r)]++
+	for _, s := range list {
+		counts[Barred(s, r)]++
 	}
 	blamed := BarNone
 	for b := BarGone; b < bars; b++ {
--- a/route/pick.go
+++ b/route/pick.go
@@ -9,7 +9,7 @@
 
 // Request is what a decision depends on besides the states.
 type Request struct {
-	Group     *config.Group // the endpoints that the route allows
+	Group     *Group // the endpoints that the route allows
 	Model     string
 	Tokens    int // of the prompt
 	MaxAnswer int
@@ -60,9 +60,9 @@
 	}
 }
 
-// Choice is a chosen pair. An index below 0 means that there is none.
+// Choice is a chosen pair; nil stands for none.
 type Choice struct {
-	Prefill, Decode int
+	Prefill, Decode *config.Endpoint
 	Uncached        int           // tokens that the prefill engine will read
 	Wait            time.Duration // forecast of queueing before prefill
 	Read            time.Duration // forecast of the prefill itself
@@ -95,66 +95,78 @@
 
 type ranked struct {
 	cost [beam]float64
-	idx  [beam]int
+	of   [beam]*State
 	n    int
 }
 
-// add keeps the beam cheapest.
-func (r *ranked) add(cost float64, i int) {
+// add keeps the beam cheapest, each once.
+func (r *ranked) add(cost float64, s *State) {
 	if r.n == beam && cost >= r.cost[beam-1] {
 		return
 	}
+	for k := range r.n {
+		if r.of[k] == s {
+			return
+		}
+	}
 	k := min(r.n, beam-1)
 	for k > 0 && r.cost[k-1] > cost {
-		r.cost[k], r.idx[k] = r.cost[k-1], r.idx[k-1]
+		r.cost[k], r.of[k] = r.cost[k-1], r.of[k-1]
 		k--
 	}
-	r.cost[k], r.idx[k] = cost, i
+	r.cost[k], r.of[k] = cost, s
 	r.n = min(r.n+1, beam)
 }
 
 // Pick returns the pair with the least forecast time to first token, costs
 // included. It allocates nothing.
-func Pick(v *config.View, states []State, r *Request) Choice {
+func (f *Fleet) Pick(r *Request) Choice {
+	v := f.View
 	var pre, dec ranked
-	for _, i := range r.Group.Prefill {
-		if r.FixedPrefill != 0 && r.FixedPrefill != states[i].Number {
-			continue
-		}
-		if s := &states[i]; eligible(v, s, r) {
-			pre.add(prefillCost(v, s, r), i)
+	prefill := func(s *State) bool {
+		open := eligible(s, r)
+		if open {
+			pre.add(prefillCost(v, s, r), s)
 		}
+		return open
 	}
-	for _, i := range r.Group.Decode {
-		if s := &states[i]; eligible(v, s, r) && r.pairs(s) {
-			dec.add(decodeCost(v, s, r), i)
-		}
+	if r.FixedPrefill == 0 {
+		f.look(&r.Group.Prefill, r, prefill)
+	} else if s := r.Group.Prefill.Find(r.FixedPrefill); s != nil {
+		prefill(s)
 	}
-	best := Choice{Prefill: -1, Decode: -1}
+	f.look(&r.Group.Decode, r, func(s *State) bool {
+		open := eligible(s, r) && r.pairs(s)
+		if open {
+			dec.add(decodeCost(v, s, r), s)
+		}
+		return open
+	})
+	var p, d *State
 	least := math.Inf(1)
 	for a := range pre.n {
 		for b := range dec.n {
-			p, d := &states[pre.idx[a]], &states[dec.idx[b]]
-			cross := crossCost(v, p, d, r)
+			cross := crossCost(v, pre.of[a], dec.of[b], r)
 			if cost := pre.cost[a] + dec.cost[b] + cross; cost < least {
-				least, best.Prefill, best.Decode = cost, p.Index, d.Index
+				least, p, d = cost, pre.of[a], dec.of[b]
 			}
 		}
 	}
-	if best.Prefill >= 0 {
-		best.fill(v, states, r)
+	if p == nil {
+		return Choice{}
 	}
-	return best
+	return choiceOf(v, p, d, r)
 }
 
-// fill works out the forecasts of a chosen pair.
-func (c *Choice) fill(v *config.View, states []State, r *Request) {
-	p, d := &states[c.Prefill], &states[c.Decode]
+// choiceOf returns a chosen pair with its forecasts.
+func choiceOf(v *config.View, p, d *State, r *Request) Choice {
+	c := Choice{Prefill: p.Spec, Decode: d.Spec}
 	c.Uncached = p.Uncached(r.Tokens, r.Head, r.HasHead)
 	c.Wait = time.Duration(p.Digest.QueueMillis) * time.Millisecond
 	c.Read = p.PrefillTime(c.Uncached)
 	c.Age = d.Age(r.Now)
 	c.Move = LinkTime(d.Spec, kvBytes(v, d, r.Tokens))
+	return c
 }
 
 func kvBytes(v *config.View, d *State, tokens int) int64 {
@@ -165,9 +177,7 @@
 	return int64(tokens) * m.KVBytesPerToken
 }
 
-func eligible(v *config.View, s *State, r *Request) bool {
-	return Open(s, r) && v.Serves(s.Index, r.Model)
-}
+func eligible(s *State, r *Request) bool { return Open(s, r) && s.Spec.Serves(r.Model) }
 
 // prefillCost is the forecast time until the prompt is read, in seconds.
 // Work weighs more than waiting where wasted prefill is minded.
@@ -253,17 +263,37 @@
 }
 
 // PickDecode returns the cheapest decode endpoint alone, for a prompt that it
-// reads itself or that was read already; -1: there is none.
-func PickDecode(v *config.View, states []State, r *Request) int {
-	best, least := -1, math.Inf(1)
-	for _, i := range r.Group.Decode {
-		s := &states[i]
-		if !eligible(v, s, r) || !r.pairs(s) {
-			continue
+// reads itself or that was read already; without a decode endpoint: there is none.
+func (f *Fleet) PickDecode(r *Request) Choice {
+	var best *State
+	least := math.Inf(1)
+	f.look(&r.Group.Decode, r, func(s *State) bool {
+		if !eligible(s, r) || !r.pairs(s) {
+			return false
 		}
-		if cost := decodeCost(v, s, r); cost < least {
-			best, least = s.Index, cost
+		if cost := decodeCost(f.View, s, r); cost < least {
+			least, best = cost, s
 		}
+		return true
+	})
+	if best == nil {
+		return Choice{}
 	}
+	return Choice{Decode: best.Spec, Age: best.Age(r.Now), Move: LinkTime(best.Spec, kvBytes(f.View, best, r.Tokens))}
+}
+
+// PickService returns the plain endpoint of the least cost, of those that are open; nil: there
+// is none.
+func (f *Fleet) PickService(r *Request, open func(s *State) bool, cost func(s *State) float64) (best *State) {
+	least := math.Inf(1)
+	f.look(&r.Group.Service, r, func(s *State) bool {
+		if !open(s) {
+			return false
+		}
+		if c := cost(s); c < least {
+			least, best = c, s
+		}
+		return true
+	})
 	return best
 }
--- a/route/state.go
+++ b/route/state.go
@@ -52,7 +52,6 @@
 // digest.
 type State struct {
 	Number       uint32
-	Index        int            // in the configuration's list
 	Domain       int            // index in the configuration's list
 	Region       config.Regions // the one that it lies in
 	Role         config.Role
@@ -79,25 +78,6 @@
 // Number returns the number that stands for an endpoint's name in messages.
 func Number(name string) uint32 { return config.NameNumber(name) }
 
-// Layout returns the states of a revision, without digests.
-func Layout(v *config.View) []State {
-	domains := map[string]int{}
-	for i, d := range v.Doc.Domains {
-		domains[d.Name] = i
-	}
-	out := make([]State, len(v.Doc.Endpoints))
-	for i := range v.Doc.Endpoints {
-		e := &v.Doc.Endpoints[i]
-		n := Number(e.Name)
-		out[i] = State{Number: n, Index: i, Domain: domains[e.Domain], Region: v.RegionSet(v.Region[e.Domain]), Role: e.Role,
-			Spec: e, Leaving: e.Leaving, Evacuated: v.Emptied(e), ColdUntil: e.ColdUntil, Digest: Digest{Number: n}}
-		if p := v.Pools[e.Pool]; p != nil {
-			out[i].Connections = p.Connections
-		}
-	}
-	return out
-}
-
 // Age returns how old the last digest is; below 0: there is none.
 func (s *State) Age(now time.Time) time.Duration {
 	if s.At.IsZero() {
--- a/slope/slope.go
+++ b/slope/slope.go
@@ -97,9 +97,11 @@
 // age gives every digest a new value, as a busy second does.
 func (s *side) age(v *config.View) {
 	now := time.Now()
-	for i, n := range v.Numbers {
+	i := 0
+	for n, e := range v.Endpoints.All() {
+		i++
 		d := route.Digest{Number: n, SlowPct: 104, TrustPct: 88}
-		if v.Doc.Endpoints[i].Role == config.Prefill {
+		if e.Role == config.Prefill {
 			d.QueueMillis = uint32(100 + now.Nanosecond()/1000%900)
 			for h := range heads {
 				d.Heads = append(d.Heads, route.HeadDigest{Head: uint32(h*7919 + i), Tokens: uint32(2048 + 256*h)})
