route: a choice looks at a bounded number of endpoints

Change: of a list of more than 128 it looks at the host's own endpoints, those that have cached the prompt's beginning (an index, kept with the digests), 48 drawn of its failure domain and 16 of all; where fewer than eight of them are open it looks at all. Smaller lists are looked at whole, as before, so nothing changes for them.

TestLook asserts the bound by counts.

--- a/route/fleet.go
+++ b/route/fleet.go
@@ -17,6 +17,8 @@
 	cutOff map[string]time.Time // until when failure domains count as cut off
 	own    map[uint32]bool      // endpoints that this host owns
 	wrong  map[uint32]bool      // endpoints that aren't in the state that was ordered
+	heads  heads
+	looks  Looks
 }
 
 // Group lists the endpoints that a request may go to.
@@ -37,7 +39,7 @@
 
 // NewFleet returns the endpoints of a view, of which nothing is known yet.
 func NewFleet(v *config.View) *Fleet {
-	f := &Fleet{cutOff: map[string]time.Time{}, own: map[uint32]bool{}, wrong: map[uint32]bool{}}
+	f := &Fleet{cutOff: map[string]time.Time{}, own: map[uint32]bool{}, wrong: map[uint32]bool{}, heads: heads{}, looks: standingLooks}
 	if v != nil {
 		f.Fit(v, time.Time{})
 	}
@@ -112,6 +114,7 @@
 func (f *Fleet) layOut(now time.Time) {
 	before := f.states
 	clear(f.wrong)
+	clear(f.heads)
 	f.states, f.pools, f.routes = make(map[uint32]*State, f.View.Endpoints.Len()), map[string]*Group{}, map[string]*Group{}
 	for name := range f.View.Pools {
 		f.pools[name] = new(Group)
@@ -120,6 +123,7 @@
 		f.states[number] = f.state(number, e, before[number], now)
 		f.enlist(f.states[number])
 		f.noteWrong(f.states[number])
+		f.heads.change(number, nil, f.states[number].Digest.Heads)
 	}
 	f.layOutRoutes()
 }
@@ -147,6 +151,7 @@
 	old := f.states[number]
 	if old != nil {
 		f.strike(old)
+		f.heads.change(number, old.Digest.Heads, nil)
 		delete(f.states, number)
 		delete(f.wrong, number)
 	}
@@ -154,6 +159,7 @@
 		f.states[number] = f.state(number, e, old, now)
 		f.enlist(f.states[number])
 		f.noteWrong(f.states[number])
+		f.heads.change(number, nil, f.states[number].Digest.Heads)
 	}
 }
 
@@ -258,6 +264,8 @@
 	}
 	if d.Heads == nil {
 		d.Heads = s.Digest.Heads
+	} else {
+		f.heads.change(s.Number, s.Digest.Heads, d.Heads)
 	}
 	s.Digest, s.At = d, at
 	f.noteWrong(s)
