--- a/route/draw.go
+++ b/route/draw.go
@@ -38,7 +38,7 @@
 			open++
 		}
 	}
-	for number := range f.own {
+	for _, number := range f.own {
 		if s := l.Find(number); s != nil {
 			count(s)
 		}
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/embercove/embercove/config"
@@ -15,7 +16,7 @@
 	pools  map[string]*Group    // endpoints of pools
 	routes map[string]*Group    // endpoints of routes with selectors
 	cutOff map[string]time.Time // until when failure domains count as cut off
-	own    map[uint32]bool      // endpoints that this host owns
+	own    []uint32             // endpoints that this host owns, sorted: choices are the same each time
 	wrong  map[uint32]bool      // endpoints that aren't in the state that was ordered
 	heads  heads
 	looks  Looks
@@ -39,7 +40,7 @@
 
 // NewFleet returns the endpoints of a view, of which nothing is known yet.
 func NewFleet(v *config.View) *Fleet {
-	f := &Fleet{cutOff: map[string]time.Time{}, own: map[uint32]bool{}, wrong: map[uint32]bool{}, heads: heads{}, looks: standingLooks}
+	f := &Fleet{cutOff: map[string]time.Time{}, wrong: map[uint32]bool{}, heads: heads{}, looks: standingLooks}
 	if v != nil {
 		f.Fit(v, time.Time{})
 	}
@@ -102,9 +103,12 @@
 		return
 	}
 	if v.Doc != old.Doc {
-		f.layOutRoutes()
+		f.routes = nil // of the document before
 	}
 	config.Differing(old, v, func(number uint32, e *config.Endpoint) { f.change(number, e, now) })
+	if v.Doc != old.Doc {
+		f.layOutRoutes()
+	}
 	if !maps.Equal(old.Evacuated, v.Evacuated) {
 		f.evacuate(now)
 	}
@@ -138,8 +142,8 @@
 		}
 		g := new(Group)
 		f.routes[r.Name] = g
-		for _, s := range f.states {
-			if r.Selects(s.Spec) {
+		for number, e := range f.View.Endpoints.All() {
+			if s := f.states[number]; r.Selects(e) {
 				g.Of(s.Role).put(s)
 			}
 		}
@@ -189,7 +193,7 @@
 func (f *Fleet) state(number uint32, e *config.Endpoint, old *State, now time.Time) *State {
 	v := f.View
 	s := &State{Number: number, Domain: max(0, v.DomainIndex(e.Domain)), Region: v.RegionSet(v.Region[e.Domain]), Role: e.Role,
-		Spec: e, Leaving: e.Leaving, Evacuated: v.Emptied(e), Own: f.own[number], CutOff: f.cutOff[e.Domain], ColdUntil: e.ColdUntil, Digest: Digest{Number: number}}
+		Spec: e, Leaving: e.Leaving, Evacuated: v.Emptied(e), Own: f.owns(number), CutOff: f.cutOff[e.Domain], ColdUntil: e.ColdUntil, Digest: Digest{Number: number}}
 	if p := v.Pools[e.Pool]; p != nil {
 		s.Connections = p.Connections
 	}
@@ -227,10 +231,12 @@
 
 // SetOwn notes whether this host owns an endpoint, of this view or of a later one.
 func (f *Fleet) SetOwn(number uint32, own bool) {
-	if own {
-		f.own[number] = true
-	} else {
-		delete(f.own, number)
+	at, there := slices.BinarySearch(f.own, number)
+	switch {
+	case own && !there:
+		f.own = slices.Insert(f.own, at, number)
+	case !own && there:
+		f.own = slices.Delete(f.own, at, at+1)
 	}
 	if s := f.states[number]; s != nil {
 		s.Own = own
@@ -238,15 +244,20 @@
 }
 
 // Own yields the endpoints that this host owns.
-func (f *Fleet) Own() iter.Seq[*State] { return f.among(f.own) }
+func (f *Fleet) Own() iter.Seq[*State] { return f.among(slices.Values(f.own)) }
+
+func (f *Fleet) owns(number uint32) bool {
+	_, there := slices.BinarySearch(f.own, number)
+	return there
+}
 
 // Wrong yields the endpoints that aren't in the state that was ordered.
-func (f *Fleet) Wrong() iter.Seq[*State] { return f.among(f.wrong) }
+func (f *Fleet) Wrong() iter.Seq[*State] { return f.among(maps.Keys(f.wrong)) }
 
-// among yields the states of a set of numbers.
-func (f *Fleet) among(set map[uint32]bool) iter.Seq[*State] {
+// among yields the states of some numbers.
+func (f *Fleet) among(numbers iter.Seq[uint32]) iter.Seq[*State] {
 	return func(yield func(*State) bool) {
-		for number := range set {
+		for number := range numbers {
 			if s := f.states[number]; s != nil && !yield(s) {
 				return
 			}
