peer: connections to hosts that nobody calls any more are closed

Cause: a pool kept a connection to each host that it had ever called. One exchange in eight goes to any host, joining goes to many, and requests to owners: in time to all 585, and all of them here. Each connection holds buffers, the types that gob compiles for it, and goroutines at both ends.

Change: of the connections without a call a pool keeps 64, by last use. A host keeps to 24 neighbours, so the others are strangers.

Why it holds: what is open is bounded by the pool, not by the fleet. TestPoolKeepsFew calls 400 hosts and failed with 400 open connections.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -19,7 +19,7 @@
 // ErrOutOfReach is returned when a host didn't answer in time.
 var ErrOutOfReach = errors.New("host is out of reach")
 
-// pool keeps one connection to each peer.
+// pool keeps connections to peers, one to each at the most.
 type pool struct {
 	dial    Dial
 	traffic *meter.Traffic
@@ -37,6 +37,8 @@
 	missed int          // calls since then that it didn't answer in time
 	read   atomic.Int64 // when a byte last came from it, in nanoseconds since 1970
 	opened time.Time    // when the connection that is kept was opened; of no meaning where none is
+	calls  int          // under way
+	used   time.Time    // when a call last began or ended
 }
 
 // deadAfter is how many calls in a row a peer must leave unanswered until its
@@ -103,6 +105,43 @@
 	return known && time.Since(time.Unix(0, c.read.Load())) < d
 }
 
+// mostKept is how many connections are kept of those without a call. In time a host
+// exchanges with each other host, and each connection takes tens of kilobytes at both ends.
+const mostKept = 64
+
+// begin notes that a call to a peer begins; the caller calls end after it.
+func (p *pool) begin(addr string) (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.of(addr)
+	c.calls++
+	c.used = time.Now()
+	return func() { p.ended(c) }
+}
+
+// ended notes that a call has ended, and closes the connection that was without a call for
+// longest if too many are kept.
+func (p *pool) ended(c *contact) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.calls--
+	c.used = time.Now()
+	if len(p.conns) <= mostKept {
+		return
+	}
+	var idle string
+	for addr := range p.conns {
+		if c := p.of(addr); c.calls == 0 && (idle == "" || c.used.Before(p.of(idle).used)) {
+			idle = addr
+		}
+	}
+	if idle == "" {
+		return
+	}
+	p.conns[idle].Close()
+	delete(p.conns, idle)
+}
+
 func (p *pool) get(ctx context.Context, addr string) (*rpc.Client, error) {
 	p.mu.Lock()
 	c := p.conns[addr]
@@ -165,6 +204,7 @@
 func (p *pool) call(ctx context.Context, addr, method string, args, reply any, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	defer p.begin(addr)()
 	for try := 0; ; try++ {
 		c, err := p.get(ctx, addr)
 		if err != nil {
@@ -202,6 +242,7 @@
 func (p *pool) callAnew(ctx context.Context, addr, method string, args, reply any, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	defer p.begin(addr)()
 	conn, err := p.dial(ctx, "tcp", addr)
 	if err != nil {
 		return errors.Wrap(err, "peer")
--- a/peer/pool_test.go
+++ b/peer/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/rpc"
 	"sync/atomic"
@@ -186,3 +187,54 @@
 		})
 	}
 }
+
+// TestPoolKeepsFew has a host call hundreds of others in turn, as exchanges with strangers do
+// in time, while one call takes long. Connections that nobody uses must not be kept for each:
+// 585 hosts held 119 MB at the most, and more the longer they ran.
+func TestPoolKeepsFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const others = 400
+		srv := rpc.NewServer()
+		if err := srv.RegisterName("P", &slowHost{delays: []time.Duration{time.Minute, 0}}); err != nil {
+			t.Fatal(err)
+		}
+		var open atomic.Int32
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			a, b := net.Pipe()
+			open.Add(1)
+			go func() {
+				srv.ServeConn(b)
+				open.Add(-1)
+			}()
+			return a, nil
+		}
+		p := newPool(dial, new(meter.Traffic), new(meter.Ledger))
+		ping := func(i int, limit time.Duration) error {
+			return p.call(context.Background(), fmt.Sprintf("10.0.%d.%d:1", i/250, i%250), methodPing, &Nothing{}, new(Beat), limit)
+		}
+		slow := make(chan error)
+		go func() { slow <- ping(0, time.Hour) }()
+		synctest.Wait()
+		for i := 1; i < others; i++ {
+			if err := ping(i, time.Second); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Millisecond)
+		}
+		synctest.Wait()
+		if n := open.Load(); n > mostKept+1 {
+			t.Errorf("%d connections are open after calls to %d hosts, want %d at the most", n, others, mostKept+1)
+		}
+		if err := <-slow; err != nil {
+			t.Errorf("the call that was under way ended with %v", err)
+		}
+		if err := ping(1, time.Second); err != nil {
+			t.Errorf("a host whose connection was closed: %v", err)
+		}
+		p.close()
+		synctest.Wait()
+		if n := open.Load(); n > 0 {
+			t.Errorf("%d connections are left open", n)
+		}
+	})
+}
