peer: news of a changing roster goes without digests, and at a share of its bound

Cause: two things held while fleets were small. News leaves digests out where an exchange is larger than 5,000 bytes; since exchanges are cut to 160 digests none ever is, so news of 600 endpoints carried digests and that of 74 didn't need to be cut. And each change of the roster is told around at once, every 250 ms, however many there are.

Change: where there are more endpoints than an exchange tells of, news goes without digests. Rosters are told around at a fifth of the time in which a change has to be in force, so that news of a host that is gone waits for nothing; a first change goes at once, as before.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -150,8 +150,13 @@
 // In smaller ones news keeps digests fresh as well.
 const largeExchange = 5000
 
-// large reports whether news has to go without the digests.
+// large reports whether news has to go without the digests. Where there are more endpoints
+// than an exchange tells of, its size says nothing of the region: 60 hosts before 600
+// endpoints, one in ten of which went in each second, told 120 kB a second each.
 func (r *Router) large() bool {
+	if v := r.board.Config.View(); v != nil && v.Endpoints.Len() > mostDigests {
+		return true
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.size > largeExchange
--- a/peer/news.go
+++ b/peer/news.go
@@ -27,7 +27,32 @@
 	}
 	r.layOut(from)
 	r.log.Info("roster in force", zap.Uint64("roster", ro.Revision), zap.Int("endpoints", ro.Endpoints.Len()), zap.String("from", from))
-	r.tellAround()
+	r.tellRoster()
+}
+
+// rosterShare is the least time between two rounds of news of rosters, as a share of the time
+// within which a change has to be in force. In a large fleet the roster changes all the time,
+// and news of a host that is gone must not wait behind it.
+const rosterShare = 0.2
+
+// tellRoster tells around that the roster has changed, now or once that is due again.
+func (r *Router) tellRoster() {
+	every := time.Duration(rosterShare * float64(config.FractionMillis(r.board.Settings.ChangeMillis)))
+	now := time.Now()
+	r.mu.Lock()
+	wait := r.rosterAt.Add(every).Sub(now)
+	pending := r.rosterAt.After(now)
+	if !pending {
+		r.rosterAt = now.Add(max(0, wait))
+	}
+	r.mu.Unlock()
+	switch {
+	case pending: // it will be told with that
+	case wait <= 0:
+		r.tellAround()
+	default:
+		time.AfterFunc(wait, r.tellAround)
+	}
 }
 
 // lapseTick is how often lapsed registrations are looked at.
--- a/peer/router.go
+++ b/peer/router.go
@@ -57,6 +57,7 @@
 	differs  bool      // others named other members
 	askedAll time.Time // when all heartbeats were last asked for
 	spreadAt time.Time // when news was last told around, or will be
+	rosterAt time.Time // the same of a roster
 	domainAt time.Time // when the own domain was last told what is in force here
 	marksAt  time.Time // when marks were last compared with another host's
 }
