node, peer: each process logs what it holds every ten seconds

A process of the whole fleet grows to 119 MB and nothing tells of what: heap, stacks, or connections. One line in ten seconds tells live and free heap, stacks, goroutines, collections, hosts known and connections kept.

--- a/node/node.go
+++ b/node/node.go
@@ -131,7 +131,7 @@
 	}
 	n.metrics = m
 	n.Router.Accepted, n.Router.Emptied = func(v *config.View) { n.Record.SetTargets(v.Doc.Targets) }, n.Owner.Empty
-	n.pool = blackboard.NewPool(n.Board, n.Router.Flusher(), n.Owner.Poller(), n.Router.Exchanger(), n.Router.Watcher(), n.Router.KeySweeper(), n.Router.Seeder(), n.Router.Lapser(), n.Router.Prober(), n.Owner.Balancer(), n.Owner.StartsWatch(), n.Router.Settler(), n.Router.MarksSweeper())
+	n.pool = blackboard.NewPool(n.Board, n.Router.Flusher(), n.Owner.Poller(), n.Router.Exchanger(), n.Router.Watcher(), n.Router.KeySweeper(), n.Router.Seeder(), n.Router.Lapser(), n.Router.Prober(), n.Owner.Balancer(), n.Owner.StartsWatch(), n.Router.Settler(), n.Router.MarksSweeper(), n.processWatch())
 	n.Board.Pause.OnWake(n.dropBeliefs)
 	return n, nil
 }
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -167,6 +167,13 @@
 	return c, nil
 }
 
+// size returns how many connections are kept.
+func (p *pool) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
 // openFor returns for how long the connection to a peer has been open, and whether there
 // is one.
 func (p *pool) openFor(addr string) (d time.Duration, kept bool) {
--- a/peer/router.go
+++ b/peer/router.go
@@ -79,6 +79,9 @@
 	r.bulk.close()
 }
 
+// Connections returns how many connections this host keeps to others.
+func (r *Router) Connections() int { return r.pool.size() + r.bulk.size() }
+
 func (r *Router) timeout() time.Duration { return config.Millis(r.board.Settings.RPCMillis) }
 
 // ownerOf returns where an endpoint's owner is. It fails at once for an owner
