route, entry, peer: a fleet that isn't laid out yet is empty

A host that had its first revision in force and was asked for digests before the tables were laid out would have ended: the views of the fleet were taken to be there. Found in reading; TestNothingYet panicked. Comments no longer hold figures.

--- a/entry/call.go
+++ b/entry/call.go
@@ -165,6 +165,9 @@
 // group returns the endpoints that a job may go to under the revision in
 // force: the route may have moved since it was admitted.
 func (j *job) group(fleet *route.Fleet) *route.Group {
+	if fleet.View == nil { // a first revision is in force and not laid out yet
+		return nil
+	}
 	r := fleet.View.RouteByName(j.route.Name)
 	if r == nil {
 		return nil
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -154,8 +154,7 @@
 const largeExchange = 5000
 
 // large reports whether news has to go without the digests. Where there are more endpoints
-// than an exchange tells of, its size says nothing of the region: 60 hosts before 600
-// endpoints, one in ten of which went in each second, told 120 kB a second each.
+// than an exchange tells of, its size no longer grows with them.
 func (r *Router) large() bool {
 	if v := r.board.Config.View(); v != nil && v.Endpoints.Len() > mostDigests {
 		return true
--- a/peer/news.go
+++ b/peer/news.go
@@ -162,8 +162,8 @@
 }
 
 // tellsDigests reports whether the first to hear of news is told digests as well: in small
-// regions, if nobody was in this round. Where endpoints come and go all the time, 60 hosts before 132 of
-// them told 52 kB a second each.
+// regions, if nobody was in this round. Where endpoints come and go all the time there is
+// news several times a second.
 func (r *Router) tellsDigests(now time.Time) bool {
 	if r.large() {
 		return false
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -59,6 +59,9 @@
 // In yields the states of a failure domain.
 func (f *Fleet) In(domain string) iter.Seq[*State] {
 	return func(yield func(*State) bool) {
+		if f.View == nil {
+			return
+		}
 		for number := range f.View.InDomain(domain).All() {
 			if !yield(f.states[number]) {
 				return
--- a/route/fleet_test.go
+++ b/route/fleet_test.go
@@ -142,3 +142,20 @@
 		t.Errorf("taken back: emptied %v, cold %v, three seconds later %v", s.Evacuated, s.Cold(now), s.Cold(now.Add(3*time.Second)))
 	}
 }
+
+// TestNothingYet asks a fleet before its first view, as another host's exchange may while the
+// first revision is being laid out.
+func TestNothingYet(t *testing.T) {
+	f := NewFleet(nil)
+	f.SetOwn(7, true)
+	f.SetCutOff("a", now, now)
+	for s := range f.In("a") {
+		t.Errorf("%+v before the first view", s)
+	}
+	for s := range f.Own() {
+		t.Errorf("%+v is owned before the first view", s)
+	}
+	if f.Find(7) != nil || f.Learn(Digest{Number: 7}, now) {
+		t.Error("an endpoint is known before the first view")
+	}
+}
