--- a/owner/book.go
+++ b/owner/book.go
@@ -50,9 +50,7 @@
 
 	nextState, nextList, nextFeed time.Time
 	polling                       bool
-	polledAt                      time.Time     // when its state was last asked for
-	pollEach                      time.Duration // between two polls while it isn't idle
-	used                          time.Time     // when it last did something for anyone
+	used                          time.Time // when it last did something for anyone
 }
 
 func newBook(v *config.View, spec *config.Endpoint, share float64, now time.Time) *Book {
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -60,7 +60,7 @@
 			b.mu.Unlock()
 			continue
 		}
-		due := b.due(now)
+		due := b.due()
 		if !b.polling && !due.After(now) {
 			b.polling = true
 			b.mu.Unlock()
@@ -80,9 +80,8 @@
 // is worth asking for.
 func (b *Book) polled() bool { return !b.spec.Registered || b.ledger != nil }
 
-// due returns when the endpoint is to be polled next; the caller holds the lock.
-func (b *Book) due(now time.Time) time.Time {
-	t := b.stateDue(now)
+func (b *Book) due() time.Time {
+	t := b.nextState
 	if b.nextList.Before(t) {
 		t = b.nextList
 	}
@@ -99,7 +98,7 @@
 	every := o.pollEach(b, config.Millis(s.PollMillis))
 	b.mu.Lock()
 	b.fit(o.board.Config.View(), o.share(o.board.Config.View()))
-	state, list, feed := !b.stateDue(now).After(now), !b.nextList.After(now), o.feeds(b) && !b.nextFeed.After(now)
+	state, list, feed := !b.nextState.After(now), !b.nextList.After(now), o.feeds(b) && !b.nextFeed.After(now)
 	next := func(t *time.Time, due bool, every time.Duration) {
 		if due {
 			*t = now.Add(every)
@@ -108,12 +107,6 @@
 	if b.ledger != nil && b.ledger.Unpaced() {
 		every = min(every, listSoon)
 	}
-	if state {
-		b.polledAt, b.pollEach = now, every
-	}
-	if b.isIdle(now) && o.board.Config.HeardWithin(now, rosterFresh) {
-		every = max(every, idlePoll)
-	}
 	next(&b.nextState, state, every)
 	next(&b.nextList, list, config.Millis(s.ListMillis))
 	next(&b.nextFeed, feed, feedEvery)
@@ -137,26 +130,6 @@
 	o.board.Endpoints.Learn(d, time.Now())
 }
 
-// stateDue returns when the endpoint's report is due: an idle one that was given work since it
-// was last asked is asked sooner.
-func (b *Book) stateDue(now time.Time) time.Time {
-	if busy := b.polledAt.Add(b.pollEach); busy.Before(b.nextState) && !b.isIdle(now) {
-		return busy
-	}
-	return b.nextState
-}
-
-// idlePoll is the time between two polls of an idle endpoint. Its registration tells sooner
-// that it is gone, and there is nothing to free there; most of a large fleet is idle.
-const idlePoll = 6 * time.Second
-
-// isIdle reports whether an endpoint that registered itself holds and runs nothing by its last
-// report, and has nothing reserved; the caller holds the lock.
-func (b *Book) isIdle(now time.Time) bool {
-	reported := b.ready && b.fails == 0 && b.state.Running == 0 && b.state.QueuedTokens == 0 && len(b.state.Held) == 0
-	return reported && b.spec.Registered && b.ledger != nil && b.ledger.Len() == 0 && len(b.gone) == 0 && now.After(b.changing)
-}
-
 const (
 	// pollPart is the part of the limit that an endpoint names that polls may come to.
 	pollPart = 0.1
