peer: hosts that join are told whole exchanges with news again

Cause: an exchange of news carries few heartbeats, a whole one thirty-two, and by those hosts meet. While hosts start all exchanges but one a round had become news.

An endpoint without work that goes dark is noticed by its polls alone, and requests pay for it.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -156,9 +156,12 @@
 // large reports whether news has to go without the digests. Where there are more endpoints
 // than an exchange tells of, its size no longer grows with them.
 func (r *Router) large() bool {
-	if v := r.board.Config.View(); v != nil && v.Endpoints.Len() > mostDigests {
-		return true
-	}
+	v := r.board.Config.View()
+	return v != nil && v.Endpoints.Len() > mostDigests || r.overLarge()
+}
+
+// overLarge reports whether exchanges have become larger than news may be.
+func (r *Router) overLarge() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.size > largeExchange
--- a/peer/news.go
+++ b/peer/news.go
@@ -153,9 +153,10 @@
 func (r *Router) spread() {
 	now := time.Now()
 	digests := r.tellsDigests(now)
+	joining := r.board.Joining(now) && !r.overLarge() // whole exchanges tell more heartbeats, by which hosts meet
 	for _, round := range []uint64{1, 2, otherDomainEvery, otherRegionEvery} {
 		if h, ok := r.partner(round, now); ok {
-			go r.exchange(context.Background(), h, !digests)
+			go r.exchange(context.Background(), h, !digests && !joining)
 		}
 		digests = false
 	}
