endpoint, route, entry: what endpoints say of themselves is heard, logged and counted

An answer's head was read for the limit that its endpoint names alone. It is now read once into a Notice (limit, leaving, rest) at every kind of answer; hosts log what they hear first and count the calls that they make to such endpoints since (calls_leaving, calls_resting). Nothing is decided by it yet.

--- a/blackboard/endpoints.go
+++ b/blackboard/endpoints.go
@@ -72,6 +72,13 @@
 	return c
 }
 
+// Notice takes in what an answer of an endpoint said of it, besides its limit.
+func (t *EndpointTable) Notice(number uint32, n route.Notice) (c route.NoticeChange) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fleet.Hear(number, n)
+}
+
 // SetCutOff sets until when a failure domain's endpoints are out of the
 // question; the zero time ends it.
 func (t *EndpointTable) SetCutOff(domain string, until time.Time) {
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -120,18 +120,25 @@
 	KeepMillis int    // how long the endpoint keeps an exported result
 	Team       string // that the request belongs to; empty: none has to answer for it
 	Repeatable bool
-	// Hear is told what the head of the answer says of the endpoint's limit, as the head
-	// arrives; nil: nobody is.
-	Hear func(Said)
+	// Hear is told what the head of the answer says of the endpoint, as the head arrives; nil:
+	// nobody is.
+	Hear func(Notice)
 }
 
-// hear tells what an answer's head says of the endpoint's limit.
-func (c *Call) hear(h http.Header) {
+// hear tells what an answer's head says of the endpoint.
+func (c *Call) hear(res *http.Response) {
 	if c.Hear != nil {
-		c.Hear(ReadLimit(h.Values(HeaderLimit)))
+		c.Hear(noticeOf(res))
 	}
 }
 
+// noticeOf reads an answer's head. An endpoint that leaves says so in its report.
+func noticeOf(res *http.Response) Notice {
+	n := Notice{Limit: ReadLimit(res.Header.Values(HeaderLimit)), Certain: true}
+	n.ReadRest(res.StatusCode, res.Header)
+	return n
+}
+
 // post sends a completion to the endpoint of a call and returns its answer, of
 // which the caller closes the body.
 func (c *Client) post(ctx context.Context, call Call, comp Completion) (*http.Response, error) {
@@ -148,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	call.hear(res.Header)
+	call.hear(res)
 	if res.StatusCode != http.StatusOK {
 		return nil, problem(call.Address, res)
 	}
@@ -191,7 +198,7 @@
 	if err != nil {
 		return nil, err
 	}
-	call.hear(res.Header)
+	call.hear(res)
 	if res.StatusCode == http.StatusServiceUnavailable {
 		return nil, problem(call.Address, res)
 	}
@@ -216,7 +223,7 @@
 	}
 	defer res.Body.Close()
 	if s, is := out.(*State); is {
-		s.Said = ReadLimit(res.Header.Values(HeaderLimit))
+		s.Notice = noticeOf(res)
 	}
 	if out == nil {
 		_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxReport))
--- a/endpoint/wire.go
+++ b/endpoint/wire.go
@@ -145,10 +145,9 @@
 	QueuedTokens int      `json:"queued_tokens"`
 	// Held is the list of what the endpoint holds, in protocols whose
 	// reports carry it; Lists says so.
-	Held  []Running `json:"-"`
-	Lists bool      `json:"-"`
-	// Said is what the report's head says of the endpoint's limit.
-	Said Said `json:"-"`
+	Held   []Running `json:"-"`
+	Lists  bool      `json:"-"`
+	Notice Notice    `json:"-"` // by the report's head
 }
 
 // Running is one row of an endpoint's list of what it holds.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,9 +64,8 @@
 	waiting    waiting
 	slips      slips
 
-	Unstarted  atomic.Uint64 // calls for which there was no start in time
-	Limited    atomic.Uint64 // calls to endpoints that named a limit
-	Unreadable atomic.Uint64 // limits that endpoints named and that can't be read
+	Unstarted atomic.Uint64 // calls for which there was no start in time
+	Heard     Heard
 }
 
 // New returns an entry over the board.
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -214,16 +214,20 @@
 	o.correct(ctx, b, st)
 }
 
-// heard takes in what a report says of the endpoint's limit. Where it names none that says
+// heard takes in what a report's head says of the endpoint. Where it names no limit that says
 // nothing: reports needn't name it.
 func (o *Owner) heard(b *Book, st *endpoint.State, err error) {
-	if err != nil || !st.Said.Named || o.peers == nil {
+	if err != nil {
 		return
 	}
 	b.mu.Lock()
 	spec := b.spec
 	b.mu.Unlock()
-	o.peers.Heard(spec, pace.Word{Named: true, PerSecond: st.Said.PerSecond, At: clock.Now(), Born: spec.Born})
+	o.board.Endpoints.Notice(b.number, route.Notice{Leaving: st.Notice.Leaving, Born: spec.Born, Heard: time.Now()})
+	if !st.Notice.Limit.Named || o.peers == nil {
+		return
+	}
+	o.peers.Heard(spec, pace.Word{Named: true, PerSecond: st.Notice.Limit.PerSecond, At: clock.Now(), Born: spec.Born})
 }
 
 func (o *Owner) pollList(ctx context.Context, b *Book) {
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -20,6 +20,9 @@
 	wrong  map[uint32]bool      // endpoints that aren't in the state that was ordered
 	heads  heads
 	looks  Looks
+
+	notices     map[uint32]*Notices // of endpoints that said anything, also of some that are gone
+	noticesLeft int                 // when those of endpoints that are gone were dropped last
 }
 
 // Group lists the endpoints that a request may go to.
@@ -40,7 +43,7 @@
 
 // NewFleet returns the endpoints of a view, of which nothing is known yet.
 func NewFleet(v *config.View) *Fleet {
-	f := &Fleet{cutOff: map[string]time.Time{}, wrong: map[uint32]bool{}, heads: heads{}, looks: standingLooks}
+	f := &Fleet{cutOff: map[string]time.Time{}, wrong: map[uint32]bool{}, heads: heads{}, looks: standingLooks, notices: map[uint32]*Notices{}}
 	if v != nil {
 		f.Fit(v, time.Time{})
 	}
@@ -196,7 +199,7 @@
 func (f *Fleet) state(number uint32, e *config.Endpoint, old *State, now time.Time) *State {
 	v := f.View
 	s := &State{Number: number, Domain: max(0, v.DomainIndex(e.Domain)), Region: v.RegionSet(v.Region[e.Domain]), Role: e.Role,
-		Spec: e, Leaving: e.Leaving, Evacuated: v.Emptied(e), Own: f.owns(number), CutOff: f.cutOff[e.Domain], ColdUntil: e.ColdUntil, Digest: Digest{Number: number}}
+		Spec: e, Leaving: e.Leaving, Evacuated: v.Emptied(e), Own: f.owns(number), CutOff: f.cutOff[e.Domain], ColdUntil: e.ColdUntil, Notices: f.noticesOf(number, e.Born), Digest: Digest{Number: number}}
 	if p := v.Pools[e.Pool]; p != nil {
 		s.Connections = p.Connections
 	}
--- a/route/state.go
+++ b/route/state.go
@@ -67,6 +67,7 @@
 	LimitedUntil time.Time   // until when it is the dearer choice as it names a limit
 	LimitTold    time.Time   // when its owner was last told that it names another limit, by package clock
 	LimitNews    time.Time   // when hosts were last told that it names a limit, or none any more, by package clock
+	Notices      *Notices    // what its answers said of it to this host; nil: nothing
 	Digest       Digest
 	At           time.Time // when the digest was true; zero: never heard of
 	Own          bool      // this host owns it: to ask it costs no message
