route, entry: an endpoint that says it leaves, or asks for rest, is sent no more

Callers saw: requests handed to an endpoint up to 2.9 s after its host had passed on an answer that said it leaves (2 s allowed), and 216 requests of 9 s turned away by one that had asked for 3 s of rest each time; 18 callers refused and 35 late beside two free endpoints.

Cause: what an answer says of its endpoint had no place in what a host knows of it. Ruled out: the roster taking the word back, and requests under way (the tests fail the same with a quiet store and requests of later moments).

Change: a host keeps Notices of an endpoint's process beside its state. Leaving holds until a later start is registered, whatever the store says meanwhile and also while the registration is gone (10 minutes). A rest bars all calls of the host until its end, then all but one until that one's answer came (1 s at the most). Both are asked when an endpoint is chosen and again, last of all, before every call (Entry.mayCall, also where a start was had before). A pool that rests is refused at once with the first rest's end (code 315 resting); finding a rest costs no try and no retry budget.

Why it holds: Barred is the one gate of all ways to an endpoint (choice, copy, region, retry), and mayCall the last step of all four calls.

--- a/blackboard/endpoints.go
+++ b/blackboard/endpoints.go
@@ -79,6 +79,13 @@
 	return t.fleet.Hear(number, n)
 }
 
+// Admit reports whether a call may be made to an endpoint, as far as it asked this host for rest.
+func (t *EndpointTable) Admit(number uint32, now time.Time) bool {
+	admitted := true
+	t.Touch(number, func(s *route.State) { admitted = s.Notices.Admit(now) })
+	return admitted
+}
+
 // SetCutOff sets until when a failure domain's endpoints are out of the
 // question; the zero time ends it.
 func (t *EndpointTable) SetCutOff(domain string, until time.Time) {
--- a/entry/barred.go
+++ b/entry/barred.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/bits"
 	"math/rand/v2"
 	"slices"
@@ -33,7 +34,7 @@
 		b = route.Barred(s, &r)
 	})
 	switch b {
-	case route.BarGone, route.BarLeaving, route.BarEvacuated, route.BarHome:
+	case route.BarGone, route.BarLeaving, route.BarEvacuated, route.BarResting, route.BarHome:
 		e.barred.count(b)
 		return b
 	}
@@ -85,7 +86,19 @@
 // barredSince is the failure of a try whose endpoint was barred before it was called.
 func barredSince(spec *config.Endpoint, b route.Bar) *retryable {
 	refusal := result.Errorf(codeOf(b), "%s while the request waited: %s", spec.Name, b).After(time.Second)
-	return &retryable{name: spec.Name, bar: b, refusal: refusal}
+	return &retryable{name: spec.Name, unsent: b == route.BarResting, bar: b, refusal: refusal}
+}
+
+// mayCall returns why a call may not be made after all. It is asked last before each call.
+func (e *Entry) mayCall(j *job, spec *config.Endpoint) *retryable {
+	b := e.bars(j, spec)
+	if b == route.BarNone && !e.board.Endpoints.Admit(route.Number(spec.Name), time.Now()) {
+		b = route.BarResting
+	}
+	if b == route.BarNone {
+		return nil
+	}
+	return barredSince(spec, b)
 }
 
 // codeOf returns the code of a refusal by one endpoint over what bars it.
@@ -97,6 +110,8 @@
 		return result.Limited
 	case route.BarTrial:
 		return result.UnderTrial
+	case route.BarResting:
+		return result.Resting
 	}
 	return result.EndpointRefused
 }
@@ -106,6 +121,7 @@
 func (e *Entry) nowhere(j *job, what string, list func(g *route.Group) []*route.State) *result.Error {
 	blamed := route.BarNone
 	var numbers []uint32
+	rest, resting := time.Duration(0), false
 	j.pick.Now = time.Now()
 	e.board.Endpoints.Read(func(fleet *route.Fleet) {
 		v := fleet.View
@@ -118,6 +134,7 @@
 			for _, s := range list(g) {
 				numbers = append(numbers, s.Number)
 			}
+			rest, resting = restBack(list(g), &j.pick)
 		}
 	})
 	e.barred.count(blamed)
@@ -131,9 +148,28 @@
 	case route.BarHome:
 		return result.Errorf(result.NoHome, "no %s is open: %s", what, blamed).After(time.Second)
 	}
+	if resting {
+		return result.Errorf(result.Resting, "no %s is open: %s", what, route.BarResting).After(rest)
+	}
 	return result.Errorf(result.NoEndpoint, "no %s that the route allows is in reach", what).After(time.Second)
 }
 
+// restBack returns when a caller is to come back for which some endpoints are open but for their
+// rest, if there are any: some time after the first rest ends, as one request goes there first.
+func restBack(list []*route.State, r *route.Request) (back time.Duration, resting bool) {
+	back = time.Duration(math.MaxInt64)
+	for _, s := range list {
+		if route.Barred(s, r) == route.BarResting {
+			probe := time.Duration((callSpread + rand.Float64()) * max(s.Seen.Took, leastProbe) * float64(time.Second))
+			back, resting = min(back, max(0, s.Notices.Rest.Sub(r.Now))+probe), true
+		}
+	}
+	return back, resting
+}
+
+// leastProbe is the least time, in seconds, that the first request after a rest is taken to need.
+const leastProbe = 0.05
+
 // usualCall returns when a caller is to come back whose endpoints all have as many calls as they
 // take: after some part of the time of a usual call, by which one of them is over. It is spread,
 // as callers are refused together.
--- a/entry/ends.go
+++ b/entry/ends.go
@@ -206,7 +206,7 @@
 func (e *Entry) leaves(spec *config.Endpoint) bool {
 	leaves := true
 	e.board.Endpoints.Find(route.Number(spec.Name), func(_ *config.View, s *route.State) {
-		leaves = s.Leaving || s.Evacuated || s.Digest.Flags&route.FlagLeaving != 0
+		leaves = s.IsLeaving() || s.Evacuated
 	})
 	return leaves
 }
--- /dev/null
+++ b/entry/resting_test.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/report"
+	"github.com/embercove/embercove/result"
+	"github.com/embercove/embercove/route"
+)
+
+// TestRestBack has the endpoints of a service rest, some of them for longer, or leave. A call is
+// refused at once with the time of the first that takes requests again, and costs no try.
+func TestRestBack(t *testing.T) {
+	const leaves = -1
+	for _, tc := range []struct {
+		name  string
+		rests []time.Duration // leaves: it leaves
+		code  result.Code
+		back  time.Duration
+	}{
+		{"all rest", []time.Duration{5 * time.Second, 3 * time.Second, 4 * time.Second}, result.Resting, 3 * time.Second},
+		{"one rests, most leave", []time.Duration{leaves, 2 * time.Second, leaves}, result.Resting, 2 * time.Second},
+		{"all leave", []time.Duration{leaves, leaves}, result.NoEndpoint, time.Second},
+		{"one is free", []time.Duration{leaves, 3 * time.Second, 0}, result.OK, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				settings := &config.Settings{Host: "h", Domain: "a", Region: "r"}
+				settings.SetDefaults()
+				b := blackboard.New(settings)
+				if _, err := b.Config.Offer(1, []byte(serviceDocument)); err != nil {
+					t.Fatal(err)
+				}
+				roster := &config.RosterList{Revision: 1}
+				for i := range tc.rests {
+					roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: fmt.Sprint("s", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: "a", Pool: "web", Role: config.Service})
+				}
+				if _, err := b.Config.OfferRoster(roster.Roster(), time.Now()); err != nil {
+					t.Fatal(err)
+				}
+				v := b.Config.View()
+				b.Endpoints.Fit(v)
+				for i, rest := range tc.rests {
+					b.Endpoints.Notice(route.Number(fmt.Sprint("s", i)), route.Notice{Leaving: rest == leaves, Rest: max(0, rest), Heard: time.Now()})
+				}
+				s := &startScene{leavingScene: &leavingScene{t: t, board: b}}
+				e := New(b, serviceCalls{s}, s, report.NewRecorder(), zap.NewNop())
+				j := e.newJob(v, v.RouteFor("h", "/x"), headers{team: defaultTeam})
+				j.pool, j.work, j.out = "web", &endpoint.Work{}, newPassage(httptest.NewRecorder(), writeError)
+				began := time.Now()
+				refusal := e.runService(t.Context(), j)
+				if took := time.Since(began); took > 0 {
+					t.Errorf("it took %v", took)
+				}
+				if tc.code == result.OK {
+					if refusal != nil || s.order[len(s.order)-1] != "call s2" {
+						t.Errorf("refused with %v after %v", refusal, s.order)
+					}
+					return
+				}
+				const probe = 100 * time.Millisecond
+				if refusal == nil || refusal.Code != tc.code || !refusal.NotRun() || refusal.RetryAfter < tc.back || refusal.RetryAfter > tc.back+probe || len(s.order) > 0 {
+					t.Errorf("refused with %+v after %v, want %s and %v", refusal, s.order, tc.code, tc.back)
+				}
+			})
+		})
+	}
+}
--- a/entry/start.go
+++ b/entry/start.go
@@ -34,7 +34,6 @@
 // start waits until a call may go to an endpoint. It returns why it may not: no start is to
 // be had there in time, or it was barred while the call waited. Nothing has run then.
 func (e *Entry) start(ctx context.Context, j *job, spec *config.Endpoint) *retryable {
-	waited := false
 	most := e.startWait(j, spec)
 	for end := time.Now().Add(most); ; {
 		b := e.startBar(spec)
@@ -49,18 +48,19 @@
 		if !wait.For(ctx, s.In) {
 			return &retryable{name: spec.Name, refusal: result.Errorf(result.TooLate, "the caller's time ended before %s had a start", spec.Name)}
 		}
-		waited = true
 		if s.Given && clock.Now().Before(s.Until) {
 			break
 		}
 	}
-	if !waited {
-		return nil
-	}
-	if b := e.bars(j, spec); b != route.BarNone {
-		return barredSince(spec, b)
+	return e.mayCall(j, spec)
+}
+
+// startHeld is start for a call that may have its start already.
+func (e *Entry) startHeld(ctx context.Context, j *job, spec *config.Endpoint, h *heldStart) *retryable {
+	if h.take(spec) {
+		return e.mayCall(j, spec)
 	}
-	return nil
+	return e.start(ctx, j, spec)
 }
 
 // askStart asks for a start that comes within wait.
--- a/entry/write.go
+++ b/entry/write.go
@@ -44,13 +44,11 @@
 			continue
 		}
 		e.secure(ctx, j, p) // before the start, which lapses
-		if !p.held.take(p.dec) {
-			if r := e.start(ctx, j, p.dec); r != nil {
-				if err := e.moveFrom(ctx, j, p, kv, lapses, r.bar); err != nil {
-					return err
-				}
-				continue
+		if r := e.startHeld(ctx, j, p.dec, &p.held); r != nil {
+			if err := e.moveFrom(ctx, j, p, kv, lapses, r.bar); err != nil {
+				return err
 			}
+			continue
 		}
 		before := j.out.pieces()
 		err := e.decodeOnce(ctx, j, p, kv)
--- a/node/status.go
+++ b/node/status.go
@@ -125,7 +125,7 @@
 
 func stateName(st *route.State) string {
 	switch f := st.Digest.Flags; {
-	case st.Leaving || f&route.FlagLeaving != 0:
+	case st.IsLeaving():
 		return "leaving"
 	case st.Evacuated:
 		return "being emptied"
@@ -133,6 +133,8 @@
 		return "down"
 	case f&route.FlagWrong != 0:
 		return "being ordered"
+	case st.IsResting(time.Now()):
+		return "resting"
 	case st.Cold(time.Now()):
 		return "cold"
 	case st.Limit.Word().Named:
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -140,8 +140,14 @@
 // pollEach returns the time between two polls of an endpoint. One in need counts what it gets,
 // and whether it counts polls isn't known: they come to so little that the sum stays at its limit.
 func (o *Owner) pollEach(b *Book, usual time.Duration) time.Duration {
-	perSecond, limited := 0.0, false
-	o.board.Endpoints.Find(b.number, func(_ *config.View, s *route.State) { perSecond, limited = s.Limit.Limit(clock.Now()) })
+	perSecond, limited, resting := 0.0, false, false
+	o.board.Endpoints.Find(b.number, func(_ *config.View, s *route.State) {
+		perSecond, limited = s.Limit.Limit(clock.Now())
+		resting = s.IsResting(time.Now())
+	})
+	if resting {
+		return max(usual, pollMost)
+	}
 	if !limited {
 		return usual
 	}
--- a/region/region.go
+++ b/region/region.go
@@ -143,7 +143,7 @@
 // see counts one endpoint. The places of one that is cold or names a limit are given out by
 // its starts, which are for its own region's callers.
 func (p *pool) see(s *route.State, now time.Time) {
-	open := !s.Leaving && !s.Evacuated && !s.Cold(now) && !s.Limited(now) && s.Digest.Flags == 0 && !now.Before(s.CutOff) && !s.Seen.Shunned(now)
+	open := !s.IsLeaving() && !s.Evacuated && !s.IsResting(now) && !s.Cold(now) && !s.Limited(now) && s.Digest.Flags == 0 && !now.Before(s.CutOff) && !s.Seen.Shunned(now)
 	if s.Role == config.Service {
 		if s.Seen.Took > 0 {
 			took := time.Duration(s.Seen.Took * float64(time.Second))
--- a/result/result.go
+++ b/result/result.go
@@ -48,6 +48,7 @@
 	Cold            Code = 312
 	UnderTrial      Code = 313
 	Limited         Code = 314
+	Resting         Code = 315
 	OutcomeUnknown  Code = 400
 	AnswerBroken    Code = 401
 	CallerGone      Code = 402
@@ -101,6 +102,7 @@
 	{Cold, "cold", 503, true, true, "The endpoints of the request are cold, and each is given as many requests as it bears.", "Look at cold_s of endpoints in embercove status; wait some seconds."},
 	{UnderTrial, "under_trial", 503, true, true, "An endpoint ended as it ran this request, and the same request is being tried elsewhere just now.", "Look at embercove suspects."},
 	{Limited, "limited", 503, true, true, "The endpoints of the request name limits of requests a second, and these are used up.", "Look at the state limited and limit_per_s of endpoints in embercove status: they are in need."},
+	{Resting, "resting", 503, true, true, "The endpoints of the request have turned this host away and asked it for rest.", "Look at the state resting of endpoints in embercove status: they are overloaded."},
 	{OutcomeUnknown, "outcome_unknown", 502, false, false, "The request may have run; its answer is not known.", "Look for hosts or endpoints that died."},
 	{AnswerBroken, "answer_broken", 502, false, true, "The answer stopped part-way and could not be resumed.", "Look for endpoints that died."},
 	{CallerGone, "caller_gone", 499, false, false, "The caller left before its answer was whole.", "Nothing."},
--- a/route/gate.go
+++ b/route/gate.go
@@ -15,6 +15,7 @@
 	BarDown            // out of its owner's reach
 	BarWrong           // not in the state that was ordered
 	BarCutOff          // its failure domain is cut off from this host
+	BarResting         // it asked this host for rest
 	BarHome            // its region is not one in which the request may be served
 	BarRegion          // in another region, which the request has no reason to go to
 	BarCold            // cold, and no start is to be had there yet
@@ -42,6 +43,8 @@
 		return "not in the ordered state"
 	case BarCutOff:
 		return "its failure domain is cut off from this host"
+	case BarResting:
+		return "it asked this host for rest"
 	case BarHome:
 		return "its region is none in which the request may be served"
 	case BarRegion:
@@ -70,14 +73,14 @@
 
 // Label returns the bar as a label of metrics.
 func (b Bar) Label() string {
-	return [bars]string{"", "gone", "leaving", "emptied", "down", "wrong_state", "cut_off", "no_home", "other_region", "cold", "limited", "connections", "excluded", "trial"}[b]
+	return [bars]string{"", "gone", "leaving", "emptied", "down", "wrong_state", "cut_off", "resting", "no_home", "other_region", "cold", "limited", "connections", "excluded", "trial"}[b]
 }
 
 // Barred returns why a request may not be sent to an endpoint of any role now; BarNone:
 // it may. Every way out asks it, when an endpoint is chosen and again just before the call.
 func Barred(s *State, r *Request) Bar {
 	switch {
-	case s.Leaving || s.Digest.Flags&FlagLeaving != 0:
+	case s.IsLeaving():
 		return BarLeaving
 	case s.Evacuated, r.Shut&(1<<s.Domain) != 0:
 		return BarEvacuated
@@ -87,6 +90,8 @@
 		return BarWrong
 	case r.Now.Before(s.CutOff):
 		return BarCutOff
+	case s.IsResting(r.Now):
+		return BarResting
 	case r.Homes != 0 && !r.Homes.Has(s.Region):
 		return BarHome
 	case !(r.Region | r.Reach).Has(s.Region):
--- a/route/notices.go
+++ b/route/notices.go
@@ -17,8 +17,33 @@
 	Leaving bool
 	Rest    time.Time // until when the endpoint wants no request
 
-	born int64
-	last time.Time // when the last of them was heard
+	probed time.Time // until when the first request after the rest is waited for
+	proved bool      // an answer to a call after the rest has come
+	born   int64
+	last   time.Time // when the last of them was heard
+}
+
+// probeFor is how long the answer to the first request after a rest is waited for, before another
+// is sent.
+const probeFor = time.Second
+
+// isResting reports whether the endpoint wants no request, or whether it takes any again is just
+// being found out by one.
+func (n *Notices) isResting(now time.Time) bool {
+	return n != nil && (now.Before(n.Rest) || !n.proved && now.Before(n.probed))
+}
+
+// Admit reports whether a call may be made now. The first one after a rest bars the others until
+// its answer comes: all at once would be turned away by an endpoint that rests again.
+func (n *Notices) Admit(now time.Time) bool {
+	switch {
+	case n == nil || n.Rest.IsZero() || n.proved:
+		return true
+	case n.isResting(now):
+		return false
+	}
+	n.probed = now.Add(probeFor)
+	return true
 }
 
 // NoticeChange is what a notice changes for a host.
@@ -32,16 +57,25 @@
 	c.Leaves = said.Leaving && !n.Leaving
 	c.Rests = said.Rest > 0 && !said.Heard.Before(n.Rest)
 	n.Leaving = n.Leaving || said.Leaving
-	if until := said.Heard.Add(said.Rest); said.Rest > 0 && until.After(n.Rest) {
-		n.Rest = until
+	until := said.Heard.Add(said.Rest)
+	switch {
+	case said.Rest > 0 && until.After(n.Rest):
+		n.Rest, n.probed, n.proved = until, time.Time{}, false
+	case said.Rest == 0 && !said.Sent.Before(n.Rest):
+		n.proved = true
 	}
 	n.last = said.Heard
 	return c
 }
 
-// isOf reports whether the notices are those of a start of the endpoint. Where the start isn't
-// told it may be the same.
-func (n *Notices) isOf(born int64) bool { return n.born == 0 || born <= n.born }
+// isOf reports whether the notices are those of a start of the endpoint. The first start that is
+// told may be theirs.
+func (n *Notices) isOf(born int64) bool {
+	if n.born == 0 {
+		n.born = born
+	}
+	return born <= n.born
+}
 
 const (
 	// noticesKept is for how long an endpoint's notices are kept while it isn't registered: a
--- a/route/state.go
+++ b/route/state.go
@@ -79,6 +79,15 @@
 // Number returns the number that stands for an endpoint's name in messages.
 func Number(name string) uint32 { return config.NameNumber(name) }
 
+// IsLeaving reports whether the endpoint leaves, by what is registered, by its owner, or by its
+// answers to this host.
+func (s *State) IsLeaving() bool {
+	return s.Leaving || s.Digest.Flags&FlagLeaving != 0 || s.Notices != nil && s.Notices.Leaving
+}
+
+// IsResting reports whether the endpoint wants no request of this host now.
+func (s *State) IsResting(now time.Time) bool { return s.Notices.isResting(now) }
+
 // Age returns how old the last digest is; below 0: there is none.
 func (s *State) Age(now time.Time) time.Duration {
 	if s.At.IsZero() {
