publish, peer: hosts log when the store has to be listed, and rosters that they leave out

A watch that was refused, a listing of a lower revision and a roster that wasn't taken over left no line, so that the three hypotheses of the incident with a store that came back from a copy couldn't be told apart. Nothing is decided by it.

--- a/peer/news.go
+++ b/peer/news.go
@@ -23,6 +23,7 @@
 		r.log.Warn("endpoints left out of the roster", zap.Uint64("roster", ro.Revision), zap.String("from", from), zap.Error(err))
 	}
 	if !in {
+		r.noteLeftOut(ro, from)
 		return
 	}
 	r.layOut(from)
@@ -30,6 +31,14 @@
 	r.tellRoster()
 }
 
+// noteLeftOut logs that a roster isn't taken over, as it is of an earlier revision than the one
+// in force.
+func (r *Router) noteLeftOut(ro *config.Roster, from string) {
+	if now := r.board.Config.RosterRevision(); ro.Revision < now {
+		r.log.Info("earlier roster left out", zap.Uint64("roster", ro.Revision), zap.Uint64("in_force", now), zap.String("from", from))
+	}
+}
+
 // rosterShare is the least time between two rounds of news of rosters, as a share of the time
 // within which a change has to be in force. In a large fleet the roster changes all the time,
 // and news of a host that is gone must not wait behind it.
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -99,6 +99,9 @@
 			listed = !relist(err) && !errors.Is(err, ErrBroken)
 		}
 		f.noteReach(ctx, err)
+		if relist(err) {
+			f.log.Info("store has to be listed", zap.Uint64("at", f.at), zap.Error(err))
+		}
 		if err == nil || !listed && relist(err) {
 			retry = retryFirst
 			continue
@@ -140,6 +143,9 @@
 	f.faults(s.Faults)
 	now := time.Now()
 	f.judgeOutage(now)
+	if s.At < f.at {
+		f.log.Warn("store lists an earlier revision than it had", zap.Uint64("at", s.At), zap.Uint64("before", f.at))
+	}
 	before := f.before(sink)
 	f.use(f.listed(before, s.Endpoints, now))
 	for _, name := range s.Unusable {
