config, publish, platform, blackboard, route: what a store holds is ordered by era and revision

Callers saw: requests handed to an endpoint more than 2 s after the store had taken down that it leaves.

Cause: a store that came back from a copy counts from a lower revision, and one number stood for the order of rosters. Hosts left out each roster until the store had counted past what they knew (up to 8.5 s in the record); where it had done so before they asked, their watch went on in another history, and changes were missed for good. Ruled out: that the copy lacked the mark (it was made after the store's return).

Change: config.Position is an era and a revision, ordered by both; rosters, evacuations, changes, what hosts tell each other and logs carry it, and platform reads the era of each answer once. A watch from another era has the store listed, an answer of an earlier era tells nothing, and a change log doesn't reach from era to era. What was acknowledged holds on where the copy lacks it: a mark of leaving until a later start, a registration for 2.5 s (as after an outage), an evacuation for 10 s; an endpoint that had gone and is in the copy isn't used for 5 s, by which the registration of one that doesn't live has run out.

Why it holds: every comparison of rosters was one of revisions, and has the type of positions now, so that none can be left; hosts that are cut off, restart or meet others order by it without the store.

The field roster of log lines is text (2/41, or 41 where no era is told), which lines_test checks as such; trace reads both.

--- a/blackboard/behind.go
+++ b/blackboard/behind.go
@@ -1,17 +1,21 @@
 package blackboard
 
-import "time"
+import (
+	"time"
+
+	"github.com/embercove/embercove/config"
+)
 
 // lack is what other hosts are known to have, and since when this one lacks it.
 type lack struct {
-	revision uint64    // of the configuration, the highest that another host told of
-	roster   uint64    // the same of the roster
-	since    time.Time // of no meaning while this host lacks nothing
+	revision uint64          // of the configuration, the highest that another host told of
+	roster   config.Position // the same of the roster
+	since    time.Time       // of no meaning while this host lacks nothing
 }
 
 // HeardOf notes which revision of the configuration and of the roster another host has
 // in force. It reports whether that is news of a configuration that this host lacks.
-func (t *ConfigTable) HeardOf(revision, roster uint64, now time.Time) bool {
+func (t *ConfigTable) HeardOf(revision uint64, roster config.Position, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before := t.lacks()
@@ -29,7 +33,7 @@
 }
 
 // rosterRevision is RosterRevision; the caller holds the lock.
-func (t *ConfigTable) rosterRevision() uint64 {
+func (t *ConfigTable) rosterRevision() config.Position {
 	if t.roster == nil {
 		return 0
 	}
--- a/blackboard/changes.go
+++ b/blackboard/changes.go
@@ -10,13 +10,13 @@
 // rosterLog knows which endpoints of the roster changed at which revision, so
 // that peers can be told what changed since theirs instead of everything.
 type rosterLog struct {
-	from  uint64 // nothing is known of changes up to this revision
-	steps []step // in the order of their revisions
+	from  config.Position // nothing is known of changes up to this revision
+	steps []step          // in the order of their revisions
 }
 
 // step is the change of one endpoint.
 type step struct {
-	revision uint64
+	revision config.Position
 	number   uint32
 	name     string
 }
@@ -26,9 +26,10 @@
 const mostSteps = 4096
 
 // note takes in that a roster replaced another. A change between two revisions
-// counts as one at the later: who has one between them is told it again.
+// counts as one at the later: who has one between them is told it again. From era to era
+// nothing joins: another host may know changes that were lost before this one heard of them.
 func (l *rosterLog) note(old, now *config.Roster) {
-	if old == nil {
+	if old == nil || old.Revision.Era() != now.Revision.Era() {
 		*l = rosterLog{from: now.Revision}
 		return
 	}
@@ -57,7 +58,7 @@
 }
 
 // since returns the names and numbers of endpoints that changed after a revision.
-func (l *rosterLog) since(after uint64) map[string]uint32 {
+func (l *rosterLog) since(after config.Position) map[string]uint32 {
 	out := map[string]uint32{}
 	for i := len(l.steps) - 1; i >= 0 && l.steps[i].revision > after; i-- {
 		out[l.steps[i].name] = l.steps[i].number
@@ -67,7 +68,7 @@
 
 // RosterSince returns what a host with an earlier revision lacks: the change, or
 // the whole roster where that isn't known. Both are nil if it lacks nothing.
-func (t *ConfigTable) RosterSince(after uint64, now time.Time) (*config.RosterList, *config.RosterChange) {
+func (t *ConfigTable) RosterSince(after config.Position, now time.Time) (*config.RosterList, *config.RosterChange) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
--- a/blackboard/cold_test.go
+++ b/blackboard/cold_test.go
@@ -38,7 +38,7 @@
 		{12_000, 3000, 15_000, true}, // started anew, and nobody heard that it was warm
 	} {
 		at := now.Add(config.Millis(tc.at))
-		r := &config.RosterList{Revision: uint64(i + 1), Endpoints: []config.Endpoint{coldEndpoint(tc.left).Heard(at)}}
+		r := &config.RosterList{Revision: config.Position(i + 1), Endpoints: []config.Endpoint{coldEndpoint(tc.left).Heard(at)}}
 		if _, err := one.OfferRoster(r.Roster(), at); err != nil {
 			t.Fatal(err)
 		}
@@ -95,7 +95,7 @@
 			if _, err := b.Config.Offer(1, []byte(coldDocument)); err != nil {
 				t.Fatal(err)
 			}
-			fit := func(revision uint64) {
+			fit := func(revision config.Position) {
 				if _, err := b.Config.OfferRoster((&config.RosterList{Revision: revision, Endpoints: []config.Endpoint{coldEndpoint(0)}}).Roster(), time.Now()); err != nil {
 					t.Fatal(err)
 				}
--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -21,6 +21,7 @@
 	mu       sync.Mutex
 	roster   *config.Roster // nil before the first
 	lapsed   config.Lapsed  // of the roster
+	kept     keptEvacuations
 	log      rosterLog
 	rejected uint64 // highest revision that was rejected
 	cause    string
@@ -76,7 +77,7 @@
 	}
 	t.keepSource(v)
 	if cur == nil {
-		v = v.WithRoster(t.roster)
+		v = v.WithRoster(t.withKept(t.roster))
 	} else {
 		v = v.WithRosterOf(cur)
 	}
@@ -96,6 +97,9 @@
 	if t.roster != nil && r.Revision <= t.roster.Revision {
 		return false, nil
 	}
+	if t.roster != nil && r.Revision.Era() > t.roster.Revision.Era() {
+		r = t.restored(r, now)
+	}
 	judged := map[uint32]*config.Endpoint{}
 	var faults error
 	trie.Diff(t.known(), r.Endpoints, func(number uint32, was, told *config.Endpoint) {
@@ -130,6 +134,9 @@
 	if was != nil && e.StartedBefore(was) {
 		e = *was
 	}
+	if was != nil && was.Leaving && !was.StartedBefore(&e) {
+		e.Leaving = true // until its process ends, also where the store has lost its mark
+	}
 	if err := config.CheckRegistered(&e); err != nil {
 		return nil, err
 	}
@@ -151,7 +158,7 @@
 	t.log.note(t.roster, r)
 	t.roster = r
 	if v := t.inUse.Load(); v != nil {
-		t.inUse.Store(v.WithRoster(r))
+		t.inUse.Store(v.WithRoster(t.withKept(r)))
 	}
 }
 
@@ -163,7 +170,7 @@
 }
 
 // RosterRevision returns the revision of the roster; 0 before the first.
-func (t *ConfigTable) RosterRevision() uint64 {
+func (t *ConfigTable) RosterRevision() config.Position {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.rosterRevision()
--- a/blackboard/config_test.go
+++ b/blackboard/config_test.go
@@ -17,7 +17,7 @@
 
 // rosterOf returns a roster of names; a name in upper case is without a
 // registration since the time given.
-func rosterOf(revision uint64, names string, since time.Time) *config.RosterList {
+func rosterOf(revision config.Position, names string, since time.Time) *config.RosterList {
 	r := &config.RosterList{Revision: revision}
 	for i, name := range strings.Fields(names) {
 		e := config.Endpoint{Name: strings.ToLower(name), Address: "127.0.0.1:" + string("123456789"[i]), Domain: "d", Pool: "p", Role: config.Service}
@@ -65,7 +65,7 @@
 				if s.roster == "" {
 					continue
 				}
-				if _, err := table.OfferRoster(rosterOf(uint64(i+1), s.roster, now.Add(s.since)).Roster(), now); err != nil {
+				if _, err := table.OfferRoster(rosterOf(config.Position(i+1), s.roster, now.Add(s.since)).Roster(), now); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -89,7 +89,7 @@
 	one, other := newConfigTable(new(invariant.Set)), newConfigTable(new(invariant.Set))
 	whole, changes, rows := 0, 0, 0
 	for revision := uint64(1); revision < 400; revision++ {
-		r := &config.RosterList{Revision: revision}
+		r := &config.RosterList{Revision: config.Position(revision)}
 		if before := one.Roster(); before != nil {
 			r.Endpoints = before.List(now).Endpoints
 		}
@@ -206,7 +206,7 @@
 				t.Fatal(err)
 			}
 			roster := func(revision uint64) *config.RosterList {
-				r := &config.RosterList{Revision: revision}
+				r := &config.RosterList{Revision: config.Position(revision)}
 				for i := range tc.endpoints {
 					r.Endpoints = append(r.Endpoints, config.Endpoint{Name: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("10.8.%d.%d:80", i/250, i%250+1),
 						Domain: "a", Pool: "p", Role: config.Decode, Slots: 1, Registered: true})
--- a/blackboard/evacuations_test.go
+++ b/blackboard/evacuations_test.go
@@ -13,13 +13,13 @@
 // emptied returns a roster of endpoints, in domains d and e by turns, that has failure
 // domains emptied.
 func emptied(revision uint64, endpoints int, domains ...string) *config.RosterList {
-	r := &config.RosterList{Revision: revision}
+	r := &config.RosterList{Revision: config.Position(revision)}
 	for i := range endpoints {
 		r.Endpoints = append(r.Endpoints, config.Endpoint{Name: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("10.8.%d.%d:80", i/250, i%250+1),
 			Domain: "de"[i%2 : i%2+1], Pool: "p", Role: config.Service, Registered: true})
 	}
 	for _, d := range domains {
-		r.Evacuated = append(r.Evacuated, config.Evacuation{Domain: d, Revision: revision})
+		r.Evacuated = append(r.Evacuated, config.Evacuation{Domain: d, Revision: config.Position(revision)})
 	}
 	return r
 }
--- a/blackboard/lapsed.go
+++ b/blackboard/lapsed.go
@@ -20,12 +20,14 @@
 }
 
 // DropLapsed drops endpoints that have been without a registration for too
-// long, and reports how many.
+// long, and evacuations that were kept for long without being published again. It reports how
+// many there were.
 func (t *ConfigTable) DropLapsed(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	expired := t.lapsed.Expired(now)
-	if len(expired) == 0 {
+	ended := t.kept.expire(now)
+	if len(expired)+ended == 0 {
 		return 0
 	}
 	kept := *t.roster
@@ -33,5 +35,5 @@
 		kept.Endpoints = config.Remove(kept.Endpoints, e.Name)
 	}
 	t.useRoster(&kept)
-	return len(expired)
+	return len(expired) + ended
 }
--- a/blackboard/starts_test.go
+++ b/blackboard/starts_test.go
@@ -27,7 +27,7 @@
 		born := map[string]int64{}
 		var rosters []*config.RosterList
 		for revision := range uint64(rapid.IntRange(1, 12).Draw(t, "rosters")) {
-			ro := &config.RosterList{Revision: revision + 1}
+			ro := &config.RosterList{Revision: config.Position(revision + 1)}
 			for _, name := range names {
 				if rapid.Bool().Draw(t, "starts again") {
 					born[name] += int64(1 + rapid.IntRange(0, 3).Draw(t, "later"))
--- a/config/change.go
+++ b/config/change.go
@@ -8,7 +8,7 @@
 // RosterChange is what changed in a roster since an earlier revision, as of
 // Revision. It may be laid over any roster from From to Revision.
 type RosterChange struct {
-	From, Revision uint64
+	From, Revision Position
 	Changed        []Endpoint   // new, or with a new state
 	Gone           []string     // names
 	Evacuated      []Evacuation // all that hold as of Revision, as they are few
@@ -39,7 +39,7 @@
 
 // RosterList is a roster as other hosts are told of it.
 type RosterList struct {
-	Revision  uint64
+	Revision  Position
 	Endpoints []Endpoint
 	Evacuated []Evacuation
 }
--- a/config/evacuation.go
+++ b/config/evacuation.go
@@ -4,7 +4,7 @@
 // its endpoints until that is taken back.
 type Evacuation struct {
 	Domain   string
-	Revision uint64 // of the store, when it was published
+	Revision Position // when it was published
 }
 
 // EvacuationsByDomain returns a list by failure domain; nil for an empty one.
--- a/config/roster.go
+++ b/config/roster.go
@@ -74,7 +74,7 @@
 // that are being emptied, as of one revision of wherever that is published. Unlike a
 // document it changes with every endpoint that comes, changes or goes.
 type Roster struct {
-	Revision  uint64
+	Revision  Position
 	Endpoints Endpoints
 	Evacuated []Evacuation // one for each failure domain, known to a document or not
 }
--- a/config/view.go
+++ b/config/view.go
@@ -28,7 +28,7 @@
 	Routes       []RouteView
 	Pools        map[string]*Pool
 	// Roster is the revision of the endpoints that registered themselves.
-	Roster uint64
+	Roster Position
 	// Evacuated are the failure domains that are being emptied.
 	Evacuated map[string]Evacuation
 
--- a/entry/barred.go
+++ b/entry/barred.go
@@ -34,7 +34,7 @@
 		b = route.Barred(s, &r)
 	})
 	switch b {
-	case route.BarGone, route.BarLeaving, route.BarEvacuated, route.BarResting, route.BarHome:
+	case route.BarGone, route.BarLeaving, route.BarDoubted, route.BarEvacuated, route.BarResting, route.BarHome:
 		e.barred.count(b)
 		return b
 	}
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -48,7 +48,7 @@
 )
 
 func (s *leavingScene) publish() {
-	roster := &config.RosterList{Revision: uint64(len(s.left) + 1)}
+	roster := &config.RosterList{Revision: config.Position(len(s.left) + 1)}
 	for _, d := range s.emptied {
 		roster.Evacuated = append(roster.Evacuated, config.Evacuation{Domain: d, Revision: roster.Revision})
 	}
--- a/entry/lines_test.go
+++ b/entry/lines_test.go
@@ -110,7 +110,7 @@
 		t.Fatalf("%d lines", len(got))
 	}
 	fields := got[0].ContextMap()
-	want := map[string]any{"caller_id": "c7", "revision": uint64(3), "roster": uint64(9), "name": "no_route"}
+	want := map[string]any{"caller_id": "c7", "revision": uint64(3), "roster": "9", "name": "no_route"}
 	for name, v := range want {
 		if fields[name] != v {
 			t.Errorf("%s is %v, want %v", name, fields[name], v)
--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -3,16 +3,17 @@
 import (
 	"time"
 
+	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/route"
 )
 
 // EvacuationStatus is a failure domain that is being emptied.
 type EvacuationStatus struct {
-	Domain   string  `json:"failure_domain"`
-	Since    float64 `json:"known_s"`  // for how long it is in force here
-	Revision uint64  `json:"revision"` // of the store, when it was published
-	From     string  `json:"from"`     // the store, or the peer that told
-	Running  int     `json:"running"`  // calls of this host that run there still
+	Domain   string          `json:"failure_domain"`
+	Since    float64         `json:"known_s"`  // for how long it is in force here
+	Revision config.Position `json:"revision"` // when it was published
+	From     string          `json:"from"`     // the store, or the peer that told
+	Running  int             `json:"running"`  // calls of this host that run there still
 }
 
 // evacuations lists the failure domains that are being emptied.
--- a/node/process.go
+++ b/node/process.go
@@ -39,7 +39,7 @@
 				fields = append(fields, zap.Uint64(h.field, samples[i].Value.Uint64()))
 			}
 		}
-		fields = append(fields, zap.Int("hosts", n.Board.Hosts.Len()), zap.Int("peer_connections", n.Router.Connections()), zap.Uint64("roster", n.Board.Config.RosterRevision()))
+		fields = append(fields, zap.Int("hosts", n.Board.Hosts.Len()), zap.Int("peer_connections", n.Router.Connections()), zap.Stringer("roster", n.Board.Config.RosterRevision()))
 		n.log.Info("process", fields...)
 	})
 }
--- a/owner/empty_test.go
+++ b/owner/empty_test.go
@@ -31,7 +31,7 @@
 		revision++
 		r := rosterOf(revision, roles)
 		for _, d := range domains {
-			r.Evacuated = append(r.Evacuated, config.Evacuation{Domain: d, Revision: revision})
+			r.Evacuated = append(r.Evacuated, config.Evacuation{Domain: d, Revision: config.Position(revision)})
 		}
 		if _, err := o.board.Config.OfferRoster(r.Roster(), time.Now()); err != nil {
 			t.Fatal(err)
--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -119,7 +119,7 @@
 			}
 			o := testOwner(t, "b", "a")
 			o.board.Hosts.SetRound(time.Second)
-			offer := func(revision uint64, role config.Role) {
+			offer := func(revision config.Position, role config.Role) {
 				row := config.Endpoint{Name: "e", Address: "127.0.0.1:9", Domain: "d", Pool: "p", Role: role}
 				if _, err := o.board.Config.OfferRoster((&config.RosterList{Revision: revision, Endpoints: []config.Endpoint{row}}).Roster(), time.Now()); err != nil {
 					t.Fatal(err)
--- a/peer/document.go
+++ b/peer/document.go
@@ -39,7 +39,7 @@
 	revision uint64
 	forms    map[uint64][]byte // by the revision of the base
 
-	roster uint64 // revision of the roster that whole is
+	roster config.Position // of the roster that whole is
 	whole  []byte
 }
 
--- a/peer/document_test.go
+++ b/peer/document_test.go
@@ -120,7 +120,7 @@
 // TestPackedRoster sends rosters one after the other, and states how large they may be.
 func TestPackedRoster(t *testing.T) {
 	roster := func(revision uint64, endpoints int) *config.RosterList {
-		r := &config.RosterList{Revision: revision}
+		r := &config.RosterList{Revision: config.Position(revision)}
 		for i := range endpoints {
 			r.Endpoints = append(r.Endpoints, config.Endpoint{Name: fmt.Sprintf("i-%x", i*7919%0xffffff), Address: fmt.Sprintf("10.8.%d.%d:80", i/250, i%250),
 				Domain: "ab"[i%2 : i%2+1], Pool: "llm", Role: config.Decode, Registered: true, Leaving: i%9 == 0})
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -20,8 +20,9 @@
 
 // ahead is a host that told of something newer.
 type ahead struct {
-	from             Name
-	revision, roster uint64
+	from     Name
+	revision uint64
+	roster   config.Position
 }
 
 // mostAhead is how many hosts that told of something newer are remembered during a fetch.
@@ -149,7 +150,7 @@
 			return reply, nil
 		}
 		r.Fetches.Failed.Add(1)
-		r.log.Warn("fetch failed", zap.String("from", a.from.Name), zap.Uint64("revision", a.revision), zap.Uint64("roster", a.roster),
+		r.log.Warn("fetch failed", zap.String("from", a.from.Name), zap.Uint64("revision", a.revision), zap.Stringer("roster", a.roster),
 			zap.Duration("behind", r.board.Config.Behind(time.Now())), zap.Duration("connection_open", open), zap.Error(err))
 		if !kept || !silent(err) || !r.lacks(a) {
 			return nil, err
--- a/peer/fetch_test.go
+++ b/peer/fetch_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/internal/fake"
 )
 
@@ -15,7 +16,7 @@
 // don't run beside each other and who is asked next: who told of the most, then the
 // others, the last one first, and of many the last few.
 func TestFetcher(t *testing.T) {
-	told := func(name string, revision, roster uint64) ahead {
+	told := func(name string, revision uint64, roster config.Position) ahead {
 		return ahead{from: Name{Name: name, Peers: name}, revision: revision, roster: roster}
 	}
 	cases := []struct {
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -49,8 +49,8 @@
 type ExchangeArgs struct {
 	From     Name
 	Revision uint64
-	Roster   uint64 // revision of the endpoints that registered themselves
-	Fence    uint64 // highest that an order is known to have carried
+	Roster   config.Position // of the endpoints that registered themselves
+	Fence    uint64          // highest that an order is known to have carried
 	Beats    []Beat
 	Digests  []byte   // packed
 	Gone     []Beat   // hosts that a watcher could not reach
@@ -70,9 +70,9 @@
 
 // FetchArgs asks for what is newer than the asker's.
 type FetchArgs struct {
-	After  uint64 // revision that the asker has; 0: none
-	Sum    uint64 // xxhash of its document
-	Roster uint64 // revision of its roster
+	After  uint64          // revision that the asker has; 0: none
+	Sum    uint64          // xxhash of its document
+	Roster config.Position // of its roster
 }
 
 // FetchReply carries a document, revision 0: nothing newer; and a roster.
--- a/peer/news.go
+++ b/peer/news.go
@@ -20,14 +20,14 @@
 func (r *Router) OfferRoster(ro *config.Roster, from string) {
 	in, err := r.board.Config.OfferRoster(ro, time.Now())
 	if err != nil {
-		r.log.Warn("endpoints left out of the roster", zap.Uint64("roster", ro.Revision), zap.String("from", from), zap.Error(err))
+		r.log.Warn("endpoints left out of the roster", zap.Stringer("roster", ro.Revision), zap.String("from", from), zap.Error(err))
 	}
 	if !in {
 		r.noteLeftOut(ro, from)
 		return
 	}
 	r.layOut(from)
-	r.log.Info("roster in force", zap.Uint64("roster", ro.Revision), zap.Int("endpoints", ro.Endpoints.Len()), zap.String("from", from))
+	r.log.Info("roster in force", zap.Stringer("roster", ro.Revision), zap.Int("endpoints", ro.Endpoints.Len()), zap.String("from", from))
 	r.tellRoster()
 }
 
@@ -35,7 +35,7 @@
 // in force.
 func (r *Router) noteLeftOut(ro *config.Roster, from string) {
 	if now := r.board.Config.RosterRevision(); ro.Revision < now {
-		r.log.Info("earlier roster left out", zap.Uint64("roster", ro.Revision), zap.Uint64("in_force", now), zap.String("from", from))
+		r.log.Info("earlier roster left out", zap.Stringer("roster", ro.Revision), zap.Stringer("in_force", now), zap.String("from", from))
 	}
 }
 
@@ -77,7 +77,7 @@
 			return
 		}
 		r.layOut("what was known")
-		r.log.Info("lapsed registrations dropped", zap.Uint64("roster", r.board.Config.RosterRevision()), zap.Int("endpoints", dropped))
+		r.log.Info("lapsed registrations dropped", zap.Stringer("roster", r.board.Config.RosterRevision()), zap.Int("endpoints", dropped))
 	})
 }
 
@@ -117,11 +117,11 @@
 	r.board.Endpoints.Fit(v)
 	began, ended := r.board.Emptied.Note(v, from, time.Now())
 	for _, e := range began {
-		r.log.Info("failure domain is being emptied", zap.String("domain", e.Domain), zap.Uint64("revision", e.Revision), zap.String("from", from))
+		r.log.Info("failure domain is being emptied", zap.String("domain", e.Domain), zap.Stringer("revision", e.Revision), zap.String("from", from))
 	}
 	for _, e := range ended {
-		r.log.Info("failure domain is no longer emptied", zap.String("domain", e.Domain), zap.Uint64("revision", e.Revision),
-			zap.Uint64("roster", v.Roster), zap.Duration("after", time.Since(e.Since)), zap.String("from", from))
+		r.log.Info("failure domain is no longer emptied", zap.String("domain", e.Domain), zap.Stringer("revision", e.Revision),
+			zap.Stringer("roster", v.Roster), zap.Duration("after", time.Since(e.Since)), zap.String("from", from))
 	}
 	if len(began) > 0 && r.Emptied != nil {
 		r.Emptied(v)
--- a/peer/news_test.go
+++ b/peer/news_test.go
@@ -21,7 +21,7 @@
 		var wg sync.WaitGroup
 		for i := range at {
 			wg.Go(func() {
-				revision := uint64(round*at + i + 1)
+				revision := config.Position(round*at + i + 1)
 				ro := &config.RosterList{Revision: revision}
 				for k := range 20 {
 					ro.Endpoints = append(ro.Endpoints, config.Endpoint{Name: fmt.Sprint("e", k), Address: fmt.Sprintf("10.0.0.%d:1", k+1), Domain: "d",
--- a/peer/standing.go
+++ b/peer/standing.go
@@ -17,7 +17,7 @@
 type StandingArgs struct {
 	Number   uint32 // of the host
 	Revision uint64
-	Roster   uint64
+	Roster   config.Position
 	Heard    uint32   // as in ExchangeArgs
 	Onward   []uint32 // hosts that the one that is told tells in turn
 }
--- a/peer/standing_test.go
+++ b/peer/standing_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/embercove/embercove/config"
 )
 
 // TestRely tells a host what another has in force, and states for how long it relies on
@@ -15,7 +17,7 @@
 		name     string
 		bound    time.Duration
 		revision uint64
-		roster   uint64
+		roster   config.Position
 		heard    uint32        // as it is told; 0: not at all
 		after    time.Duration // that it is looked at
 		want     bool
--- a/publish/follow.go
+++ b/publish/follow.go
@@ -50,7 +50,7 @@
 	follow time.Duration // that a watch of an eager host waits
 	took   time.Duration // that the last answer with a document took
 
-	at     uint64
+	at     config.Position
 	known  config.Endpoints
 	lapsed config.Lapsed                // of the known ones
 	empty  map[string]config.Evacuation // by failure domain that is being emptied
@@ -100,7 +100,7 @@
 		}
 		f.noteReach(ctx, err)
 		if relist(err) {
-			f.log.Info("store has to be listed", zap.Uint64("at", f.at), zap.Error(err))
+			f.log.Info("store has to be listed", zap.Stringer("at", f.at), zap.Error(err))
 		}
 		if err == nil || !listed && relist(err) {
 			retry = retryFirst
@@ -124,10 +124,10 @@
 		f.lost = lost
 		if lost {
 			f.since = time.Now()
-			f.log.Warn("store lost", zap.Uint64("at", f.at), zap.Duration("after", time.Since(f.asked)), zap.Error(err))
+			f.log.Warn("store lost", zap.Stringer("at", f.at), zap.Duration("after", time.Since(f.asked)), zap.Error(err))
 		} else {
 			f.silent = false
-			f.log.Info("store regained", zap.Uint64("at", f.at))
+			f.log.Info("store regained", zap.Stringer("at", f.at))
 		}
 	}
 }
@@ -137,15 +137,15 @@
 	defer cancel()
 	asked := time.Now()
 	s, err := f.store.List(ctx)
+	if err == nil {
+		err = f.judgeEra(sink, s.At)
+	}
 	if err != nil {
 		return err
 	}
 	f.faults(s.Faults)
 	now := time.Now()
 	f.judgeOutage(now)
-	if s.At < f.at {
-		f.log.Warn("store lists an earlier revision than it had", zap.Uint64("at", s.At), zap.Uint64("before", f.at))
-	}
 	before := f.before(sink)
 	f.use(f.listed(before, s.Endpoints, now))
 	for _, name := range s.Unusable {
@@ -163,6 +163,24 @@
 	return nil
 }
 
+// judgeEra returns an error for an answer of an earlier era than is known here. It logs when the
+// store begins a later one.
+func (f *Follower) judgeEra(sink Sink, at config.Position) error {
+	known := f.at
+	if r := sink.Roster(); r != nil {
+		known = max(known, r.Revision)
+	}
+	if at.Era() < known.Era() {
+		return ErrEarlierEra
+	}
+	if at.Era() > known.Era() && known > 0 {
+		f.log.Warn("store came back from a copy", zap.Stringer("at", at), zap.Stringer("before", known))
+	} else if at < f.at {
+		f.log.Warn("store lists an earlier revision than it had", zap.Stringer("at", at), zap.Stringer("before", f.at))
+	}
+	return nil
+}
+
 // offer offers the endpoints to the sink, and goes on from what it made of them.
 func (f *Follower) offer(sink Sink) {
 	sink.OfferRoster(&config.Roster{Revision: f.at, Endpoints: f.known, Evacuated: f.evacuated()}, "store")
@@ -221,6 +239,9 @@
 	limited, cancel := context.WithTimeout(ctx, held+answerMost)
 	defer cancel()
 	c, err := f.store.Watch(limited, f.at, held)
+	if err == nil {
+		err = f.judgeEra(sink, c.At)
+	}
 	if err != nil {
 		return err
 	}
--- a/publish/follow_test.go
+++ b/publish/follow_test.go
@@ -59,12 +59,12 @@
 
 func (s *stubStore) List(ctx context.Context) (*State, error) {
 	at, err := s.next(ctx, "list")
-	return &State{At: uint64(len(s.calls)), Endpoints: rows(at.list, at.others)}, err
+	return &State{At: config.Position(len(s.calls)), Endpoints: rows(at.list, at.others)}, err
 }
 
-func (s *stubStore) Watch(ctx context.Context, _ uint64, _ time.Duration) (*Changes, error) {
+func (s *stubStore) Watch(ctx context.Context, _ config.Position, _ time.Duration) (*Changes, error) {
 	at, err := s.next(ctx, "watch")
-	return &Changes{At: uint64(len(s.calls)), Changed: rows(at.come, at.others), Gone: at.gone}, err
+	return &Changes{At: config.Position(len(s.calls)), Changed: rows(at.come, at.others), Gone: at.gone}, err
 }
 
 func (s *stubStore) Close() {}
@@ -156,10 +156,10 @@
 // documentStore holds a document that changes, and no endpoint but one. It notes
 // after which of its revisions it was watched.
 type documentStore struct {
-	at      uint64
+	at      config.Position
 	changed chan struct{}
 	took    time.Duration // that an answer with a document takes
-	watched []uint64
+	watched []config.Position
 	asked   []time.Time
 }
 
@@ -169,13 +169,13 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *documentStore) revision() *Revision { return &Revision{Revision: s.at, Document: "d"} }
+func (s *documentStore) revision() *Revision { return &Revision{Revision: uint64(s.at), Document: "d"} }
 
 func (s *documentStore) List(context.Context) (*State, error) {
 	return &State{At: s.at, Document: s.revision(), Endpoints: rows([]string{"a1"}, nil)}, nil
 }
 
-func (s *documentStore) Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error) {
+func (s *documentStore) Watch(ctx context.Context, after config.Position, wait time.Duration) (*Changes, error) {
 	s.watched, s.asked = append(s.watched, after), append(s.asked, time.Now())
 	for s.at <= after {
 		select {
@@ -260,9 +260,9 @@
 
 const busyEvery = 100 * time.Millisecond
 
-func (s *busyStore) at() uint64 { return 1 + uint64(time.Since(s.began)/busyEvery) }
+func (s *busyStore) at() config.Position { return 1 + config.Position(time.Since(s.began)/busyEvery) }
 
-func (s *busyStore) between(after, at uint64) []config.Endpoint {
+func (s *busyStore) between(after, at config.Position) []config.Endpoint {
 	var names []string
 	for i := after + 1; i <= at; i++ {
 		names = append(names, fmt.Sprintf("a%d", i))
@@ -275,7 +275,7 @@
 	return &State{At: s.at(), Endpoints: s.between(0, s.at())}, nil
 }
 
-func (s *busyStore) Watch(ctx context.Context, after uint64, _ time.Duration) (*Changes, error) {
+func (s *busyStore) Watch(ctx context.Context, after config.Position, _ time.Duration) (*Changes, error) {
 	s.calls++
 	for s.at() <= after && ctx.Err() == nil {
 		time.Sleep(time.Millisecond)
@@ -294,7 +294,7 @@
 		peers  bool // tell of every change at once
 		bound  time.Duration
 		calls  int // at most, in ten seconds
-		behind uint64
+		behind config.Position
 	}{
 		{"one that finds out soon", false, false, 0, 100, 2},
 		{"one that hears of it from others", true, true, 0, 12, 0},
@@ -317,7 +317,7 @@
 					if r := sink.roster; r != nil && store.at()-r.Revision > tc.behind {
 						t.Fatalf("revision %d is known at %d, want at most %d behind", r.Revision, store.at(), tc.behind)
 					}
-					if r := sink.roster; r != nil && uint64(r.Endpoints.Len()) != r.Revision {
+					if r := sink.roster; r != nil && config.Position(r.Endpoints.Len()) != r.Revision {
 						t.Fatalf("%d endpoints in revision %d", r.Endpoints.Len(), r.Revision)
 					}
 				}
@@ -342,7 +342,7 @@
 	return &State{At: 1, Document: &Revision{Revision: 1, Document: "d"}}, nil
 }
 
-func (s *freshStore) Watch(ctx context.Context, _ uint64, held time.Duration) (*Changes, error) {
+func (s *freshStore) Watch(ctx context.Context, _ config.Position, held time.Duration) (*Changes, error) {
 	s.held = append(s.held, held)
 	if len(s.answers) == 0 {
 		<-ctx.Done()
@@ -372,7 +372,7 @@
 }
 
 func (s *freshSink) Heard(_, at time.Time) {
-	roster := uint64(0)
+	roster := config.Position(0)
 	if s.roster != nil {
 		roster = s.roster.Revision
 	}
--- a/publish/pace.go
+++ b/publish/pace.go
@@ -86,9 +86,9 @@
 	}
 	f.relies = relies
 	if relies {
-		f.log.Info("kept up to date by other hosts", zap.Uint64("at", f.at))
+		f.log.Info("kept up to date by other hosts", zap.Stringer("at", f.at))
 	} else {
-		f.log.Info("asks the store itself", zap.Uint64("at", f.at))
+		f.log.Info("asks the store itself", zap.Stringer("at", f.at))
 	}
 }
 
--- a/publish/store.go
+++ b/publish/store.go
@@ -18,17 +18,21 @@
 	// Watch returns what changed after a revision of the store, as soon as
 	// something did or when wait is over. It returns ErrForgotten when the
 	// store no longer knows.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
+	Watch(ctx context.Context, after config.Position, wait time.Duration) (*Changes, error)
 	// Close drops idle connections.
 	Close()
 }
 
-// ErrForgotten is returned for changes that the store has forgotten.
+// ErrForgotten is returned for changes that the store has forgotten, or has lost as it came back
+// from a copy.
 var ErrForgotten = errors.New("the store has forgotten what changed since")
 
+// ErrEarlierEra is returned for an answer of the store as it was before it came back from a copy.
+var ErrEarlierEra = errors.New("answer of an earlier era of the store")
+
 // State is what a store holds.
 type State struct {
-	At        uint64 // revision of the store
+	At        config.Position
 	Document  *Revision
 	Endpoints []config.Endpoint
 	Evacuated []config.Evacuation
@@ -41,7 +45,7 @@
 // came again is Changed only, and one that came and went is Gone only. Evacuations
 // likewise.
 type Changes struct {
-	At       uint64
+	At       config.Position
 	Document *Revision         // nil: unchanged
 	Changed  []config.Endpoint // new, or with a new state
 	Gone     []string          // names of endpoints
--- a/publish/words_test.go
+++ b/publish/words_test.go
@@ -16,16 +16,16 @@
 
 // wordStore holds what was published of some failure domains, one word a revision.
 type wordStore struct {
-	at     uint64
+	at     config.Position
 	words  []word
-	forgot uint64 // what was published up to here is only listed
+	forgot config.Position // what was published up to here is only listed
 	down   bool
 }
 
 // word is that a failure domain is to be emptied, or no longer; an empty domain stands
 // for another change, of the document or of an endpoint.
 type word struct {
-	at       uint64
+	at       config.Position
 	domain   string
 	emptied  bool
 	document bool
@@ -38,7 +38,7 @@
 }
 
 // last returns the last word on a failure domain up to a revision.
-func (s *wordStore) last(domain string, at uint64) (last word) {
+func (s *wordStore) last(domain string, at config.Position) (last word) {
 	for _, w := range s.words {
 		if w.domain == domain && w.at <= at {
 			last = w
@@ -60,7 +60,7 @@
 	return out, nil
 }
 
-func (s *wordStore) Watch(_ context.Context, after uint64, _ time.Duration) (*Changes, error) {
+func (s *wordStore) Watch(_ context.Context, after config.Position, _ time.Duration) (*Changes, error) {
 	switch {
 	case s.down:
 		return nil, errDown
@@ -72,7 +72,7 @@
 		switch {
 		case w.at <= after:
 		case w.document:
-			out.Document = &Revision{Revision: w.at, Document: "d"}
+			out.Document = &Revision{Revision: uint64(w.at), Document: "d"}
 		case w.domain == "":
 			out.Changed = rows([]string{fmt.Sprintf("a%d", w.at)}, nil)
 		case s.last(w.domain, s.at) != w:
@@ -98,13 +98,13 @@
 	follower *Follower
 	listed   bool
 	lazy     bool
-	believed map[string]uint64 // the revision of the last word that it had in force
+	believed map[string]config.Position // the revision of the last word that it had in force
 }
 
 func newWordHost(s *wordStore, lazy bool) *wordHost {
 	settings := &config.Settings{Host: "h", Domain: "d", Region: "r"}
 	settings.SetDefaults()
-	h := &wordHost{board: blackboard.New(settings), follower: NewFollower(s, 0, zap.NewNop()), lazy: lazy, believed: map[string]uint64{}}
+	h := &wordHost{board: blackboard.New(settings), follower: NewFollower(s, 0, zap.NewNop()), lazy: lazy, believed: map[string]config.Position{}}
 	if lazy { // the document comes later
 		return h
 	}
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -14,7 +14,7 @@
 // rosterOf returns a roster of runners: one letter for each, p for prefill, d
 // for decode, upper case for one that is leaving; domains d, e and f in turn.
 func rosterOf(revision uint64, roles string) *config.RosterList {
-	r := &config.RosterList{Revision: revision}
+	r := &config.RosterList{Revision: config.Position(revision)}
 	for i, c := range roles {
 		e := config.Endpoint{Name: fmt.Sprintf("r%02d", i), Address: fmt.Sprintf("127.0.0.1:%d", 1000+i), Domain: string("def"[i%3]),
 			Pool: "p", Role: config.Decode, Leaving: c == 'P' || c == 'D'}
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -21,6 +21,7 @@
 	heads  heads
 	looks  Looks
 
+	gone        goneTable
 	notices     map[uint32]*Notices // of endpoints that said anything, also of some that are gone
 	noticesLeft int                 // when those of endpoints that are gone were dropped last
 }
@@ -135,6 +136,11 @@
 		f.noteWrong(f.states[number])
 		f.heads.change(number, nil, f.states[number].Digest.Heads)
 	}
+	for number, s := range before {
+		if f.states[number] == nil {
+			f.gone.note(number, s.Spec, f.View.Roster.Era(), now)
+		}
+	}
 	f.layOutRoutes()
 }
 
@@ -164,6 +170,9 @@
 		f.heads.change(number, old.Digest.Heads, nil)
 		delete(f.states, number)
 		delete(f.wrong, number)
+		if e == nil {
+			f.gone.note(number, old.Spec, f.View.Roster.Era(), now)
+		}
 	}
 	if e != nil {
 		f.states[number] = f.state(number, e, old, now)
@@ -205,6 +214,8 @@
 	}
 	if old != nil {
 		s.inherit(old, now)
+	} else {
+		s.Doubted = f.gone.back(number, e, v.Roster.Era(), now)
 	}
 	return s
 }
@@ -214,7 +225,7 @@
 	if old.Role == s.Role { // else it tells of other work
 		s.Digest, s.At = old.Digest, old.At
 	}
-	s.Sent, s.Seen = old.Sent, old.Seen
+	s.Sent, s.Seen, s.Doubted = old.Sent, old.Seen, old.Doubted
 	s.MaybeCold, s.NoStart, s.Back = old.MaybeCold, old.NoStart, old.Back
 	s.Limit, s.LimitedUntil = old.Limit, old.LimitedUntil
 	s.LimitTold, s.LimitNews = old.LimitTold, old.LimitNews
--- a/route/fleet_test.go
+++ b/route/fleet_test.go
@@ -42,14 +42,14 @@
 		f := NewFleet(v)
 		for revision := uint64(2); revision < 40; revision++ {
 			next := *roster
-			next.Revision = revision
+			next.Revision = config.Position(revision)
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0:
 				v = view(revision).WithRosterOf(v)
 			case 1:
 				next.Evacuated = nil
 				for _, d := range rapid.SliceOfDistinct(rapid.SampledFrom([]string{"a", "b"}), rapid.ID).Draw(t, "emptied") {
-					next.Evacuated = append(next.Evacuated, config.Evacuation{Domain: d, Revision: revision})
+					next.Evacuated = append(next.Evacuated, config.Evacuation{Domain: d, Revision: config.Position(revision)})
 				}
 			case 2:
 				next.Endpoints = config.Remove(next.Endpoints, drawName(t))
--- a/route/gate.go
+++ b/route/gate.go
@@ -11,6 +11,7 @@
 	BarNone        Bar = iota
 	BarGone            // no longer in the configuration
 	BarLeaving         // the endpoint leaves
+	BarDoubted         // it was gone, and a copy of the store may have brought its registration back
 	BarEvacuated       // its failure domain is being emptied
 	BarDown            // out of its owner's reach
 	BarWrong           // not in the state that was ordered
@@ -35,6 +36,8 @@
 		return "gone"
 	case BarLeaving:
 		return "leaving"
+	case BarDoubted:
+		return "gone before the store came back from a copy"
 	case BarEvacuated:
 		return "its failure domain is being emptied"
 	case BarDown:
@@ -73,7 +76,7 @@
 
 // Label returns the bar as a label of metrics.
 func (b Bar) Label() string {
-	return [bars]string{"", "gone", "leaving", "emptied", "down", "wrong_state", "cut_off", "resting", "no_home", "other_region", "cold", "limited", "connections", "excluded", "trial"}[b]
+	return [bars]string{"", "gone", "leaving", "doubted", "emptied", "down", "wrong_state", "cut_off", "resting", "no_home", "other_region", "cold", "limited", "connections", "excluded", "trial"}[b]
 }
 
 // Barred returns why a request may not be sent to an endpoint of any role now; BarNone:
@@ -82,6 +85,8 @@
 	switch {
 	case s.IsLeaving():
 		return BarLeaving
+	case r.Now.Before(s.Doubted):
+		return BarDoubted
 	case s.Evacuated, r.Shut&(1<<s.Domain) != 0:
 		return BarEvacuated
 	case s.Digest.Flags&FlagDown != 0:
--- a/route/state.go
+++ b/route/state.go
@@ -58,6 +58,7 @@
 	Spec         *config.Endpoint
 	Leaving      bool        // by the configuration
 	Evacuated    bool        // its failure domain is being emptied
+	Doubted      time.Time   // until when its registration may be one that a copy of the store brought back
 	CutOff       time.Time   // until when its failure domain counts as cut off from this host
 	ColdUntil    time.Time   // until when it is cold by its registration
 	MaybeCold    time.Time   // until when it may be though its registration doesn't say so
--- a/tool/evacuations.go
+++ b/tool/evacuations.go
@@ -5,12 +5,13 @@
 	"io"
 	"strings"
 
+	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/node"
 )
 
 // evacuation is what the asked hosts know, together, of a failure domain that is emptied.
 type evacuation struct {
-	revision uint64
+	revision config.Position
 	hosts    int     // that have it in force
 	since    float64 // s, for which the first has
 	last     float64 // s, for which the last has
@@ -45,7 +46,7 @@
 	t.table("BEING EMPTIED\tREVISION\tKNOWN BY\tTOLD BY PEERS\tFIRST KNOWN FOR\tLAST KNOWN FOR\tRUNNING", func(w io.Writer) {
 		for _, domain := range keys(by) {
 			e := by[domain]
-			fmt.Fprintf(w, "%s\t%d\t%d of %d\t%d\t%s\t%s\t%d\n", domain, e.revision, e.hosts, len(all), e.peers, age(e.since), age(e.last), e.running)
+			fmt.Fprintf(w, "%s\t%s\t%d of %d\t%d\t%s\t%s\t%d\n", domain, e.revision, e.hosts, len(all), e.peers, age(e.since), age(e.last), e.running)
 		}
 	})
 }
--- a/trace/tell.go
+++ b/trace/tell.go
@@ -100,5 +100,5 @@
 // has no id of the router's.
 func refusal(l Line) Story {
 	return Story{ID: "none", CallerID: l.CallerID, Host: l.Host, Code: l.Code, Name: l.Name, Cause: beforeTaken(l),
-		Events: []Event{{What: fmt.Sprintf("refused as %d %s under revision %d and roster %d, to come back after %s", l.Code, l.Name, l.Revision, l.Roster, seconds(l.RetryAfter))}}}
+		Events: []Event{{What: fmt.Sprintf("refused as %d %s under revision %d and roster %s, to come back after %s", l.Code, l.Name, l.Revision, l.Roster, seconds(l.RetryAfter))}}}
 }
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"github.com/embercove/embercove/config"
 	"io"
 	"sort"
 	"strings"
@@ -27,35 +28,35 @@
 // Line is one log line. Fields that a line doesn't have are at their zero
 // values; times are in seconds.
 type Line struct {
-	Host       string    `json:"host"`
-	Time       float64   `json:"ts"`
-	Message    string    `json:"msg"`
-	ID         string    `json:"id"`
-	CallerID   string    `json:"caller_id"`
-	Route      string    `json:"route"`
-	Revision   uint64    `json:"revision"`
-	Roster     uint64    `json:"roster"`
-	Code       int       `json:"code"`
-	Name       string    `json:"name"`
-	Detail     string    `json:"detail"`
-	Endpoint   string    `json:"endpoint"`
-	From       string    `json:"from"`
-	Address    string    `json:"address"`
-	Phase      string    `json:"phase"`
-	Try        int       `json:"try"`
-	MayHaveRun bool      `json:"may_have_run"`
-	Pieces     int       `json:"pieces"`
-	Took       float64   `json:"took"`
-	TTFT       float64   `json:"ttft"`
-	Phases     []float64 `json:"phases"`
-	Prefill    string    `json:"prefill"`
-	Decode     string    `json:"decode"`
-	Tokens     int       `json:"answer_tokens"`
-	RetryAfter float64   `json:"retry_after"`
-	Slack      float64   `json:"slack"`
-	DigestAge  float64   `json:"digest_age"`
-	Error      string    `json:"error"`
-	LeftOut    uint64    `json:"lines_left_out"`
+	Host       string          `json:"host"`
+	Time       float64         `json:"ts"`
+	Message    string          `json:"msg"`
+	ID         string          `json:"id"`
+	CallerID   string          `json:"caller_id"`
+	Route      string          `json:"route"`
+	Revision   uint64          `json:"revision"`
+	Roster     config.Position `json:"roster"`
+	Code       int             `json:"code"`
+	Name       string          `json:"name"`
+	Detail     string          `json:"detail"`
+	Endpoint   string          `json:"endpoint"`
+	From       string          `json:"from"`
+	Address    string          `json:"address"`
+	Phase      string          `json:"phase"`
+	Try        int             `json:"try"`
+	MayHaveRun bool            `json:"may_have_run"`
+	Pieces     int             `json:"pieces"`
+	Took       float64         `json:"took"`
+	TTFT       float64         `json:"ttft"`
+	Phases     []float64       `json:"phases"`
+	Prefill    string          `json:"prefill"`
+	Decode     string          `json:"decode"`
+	Tokens     int             `json:"answer_tokens"`
+	RetryAfter float64         `json:"retry_after"`
+	Slack      float64         `json:"slack"`
+	DigestAge  float64         `json:"digest_age"`
+	Error      string          `json:"error"`
+	LeftOut    uint64          `json:"lines_left_out"`
 	// Fingerprint names what the request asks for; Suspects are the fingerprints that an end
 	// of an endpoint speaks against, and Ends how many do so, in the same order.
 	Fingerprint string   `json:"fingerprint"`
