--- a/config/evacuation.go
+++ b/config/evacuation.go
@@ -24,14 +24,3 @@
 	_, emptied := v.Evacuated[e.Domain]
 	return emptied
 }
-
-// SameEvacuations reports whether a roster names the failure domains that the view has
-// as being emptied, and no others.
-func (v *View) SameEvacuations(r *Roster) bool {
-	for _, e := range r.Evacuated {
-		if v.Evacuated[e.Domain] != e {
-			return false
-		}
-	}
-	return len(r.Evacuated) == len(v.Evacuated)
-}
