entry: a pool with an open endpoint isn't refused as resting

Callers of a pool with an endpoint that is open but doesn't suit (it takes no requests that may not be repeated, or was just out of reach) would have been told the end of another endpoint's rest as the cause. The time of rest is asked for only where no endpoint is open.

--- a/entry/barred.go
+++ b/entry/barred.go
@@ -130,11 +130,11 @@
 			open := func(s *route.State) bool { return route.Open(s, &j.pick) }
 			if l := list(g); !slices.ContainsFunc(l, open) { // else no bar is why
 				blamed = route.Blame(l, &j.pick)
+				rest, resting = restBack(l, &j.pick)
 			}
 			for _, s := range list(g) {
 				numbers = append(numbers, s.Number)
 			}
-			rest, resting = restBack(list(g), &j.pick)
 		}
 	})
 	e.barred.count(blamed)
--- a/entry/heard.go
+++ b/entry/heard.go
@@ -27,7 +27,7 @@
 // hearer returns what takes in what the answer to a call that is about to be made says of its
 // endpoint.
 func (e *Entry) hearer(spec *config.Endpoint) func(endpoint.Notice) {
-	sent, began := clock.Now(), time.Now()
+	sent, began := clock.Now(), time.Now() // limits are ordered by package clock, rests by the process's own
 	e.countHeard(spec, began)
 	return func(n endpoint.Notice) {
 		e.hearLimit(spec, n, sent)
