--- a/blackboard/lapsed.go
+++ b/blackboard/lapsed.go
@@ -21,19 +21,19 @@
 
 // DropLapsed drops endpoints that have been without a registration for too
 // long, and evacuations that were kept for long without being published again. It reports how
-// many there were.
-func (t *ConfigTable) DropLapsed(now time.Time) int {
+// many there were of each.
+func (t *ConfigTable) DropLapsed(now time.Time) (endpoints, evacuations int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	expired := t.lapsed.Expired(now)
-	ended := t.kept.expire(now)
-	if len(expired)+ended == 0 {
-		return 0
+	evacuations = t.kept.expire(now)
+	if len(expired)+evacuations == 0 {
+		return 0, 0
 	}
 	kept := *t.roster
 	for _, e := range expired {
 		kept.Endpoints = config.Remove(kept.Endpoints, e.Name)
 	}
 	t.useRoster(&kept)
-	return len(expired) + ended
+	return len(expired), evacuations
 }
--- a/peer/news.go
+++ b/peer/news.go
@@ -72,12 +72,13 @@
 // itself.
 func (r *Router) Lapser() blackboard.Controller {
 	return blackboard.Every(lapseTick, func(context.Context) {
-		dropped := r.board.Config.DropLapsed(time.Now())
-		if dropped == 0 {
+		endpoints, evacuations := r.board.Config.DropLapsed(time.Now())
+		if endpoints+evacuations == 0 {
 			return
 		}
 		r.layOut("what was known")
-		r.log.Info("lapsed registrations dropped", zap.Stringer("roster", r.board.Config.RosterRevision()), zap.Int("endpoints", dropped))
+		r.log.Info("lapsed registrations dropped", zap.Stringer("roster", r.board.Config.RosterRevision()), zap.Int("endpoints", endpoints),
+			zap.Int("evacuations", evacuations))
 	})
 }
 
