route: what an endpoint says once its registration has gone is kept

Callers could see: requests handed to an endpoint that had said it leaves, in an answer to a call under way as its registration went, once the registration is back (it may run out in an outage of the store).

Cause: an answer of an endpoint without a state told nothing.

Change: notices are kept by number whether or not the endpoint is registered, and taken over by its next state, as long as no later start is told.

TestNoticeWithoutRegistration: failed before in two of four cases, passes now.

--- a/route/notices.go
+++ b/route/notices.go
@@ -85,18 +85,24 @@
 	fewNotices = 64
 )
 
-// Hear takes in what an answer of an endpoint said of it.
+// Hear takes in what an answer of an endpoint said of it, which may have lost its registration
+// meanwhile.
 func (f *Fleet) Hear(number uint32, said Notice) (c NoticeChange) {
 	s := f.states[number]
-	if s == nil || said.Born < s.Spec.Born || !said.Leaving && said.Rest == 0 && s.Notices == nil {
+	n := f.noticesOf(number, said.Born)
+	says := said.Leaving || said.Rest > 0
+	if s != nil && said.Born < s.Spec.Born || n != nil && said.Born < n.born || n == nil && !says {
 		return NoticeChange{}
 	}
-	if s.Notices == nil {
+	if n == nil {
 		f.forgetNotices(said.Heard)
-		s.Notices = &Notices{born: said.Born}
-		f.notices[number] = s.Notices
+		n = &Notices{born: said.Born}
+		f.notices[number] = n
 	}
-	return s.Notices.hear(said)
+	if s != nil {
+		s.Notices = n
+	}
+	return n.hear(said)
 }
 
 // noticesOf returns what is known of an endpoint's process by its answers; nil: nothing.
--- a/route/notices_test.go
+++ b/route/notices_test.go
@@ -110,6 +110,37 @@
 	}
 }
 
+// TestNoticeWithoutRegistration has an endpoint say something once its registration has gone, and
+// come back.
+func TestNoticeWithoutRegistration(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		born      int64 // of the call
+		back      int64
+		leaving   bool
+		registers bool // another start, before the answer comes
+	}{
+		{"the same start", 5, 5, true, false},
+		{"no start is told", 0, 0, true, false},
+		{"a later start", 5, 6, false, false},
+		{"a later start is registered already", 5, 6, false, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := NewFleet(noticedView(t, tc.born, "e"))
+			f.Fit(noticedView(t, tc.born, "other"), noticed)
+			if tc.registers {
+				f.Fit(noticedView(t, tc.back, "e"), noticed)
+			}
+			f.Hear(Number("e"), Notice{Leaving: true, Rest: time.Second, Born: tc.born, Heard: noticed})
+			f.Fit(noticedView(t, tc.back, "e"), noticedAt(0.5))
+			s := f.Find(Number("e"))
+			if s.IsLeaving() != tc.leaving || s.IsResting(noticedAt(0.5)) != tc.leaving {
+				t.Errorf("leaving %v, resting %v; want %v", s.IsLeaving(), s.IsResting(noticedAt(0.5)), tc.leaving)
+			}
+		})
+	}
+}
+
 // TestNoticesAreForgotten has many endpoints say that they leave, go and be replaced, for hours.
 func TestNoticesAreForgotten(t *testing.T) {
 	f := NewFleet(noticedView(t, 1, "e"))
