--- a/entry/limited_test.go
+++ b/entry/limited_test.go
@@ -21,6 +21,26 @@
 	"github.com/embercove/embercove/route"
 )
 
+// serviceBoard returns a board with a plain service of some endpoints, s0, s1 and so on.
+func serviceBoard(t *testing.T, endpoints int) *blackboard.Board {
+	t.Helper()
+	settings := &config.Settings{Host: "h", Domain: "a", Region: "r"}
+	settings.SetDefaults()
+	b := blackboard.New(settings)
+	if _, err := b.Config.Offer(1, []byte(serviceDocument)); err != nil {
+		t.Fatal(err)
+	}
+	roster := &config.RosterList{Revision: 1}
+	for i := range endpoints {
+		roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: fmt.Sprint("s", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: "a", Pool: "web", Role: config.Service})
+	}
+	if _, err := b.Config.OfferRoster(roster.Roster(), time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	b.Endpoints.Fit(b.Config.View())
+	return b
+}
+
 // TestNoStartNoTry has a service of eight endpoints, most or all of which name a limit that is
 // used up. Finding that out costs no try: the call is made where there is a start, or refused
 // at once with the soonest time at which there is one.
@@ -37,21 +57,8 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				settings := &config.Settings{Host: "h", Domain: "a", Region: "r"}
-				settings.SetDefaults()
-				b := blackboard.New(settings)
-				if _, err := b.Config.Offer(1, []byte(serviceDocument)); err != nil {
-					t.Fatal(err)
-				}
-				roster := &config.RosterList{Revision: 1}
-				for i := range endpoints {
-					roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: fmt.Sprint("s", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: "a", Pool: "web", Role: config.Service})
-				}
-				if _, err := b.Config.OfferRoster(roster.Roster(), time.Now()); err != nil {
-					t.Fatal(err)
-				}
+				b := serviceBoard(t, endpoints)
 				v := b.Config.View()
-				b.Endpoints.Fit(v)
 				for i := range endpoints {
 					b.Endpoints.Hear(route.Number(fmt.Sprint("s", i)), clock.Now(), pace.Word{Named: true, PerSecond: 1, At: clock.Now()})
 				}
--- a/entry/resting_test.go
+++ b/entry/resting_test.go
@@ -9,8 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/embercove/embercove/blackboard"
-	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/result"
@@ -34,21 +32,8 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				settings := &config.Settings{Host: "h", Domain: "a", Region: "r"}
-				settings.SetDefaults()
-				b := blackboard.New(settings)
-				if _, err := b.Config.Offer(1, []byte(serviceDocument)); err != nil {
-					t.Fatal(err)
-				}
-				roster := &config.RosterList{Revision: 1}
-				for i := range tc.rests {
-					roster.Endpoints = append(roster.Endpoints, config.Endpoint{Name: fmt.Sprint("s", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: "a", Pool: "web", Role: config.Service})
-				}
-				if _, err := b.Config.OfferRoster(roster.Roster(), time.Now()); err != nil {
-					t.Fatal(err)
-				}
+				b := serviceBoard(t, len(tc.rests))
 				v := b.Config.View()
-				b.Endpoints.Fit(v)
 				for i, rest := range tc.rests {
 					b.Endpoints.Notice(route.Number(fmt.Sprint("s", i)), route.Notice{Leaving: rest == leaves, Rest: max(0, rest), Heard: time.Now()})
 				}
