entry: failed calls say how long an engine was silent and why no try followed

The record of an answer cut in the middle could not tell why its host took the engine for dead, nor why the answer was not continued. The line "call failed" of a stalled call now has the silence, the reports asked for and left unanswered and the time that took; the line "request" has no_retry: attempts, budget, crashes or not repeatable. No decision changes.

--- a/entry/copy.go
+++ b/entry/copy.go
@@ -196,7 +196,7 @@
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
 	at := processOf(p.decodeSpec) // a stopped watchdog may still run its liveness check
-	w := newWatchdog(forever, forever, cancel, func() bool { return e.isAlive(limited, at) })
+	w := newWatchdog(forever, forever, cancel, func() livenessCheck { return e.checkLiveness(limited, at) })
 	defer w.stop()
 	number := route.Number(p.decodeSpec.Name)
 	e.owners.AddCalls(number, 1)
--- a/entry/job.go
+++ b/entry/job.go
@@ -59,6 +59,7 @@
 	prefillName    string
 	decodeName     string
 	lastFailure    *endpoint.Answer // failure that an endpoint answered with
+	noRetry        string           // why no further try was made, for the log; empty: none was needed
 	logged         logged
 }
 
--- a/entry/lines.go
+++ b/entry/lines.go
@@ -105,7 +105,7 @@
 		zap.Int("code", int(o.Code)), zap.String("name", o.Code.String()), zap.String("detail", err.Detail),
 		zap.Int("verdict", int(v)), zap.Duration("ttft", o.TTFT), zap.Duration("tpot", o.TPOT), zap.Int("prompt_tokens", j.tokens),
 		zap.Int("answer_tokens", o.Tokens), zap.Int("attempts", o.Attempts), zap.Int("tries", j.tries), zap.Int("reads", j.prefillCalls),
-		zap.Int("sends", j.decodeCalls), zap.Duration("retry_after", err.RetryAfter), zap.Duration("took", time.Since(j.arrived)), zap.String("regions", j.regionLog), zap.String("prefill", j.prefillName),
+		zap.Int("sends", j.decodeCalls), zap.Duration("retry_after", err.RetryAfter), zap.String("no_retry", j.noRetry), zap.Duration("took", time.Since(j.arrived)), zap.String("regions", j.regionLog), zap.String("prefill", j.prefillName),
 		zap.String("decode", j.decodeName), zap.Durations("phases", j.phases[:]), zap.Int("wasted_tokens", o.Wasted),
 		zap.Uint64("lines_left_out", lost))
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -29,7 +29,7 @@
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
 	at := processOf(p.decodeSpec) // a stopped watchdog may still run its liveness check
-	w := newWatchdog(e.firstStallLimit(j, p), e.maxSilence(j), cancel, func() bool { return e.isAlive(limited, at) })
+	w := newWatchdog(e.firstStallLimit(j, p), e.maxSilence(j), cancel, func() livenessCheck { return e.checkLiveness(limited, at) })
 	defer w.stop()
 	number := route.Number(p.decodeSpec.Name)
 	e.owners.AddCalls(number, 1)
@@ -38,7 +38,7 @@
 	r := e.beginRun(j, p.decodeSpec, quarantine.Running)
 	defer func() {
 		if err != nil && w.fired.Load() && ctx.Err() == nil {
-			err = &endpoint.CallError{Address: p.decodeSpec.Address, MayHaveRun: true, Cause: &stallError{blackboard.PhaseTransfer}}
+			err = &endpoint.CallError{Address: p.decodeSpec.Address, MayHaveRun: true, Cause: &stallError{blackboard.PhaseTransfer, w.silence(), w.lastCheck()}}
 		}
 		e.recordCall(ctx, j, p.decodeSpec, blackboard.PhaseDecode, err, time.Since(began))
 		e.endRun(ctx, j, r, j.reply.chunks()-before, err)
--- a/entry/run.go
+++ b/entry/run.go
@@ -84,12 +84,16 @@
 	case ctx.Err() != nil:
 		return r.refusal
 	case r.mayHaveRun && !j.repeatable:
+		j.noRetry = "not repeatable"
 		return result.Errorf(result.OutcomeUnknown, "%s", r.refusal.Detail)
 	case j.crashCount >= maxCrashesPerJob:
+		j.noRetry = "crashes"
 		return r.refusal
 	case j.tries >= j.view.Doc.Limits.MaxAttempts, r.mayHaveRun && j.attempts >= j.maxAttempts():
+		j.noRetry = "attempts"
 		return r.refusal
 	case !r.notSent && !e.spendRetry(j, r):
+		j.noRetry = "budget"
 		if j.possiblyRan {
 			return r.refusal
 		}
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -23,20 +24,21 @@
 	lastProgress   atomic.Int64 // Unix time in ns
 	checksLiveness atomic.Bool  // before it cancels, it asks the engine whether it is alive
 	fired          atomic.Bool
-	answering      bool // the answer has begun
+	check          livenessCheck // the last one; guarded by mu
+	answering      bool          // the answer has begun
 	first          time.Time
 	last           time.Time
 }
 
 // newWatchdog returns a watchdog that cancels after limit. With liveness checks, an engine
 // that is alive is waited for until it has been silent for maxSilence.
-func newWatchdog(limit, maxSilence time.Duration, cancel func(), isAlive func() bool) *watchdog {
+func newWatchdog(limit, maxSilence time.Duration, cancel func(), checkLiveness func() livenessCheck) *watchdog {
 	w := &watchdog{limit: limit}
 	w.lastProgress.Store(time.Now().UnixNano())
 	w.timer = time.AfterFunc(limit, func() {
 		progressAt := w.lastProgress.Load()
 		silent := func() time.Duration { return time.Since(time.Unix(0, progressAt)) }
-		if w.checksLiveness.Load() && silent() < maxSilence && isAlive() {
+		if w.checksLiveness.Load() && silent() < maxSilence && w.record(checkLiveness()).alive {
 			w.rearm(progressAt, max(0, min(livenessInterval, maxSilence-silent())))
 			return
 		}
@@ -81,6 +83,26 @@
 	w.timer.Stop()
 }
 
+// record keeps the result of a liveness check for the log.
+func (w *watchdog) record(c livenessCheck) livenessCheck {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.check = c
+	return c
+}
+
+// lastCheck returns the result of the last liveness check.
+func (w *watchdog) lastCheck() livenessCheck {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.check
+}
+
+// silence returns how long the engine has sent nothing.
+func (w *watchdog) silence() time.Duration {
+	return time.Since(time.Unix(0, w.lastProgress.Load()))
+}
+
 // answeringTime returns the time from the first chunk to the last.
 func (w *watchdog) answeringTime() time.Duration {
 	if !w.answering {
@@ -115,30 +137,50 @@
 	return p.started > 0 && st != nil && st.Incarnation > uint64(p.started)
 }
 
-// isAlive reports whether a silent engine answers, or may do so. An engine counts as lost
+// livenessCheck is the result of asking a silent engine for its report.
+type livenessCheck struct {
+	alive      bool
+	asks       int
+	unanswered int // asks that count as unanswered
+	took       time.Duration
+}
+
+// String implements fmt.Stringer.
+func (c livenessCheck) String() string {
+	if c.asks == 0 {
+		return "the engine was not asked for its report"
+	}
+	return fmt.Sprintf("%d of %d reports unanswered in %s", c.unanswered, c.asks, c.took.Round(time.Millisecond))
+}
+
+// checkLiveness asks a silent engine whether it is alive. An engine counts as lost
 // only if it doesn't answer at all, if nothing listens at its address, or if it has
 // restarted since: it holds nothing of the run then. A check during which this host was
 // held up proves nothing: the answer may have arrived.
-func (e *Entry) isAlive(ctx context.Context, at process) bool {
-	unanswered := 0
-	for range maxLivenessAsks {
+func (e *Entry) checkLiveness(ctx context.Context, at process) (c livenessCheck) {
+	start := time.Now()
+	defer func() { c.took = time.Since(start) }()
+	for c.alive = true; c.asks < maxLivenessAsks; {
 		began := time.Now()
 		evidence, _ := e.processEvidence(ctx, at)
+		c.asks++
 		switch {
 		case ctx.Err() != nil:
-			return true // the call is over
+			return c // the call is over
 		case evidence == quarantine.EvidenceRefused, evidence == quarantine.EvidenceRestarted:
-			return false
+			c.alive = false
+			return c
 		case evidence != quarantine.EvidenceNone:
-			return true
+			return c
 		case time.Since(began) < reportTimeout+maxTimerDelay:
-			unanswered++
+			c.unanswered++
 		}
-		if unanswered == maxUnanswered {
-			return false
+		if c.unanswered == maxUnanswered {
+			c.alive = false
+			return c
 		}
 	}
-	return true
+	return c
 }
 
 // processEvidence asks an endpoint for its report once. It returns what that shows of a
--- a/entry/watchdog_test.go
+++ b/entry/watchdog_test.go
@@ -28,10 +28,10 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var asked atomic.Int32
-				w := newWatchdog(100*time.Millisecond, forever, func() { t.Error("cancelled") }, func() bool {
+				w := newWatchdog(100*time.Millisecond, forever, func() { t.Error("cancelled") }, func() livenessCheck {
 					asked.Add(1)
 					time.Sleep(50 * time.Millisecond)
-					return true
+					return livenessCheck{alive: true}
 				})
 				w.checksLiveness.Store(true)
 				time.Sleep(tc.endsAfter)
@@ -92,7 +92,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				a := &slowReportEngine{reportTimes: tc.reportTimes, started: tc.answeringStart}
 				e := &Entry{engine: a}
-				if alive := e.isAlive(t.Context(), process{address: "10.0.0.1:80", started: tc.calledStart}); alive != tc.alive || a.asked != tc.asked {
+				if alive := e.checkLiveness(t.Context(), process{address: "10.0.0.1:80", started: tc.calledStart}).alive; alive != tc.alive || a.asked != tc.asked {
 					t.Errorf("alive %v after %d asks, want %v after %d", alive, a.asked, tc.alive, tc.asked)
 				}
 			})
--- a/entry/write.go
+++ b/entry/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -235,7 +236,13 @@
 }
 
 // stallError is a stream that made no progress.
-type stallError struct{ phase blackboard.Phase }
+type stallError struct {
+	phase  blackboard.Phase
+	silent time.Duration
+	check  livenessCheck
+}
 
 // Error implements the error interface.
-func (s *stallError) Error() string { return "no progress in " + string(s.phase) }
+func (s *stallError) Error() string {
+	return fmt.Sprintf("no progress in %s for %s, %s", s.phase, s.silent.Round(time.Millisecond), s.check)
+}
