--- a/internal/fake/link.go
+++ b/internal/fake/link.go
@@ -7,7 +7,8 @@
 )
 
 // Link is a host's link to the network, with a rate limit for each direction.
-// All connections of the host share it, chunk by chunk. A nil link has no limit.
+// All connections of the host share it, chunk by chunk. How many bytes of a connection wait
+// there at a time is the network's window. A nil link has no limit.
 type Link struct {
 	rate int // bytes per second
 
@@ -55,16 +56,20 @@
 
 // transmit blocks until the bytes have passed the link, after all that were queued before.
 func (l *Link) transmit(bytes int, d direction) {
+	time.Sleep(time.Until(l.queue(bytes, d)))
+}
+
+// queue queues bytes at the link and returns when they will have passed it.
+func (l *Link) queue(bytes int, d direction) time.Time {
+	now := time.Now()
 	if l == nil {
-		return
+		return now
 	}
 	l.mu.Lock()
-	now := time.Now()
+	defer l.mu.Unlock()
 	if l.nextFree[d].Before(now) {
 		l.nextFree[d] = now
 	}
 	l.nextFree[d] = l.nextFree[d].Add(time.Duration(bytes) * time.Second / time.Duration(l.rate))
-	until := l.nextFree[d]
-	l.mu.Unlock()
-	time.Sleep(time.Until(until))
+	return l.nextFree[d]
 }
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -22,6 +22,7 @@
 	cutsChanged chan struct{}    // closed and replaced at each change of cuts
 	silences    int              // calls of Silence
 	links       map[string]*Link // by host; only hosts with a rate limit
+	window      int              // bytes that a connection may have queued at links; 0: a single chunk
 	Delay       func(fromZone, toZone string) time.Duration
 }
 
@@ -150,6 +151,9 @@
 		a, b := net.Pipe()
 		localLink, remoteLink := n.linkOf(host), n.linkOf(hostOf(address))
 		near, far := newConn(a, n, zone, to), newConn(b, n, to, zone)
+		if w := n.linkWindow(); w > 0 && (localLink != nil || remoteLink != nil) {
+			near.flight, far.flight = newFlight(near, w, localLink, remoteLink), newFlight(far, w, remoteLink, localLink)
+		}
 		near.startDelivery(localLink, remoteLink)
 		far.startDelivery(remoteLink, localLink)
 		select {
@@ -180,6 +184,7 @@
 	once       sync.Once
 
 	fromLink, toLink *Link
+	flight           *flight // chunks queued at the links; nil: a single chunk at a time
 }
 
 // writeBuffer is how many writes are buffered before Write blocks.
@@ -218,6 +223,7 @@
 // deliver delivers buffered writes in order until the connection is closed.
 func (c *conn) deliver() {
 	defer c.Conn.Close()
+	defer c.flight.land()
 	for {
 		select {
 		case p := <-c.out:
@@ -225,6 +231,7 @@
 				return
 			}
 		case <-c.closed:
+			c.flight.land()
 			c.drain()
 			return
 		}
@@ -249,13 +256,19 @@
 	}
 	for len(p) > 0 {
 		chunk := p[:min(len(p), linkChunk)]
+		p = p[len(chunk):]
+		if c.flight != nil {
+			if !c.flight.add(chunk) {
+				return false
+			}
+			continue
+		}
 		c.fromLink.transmit(len(chunk), sending)
 		c.toLink.transmit(len(chunk), receiving)
 		if _, err := c.Conn.Write(chunk); err != nil {
 			close(c.peerClosed)
 			return false
 		}
-		p = p[len(chunk):]
 	}
 	return true
 }
