entry: a silent engine is left only once another has taken the request over

What callers saw: an answer that had been written for 7 s was cut in the middle, although its engine worked on.

Cause: the watchdog cancelled the call first, and whether the request could go on was asked after that: retry budget, tries, endpoints with capacity.

Change: before the watchdog cancels, the next try is placed with a copy of the job (handover): another pair has granted capacity and answers its report, a single request tries out an engine for those that follow, and the budget is charged. A process that is known to have ended is left at once. An answer with a replica is cancelled only once the replica's engine answers and may be called.

Why it works: what could refuse the next try has agreed before the current one ends. What is left is an engine that grants, answers and still refuses: the request then may return to the engine that it came from.

--- a/entry/copy.go
+++ b/entry/copy.go
@@ -156,9 +156,19 @@
 // has one, its first engine no longer works on it, and calls may be sent to the replica's
 // engine.
 func (e *Entry) canResume(ctx context.Context, j *job, p *plan, err error) bool {
+	prepared := j.next != nil && j.next.fromReplica
+	if prepared {
+		j.next = nil
+	}
 	end := copies.End{Replicated: p.replica != nil, CallerGone: ctx.Err() != nil, MayHaveRun: endpoint.MayHaveRun(err), MayStillRun: endpoint.Abandoned(err), DecodeTime: j.answerAge()}
-	return end.CanContinue() && j.crashCount < maxCrashesPerJob && e.canSendTo(ctx, j, p.replica.spec) && e.ineligibleReason(j, p.replica.spec) == route.ReasonNone && e.retryBudgets.SpendInWindow(j.pool, time.Now(), 1) &&
-		e.acquirePermit(ctx, j, p.replica.spec) == nil
+	return end.CanContinue() && (prepared || e.maySendToReplica(ctx, j, p.replica.spec))
+}
+
+// maySendToReplica reports whether a job may be sent to the engine that keeps its replica,
+// and charges the retry budget for it.
+func (e *Entry) maySendToReplica(ctx context.Context, j *job, spec *config.Endpoint) bool {
+	return j.crashCount < maxCrashesPerJob && e.canSendTo(ctx, j, spec) && e.ineligibleReason(j, spec) == route.ReasonNone &&
+		e.retryBudgets.SpendInWindow(j.pool, time.Now(), 1) && e.acquirePermit(ctx, j, spec) == nil
 }
 
 // answerAge returns how long ago the caller received the first chunk; 0: it has none.
@@ -196,7 +206,11 @@
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
 	at := processOf(p.decodeSpec) // a stopped watchdog may still run its liveness check
-	w := newWatchdog(forever, forever, cancel, func() livenessCheck { return e.checkLiveness(limited, at) })
+	w := newWatchdog(forever, forever, supervisor{
+		checkLiveness: func() livenessCheck { return e.checkLiveness(limited, at) },
+		mayLeave:      func(*watchdog) bool { return false }, // the replica is used up
+		cancel:        cancel,
+	})
 	defer w.stop()
 	number := route.Number(p.decodeSpec.Name)
 	e.owners.AddCalls(number, 1)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,6 +61,7 @@
 	reasonTotals  reasonCounts
 	crashes       crashTracker
 	deadlines     deadlines
+	acceptances   acceptances
 	unreadableLog logThrottle
 
 	WithoutPermit atomic.Uint64 // calls that got no start permit in time
@@ -70,6 +71,7 @@
 // New returns an entry over the board.
 func New(b *blackboard.Board, g endpoint.Engine, o Owners, rec *report.Recorder, log *zap.Logger) *Entry {
 	e := &Entry{board: b, engine: g, traits: g.Traits(), owners: o, recorder: rec, log: log, retryBudgets: retry.NewBudgets(b.Settings.RetryBudget, b.Hosts.Len), logLimiter: newLineLimiter(), retryTimes: retry.NewDelay(), started: time.Now()}
+	e.acceptances.engines = map[string]*acceptance{}
 	e.deadlines.byID = map[request.ID]pendingDeadline{}
 	e.crashes = crashTracker{entry: e, checks: map[process]*crashCheck{}, startTimes: map[string]int64{}}
 	return e
--- a/entry/job.go
+++ b/entry/job.go
@@ -59,6 +59,11 @@
 	prefillName    string
 	decodeName     string
 	lastFailure    *endpoint.Answer // failure that an endpoint answered with
+	next           *handover        // prepared next try; nil: none
+	handedOver     *handover        // to the engine that is called next; nil: none
+	placingNext    bool             // this is the copy of a job that its next try is placed with
+	awaitingSince  time.Time        // since when the answer has waited for capacity to continue
+	awaitedChunks  int              // chunks that the caller had then
 	noRetry        string           // why no further try was made, for the log; empty: none was needed
 	logged         logged
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -29,7 +29,12 @@
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
 	at := processOf(p.decodeSpec) // a stopped watchdog may still run its liveness check
-	w := newWatchdog(e.firstStallLimit(j, p), e.maxSilence(j), cancel, func() livenessCheck { return e.checkLiveness(limited, at) })
+	next := e.newHandover(j, p)
+	w := newWatchdog(e.firstStallLimit(j, p), e.maxSilence(j), supervisor{
+		checkLiveness: func() livenessCheck { return e.checkLiveness(limited, at) },
+		mayLeave:      func(w *watchdog) bool { return !e.leavesOnlyPrepared(j, w) || next.prepare(limited, w) },
+		cancel:        cancel,
+	})
 	defer w.stop()
 	number := route.Number(p.decodeSpec.Name)
 	e.owners.AddCalls(number, 1)
@@ -37,6 +42,13 @@
 	before, began := j.reply.chunks(), time.Now()
 	r := e.beginRun(j, p.decodeSpec, quarantine.Running)
 	defer func() {
+		cancel()
+		if next.close() {
+			j.next = next
+		}
+		if err == nil {
+			j.dropNext()
+		}
 		if err != nil && w.fired.Load() && ctx.Err() == nil {
 			err = &endpoint.CallError{Address: p.decodeSpec.Address, MayHaveRun: true, Cause: &stallError{blackboard.PhaseTransfer, w.silence(), w.lastCheck()}}
 		}
@@ -65,6 +77,7 @@
 		work.LastEventID = m
 	}
 	s, err := e.engine.Decode(limited, e.newCall(j, p.decodeSpec, p.decodeAttempt), &work)
+	j.endHandover(p.decodeSpec, err)
 	if err != nil {
 		j.keepFailure(err)
 		return err
@@ -101,7 +114,7 @@
 // gains nothing for a request that can't be sent again, not even with a replica: before the
 // first chunk there is nothing to resume from (copies.firstPartDelay).
 func (e *Entry) firstStallLimit(j *job, p *plan) time.Duration {
-	if !e.traits.PrefillRuns && !j.repeatable {
+	if !e.traits.PrefillRuns && !j.hasTries() {
 		return forever
 	}
 	return time.Duration(e.board.Settings.StallMillis)*time.Millisecond + p.TransferDuration
@@ -111,7 +124,7 @@
 // answer can resume elsewhere, an engine that is silent for longer than expected is asked
 // whether it is alive.
 func (e *Entry) laterStallLimit(j *job, p *plan) time.Duration {
-	if p.replica == nil && !j.repeatable && !e.traits.PrefillRuns {
+	if p.replica == nil && !j.hasTries() && !e.traits.PrefillRuns {
 		return forever
 	}
 	if !e.traits.DisconnectAborts {
@@ -130,6 +143,13 @@
 	return forever
 }
 
+// leavesOnlyPrepared reports whether a call to a silent engine is canceled only if the next
+// try is prepared. Otherwise a stalled transfer is first retried in place, and a request
+// without a deadline can't wait without end.
+func (e *Entry) leavesOnlyPrepared(j *job, w *watchdog) bool {
+	return j.deadline > 0 && (e.traits.DisconnectAborts || w.answering.Load())
+}
+
 // relay forwards the stream: each chunk once, in order, and a clean end only after a
 // complete answer.
 func (e *Entry) relay(j *job, p *plan, s endpoint.Stream, w *watchdog) error {
@@ -158,7 +178,7 @@
 		if j.reply.chunks() == 0 {
 			j.markPhase(3)
 		}
-		if !w.answering {
+		if !w.answering.Load() {
 			w.answerBegun(e.laterStallLimit(j, p))
 			w.checksLiveness.Store(e.traits.DisconnectAborts)
 			e.setPhase(j, blackboard.PhaseDecode, nil)
--- a/entry/run.go
+++ b/entry/run.go
@@ -26,6 +26,7 @@
 func (e *Entry) run(ctx context.Context, j *job) *result.Error {
 	e.retryBudgets.CountRequest(j.pool, j.arrived)
 	backoff := backoffStart
+	defer j.dropNext()
 	for {
 		j.tries++
 		if refusal := e.acquireProbe(ctx, j); refusal != nil {
@@ -38,7 +39,11 @@
 		}
 		var again *retryable
 		if !errors.As(err, &again) {
-			return asResult(err)
+			refusal := asResult(err)
+			if e.awaitCapacity(ctx, j, refusal) {
+				continue
+			}
+			return refusal
 		}
 		j.uncount(again)
 		if refusal := e.checkRetry(ctx, j, again); refusal != nil {
@@ -51,6 +56,40 @@
 	}
 }
 
+// awaitCapacity waits a moment for capacity for an answer that has begun and was refused
+// before any call was made. It reports whether the job is to be placed again, among all
+// endpoints.
+func (e *Entry) awaitCapacity(ctx context.Context, j *job, refusal *result.Error) bool {
+	if j.reply.chunks() == 0 || !isPlacementRefusal(refusal.Code) {
+		return false
+	}
+	j.tries-- // no call was made
+	if !j.hasTries() {
+		j.tries++
+		return false
+	}
+	if j.awaitedChunks != j.reply.chunks() {
+		j.awaitingSince, j.awaitedChunks = time.Now(), j.reply.chunks()
+	}
+	if time.Since(j.awaitingSince) >= resumeSlack || !wait.For(ctx, capacityPoll/2+rand.N(capacityPoll)) {
+		return false
+	}
+	j.criteria.Exclude = [route.MaxExcluded]uint32{}
+	return true
+}
+
+// isPlacementRefusal reports whether a refusal says that no endpoint is open for a request now.
+func isPlacementRefusal(c result.Code) bool {
+	switch c {
+	case result.TooLate, result.NoDecodeMemory, result.NoEndpoint, result.Cold, result.Limited, result.Resting, result.Evacuated, result.NoHome:
+		return true
+	}
+	return false
+}
+
+// capacityPoll is the time between two attempts to place an answer that has begun.
+const capacityPoll = 200 * time.Millisecond
+
 // retryable is a failure after which the request may be tried again elsewhere, if it may be
 // repeated or did not run.
 type retryable struct {
@@ -92,7 +131,7 @@
 	case j.tries >= j.view.Doc.Limits.MaxAttempts, r.mayHaveRun && j.attempts >= j.maxAttempts():
 		j.noRetry = "attempts"
 		return r.refusal
-	case !r.notSent && !e.spendRetry(j, r):
+	case !r.notSent && j.next == nil && !e.spendRetry(j, r):
 		j.noRetry = "budget"
 		if j.possiblyRan {
 			return r.refusal
@@ -111,11 +150,24 @@
 	if !e.retryBudgets.Windowed() {
 		return e.retryBudgets.Take(j.team.Name, r.endpointName)
 	}
+	return e.retryBudgets.SpendInWindow(j.pool, time.Now(), j.retryCalls())
+}
+
+// hasRetryBudget reports whether spendRetry would succeed.
+func (e *Entry) hasRetryBudget(j *job, endpointName string) bool {
+	if !e.retryBudgets.Windowed() {
+		return e.retryBudgets.Has(j.team.Name, endpointName)
+	}
+	return e.retryBudgets.HasInWindow(j.pool, time.Now(), j.retryCalls())
+}
+
+// retryCalls returns how many further calls another try costs in a windowed budget.
+func (j *job) retryCalls() int {
 	calls := min(1, j.decodeCalls)
 	if j.prompted {
 		calls += min(1, j.prefillCalls)
 	}
-	return e.retryBudgets.SpendInWindow(j.pool, time.Now(), calls)
+	return calls
 }
 
 func asResult(err error) *result.Error {
@@ -127,9 +179,10 @@
 }
 
 // slack returns the time left to the first token. A resumed answer has its first token
-// already; it only has to continue soon.
+// already, and a request that is handed over by a silent engine is late already; both only
+// have to continue soon.
 func (j *job) slack() time.Duration {
-	if j.reply.chunks() > 0 {
+	if j.placingNext || j.reply.chunks() > 0 {
 		return resumeSlack
 	}
 	return time.Until(j.arrived.Add(j.probeWaited + time.Duration(targetShare*float64(j.target()))))
@@ -146,9 +199,13 @@
 func (e *Entry) try(ctx context.Context, j *job) error {
 	e.board.Pause.Check()
 	if !j.view.Doc.Policy.Mode.Reserves() {
+		j.next = nil
 		return e.tryUnreserved(ctx, j)
 	}
-	p, err := e.place(ctx, j)
+	p, err := j.takePlan(), error(nil)
+	if p == nil {
+		p, err = e.place(ctx, j)
+	}
 	if err != nil {
 		return err
 	}
@@ -203,6 +260,9 @@
 
 // setPhase updates the job's phase in the request table.
 func (e *Entry) setPhase(j *job, ph blackboard.Phase, f func(r *blackboard.Request)) {
+	if j.placingNext {
+		return
+	}
 	now := time.Now()
 	e.board.Requests.Update(j.id, func(r *blackboard.Request) {
 		r.Phase, r.PhaseSince = ph, now
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -25,35 +25,55 @@
 	checksLiveness atomic.Bool  // before it cancels, it asks the engine whether it is alive
 	fired          atomic.Bool
 	check          livenessCheck // the last one; guarded by mu
-	answering      bool          // the answer has begun
+	answering      atomic.Bool   // the answer has begun
 	first          time.Time
 	last           time.Time
 }
 
-// newWatchdog returns a watchdog that cancels after limit. With liveness checks, an engine
-// that is alive is waited for until it has been silent for maxSilence.
-func newWatchdog(limit, maxSilence time.Duration, cancel func(), checkLiveness func() livenessCheck) *watchdog {
+// supervisor is what a watchdog needs to know of its call.
+type supervisor struct {
+	checkLiveness func() livenessCheck
+	// mayLeave reports whether the call may be canceled although its engine may go on.
+	mayLeave func(w *watchdog) bool
+	cancel   func()
+}
+
+// newWatchdog returns a watchdog that cancels a call after limit, if it may be left. With
+// liveness checks, an engine that is alive is waited for until it has been silent for
+// maxSilence.
+func newWatchdog(limit, maxSilence time.Duration, s supervisor) *watchdog {
 	w := &watchdog{limit: limit}
 	w.lastProgress.Store(time.Now().UnixNano())
 	w.timer = time.AfterFunc(limit, func() {
 		progressAt := w.lastProgress.Load()
-		silent := func() time.Duration { return time.Since(time.Unix(0, progressAt)) }
-		if w.checksLiveness.Load() && silent() < maxSilence && w.record(checkLiveness()).alive {
-			w.rearm(progressAt, max(0, min(livenessInterval, maxSilence-silent())))
-			return
+		gone := false
+		if w.checksLiveness.Load() && w.silence() < maxSilence {
+			check := w.record(s.checkLiveness())
+			if check.alive {
+				w.rearm(progressAt, max(0, min(livenessInterval, maxSilence-w.silence())))
+				return
+			}
+			gone = check.gone
 		}
 		if w.lastProgress.Load() != progressAt {
 			return // it progressed in the meantime, and the timer is set
 		}
+		if !gone && !s.mayLeave(w) {
+			w.rearm(progressAt, livenessInterval)
+			return
+		}
 		w.fired.Store(true)
-		cancel()
+		s.cancel()
 	})
 	return w
 }
 
 // answerBegun sets the limit that holds once the answer has begun.
 func (w *watchdog) answerBegun(limit time.Duration) {
-	w.answering, w.limit, w.first = true, limit, time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit, w.first = limit, time.Now()
+	w.answering.Store(true)
 }
 
 func (w *watchdog) progress() {
@@ -105,7 +125,7 @@
 
 // answeringTime returns the time from the first chunk to the last.
 func (w *watchdog) answeringTime() time.Duration {
-	if !w.answering {
+	if !w.answering.Load() {
 		return 0
 	}
 	return w.last.Sub(w.first)
@@ -113,8 +133,8 @@
 
 // An engine that writes nothing is asked for its report, which takes no slot there. One
 // that answers is alive and only slow. Its answer is waited for, because a run that is
-// abandoned while it may still continue could run twice. An engine that doesn't answer is
-// down or unreachable.
+// abandoned while it may still continue could run twice. An engine that doesn't answer may
+// be down or unreachable.
 const (
 	reportTimeout    = 60 * time.Millisecond  // for a report, which takes some milliseconds
 	maxUnanswered    = 2                      // a single lost packet proves nothing
@@ -140,6 +160,7 @@
 // livenessCheck is the result of asking a silent engine for its report.
 type livenessCheck struct {
 	alive      bool
+	gone       bool // the process that was called has ended
 	asks       int
 	unanswered int // asks that count as unanswered
 	took       time.Duration
@@ -168,7 +189,7 @@
 		case ctx.Err() != nil:
 			return c // the call is over
 		case evidence == quarantine.EvidenceRefused, evidence == quarantine.EvidenceRestarted:
-			c.alive = false
+			c.alive, c.gone = false, true
 			return c
 		case evidence != quarantine.EvidenceNone:
 			return c
--- a/entry/write.go
+++ b/entry/write.go
@@ -68,6 +68,10 @@
 			return asResult(ctx.Err())
 		case j.reply.chunks() > before: // chunks were relayed: the result is used up
 			return e.callFailure(p.decodeSpec, err)
+		case j.next != nil: // all endpoints are chosen already
+			e.releaseDecode(j, p, owner.Failed)
+			e.dropResult(j, p, kv)
+			return e.callFailure(p.decodeSpec, err)
 		case endpoint.Unreachable(err), endpoint.WrongEndpoint(err):
 			e.moveDecode(ctx, j, p, owner.Failed, true)
 		case !endpoint.MayHaveRun(err) && p.promptCached:
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -78,6 +78,13 @@
 	return true
 }
 
+// Has reports whether Take would succeed.
+func (b *Budgets) Has(team, endpoint string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.get("t/"+team) >= 1 && b.get("e/"+endpoint) >= 1
+}
+
 // Earn adds a fraction of a retry to the budgets of both after a success.
 func (b *Budgets) Earn(team, endpoint string, share float64) {
 	b.mu.Lock()
@@ -149,10 +156,22 @@
 		return true
 	}
 	u := b.poolAt(pool, now)
-	limit := b.window.Share*sum(u.requests) + b.window.Extra/float64(max(1, b.hosts()))
-	if sum(u.retries)+float64(n) > safetyFactor*limit {
+	if !b.covers(u, n) {
 		return false
 	}
 	u.retries[u.slice%windowSlices] += n
 	return true
 }
+
+// HasInWindow reports whether SpendInWindow would succeed.
+func (b *Budgets) HasInWindow(pool string, now time.Time, n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.window.Seconds == 0 || n == 0 || b.covers(b.poolAt(pool, now), n)
+}
+
+// covers reports whether a pool's window has n retries left. The caller holds the lock.
+func (b *Budgets) covers(u *poolWindow, n int) bool {
+	limit := b.window.Share*sum(u.requests) + b.window.Extra/float64(max(1, b.hosts()))
+	return sum(u.retries)+float64(n) <= safetyFactor*limit
+}
