peer: a ping that timed out returns no heartbeat

net/rpc may still decode a late reply while the caller reads it: the race detector reported it in TestOwnLinkKeepsAnswers. A failed ping's heartbeat was ignored, so no caller saw anything.

--- a/peer/watch.go
+++ b/peer/watch.go
@@ -78,8 +78,10 @@
 	if missed {
 		call = r.pool.callOnNewConn
 	}
-	err = call(ctx, h.Peers, methodPing, &Nothing{}, &b, r.timeout())
-	return b, err
+	if err = call(ctx, h.Peers, methodPing, &Nothing{}, &b, r.timeout()); err != nil {
+		return Heartbeat{}, err // a late reply may still be written to b
+	}
+	return b, nil
 }
 
 // lastPossibleHeartbeat returns the highest heartbeat that a host can have sent if it answered
