entry: an engine counts as silent only while somebody else answers this host

What callers saw: answers were taken from engines that worked on, and came late or were cut, on hosts with narrow links while a large configuration arrived.

Cause: two reports unanswered for 60 ms each were taken as evidence about the engine. In the record the host's 10 Mbit/s link was full of a document: answers of engines reached two such hosts 223 and 227 ms after they were sent (5 ms elsewhere), the host's processor was at 5 %, and the take-over of the document came 0.5 s later.

While a report is outstanding for longer than 15 ms, two hosts of the own failure domain are pinged over new connections. An unanswered report counts only if a call that began no earlier was answered in the meantime. Where there is no other host, it counts as before.

Why it works: what waits on the own link waits for everybody. If nobody answers, a new engine couldn't be reached either, so nothing is lost by waiting.

--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -140,7 +140,8 @@
 	maxUnanswered    = 2                      // a single lost packet proves nothing
 	livenessInterval = 500 * time.Millisecond // between the checks of a silent engine that is alive
 	maxTimerDelay    = 20 * time.Millisecond  // timers fire some milliseconds late; beyond this the host itself was held up
-	maxLivenessAsks  = 5                      // including those during which this host was held up
+	maxLivenessAsks  = 5                      // including those that prove nothing
+	witnessDelay     = reportTimeout / 4      // after which another host is asked whether it answers
 )
 
 // process is the engine process that a call was made to.
@@ -176,14 +177,16 @@
 
 // checkLiveness asks a silent engine whether it is alive. An engine counts as lost
 // only if it doesn't answer at all, if nothing listens at its address, or if it has
-// restarted since: it holds nothing of the run then. A check during which this host was
-// held up proves nothing: the answer may have arrived.
+// restarted since: it holds nothing of the run then. An ask during which this host was held
+// up, or nobody else answered it, proves nothing: the answer may have arrived, or be waiting
+// on this host's link.
 func (e *Entry) checkLiveness(ctx context.Context, at process) (c livenessCheck) {
 	start := time.Now()
 	defer func() { c.took = time.Since(start) }()
 	for c.alive = true; c.asks < maxLivenessAsks; {
-		began := time.Now()
+		began, witness := time.Now(), e.board.Answers.Witness(ctx, witnessDelay)
 		evidence, _ := e.processEvidence(ctx, at)
+		conclusive := witness.Stop()
 		c.asks++
 		switch {
 		case ctx.Err() != nil:
@@ -193,7 +196,7 @@
 			return c
 		case evidence != quarantine.EvidenceNone:
 			return c
-		case time.Since(began) < reportTimeout+maxTimerDelay:
+		case conclusive && time.Since(began) < reportTimeout+maxTimerDelay:
 			c.unanswered++
 		}
 		if c.unanswered == maxUnanswered {
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -243,20 +243,30 @@
 	}
 }
 
+// open opens a connection to a peer that the pool doesn't keep.
+func (p *pool) open(ctx context.Context, addr string) (*rpc.Client, error) {
+	conn, err := p.dial(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return newClient(&trackedConn{countedConn: counted(conn, p.traffic), lastRead: &p.stateOf(addr).lastRead}, p.purposes), nil
+}
+
 // callOnNewConn makes one call over a new connection. If it is answered, the new connection
 // replaces the current one: open connections may go silent for good while new ones work.
 func (p *pool) callOnNewConn(ctx context.Context, addr, method string, args, reply any, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	defer p.beginCall(addr)()
-	conn, err := p.dial(ctx, "tcp", addr)
-	if err != nil {
-		return errors.Wrap(err, "peer")
-	}
 	p.mu.Lock()
 	old := p.conns[addr]
-	c := newClient(&trackedConn{countedConn: counted(conn, p.traffic), lastRead: &p.stateOf(addr).lastRead}, p.purposes)
 	p.mu.Unlock()
+	c, err := p.open(ctx, addr)
+	if err != nil {
+		return err
+	}
 	p.traffic.Calls.Add(1)
 	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
