owner: an endpoint isn't down while nobody answers its owner

What callers saw: hosts with good links refused requests, as the owner of the engines had told everybody that they were down.

Two polls without an answer within 500 ms count as an endpoint that is down, though the owner's own link may be full.

Change: a poll that timed out counts only if another call of this host that began no earlier was answered in the meantime, or there is nobody to ask. A refused connection and any other answer count as before.

--- a/owner/poll.go
+++ b/owner/poll.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/blackboard"
@@ -174,12 +176,20 @@
 }
 
 func (o *Owner) pollState(ctx context.Context, sched *Scheduler) {
+	began, witness := time.Now(), o.board.Answers.Witness(ctx, pollTimeout/4)
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	st, err := o.engine.State(ctx, sched.spec.Address)
+	conclusive := witness.Stop()
 	o.Polls.Add(1)
 	now := time.Now()
 	o.recordNotice(sched, st, err)
+	if err == nil {
+		o.board.Answers.Record(began)
+	}
+	if isSilence(ctx, err) && !conclusive {
+		return // nobody answers this host
+	}
 	sched.mu.Lock()
 	if err != nil {
 		sched.failedPolls++
@@ -218,6 +228,12 @@
 	o.correctState(ctx, sched, st)
 }
 
+// isSilence reports whether a call failed because nothing arrived in time.
+func isSilence(ctx context.Context, err error) bool {
+	var timeout net.Error
+	return err != nil && (ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout())
+}
+
 // recordNotice records the notices in the header of a state report. A report without a limit changes
 // nothing, as reports need not repeat it.
 func (o *Owner) recordNotice(sched *Scheduler, st *endpoint.State, err error) {
