--- a/entry/handover.go
+++ b/entry/handover.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/embercove/embercove/clock"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/copies"
@@ -182,10 +184,21 @@
 		return nil
 	}
 	j.handedOver = h
+	h.logTaken(j)
 	j.criteria, j.redirect, j.refusedRegions, j.regionLog = h.job.criteria, h.job.redirect, h.job.refusedRegions, h.job.regionLog
 	return h.plan
 }
 
+// logTaken writes a log line on the engine that takes the job over.
+func (h *handover) logTaken(j *job) {
+	ok, lost := h.entry.logLimiter.admit(time.Now(), &j.logged, false)
+	if !ok {
+		return
+	}
+	h.entry.log.Info("taken over from a silent engine", zap.Stringer("id", j.id), zap.String("caller_id", j.callerID()), zap.String("endpoint", h.plan.decodeSpec.Name),
+		zap.String("from", h.from.Name), zap.Int("pieces", j.reply.chunks()), zap.Uint64("lines_left_out", lost))
+}
+
 // endHandover records how an engine answered the job that was handed over to it. If it
 // refused, the job may return to the engine that it came from, which may have gone on.
 func (j *job) endHandover(spec *config.Endpoint, err error) {
