--- a/blackboard/answers.go
+++ b/blackboard/answers.go
@@ -1,7 +1,6 @@
 package blackboard
 
 import (
-	"context"
 	"sync"
 	"time"
 )
@@ -12,13 +11,14 @@
 //
 // Its methods are safe for concurrent use.
 type Answers struct {
-	// Ping asks another host for an answer, which it records. It reports false if there is no
-	// host to ask. Set before use; nil: there is none.
-	Ping func(ctx context.Context) bool
+	// Ping starts to ask other hosts for an answer, which it records. It reports false if there
+	// is no host to ask. Set before use; nil: there is none.
+	Ping func() bool
 
-	mu        sync.Mutex
-	lastBegan time.Time // the latest beginning of a call that was answered
-	pingBegan time.Time // of the last ping
+	mu         sync.Mutex
+	lastBegan  time.Time // the latest beginning of a call that was answered
+	pingBegan  time.Time // of the last ping
+	noneToPing bool      // the last ping found no host to ask
 }
 
 // Record records the answer to a call that began at a given time.
@@ -30,59 +30,41 @@
 	}
 }
 
-// Since reports whether a call that began no earlier was answered.
-func (a *Answers) Since(began time.Time) bool {
+// pingShared is how long calls share one ping.
+const pingShared = 10 * time.Millisecond
+
+// ping asks other hosts, unless it was just done or a call that began no earlier was answered.
+func (a *Answers) ping(began time.Time) {
+	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.lastBegan.Before(began)
+	if now.Sub(a.pingBegan) < pingShared || !a.lastBegan.Before(began) {
+		return
+	}
+	a.pingBegan = now
+	a.noneToPing = a.Ping == nil || !a.Ping()
 }
 
-// pingShared is how long calls share one ping.
-const pingShared = 5 * time.Millisecond
-
-// Witness is a call to another host beside a call that is not answered yet.
+// Witness is a call to another host beside a call that isn't answered yet.
 type Witness struct {
 	answers *Answers
 	began   time.Time
 	timer   *time.Timer
-	cancel  context.CancelFunc
-
-	mu     sync.Mutex
-	nobody bool // there is no other host to ask
 }
 
 // Witness returns a witness for a call that begins now. If that call takes longer than delay,
-// another host is asked. The caller must call Stop.
-func (a *Answers) Witness(ctx context.Context, delay time.Duration) *Witness {
+// other hosts are asked. The caller must call Stop.
+func (a *Answers) Witness(delay time.Duration) *Witness {
 	w := &Witness{answers: a, began: time.Now()}
-	ctx, w.cancel = context.WithCancel(ctx)
-	w.timer = time.AfterFunc(delay, func() { w.ask(ctx) })
+	w.timer = time.AfterFunc(delay, func() { a.ping(w.began) })
 	return w
 }
 
-func (w *Witness) ask(ctx context.Context) {
-	a, now := w.answers, time.Now()
-	a.mu.Lock()
-	shared := now.Sub(a.pingBegan) < pingShared
-	if !shared {
-		a.pingBegan = now
-	}
-	a.mu.Unlock()
-	if shared || a.Since(w.began) {
-		return
-	}
-	asked := a.Ping != nil && a.Ping(ctx)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.nobody = !asked
-}
-
 // Stop ends the witness. It reports whether the silence of the call says something about its
 // callee: another call was answered in the meantime, or there is no other host to ask.
 func (w *Witness) Stop() bool {
 	w.timer.Stop()
-	w.cancel()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.nobody || w.answers.Since(w.began)
+	w.answers.mu.Lock()
+	defer w.answers.mu.Unlock()
+	return w.answers.noneToPing || !w.answers.lastBegan.Before(w.began)
 }
--- a/blackboard/answers_test.go
+++ b/blackboard/answers_test.go
@@ -1,7 +1,6 @@
 package blackboard
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,22 +31,18 @@
 			synctest.Test(t, func(t *testing.T) {
 				pings := 0
 				a := &Answers{}
-				a.Ping = func(ctx context.Context) bool {
+				a.Ping = func() bool {
 					pings++
 					if !tc.others {
 						return false
 					}
 					began := time.Now()
-					time.AfterFunc(tc.answerIn, func() {
-						if ctx.Err() == nil {
-							a.Record(began)
-						}
-					})
+					time.AfterFunc(tc.answerIn, func() { a.Record(began) })
 					return true
 				}
 				a.Record(time.Now()) // an answer to a call that began earlier proves nothing
 				time.Sleep(time.Millisecond)
-				w := a.Witness(t.Context(), delay)
+				w := a.Witness(delay)
 				time.Sleep(tc.call)
 				if got := w.Stop(); got != tc.conclusive || pings != tc.pings {
 					t.Errorf("conclusive %v after %d pings, want %v after %d", got, pings, tc.conclusive, tc.pings)
@@ -56,3 +51,30 @@
 		})
 	}
 }
+
+// TestSharedPing checks that calls that share a ping share its result, also after the first of
+// them has ended.
+func TestSharedPing(t *testing.T) {
+	const delay = 10 * time.Millisecond
+	for _, others := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			a := &Answers{}
+			a.Ping = func() bool {
+				began := time.Now()
+				if others {
+					time.AfterFunc(5*time.Millisecond, func() { a.Record(began) })
+				}
+				return others
+			}
+			first := a.Witness(delay)
+			time.Sleep(time.Millisecond)
+			second := a.Witness(delay)
+			time.Sleep(delay)
+			first.Stop()
+			time.Sleep(2 * delay)
+			if !second.Stop() {
+				t.Errorf("other hosts %v: the second call's silence says nothing", others)
+			}
+		})
+	}
+}
--- a/entry/copy.go
+++ b/entry/copy.go
@@ -157,6 +157,9 @@
 // engine.
 func (e *Entry) canResume(ctx context.Context, j *job, p *plan, err error) bool {
 	prepared := j.next != nil && j.next.fromReplica
+	if j.next != nil && !prepared {
+		return false // another pair is prepared, as the replica's engine is silent too
+	}
 	if prepared {
 		j.next = nil
 	}
@@ -168,7 +171,7 @@
 // and charges the retry budget for it.
 func (e *Entry) maySendToReplica(ctx context.Context, j *job, spec *config.Endpoint) bool {
 	return j.crashCount < maxCrashesPerJob && e.canSendTo(ctx, j, spec) && e.ineligibleReason(j, spec) == route.ReasonNone &&
-		e.retryBudgets.SpendInWindow(j.pool, time.Now(), 1) && e.acquirePermit(ctx, j, spec) == nil
+		e.acquirePermit(ctx, j, spec) == nil && e.retryBudgets.SpendInWindow(j.pool, time.Now(), 1)
 }
 
 // answerAge returns how long ago the caller received the first chunk; 0: it has none.
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -114,7 +114,7 @@
 // gains nothing for a request that can't be sent again, not even with a replica: before the
 // first chunk there is nothing to resume from (copies.firstPartDelay).
 func (e *Entry) firstStallLimit(j *job, p *plan) time.Duration {
-	if !e.traits.PrefillRuns && !j.hasTries() {
+	if !e.traits.PrefillRuns && !e.mayMove(j) {
 		return forever
 	}
 	return time.Duration(e.board.Settings.StallMillis)*time.Millisecond + p.TransferDuration
@@ -124,7 +124,7 @@
 // answer can resume elsewhere, an engine that is silent for longer than expected is asked
 // whether it is alive.
 func (e *Entry) laterStallLimit(j *job, p *plan) time.Duration {
-	if p.replica == nil && !j.hasTries() && !e.traits.PrefillRuns {
+	if p.replica == nil && !e.mayMove(j) && !e.traits.PrefillRuns {
 		return forever
 	}
 	if !e.traits.DisconnectAborts {
@@ -143,6 +143,14 @@
 	return forever
 }
 
+// mayMove reports whether a silent call of a job may be canceled for another try.
+func (e *Entry) mayMove(j *job) bool {
+	if e.traits.DisconnectAborts && j.deadline > 0 {
+		return j.hasTries()
+	}
+	return j.repeatable
+}
+
 // leavesOnlyPrepared reports whether a call to a silent engine is canceled only if the next
 // try is prepared. Otherwise a stalled transfer is first retried in place, and a request
 // without a deadline can't wait without end.
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -47,10 +47,10 @@
 	w.timer = time.AfterFunc(limit, func() {
 		progressAt := w.lastProgress.Load()
 		gone := false
-		if w.checksLiveness.Load() && w.silence() < maxSilence {
+		if w.checksLiveness.Load() {
 			check := w.record(s.checkLiveness())
-			if check.alive {
-				w.rearm(progressAt, max(0, min(livenessInterval, maxSilence-w.silence())))
+			if left := maxSilence - w.silence(); check.alive && left > 0 {
+				w.rearm(progressAt, min(livenessInterval, left))
 				return
 			}
 			gone = check.gone
@@ -184,7 +184,7 @@
 	start := time.Now()
 	defer func() { c.took = time.Since(start) }()
 	for c.alive = true; c.asks < maxLivenessAsks; {
-		began, witness := time.Now(), e.board.Answers.Witness(ctx, witnessDelay)
+		began, witness := time.Now(), e.board.Answers.Witness(witnessDelay)
 		evidence, _ := e.processEvidence(ctx, at)
 		conclusive := witness.Stop()
 		c.asks++
--- a/entry/watchdog_test.go
+++ b/entry/watchdog_test.go
@@ -101,7 +101,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				a := &slowReportEngine{reportTimes: tc.reportTimes, started: tc.answeringStart}
 				b := blackboard.New(&config.Settings{Host: "h"})
-				b.Answers.Ping = func(ctx context.Context) bool {
+				b.Answers.Ping = func() bool {
 					began := time.Now()
 					time.AfterFunc(tc.otherTakes, func() { b.Answers.Record(began) })
 					return true
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -176,7 +176,7 @@
 }
 
 func (o *Owner) pollState(ctx context.Context, sched *Scheduler) {
-	began, witness := time.Now(), o.board.Answers.Witness(ctx, pollTimeout/4)
+	began, witness := time.Now(), o.board.Answers.Witness(pollTimeout/4)
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	st, err := o.engine.State(ctx, sched.spec.Address)
--- a/peer/router.go
+++ b/peer/router.go
@@ -70,7 +70,7 @@
 	r.pool = newPool(dial, &r.Traffic, &r.PurposeTraffic)
 	r.bulk = newPool(dial, &r.Traffic, &r.PurposeTraffic)
 	o.SetPeers(r)
-	b.Answers.Ping = r.pingNearby
+	b.Answers.Ping = r.pingWitnesses
 	return r
 }
 
--- a/peer/witness.go
+++ b/peer/witness.go
@@ -7,40 +7,41 @@
 	"github.com/embercove/embercove/blackboard"
 )
 
-// maxWitnesses is how many hosts are pinged at once to learn whether anybody answers this host.
-const maxWitnesses = 2
+// pingTimeout bounds a ping by which a host learns whether anybody answers it.
+const pingTimeout = 500 * time.Millisecond
 
-// pingNearby pings hosts of the own failure domain, or of the region if there are none, and
-// records their answers on the board. It doesn't wait for them, and reports false if there is no
-// host to ping. Each ping opens a connection, as open ones may have gone silent.
-func (r *Router) pingNearby(ctx context.Context) bool {
+// pingWitnesses pings a host of the own failure domain and one of another in the region, as far
+// as there are any, and records their answers on the board. It doesn't wait for them, and reports
+// false if there is no host to ping. Each ping opens a connection, as open ones may have gone
+// silent.
+func (r *Router) pingWitnesses() bool {
 	hosts := r.witnesses(time.Now())
 	for _, h := range hosts {
-		go r.pingOnce(ctx, h.Peers)
+		go r.pingOnce(h.Peers)
 	}
 	return len(hosts) > 0
 }
 
 // witnesses returns the hosts to ping.
 func (r *Router) witnesses(now time.Time) []blackboard.Host {
-	if near := r.board.Hosts.Watched(maxWitnesses, now); len(near) > 0 {
-		return near
-	}
-	var region candidates
+	hosts := r.board.Hosts.Watched(1, now)
 	self := r.board.Hosts.Self()
+	var elsewhere candidates
 	r.board.Hosts.Each(now, func(h *blackboard.Host, live bool) {
-		if live && h.Number != self.Number && h.Region == self.Region && h.Peers != "" {
-			region.add(r.board.Number, h, true)
+		if live && h.Region == self.Region && h.Domain != self.Domain && h.Peers != "" {
+			elsewhere.add(r.board.Number, h, true)
 		}
 	})
-	if region.seen == 0 {
-		return nil
+	if elsewhere.seen > 0 {
+		hosts = append(hosts, elsewhere.sampled[0])
 	}
-	return []blackboard.Host{region.sampled[0]}
+	return hosts
 }
 
 // pingOnce pings a host over a connection of its own and records the answer.
-func (r *Router) pingOnce(ctx context.Context, addr string) {
+func (r *Router) pingOnce(addr string) {
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+	defer cancel()
 	began := time.Now()
 	c, err := r.pool.open(ctx, addr)
 	if err != nil {
