entry: a prepared next try is placed anew each time, and on endpoints that answer

Also found by the review: exclusions of a failed preparation held for the rest of the call, so that a pair was never asked again; a silent pair was chosen again and again; owners that didn't answer counted as having granted; a caller who left counted as a refusal of the engine, and an engine whose first request was never answered got no other. At most eight jobs of a host place their next try at once.

--- a/entry/acceptances.go
+++ b/entry/acceptances.go
@@ -16,6 +16,8 @@
 	acceptanceValid = time.Second
 	// refusalValid is how long no request is handed over to an engine that refused one.
 	refusalValid = 2 * time.Second
+	// maxPending is how long others wait for an answer to the first.
+	maxPending = 2 * time.Second
 	// acceptancePoll is the time between two checks whether the first request was accepted.
 	acceptancePoll = 10 * time.Millisecond
 	// maxAcceptanceWait bounds the wait for that; a prefill takes some 100 ms.
@@ -31,6 +33,7 @@
 // acceptance is what is known of one engine.
 type acceptance struct {
 	pending    *handover // handed over and not answered yet; nil: none
+	pendingAt  time.Time // since when
 	acceptedAt time.Time
 	refusedAt  time.Time
 }
@@ -61,16 +64,16 @@
 	r := a.engines[engine]
 	switch {
 	case r == nil:
-		a.engines[engine] = &acceptance{pending: h}
+		a.engines[engine] = &acceptance{pending: h, pendingAt: time.Now()}
 		return true
 	case time.Since(r.refusedAt) < refusalValid:
 		return false
 	case time.Since(r.acceptedAt) < acceptanceValid:
 		return true
-	case r.pending != nil:
+	case r.pending != nil && time.Since(r.pendingAt) < maxPending:
 		return false
 	}
-	r.pending = h
+	r.pending, r.pendingAt = h, time.Now()
 	return true
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,6 +62,7 @@
 	crashes       crashTracker
 	deadlines     deadlines
 	acceptances   acceptances
+	preparations  chan struct{} // holds a value for each job that places its next try beside a silent call
 	unreadableLog logThrottle
 
 	WithoutPermit atomic.Uint64 // calls that got no start permit in time
@@ -71,12 +72,16 @@
 // New returns an entry over the board.
 func New(b *blackboard.Board, g endpoint.Engine, o Owners, rec *report.Recorder, log *zap.Logger) *Entry {
 	e := &Entry{board: b, engine: g, traits: g.Traits(), owners: o, recorder: rec, log: log, retryBudgets: retry.NewBudgets(b.Settings.RetryBudget, b.Hosts.Len), logLimiter: newLineLimiter(), retryTimes: retry.NewDelay(), started: time.Now()}
+	e.preparations = make(chan struct{}, maxPreparations)
 	e.acceptances.engines = map[string]*acceptance{}
 	e.deadlines.byID = map[request.ID]pendingDeadline{}
 	e.crashes = crashTracker{entry: e, checks: map[process]*crashCheck{}, startTimes: map[string]int64{}}
 	return e
 }
 
+// maxPreparations is how many jobs may place their next try beside a silent call at once.
+const maxPreparations = 8
+
 // SetRetryBudget replaces the retry budget.
 func (e *Entry) SetRetryBudget(b config.RetryBudget) { e.retryBudgets.SetWindow(b) }
 
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -10,6 +10,7 @@
 	"github.com/embercove/embercove/clock"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/copies"
+	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/internal/wait"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/quarantine"
@@ -27,13 +28,15 @@
 	replica *config.Endpoint // the engine that keeps a replica; nil: none
 	sent    int              // chunks that the caller had before the call
 
-	mu          sync.Mutex // held while the next try is prepared
-	job         job        // a copy that the next try is placed with
-	closed      bool       // the call has ended
-	paid        bool       // the retry budget is charged
-	fromReplica bool       // the answer is to resume from its replica
-	plan        *plan      // the placed next try; nil: none
-	entered     bool       // it is counted in Entry.acceptances
+	mu          sync.Mutex    // held while the next try is prepared
+	job         job           // a copy that the next try is placed with
+	criteria    route.Request // of the job when the call began, without its engine
+	progressed  func() bool   // since the preparation began
+	closed      bool          // the call has ended
+	paid        bool          // the retry budget is charged
+	fromReplica bool          // the answer is to resume from its replica
+	plan        *plan         // the placed next try; nil: none
+	entered     bool          // it is counted in Entry.acceptances
 }
 
 // newHandover returns the handover of a decode call that is about to be made.
@@ -44,6 +47,7 @@
 	}
 	h.job.placingNext = true
 	h.job.criteria.AddExcluded(route.Number(p.decodeSpec.Name))
+	h.criteria = h.job.criteria
 	return h
 }
 
@@ -64,6 +68,9 @@
 	}
 	silent, cancel := w.untilProgress(ctx)
 	defer cancel()
+	h.job.criteria = h.criteria
+	before := w.lastProgress.Load()
+	h.progressed = func() bool { return w.lastProgress.Load() != before }
 	h.job.reply = frozenReply{sent: h.sent}
 	if w.answering.Load() {
 		h.job.reply = frozenReply{sent: h.sent + 1}
@@ -91,13 +98,16 @@
 		return false
 	}
 	end := copies.End{Replicated: true, MayHaveRun: true, DecodeTime: time.Since(w.first)}
-	if !end.CanContinue() || !h.answers(ctx, h.replica) || ctx.Err() != nil || !h.entry.maySendToReplica(ctx, &h.job, h.replica) {
+	if !end.CanContinue() || h.silentOf(ctx, h.replica) != nil || ctx.Err() != nil || !h.entry.maySendToReplica(ctx, &h.job, h.replica) {
 		return false
 	}
 	h.paid, h.fromReplica = true, true
 	return true
 }
 
+// maxPlans is how many pairs of endpoints one preparation tries.
+const maxPlans = 3
+
 // preparePlan reports whether another pair of endpoints has granted capacity for a further
 // try, and charges the retry budget.
 func (h *handover) preparePlan(ctx context.Context) bool {
@@ -105,40 +115,62 @@
 	if !j.hasTries() || !e.hasRetryBudget(j, h.from.Name) {
 		return false
 	}
-	if j.view.Doc.Policy.Mode.Reserves() {
+	if j.view.Doc.Policy.Mode.Reserves() && !h.placeAny(ctx) {
+		return false
+	}
+	if h.progressed() || ctx.Err() != nil || !e.spendRetry(j, &retryable{endpointName: h.from.Name}) {
+		h.release()
+		return false
+	}
+	h.paid = true
+	return true
+}
+
+// placeAny places the next try on a pair of endpoints that answer. Only a limited number of
+// jobs do so at once, as many are silent together.
+func (h *handover) placeAny(ctx context.Context) bool {
+	e, j := h.entry, &h.job
+	select {
+	case e.preparations <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-e.preparations }()
+	for range maxPlans {
 		p, err := e.place(ctx, j)
 		if err != nil {
 			return false
 		}
 		h.plan = p
-		if !h.answers(ctx, p.decodeSpec, p.prefillSpec) || !h.enter(ctx) {
-			h.release()
-			return false
+		silent := h.silentOf(ctx, p.decodeSpec, p.prefillSpec)
+		if silent == nil && p.reserved && h.enter(ctx) {
+			return true
 		}
-	}
-	if ctx.Err() != nil || !e.spendRetry(j, &retryable{endpointName: h.from.Name}) {
 		h.release()
-		return false
+		if silent == nil {
+			silent = p.decodeSpec
+		}
+		j.criteria.AddExcluded(route.Number(silent.Name))
 	}
-	h.paid = true
-	return true
+	return false
 }
 
-// answers reports whether endpoints of the next try answer: what made one engine silent may
-// have made others silent too, which their owners learn later.
-func (h *handover) answers(ctx context.Context, specs ...*config.Endpoint) bool {
+// silentOf returns the first of some endpoints that doesn't answer a request for its report,
+// or nil: what made one engine silent may have made others silent too, which their owners
+// learn later.
+func (h *handover) silentOf(ctx context.Context, specs ...*config.Endpoint) *config.Endpoint {
 	if !h.entry.traits.DisconnectAborts {
-		return true
+		return nil
 	}
 	for _, spec := range specs {
 		if spec == nil {
 			continue
 		}
 		if evidence, _ := h.entry.processEvidence(ctx, h.entry.crashes.process(spec)); evidence != quarantine.EvidenceAlive {
-			return false
+			return spec
 		}
 	}
-	return true
+	return nil
 }
 
 // enter waits until the request may be handed over to the engine of the next try.
@@ -185,7 +217,8 @@
 	}
 	j.handedOver = h
 	h.logTaken(j)
-	j.criteria, j.redirect, j.refusedRegions, j.regionLog = h.job.criteria, h.job.redirect, h.job.refusedRegions, h.job.regionLog
+	j.pool, j.criteria, j.redirect, j.refusedRegions, j.regionLog = h.job.pool, h.job.criteria, h.job.redirect, h.job.refusedRegions, h.job.regionLog
+	j.criteria.Probe = j.probing
 	return h.plan
 }
 
@@ -201,13 +234,14 @@
 
 // endHandover records how an engine answered the job that was handed over to it. If it
 // refused, the job may return to the engine that it came from, which may have gone on.
-func (j *job) endHandover(spec *config.Endpoint, err error) {
+func (j *job) endHandover(ctx context.Context, spec *config.Endpoint, err error) {
 	if j.handedOver == nil {
 		return
 	}
-	j.handedOver.leave(err == nil, err != nil)
+	refused := err != nil && ctx.Err() == nil && !endpoint.MayHaveRun(err)
+	j.handedOver.leave(err == nil, refused)
 	j.handedOver = nil
-	if err != nil {
+	if refused {
 		j.criteria.Exclude = [route.MaxExcluded]uint32{}
 		j.criteria.AddExcluded(route.Number(spec.Name))
 	}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -77,7 +77,7 @@
 		work.LastEventID = m
 	}
 	s, err := e.engine.Decode(limited, e.newCall(j, p.decodeSpec, p.decodeAttempt), &work)
-	j.endHandover(p.decodeSpec, err)
+	j.endHandover(ctx, p.decodeSpec, err)
 	if err != nil {
 		j.keepFailure(err)
 		return err
