entry: a silent engine is left for a replica only once that has accepted the answer

Change: the call that resumes from the replica is made first. Without a replica it is refused and runs nothing, and the first engine is waited for; once it is accepted, the first call is cancelled at once.

--- a/entry/copy.go
+++ b/entry/copy.go
@@ -156,15 +156,18 @@
 // has one, its first engine no longer works on it, and calls may be sent to the replica's
 // engine.
 func (e *Entry) canResume(ctx context.Context, j *job, p *plan, err error) bool {
-	prepared := j.next != nil && j.next.fromReplica
+	prepared := j.next != nil && j.next.resumed != nil
 	if j.next != nil && !prepared {
 		return false // another pair is prepared, as the replica's engine is silent too
 	}
 	if prepared {
-		j.next = nil
+		j.resumed, j.next = j.next.resumed, nil
 	}
 	end := copies.End{Replicated: p.replica != nil, CallerGone: ctx.Err() != nil, MayHaveRun: endpoint.MayHaveRun(err), MayStillRun: endpoint.Abandoned(err), DecodeTime: j.answerAge()}
-	return end.CanContinue() && (prepared || e.maySendToReplica(ctx, j, p.replica.spec))
+	if j.resumed != nil {
+		return true
+	}
+	return end.CanContinue() && e.maySendToReplica(ctx, j, p.replica.spec)
 }
 
 // maySendToReplica reports whether a job may be sent to the engine that keeps its replica,
@@ -200,39 +203,61 @@
 		zap.Int("pieces", j.reply.chunks()), zap.Uint64("lines_left_out", lost))
 }
 
-// decodeFromReplica makes the call that resumes from a replica, at the endpoint that keeps
-// it, and relays the rest of the answer.
+// replicaCall is a call that resumes an answer from its replica.
+type replicaCall struct {
+	run    engineRun
+	began  time.Time
+	stream endpoint.Stream
+	cancel context.CancelFunc
+}
+
+// openReplica makes the call that resumes an answer from its replica, at the endpoint that keeps
+// it. The caller has received a number of chunks, the last one with an event id.
+func (e *Entry) openReplica(ctx context.Context, j *job, hold *replicaHold, chunks int, lastEventID string) (*replicaCall, error) {
+	limited, cancel := context.WithCancel(ctx)
+	c := &replicaCall{began: time.Now(), run: e.beginRun(j, hold.spec, quarantine.Running), cancel: cancel}
+	work := *j.work
+	work.ResumeFrom, work.Replica = chunks, &endpoint.Replica{Address: hold.spec.Address, Handle: work.Origin.ID}
+	if lastEventID != "" {
+		work.LastEventID = lastEventID
+	}
+	var err error
+	c.stream, err = e.engine.Decode(limited, e.newCall(j, hold.spec, hold.attempt), &work)
+	if err != nil {
+		cancel()
+		e.endReplicaCall(ctx, j, hold.spec, c, 0, err)
+		return nil, err
+	}
+	return c, nil
+}
+
+// endReplicaCall records how a call that resumed from a replica ended, after a number of chunks.
+func (e *Entry) endReplicaCall(ctx context.Context, j *job, spec *config.Endpoint, c *replicaCall, chunks int, err error) {
+	e.recordCall(ctx, j, spec, blackboard.PhaseDecode, err, time.Since(c.began))
+	e.endRun(ctx, j, c.run, chunks, err)
+}
+
+// decodeFromReplica relays the rest of an answer from the engine that keeps its replica.
 func (e *Entry) decodeFromReplica(ctx context.Context, j *job, p *plan) (err error) {
 	e.setPhase(j, blackboard.PhaseTransfer, func(r *blackboard.Request) { r.Decode = p.decodeSpec.Name })
 	j.decodeName = p.decodeSpec.Name
 	j.decodeCalls++
-	limited, cancel := context.WithCancel(ctx)
-	defer cancel()
-	at := processOf(p.decodeSpec) // a stopped watchdog may still run its liveness check
-	w := newWatchdog(forever, forever, supervisor{
-		checkLiveness: func() livenessCheck { return e.checkLiveness(limited, at) },
-		mayLeave:      func(*watchdog) bool { return false }, // the replica is used up
-		cancel:        cancel,
-	})
-	defer w.stop()
 	number := route.Number(p.decodeSpec.Name)
 	e.owners.AddCalls(number, 1)
 	defer e.owners.AddCalls(number, -1)
-	before, began := j.reply.chunks(), time.Now()
-	r := e.beginRun(j, p.decodeSpec, quarantine.Running)
-	defer func() {
-		e.recordCall(ctx, j, p.decodeSpec, blackboard.PhaseDecode, err, time.Since(began))
-		e.endRun(ctx, j, r, j.reply.chunks()-before, err)
-	}()
-	work := *j.work
-	work.ResumeFrom, work.Replica = j.reply.chunks(), &endpoint.Replica{Address: p.decodeSpec.Address, Handle: work.Origin.ID}
-	if m := j.reply.lastEventID(); m != "" {
-		work.LastEventID = m
-	}
-	s, err := e.engine.Decode(limited, e.newCall(j, p.decodeSpec, p.decodeAttempt), &work)
-	if err != nil {
-		return err
+	c := j.resumed
+	j.resumed = nil
+	if c == nil {
+		if c, err = e.openReplica(ctx, j, &replicaHold{p.decodeSpec, p.decodeAttempt}, j.reply.chunks(), j.reply.lastEventID()); err != nil {
+			return err
+		}
 	}
-	defer s.Close()
-	return e.relay(j, p, s, w)
+	defer c.cancel()
+	defer c.stream.Close()
+	before := j.reply.chunks()
+	w := newWatchdog(forever, forever, supervisor{mayLeave: func(*watchdog) bool { return false }}) // the replica is used up
+	defer w.stop()
+	err = e.relay(j, p, c.stream, w)
+	e.endReplicaCall(ctx, j, p.decodeSpec, c, j.reply.chunks()-before, err)
+	return err
 }
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -25,25 +25,26 @@
 type handover struct {
 	entry   *Entry
 	from    *config.Endpoint // the engine of the current call
-	replica *config.Endpoint // the engine that keeps a replica; nil: none
+	replica *replicaHold     // the engine that keeps a replica; nil: none
+	ctx     context.Context  // of the request, in which a replica is resumed from
 	sent    int              // chunks that the caller had before the call
 
-	mu          sync.Mutex    // held while the next try is prepared
-	job         job           // a copy that the next try is placed with
-	criteria    route.Request // of the job when the call began, without its engine
-	progressed  func() bool   // since the preparation began
-	closed      bool          // the call has ended
-	paid        bool          // the retry budget is charged
-	fromReplica bool          // the answer is to resume from its replica
-	plan        *plan         // the placed next try; nil: none
-	entered     bool          // it is counted in Entry.acceptances
+	mu         sync.Mutex    // held while the next try is prepared
+	job        job           // a copy that the next try is placed with
+	criteria   route.Request // of the job when the call began, without its engine
+	progressed func() bool   // since the preparation began
+	closed     bool          // the call has ended
+	paid       bool          // the retry budget is charged
+	resumed    *replicaCall  // the call that resumes from the replica; nil: none
+	plan       *plan         // the placed next try; nil: none
+	entered    bool          // it is counted in Entry.acceptances
 }
 
 // newHandover returns the handover of a decode call that is about to be made.
 func (e *Entry) newHandover(j *job, p *plan) *handover {
 	h := &handover{entry: e, from: p.decodeSpec, sent: j.reply.chunks(), job: *j}
 	if p.replica != nil {
-		h.replica = p.replica.spec
+		h.replica = p.replica
 	}
 	h.job.placingNext = true
 	h.job.criteria.AddExcluded(route.Number(p.decodeSpec.Name))
@@ -92,17 +93,39 @@
 	return verdict != quarantine.Free
 }
 
-// prepareReplica reports whether the answer can resume from its replica.
+// replicaAnswerTimeout bounds the wait for the engine that keeps a replica: it answers at once,
+// or the replica has expired.
+const replicaAnswerTimeout = 250 * time.Millisecond
+
+// prepareReplica reports whether the answer resumes from its replica. Only the call itself shows
+// whether the replica still exists.
 func (h *handover) prepareReplica(ctx context.Context, w *watchdog) bool {
 	if h.replica == nil || !w.answering.Load() {
 		return false
 	}
+	e, chunks, lastEventID := h.entry, 0, ""
 	end := copies.End{Replicated: true, MayHaveRun: true, DecodeTime: time.Since(w.first)}
-	if !end.CanContinue() || h.silentOf(ctx, h.replica) != nil || ctx.Err() != nil || !h.entry.maySendToReplica(ctx, &h.job, h.replica) {
+	if !end.CanContinue() || h.silentOf(ctx, h.replica.spec) != nil || h.progressed() || !e.maySendToReplica(ctx, &h.job, h.replica.spec) {
 		return false
 	}
-	h.paid, h.fromReplica = true, true
-	return true
+	chunks, lastEventID = w.delivered()
+	call, cancel := context.WithCancel(h.ctx)
+	unlink := context.AfterFunc(ctx, cancel)
+	timer := time.AfterFunc(replicaAnswerTimeout, cancel)
+	c, err := e.openReplica(call, &h.job, h.replica, chunks, lastEventID)
+	if err == nil && timer.Stop() && unlink() {
+		c.cancel = cancel
+		h.resumed, h.paid = c, true
+		return true
+	}
+	cancel()
+	if err == nil {
+		c.stream.Close()
+		return false
+	}
+	e.Replicas.Missing.Add(1)
+	h.replica = nil
+	return false
 }
 
 // maxPlans is how many pairs of endpoints one preparation tries.
@@ -189,6 +212,11 @@
 
 // release gives back what the next try was granted.
 func (h *handover) release() {
+	if h.resumed != nil {
+		h.resumed.cancel()
+		h.resumed.stream.Close()
+		h.resumed = nil
+	}
 	if h.plan == nil {
 		return
 	}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -30,6 +30,7 @@
 	defer cancel()
 	at := processOf(p.decodeSpec) // a stopped watchdog may still run its liveness check
 	next := e.newHandover(j, p)
+	next.ctx = ctx
 	w := newWatchdog(e.firstStallLimit(j, p), e.maxSilence(j), supervisor{
 		checkLiveness: func() livenessCheck { return e.checkLiveness(limited, at) },
 		mayLeave:      func(w *watchdog) bool { return !e.leavesOnlyPrepared(j, w) || next.prepare(limited, w) },
@@ -202,6 +203,7 @@
 		if err := j.reply.sendChunk(c); err != nil {
 			return &endpoint.CallError{Address: p.decodeSpec.Address, MayHaveRun: true, Abandoned: true, Cause: err}
 		}
+		w.setDelivered(j.reply.chunks(), j.reply.lastEventID())
 	}
 }
 
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -25,6 +25,8 @@
 	checksLiveness atomic.Bool  // before it cancels, it asks the engine whether it is alive
 	fired          atomic.Bool
 	check          livenessCheck // the last one; guarded by mu
+	chunks         int           // that the caller has; guarded by mu
+	eventID        string        // of the last of them; guarded by mu
 	answering      atomic.Bool   // the answer has begun
 	first          time.Time
 	last           time.Time
@@ -103,6 +105,20 @@
 	w.timer.Stop()
 }
 
+// setDelivered records what the caller has of the answer.
+func (w *watchdog) setDelivered(chunks int, eventID string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.chunks, w.eventID = chunks, eventID
+}
+
+// delivered returns what the caller has of the answer.
+func (w *watchdog) delivered() (chunks int, eventID string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.chunks, w.eventID
+}
+
 // record keeps the result of a liveness check for the log.
 func (w *watchdog) record(c livenessCheck) livenessCheck {
 	w.mu.Lock()
