entry: a silent engine is left once another one has accepted the rest of the answer

Cause: a grant isn't an acceptance. The trial of an engine by one request first, which was to catch that, loses that one.

Change: the next try is made up to the point where its decode engine has accepted the call, and only then the first one is cancelled: at most 300 ms of two engines, where the users' rule allows 400. A call that isn't accepted in time counts as an attempt. The trial by one request goes.

--- a/entry/copy.go
+++ b/entry/copy.go
@@ -12,7 +12,6 @@
 	"github.com/embercove/embercove/copies"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/owner"
-	"github.com/embercove/embercove/quarantine"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
@@ -156,15 +155,12 @@
 // has one, its first engine no longer works on it, and calls may be sent to the replica's
 // engine.
 func (e *Entry) canResume(ctx context.Context, j *job, p *plan, err error) bool {
-	prepared := j.next != nil && j.next.resumed != nil
-	if j.next != nil && !prepared {
-		return false // another pair is prepared, as the replica's engine is silent too
-	}
-	if prepared {
-		j.resumed, j.next = j.next.resumed, nil
+	if j.next != nil && !j.next.fromReplica {
+		return false // another pair is prepared, as the replica can't be used
 	}
 	end := copies.End{Replicated: p.replica != nil, CallerGone: ctx.Err() != nil, MayHaveRun: endpoint.MayHaveRun(err), MayStillRun: endpoint.Abandoned(err), DecodeTime: j.answerAge()}
-	if j.resumed != nil {
+	if j.next != nil {
+		j.opened, j.next = j.next.opened, nil
 		return true
 	}
 	return end.CanContinue() && e.maySendToReplica(ctx, j, p.replica.spec)
@@ -203,40 +199,6 @@
 		zap.Int("pieces", j.reply.chunks()), zap.Uint64("lines_left_out", lost))
 }
 
-// replicaCall is a call that resumes an answer from its replica.
-type replicaCall struct {
-	run    engineRun
-	began  time.Time
-	stream endpoint.Stream
-	cancel context.CancelFunc
-}
-
-// openReplica makes the call that resumes an answer from its replica, at the endpoint that keeps
-// it. The caller has received a number of chunks, the last one with an event id.
-func (e *Entry) openReplica(ctx context.Context, j *job, hold *replicaHold, chunks int, lastEventID string) (*replicaCall, error) {
-	limited, cancel := context.WithCancel(ctx)
-	c := &replicaCall{began: time.Now(), run: e.beginRun(j, hold.spec, quarantine.Running), cancel: cancel}
-	work := *j.work
-	work.ResumeFrom, work.Replica = chunks, &endpoint.Replica{Address: hold.spec.Address, Handle: work.Origin.ID}
-	if lastEventID != "" {
-		work.LastEventID = lastEventID
-	}
-	var err error
-	c.stream, err = e.engine.Decode(limited, e.newCall(j, hold.spec, hold.attempt), &work)
-	if err != nil {
-		cancel()
-		e.endReplicaCall(ctx, j, hold.spec, c, 0, err)
-		return nil, err
-	}
-	return c, nil
-}
-
-// endReplicaCall records how a call that resumed from a replica ended, after a number of chunks.
-func (e *Entry) endReplicaCall(ctx context.Context, j *job, spec *config.Endpoint, c *replicaCall, chunks int, err error) {
-	e.recordCall(ctx, j, spec, blackboard.PhaseDecode, err, time.Since(c.began))
-	e.endRun(ctx, j, c.run, chunks, err)
-}
-
 // decodeFromReplica relays the rest of an answer from the engine that keeps its replica.
 func (e *Entry) decodeFromReplica(ctx context.Context, j *job, p *plan) (err error) {
 	e.setPhase(j, blackboard.PhaseTransfer, func(r *blackboard.Request) { r.Decode = p.decodeSpec.Name })
@@ -245,10 +207,10 @@
 	number := route.Number(p.decodeSpec.Name)
 	e.owners.AddCalls(number, 1)
 	defer e.owners.AddCalls(number, -1)
-	c := j.resumed
-	j.resumed = nil
+	c := j.opened
+	j.opened = nil
 	if c == nil {
-		if c, err = e.openReplica(ctx, j, &replicaHold{p.decodeSpec, p.decodeAttempt}, j.reply.chunks(), j.reply.lastEventID()); err != nil {
+		if c, err = e.openCall(ctx, j, p.decodeSpec, p.decodeAttempt, replicaWork(j, p.decodeSpec, j.reply.chunks(), j.reply.lastEventID())); err != nil {
 			return err
 		}
 	}
@@ -258,6 +220,6 @@
 	w := newWatchdog(forever, forever, supervisor{mayLeave: func(*watchdog) bool { return false }}) // the replica is used up
 	defer w.stop()
 	err = e.relay(j, p, c.stream, w)
-	e.endReplicaCall(ctx, j, p.decodeSpec, c, j.reply.chunks()-before, err)
+	e.endCall(ctx, j, p.decodeSpec, c, j.reply.chunks()-before, err)
 	return err
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,7 +61,6 @@
 	reasonTotals  reasonCounts
 	crashes       crashTracker
 	deadlines     deadlines
-	acceptances   acceptances
 	preparations  chan struct{} // holds a value for each job that places its next try beside a silent call
 	unreadableLog logThrottle
 
@@ -73,7 +72,6 @@
 func New(b *blackboard.Board, g endpoint.Engine, o Owners, rec *report.Recorder, log *zap.Logger) *Entry {
 	e := &Entry{board: b, engine: g, traits: g.Traits(), owners: o, recorder: rec, log: log, retryBudgets: retry.NewBudgets(b.Settings.RetryBudget, b.Hosts.Len), logLimiter: newLineLimiter(), retryTimes: retry.NewDelay(), started: time.Now()}
 	e.preparations = make(chan struct{}, maxPreparations)
-	e.acceptances.engines = map[string]*acceptance{}
 	e.deadlines.byID = map[request.ID]pendingDeadline{}
 	e.crashes = crashTracker{entry: e, checks: map[process]*crashCheck{}, startTimes: map[string]int64{}}
 	return e
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -14,6 +14,7 @@
 	"github.com/embercove/embercove/internal/wait"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/quarantine"
+	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/route"
 )
 
@@ -29,15 +30,17 @@
 	ctx     context.Context  // of the request, in which a replica is resumed from
 	sent    int              // chunks that the caller had before the call
 
-	mu         sync.Mutex    // held while the next try is prepared
-	job        job           // a copy that the next try is placed with
-	criteria   route.Request // of the job when the call began, without its engine
-	progressed func() bool   // since the preparation began
-	closed     bool          // the call has ended
-	paid       bool          // the retry budget is charged
-	resumed    *replicaCall  // the call that resumes from the replica; nil: none
-	plan       *plan         // the placed next try; nil: none
-	entered    bool          // it is counted in Entry.acceptances
+	mu          sync.Mutex         // held while the next try is prepared
+	job         job                // a copy that the next try is placed with
+	criteria    route.Request      // of the job when the call began, without its engine
+	progressed  func() bool        // since the preparation began
+	closed      bool               // the call has ended
+	abandoned   int                // calls that may have run and were given up
+	paid        bool               // the retry budget is charged
+	opened      *openedCall        // the call of the next try; nil: it isn't made yet
+	fromReplica bool               // that call resumes from the replica
+	kv          *endpoint.Transfer // the prefill result of the next try; nil: none
+	plan        *plan              // the placed next try; nil: none
 }
 
 // newHandover returns the handover of a decode call that is about to be made.
@@ -79,7 +82,7 @@
 	if h.isSuspected() {
 		return false
 	}
-	return h.prepareReplica(silent, w) || h.preparePlan(silent)
+	return h.prepareReplica(silent, w) || h.preparePlan(silent, w)
 }
 
 // isSuspected reports whether endpoints crashed under the request. It isn't handed over, as
@@ -93,72 +96,91 @@
 	return verdict != quarantine.Free
 }
 
-// replicaAnswerTimeout bounds the wait for the engine that keeps a replica: it answers at once,
-// or the replica has expired.
-const replicaAnswerTimeout = 250 * time.Millisecond
-
 // prepareReplica reports whether the answer resumes from its replica. Only the call itself shows
-// whether the replica still exists.
+// whether the replica still exists; without it nothing runs.
 func (h *handover) prepareReplica(ctx context.Context, w *watchdog) bool {
 	if h.replica == nil || !w.answering.Load() {
 		return false
 	}
-	e, chunks, lastEventID := h.entry, 0, ""
+	e, spec := h.entry, h.replica.spec
 	end := copies.End{Replicated: true, MayHaveRun: true, DecodeTime: time.Since(w.first)}
-	if !end.CanContinue() || h.silentOf(ctx, h.replica.spec) != nil || h.progressed() || !e.maySendToReplica(ctx, &h.job, h.replica.spec) {
+	if !end.CanContinue() || h.silentOf(ctx, spec) != nil || h.progressed() || !e.maySendToReplica(ctx, &h.job, spec) {
+		return false
+	}
+	chunks, lastEventID := w.delivered()
+	if h.open(ctx, spec, h.replica.attempt, replicaWork(&h.job, spec, chunks, lastEventID)) != nil {
+		e.Replicas.Missing.Add(1)
+		h.replica = nil
 		return false
 	}
-	chunks, lastEventID = w.delivered()
+	h.paid, h.fromReplica = true, true
+	return true
+}
+
+// acceptTimeout bounds the wait for an engine to accept a call. Two engines must not work on the
+// same request for longer than 400 ms.
+const acceptTimeout = 300 * time.Millisecond
+
+// open makes the decode call of the next try. It is canceled if the engine hasn't accepted it in
+// time, or ctx ends before.
+func (h *handover) open(ctx context.Context, spec *config.Endpoint, attempt request.Attempt, work *endpoint.Work) error {
 	call, cancel := context.WithCancel(h.ctx)
 	unlink := context.AfterFunc(ctx, cancel)
-	timer := time.AfterFunc(replicaAnswerTimeout, cancel)
-	c, err := e.openReplica(call, &h.job, h.replica, chunks, lastEventID)
+	timer := time.AfterFunc(acceptTimeout, cancel)
+	c, err := h.entry.openCall(call, &h.job, spec, attempt, work)
 	if err == nil && timer.Stop() && unlink() {
 		c.cancel = cancel
-		h.resumed, h.paid = c, true
-		return true
+		h.opened = c
+		return nil
 	}
 	cancel()
 	if err == nil {
-		c.stream.Close()
-		return false
+		c.abandon()
+		err = &endpoint.CallError{Address: spec.Address, MayHaveRun: true, Cause: context.Canceled}
 	}
-	e.Replicas.Missing.Add(1)
-	h.replica = nil
-	return false
+	if endpoint.MayHaveRun(err) {
+		h.job.attempts++
+		h.abandoned++
+	}
+	return err
 }
 
 // maxPlans is how many pairs of endpoints one preparation tries.
 const maxPlans = 3
 
-// preparePlan reports whether another pair of endpoints has granted capacity for a further
-// try, and charges the retry budget.
-func (h *handover) preparePlan(ctx context.Context) bool {
+// preparePlan reports whether another pair of endpoints takes the request over, and charges the
+// retry budget. Only a limited number of jobs prepare at once, as many are silent together.
+func (h *handover) preparePlan(ctx context.Context, w *watchdog) bool {
 	e, j := h.entry, &h.job
 	if !j.hasTries() || !e.hasRetryBudget(j, h.from.Name) {
 		return false
 	}
-	if j.view.Doc.Policy.Mode.Reserves() && !h.placeAny(ctx) {
-		return false
-	}
-	if h.progressed() || ctx.Err() != nil || !e.spendRetry(j, &retryable{endpointName: h.from.Name}) {
-		h.release()
-		return false
-	}
-	h.paid = true
-	return true
-}
-
-// placeAny places the next try on a pair of endpoints that answer. Only a limited number of
-// jobs do so at once, as many are silent together.
-func (h *handover) placeAny(ctx context.Context) bool {
-	e, j := h.entry, &h.job
 	select {
 	case e.preparations <- struct{}{}:
 	case <-ctx.Done():
 		return false
 	}
 	defer func() { <-e.preparations }()
+	if !j.view.Doc.Policy.Mode.Reserves() {
+		h.paid = !h.progressed() && e.spendRetry(j, &retryable{endpointName: h.from.Name})
+		return h.paid
+	}
+	for range maxPlans {
+		if !h.place(ctx) || h.progressed() || ctx.Err() != nil || !e.spendRetry(j, &retryable{endpointName: h.from.Name}) {
+			break
+		}
+		if !e.traits.DisconnectAborts || h.begin(ctx, w) {
+			h.paid = true
+			return true
+		}
+	}
+	h.release()
+	return false
+}
+
+// place places the next try on a pair of endpoints that answer.
+func (h *handover) place(ctx context.Context) bool {
+	e, j := h.entry, &h.job
 	for range maxPlans {
 		p, err := e.place(ctx, j)
 		if err != nil {
@@ -166,7 +188,7 @@
 		}
 		h.plan = p
 		silent := h.silentOf(ctx, p.decodeSpec, p.prefillSpec)
-		if silent == nil && p.reserved && h.enter(ctx) {
+		if silent == nil && p.reserved {
 			return true
 		}
 		h.release()
@@ -178,6 +200,33 @@
 	return false
 }
 
+// begin makes the calls of the next try, up to the point where its decode engine has accepted the
+// rest of the answer.
+func (h *handover) begin(ctx context.Context, w *watchdog) bool {
+	e, j, p := h.entry, &h.job, h.plan
+	h.plan = nil // from here on, what fails releases it
+	var kv *endpoint.Transfer
+	if p.prefillSpec != nil {
+		var err error
+		if kv, err = e.prefillPlan(ctx, j, p); err != nil {
+			j.criteria.AddExcluded(route.Number(p.prefillSpec.Name))
+			return false
+		}
+	}
+	if r := e.useOrAcquirePermit(ctx, j, p.decodeSpec, &p.permit); r != nil || h.progressed() {
+		e.discardResult(j, p, kv)
+		return false
+	}
+	chunks, lastEventID := w.delivered()
+	if err := h.open(ctx, p.decodeSpec, p.decodeAttempt, decodeWork(j, kv, chunks, lastEventID)); err != nil {
+		e.discardResult(j, p, kv)
+		j.criteria.AddExcluded(route.Number(p.decodeSpec.Name))
+		return false
+	}
+	h.plan, h.kv = p, kv
+	return true
+}
+
 // silentOf returns the first of some endpoints that doesn't answer a request for its report,
 // or nil: what made one engine silent may have made others silent too, which their owners
 // learn later.
@@ -196,58 +245,48 @@
 	return nil
 }
 
-// enter waits until the request may be handed over to the engine of the next try.
-func (h *handover) enter(ctx context.Context) bool {
-	h.entered = h.entry.acceptances.enter(ctx, h.plan.decodeSpec.Name, h)
-	return h.entered
-}
-
-// leave records what the engine of the next try did with the request.
-func (h *handover) leave(accepted, refused bool) {
-	if h.entered {
-		h.entered = false
-		h.entry.acceptances.leave(h.plan.decodeSpec.Name, h, accepted, refused)
-	}
-}
-
 // release gives back what the next try was granted.
 func (h *handover) release() {
-	if h.resumed != nil {
-		h.resumed.cancel()
-		h.resumed.stream.Close()
-		h.resumed = nil
+	if h.opened != nil {
+		h.opened.abandon()
+		h.opened = nil
 	}
 	if h.plan == nil {
 		return
 	}
-	h.leave(false, false)
-	if h.plan.prefillSpec != nil {
+	if h.kv != nil {
+		h.entry.dropResult(&h.job, h.plan, h.kv)
+		h.kv = nil
+	} else if h.plan.prefillSpec != nil {
 		h.entry.releasePrefill(h.plan)
 	}
 	h.entry.releaseDecode(&h.job, h.plan, owner.Abandoned)
 	h.plan = nil
 }
 
-// close ends the handover with its call, and reports whether the next try is prepared.
-func (h *handover) close() (prepared bool) {
+// close ends the handover with its call, and reports whether the next try is prepared. What its
+// preparation cost counts for the job in any case.
+func (h *handover) close(j *job) (prepared bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.closed = true
+	j.attempts += h.abandoned
+	j.prefillCalls, j.prefilledTotal, j.wastedTokens = h.job.prefillCalls, h.job.prefilledTotal, h.job.wastedTokens
 	return h.paid
 }
 
-// takePlan returns the plan that was prepared for the job's next try, or nil.
-func (j *job) takePlan() *plan {
+// takePlan returns the plan that was prepared for the job's next try, and its prefill result.
+func (j *job) takePlan() (*plan, *endpoint.Transfer) {
 	h := j.next
 	j.next = nil
 	if h == nil || h.plan == nil {
-		return nil
+		return nil, nil
 	}
-	j.handedOver = h
+	j.opened = h.opened
 	h.logTaken(j)
 	j.pool, j.criteria, j.redirect, j.refusedRegions, j.regionLog = h.job.pool, h.job.criteria, h.job.redirect, h.job.refusedRegions, h.job.regionLog
 	j.criteria.Probe = j.probing
-	return h.plan
+	return h.plan, h.kv
 }
 
 // logTaken writes a log line on the engine that takes the job over.
@@ -260,27 +299,8 @@
 		zap.String("from", h.from.Name), zap.Int("pieces", j.reply.chunks()), zap.Uint64("lines_left_out", lost))
 }
 
-// endHandover records how an engine answered the job that was handed over to it. If it
-// refused, the job may return to the engine that it came from, which may have gone on.
-func (j *job) endHandover(ctx context.Context, spec *config.Endpoint, err error) {
-	if j.handedOver == nil {
-		return
-	}
-	refused := err != nil && ctx.Err() == nil && !endpoint.MayHaveRun(err)
-	j.handedOver.leave(err == nil, refused)
-	j.handedOver = nil
-	if refused {
-		j.criteria.Exclude = [route.MaxExcluded]uint32{}
-		j.criteria.AddExcluded(route.Number(spec.Name))
-	}
-}
-
 // dropNext gives up the next try that was prepared, if it wasn't made.
 func (j *job) dropNext() {
-	if j.handedOver != nil {
-		j.handedOver.leave(false, false)
-		j.handedOver = nil
-	}
 	if j.next != nil {
 		j.next.release()
 		j.next = nil
--- a/entry/job.go
+++ b/entry/job.go
@@ -60,8 +60,7 @@
 	decodeName     string
 	lastFailure    *endpoint.Answer // failure that an endpoint answered with
 	next           *handover        // prepared next try; nil: none
-	resumed        *replicaCall     // made already, to resume the answer; nil: none
-	handedOver     *handover        // to the engine that is called next; nil: none
+	opened         *openedCall      // the next decode call, if it is made already; nil: it isn't
 	placingNext    bool             // this is the copy of a job that its next try is placed with
 	awaitingSince  time.Time        // since when the answer has waited for capacity to continue
 	awaitedChunks  int              // chunks that the caller had then
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -26,7 +26,13 @@
 	j.decodeName = p.decodeSpec.Name
 	undo := j.markRun(true)
 	j.decodeCalls++
-	limited, cancel := context.WithCancel(ctx)
+	c := j.opened
+	j.opened = nil
+	if c == nil {
+		c = new(openedCall)
+		c.ctx, c.cancel = context.WithCancel(ctx)
+	}
+	limited, cancel := c.ctx, c.cancel
 	defer cancel()
 	at := processOf(p.decodeSpec) // a stopped watchdog may still run its liveness check
 	next := e.newHandover(j, p)
@@ -40,11 +46,13 @@
 	number := route.Number(p.decodeSpec.Name)
 	e.owners.AddCalls(number, 1)
 	defer e.owners.AddCalls(number, -1)
-	before, began := j.reply.chunks(), time.Now()
-	r := e.beginRun(j, p.decodeSpec, quarantine.Running)
+	before := j.reply.chunks()
+	if c.stream == nil {
+		c.began, c.run = time.Now(), e.beginRun(j, p.decodeSpec, quarantine.Running)
+	}
 	defer func() {
 		cancel()
-		if next.close() {
+		if next.close(j) {
 			j.next = next
 		}
 		if err == nil {
@@ -53,8 +61,7 @@
 		if err != nil && w.fired.Load() && ctx.Err() == nil {
 			err = &endpoint.CallError{Address: p.decodeSpec.Address, MayHaveRun: true, Cause: &stallError{blackboard.PhaseTransfer, w.silence(), w.lastCheck()}}
 		}
-		e.recordCall(ctx, j, p.decodeSpec, blackboard.PhaseDecode, err, time.Since(began))
-		e.endRun(ctx, j, r, j.reply.chunks()-before, err)
+		e.endCall(ctx, j, p.decodeSpec, c, j.reply.chunks()-before, err)
 		e.reportDecode(ctx, j, p, err, j.reply.chunks()-before, w.answeringTime())
 		if err == nil {
 			return
@@ -69,22 +76,18 @@
 		e.abort(p.decodeSpec, p.decodeAttempt)
 		e.board.Requests.Close(p.decodeAttempt)
 	}()
-	work := *j.work
-	work.ResumeFrom, work.Transfer = j.reply.chunks(), kv
-	if p.replica != nil {
-		work.ReplicaAddress = p.replica.spec.Address
-	}
-	if m := j.reply.lastEventID(); m != "" {
-		work.LastEventID = m
-	}
-	s, err := e.engine.Decode(limited, e.newCall(j, p.decodeSpec, p.decodeAttempt), &work)
-	j.endHandover(ctx, p.decodeSpec, err)
-	if err != nil {
-		j.keepFailure(err)
-		return err
+	if c.stream == nil {
+		work := decodeWork(j, kv, j.reply.chunks(), j.reply.lastEventID())
+		if p.replica != nil {
+			work.ReplicaAddress = p.replica.spec.Address
+		}
+		if c.stream, err = e.engine.Decode(limited, e.newCall(j, p.decodeSpec, p.decodeAttempt), work); err != nil {
+			j.keepFailure(err)
+			return err
+		}
 	}
-	defer s.Close()
-	return e.relay(j, p, s, w)
+	defer c.stream.Close()
+	return e.relay(j, p, c.stream, w)
 }
 
 // keepFailure keeps a failure that the endpoint answered with. The caller receives it
--- a/entry/run.go
+++ b/entry/run.go
@@ -202,39 +202,51 @@
 		j.next = nil
 		return e.tryUnreserved(ctx, j)
 	}
-	p, err := j.takePlan(), error(nil)
-	if p == nil {
-		p, err = e.place(ctx, j)
+	p, kv := j.takePlan()
+	if j.opened != nil {
+		return e.decode(ctx, j, p, kv)
 	}
-	if err != nil {
-		return err
+	var err error
+	if p == nil {
+		if p, err = e.place(ctx, j); err != nil {
+			return err
+		}
 	}
 	j.markPhase(0)
 	if p.prefillSpec == nil {
 		wait.For(ctx, time.Until(p.transferStart))
 		return e.decode(ctx, j, p, nil)
 	}
+	if kv, err = e.prefillPlan(ctx, j, p); err != nil {
+		return err
+	}
+	return e.decode(ctx, j, p, kv)
+}
+
+// prefillPlan has the prompt prefilled at the plan's engine and waits until the result may be
+// transferred. If it fails, the plan is released.
+func (e *Entry) prefillPlan(ctx context.Context, j *job, p *plan) (*endpoint.Transfer, error) {
 	if !wait.For(ctx, p.prefillDelay()) {
 		e.releasePrefill(p)
 		e.releaseDecode(j, p, owner.Abandoned)
-		return asResult(ctx.Err())
+		return nil, asResult(ctx.Err())
 	}
 	if b := e.ineligibleReason(j, p.prefillSpec); b != route.ReasonNone {
 		e.releasePrefill(p)
 		e.releaseDecode(j, p, owner.Abandoned)
-		return ineligibleFailure(p.prefillSpec, b)
+		return nil, ineligibleFailure(p.prefillSpec, b)
 	}
 	kv, err := e.prefill(ctx, j, p)
 	if err != nil {
 		e.releaseDecode(j, p, owner.Abandoned)
-		return err
+		return nil, err
 	}
 	j.markPhase(2)
 	if !wait.For(ctx, min(time.Until(p.transferStart), keptFor(kv)/2)) {
 		e.discardResult(j, p, kv)
-		return asResult(ctx.Err())
+		return nil, asResult(ctx.Err())
 	}
-	return e.decode(ctx, j, p, kv)
+	return kv, nil
 }
 
 // prefillDelay returns how long to hold the prompt back, because its result would otherwise
--- a/entry/write.go
+++ b/entry/write.go
@@ -28,29 +28,13 @@
 	p.initialExclude = j.criteria.Exclude
 	defer func() { e.releaseReplica(j, p) }()
 	for {
-		for b := e.ineligibleReason(j, p.decodeSpec); b != route.ReasonNone; b = e.ineligibleReason(j, p.decodeSpec) {
-			if err := e.moveFromIneligible(ctx, j, p, kv, expires, b); err != nil {
+		if j.opened == nil {
+			if ready, err := e.readyToDecode(ctx, j, p, kv, expires); err != nil {
 				return err
+			} else if !ready {
+				continue
 			}
 		}
-		elsewhere, refusal := e.acquireProbeAt(ctx, j, p.decodeSpec, quarantine.Running)
-		if refusal != nil {
-			e.discardResult(j, p, kv)
-			return probeWaitFailure(refusal, p.decodeSpec)
-		}
-		if elsewhere {
-			if err := e.moveFromIneligible(ctx, j, p, kv, expires, route.ReasonProbe); err != nil {
-				return err
-			}
-			continue
-		}
-		e.reserveReplica(ctx, j, p) // before the permit, which expires
-		if r := e.useOrAcquirePermit(ctx, j, p.decodeSpec, &p.permit); r != nil {
-			if err := e.moveFromIneligible(ctx, j, p, kv, expires, r.reason); err != nil {
-				return err
-			}
-			continue
-		}
 		before := j.reply.chunks()
 		err := e.decodeOnce(ctx, j, p, kv)
 		if err != nil {
@@ -122,6 +106,29 @@
 	}
 }
 
+// readyToDecode reports whether the decode engine may be called now. If it may not, the request
+// has moved to another one. It returns an error if there is none.
+func (e *Entry) readyToDecode(ctx context.Context, j *job, p *plan, kv *endpoint.Transfer, expires time.Time) (ready bool, err error) {
+	for b := e.ineligibleReason(j, p.decodeSpec); b != route.ReasonNone; b = e.ineligibleReason(j, p.decodeSpec) {
+		if err := e.moveFromIneligible(ctx, j, p, kv, expires, b); err != nil {
+			return false, err
+		}
+	}
+	elsewhere, refusal := e.acquireProbeAt(ctx, j, p.decodeSpec, quarantine.Running)
+	if refusal != nil {
+		e.discardResult(j, p, kv)
+		return false, probeWaitFailure(refusal, p.decodeSpec)
+	}
+	if elsewhere {
+		return false, e.moveFromIneligible(ctx, j, p, kv, expires, route.ReasonProbe)
+	}
+	e.reserveReplica(ctx, j, p) // before the permit, which expires
+	if r := e.useOrAcquirePermit(ctx, j, p.decodeSpec, &p.permit); r != nil {
+		return false, e.moveFromIneligible(ctx, j, p, kv, expires, r.reason)
+	}
+	return true, nil
+}
+
 // maxLostRefusals is how many decode engines with capacity must refuse a result until the
 // prefill engine is assumed to have lost it.
 const maxLostRefusals = 2
