entry: a silent prefill engine is left only once another one has read the prompt

A prefill was cancelled after 250 ms and four times its forecast for silence alone, and whether there could be another try was asked after that.

Change: where a prefill isn't a run and the request has a deadline, the call is watched, and cancelled once another pair has granted capacity and its engine has read the prompt. A process that is known to have ended is left at once. A result that arrived late may have expired on the way: if a decode engine with capacity refuses it, the prompt is prefilled again.

The type is named nextTry now, as handover is an owner's word.

--- a/entry/copy.go
+++ b/entry/copy.go
@@ -217,7 +217,7 @@
 	defer c.cancel()
 	defer c.stream.Close()
 	before := j.reply.chunks()
-	w := newWatchdog(forever, forever, supervisor{mayLeave: func(*watchdog) bool { return false }}) // the replica is used up
+	w := newWatchdog(forever, forever, callControl{mayCancel: func(*watchdog) bool { return false }}) // the replica is used up
 	defer w.stop()
 	err = e.relay(j, p, c.stream, w)
 	e.endCall(ctx, j, p.decodeSpec, c, j.reply.chunks()-before, err)
--- a/entry/job.go
+++ b/entry/job.go
@@ -59,9 +59,10 @@
 	prefillName    string
 	decodeName     string
 	lastFailure    *endpoint.Answer // failure that an endpoint answered with
-	next           *handover        // prepared next try; nil: none
+	next           *nextTry         // prepared next try; nil: none
 	opened         *openedCall      // the next decode call, if it is made already; nil: it isn't
-	placingNext    bool             // this is the copy of a job that its next try is placed with
+	lateResult     bool             // its prefill answered late: the result may have expired on the way
+	isNextTry      bool             // this is the copy of a job that its next try is placed with
 	awaitingSince  time.Time        // since when the answer has waited for capacity to continue
 	awaitedChunks  int              // chunks that the caller had then
 	noRetry        string           // why no further try was made, for the log; empty: none was needed
--- a/entry/handover.go
+++ b/entry/next.go
@@ -18,14 +18,15 @@
 	"github.com/embercove/embercove/route"
 )
 
-// A call to a silent engine is canceled only once the request's next try is certain: another
-// pair of endpoints has granted capacity, or a replica can be used, and the retry budget is
-// charged. Until then the engine is waited for, as it may go on.
+// A call to a silent engine is canceled only once the request's next try is certain: it has been
+// made at another pair of endpoints, or at the engine that keeps a replica, up to the point where
+// the engine has accepted it. Until then the silent engine is waited for, as it may go on.
 
-// handover prepares the next try of a job during its current decode call.
-type handover struct {
+// nextTry prepares the next try of a job during its current call.
+type nextTry struct {
 	entry   *Entry
 	from    *config.Endpoint // the engine of the current call
+	prefill bool             // that call is a prefill, which isn't a run
 	replica *replicaHold     // the engine that keeps a replica; nil: none
 	ctx     context.Context  // of the request, in which a replica is resumed from
 	sent    int              // chunks that the caller had before the call
@@ -43,77 +44,103 @@
 	plan        *plan              // the placed next try; nil: none
 }
 
-// newHandover returns the handover of a decode call that is about to be made.
-func (e *Entry) newHandover(j *job, p *plan) *handover {
-	h := &handover{entry: e, from: p.decodeSpec, sent: j.reply.chunks(), job: *j}
-	if p.replica != nil {
-		h.replica = p.replica
-	}
-	h.job.placingNext = true
-	h.job.criteria.AddExcluded(route.Number(p.decodeSpec.Name))
-	h.criteria = h.job.criteria
-	return h
+// newNextTry returns the next try of a call to an engine that is about to be made.
+func (e *Entry) newNextTry(ctx context.Context, j *job, from *config.Endpoint) *nextTry {
+	n := &nextTry{entry: e, from: from, ctx: ctx, sent: j.reply.chunks(), job: *j}
+	n.job.isNextTry = true
+	n.job.criteria.AddExcluded(route.Number(from.Name))
+	n.criteria = n.job.criteria
+	return n
+}
+
+// newNextDecode returns the next try of a decode call that is about to be made.
+func (e *Entry) newNextDecode(ctx context.Context, j *job, p *plan) *nextTry {
+	n := e.newNextTry(ctx, j, p.decodeSpec)
+	n.replica = p.replica
+	return n
+}
+
+// newNextPrefill returns the next try of a prefill call that is about to be made. It
+// places a whole pair: the memory that the current try reserved is for the time when its own
+// prefill ends, and is released with it.
+func (e *Entry) newNextPrefill(ctx context.Context, j *job, p *plan) *nextTry {
+	n := e.newNextTry(ctx, j, p.prefillSpec)
+	n.prefill = true
+	return n
 }
 
 // hasTries reports whether a job whose call may have run may be tried once more.
 func (j *job) hasTries() bool {
-	return j.repeatable && j.crashCount < maxCrashesPerJob && j.tries < j.view.Doc.Limits.MaxAttempts && j.attempts < j.maxAttempts()
+	return j.repeatable && j.attempts < j.maxAttempts() && j.hasTriesUnrun()
+}
+
+// hasTriesUnrun reports whether a job whose call didn't run may be tried once more.
+func (j *job) hasTriesUnrun() bool {
+	return j.crashCount < maxCrashesPerJob && j.tries < j.view.Doc.Limits.MaxAttempts
+}
+
+// hasTries reports whether the job may be tried once more after the current call.
+func (n *nextTry) hasTries() bool {
+	if n.prefill {
+		return n.job.hasTriesUnrun()
+	}
+	return n.job.hasTries()
 }
 
 // prepare makes the next try certain and reports whether it is. w watches the current call;
 // preparation ends when that call progresses.
-func (h *handover) prepare(ctx context.Context, w *watchdog) bool {
-	if !h.mu.TryLock() {
+func (n *nextTry) prepare(ctx context.Context, w *watchdog) bool {
+	if !n.mu.TryLock() {
 		return false // it is being prepared
 	}
-	defer h.mu.Unlock()
-	if h.closed || h.paid {
+	defer n.mu.Unlock()
+	if n.closed || n.paid {
 		return false
 	}
 	silent, cancel := w.untilProgress(ctx)
 	defer cancel()
-	h.job.criteria = h.criteria
+	n.job.criteria = n.criteria
 	before := w.lastProgress.Load()
-	h.progressed = func() bool { return w.lastProgress.Load() != before }
-	h.job.reply = frozenReply{sent: h.sent}
+	n.progressed = func() bool { return w.lastProgress.Load() != before }
+	n.job.reply = sentReply{sent: n.sent}
 	if w.answering.Load() {
-		h.job.reply = frozenReply{sent: h.sent + 1}
+		n.job.reply = sentReply{sent: n.sent + 1}
 	}
-	if h.isSuspected() {
+	if n.isSuspected() {
 		return false
 	}
-	return h.prepareReplica(silent, w) || h.preparePlan(silent, w)
+	return n.prepareReplica(silent, w) || n.preparePlan(silent, w)
 }
 
 // isSuspected reports whether endpoints crashed under the request. It isn't handed over, as
 // each further engine needs a probe.
-func (h *handover) isSuspected() bool {
-	s := h.entry.board.Suspects
+func (n *nextTry) isSuspected() bool {
+	s := n.entry.board.Suspects
 	if s.Empty() {
 		return false
 	}
-	verdict, _ := s.Evaluate(h.job.fingerprint, clock.Now())
+	verdict, _ := s.Evaluate(n.job.fingerprint, clock.Now())
 	return verdict != quarantine.Free
 }
 
 // prepareReplica reports whether the answer resumes from its replica. Only the call itself shows
 // whether the replica still exists; without it nothing runs.
-func (h *handover) prepareReplica(ctx context.Context, w *watchdog) bool {
-	if h.replica == nil || !w.answering.Load() {
+func (n *nextTry) prepareReplica(ctx context.Context, w *watchdog) bool {
+	if n.replica == nil || !w.answering.Load() {
 		return false
 	}
-	e, spec := h.entry, h.replica.spec
+	e, spec := n.entry, n.replica.spec
 	end := copies.End{Replicated: true, MayHaveRun: true, DecodeTime: time.Since(w.first)}
-	if !end.CanContinue() || h.silentOf(ctx, spec) != nil || h.progressed() || !e.maySendToReplica(ctx, &h.job, spec) {
+	if !end.CanContinue() || n.silentOf(ctx, spec) != nil || n.progressed() || !e.maySendToReplica(ctx, &n.job, spec) {
 		return false
 	}
 	chunks, lastEventID := w.delivered()
-	if h.open(ctx, spec, h.replica.attempt, replicaWork(&h.job, spec, chunks, lastEventID)) != nil {
+	if n.open(ctx, spec, n.replica.attempt, replicaWork(&n.job, spec, chunks, lastEventID)) != nil {
 		e.Replicas.Missing.Add(1)
-		h.replica = nil
+		n.replica = nil
 		return false
 	}
-	h.paid, h.fromReplica = true, true
+	n.paid, n.fromReplica = true, true
 	return true
 }
 
@@ -123,14 +150,14 @@
 
 // open makes the decode call of the next try. It is canceled if the engine hasn't accepted it in
 // time, or ctx ends before.
-func (h *handover) open(ctx context.Context, spec *config.Endpoint, attempt request.Attempt, work *endpoint.Work) error {
-	call, cancel := context.WithCancel(h.ctx)
+func (n *nextTry) open(ctx context.Context, spec *config.Endpoint, attempt request.Attempt, work *endpoint.Work) error {
+	call, cancel := context.WithCancel(n.ctx)
 	unlink := context.AfterFunc(ctx, cancel)
 	timer := time.AfterFunc(acceptTimeout, cancel)
-	c, err := h.entry.openCall(call, &h.job, spec, attempt, work)
+	c, err := n.entry.openCall(call, &n.job, spec, attempt, work)
 	if err == nil && timer.Stop() && unlink() {
 		c.cancel = cancel
-		h.opened = c
+		n.opened = c
 		return nil
 	}
 	cancel()
@@ -139,8 +166,8 @@
 		err = &endpoint.CallError{Address: spec.Address, MayHaveRun: true, Cause: context.Canceled}
 	}
 	if endpoint.MayHaveRun(err) {
-		h.job.attempts++
-		h.abandoned++
+		n.job.attempts++
+		n.abandoned++
 	}
 	return err
 }
@@ -150,9 +177,9 @@
 
 // preparePlan reports whether another pair of endpoints takes the request over, and charges the
 // retry budget. Only a limited number of jobs prepare at once, as many are silent together.
-func (h *handover) preparePlan(ctx context.Context, w *watchdog) bool {
-	e, j := h.entry, &h.job
-	if !j.hasTries() || !e.hasRetryBudget(j, h.from.Name) {
+func (n *nextTry) preparePlan(ctx context.Context, w *watchdog) bool {
+	e, j := n.entry, &n.job
+	if !n.hasTries() || !e.hasRetryBudget(j, n.from.Name) {
 		return false
 	}
 	select {
@@ -162,36 +189,39 @@
 	}
 	defer func() { <-e.preparations }()
 	if !j.view.Doc.Policy.Mode.Reserves() {
-		h.paid = !h.progressed() && e.spendRetry(j, &retryable{endpointName: h.from.Name})
-		return h.paid
+		n.paid = !n.progressed() && e.spendRetry(j, &retryable{endpointName: n.from.Name})
+		return n.paid
 	}
 	for range maxPlans {
-		if !h.place(ctx) || h.progressed() || ctx.Err() != nil || !e.spendRetry(j, &retryable{endpointName: h.from.Name}) {
+		if !n.place(ctx) || n.progressed() || ctx.Err() != nil || !e.spendRetry(j, &retryable{endpointName: n.from.Name}) {
 			break
 		}
-		if !e.traits.DisconnectAborts || h.begin(ctx, w) {
-			h.paid = true
+		if !e.traits.DisconnectAborts || n.begin(ctx, w) {
+			n.paid = true
 			return true
 		}
 	}
-	h.release()
+	n.release()
 	return false
 }
 
 // place places the next try on a pair of endpoints that answer.
-func (h *handover) place(ctx context.Context) bool {
-	e, j := h.entry, &h.job
+func (n *nextTry) place(ctx context.Context) bool {
+	e, j := n.entry, &n.job
 	for range maxPlans {
+		if ctx.Err() != nil {
+			return false // what is reserved in an ended context may stay reserved
+		}
 		p, err := e.place(ctx, j)
 		if err != nil {
 			return false
 		}
-		h.plan = p
-		silent := h.silentOf(ctx, p.decodeSpec, p.prefillSpec)
+		n.plan = p
+		silent := n.silentOf(ctx, p.decodeSpec, p.prefillSpec)
 		if silent == nil && p.reserved {
 			return true
 		}
-		h.release()
+		n.release()
 		if silent == nil {
 			silent = p.decodeSpec
 		}
@@ -200,11 +230,11 @@
 	return false
 }
 
-// begin makes the calls of the next try, up to the point where its decode engine has accepted the
-// rest of the answer.
-func (h *handover) begin(ctx context.Context, w *watchdog) bool {
-	e, j, p := h.entry, &h.job, h.plan
-	h.plan = nil // from here on, what fails releases it
+// begin makes the calls of the next try, up to the point where its prefill engine has answered or,
+// if the silent call is a decode call, its decode engine has accepted the rest of the answer.
+func (n *nextTry) begin(ctx context.Context, w *watchdog) bool {
+	e, j, p := n.entry, &n.job, n.plan
+	n.plan = nil // from here on, what fails releases it
 	var kv *endpoint.Transfer
 	if p.prefillSpec != nil {
 		var err error
@@ -213,32 +243,36 @@
 			return false
 		}
 	}
-	if r := e.useOrAcquirePermit(ctx, j, p.decodeSpec, &p.permit); r != nil || h.progressed() {
+	if n.prefill {
+		n.plan, n.kv = p, kv
+		return true
+	}
+	if r := e.useOrAcquirePermit(ctx, j, p.decodeSpec, &p.permit); r != nil || n.progressed() {
 		e.discardResult(j, p, kv)
 		return false
 	}
 	chunks, lastEventID := w.delivered()
-	if err := h.open(ctx, p.decodeSpec, p.decodeAttempt, decodeWork(j, kv, chunks, lastEventID)); err != nil {
+	if err := n.open(ctx, p.decodeSpec, p.decodeAttempt, decodeWork(j, kv, chunks, lastEventID)); err != nil {
 		e.discardResult(j, p, kv)
 		j.criteria.AddExcluded(route.Number(p.decodeSpec.Name))
 		return false
 	}
-	h.plan, h.kv = p, kv
+	n.plan, n.kv = p, kv
 	return true
 }
 
 // silentOf returns the first of some endpoints that doesn't answer a request for its report,
 // or nil: what made one engine silent may have made others silent too, which their owners
 // learn later.
-func (h *handover) silentOf(ctx context.Context, specs ...*config.Endpoint) *config.Endpoint {
-	if !h.entry.traits.DisconnectAborts {
+func (n *nextTry) silentOf(ctx context.Context, specs ...*config.Endpoint) *config.Endpoint {
+	if !n.entry.traits.DisconnectAborts {
 		return nil
 	}
 	for _, spec := range specs {
 		if spec == nil {
 			continue
 		}
-		if evidence, _ := h.entry.processEvidence(ctx, h.entry.crashes.process(spec)); evidence != quarantine.EvidenceAlive {
+		if evidence, _ := n.entry.processEvidence(ctx, n.entry.crashes.process(spec)); evidence != quarantine.EvidenceAlive {
 			return spec
 		}
 	}
@@ -246,57 +280,65 @@
 }
 
 // release gives back what the next try was granted.
-func (h *handover) release() {
-	if h.opened != nil {
-		h.opened.abandon()
-		h.opened = nil
+func (n *nextTry) release() {
+	if n.opened != nil {
+		n.opened.abandon()
+		n.opened = nil
 	}
-	if h.plan == nil {
+	if n.plan == nil {
 		return
 	}
-	if h.kv != nil {
-		h.entry.dropResult(&h.job, h.plan, h.kv)
-		h.kv = nil
-	} else if h.plan.prefillSpec != nil {
-		h.entry.releasePrefill(h.plan)
+	if n.kv != nil {
+		n.entry.dropResult(&n.job, n.plan, n.kv)
+		n.kv = nil
+	} else if n.plan.prefillSpec != nil {
+		n.entry.releasePrefill(n.plan)
 	}
-	h.entry.releaseDecode(&h.job, h.plan, owner.Abandoned)
-	h.plan = nil
+	n.entry.releaseDecode(&n.job, n.plan, owner.Abandoned)
+	n.plan = nil
 }
 
-// close ends the handover with its call, and reports whether the next try is prepared. What its
-// preparation cost counts for the job in any case.
-func (h *handover) close(j *job) (prepared bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.closed = true
-	j.attempts += h.abandoned
-	j.prefillCalls, j.prefilledTotal, j.wastedTokens = h.job.prefillCalls, h.job.prefilledTotal, h.job.wastedTokens
-	return h.paid
+// close ends the preparation with the current call, and reports whether the next try is prepared.
+// What the preparation cost counts for the job in any case.
+func (n *nextTry) close(j *job) (prepared bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closed = true
+	j.attempts += n.abandoned
+	j.prefillCalls, j.prefilledTotal, j.wastedTokens = n.job.prefillCalls, n.job.prefilledTotal, n.job.wastedTokens
+	return n.paid
 }
 
 // takePlan returns the plan that was prepared for the job's next try, and its prefill result.
 func (j *job) takePlan() (*plan, *endpoint.Transfer) {
-	h := j.next
+	n := j.next
 	j.next = nil
-	if h == nil || h.plan == nil {
+	if n == nil || n.plan == nil {
 		return nil, nil
 	}
-	j.opened = h.opened
-	h.logTaken(j)
-	j.pool, j.criteria, j.redirect, j.refusedRegions, j.regionLog = h.job.pool, h.job.criteria, h.job.redirect, h.job.refusedRegions, h.job.regionLog
+	j.opened = n.opened
+	n.logTaken(j)
+	j.pool, j.criteria, j.redirect, j.refusedRegions, j.regionLog = n.job.pool, n.job.criteria, n.job.redirect, n.job.refusedRegions, n.job.regionLog
 	j.criteria.Probe = j.probing
-	return h.plan, h.kv
+	return n.plan, n.kv
 }
 
 // logTaken writes a log line on the engine that takes the job over.
-func (h *handover) logTaken(j *job) {
-	ok, lost := h.entry.logLimiter.admit(time.Now(), &j.logged, false)
+func (n *nextTry) logTaken(j *job) {
+	ok, lost := n.entry.logLimiter.admit(time.Now(), &j.logged, false)
 	if !ok {
 		return
 	}
-	h.entry.log.Info("taken over from a silent engine", zap.Stringer("id", j.id), zap.String("caller_id", j.callerID()), zap.String("endpoint", h.plan.decodeSpec.Name),
-		zap.String("from", h.from.Name), zap.Int("pieces", j.reply.chunks()), zap.Uint64("lines_left_out", lost))
+	n.entry.log.Info("taken over from a silent engine", zap.Stringer("id", j.id), zap.String("caller_id", j.callerID()), zap.String("endpoint", n.firstCalled().Name),
+		zap.String("from", n.from.Name), zap.Int("pieces", j.reply.chunks()), zap.Uint64("lines_left_out", lost))
+}
+
+// firstCalled returns the engine of the next try that stands for the silent one.
+func (n *nextTry) firstCalled() *config.Endpoint {
+	if n.prefill && n.plan.prefillSpec != nil {
+		return n.plan.prefillSpec
+	}
+	return n.plan.decodeSpec
 }
 
 // dropNext gives up the next try that was prepared, if it wasn't made.
@@ -307,14 +349,14 @@
 	}
 }
 
-// frozenReply stands for the caller's answer in the copy of a job, which only asks how many
+// sentReply stands for the caller's answer in the copy of a job, which only asks how many
 // chunks the caller has.
-type frozenReply struct {
+type sentReply struct {
 	replyWriter
 	sent int
 }
 
-func (r frozenReply) chunks() int { return r.sent }
+func (r sentReply) chunks() int { return r.sent }
 
 // progressPoll is how often a preparation checks whether the silent engine goes on.
 const progressPoll = 20 * time.Millisecond
--- a/entry/read.go
+++ b/entry/read.go
@@ -43,14 +43,12 @@
 	})
 	j.prefillName = p.prefillSpec.Name
 	undo := j.markRun(e.traits.PrefillRuns)
-	limited, cancel := context.WithTimeout(ctx, e.prefillTimeout(p))
-	defer cancel()
 	j.prefillCalls++
 	began := time.Now()
 	number := route.Number(p.prefillSpec.Name)
 	e.owners.AddCalls(number, 1)
 	r := e.beginRun(j, p.prefillSpec, quarantine.Prefilling)
-	ans, err := e.engine.Prefill(limited, e.newCall(j, p.prefillSpec, p.prefillAttempt), j.work)
+	ans, err := e.callPrefill(ctx, j, p)
 	e.owners.AddCalls(number, -1)
 	e.recordCall(ctx, j, p.prefillSpec, blackboard.PhasePrefill, err, time.Since(began))
 	e.endRun(ctx, j, r, 0, err)
@@ -86,6 +84,53 @@
 	return nil, failed
 }
 
+// callPrefill makes a call to a prefill engine and ends it when the engine counts as stuck.
+// Where a prefill isn't a run, a call to an engine that may only be slow ends when the next
+// try is prepared.
+func (e *Entry) callPrefill(ctx context.Context, j *job, p *plan) (*endpoint.PrefillAnswer, error) {
+	call := e.newCall(j, p.prefillSpec, p.prefillAttempt)
+	if e.traits.PrefillRuns || j.deadline == 0 || j.isNextTry {
+		limited, cancel := context.WithTimeout(ctx, e.prefillTimeout(p))
+		defer cancel()
+		return e.engine.Prefill(limited, call, j.work)
+	}
+	limited, cancel := context.WithCancel(ctx)
+	defer cancel()
+	at := processOf(p.prefillSpec)
+	next := e.newNextPrefill(ctx, j, p)
+	limit, began := e.prefillTimeout(p), time.Now()
+	w := newWatchdog(limit, 0, callControl{
+		mayCancel: func(w *watchdog) bool { return next.prepare(limited, w) || e.checkLiveness(limited, at).gone },
+		cancel:    cancel,
+	})
+	ans, err := e.engine.Prefill(limited, call, j.work)
+	w.stop()
+	cancel()
+	j.lateResult = err == nil && time.Since(began) > limit
+	switch prepared := next.close(j); {
+	case prepared && err == nil:
+		next.release()
+	case prepared:
+		j.next = next
+	}
+	if err != nil && w.fired.Load() && ctx.Err() == nil {
+		err = endedSilent(p.prefillSpec, err, &stallError{blackboard.PhasePrefill, w.silence(), w.lastCheck()})
+	}
+	return ans, err
+}
+
+// endedSilent returns the error of a call to a silent engine that was ended with err. An
+// attempt to connect has timed out then, which counts against the failure domain.
+func endedSilent(spec *config.Endpoint, err error, stalled *stallError) error {
+	switch {
+	case endpoint.Unreachable(err):
+		return &endpoint.CallError{Address: spec.Address, Cause: context.DeadlineExceeded}
+	case endpoint.MayHaveRun(err):
+		return &endpoint.CallError{Address: spec.Address, MayHaveRun: true, Cause: stalled}
+	}
+	return err
+}
+
 // markRun records that a call is made which may run the request, if runs is set. The
 // returned function undoes this when the endpoint vouches that the call didn't run.
 func (j *job) markRun(runs bool) (undo func()) {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -35,11 +35,10 @@
 	limited, cancel := c.ctx, c.cancel
 	defer cancel()
 	at := processOf(p.decodeSpec) // a stopped watchdog may still run its liveness check
-	next := e.newHandover(j, p)
-	next.ctx = ctx
-	w := newWatchdog(e.firstStallLimit(j, p), e.maxSilence(j), supervisor{
+	next := e.newNextDecode(ctx, j, p)
+	w := newWatchdog(e.firstStallLimit(j, p), e.maxSilence(j), callControl{
 		checkLiveness: func() livenessCheck { return e.checkLiveness(limited, at) },
-		mayLeave:      func(w *watchdog) bool { return !e.leavesOnlyPrepared(j, w) || next.prepare(limited, w) },
+		mayCancel:     func(w *watchdog) bool { return !e.cancelsOnlyPrepared(j, w) || next.prepare(limited, w) },
 		cancel:        cancel,
 	})
 	defer w.stop()
@@ -155,10 +154,10 @@
 	return j.repeatable
 }
 
-// leavesOnlyPrepared reports whether a call to a silent engine is canceled only if the next
+// cancelsOnlyPrepared reports whether a call to a silent engine is canceled only if the next
 // try is prepared. Otherwise a stalled transfer is first retried in place, and a request
 // without a deadline can't wait without end.
-func (e *Entry) leavesOnlyPrepared(j *job, w *watchdog) bool {
+func (e *Entry) cancelsOnlyPrepared(j *job, w *watchdog) bool {
 	return j.deadline > 0 && (e.traits.DisconnectAborts || w.answering.Load())
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -179,10 +179,10 @@
 }
 
 // slack returns the time left to the first token. A resumed answer has its first token
-// already, and a request that is handed over by a silent engine is late already; both only
-// have to continue soon.
+// already, and a request that is handed over by a silent engine, or whose prefill answered
+// late, is late already; they only have to continue soon.
 func (j *job) slack() time.Duration {
-	if j.placingNext || j.reply.chunks() > 0 {
+	if j.isNextTry || j.lateResult || j.reply.chunks() > 0 {
 		return resumeSlack
 	}
 	return time.Until(j.arrived.Add(j.probeWaited + time.Duration(targetShare*float64(j.target()))))
@@ -203,7 +203,7 @@
 		return e.tryUnreserved(ctx, j)
 	}
 	p, kv := j.takePlan()
-	if j.opened != nil {
+	if kv != nil || j.opened != nil {
 		return e.decode(ctx, j, p, kv)
 	}
 	var err error
@@ -272,7 +272,7 @@
 
 // setPhase updates the job's phase in the request table.
 func (e *Entry) setPhase(j *job, ph blackboard.Phase, f func(r *blackboard.Request)) {
-	if j.placingNext {
+	if j.isNextTry {
 		return
 	}
 	now := time.Now()
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -32,18 +32,18 @@
 	last           time.Time
 }
 
-// supervisor is what a watchdog needs to know of its call.
-type supervisor struct {
+// callControl is what a watchdog needs to know of its call.
+type callControl struct {
 	checkLiveness func() livenessCheck
-	// mayLeave reports whether the call may be canceled although its engine may go on.
-	mayLeave func(w *watchdog) bool
-	cancel   func()
+	// mayCancel reports whether the call may be canceled although its engine may go on.
+	mayCancel func(w *watchdog) bool
+	cancel    func()
 }
 
 // newWatchdog returns a watchdog that cancels a call after limit, if it may be left. With
 // liveness checks, an engine that is alive is waited for until it has been silent for
 // maxSilence.
-func newWatchdog(limit, maxSilence time.Duration, s supervisor) *watchdog {
+func newWatchdog(limit, maxSilence time.Duration, s callControl) *watchdog {
 	w := &watchdog{limit: limit}
 	w.lastProgress.Store(time.Now().UnixNano())
 	w.timer = time.AfterFunc(limit, func() {
@@ -60,7 +60,7 @@
 		if w.lastProgress.Load() != progressAt {
 			return // it progressed in the meantime, and the timer is set
 		}
-		if !gone && !s.mayLeave(w) {
+		if !gone && !s.mayCancel(w) {
 			w.rearm(progressAt, livenessInterval)
 			return
 		}
--- a/entry/watchdog_test.go
+++ b/entry/watchdog_test.go
@@ -30,14 +30,14 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var asked atomic.Int32
-				w := newWatchdog(100*time.Millisecond, forever, supervisor{
+				w := newWatchdog(100*time.Millisecond, forever, callControl{
 					checkLiveness: func() livenessCheck {
 						asked.Add(1)
 						time.Sleep(50 * time.Millisecond)
 						return livenessCheck{alive: true}
 					},
-					mayLeave: func(*watchdog) bool { return true },
-					cancel:   func() { t.Error("cancelled") },
+					mayCancel: func(*watchdog) bool { return true },
+					cancel:    func() { t.Error("cancelled") },
 				})
 				w.checksLiveness.Store(true)
 				time.Sleep(tc.endsAfter)
--- a/entry/write.go
+++ b/entry/write.go
@@ -61,6 +61,10 @@
 		case !endpoint.MayHaveRun(err) && p.promptCached:
 			e.releaseDecode(j, p, owner.Rejected)
 			return e.callFailure(p.decodeSpec, err)
+		case !endpoint.MayHaveRun(err) && j.lateResult && e.resultMayBeLost(j, p, kv):
+			// Its time began at the prefill engine, and has passed on the way.
+			e.discardResult(j, p, kv)
+			return e.resultLost(p)
 		case !endpoint.MayHaveRun(err):
 			full++
 			p.decodeWasFull = true
@@ -159,7 +163,7 @@
 // resultLost is the failure of a try whose result is lost. Nothing of the request has run,
 // so another prefill engine may prefill its prompt.
 func (e *Entry) resultLost(p *plan) error {
-	refusal := result.Errorf(result.NoDecodeMemory, "%d decode engines refused the prefill result of %s", maxLostRefusals, p.prefillSpec.Name).After(time.Second)
+	refusal := result.Errorf(result.NoDecodeMemory, "the prefill result of %s was refused", p.prefillSpec.Name).After(time.Second)
 	return &retryable{endpointName: p.prefillSpec.Name, refusal: refusal}
 }
 
