entry: a prepared next try keeps to the tries left, and its attempts stay open in the table

By reading: after a call that may have run and was given up, another could follow beyond the route's attempts; the prefill of a prepared try wasn't among the request's open attempts, by which owners tell orphans; a prepared try could still be refused a probe.

--- a/entry/next.go
+++ b/entry/next.go
@@ -193,7 +193,7 @@
 		return n.paid
 	}
 	for range maxPlans {
-		if !n.place(ctx) || n.progressed() || ctx.Err() != nil || !e.spendRetry(j, &retryable{endpointName: n.from.Name}) {
+		if !n.hasTries() || !n.place(ctx) || n.progressed() || ctx.Err() != nil || !e.spendRetry(j, &retryable{endpointName: n.from.Name}) {
 			break
 		}
 		if !e.traits.DisconnectAborts || n.begin(ctx, w) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -29,8 +29,10 @@
 	defer j.dropNext()
 	for {
 		j.tries++
-		if refusal := e.acquireProbe(ctx, j); refusal != nil {
-			return refusal
+		if j.next == nil { // else its calls are made already
+			if refusal := e.acquireProbe(ctx, j); refusal != nil {
+				return refusal
+			}
 		}
 		e.board.Invariant.Check(j.tries <= j.view.Doc.Limits.MaxAttempts, invariant.RetriesWithinBudget, "request %s: try %d", j.id, j.tries)
 		err := e.try(ctx, j)
@@ -49,7 +51,7 @@
 		if refusal := e.checkRetry(ctx, j, again); refusal != nil {
 			return refusal
 		}
-		if !wait.For(ctx, backoff/2+rand.N(backoff)) {
+		if j.next == nil && !wait.For(ctx, backoff/2+rand.N(backoff)) {
 			return again.refusal
 		}
 		backoff = min(2*backoff, maxBackoff)
@@ -270,14 +272,14 @@
 // markPhase records the time at the end of a phase, for the log.
 func (j *job) markPhase(i int) { j.phases[i] = time.Since(j.arrived) }
 
-// setPhase updates the job's phase in the request table.
+// setPhase updates the job's phase in the request table. Its next try, prepared beside the
+// current one, changes no phase.
 func (e *Entry) setPhase(j *job, ph blackboard.Phase, f func(r *blackboard.Request)) {
-	if j.isNextTry {
-		return
-	}
 	now := time.Now()
 	e.board.Requests.Update(j.id, func(r *blackboard.Request) {
-		r.Phase, r.PhaseSince = ph, now
+		if !j.isNextTry {
+			r.Phase, r.PhaseSince = ph, now
+		}
 		if f != nil {
 			f(r)
 		}
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -178,9 +178,6 @@
 
 // idleWait returns how long a job that holds nothing waits for its probe.
 func (j *job) idleWait() time.Duration {
-	if j.next != nil {
-		return holdingWait
-	}
 	if j.deadline == 0 {
 		return maxIdleWait
 	}
