--- a/entry/copy.go
+++ b/entry/copy.go
@@ -19,8 +19,8 @@
 
 // An answer may have a replica of its KV cache at another engine, which grows with it. When
 // the decoding engine crashes, breaks off the answer or falls silent, the answer resumes
-// from the replica as the same run: the first engine has stopped or is unreachable by then,
-// and the caller's events continue where they stopped.
+// from the replica as the same run, and the caller's events continue where they stopped. The
+// call to a silent engine is canceled once the replica's engine has accepted the answer.
 
 // replicaHold is the engine that keeps a replica of an answer's KV cache.
 type replicaHold struct {
--- a/entry/job.go
+++ b/entry/job.go
@@ -62,9 +62,8 @@
 	next           *nextTry         // prepared next try; nil: none
 	opened         *openedCall      // the next decode call, if it is made already; nil: it isn't
 	lateResult     bool             // its prefill answered late: the result may have expired on the way
-	isNextTry      bool             // this is the copy of a job that its next try is placed with
+	isNextTry      bool             // a next try, prepared beside the current one: it may be late, and changes no phase
 	awaitingSince  time.Time        // since when the answer has waited for capacity to continue
-	awaitedChunks  int              // chunks that the caller had then
 	noRetry        string           // why no further try was made, for the log; empty: none was needed
 	logged         logged
 }
--- a/entry/next.go
+++ b/entry/next.go
@@ -28,20 +28,23 @@
 	from    *config.Endpoint // the engine of the current call
 	prefill bool             // that call is a prefill, which isn't a run
 	replica *replicaHold     // the engine that keeps a replica; nil: none
-	ctx     context.Context  // of the request, in which a replica is resumed from
+	ctx     context.Context  // of the request; calls of the next try end with it
 	sent    int              // chunks that the caller had before the call
 
-	mu          sync.Mutex         // held while the next try is prepared
-	job         job                // a copy that the next try is placed with
-	criteria    route.Request      // of the job when the call began, without its engine
-	progressed  func() bool        // since the preparation began
-	closed      bool               // the call has ended
-	abandoned   int                // calls that may have run and were given up
-	paid        bool               // the retry budget is charged
-	opened      *openedCall        // the call of the next try; nil: it isn't made yet
-	fromReplica bool               // that call resumes from the replica
-	kv          *endpoint.Transfer // the prefill result of the next try; nil: none
-	plan        *plan              // the placed next try; nil: none
+	mu              sync.Mutex         // held while the next try is prepared
+	job             job                // a copy that the next try is placed with
+	initialCriteria route.Request      // of the job when the call began, without its engine
+	progressed      func() bool        // since the preparation began
+	pause           time.Duration      // after the last preparation that made calls and failed
+	notBefore       time.Time          // the next one that makes calls
+	replicaUsed     bool               // a call to the engine that keeps the replica was given up and may have run
+	closed          bool               // the call has ended
+	abandoned       int                // calls that may have run and were given up
+	prepared        bool               // the next try is certain
+	opened          *openedCall        // the call of the next try; nil: it isn't made yet
+	fromReplica     bool               // that call resumes from the replica
+	kv              *endpoint.Transfer // the prefill result of the next try; nil: none
+	plan            *plan              // the placed next try; nil: none
 }
 
 // newNextTry returns the next try of a call to an engine that is about to be made.
@@ -49,7 +52,7 @@
 	n := &nextTry{entry: e, from: from, ctx: ctx, sent: j.reply.chunks(), job: *j}
 	n.job.isNextTry = true
 	n.job.criteria.AddExcluded(route.Number(from.Name))
-	n.criteria = n.job.criteria
+	n.initialCriteria = n.job.criteria
 	return n
 }
 
@@ -94,12 +97,12 @@
 		return false // it is being prepared
 	}
 	defer n.mu.Unlock()
-	if n.closed || n.paid {
+	if n.closed || n.prepared {
 		return false
 	}
 	silent, cancel := w.untilProgress(ctx)
 	defer cancel()
-	n.job.criteria = n.criteria
+	n.job.criteria = n.initialCriteria
 	before := w.lastProgress.Load()
 	n.progressed = func() bool { return w.lastProgress.Load() != before }
 	n.job.reply = sentReply{sent: n.sent}
@@ -112,8 +115,8 @@
 	return n.prepareReplica(silent, w) || n.preparePlan(silent, w)
 }
 
-// isSuspected reports whether endpoints crashed under the request. It isn't handed over, as
-// each further engine needs a probe.
+// isSuspected reports whether endpoints crashed under the request. Then no next try is prepared,
+// as each further engine needs a probe.
 func (n *nextTry) isSuspected() bool {
 	s := n.entry.board.Suspects
 	if s.Empty() {
@@ -135,12 +138,15 @@
 		return false
 	}
 	chunks, lastEventID := w.delivered()
-	if n.open(ctx, spec, n.replica.attempt, replicaWork(&n.job, spec, chunks, lastEventID)) != nil {
-		e.Replicas.Missing.Add(1)
-		n.replica = nil
+	if err := n.open(ctx, spec, n.replica.attempt, replicaWork(&n.job, spec, chunks, lastEventID)); err != nil {
+		n.replicaUsed = endpoint.MayHaveRun(err)
+		if n.replicaUsed || ctx.Err() == nil {
+			e.Replicas.Missing.Add(1)
+			n.replica = nil
+		}
 		return false
 	}
-	n.paid, n.fromReplica = true, true
+	n.prepared, n.fromReplica = true, true
 	return true
 }
 
@@ -172,14 +178,17 @@
 	return err
 }
 
-// maxPlans is how many pairs of endpoints one preparation tries.
-const maxPlans = 3
+const (
+	maxPlaced       = 3           // pairs that one preparation places the next try on to find one that answers
+	maxBegun        = 2           // pairs that one preparation makes calls to
+	minPreparePause = time.Second // after a preparation that made calls; each costs a prefill and retry budget
+)
 
 // preparePlan reports whether another pair of endpoints takes the request over, and charges the
 // retry budget. Only a limited number of jobs prepare at once, as many are silent together.
 func (n *nextTry) preparePlan(ctx context.Context, w *watchdog) bool {
 	e, j := n.entry, &n.job
-	if !n.hasTries() || !e.hasRetryBudget(j, n.from.Name) {
+	if !n.hasTries() || !e.hasRetryBudget(j, n.from.Name) || time.Now().Before(n.notBefore) {
 		return false
 	}
 	select {
@@ -189,15 +198,17 @@
 	}
 	defer func() { <-e.preparations }()
 	if !j.view.Doc.Policy.Mode.Reserves() {
-		n.paid = !n.progressed() && e.spendRetry(j, &retryable{endpointName: n.from.Name})
-		return n.paid
+		n.prepared = !n.progressed() && e.spendRetry(j, &retryable{endpointName: n.from.Name})
+		return n.prepared
 	}
-	for range maxPlans {
+	for range maxBegun {
 		if !n.hasTries() || !n.place(ctx) || n.progressed() || ctx.Err() != nil || !e.spendRetry(j, &retryable{endpointName: n.from.Name}) {
 			break
 		}
+		n.pause = max(minPreparePause, 2*n.pause)
+		n.notBefore = time.Now().Add(n.pause)
 		if !e.traits.DisconnectAborts || n.begin(ctx, w) {
-			n.paid = true
+			n.prepared = true
 			return true
 		}
 	}
@@ -208,7 +219,7 @@
 // place places the next try on a pair of endpoints that answer.
 func (n *nextTry) place(ctx context.Context) bool {
 	e, j := n.entry, &n.job
-	for range maxPlans {
+	for range maxPlaced {
 		if ctx.Err() != nil {
 			return false // what is reserved in an ended context may stay reserved
 		}
@@ -247,7 +258,7 @@
 		n.plan, n.kv = p, kv
 		return true
 	}
-	if r := e.useOrAcquirePermit(ctx, j, p.decodeSpec, &p.permit); r != nil || n.progressed() {
+	if r := e.useOrAcquirePermit(ctx, j, p.decodeSpec, &p.permit); r != nil || n.progressed() || n.isSuspected() {
 		e.discardResult(j, p, kv)
 		return false
 	}
@@ -300,13 +311,14 @@
 
 // close ends the preparation with the current call, and reports whether the next try is prepared.
 // What the preparation cost counts for the job in any case.
-func (n *nextTry) close(j *job) (prepared bool) {
+func (n *nextTry) close(j *job) (isPrepared bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.closed = true
 	j.attempts += n.abandoned
+	j.crashCount, j.probing = max(j.crashCount, n.job.crashCount), j.probing || n.job.probing
 	j.prefillCalls, j.prefilledTotal, j.wastedTokens = n.job.prefillCalls, n.job.prefilledTotal, n.job.wastedTokens
-	return n.paid
+	return n.prepared
 }
 
 // takePlan returns the plan that was prepared for the job's next try, and its prefill result.
@@ -316,7 +328,7 @@
 	if n == nil || n.plan == nil {
 		return nil, nil
 	}
-	j.opened = n.opened
+	j.opened, j.prefillName = n.opened, n.job.prefillName
 	n.logTaken(j)
 	j.pool, j.criteria, j.redirect, j.refusedRegions, j.regionLog = n.job.pool, n.job.criteria, n.job.redirect, n.job.refusedRegions, n.job.regionLog
 	j.criteria.Probe = j.probing
--- a/entry/opened.go
+++ b/entry/opened.go
@@ -20,7 +20,7 @@
 	stream endpoint.Stream
 }
 
-// openCall makes a decode call. If the engine refuses it, its end is recorded.
+// openCall makes a decode call. If it fails, its end is recorded.
 func (e *Entry) openCall(ctx context.Context, j *job, spec *config.Endpoint, attempt request.Attempt, work *endpoint.Work) (*openedCall, error) {
 	c := &openedCall{began: time.Now(), run: e.beginRun(j, spec, quarantine.Running)}
 	c.ctx, c.cancel = context.WithCancel(ctx)
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -42,6 +42,7 @@
 		cancel:        cancel,
 	})
 	defer w.stop()
+	w.setDelivered(j.reply.chunks(), j.reply.lastEventID())
 	number := route.Number(p.decodeSpec.Name)
 	e.owners.AddCalls(number, 1)
 	defer e.owners.AddCalls(number, -1)
@@ -54,6 +55,9 @@
 		if next.close(j) {
 			j.next = next
 		}
+		if next.replicaUsed {
+			e.releaseReplica(j, p)
+		}
 		if err == nil {
 			j.dropNext()
 		}
@@ -70,6 +74,7 @@
 		}
 		if !endpoint.MayHaveRun(err) {
 			undo()
+			j.possiblyRan = j.possiblyRan || next.abandoned > 0
 			return
 		}
 		e.abort(p.decodeSpec, p.decodeAttempt)
@@ -180,7 +185,11 @@
 			w.progress()
 			continue
 		}
-		if c.Raw == nil && len(c.Choices) == 0 || c.Offset < j.reply.chunks() {
+		if c.Raw == nil && len(c.Choices) == 0 {
+			continue
+		}
+		if c.Offset < j.reply.chunks() {
+			w.progress()
 			continue
 		}
 		if c.Offset > j.reply.chunks() {
--- a/entry/run.go
+++ b/entry/run.go
@@ -29,7 +29,7 @@
 	defer j.dropNext()
 	for {
 		j.tries++
-		if j.next == nil { // else its calls are made already
+		if j.next == nil { // else its endpoints are chosen already
 			if refusal := e.acquireProbe(ctx, j); refusal != nil {
 				return refusal
 			}
@@ -70,8 +70,8 @@
 		j.tries++
 		return false
 	}
-	if j.awaitedChunks != j.reply.chunks() {
-		j.awaitingSince, j.awaitedChunks = time.Now(), j.reply.chunks()
+	if j.awaitingSince.IsZero() {
+		j.awaitingSince = time.Now()
 	}
 	if time.Since(j.awaitingSince) >= resumeSlack || !wait.For(ctx, capacityPoll/2+rand.N(capacityPoll)) {
 		return false
@@ -214,6 +214,7 @@
 			return err
 		}
 	}
+	j.awaitingSince = time.Time{}
 	j.markPhase(0)
 	if p.prefillSpec == nil {
 		wait.For(ctx, time.Until(p.transferStart))
