pace, blackboard: isolated hosts send to a limited endpoint at even distances

Cause: hosts that reach no owner send half of their even share in slots of their own, whose phase was random and which were counted from each host's first request.

The phase is now the host's place among the known hosts, interleaved by failure domains, and slots are counted in the time of day, so that those of any domains come evenly. TestIsolatedHostsBeginApart fails on the code before: 17 in 4 s, 16.2 allowed.

--- a/owner/lone.go
+++ b/owner/lone.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/embercove/embercove/clock"
@@ -17,9 +16,9 @@
 }
 
 // AcquireIsolated requests a permit at an endpoint that names a limit and whose owner is unreachable.
-// fairShare is this host's equal share of the fleet. A cold endpoint gets no such permits: its bound
+// fairShare is this host's equal share of the fleet, and phase its place among the hosts. A cold endpoint gets no such permits: its bound
 // leaves no margin for calls that the other hosts don't know of.
-func (s *Permits) AcquireIsolated(spec *config.Endpoint, fairShare float64) (in time.Duration, given bool) {
+func (s *Permits) AcquireIsolated(spec *config.Endpoint, fairShare, phase float64) (in time.Duration, given bool) {
 	number, now := route.Number(spec.Name), clock.Now()
 	perSecond, allowed := 0.0, false
 	s.board.Endpoints.Find(number, func(_ *config.View, st *route.State) {
@@ -33,7 +32,7 @@
 	defer s.mu.Unlock()
 	p := s.isolated[number]
 	if p == nil {
-		p = &isolatedPace{IsolatedLimiter: pace.IsolatedLimiter{Phase: rand.Float64()}}
+		p = &isolatedPace{IsolatedLimiter: pace.IsolatedLimiter{Phase: phase}}
 		s.isolated[number] = p
 	}
 	p.lastUsed = now
--- a/pace/lone.go
+++ b/pace/lone.go
@@ -17,11 +17,13 @@
 
 // IsolatedLimiter limits what a host sends to one endpoint while it can't reach the endpoint's owner.
 // Send slots come at times that differ from host to host and aren't saved up: otherwise, after a long
-// partition, each of hundreds of hosts would have one ready at the same instant.
+// partition, each of hundreds of hosts would have one ready at the same instant. They come evenly,
+// as isolated hosts don't know of each other: at random times many would coincide now and then.
 type IsolatedLimiter struct {
-	Phase float64 // in [0, 1), random for each host
+	Phase float64 // in [0, 1), at even distances from host to host
 
 	started  time.Time
+	first    float64 // slots until started, in the time of day, so that hosts begin independently
 	lastSlot float64 // number of the last slot that was used
 }
 
@@ -34,8 +36,9 @@
 	}
 	if l.started.IsZero() {
 		l.started = now
+		l.first = fraction(float64(now.UnixNano())/float64(time.Second)*rate + l.Phase)
 	}
-	elapsed := now.Sub(l.started).Seconds()*rate + l.Phase
+	elapsed := now.Sub(l.started).Seconds()*rate + l.first
 	slot := math.Floor(elapsed)
 	if slot > l.lastSlot && (elapsed-slot)/rate < slotValidFor.Seconds() {
 		l.lastSlot = slot
@@ -43,3 +46,5 @@
 	}
 	return time.Duration((slot+1-elapsed)/rate*float64(time.Second)) + 1, false
 }
+
+func fraction(x float64) float64 { return x - math.Floor(x) }
--- a/pace/lone_test.go
+++ b/pace/lone_test.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -38,3 +39,35 @@
 		t.Errorf("%v, %v with a share of zero", in, granted)
 	}
 }
+
+// TestIsolatedHostsBeginApart has isolated hosts send first at different moments. Slots that counted
+// from there would coincide now and then, as if they were drawn at random.
+func TestIsolatedHostsBeginApart(t *testing.T) {
+	const (
+		hosts = 40
+		limit = 5.7
+	)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for play := range 200 {
+		var used []time.Duration
+		limiters, begins := make([]IsolatedLimiter, hosts), make([]time.Duration, hosts)
+		for i := range limiters {
+			limiters[i].Phase = float64(i) / hosts
+			begins[i] = time.Duration(rng.Float64() * float64(20*time.Second))
+		}
+		for at := time.Duration(0); at < time.Minute; at += 50 * time.Millisecond {
+			for i := range limiters {
+				if at < begins[i] {
+					continue
+				}
+				if _, ok := limiters[i].Acquire(epoch.Add(at), limit, 1.0/hosts); ok {
+					used = append(used, at)
+				}
+			}
+		}
+		allowed := isolatedPart*limit*(limitWindow+slotValidFor).Seconds() + 2
+		if n := maxWithin(used, limitWindow); float64(n) > allowed {
+			t.Fatalf("play %d: %d in %v, want at most %.1f", play, n, limitWindow, allowed)
+		}
+	}
+}
--- a/peer/starts.go
+++ b/peer/starts.go
@@ -63,7 +63,8 @@
 
 // localPermit grants a permit that no other host knows of.
 func (r *Router) localPermit(spec *config.Endpoint) Permit {
-	in, given := r.owner.Permits.AcquireIsolated(spec, r.evenShare(r.board.Hosts.Census(time.Now())))
+	c := r.board.Hosts.Census(time.Now())
+	in, given := r.owner.Permits.AcquireIsolated(spec, r.evenShare(c), c.Phase)
 	if given {
 		return Permit{Granted: true, ExpiresAt: clock.Now().Add(pace.Lag)}
 	}
