entry: crashes that a request didn't cause aren't counted as its tries

Cause: each crash used up one of the route's two tries, and after two crashes under a job none was made at all, although the same request was answered elsewhere within 0.2 s.

A job whose tries have ended by crashes now waits until a complete answer to the same request clears it, for as long as answers in progress may do so (3 s at most, half of its time), and is then tried again without counting these calls.

--- a/entry/ends.go
+++ b/entry/ends.go
@@ -68,6 +68,9 @@
 	}
 	if e.crashes.findingOf(check) == quarantine.FindingCrashed {
 		j.probing, j.settled = false, false
+		if r.Stage == quarantine.Running || e.traits.PrefillRuns {
+			j.crashedCalls++
+		}
 		if !r.Old {
 			j.crashCount++
 		}
--- a/entry/job.go
+++ b/entry/job.go
@@ -48,6 +48,7 @@
 	settled        bool             // its answer has progressed far enough in that probe
 	probeWaited    time.Duration    // time it waited for probes: it may be late by this much, but isn't refused for it
 	crashCount     int              // endpoints that crashed as they ran it
+	crashedCalls   int              // of attempts: calls at which the endpoint crashed
 	wastedTokens   int              // prefilled tokens that led to no answer, so far
 	prefilledTotal int              // tokens prefilled in all
 	attempts       int              // calls that may have run at an endpoint
--- a/entry/next.go
+++ b/entry/next.go
@@ -150,6 +150,7 @@
 	defer n.mu.Unlock()
 	n.closed = true
 	j.attempts += n.abandoned
+	j.crashedCalls = max(j.crashedCalls, n.job.crashedCalls)
 	j.crashCount, j.probing = max(j.crashCount, n.job.crashCount), j.probing || n.job.probing
 	j.prefillCalls, j.prefilledTotal, j.wastedTokens = n.job.prefillCalls, n.job.prefilledTotal, n.job.wastedTokens
 	return n.prepared
--- a/entry/run.go
+++ b/entry/run.go
@@ -121,6 +121,9 @@
 
 // checkRetry returns nil if the job may be tried again, else the refusal.
 func (e *Entry) checkRetry(ctx context.Context, j *job, r *retryable) *result.Error {
+	if j.crashCount >= maxCrashesPerJob || r.mayHaveRun && j.attempts >= j.maxAttempts() {
+		e.excuseCrashes(ctx, j)
+	}
 	switch {
 	case ctx.Err() != nil:
 		return r.refusal
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -148,6 +148,25 @@
 	}
 }
 
+// excuseCrashes takes the calls at which endpoints crashed out of the job's counts, once an answer
+// to the same request was complete: the request didn't cause the crashes then. It waits for that
+// as long as answers in progress may show it.
+func (e *Entry) excuseCrashes(ctx context.Context, j *job) {
+	if j.crashedCalls == 0 || !j.repeatable || j.tries >= j.view.Doc.Limits.MaxAttempts {
+		return
+	}
+	for end := time.Now().Add(j.idleWait()); ; {
+		if verdict, _ := e.board.Suspects.Evaluate(j.fingerprint, clock.Now()); verdict == quarantine.Free {
+			j.attempts -= j.crashedCalls
+			j.crashCount, j.crashedCalls = 0, 0
+			return
+		}
+		if !e.board.Suspects.MayBeCleared(j.fingerprint, clock.Now()) || time.Now().After(end) || !wait.For(ctx, probePollStart) {
+			return
+		}
+	}
+}
+
 // quarantineRefusal returns the refusal of a request that isn't sent to any endpoint now,
 // or nil.
 func (e *Entry) quarantineRefusal(j *job) *result.Error {
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -86,6 +86,22 @@
 	return Blamed, 0
 }
 
+// clearableFor is how long after a crash under a request its answers that were in progress at other
+// endpoints may still clear it.
+const clearableFor = 3 * time.Second
+
+// MayBeCleared reports whether answers in progress may still clear a suspected request.
+func (r *Registry) MayBeCleared(f request.Fingerprint, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for s := range stages {
+		if c := r.records[recordKey{f, s}]; c != nil && !c.mark.isClear() && now.Sub(c.at) < clearableFor {
+			return true
+		}
+	}
+	return false
+}
+
 // scaled returns d multiplied by a factor the given number of times.
 func scaled(d time.Duration, by, times int) time.Duration {
 	for range times {
