entry: a request that backs off waits while answers in progress may clear it

Cause: three crashes within 0.12 s count against the request, which then backs off, and each caller was refused at once, before the runs in progress could end. Evidence: lines at each crash, refusal and clearing show a third crash at 180 ms, a refusal at 194.985 ms and the complete answer that clears the request at 195 ms.

A request that holds nothing yet now waits for that up to 3 s after the latest crash, within its idle wait. TestDeadlyRequest and its kin pass as they are: three crashes, no late calls.

--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -130,19 +130,24 @@
 		if verdict == quarantine.Free {
 			return false, nil
 		}
-		if refusal := e.verdictRefusal(j, verdict, retryIn); refusal != nil {
-			return false, refusal
-		}
-		a.Request, a.Holder = j.fingerprint, j.probeHolder()
-		reply := e.owners.AcquireProbe(ctx, a)
-		j.probing = j.probing || reply.Granted
-		j.criteria.Probe = j.probing
-		if reply.Granted || reply.Elsewhere {
-			return reply.Elsewhere, nil
+		retryAfter := probeRetryAfter
+		if verdict == quarantine.BackingOff && e.board.Suspects.MayBeCleared(j.fingerprint, clock.Now()) {
+			retryAfter = retryIn
+		} else {
+			if refusal := e.verdictRefusal(j, verdict, retryIn); refusal != nil {
+				return false, refusal
+			}
+			a.Request, a.Holder = j.fingerprint, j.probeHolder()
+			reply := e.owners.AcquireProbe(ctx, a)
+			j.probing = j.probing || reply.Granted
+			j.criteria.Probe = j.probing
+			if reply.Granted || reply.Elsewhere {
+				return reply.Elsewhere, nil
+			}
 		}
 		asked := time.Now()
 		if end.Sub(asked) < interval || !wait.For(ctx, interval/2+rand.N(interval)) {
-			return false, underProbe(j).After(probeRetryAfter)
+			return false, underProbe(j).After(retryAfter)
 		}
 		j.probeWaited += time.Since(asked)
 	}
@@ -174,6 +179,9 @@
 		return nil
 	}
 	verdict, retryIn := e.board.Suspects.Evaluate(j.fingerprint, clock.Now())
+	if verdict == quarantine.BackingOff && e.board.Suspects.MayBeCleared(j.fingerprint, clock.Now()) {
+		return nil // it may wait for that
+	}
 	return e.verdictRefusal(j, verdict, retryIn)
 }
 
