entry, endpoint: a connection is given up only if its endpoint is known to be unreachable

Callers of a host were refused, 20 of 20 and on each route, as long as connecting took 0.3 s over the host's own link (TestServiceNotRefusedOverCrowdedLink: /page/ and /page/look/, no endpoint was tried but those two).

Cause: dialing ended after 300 ms whatever else was known, and each endpoint counted as unreachable after that. Evidence: answers 20 of 20 at a delay of 200 ms and 0 of 20 at 320 ms, with the connection accepted 20 ms after it was given up.

An attempt now ends when the endpoint doesn't send its report either, twice 60 ms, while somebody else answers this host: hosts, or two endpoints where no host does. An endpoint that sends its report is connected to once more, at once: the first packet was lost. A host that nobody has answered for 1 s counts as cut off, and waits for reports no longer. The kernel's limit is 3 s. Ending an attempt is decided before the connection is used, so a call that can't be repeated is never left in doubt by it (TestConnectingEnded).

--- a/blackboard/answers.go
+++ b/blackboard/answers.go
@@ -15,34 +15,66 @@
 	// is no host to ask. Set before use; nil: there is none.
 	Ping func() bool
 
-	mu         sync.Mutex
-	lastBegan  time.Time // the latest beginning of a call that was answered
-	pingBegan  time.Time // of the last ping
-	noneToPing bool      // the last ping found no host to ask
+	mu           sync.Mutex
+	lastBegan    time.Time // the latest beginning of a call that was answered
+	pingBegan    time.Time // of the last ping
+	noneToPing   bool      // the last ping found no host to ask
+	waitingSince time.Time // beginning of the first call with a witness since the last answer; zero: none
 }
 
 // Record records the answer to a call that began at a given time.
 func (a *Answers) Record(began time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.waitingSince = time.Time{}
 	if began.After(a.lastBegan) {
 		a.lastBegan = began
 	}
 }
 
+// cutOffAfter is how long nobody may answer this host until it counts as cut off.
+const cutOffAfter = time.Second
+
+// CutOff reports whether this host counts as cut off from everybody: it waits for answers, and
+// has got none for longer than they wait on a crowded link.
+func (a *Answers) CutOff(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.waitingSince.IsZero() && now.Sub(a.waitingSince) > cutOffAfter
+}
+
+// wait records that a call with a witness begins.
+func (a *Answers) wait(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.waitingSince.IsZero() {
+		a.waitingSince = now
+	}
+}
+
 // pingShared is how long calls share one ping.
 const pingShared = 10 * time.Millisecond
 
 // ping asks other hosts, unless it was just done or a call that began no earlier was answered.
 func (a *Answers) ping(began time.Time) {
-	now := time.Now()
+	if !a.beginPing(began, time.Now()) {
+		return
+	}
+	none := a.Ping == nil || !a.Ping()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.noneToPing = none
+}
+
+// beginPing reports whether a ping is due for a call that began at a given time, and records it.
+func (a *Answers) beginPing(began, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if now.Sub(a.pingBegan) < pingShared || !a.lastBegan.Before(began) {
-		return
+		return false
 	}
 	a.pingBegan = now
-	a.noneToPing = a.Ping == nil || !a.Ping()
+	return true
 }
 
 // Witness is a call to another host beside a call that isn't answered yet.
@@ -52,10 +84,21 @@
 	timer   *time.Timer
 }
 
+// Unless calls f after a delay, unless another call is answered by then. The caller must stop the
+// timer that it returns.
+func (w *Witness) Unless(delay time.Duration, f func()) *time.Timer {
+	return time.AfterFunc(delay, func() {
+		if !w.conclusive() {
+			f()
+		}
+	})
+}
+
 // Witness returns a witness for a call that begins now. If that call takes longer than delay,
 // other hosts are asked. The caller must call Stop.
 func (a *Answers) Witness(delay time.Duration) *Witness {
 	w := &Witness{answers: a, began: time.Now()}
+	a.wait(w.began)
 	w.timer = time.AfterFunc(delay, func() { a.ping(w.began) })
 	return w
 }
@@ -64,6 +107,10 @@
 // callee: another call was answered in the meantime, or there is no other host to ask.
 func (w *Witness) Stop() bool {
 	w.timer.Stop()
+	return w.conclusive()
+}
+
+func (w *Witness) conclusive() bool {
 	w.answers.mu.Lock()
 	defer w.answers.mu.Unlock()
 	return w.answers.noneToPing || !w.answers.lastBegan.Before(w.began)
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -40,7 +40,7 @@
 		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	}
 	c := new(Client)
-	c.requestClient = newHTTP(dial)
+	c.requestClient = newHTTP(WatchedDial(dial))
 	c.controlClient = newHTTP(Dial(meter.Counted(meter.Dial(dial), &c.Control)))
 	return c
 }
@@ -118,6 +118,7 @@
 	KeepResultMillis int    // how long the endpoint keeps an exported prefill result
 	Team             string // team of the request; empty: none
 	Repeatable       bool
+	Connecting       *Connecting // watches its connection; nil: nothing does
 	// Called with the notices in the head of the answer, as it arrives; nil: they are
 	// ignored.
 	OnNotice func(Notice)
@@ -150,7 +151,7 @@
 	if call.Version != "" {
 		header.Set(HeaderVersion, call.Version)
 	}
-	res, err := c.do(ctx, c.requestClient, http.MethodPost, call.Address, PathCompletions, header, body)
+	res, err := c.do(call.ConnectContext(ctx), c.requestClient, http.MethodPost, call.Address, PathCompletions, header, body)
 	if err != nil {
 		return nil, err
 	}
@@ -193,7 +194,7 @@
 		header = http.Header{}
 	}
 	call.setHeaders(header)
-	res, err := c.do(ctx, c.requestClient, work.Origin.Method, call.Address, work.Origin.URL.RequestURI(), header, work.Origin.Body)
+	res, err := c.do(call.ConnectContext(ctx), c.requestClient, work.Origin.Method, call.Address, work.Origin.URL.RequestURI(), header, work.Origin.Body)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/read.go
+++ b/entry/read.go
@@ -88,11 +88,15 @@
 // Where a prefill isn't a run, a call to an engine that may only be slow ends when the next
 // try is prepared.
 func (e *Entry) callPrefill(ctx context.Context, j *job, p *plan) (*endpoint.PrefillAnswer, error) {
-	call := e.newCall(j, p.prefillSpec, p.prefillAttempt)
+	prefill := func(ctx context.Context) (*endpoint.PrefillAnswer, error) {
+		return connectAndCall(ctx, e, p.prefillSpec, e.newCall(j, p.prefillSpec, p.prefillAttempt), func(call endpoint.Call) (*endpoint.PrefillAnswer, error) {
+			return e.engine.Prefill(ctx, call, j.work)
+		})
+	}
 	if e.traits.PrefillRuns || j.deadline == 0 || j.isNextTry {
 		limited, cancel := context.WithTimeout(ctx, e.prefillTimeout(p))
 		defer cancel()
-		return e.engine.Prefill(limited, call, j.work)
+		return prefill(limited)
 	}
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -103,7 +107,7 @@
 		mayCancel: func(w *watchdog) bool { return next.prepare(limited, w) || e.checkLiveness(limited, at).gone },
 		cancel:    cancel,
 	})
-	ans, err := e.engine.Prefill(limited, call, j.work)
+	ans, err := prefill(limited)
 	w.stop()
 	cancel()
 	j.lateResult = err == nil && time.Since(began) > limit
--- a/entry/service.go
+++ b/entry/service.go
@@ -199,7 +199,9 @@
 		e.recordCall(ctx, j, spec, blackboard.PhaseService, err, time.Since(began))
 		e.endRun(ctx, j, r, 0, err)
 	}()
-	ans, err := e.engine.Service(ctx, e.newCall(j, spec, a), j.work)
+	ans, err := connectAndCall(ctx, e, spec, e.newCall(j, spec, a), func(call endpoint.Call) (*endpoint.Answer, error) {
+		return e.engine.Service(ctx, call, j.work)
+	})
 	if err != nil {
 		if endpoint.Unreachable(err) {
 			j.decodeCalls--
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -157,7 +157,7 @@
 	livenessInterval = 500 * time.Millisecond // between the checks of a silent engine that is alive
 	maxTimerDelay    = 20 * time.Millisecond  // timers fire some milliseconds late; beyond this the host itself was held up
 	maxLivenessAsks  = 5                      // including those that prove nothing
-	witnessDelay     = reportTimeout / 4      // after which another host is asked whether it answers
+	witnessDelay     = reportTimeout / 4      // after which another host is asked whether it answers, and some endpoints after twice that
 )
 
 // process is the engine process that a call was made to.
@@ -177,6 +177,7 @@
 // livenessCheck is the result of asking a silent engine for its report.
 type livenessCheck struct {
 	alive      bool
+	answered   bool // with a report or a refusal to send one
 	gone       bool // the process that was called has ended
 	asks       int
 	unanswered int // asks that count as unanswered
@@ -201,7 +202,9 @@
 	defer func() { c.took = time.Since(start) }()
 	for c.alive = true; c.asks < maxLivenessAsks; {
 		began, witness := time.Now(), e.board.Answers.Witness(witnessDelay)
+		asking := witness.Unless(2*witnessDelay, e.askWitnesses)
 		evidence, _ := e.processEvidence(ctx, at)
+		asking.Stop()
 		conclusive := witness.Stop()
 		c.asks++
 		switch {
@@ -211,6 +214,7 @@
 			c.alive, c.gone = false, true
 			return c
 		case evidence != quarantine.EvidenceNone:
+			c.answered = true
 			return c
 		case conclusive && time.Since(began) < reportTimeout+maxTimerDelay:
 			c.unanswered++
@@ -228,12 +232,18 @@
 func (e *Entry) processEvidence(ctx context.Context, at process) (evidence quarantine.Evidence, started int64) {
 	limited, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	began := time.Now()
 	st, err := e.engine.State(limited, at.address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return quarantine.EvidenceRefused, 0
 	case limited.Err() != nil:
 		return quarantine.EvidenceNone, 0
+	}
+	if endpoint.Answered(err) {
+		e.board.Answers.Record(began)
+	}
+	switch {
 	case err != nil:
 		return quarantine.EvidenceBusy, 0
 	case at.replacedIn(st):
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -60,6 +60,29 @@
 // All yields all states, in no order.
 func (f *Fleet) All() iter.Seq[*State] { return maps.Values(f.states) }
 
+// maxSampled bounds how many endpoints SampleReachable looks at.
+const maxSampled = 16
+
+// SampleReachable returns up to n endpoints, drawn at random, that aren't known to be unreachable
+// and may be asked for a report at any time.
+func (f *Fleet) SampleReachable(n int, now time.Time) (out []*State) {
+	looked := 0
+	for _, s := range f.states {
+		if looked++; looked > maxSampled || len(out) == n {
+			break
+		}
+		if !s.isUnreachable(now) && !s.IsCold(now) && !s.IsLimited(now) && !s.IsBackingOff(now) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// isUnreachable reports whether this host can't reach the endpoint, or soon won't.
+func (s *State) isUnreachable(now time.Time) bool {
+	return s.IsLeaving() || s.Calls.IsUnreachable(now) || now.Before(s.CutOffUntil)
+}
+
 // InFailureDomain yields the states of a failure domain.
 func (f *Fleet) InFailureDomain(domain string) iter.Seq[*State] {
 	return func(yield func(*State) bool) {
