entry, blackboard: prefill times reported to owners leave out the host's own link

Callers were refused as too late ("i-0 can't prefill the prompt in time", 4 and 5 of 20 on a link that queues 0.2 s) though the prefill engine was idle.

Cause: a host reports to the engine's owner how long a prefill took, with the time to connect and the time for which the answer waited on the host's own link. The owner took it for the engine's pace, and refused others, of any host, by it.

--- a/entry/connect.go
+++ b/entry/connect.go
@@ -75,7 +75,9 @@
 		w.timer.Stop()
 		w.cancel()
 		if isNew {
+			now := time.Now()
 			e.board.Answers.Record(began)
+			e.board.Link.Record(now, now.Sub(began))
 		}
 	})
 	return w
--- a/entry/read.go
+++ b/entry/read.go
@@ -52,7 +52,7 @@
 	e.owners.AddCalls(number, -1)
 	e.recordCall(ctx, j, p.prefillSpec, blackboard.PhasePrefill, err, time.Since(began))
 	e.endRun(ctx, j, r, 0, err)
-	rel := owner.Release{Attempt: p.prefillAttempt, Endpoint: number, Millis: ms(time.Since(began))}
+	rel := owner.Release{Attempt: p.prefillAttempt, Endpoint: number, Millis: ms(e.engineTime(time.Since(began)))}
 	if err == nil {
 		// The attempt stays open: its result is kept until the answer begins or it is
 		// dropped, and the engine's owner cancels attempts that aren't open as orphans.
@@ -188,6 +188,12 @@
 	}
 }
 
+// engineTime returns the time of a call without what it waited on this host's own link, to connect
+// and for its answer: an owner would take that for the engine's.
+func (e *Entry) engineTime(took time.Duration) time.Duration {
+	return max(0, took-2*e.board.Link.Estimate(time.Now()))
+}
+
 // reportEvery is the number of ordinary prefill ends per reported one.
 const reportEvery = 4
 
