entry: a prefill result that lapses on the host's link doesn't end its request

Cause: a result is kept for a time, 0.5 s in the tests, and its arrival at the host and the connection to a decode engine each wait on the link. The decode engine then refuses the result; the host took that for a full engine, asked another one, and read the prompt anew with the same end. Evidence: traces of the refused requests, each with a prefill that answered late and refusals that came after the result's time.

Such a prompt is now prefilled by its decode engine, where no other prefill engine can do it in time; and while the link's delay alone would use up the time of a result, requests are placed on decode engines from the start. TestLatePrefillResult passes as it is.

--- a/entry/place.go
+++ b/entry/place.go
@@ -140,6 +140,9 @@
 		if c.Prefill == nil {
 			break
 		}
+		if e.traits.DecodePrefills && e.resultWouldLapse(c.Prefill) {
+			return e.placeDecodeOnly(ctx, j)
+		}
 		p := &plan{Choice: c, prefillSpec: c.Prefill, decodeSpec: c.Decode}
 		j.criteria.PrefillRegion = v.RegionSet(v.Region[p.prefillSpec.Domain])
 		if refusal := e.enqueue(ctx, j, p, notBefore); refusal != nil {
@@ -216,6 +219,13 @@
 	return p, nil
 }
 
+// resultWouldLapse reports whether a prefill engine keeps its results for less time than their
+// arrival and the connection to a decode engine take over this host's link.
+func (e *Entry) resultWouldLapse(spec *config.Endpoint) bool {
+	delay := e.board.Link.Estimate(time.Now())
+	return delay > 0 && spec.ResultKeepMillis > 0 && 2*delay+minResultLeft > config.Millis(spec.ResultKeepMillis)
+}
+
 // chooseDecode asks package route for a decode endpoint only.
 func (e *Entry) chooseDecode(j *job) (route.Choice, *config.View) {
 	c := route.Choice{}
--- a/entry/write.go
+++ b/entry/write.go
@@ -61,6 +61,9 @@
 		case !endpoint.MayHaveRun(err) && p.promptCached:
 			e.releaseDecode(j, p, owner.Rejected)
 			return e.callFailure(p.decodeSpec, err)
+		case !endpoint.MayHaveRun(err) && e.resultLapsed(j, p, kv, expires):
+			e.dropResult(j, p, kv)
+			kv, expires, p.prefillSpec = nil, time.Now().Add(forever), nil // the engine prefills the prompt itself
 		case !endpoint.MayHaveRun(err) && j.lateResult && e.resultMayBeLost(j, p, kv):
 			// Its time began at the prefill engine, and has passed on the way.
 			e.discardResult(j, p, kv)
@@ -151,6 +154,33 @@
 	return hasCapacity
 }
 
+// resultLapsed reports whether a result that the decode engine refused was kept no longer: its time
+// passed on the way, from the prefill engine or to the decode engine. It is false if decode
+// engines can't prefill prompts, or another prefill engine can do it again.
+func (e *Entry) resultLapsed(j *job, p *plan, kv *endpoint.Transfer, expires time.Time) bool {
+	if kv == nil || !e.traits.DecodePrefills {
+		return false
+	}
+	mayBeLost := e.resultMayBeLost(j, p, kv)
+	if j.lateResult && mayBeLost && e.mayPrefillElsewhere(j, p) {
+		return false
+	}
+	return time.Until(expires) < minResultLeft || j.lateResult && (mayBeLost || !p.reserved)
+}
+
+// mayPrefillElsewhere reports whether the job has a try left at another prefill engine, and that
+// one's result would arrive in time.
+func (e *Entry) mayPrefillElsewhere(j *job, p *plan) bool {
+	if !j.hasTriesUnrun() || !e.hasRetryBudget(j, p.prefillSpec.Name) {
+		return false
+	}
+	criteria := j.criteria
+	defer func() { j.criteria = criteria }()
+	j.criteria.AddExcluded(route.Number(p.prefillSpec.Name))
+	c, _ := e.choosePair(j, 0)
+	return c.Prefill != nil && !e.resultWouldLapse(c.Prefill)
+}
+
 // suspectResult records that a decode engine with capacity refused a result. Either its
 // owner was wrong, which happens with results of any prefill engine, or the result is lost,
 // which happens repeatedly only with the engine that made it.
