entry: a refusal after the prefill names its true cause

Callers were told that no decode memory was free (301) when no decode engine had accepted a connection, or when the retry budget allowed no further call: operators would have added engines for it. The codes are 303 and 307 now.

--- a/entry/barred.go
+++ b/entry/barred.go
@@ -219,7 +219,7 @@
 		if none := e.noneEligible(j, "decode endpoint", decodeStates); !j.possiblyRan && none.Code != result.NoEndpoint {
 			return none
 		}
-		return e.wastedPrefill(j, p, errIneligible)
+		return e.wastedPrefill(j, p, errIneligible, false)
 	}
 	if !wait.For(ctx, min(time.Until(p.transferStart), time.Until(expires))) && ctx.Err() != nil {
 		e.discardResult(j, p, kv)
--- a/entry/write.go
+++ b/entry/write.go
@@ -95,12 +95,13 @@
 			}
 			e.moveDecode(ctx, j, p, owner.Failed, true)
 		}
-		if time.Until(expires) < minResultLeft || p.decodeSpec == nil || !e.spendDecodeCall(j) {
+		over := time.Until(expires) < minResultLeft || p.decodeSpec == nil
+		if over || !e.spendDecodeCall(j) {
 			e.dropResult(j, p, kv)
 			if p.decodeSpec != nil {
 				e.releaseDecode(j, p, owner.Abandoned)
 			}
-			return e.wastedPrefill(j, p, err)
+			return e.wastedPrefill(j, p, err, !over)
 		}
 		if !e.retryBudgets.Windowed() && full > 0 && full%fullTriesBeforeMove == 0 {
 			e.moveIfCapacity(ctx, j, p)
@@ -267,10 +268,16 @@
 
 // wastedPrefill is the failure of a try whose prompt was prefilled for nothing. Where a
 // prefill is no run, nothing of the request has run. It isn't prefilled again, as that
-// would hardly find more capacity.
-func (e *Entry) wastedPrefill(j *job, p *plan, err error) error {
+// would hardly find more capacity. budgetSpent says that only the retry budget stops it.
+func (e *Entry) wastedPrefill(j *job, p *plan, err error, budgetSpent bool) error {
 	spec := p.orLastDecode(p.decodeSpec)
 	if !e.traits.PrefillRuns && !j.possiblyRan {
+		switch {
+		case budgetSpent:
+			return result.Errorf(result.RetryBudget, "the retry budget is spent; %s refused the request after the prefill", spec.Name).After(time.Second)
+		case endpoint.Unreachable(err):
+			return result.Errorf(result.NoEndpoint, "%s accepted no connection after the prefill, and no other decode engine is open", spec.Name).After(time.Second)
+		}
 		return result.Errorf(result.NoDecodeMemory, "%s and others had no decode memory after the prefill", spec.Name).After(time.Second)
 	}
 	r := e.callFailure(spec, err)
