peer: an unanswered call to a host counts only if somebody else answers meanwhile

Callers of a host whose link queues 0.28 s or more were refused (no_endpoint) where all endpoints of a kind are in another failure domain with two hosts or more: 28 of 60 answered on each route at 0.6 s with three hosts there, 33 of 40 at 0.28 s.

Cause: two calls to hosts of a domain that time out count as a cut, for 2 s at a time, also when everything that this host is sent waits on its own link.

A time-out of a call to a host now needs a witness, as reports and polls do: another call, begun no earlier, was answered, by hosts that are pinged or by any other one. Without one the call fails as before, but neither the failure domain nor the host counts as silent, and a wait in an owner's queue goes on. A host that nobody has answered for 1 s needs none.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/meter"
 )
 
@@ -19,11 +20,16 @@
 // ErrUnreachable is returned when a host didn't answer in time.
 var ErrUnreachable = errors.New("host is unreachable")
 
+// errNobodyAnswers is an ErrUnreachable that says nothing about the host that was called, as nobody
+// else answered this host meanwhile either.
+var errNobodyAnswers = errors.Wrap(ErrUnreachable, "nobody answers this host")
+
 // pool keeps connections to peers, at most one per peer.
 type pool struct {
 	dial     Dial
 	traffic  *meter.Traffic
 	purposes *meter.PurposeTraffic
+	answers  *blackboard.Answers // records whose calls are answered; nil: not used
 
 	mu     sync.Mutex
 	conns  map[string]*rpc.Client
@@ -205,6 +211,34 @@
 	}
 }
 
+// witnessed is a call whose time-out counts only if somebody else answers this host meanwhile.
+type witnessed struct {
+	answers *blackboard.Answers
+	witness *blackboard.Witness
+	began   time.Time
+}
+
+// witness returns a witness for a call that begins now. The caller must call stop.
+func (p *pool) witness(timeout time.Duration) *witnessed {
+	w := &witnessed{answers: p.answers, began: time.Now()}
+	if p.answers != nil {
+		w.witness = p.answers.Witness(timeout / 4)
+	}
+	return w
+}
+
+// answered records that the call was answered.
+func (w *witnessed) answered() {
+	if w.answers != nil {
+		w.answers.Record(w.began)
+	}
+}
+
+// stop ends the witness, and reports whether a time-out of the call says something about its callee.
+func (w *witnessed) stop() bool {
+	return w.answers == nil || w.witness.Stop() || w.answers.CutOff(time.Now())
+}
+
 // call makes one call, bounded by the timeout. If the connection turns out to be broken, it
 // retries once over a new one. That is safe for all methods, since their effects are keyed by
 // attempt.
@@ -212,8 +246,13 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	defer p.beginCall(addr)()
+	w := p.witness(timeout)
+	defer w.stop()
 	for try := 0; ; try++ {
 		c, err := p.get(ctx, addr)
+		if err != nil && isTimeout(err) && !w.stop() {
+			return errNobodyAnswers
+		}
 		if err != nil {
 			return err
 		}
@@ -224,6 +263,7 @@
 			var remote rpc.ServerError
 			if call.Error == nil || errors.As(call.Error, &remote) {
 				p.noteAnswer(addr)
+				w.answered()
 				return call.Error
 			}
 			p.drop(addr, c)
@@ -233,6 +273,9 @@
 			return errors.Wrap(call.Error, "peer")
 		case <-ctx.Done():
 			if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+				if !w.stop() {
+					return errNobodyAnswers
+				}
 				if p.noteTimeout(addr) {
 					p.drop(addr, c)
 				}
@@ -260,10 +303,15 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	defer p.beginCall(addr)()
+	w := p.witness(timeout)
+	defer w.stop()
 	p.mu.Lock()
 	old := p.conns[addr]
 	p.mu.Unlock()
 	c, err := p.open(ctx, addr)
+	if err != nil && isTimeout(err) && !w.stop() {
+		return errNobodyAnswers
+	}
 	if err != nil {
 		return err
 	}
@@ -277,9 +325,13 @@
 		}
 		p.replace(addr, old, c)
 		p.noteAnswer(addr)
+		w.answered()
 		return nil
 	case <-ctx.Done():
 		c.Close()
+		if !w.stop() {
+			return errNobodyAnswers
+		}
 		return ErrUnreachable
 	}
 }
--- a/peer/router.go
+++ b/peer/router.go
@@ -69,6 +69,7 @@
 	r := &Router{board: b, owner: o, log: log, releases: map[string][]owner.Release{}, unnamed: map[uint32]bool{}, listed: map[uint32]bool{}, missedPings: map[uint32]int{}, membersDiffer: true}
 	r.pool = newPool(dial, &r.Traffic, &r.PurposeTraffic)
 	r.bulk = newPool(dial, &r.Traffic, &r.PurposeTraffic)
+	r.pool.answers = b.Answers
 	o.SetPeers(r)
 	b.Answers.Ping = r.pingWitnesses
 	return r
@@ -104,6 +105,9 @@
 	if ctx.Err() != nil {
 		return err
 	}
+	if errors.Is(err, errNobodyAnswers) {
+		return ErrUnreachable
+	}
 	if !isTimeout(err) || r.pool.dead(h.Peers) {
 		r.board.Hosts.MarkUnconfirmed(h.Number)
 	}
@@ -212,7 +216,7 @@
 			if r.pool.answeredWithin(h.Peers, watch) {
 				continue
 			}
-			if err := r.pool.call(watched, h.Peers, methodPing, &Nothing{}, new(Heartbeat), pingTimeoutHalves*watch/2); err != nil {
+			if err := r.pool.call(watched, h.Peers, methodPing, &Nothing{}, new(Heartbeat), pingTimeoutHalves*watch/2); err != nil && !errors.Is(err, errNobodyAnswers) {
 				cancel(ErrUnreachable)
 			}
 		}
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/blackboard"
@@ -50,7 +51,7 @@
 		r.board.Hosts.Learn(h, now)
 		return
 	}
-	if ctx.Err() != nil || r.board.Pause.Check() {
+	if ctx.Err() != nil || r.board.Pause.Check() || errors.Is(err, errNobodyAnswers) {
 		return
 	}
 	r.mu.Lock()
