entry: answers to later calls show that an endpoint is unreachable, also between its reports

A call that nothing else ran beside waited for an address that swallows connections until its deadline, 1.5 s, when the only other host had just stopped and no endpoint was asked: each report needed a call of its own that was answered within its 60 ms.

Between two rounds of reports a call that began since the first one is enough: another round of reports goes unanswered then.

--- a/blackboard/answers.go
+++ b/blackboard/answers.go
@@ -32,6 +32,13 @@
 	}
 }
 
+// AnsweredSince reports whether a call that began at a given time or later was answered.
+func (a *Answers) AnsweredSince(began time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.lastBegan.Before(began)
+}
+
 // cutOffAfter is how long nobody may answer this host until it counts as cut off.
 const cutOffAfter = time.Second
 
--- a/entry/connect.go
+++ b/entry/connect.go
@@ -86,9 +86,12 @@
 // check asks the endpoint for its report until that tells whether the connection can still be
 // accepted. It ends the attempt if it can't, or if the endpoint accepts other connections.
 func (w *connectWatch) check(at process) {
+	answers, began := w.entry.board.Answers, time.Now()
 	for w.ctx.Err() == nil {
+		othersAnswer := answers.AnsweredSince(began) // before the reports that are asked for now
 		check := w.entry.checkLiveness(w.ctx, at)
-		if check.alive && !check.answered && !w.entry.board.Answers.CutOff(time.Now()) {
+		known := !check.alive || check.answered
+		if !known && !othersAnswer && !answers.CutOff(time.Now()) {
 			continue
 		}
 		w.mu.Lock()
