entry: probes and excused calls have functions of their own

A reader of requestProbe met two nested decisions; excused calls raise the number of attempts that a job may make, so that its record still tells how many it made. No change of behaviour.

--- a/entry/job.go
+++ b/entry/job.go
@@ -49,6 +49,7 @@
 	probeWaited    time.Duration    // time it waited for probes: it may be late by this much, but isn't refused for it
 	crashCount     int              // endpoints that crashed as they ran it
 	crashedCalls   int              // of attempts: calls at which the endpoint crashed
+	excusedCalls   int              // of attempts: calls at which the endpoint crashed for another cause
 	wastedTokens   int              // prefilled tokens that led to no answer, so far
 	prefilledTotal int              // tokens prefilled in all
 	attempts       int              // calls that may have run at an endpoint
@@ -77,12 +78,12 @@
 	return j.view.Doc.Targets.TTFT()
 }
 
-// maxAttempts returns how many endpoints the job may run on.
+// maxAttempts returns how many endpoints the job may run on, with those whose crashes are excused.
 func (j *job) maxAttempts() int {
 	if j.route.MaxAttempts > 0 {
-		return j.route.MaxAttempts
+		return j.route.MaxAttempts + j.excusedCalls
 	}
-	return j.view.Doc.Limits.MaxAttempts
+	return j.view.Doc.Limits.MaxAttempts + j.excusedCalls
 }
 
 // completions serves both completion paths.
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -131,19 +131,12 @@
 			return false, nil
 		}
 		retryAfter := probeRetryAfter
-		if verdict == quarantine.BackingOff && e.board.Suspects.MayBeCleared(j.fingerprint, clock.Now()) {
+		if e.awaitsClearing(j, verdict) {
 			retryAfter = retryIn
-		} else {
-			if refusal := e.verdictRefusal(j, verdict, retryIn); refusal != nil {
-				return false, refusal
-			}
-			a.Request, a.Holder = j.fingerprint, j.probeHolder()
-			reply := e.owners.AcquireProbe(ctx, a)
-			j.probing = j.probing || reply.Granted
-			j.criteria.Probe = j.probing
-			if reply.Granted || reply.Elsewhere {
-				return reply.Elsewhere, nil
-			}
+		} else if refusal := e.verdictRefusal(j, verdict, retryIn); refusal != nil {
+			return false, refusal
+		} else if reply := e.askProbe(ctx, j, a); reply.Granted || reply.Elsewhere {
+			return reply.Elsewhere, nil
 		}
 		asked := time.Now()
 		if end.Sub(asked) < interval || !wait.For(ctx, interval/2+rand.N(interval)) {
@@ -153,16 +146,31 @@
 	}
 }
 
-// excuseCrashes takes the calls at which endpoints crashed out of the job's counts, once an answer
-// to the same request was complete: the request didn't cause the crashes then. It waits for that
-// as long as answers in progress may show it.
+// askProbe asks once for a probe.
+func (e *Entry) askProbe(ctx context.Context, j *job, a quarantine.Ask) quarantine.Reply {
+	a.Request, a.Holder = j.fingerprint, j.probeHolder()
+	reply := e.owners.AcquireProbe(ctx, a)
+	j.probing = j.probing || reply.Granted
+	j.criteria.Probe = j.probing
+	return reply
+}
+
+// awaitsClearing reports whether a request with a verdict waits instead of being refused, as answers
+// in progress may still clear it.
+func (e *Entry) awaitsClearing(j *job, v quarantine.Verdict) bool {
+	return v == quarantine.BackingOff && e.board.Suspects.MayBeCleared(j.fingerprint, clock.Now())
+}
+
+// excuseCrashes excuses the calls at which endpoints crashed, once another answer to the same request
+// was complete: the request didn't cause the crashes then. It waits for that as long as answers in
+// progress may show it.
 func (e *Entry) excuseCrashes(ctx context.Context, j *job) {
 	if j.crashedCalls == 0 || !j.repeatable || j.tries >= j.view.Doc.Limits.MaxAttempts {
 		return
 	}
 	for end := time.Now().Add(j.idleWait()); ; {
 		if verdict, _ := e.board.Suspects.Evaluate(j.fingerprint, clock.Now()); verdict == quarantine.Free {
-			j.attempts -= j.crashedCalls
+			j.excusedCalls += j.crashedCalls
 			j.crashCount, j.crashedCalls = 0, 0
 			return
 		}
@@ -179,8 +187,8 @@
 		return nil
 	}
 	verdict, retryIn := e.board.Suspects.Evaluate(j.fingerprint, clock.Now())
-	if verdict == quarantine.BackingOff && e.board.Suspects.MayBeCleared(j.fingerprint, clock.Now()) {
-		return nil // it may wait for that
+	if e.awaitsClearing(j, verdict) {
+		return nil
 	}
 	return e.verdictRefusal(j, verdict, retryIn)
 }
