--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -24,6 +24,7 @@
 	Domains     *DomainTable
 	Answers     *Answers
 	Link        *LinkDelay
+	Paths       *PathTable
 	Endpoints   *EndpointTable
 	Regions     *RegionTable
 	Requests    *RequestTable
@@ -47,7 +48,7 @@
 	inv := new(invariant.Set)
 	b := &Board{
 		Settings: s, Number: request.HostNumber(s.Host), Incarnation: uint64(time.Now().UnixMilli()),
-		Config: newConfigTable(inv), Evacuations: new(EvacuationTable), Domains: newDomainTable(s.Domain), Answers: new(Answers), Link: new(LinkDelay), Endpoints: newEndpointTable(),
+		Config: newConfigTable(inv), Evacuations: new(EvacuationTable), Domains: newDomainTable(s.Domain), Answers: new(Answers), Link: new(LinkDelay), Paths: newPathTable(), Endpoints: newEndpointTable(),
 		Regions: newRegionTable(), Requests: newRequestTable(inv),
 		Keys: newKeyTable(), Quotas: quota.NewAccounts(rand.Uint64() << 16), Suspects: quarantine.New(s.Host), Invariant: inv, Wake: newWake(), startedAt: time.Now(),
 		Pause: NewPause(config.Millis(s.PauseMillis)),
--- a/blackboard/domains.go
+++ b/blackboard/domains.go
@@ -18,8 +18,9 @@
 type DomainTable struct {
 	own string
 
-	mu   sync.Mutex
-	rows map[string]*reachability
+	mu       sync.Mutex
+	rows     map[string]*reachability
+	answered map[string]time.Time // by domain: when one of its hosts or endpoints last answered
 }
 
 // reachability holds the unanswered calls to one failure domain since its last answer.
@@ -29,17 +30,20 @@
 }
 
 func newDomainTable(own string) *DomainTable {
-	return &DomainTable{own: own, rows: map[string]*reachability{}}
+	return &DomainTable{own: own, rows: map[string]*reachability{}, answered: map[string]time.Time{}}
 }
 
-// RecordMiss records that a host or endpoint of a domain didn't answer a call. It returns until
-// when the domain counts as cut off, zero if it doesn't, and whether it didn't before.
-func (t *DomainTable) RecordMiss(domain string, number uint32, now time.Time) (until time.Time, changed bool) {
+// RecordMiss records that a host or endpoint of a domain didn't answer a call that began at a given
+// time. The miss doesn't count if another one of the domain answered meanwhile. It returns until when the domain counts as cut off, zero if it doesn't, and whether it didn't before.
+func (t *DomainTable) RecordMiss(domain string, number uint32, began, now time.Time) (until time.Time, changed bool) {
 	if domain == t.own {
 		return time.Time{}, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.answered[domain].After(began) {
+		return time.Time{}, false
+	}
 	r := t.rows[domain]
 	if r == nil {
 		r = &reachability{missed: map[uint32]time.Time{}}
@@ -61,9 +65,10 @@
 
 // RecordAnswer records that a host or endpoint of a domain answered, and reports whether the domain
 // counted as cut off before.
-func (t *DomainTable) RecordAnswer(domain string) bool {
+func (t *DomainTable) RecordAnswer(domain string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.answered[domain] = now
 	r := t.rows[domain]
 	if r == nil {
 		return false
@@ -93,10 +98,10 @@
 	return out
 }
 
-// RecordMiss records that a host or endpoint of a failure domain didn't answer a call, and reports
-// whether the domain counts as cut off from now on.
-func (b *Board) RecordMiss(domain string, number uint32, now time.Time) (changed bool) {
-	until, changed := b.Domains.RecordMiss(domain, number, now)
+// RecordMiss records that a host or endpoint of a failure domain didn't answer a call that began at a
+// given time, and reports whether the domain counts as cut off from now on.
+func (b *Board) RecordMiss(domain string, number uint32, began, now time.Time) (changed bool) {
+	until, changed := b.Domains.RecordMiss(domain, number, began, now)
 	if !until.IsZero() {
 		b.Endpoints.SetCutOff(domain, until)
 	}
@@ -106,7 +111,7 @@
 // RecordAnswer records that a host or endpoint of a failure domain answered a call, and reports
 // whether the domain counted as cut off until now.
 func (b *Board) RecordAnswer(domain string) (changed bool) {
-	changed = b.Domains.RecordAnswer(domain)
+	changed = b.Domains.RecordAnswer(domain, time.Now())
 	if changed {
 		b.Endpoints.SetCutOff(domain, time.Time{})
 	}
--- a/blackboard/endpoints.go
+++ b/blackboard/endpoints.go
@@ -95,6 +95,14 @@
 	t.fleet.SetCutOff(domain, until, time.Now())
 }
 
+// SetNoPath excludes the endpoints at an address until a time, as neither this host nor another one
+// reaches them; the zero time includes them again.
+func (t *EndpointTable) SetNoPath(address string, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fleet.SetNoPath(address, until)
+}
+
 // SetOwn records whether this host owns an endpoint.
 func (t *EndpointTable) SetOwn(number uint32, own bool) {
 	t.mu.Lock()
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -32,16 +32,28 @@
 
 	requestClient *http.Client // requests and answers
 	controlClient *http.Client // control calls, on connections of their own
+	orderClient   *http.Client // orders
 }
 
-// NewClient returns a client. A nil dial uses TCP.
-func NewClient(dial Dial) *Client {
+// dialTimeout bounds an attempt to connect by DefaultDial.
+const dialTimeout = 2 * time.Second
+
+// DefaultDial returns a dial function over TCP.
+func DefaultDial() Dial { return (&net.Dialer{Timeout: dialTimeout}).DialContext }
+
+// NewClient returns a client that connects by dial, and for orders by orderDial. A nil dial uses TCP,
+// a nil orderDial is dial.
+func NewClient(dial, orderDial Dial) *Client {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
+		dial = DefaultDial()
+	}
+	if orderDial == nil {
+		orderDial = dial
 	}
 	c := new(Client)
 	c.requestClient = newHTTP(WatchedDial(dial))
 	c.controlClient = newHTTP(Dial(meter.Counted(meter.Dial(dial), &c.Control)))
+	c.orderClient = newHTTP(Dial(meter.Counted(meter.Dial(orderDial), &c.Control)))
 	return c
 }
 
@@ -59,6 +71,7 @@
 func (c *Client) CloseIdle() {
 	c.requestClient.CloseIdleConnections()
 	c.controlClient.CloseIdleConnections()
+	c.orderClient.CloseIdleConnections()
 }
 
 // do sends a request that may change something. It sets neither GetBody nor an idempotency
@@ -206,7 +219,7 @@
 }
 
 // controlCall gets or posts a small JSON document.
-func (c *Client) controlCall(ctx context.Context, method, addr, path string, in, out any) error {
+func (c *Client) controlCall(ctx context.Context, hc *http.Client, method, addr, path string, in, out any) error {
 	var body []byte
 	if in != nil {
 		var err error
@@ -214,7 +227,7 @@
 			return errors.Wrap(err, path)
 		}
 	}
-	res, err := c.do(ctx, c.controlClient, method, addr, path, nil, body)
+	res, err := c.do(ctx, hc, method, addr, path, nil, body)
 	if err != nil {
 		return err
 	}
@@ -235,13 +248,13 @@
 // State implements Engine.
 func (c *Client) State(ctx context.Context, addr string) (*State, error) {
 	s := new(State)
-	return s, c.controlCall(ctx, http.MethodGet, addr, PathState, nil, s)
+	return s, c.controlCall(ctx, c.controlClient, http.MethodGet, addr, PathState, nil, s)
 }
 
 // Requests implements Engine.
 func (c *Client) Requests(ctx context.Context, addr string) ([]Running, error) {
 	var l RunningList
-	err := c.controlCall(ctx, http.MethodGet, addr, PathRequests, nil, &l)
+	err := c.controlCall(ctx, c.controlClient, http.MethodGet, addr, PathRequests, nil, &l)
 	return l.Requests, err
 }
 
@@ -251,16 +264,16 @@
 
 // Abort implements Engine.
 func (c *Client) Abort(ctx context.Context, addr, id string) error {
-	return c.controlCall(ctx, http.MethodPost, addr, PathAbort, Abort{ID: id}, nil)
+	return c.controlCall(ctx, c.controlClient, http.MethodPost, addr, PathAbort, Abort{ID: id}, nil)
 }
 
 // CacheEvents implements Engine.
 func (c *Client) CacheEvents(ctx context.Context, addr string, after uint64) (*CacheEvents, error) {
 	e := new(CacheEvents)
-	return e, c.controlCall(ctx, http.MethodGet, addr, fmt.Sprintf("%s?after=%d", PathCacheEvents, after), nil, e)
+	return e, c.controlCall(ctx, c.controlClient, http.MethodGet, addr, fmt.Sprintf("%s?after=%d", PathCacheEvents, after), nil, e)
 }
 
 // Order implements Engine. An order refused for its fence is a CallError with status 409.
 func (c *Client) Order(ctx context.Context, addr string, o Order) error {
-	return c.controlCall(ctx, http.MethodPost, addr, PathOrders, o, nil)
+	return c.controlCall(ctx, c.orderClient, http.MethodPost, addr, PathOrders, o, nil)
 }
--- a/endpoint/client_test.go
+++ b/endpoint/client_test.go
@@ -61,7 +61,7 @@
 			defer l.Close()
 			f := new(flakyServer)
 			go f.serve(l)
-			c := NewClient(nil)
+			c := NewClient(nil, nil)
 			defer c.CloseIdle()
 			call := Call{Address: l.Addr().String(), Attempt: "1-1-1.1"}
 			body := []byte("notice")
--- a/endpoint/connect_test.go
+++ b/endpoint/connect_test.go
@@ -19,11 +19,11 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			connected := 0
-			c := NewConnecting(func(bool) { connected++ })
+			c := NewConnecting(func(Connected) { connected++ })
 			near, far := net.Pipe()
 			defer far.Close()
 			dial := WatchedDial(func(context.Context, string, string) (net.Conn, error) {
-				if tc.endsFirst && !c.End() {
+				if tc.endsFirst && !c.End(ErrGivenUp) {
 					t.Error("End reports that there is a connection")
 				}
 				return near, nil
@@ -33,7 +33,7 @@
 			if (err == nil) != tc.wantConnect {
 				t.Fatalf("dial returned %v, %v", conn, err)
 			}
-			if !tc.endsFirst && c.End() {
+			if !tc.endsFirst && c.End(ErrGivenUp) {
 				t.Error("End reports that there is no connection")
 			}
 			if (connected == 1) != tc.wantConnect {
@@ -45,9 +45,9 @@
 
 // TestConnectingEndsDial ends an attempt whose dial doesn't return by itself.
 func TestConnectingEndsDial(t *testing.T) {
-	c := NewConnecting(func(bool) { t.Error("a connection was reported") })
+	c := NewConnecting(func(Connected) { t.Error("a connection was reported") })
 	dial := WatchedDial(func(ctx context.Context, _, _ string) (net.Conn, error) {
-		go c.End()
+		go c.End(ErrGivenUp)
 		<-ctx.Done()
 		return nil, ctx.Err()
 	})
--- a/endpoint/error.go
+++ b/endpoint/error.go
@@ -79,6 +79,13 @@
 	return errors.As(err, &ce) && ce.Status == 0 && !ce.MayHaveRun
 }
 
+// KnownUnreachable reports whether err means that no connection was tried, as the endpoint is known to
+// be out of reach.
+func KnownUnreachable(err error) bool {
+	var noPath *NoPathError
+	return errors.As(err, &noPath) && noPath.Known
+}
+
 // ConnectTimedOut reports whether err means that an attempt to connect timed out. An address
 // whose process is gone refuses connections instead.
 func ConnectTimedOut(err error) bool {
--- a/entry/barred.go
+++ b/entry/barred.go
@@ -148,6 +148,8 @@
 		return result.Errorf(reasonCode(mainReason), "no %s is open: %s", what, mainReason).After(e.permitRetryAfter(numbers))
 	case route.ReasonConnections:
 		return result.Errorf(result.TooLate, "no %s is open: %s", what, mainReason).After(e.fullRetryAfter(numbers))
+	case route.ReasonDown, route.ReasonNoPath:
+		return result.Errorf(result.NoEndpoint, "no %s is open: %s", what, mainReason).After(time.Second)
 	case route.ReasonRegionNotAllowed:
 		return result.Errorf(result.NoHome, "no %s is open: %s", what, mainReason).After(time.Second)
 	}
--- a/entry/connect.go
+++ b/entry/connect.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/route"
@@ -38,12 +40,15 @@
 
 // connectAndCall makes a call to an endpoint through f, which passes on the call that it is given.
 // The call fails with a connectError if the endpoint is unreachable.
-func connectAndCall[T any](ctx context.Context, e *Entry, spec *config.Endpoint, call endpoint.Call, f func(endpoint.Call) (T, error)) (T, error) {
+func connectAndCall[T any](ctx context.Context, e *Entry, j *job, spec *config.Endpoint, call endpoint.Call, f func(endpoint.Call) (T, error)) (T, error) {
 	for redials := 0; ; redials++ {
 		w := e.watchConnecting(ctx, spec)
 		call.Connecting = w.connecting
 		answer, err := f(call)
-		check := w.stop()
+		check, gateway := w.stop()
+		if gateway != "" {
+			e.logTunnel(j, spec, gateway)
+		}
 		switch {
 		case check == nil || ctx.Err() != nil:
 			return answer, err
@@ -62,8 +67,9 @@
 	cancel     context.CancelFunc
 	timer      *time.Timer
 
-	mu    sync.Mutex
-	ended *livenessCheck // why the attempt was ended; nil: it wasn't
+	mu      sync.Mutex
+	ended   *livenessCheck // why the attempt was ended; nil: it wasn't
+	gateway string         // the host that passes the connection on; empty: none
 }
 
 // watchConnecting watches an attempt to connect that begins now.
@@ -71,12 +77,15 @@
 	w, began, at := &connectWatch{entry: e}, time.Now(), e.crashes.process(spec)
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	w.timer = time.AfterFunc(connectCheckAfter, func() { w.check(at) })
-	w.connecting = endpoint.NewConnecting(func(isNew bool) {
+	w.connecting = endpoint.NewConnecting(func(c endpoint.Connected) {
 		w.timer.Stop()
 		w.cancel()
-		if isNew {
-			now := time.Now()
+		w.setGateway(c.Gateway)
+		if c.New {
 			e.board.Answers.Record(began)
+		}
+		if c.New && c.Gateway == "" {
+			now := time.Now()
 			e.board.Link.Record(now, now.Sub(began))
 		}
 	})
@@ -94,22 +103,37 @@
 		if !known && !othersAnswer && !answers.CutOff(time.Now()) {
 			continue
 		}
+		cause := endpoint.ErrGivenUp
+		if check.answered {
+			cause = errOtherAccepted
+		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if w.ctx.Err() == nil && w.connecting.End() {
+		if w.ctx.Err() == nil && w.connecting.End(cause) {
 			w.ended = &check
 		}
 		return
 	}
 }
 
-// stop ends the watch. It returns why the attempt to connect was ended, or nil if it wasn't.
-func (w *connectWatch) stop() *livenessCheck {
+// errOtherAccepted ends an attempt to connect to an endpoint that accepts other connections.
+var errOtherAccepted = errors.New("the endpoint accepts other connections")
+
+// setGateway records the host that passes the connection on.
+func (w *connectWatch) setGateway(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gateway = name
+}
+
+// stop ends the watch. It returns why the attempt to connect was ended, or nil if it wasn't, and the
+// host that passes the connection on, if any.
+func (w *connectWatch) stop() (ended *livenessCheck, gateway string) {
 	w.timer.Stop()
 	w.cancel()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.ended
+	return w.ended, w.gateway
 }
 
 // maxWitnesses is how many endpoints are asked whether they answer this host.
--- a/entry/emptied_test.go
+++ b/entry/emptied_test.go
@@ -73,7 +73,7 @@
 		v := b.Config.View()
 		b.Endpoints.ApplyView(v)
 		owners := &evacuatingOwners{domain: "a"}
-		e := New(b, endpoint.NewClient(nil), owners, report.NewRecorder(), zap.NewNop())
+		e := New(b, endpoint.NewClient(nil, nil), owners, report.NewRecorder(), zap.NewNop())
 		j := promptedJob(e, v, defaultTeam)
 		j.reply = &passthrough{}
 		p, err := e.place(t.Context(), j)
--- a/entry/job.go
+++ b/entry/job.go
@@ -60,6 +60,7 @@
 	phases         [5]time.Duration // for the log: time since arrived at the end of each phase
 	prefillName    string
 	decodeName     string
+	gateway        string           // the host that passed on the connection of its last call over a tunnel; empty: none
 	lastFailure    *endpoint.Answer // failure that an endpoint answered with
 	next           *nextTry         // prepared next try; nil: none
 	opened         *openedCall      // the next decode call, if it is made already; nil: it isn't
--- a/entry/lines.go
+++ b/entry/lines.go
@@ -106,7 +106,7 @@
 		zap.Int("verdict", int(v)), zap.Duration("ttft", o.TTFT), zap.Duration("tpot", o.TPOT), zap.Int("prompt_tokens", j.tokens),
 		zap.Int("answer_tokens", o.Tokens), zap.Int("attempts", o.Attempts), zap.Int("tries", j.tries), zap.Int("reads", j.prefillCalls),
 		zap.Int("sends", j.decodeCalls), zap.Duration("retry_after", err.RetryAfter), zap.String("no_retry", j.noRetry), zap.Duration("took", time.Since(j.arrived)), zap.String("regions", j.regionLog), zap.String("prefill", j.prefillName),
-		zap.String("decode", j.decodeName), zap.Durations("phases", j.phases[:]), zap.Int("wasted_tokens", o.Wasted),
+		zap.String("decode", j.decodeName), zap.Durations("phases", j.phases[:]), zap.String("gateway", j.gateway), zap.Int("wasted_tokens", o.Wasted),
 		zap.Uint64("lines_left_out", lost))
 }
 
@@ -130,6 +130,17 @@
 		zap.String("error", err.Error()), zap.Uint64("lines_left_out", lost))
 }
 
+// logTunnel logs that a call is made by way of another host.
+func (e *Entry) logTunnel(j *job, spec *config.Endpoint, gateway string) {
+	j.gateway = gateway
+	ok, lost := e.logLimiter.admit(time.Now(), &j.logged, false)
+	if !ok {
+		return
+	}
+	e.log.Info("connected by way of another host", zap.Stringer("id", j.id), zap.String("caller_id", j.callerID()), zap.String("endpoint", spec.Name),
+		zap.String("address", spec.Address), zap.String("gateway", gateway), zap.Uint64("lines_left_out", lost))
+}
+
 // logRefused logs that an owner granted no capacity, with the age of the digest that the
 // choice was based on.
 func (e *Entry) logRefused(j *job, spec *config.Endpoint, phase string, refusal *result.Error, age time.Duration) {
--- a/entry/lines_test.go
+++ b/entry/lines_test.go
@@ -100,7 +100,7 @@
 		t.Fatal(err)
 	}
 	core, logs := observer.New(zap.InfoLevel)
-	e := New(b, endpoint.NewClient(nil), &stubOwners{}, report.NewRecorder(), zap.New(core))
+	e := New(b, endpoint.NewClient(nil, nil), &stubOwners{}, report.NewRecorder(), zap.New(core))
 	rec := httptest.NewRecorder()
 	q := httptest.NewRequest(http.MethodGet, "/nowhere", nil)
 	q.Host = "elsewhere"
--- a/entry/opened.go
+++ b/entry/opened.go
@@ -25,7 +25,7 @@
 	c := &openedCall{began: time.Now(), run: e.beginRun(j, spec, quarantine.Running)}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	var err error
-	c.stream, err = e.callDecode(c.ctx, spec, e.newCall(j, spec, attempt), work)
+	c.stream, err = e.callDecode(c.ctx, j, spec, e.newCall(j, spec, attempt), work)
 	if err != nil {
 		c.cancel()
 		e.endCall(ctx, j, spec, c, 0, err)
@@ -35,8 +35,8 @@
 }
 
 // callDecode makes a decode call, up to the beginning of its answer.
-func (e *Entry) callDecode(ctx context.Context, spec *config.Endpoint, call endpoint.Call, work *endpoint.Work) (endpoint.Stream, error) {
-	return connectAndCall(ctx, e, spec, call, func(call endpoint.Call) (endpoint.Stream, error) {
+func (e *Entry) callDecode(ctx context.Context, j *job, spec *config.Endpoint, call endpoint.Call, work *endpoint.Work) (endpoint.Stream, error) {
+	return connectAndCall(ctx, e, j, spec, call, func(call endpoint.Call) (endpoint.Stream, error) {
 		return e.engine.Decode(ctx, call, work)
 	})
 }
--- a/entry/place_test.go
+++ b/entry/place_test.go
@@ -159,7 +159,7 @@
 	}
 	v := b.Config.View()
 	b.Endpoints.ApplyView(v)
-	e := New(b, endpoint.NewClient(nil), stub, report.NewRecorder(), zap.NewNop())
+	e := New(b, endpoint.NewClient(nil, nil), stub, report.NewRecorder(), zap.NewNop())
 	j := promptedJob(e, v, defaultTeam)
 	j.reply = &passthrough{}
 	return e, j
--- a/entry/read.go
+++ b/entry/read.go
@@ -89,7 +89,7 @@
 // try is prepared.
 func (e *Entry) callPrefill(ctx context.Context, j *job, p *plan) (*endpoint.PrefillAnswer, error) {
 	prefill := func(ctx context.Context) (*endpoint.PrefillAnswer, error) {
-		return connectAndCall(ctx, e, p.prefillSpec, e.newCall(j, p.prefillSpec, p.prefillAttempt), func(call endpoint.Call) (*endpoint.PrefillAnswer, error) {
+		return connectAndCall(ctx, e, j, p.prefillSpec, e.newCall(j, p.prefillSpec, p.prefillAttempt), func(call endpoint.Call) (*endpoint.PrefillAnswer, error) {
 			return e.engine.Prefill(ctx, call, j.work)
 		})
 	}
@@ -167,6 +167,9 @@
 	if err != nil && ctx.Err() != nil {
 		return // the caller left, or its deadline passed
 	}
+	if endpoint.KnownUnreachable(err) {
+		return // nothing was tried
+	}
 	outcome := route.OutcomeCompleted
 	switch {
 	case err == nil:
@@ -183,7 +186,7 @@
 	switch {
 	case endpoint.Answered(err) && e.board.RecordAnswer(spec.Domain):
 		e.log.Info("failure domain back", zap.String("domain", spec.Domain), zap.String("heard", spec.Name))
-	case endpoint.ConnectTimedOut(err) && e.board.RecordMiss(spec.Domain, number, now):
+	case endpoint.ConnectTimedOut(err) && e.board.Paths.SilenceConclusive(spec.Address, now.Add(-took)) && e.board.RecordMiss(spec.Domain, number, now.Add(-took), now):
 		e.log.Warn("failure domain cut off", zap.String("domain", spec.Domain), zap.String("silent", spec.Name))
 	}
 }
@@ -240,7 +243,7 @@
 
 // callFailure makes a retryable of a call that failed at an endpoint.
 func (e *Entry) callFailure(spec *config.Endpoint, err error) *retryable {
-	r := &retryable{endpointName: spec.Name, mayHaveRun: endpoint.MayHaveRun(err)}
+	r := &retryable{endpointName: spec.Name, mayHaveRun: endpoint.MayHaveRun(err), notSent: endpoint.KnownUnreachable(err)}
 	if r.mayHaveRun {
 		r.refusal = result.Errorf(result.AnswerBroken, "%s broke off the request", spec.Name).After(time.Second)
 		return r
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -85,7 +85,7 @@
 		if p.replica != nil {
 			work.ReplicaAddress = p.replica.spec.Address
 		}
-		if c.stream, err = e.callDecode(limited, p.decodeSpec, e.newCall(j, p.decodeSpec, p.decodeAttempt), work); err != nil {
+		if c.stream, err = e.callDecode(limited, j, p.decodeSpec, e.newCall(j, p.decodeSpec, p.decodeAttempt), work); err != nil {
 			j.keepFailure(err)
 			return err
 		}
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -73,6 +73,9 @@
 	case err != nil: // the owner is unreachable: the engine's own admission decides
 		p.transferStart = now.Add(prefillIn)
 		return nil
+	case reply.Code == result.NoEndpoint:
+		e.board.Requests.Close(a.Attempt)
+		return result.Errorf(reply.Code, "%s is %s", p.decodeSpec.Name, route.ReasonDown).After(time.Duration(reply.Retry) * time.Millisecond)
 	case reply.Code != result.OK:
 		e.board.Requests.Close(a.Attempt)
 		return result.Errorf(reply.Code, "no decode memory on %s in time", p.decodeSpec.Name).After(time.Duration(reply.Retry) * time.Millisecond)
--- a/entry/service.go
+++ b/entry/service.go
@@ -199,7 +199,7 @@
 		e.recordCall(ctx, j, spec, blackboard.PhaseService, err, time.Since(began))
 		e.endRun(ctx, j, r, 0, err)
 	}()
-	ans, err := connectAndCall(ctx, e, spec, e.newCall(j, spec, a), func(call endpoint.Call) (*endpoint.Answer, error) {
+	ans, err := connectAndCall(ctx, e, j, spec, e.newCall(j, spec, a), func(call endpoint.Call) (*endpoint.Answer, error) {
 		return e.engine.Service(ctx, call, j.work)
 	})
 	if err != nil {
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/quarantine"
@@ -216,6 +217,8 @@
 		case evidence != quarantine.EvidenceNone:
 			c.answered = true
 			return c
+		case e.board.Paths.State(at.address, time.Now()) == blackboard.PathNone:
+			c.unanswered++
 		case conclusive && time.Since(began) < reportTimeout+maxTimerDelay:
 			c.unanswered++
 		}
@@ -234,9 +237,12 @@
 	defer cancel()
 	began := time.Now()
 	st, err := e.engine.State(limited, at.address)
+	var noPath *endpoint.NoPathError
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return quarantine.EvidenceRefused, 0
+	case errors.As(err, &noPath):
+		return quarantine.EvidenceNone, 0
 	case limited.Err() != nil:
 		return quarantine.EvidenceNone, 0
 	}
--- a/entry/write.go
+++ b/entry/write.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/internal/wait"
 	"github.com/embercove/embercove/owner"
@@ -275,6 +276,8 @@
 		switch {
 		case budgetSpent:
 			return result.Errorf(result.RetryBudget, "the retry budget is spent; %s refused the request after the prefill", spec.Name).After(time.Second)
+		case endpoint.Unreachable(err) && e.hasNoPath(spec):
+			return result.Errorf(result.NoEndpoint, "neither this host nor another one reaches %s after the prefill, and no other decode engine is open", spec.Name).After(time.Second)
 		case endpoint.Unreachable(err):
 			return result.Errorf(result.NoEndpoint, "%s accepted no connection after the prefill, and no other decode engine is open", spec.Name).After(time.Second)
 		}
@@ -298,3 +301,8 @@
 func (s *stallError) Error() string {
 	return fmt.Sprintf("no progress in %s for %s, %s", s.phase, s.silent.Round(time.Millisecond), s.check)
 }
+
+// hasNoPath reports whether neither this host nor another one reaches an endpoint.
+func (e *Entry) hasNoPath(spec *config.Endpoint) bool {
+	return e.board.Paths.State(spec.Address, time.Now()) == blackboard.PathNone
+}
--- a/meter/purpose.go
+++ b/meter/purpose.go
@@ -17,12 +17,13 @@
 	Quotas                       // quotas of teams
 	Keys                         // idempotency keys
 	Pings                        // liveness probes
+	Tunnels                      // requests for tunnels; what passes through them isn't counted
 	purposeCount
 )
 
 // String returns the value of the metric label.
 func (p Purpose) String() string {
-	return [purposeCount]string{"exchange", "news", "members", "fetch", "owners", "books", "quotas", "keys", "pings"}[p]
+	return [purposeCount]string{"exchange", "news", "members", "fetch", "owners", "books", "quotas", "keys", "pings", "tunnels"}[p]
 }
 
 // Purposes returns all purposes.
--- a/node/admin.go
+++ b/node/admin.go
@@ -167,6 +167,7 @@
 		}
 		req.Group = fleet.Group(r, "")
 		ex.Candidates = fleet.Explain(&req)
+		n.explainPaths(fleet, ex.Candidates, req.Now)
 		ex.Regions = entry.ExplainRegions(n.Board, v, req, hosts)
 		c := fleet.Pick(&req)
 		if c.Prefill == nil {
--- a/node/drain.go
+++ b/node/drain.go
@@ -17,7 +17,7 @@
 const shutdownReserve = 1250 * time.Millisecond
 
 // Drain performs a planned stop: the node reports that it isn't ready, hands over
-// the endpoints that it owns, waits for requests in progress and then stops. It
+// the endpoints that it owns, waits for requests in progress and for tunnels of other hosts, and then stops. It
 // returns how many requests were cut off, which is 0 unless the time ran out:
 // drain_s, or stop_grace_s where that is set.
 func (n *Node) Drain() int {
@@ -35,7 +35,7 @@
 	n.Owner.HandOverAll(ctx)
 	<-ctx.Done() // meanwhile the load balancer and the peers stop sending requests here
 	cancel()
-	for time.Now().Before(deadline) && n.Board.Requests.Len()+n.Owner.QueuedRequests() > 0 {
+	for time.Now().Before(deadline) && n.Board.Requests.Len()+n.Owner.QueuedRequests()+n.gateway.Active() > 0 {
 		if time.Now().After(refuseAt) {
 			n.Board.SetDraining()
 		}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -130,7 +131,7 @@
 }
 
 func registerMetrics(n *Node, meter metric.Meter) error {
-	for _, g := range append(gauges(n), evacuationGauges(n)...) {
+	for _, g := range slices.Concat(gauges(n), evacuationGauges(n), pathGauges(n)) {
 		cb := func(_ context.Context, o metric.Float64Observer) error {
 			o.Observe(g.read())
 			return nil
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/embercove/embercove/publish"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/result"
+	"github.com/embercove/embercove/tunnel"
 )
 
 // Node is an entry host.
@@ -38,6 +39,10 @@
 	settings      *config.Settings
 	Client        *endpoint.Client // speaks embercove's own protocol
 	engine        endpoint.Engine
+	newEngine     func(dial, orderDial endpoint.Dial) endpoint.Engine // nil: Client speaks to engines
+	engineDial    endpoint.Dial                                       // over this host's own link
+	tunnels       *tunnel.Dialer
+	gateway       *tunnel.Gateway // for other hosts
 	feed          publish.Feed
 	newHandler    func(e *entry.Entry) http.Handler
 	storeTraffic  *meter.Traffic  // with the store that feed reads
@@ -83,7 +88,10 @@
 // Protocol replaces embercove's own protocols with engines, the platform and
 // callers.
 type Protocol struct {
-	Engine       endpoint.Engine
+	// NewEngine returns an engine that connects by dial, and for orders by orderDial: orders come from
+	// this host itself.
+	NewEngine    func(dial, orderDial endpoint.Dial) endpoint.Engine
+	Dial         endpoint.Dial // connects to endpoints over this host's own link
 	Feed         publish.Feed
 	StoreTraffic *meter.Traffic                    // with the platform's store
 	NewHandler   func(e *entry.Entry) http.Handler // the callers' interface
@@ -92,7 +100,7 @@
 // WithProtocol makes the node speak p instead of embercove's own protocols.
 func WithProtocol(p Protocol) Option {
 	return func(n *Node) {
-		n.engine, n.feed, n.newHandler, n.storeTraffic = p.Engine, p.Feed, p.NewHandler, p.StoreTraffic
+		n.newEngine, n.engineDial, n.feed, n.newHandler, n.storeTraffic = p.NewEngine, p.Dial, p.Feed, p.NewHandler, p.StoreTraffic
 	}
 }
 
@@ -114,12 +122,10 @@
 	}
 	n.log = n.log.With(zap.String("host", s.Host))
 	n.Board.Invariant.Log = n.log
-	n.Client = endpoint.NewClient(n.dial)
-	if n.engine == nil {
-		n.engine = n.Client
-	}
+	n.connectEngine()
 	n.Owner = owner.New(n.Board, n.engine, n.log)
 	n.Router = peer.NewRouter(n.Board, n.Owner, peer.Dial(n.dial), n.log)
+	n.Router.Tunnels, n.Router.TunnelDial = n.gateway, peer.Dial(n.engineDial)
 	n.entry = entry.New(n.Board, n.engine, n.Router, n.Recorder, n.log)
 	n.entry.ReplicaPolicy = n.replicaPolicy
 	if n.feed == nil {
@@ -134,11 +140,37 @@
 	}
 	n.metrics = m
 	n.Router.OnAccepted, n.Router.OnEvacuated = func(v *config.View) { n.Recorder.SetTargets(v.Doc.Targets) }, n.Owner.RefuseEvacuated
-	n.pool = blackboard.NewPool(n.Board, n.Router.Flusher(), n.Owner.Poller(), n.Router.Exchanger(), n.Router.Watcher(), n.Router.KeySweeper(), n.Router.Seeder(), n.Router.RegistrationExpirer(), n.Router.RecoveryChecker(), n.Owner.Balancer(), n.Owner.VoteController(), n.Router.Settler(), n.Router.MarksSweeper(), n.processLogger())
+	n.pool = blackboard.NewPool(n.Board, n.Router.Flusher(), n.Owner.Poller(), n.Router.Exchanger(), n.Router.Watcher(), n.Router.KeySweeper(), n.Router.Seeder(), n.Router.RegistrationExpirer(), n.Router.RecoveryChecker(), n.Owner.Balancer(), n.Owner.VoteController(), n.Router.Settler(), n.Router.MarksSweeper(), n.tunnels.Prober(), n.processLogger())
 	n.Board.Pause.OnWake(n.dropStaleState)
 	return n, nil
 }
 
+// connectEngine makes the engine and what connects it to endpoints.
+func (n *Node) connectEngine() {
+	if n.engineDial == nil {
+		n.engineDial = n.dial
+	}
+	if n.engineDial == nil {
+		n.engineDial = endpoint.DefaultDial()
+	}
+	n.gateway = tunnel.NewGateway(n.Board, n.engineDial)
+	n.tunnels = tunnel.NewDialer(n.Board, n.engineDial, tunnelOpener{n}, n.log)
+	n.Client = endpoint.NewClient(n.tunnels.Dial, n.engineDial)
+	n.engine = n.Client
+	if n.newEngine != nil {
+		n.engine = n.newEngine(n.tunnels.Dial, n.engineDial)
+	}
+	n.tunnels.OnChange = n.engine.CloseIdle // idle connections take the path that was left
+}
+
+// tunnelOpener opens tunnels by the node's router, which is made after the engine.
+type tunnelOpener struct{ n *Node }
+
+// OpenTunnel implements tunnel.Opener.
+func (o tunnelOpener) OpenTunnel(ctx context.Context, h blackboard.Host, q tunnel.Request) (net.Conn, tunnel.Reply, error) {
+	return o.n.Router.OpenTunnel(ctx, h, q)
+}
+
 // dropStaleState discards state that may have become outdated while the process was
 // paused. The owner drops its schedulers itself.
 func (n *Node) dropStaleState(now time.Time) {
--- a/node/status.go
+++ b/node/status.go
@@ -22,6 +22,7 @@
 	Hosts              []HostStatus            `json:"hosts"`
 	Endpoints          []EndpointStatus        `json:"endpoints"`
 	Evacuations        []EvacuationStatus      `json:"evacuations,omitempty"`
+	Paths              EndpointPaths           `json:"paths"`
 	Quotas             []QuotaStatus           `json:"quotas"`
 	Regions            []RegionStatus          `json:"regions,omitempty"` // remote ones
 	Totals             report.Totals           `json:"sum"`
@@ -86,6 +87,7 @@
 	for name, c := range n.Board.Invariant.Counts() {
 		s.BrokenInvariants[string(name)] = c
 	}
+	s.Paths = n.pathStatus(now)
 	for _, h := range n.Board.Hosts.List() {
 		s.Hosts = append(s.Hosts, HostStatus{h.Name, h.Domain, n.Board.Hosts.Live(h, now), h.Leaving, h.Unconfirmed, now.Sub(h.HeartbeatAt).Seconds()})
 	}
@@ -134,6 +136,8 @@
 		return "down"
 	case f&route.FlagWrongState != 0:
 		return "being ordered"
+	case time.Now().Before(st.NoPathUntil):
+		return "no path"
 	case st.IsBackingOff(time.Now()):
 		return "resting"
 	case st.IsCold(time.Now()):
--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -59,7 +59,7 @@
 	b.Hosts.Learn(blackboard.Host{Name: other, Number: request.HostNumber(other), Domain: "d", Region: "r", Peers: "127.0.0.1:2",
 		Incarnation: 1, Heartbeat: 1}, at(0))
 	b.Hosts.ResetSilence(at(0).AddDate(100, 0, 0))
-	return New(b, endpoint.NewClient(nil), zap.NewNop())
+	return New(b, endpoint.NewClient(nil, nil), zap.NewNop())
 }
 
 // TestInherit checks that a new owner of an engine that allocates memory while it decodes gets
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -187,8 +187,8 @@
 	if err == nil {
 		o.board.Answers.Record(began)
 	}
-	if isSilence(ctx, err) && !conclusive {
-		return // nobody answers this host
+	if err != nil && !o.isConclusive(ctx, sched, err, conclusive, began) {
+		return
 	}
 	sched.mu.Lock()
 	if err != nil {
@@ -228,6 +228,16 @@
 	o.correctState(ctx, sched, st)
 }
 
+// isConclusive reports whether a failed poll says something of the endpoint, and not of this host or its
+// links.
+func (o *Owner) isConclusive(ctx context.Context, sched *Scheduler, err error, othersAnswer bool, began time.Time) bool {
+	var noPath *endpoint.NoPathError
+	if errors.As(err, &noPath) {
+		return noPath.Confirmed
+	}
+	return !isSilence(ctx, err) || othersAnswer && o.board.Paths.SilenceConclusive(sched.spec.Address, began)
+}
+
 // isSilence reports whether a call failed because nothing arrived in time.
 func isSilence(ctx context.Context, err error) bool {
 	var timeout net.Error
--- a/owner/starts_test.go
+++ b/owner/starts_test.go
@@ -28,7 +28,7 @@
 	if _, err := b.Config.Offer(1, []byte(poolDocument)); err != nil {
 		t.Fatal(err)
 	}
-	o := New(b, endpoint.NewClient(nil), zap.NewNop())
+	o := New(b, endpoint.NewClient(nil, nil), zap.NewNop())
 	row := config.Endpoint{Name: "e", Address: "127.0.0.1:9", Domain: "d", Pool: "p", Role: config.Decode, ColdPerSecond: 21, ColdMillis: 60_000}
 	if _, err := o.board.Config.OfferRoster((&config.RosterList{Revision: 2, Endpoints: []config.Endpoint{row}}).Roster(), time.Now()); err != nil {
 		t.Fatal(err)
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -127,7 +127,16 @@
 // serverCodec is the answering end of a connection.
 type serverCodec struct {
 	*wire
-	method string // of the request being read
+	method string       // of the request being read
+	first  *rpc.Request // read ahead; nil: none
+}
+
+// readFirst reads the header of the first request.
+func (c *serverCodec) readFirst() (*rpc.Request, error) {
+	first := new(rpc.Request)
+	err := c.ReadRequestHeader(first)
+	c.first = first
+	return first, err
 }
 
 // WriteResponse implements rpc.ServerCodec. It closes the connection if the response can't be
@@ -146,6 +155,10 @@
 
 // ReadRequestHeader implements rpc.ServerCodec.
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	if c.first != nil {
+		*r, c.first = *c.first, nil
+		return nil
+	}
 	err := c.dec.Decode(r)
 	c.method = r.ServiceMethod
 	return err
@@ -174,6 +187,8 @@
 		return meter.Keys
 	case methodPing:
 		return meter.Pings
+	case methodTunnel:
+		return meter.Tunnels
 	case methodStanding:
 		return meter.Announcements
 	}
--- a/peer/helpers_test.go
+++ b/peer/helpers_test.go
@@ -28,7 +28,7 @@
 		dial = func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }
 	}
 	b := blackboard.New(s)
-	return NewRouter(b, owner.New(b, endpoint.NewClient(nil), zap.NewNop()), dial, zap.NewNop())
+	return NewRouter(b, owner.New(b, endpoint.NewClient(nil, nil), zap.NewNop()), dial, zap.NewNop())
 }
 
 // informedRouter returns the router of a host that has revision 1 and roster 1.
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -30,6 +30,7 @@
 	methodMarks     = "P.Marks"
 	methodTrial     = "P.Trial"
 	methodTrialDone = "P.TrialDone"
+	methodTunnel    = "P.Tunnel"
 )
 
 // Heartbeat is a host's heartbeat, as hosts forward it.
--- a/peer/pool_test.go
+++ b/peer/pool_test.go
@@ -122,7 +122,7 @@
 					go srv.ServeConn(far)
 					return near, nil
 				}
-				r := NewRouter(b, owner.New(b, endpoint.NewClient(nil), zap.NewNop()), dial, zap.NewNop())
+				r := NewRouter(b, owner.New(b, endpoint.NewClient(nil, nil), zap.NewNop()), dial, zap.NewNop())
 				began := time.Now()
 				err := r.callWatched(context.Background(), blackboard.Host{Peers: "127.0.0.1:2"}, methodEnqueue, &Nothing{}, &Nothing{}, 5*time.Second, r.timeout())
 				took := time.Since(began)
--- a/peer/quota_test.go
+++ b/peer/quota_test.go
@@ -30,7 +30,7 @@
 		other := fmt.Sprint("h", i)
 		b.Hosts.Learn(blackboard.Host{Name: other, Number: request.HostNumber(other), Domain: "d", Region: "r", Incarnation: 1, Heartbeat: 1, Peers: "127.0.0.1:2"}, time.Now())
 	}
-	return NewRouter(b, owner.New(b, endpoint.NewClient(nil), zap.NewNop()), nil, zap.NewNop())
+	return NewRouter(b, owner.New(b, endpoint.NewClient(nil, nil), zap.NewNop()), nil, zap.NewNop())
 }
 
 // TestSettle reports to each host of a failure domain what another domain admitted. Only the host
--- a/peer/regions_test.go
+++ b/peer/regions_test.go
@@ -40,7 +40,7 @@
 	}
 	b.Endpoints.Learn(route.Digest{Number: route.Number("p")}, now)
 	b.Endpoints.Learn(route.Digest{Number: route.Number("d"), FreeTokens: 900, FreeSlots: 9}, now)
-	return NewRouter(b, owner.New(b, endpoint.NewClient(nil), zap.NewNop()), nil, zap.NewNop())
+	return NewRouter(b, owner.New(b, endpoint.NewClient(nil, nil), zap.NewNop()), nil, zap.NewNop())
 }
 
 // TestSummaries has a host send the summary of its region to a host of another region. That one
--- a/peer/router.go
+++ b/peer/router.go
@@ -17,6 +17,7 @@
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
+	"github.com/embercove/embercove/tunnel"
 )
 
 // Router forwards calls to the owner of an endpoint or the holder of a key, which is this host
@@ -32,6 +33,12 @@
 	// and is set before the router is used.
 	OnEvacuated func(v *config.View)
 
+	// Tunnels passes on connections of other hosts to endpoints. It may be nil, and is set before the
+	// router is used.
+	Tunnels *tunnel.Gateway
+	// TunnelDial opens the connections of tunnels to other hosts. It is set before the router is used.
+	TunnelDial Dial
+
 	board *blackboard.Board
 	owner *owner.Owner
 	pool  *pool
@@ -131,7 +138,8 @@
 
 // noteSilent records that a host didn't respond to a call.
 func (r *Router) noteSilent(h blackboard.Host) {
-	if r.board.RecordMiss(h.Domain, h.Number, time.Now()) {
+	now := time.Now()
+	if r.board.RecordMiss(h.Domain, h.Number, now, now) {
 		r.log.Warn("failure domain cut off", zap.String("domain", h.Domain), zap.String("silent", h.Name))
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -134,7 +134,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			srv.ServeCodec(&serverCodec{wire: newWire(counted(c, &r.Traffic), &r.PurposeTraffic)})
+			r.serveConn(ctx, srv, c)
 			mu.Lock()
 			defer mu.Unlock()
 			delete(open, c)
@@ -142,6 +142,21 @@
 	}
 }
 
+// serveConn answers the calls on a connection. If the first one asks for a tunnel, the connection
+// becomes that.
+func (r *Router) serveConn(ctx context.Context, srv *rpc.Server, c net.Conn) {
+	codec := &serverCodec{wire: newWire(counted(c, &r.Traffic), &r.PurposeTraffic)}
+	first, err := codec.readFirst()
+	switch {
+	case err != nil:
+		codec.Close()
+	case first.ServiceMethod == methodTunnel && r.Tunnels != nil:
+		r.serveTunnel(ctx, c, codec, first)
+	default:
+		srv.ServeCodec(codec)
+	}
+}
+
 // sendOptions selects what to send to another host.
 type sendOptions struct {
 	to          HostIdentity
--- a/route/explain.go
+++ b/route/explain.go
@@ -23,6 +23,8 @@
 	// Limit is the request rate per second that the endpoint names as its limit; nil: none.
 	Limit  *float64 `json:"limit_per_s,omitempty"`
 	Chosen bool     `json:"chosen"`
+	// Path says how this host reaches the endpoint: direct, lost (by way of another host) or none.
+	Path string `json:"path,omitempty"`
 }
 
 // Explain lists every endpoint that the route allows with its cost: prefill before decode, the
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -13,6 +13,7 @@
 type Fleet struct {
 	View       *config.View
 	states     map[uint32]*State
+	addresses  map[string][]uint32  // endpoints by address; another one may take over the address of one that left
 	pools      map[string]*Group    // endpoints of pools
 	routes     map[string]*Group    // endpoints of routes with selectors
 	cutOff     map[string]time.Time // by failure domain: until when it counts as cut off
@@ -44,7 +45,7 @@
 
 // NewFleet returns a fleet for a view; nil: for none yet. Nothing is known of its endpoints.
 func NewFleet(v *config.View) *Fleet {
-	f := &Fleet{cutOff: map[string]time.Time{}, wrongState: map[uint32]bool{}, heads: headIndex{}, sampling: defaultSampling, notices: map[uint32]*Notices{}}
+	f := &Fleet{addresses: map[string][]uint32{}, cutOff: map[string]time.Time{}, wrongState: map[uint32]bool{}, heads: headIndex{}, sampling: defaultSampling, notices: map[uint32]*Notices{}}
 	if v != nil {
 		f.SetView(v, time.Time{})
 	}
@@ -149,6 +150,7 @@
 	before := f.states
 	clear(f.wrongState)
 	clear(f.heads)
+	clear(f.addresses)
 	f.states, f.pools, f.routes = make(map[uint32]*State, f.View.Endpoints.Len()), map[string]*Group{}, map[string]*Group{}
 	for name := range f.View.Pools {
 		f.pools[name] = new(Group)
@@ -158,6 +160,7 @@
 		f.addToLists(f.states[number])
 		f.trackWrongState(f.states[number])
 		f.heads.update(number, nil, f.states[number].Digest.Heads)
+		f.addresses[e.Address] = append(f.addresses[e.Address], number)
 	}
 	for number, s := range before {
 		if f.states[number] == nil {
@@ -190,6 +193,7 @@
 	old := f.states[number]
 	if old != nil {
 		f.removeFromLists(old)
+		f.removeAddress(old)
 		f.heads.update(number, old.Digest.Heads, nil)
 		delete(f.states, number)
 		delete(f.wrongState, number)
@@ -202,6 +206,28 @@
 		f.addToLists(f.states[number])
 		f.trackWrongState(f.states[number])
 		f.heads.update(number, nil, f.states[number].Digest.Heads)
+		f.addresses[e.Address] = append(f.addresses[e.Address], number)
+	}
+}
+
+// removeAddress drops an endpoint from the index by address.
+func (f *Fleet) removeAddress(s *State) {
+	address := s.Spec.Address
+	rest := slices.DeleteFunc(f.addresses[address], func(number uint32) bool { return number == s.Number })
+	if len(rest) == 0 {
+		delete(f.addresses, address)
+		return
+	}
+	f.addresses[address] = rest
+}
+
+// HasAddress reports whether an endpoint has an address.
+func (f *Fleet) HasAddress(address string) bool { return len(f.addresses[address]) > 0 }
+
+// SetNoPath sets until when the endpoints at an address count as out of reach. The zero time ends it.
+func (f *Fleet) SetNoPath(address string, until time.Time) {
+	for s := range f.statesOf(slices.Values(f.addresses[address])) {
+		s.NoPathUntil = until
 	}
 }
 
@@ -249,6 +275,9 @@
 		s.Digest, s.DigestAt = old.Digest, old.DigestAt
 	}
 	s.InFlight, s.Calls, s.UnconfirmedUntil = old.InFlight, old.Calls, old.UnconfirmedUntil
+	if old.Spec.Address == s.Spec.Address {
+		s.NoPathUntil = old.NoPathUntil
+	}
 	s.MaybeColdUntil, s.NoPermitUntil, s.RetryAt = old.MaybeColdUntil, old.NoPermitUntil, old.RetryAt
 	s.Limit, s.LimitedUntil = old.Limit, old.LimitedUntil
 	s.LimitReportedAt, s.LimitAnnouncedAt = old.LimitReportedAt, old.LimitAnnouncedAt
--- a/route/gate.go
+++ b/route/gate.go
@@ -16,6 +16,7 @@
 	ReasonDown                    // its owner can't reach it
 	ReasonWrongState              // not in the ordered state
 	ReasonCutOff                  // its failure domain is cut off from this host
+	ReasonNoPath                  // neither this host nor another one that it asked reaches it
 	ReasonBackoff                 // it asked this host to back off
 	ReasonRegionNotAllowed        // its region is not one of the request's allowed regions
 	ReasonRemoteRegion            // in a remote region, and the request has no reason to be redirected
@@ -46,6 +47,8 @@
 		return "not in the ordered state"
 	case ReasonCutOff:
 		return "its failure domain is cut off from this host"
+	case ReasonNoPath:
+		return "neither this host nor another one reaches it"
 	case ReasonBackoff:
 		return "it asked this host to back off"
 	case ReasonRegionNotAllowed:
@@ -76,7 +79,7 @@
 
 // Label returns the reason as a metric label.
 func (b Reason) Label() string {
-	return [reasonCount]string{"", "gone", "leaving", "doubted", "emptied", "down", "wrong_state", "cut_off", "resting", "no_home", "other_region", "cold", "limited", "connections", "excluded", "trial"}[b]
+	return [reasonCount]string{"", "gone", "leaving", "doubted", "emptied", "down", "wrong_state", "cut_off", "no_path", "resting", "no_home", "other_region", "cold", "limited", "connections", "excluded", "trial"}[b]
 }
 
 // IneligibleReason returns why a request may not be sent to an endpoint of any role now;
@@ -96,6 +99,8 @@
 		return ReasonWrongState
 	case r.Now.Before(s.CutOffUntil):
 		return ReasonCutOff
+	case r.Now.Before(s.NoPathUntil):
+		return ReasonNoPath
 	case s.IsBackingOff(r.Now):
 		return ReasonBackoff
 	case r.AllowedRegions != 0 && !r.AllowedRegions.Has(s.Region):
--- a/route/state.go
+++ b/route/state.go
@@ -57,6 +57,7 @@
 	Evacuated        bool            // its failure domain is being evacuated
 	UnconfirmedUntil time.Time       // until when its registration may be one restored from an old copy of the store
 	CutOffUntil      time.Time       // until when its failure domain counts as cut off from this host
+	NoPathUntil      time.Time       // until when neither this host nor another one that it asked reaches it
 	ColdUntil        time.Time       // until when it is cold by its registration
 	MaybeColdUntil   time.Time       // until when it may be cold though its registration doesn't say so
 	NoPermitUntil    time.Time       // before which its owner gives out no start permit
--- a/slope/latency.go
+++ b/slope/latency.go
@@ -35,7 +35,7 @@
 	}
 	defer c.Stop()
 	time.Sleep(time.Second)
-	client := endpoint.NewClient(nil)
+	client := endpoint.NewClient(nil, nil)
 	defer client.CloseIdle()
 	var direct, routed, added []time.Duration
 	for i := range pairs {
--- a/slope/slope.go
+++ b/slope/slope.go
@@ -84,7 +84,7 @@
 		panic(err) // syntheticView has parsed the same document
 	}
 	b.Endpoints.ApplyView(b.Config.View())
-	o := owner.New(b, endpoint.NewClient(net.Dialer("z")), zap.NewNop())
+	o := owner.New(b, endpoint.NewClient(net.Dialer("z"), nil), zap.NewNop())
 	bh := &benchHost{Router: peer.NewRouter(b, o, net.Dialer("z"), zap.NewNop()), board: b, addr: s.Peers}
 	for i := range hosts - 1 {
 		n := fmt.Sprintf("host-%d", i)
--- a/tool/remote.go
+++ b/tool/remote.go
@@ -5,8 +5,10 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
+	"slices"
 	"sort"
 	"strings"
 	"text/tabwriter"
@@ -123,6 +125,7 @@
 	})
 	t.printQuotas(statuses)
 	t.printEvacuations(statuses)
+	t.printPaths(statuses)
 	firstHost := statuses[sortedKeys(statuses)[0]]
 	fmt.Fprintf(t.out, "\nas %s sees it:\n", firstHost.Host)
 	t.printTable("HOST\tDOMAIN\tSTATE\tSILENT", func(w io.Writer) {
@@ -139,6 +142,25 @@
 	return nil
 }
 
+// printPaths prints the hosts that don't reach all endpoints directly, and those that pass on
+// connections of others.
+func (t *tool) printPaths(statuses map[string]node.Status) {
+	affected := func(p node.EndpointPaths) bool {
+		return len(p.Lost)+len(p.None)+p.TunnelsUsed+p.TunnelsPassed > 0
+	}
+	if !slices.ContainsFunc(slices.Collect(maps.Values(statuses)), func(s node.Status) bool { return affected(s.Paths) }) {
+		return
+	}
+	fmt.Fprintln(t.out)
+	t.printTable("HOST\tDOMAIN\tPATHS LOST\tNO PATH\tTUNNELS USED\tRELAYED", func(w io.Writer) {
+		for _, a := range sortedKeys(statuses) {
+			if s := statuses[a]; affected(s.Paths) {
+				fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", s.Host, s.Domain, len(s.Paths.Lost), len(s.Paths.None), s.Paths.TunnelsUsed, s.Paths.TunnelsPassed)
+			}
+		}
+	})
+}
+
 // printQuotas prints the state of the quotas at the hosts that hold them.
 func (t *tool) printQuotas(statuses map[string]node.Status) {
 	rows := 0
@@ -207,7 +229,7 @@
 		fmt.Fprintf(t.out, "would go to %s, then %s: wait %.3fs + read %.3fs + move %.3fs, target %.3fs\n", explanation.Prefill, explanation.Decode, explanation.QueueSeconds, explanation.PrefillSeconds, explanation.TransferSeconds, explanation.TTFTTargetSeconds)
 	}
 	fmt.Fprintln(t.out)
-	t.printTable("\tENDPOINT\tROLE\tDOMAIN\tCOST\tQUEUE\tUNCACHED\tFREE TOKENS\tAGE\tWHY NOT", func(w io.Writer) {
+	t.printTable("\tENDPOINT\tROLE\tDOMAIN\tCOST\tQUEUE\tUNCACHED\tFREE TOKENS\tAGE\tPATH\tWHY NOT", func(w io.Writer) {
 		for _, c := range explanation.Candidates {
 			mark, cost := "", fmt.Sprintf("%.3fs", c.Cost)
 			if c.Chosen {
@@ -216,7 +238,7 @@
 			if c.Cost < 0 {
 				cost = "-"
 			}
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.3fs\t%d\t%d\t%s\t%s\n", mark, c.Endpoint, c.Role, c.Domain, cost, c.Queue, c.Uncached, c.Free, formatAge(c.Age), c.Reason)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.3fs\t%d\t%d\t%s\t%s\t%s\n", mark, c.Endpoint, c.Role, c.Domain, cost, c.Queue, c.Uncached, c.Free, formatAge(c.Age), c.Path, c.Reason)
 		}
 	})
 	return nil
--- /dev/null
+++ b/tunnel/race.go
@@ -0,0 +1,229 @@
+package tunnel
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/endpoint"
+)
+
+// race is one attempt to connect to an endpoint, directly and over tunnels. The first connection
+// that is accepted wins.
+type race struct {
+	dialer           *Dialer
+	ctx              context.Context // of the caller; connections outlive it
+	network, address string
+	headStart        time.Duration // of the direct connection
+	began            time.Time
+	results          chan outcome
+
+	stopDirect, stopTunnels context.CancelFunc
+	directCtx, tunnelsCtx   context.Context
+
+	pending       int // attempts without an outcome
+	directPending bool
+	directErr     error // nil: the direct attempt hasn't failed
+	maxAsked      int
+	asked         []uint32 // hosts that were asked for a tunnel
+	answered      int      // of them, those that answered
+	confirmations int      // of them, those that have lost no path and don't reach the endpoint either
+}
+
+// outcome is the outcome of one attempt.
+type outcome struct {
+	conn  net.Conn
+	err   error
+	host  *blackboard.Host // that was asked for a tunnel; nil: the direct attempt
+	reply Reply
+	took  time.Duration
+}
+
+// confirms reports whether a gateway that has lost no path itself doesn't reach the endpoint either.
+func (o *outcome) confirms() bool {
+	return o.host != nil && o.err == nil && !o.reply.LostPaths && (o.reply.Code == Refused || o.reply.Code == Silent)
+}
+
+// enoughConfirmations is how many hosts have to confirm that an endpoint is out of reach until no
+// further one is asked.
+const enoughConfirmations = 2
+
+// newRace returns an attempt over a path that begins now. It asks up to maxAsked hosts for a tunnel.
+func (d *Dialer) newRace(ctx context.Context, network string, p *blackboard.Path, maxAsked int) *race {
+	now := time.Now()
+	r := &race{dialer: d, ctx: ctx, network: network, address: p.Address, began: now, maxAsked: maxAsked, results: make(chan outcome, 1+maxAsked)}
+	r.headStart = directHeadStart
+	if d.board.Paths.Count(blackboard.PathLost) > 0 {
+		r.headStart = suspectHeadStart
+	}
+	r.headStart += 2*p.ConnectTime + d.board.Link.Estimate(now)
+	r.directCtx, r.stopDirect = context.WithCancel(context.WithoutCancel(ctx))
+	r.tunnelsCtx, r.stopTunnels = context.WithCancel(context.WithoutCancel(ctx))
+	return r
+}
+
+// run returns the connection of the race. The direct attempt begins first, or only if no gateway
+// opens a tunnel soon.
+func (r *race) run(directFirst bool) (net.Conn, error) {
+	next := time.NewTimer(gatewayHeadStart)
+	defer next.Stop()
+	if directFirst {
+		r.dialDirect()
+		next.Reset(r.headStart)
+	} else if !r.askNext() {
+		r.dialDirect()
+	}
+	for {
+		select {
+		case o := <-r.results:
+			r.pending--
+			if o.err == nil && o.conn != nil {
+				return r.win(o), nil
+			}
+			r.lose(o)
+			if r.pending == 0 {
+				return nil, r.fail()
+			}
+		case <-next.C:
+			if r.directErr == nil && !r.directPending {
+				r.dialDirect()
+			}
+			r.askNext()
+			next.Reset(gatewayHeadStart)
+		case <-r.ctx.Done():
+			return nil, r.giveUp()
+		}
+	}
+}
+
+// dialDirect begins the direct attempt.
+func (r *race) dialDirect() {
+	r.pending++
+	r.directPending = true
+	go func() {
+		conn, err := r.dialer.direct(r.directCtx, r.network, r.address)
+		r.results <- outcome{conn: conn, err: err}
+	}()
+}
+
+// askNext asks one more host for a tunnel. It reports false if there is none.
+func (r *race) askNext() bool {
+	if len(r.asked) == r.maxAsked || r.confirmations >= enoughConfirmations {
+		return false
+	}
+	began := time.Now()
+	h, found := r.dialer.gateways.pick(r.asked, began)
+	if !found {
+		if len(r.asked) == 0 {
+			r.dialer.board.Paths.RecordConfirmed(r.address, began)
+		}
+		return false
+	}
+	r.asked = append(r.asked, h.Number)
+	r.pending++
+	go func() {
+		q := Request{From: r.dialer.board.Number, Address: r.address}
+		conn, reply, err := r.dialer.opener.OpenTunnel(r.tunnelsCtx, h, q)
+		r.results <- outcome{conn: conn, err: err, host: &h, reply: reply, took: time.Since(began)}
+	}()
+	return true
+}
+
+// lose handles an attempt that failed.
+func (r *race) lose(o outcome) {
+	if o.host == nil {
+		r.directPending, r.directErr = false, o.err
+		for n := len(r.asked); n < askedAtOnce && r.askNext(); n++ {
+		}
+		return
+	}
+	r.recordUnable(o)
+	if o.err == nil {
+		r.answered++
+		r.dialer.board.RecordAnswer(o.host.Domain)
+	}
+	if o.confirms() {
+		r.confirmations++
+		r.dialer.board.Paths.RecordConfirmed(r.address, time.Now())
+	}
+	if !r.askNext() && r.directErr == nil && !r.directPending {
+		r.dialDirect()
+	}
+}
+
+// recordUnable records that a host opened no tunnel.
+func (r *race) recordUnable(o outcome) {
+	r.dialer.Counts.Refused.Add(1)
+	r.dialer.gateways.recordUnable(o.host, o.reply, o.err, time.Now())
+}
+
+// win returns the connection of the attempt that succeeded first.
+func (r *race) win(o outcome) net.Conn {
+	r.stopTunnels()
+	if o.host == nil {
+		r.dialer.recordDirect(r.address, time.Since(r.began))
+		go r.discard("")
+		return o.conn
+	}
+	r.dialer.recordTunnel(r.address)
+	r.dialer.board.RecordAnswer(o.host.Domain)
+	closed := r.dialer.gateways.recordOpened(o.host, time.Now())
+	if r.directErr != nil {
+		r.dialer.recordLost(r.address, o.host.Name, r.directErr)
+	}
+	go r.discard(o.host.Name)
+	return &tunneledConn{Conn: o.conn, gateway: o.host.Name, closed: closed}
+}
+
+// discard closes the connections of the attempts that are still in progress. If a gateway reached
+// the endpoint and the direct attempt stays without an answer, the path is lost.
+func (r *race) discard(gateway string) {
+	defer r.stopDirect()
+	if gateway == "" {
+		r.stopDirect()
+	} else if r.directPending {
+		timer := time.AfterFunc(lossAfter-time.Since(r.began), r.stopDirect)
+		defer timer.Stop()
+	}
+	for ; r.pending > 0; r.pending-- {
+		o := <-r.results
+		switch {
+		case o.conn != nil:
+			o.conn.Close()
+		case o.host == nil && gateway != "":
+			r.dialer.recordLost(r.address, gateway, o.err)
+		case o.host != nil && gateway != "" && o.took >= gatewayHeadStart:
+			r.recordUnable(o) // another gateway was faster
+		}
+	}
+}
+
+// fail returns the error of a race that all attempts lost.
+func (r *race) fail() error {
+	r.stopTunnels()
+	r.stopDirect()
+	if len(r.asked) == 0 {
+		return r.directErr
+	}
+	confirmed := r.confirmations > 0
+	r.dialer.recordNone(r.address, confirmed, r.directErr)
+	if confirmed || !errors.Is(r.directErr, syscall.ECONNREFUSED) {
+		return r.directErr
+	}
+	return &endpoint.NoPathError{Address: r.address, Cause: errors.Errorf("%v; %d of %d other hosts answered", r.directErr, r.answered, len(r.asked))}
+}
+
+// giveUp returns the error of a race that the caller ended.
+func (r *race) giveUp() error {
+	r.stopTunnels()
+	r.stopDirect()
+	go r.discard("")
+	if errors.Is(context.Cause(r.ctx), endpoint.ErrGivenUp) && len(r.asked) > 0 {
+		r.dialer.recordNone(r.address, r.confirmations > 0, context.DeadlineExceeded)
+	}
+	return r.ctx.Err()
+}
