owner: a single silence of an endpoint counts as a failure for a moment only

Callers lost nothing when a sound endpoint was silent for 1.2 s, but a prefill endpoint got no request for more than 10 s after it: its calls of that second were released as failed, a share that halves in 10 s. They are released as silent now, a share that halves in 0.5 s. A silence that lasts over 2 s, or comes again within 10 s, counts as failed as before. Endpoints known to be out of reach, at which no call was made, count for nothing.

--- a/entry/copy.go
+++ b/entry/copy.go
@@ -129,7 +129,7 @@
 	}
 	c, first := p.replica, *p
 	if !reported {
-		e.releaseDecode(j, p, owner.Failed)
+		e.releaseDecode(j, p, failedOutcome(err))
 	}
 	p.decodeSpec, p.decodeAttempt, p.replica, p.lastDecodeSpec = c.spec, c.attempt, nil, first.decodeSpec
 	e.logReplica(j, "answer goes on from its copy", first.decodeSpec, c.spec)
--- a/entry/read.go
+++ b/entry/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/blackboard"
@@ -173,7 +174,7 @@
 	outcome := route.OutcomeCompleted
 	switch {
 	case err == nil:
-	case endpoint.WrongEndpoint(err), endpoint.Unreachable(err):
+	case endpoint.WrongEndpoint(err), endpoint.Unreachable(err), isSilence(err):
 		outcome = route.OutcomeUnreachable
 	case !endpoint.MayHaveRun(err):
 		outcome = route.OutcomeFull
@@ -236,11 +237,28 @@
 	case ctx.Err() != nil:
 		return owner.CallerLeft
 	case endpoint.MayHaveRun(err), endpoint.Unreachable(err):
-		return owner.Failed
+		return failedOutcome(err)
 	}
 	return owner.Rejected
 }
 
+// failedOutcome returns the outcome of an attempt that failed, but wasn't refused.
+func failedOutcome(err error) owner.Outcome {
+	switch {
+	case endpoint.KnownUnreachable(err):
+		return owner.Abandoned
+	case isSilence(err):
+		return owner.Silent
+	}
+	return owner.Failed
+}
+
+// isSilence reports whether err means that an endpoint sent nothing or accepted no connection in time.
+func isSilence(err error) bool {
+	var stalled *stallError
+	return endpoint.ConnectTimedOut(err) || errors.As(err, &stalled)
+}
+
 // callFailure makes a retryable of a call that failed at an endpoint.
 func (e *Entry) callFailure(spec *config.Endpoint, err error) *retryable {
 	r := &retryable{endpointName: spec.Name, mayHaveRun: endpoint.MayHaveRun(err), notSent: endpoint.KnownUnreachable(err)}
--- a/entry/write.go
+++ b/entry/write.go
@@ -54,11 +54,11 @@
 		case j.reply.chunks() > before: // chunks were relayed: the result is used up
 			return e.callFailure(p.decodeSpec, err)
 		case j.next != nil: // all endpoints are chosen already
-			e.releaseDecode(j, p, owner.Failed)
+			e.releaseDecode(j, p, failedOutcome(err))
 			e.dropResult(j, p, kv)
 			return e.callFailure(p.decodeSpec, err)
 		case endpoint.Unreachable(err), endpoint.WrongEndpoint(err):
-			e.moveDecode(ctx, j, p, owner.Failed, true)
+			e.moveDecode(ctx, j, p, failedOutcome(err), true)
 		case !endpoint.MayHaveRun(err) && p.promptCached:
 			e.releaseDecode(j, p, owner.Rejected)
 			return e.callFailure(p.decodeSpec, err)
@@ -88,13 +88,13 @@
 			e.discardResult(j, p, kv)
 			return e.callFailure(p.decodeSpec, err)
 		case errors.As(err, &stalled):
-			e.moveDecode(ctx, j, p, owner.Failed, countStall(p))
+			e.moveDecode(ctx, j, p, failedOutcome(err), countStall(p))
 		default:
 			if !j.repeatable || j.attempts >= j.maxAttempts() || j.crashCount >= maxCrashesPerJob {
 				e.discardResult(j, p, kv)
 				return e.callFailure(p.decodeSpec, err)
 			}
-			e.moveDecode(ctx, j, p, owner.Failed, true)
+			e.moveDecode(ctx, j, p, failedOutcome(err), true)
 		}
 		over := time.Until(expires) < minResultLeft || p.decodeSpec == nil
 		if over || !e.spendDecodeCall(j) {
--- a/owner/book.go
+++ b/owner/book.go
@@ -43,6 +43,8 @@
 	feedEpoch    uint64            // of the feed; sequence numbers of another epoch are unrelated
 	feedReadAt   time.Time         // when the feed was last read
 
+	silentShare    float64   // share of recent attempts that got nothing in a single silence, as of failureShareAt
+	silentSince    time.Time // beginning of the last silence
 	failureShareAt time.Time
 	leavingShare   float64 // share of callers that left before their prefill ended
 
@@ -120,7 +122,7 @@
 // digest returns the endpoint's state as announced to other hosts. The caller holds the lock.
 func (s *Scheduler) digest(now time.Time, reserves bool) route.Digest {
 	s.decayFailures(now)
-	d := route.Digest{Number: s.number, FailPct: uint8(min(1, s.failureShare) * 100),
+	d := route.Digest{Number: s.number, FailPct: uint8(min(1, s.failureShare+s.silentShare) * 100),
 		TrustPct: uint8(s.feedTrust * 100), Flags: s.flags()}
 	if s.spec.ColdPerSecond > 0 && (now.Before(s.spec.ColdUntil) || now.Before(s.possiblyColdUntil)) {
 		d.Flags |= route.FlagCold
--- a/owner/learn.go
+++ b/owner/learn.go
@@ -59,6 +59,8 @@
 		blend(&s.failureShare, 1, learnFailure)
 	case Rejected:
 		blend(&s.failureShare, 1, learnRejection)
+	case Silent:
+		s.recordSilence(now)
 	}
 	if s.ledger != nil {
 		s.ledger.Release(now, ledger.End{Attempt: r.Attempt, Complete: r.Outcome == Done, Answer: r.Answer, Max: r.Max, Expected: r.Expected,
@@ -80,10 +82,35 @@
 const failureHalfLife = 10 * time.Second
 
 func (s *Scheduler) decayFailures(now time.Time) {
-	s.failureShare *= math.Exp2(-now.Sub(s.failureShareAt).Seconds() / failureHalfLife.Seconds())
+	elapsed := now.Sub(s.failureShareAt).Seconds()
+	s.failureShare *= math.Exp2(-elapsed / failureHalfLife.Seconds())
+	s.silentShare *= math.Exp2(-elapsed / silenceHalfLife.Seconds())
 	s.failureShareAt = now
 }
 
+const (
+	// silenceHalfLife is the half-life of the share of attempts that got nothing from the endpoint in a
+	// single silence: a sound endpoint may be silent for a second and go on.
+	silenceHalfLife = 500 * time.Millisecond
+	// singleSilence is how long a silence of an endpoint may last, from its first attempt to its last.
+	singleSilence = 2 * time.Second
+	// silenceMemory is how long after a silence a further one counts as a failure.
+	silenceMemory = 10 * time.Second
+)
+
+// recordSilence records an attempt that got nothing from the endpoint. Silences that last or come
+// again count as failures.
+func (s *Scheduler) recordSilence(now time.Time) {
+	if now.Sub(s.silentSince) > singleSilence+silenceMemory {
+		s.silentSince = now
+	}
+	if now.Sub(s.silentSince) > singleSilence {
+		blend(&s.failureShare, 1, learnFailure)
+		return
+	}
+	blend(&s.silentShare, 1, learnFailure)
+}
+
 // learnFeedTrust compares the number of cached tokens that the engine found with the number
 // that the feed promised for the prompt.
 func (s *Scheduler) learnFeedTrust(promised, found int) {
--- a/owner/messages.go
+++ b/owner/messages.go
@@ -95,6 +95,7 @@
 	CallerLeft         // the caller left
 	Failed             // failed at the endpoint
 	Rejected           // the endpoint refused it as not run
+	Silent             // the endpoint sent nothing, or accepted no connection in time; unknown to hosts of earlier versions
 )
 
 // Handover carries an owner's reservations at an endpoint to its successor.
