entry: a pause of an engine isn't taken for the time of its steps

A gap between chunks of 0.5 s or more, and of five times the mean of the others, is left out of the time that owners learn from.

--- a/entry/relay.go
+++ b/entry/relay.go
@@ -65,7 +65,7 @@
 			err = &endpoint.CallError{Address: p.decodeSpec.Address, MayHaveRun: true, Cause: &stallError{blackboard.PhaseTransfer, w.silence(), w.lastCheck()}}
 		}
 		e.endCall(ctx, j, p.decodeSpec, c, j.reply.chunks()-before, err)
-		e.reportDecode(ctx, j, p, err, j.reply.chunks()-before, w.answeringTime())
+		e.reportDecode(ctx, j, p, err, j.reply.chunks()-before, w.decodeTime())
 		if err == nil {
 			return
 		}
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -31,6 +31,8 @@
 	answering      atomic.Bool   // the answer has begun
 	first          time.Time
 	last           time.Time
+	chunkGaps      int           // between the chunks of the answer so far
+	longestGap     time.Duration // of these
 }
 
 // callControl is what a watchdog needs to know of its call.
@@ -75,14 +77,19 @@
 func (w *watchdog) answerBegun(limit time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.limit, w.first = limit, time.Now()
+	w.limit, w.first, w.last = limit, time.Now(), time.Time{}
 	w.answering.Store(true)
 }
 
 func (w *watchdog) progress() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.last = time.Now()
+	now := time.Now()
+	if w.answering.Load() && !w.last.IsZero() {
+		w.chunkGaps++
+		w.longestGap = max(w.longestGap, now.Sub(w.last))
+	}
+	w.last = now
 	w.lastProgress.Store(w.last.UnixNano())
 	w.timer.Reset(w.limit)
 }
@@ -148,6 +155,27 @@
 	return w.last.Sub(w.first)
 }
 
+// A gap between chunks that is this long, and this many times as long as the others are on average,
+// is a pause of the engine and not the time of its steps.
+const (
+	minPause   = 500 * time.Millisecond
+	pauseRatio = 5
+)
+
+// decodeTime returns the time that the engine took from the first chunk to the last, without a
+// single pause.
+func (w *watchdog) decodeTime() time.Duration {
+	took := w.answeringTime()
+	if w.chunkGaps < 2 || w.longestGap < minPause {
+		return took
+	}
+	others := (took - w.longestGap) / time.Duration(w.chunkGaps-1)
+	if w.longestGap < pauseRatio*others {
+		return took
+	}
+	return took - w.longestGap + others
+}
+
 // An engine that writes nothing is asked for its report, which takes no slot there. One
 // that answers is alive and only slow. Its answer is waited for, because a run that is
 // abandoned while it may still continue could run twice. An engine that doesn't answer may
