route: calls that fail or end late together count once

Calls in progress when an endpoint falls silent all fail at the same time; each doubled the time for which it counts as unreachable, up to 4 s. Only the first counts now. The first late answer counts for four usual ones, those that were in progress with it for none, a further one in full.

--- a/route/state.go
+++ b/route/state.go
@@ -111,6 +111,8 @@
 	ConsecutiveUnreachable int       // consecutive calls that didn't reach it
 	FullUntil              time.Time // until when it counts as full
 	MeanSeconds            float64   // average seconds of a call
+	LateAt                 time.Time // when an answer last came far later than usual
+	wasLate                bool      // the last answer did
 }
 
 // Times and weights of CallStats. Each further call that doesn't reach the endpoint doubles
@@ -142,20 +144,48 @@
 	case OutcomeCompleted:
 		x.FailedShare -= failureWeight * x.FailedShare
 		x.ConsecutiveUnreachable, x.UnreachableUntil = 0, time.Time{}
-		if x.MeanSeconds == 0 {
-			x.MeanSeconds = took.Seconds()
-		}
-		x.MeanSeconds += tookWeight * (took.Seconds() - x.MeanSeconds)
+		x.learnTime(now, took)
 	case OutcomeFailed:
 		x.FailedShare += failureWeight * (1 - x.FailedShare)
 	case OutcomeFull:
 		x.FullUntil = now.Add(fullFor)
 	case OutcomeUnreachable:
+		if x.IsUnreachable(now) {
+			return // a call that was made before that was known
+		}
 		x.UnreachableUntil = now.Add(min(firstUnreachable<<min(x.ConsecutiveUnreachable, 8), maxUnreachable))
 		x.ConsecutiveUnreachable++
 	}
 }
 
+// An answer is late if it takes this many times as long as usual, and at least minLate.
+const (
+	lateRatio = 4
+	minLate   = 500 * time.Millisecond
+)
+
+// learnTime learns from the time of a call. A late answer may come from a pause of the endpoint, which
+// delays all calls in progress at the time: it counts for lateRatio usual calls, and the others for
+// none. A further late answer counts in full.
+func (x *CallStats) learnTime(now time.Time, took time.Duration) {
+	seconds := took.Seconds()
+	if x.MeanSeconds == 0 {
+		x.MeanSeconds = seconds
+	}
+	late := took >= minLate && seconds > lateRatio*x.MeanSeconds
+	switch {
+	case late && now.Add(-took).Before(x.LateAt):
+		return // it was in progress at the last late answer
+	case late && !x.wasLate:
+		seconds = lateRatio * x.MeanSeconds
+	}
+	if late {
+		x.LateAt = now
+	}
+	x.wasLate = late
+	x.MeanSeconds += tookWeight * (seconds - x.MeanSeconds)
+}
+
 // FailureRate returns the share of calls that failed recently.
 func (x *CallStats) FailureRate(now time.Time) float64 {
 	if x.LastCall.IsZero() {
