tunnel: a host confirms that an endpoint is out of reach only if it reaches another one

Three hosts that were cut off too confirmed the refused connection, so the engine counted as gone and the answer was cut. A host that doesn't reach an endpoint now connects to another one before it confirms that. Up to eight hosts are asked instead of five, so that most may be cut off.

--- a/peer/tunnel_test.go
+++ b/peer/tunnel_test.go
@@ -25,17 +25,18 @@
 type tunnelEnds struct {
 	asking, passing *Router
 	gateway         blackboard.Host
-	endpoint        net.Listener
+	endpoint, other net.Listener
 	stop            func() // ends the process of the host that passes on
 }
 
 // newTunnelEnds starts a host that passes on connections to one endpoint, and one that asks it to.
 func newTunnelEnds(t *testing.T) *tunnelEnds {
 	l := listenLoopback(t)
-	e := &tunnelEnds{endpoint: listenLoopback(t)}
+	e := &tunnelEnds{endpoint: listenLoopback(t), other: listenLoopback(t)}
 	document := fmt.Sprintf(`{"failure_domains": [{"name": "a", "region": "r"}], "targets": {"ttft_ms": 900, "tpot_ms": 40},
 		"models": [{"name": "m", "version": "1", "max_tokens": 100, "kv_bytes_per_token": 1}],
-		"endpoints": [{"name": "x", "role": "service", "address": %q, "failure_domain": "a", "slots": 4}]}`, e.endpoint.Addr())
+		"endpoints": [{"name": "x", "role": "service", "address": %q, "failure_domain": "a", "slots": 4},
+			{"name": "y", "role": "service", "address": %q, "failure_domain": "a", "slots": 4}]}`, e.endpoint.Addr(), e.other.Addr())
 	view, err := config.NewView(1, []byte(document))
 	if err != nil {
 		t.Fatal(err)
@@ -166,6 +167,10 @@
 		{"an unknown host asks", func(_ *tunnelEnds, q *tunnel.Request) { q.From = 1 }, tunnel.Reply{Code: tunnel.Unknown}},
 		{"the host itself asks", func(e *tunnelEnds, q *tunnel.Request) { q.From = e.passing.board.Number }, tunnel.Reply{Code: tunnel.Unknown}},
 		{"the endpoint's process is gone", func(e *tunnelEnds, _ *tunnel.Request) { e.endpoint.Close() }, tunnel.Reply{Code: tunnel.Refused}},
+		{"the gateway reaches no other endpoint either", func(e *tunnelEnds, _ *tunnel.Request) {
+			e.endpoint.Close()
+			e.other.Close()
+		}, tunnel.Reply{Code: tunnel.Refused, LostPaths: true}},
 		{"the gateway leaves", func(e *tunnelEnds, _ *tunnel.Request) { e.passing.board.SetLeaving() }, tunnel.Reply{Code: tunnel.Leaving}},
 		{"the gateway has lost its own link", func(e *tunnelEnds, q *tunnel.Request) {
 			e.passing.board.Paths.RecordFailure(q.Address, time.Now(), blackboard.PathLost, false)
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -24,7 +24,7 @@
 	// lossAfter is how long a direct connection must go unanswered until the path counts as lost.
 	lossAfter = 100 * time.Millisecond
 	// maxGateways is how many hosts are asked for one connection.
-	maxGateways = 5
+	maxGateways = 8
 	// askedAtOnce is how many of them are asked at once if the endpoint refuses the direct
 	// connection: whether its process is gone has to be known soon.
 	askedAtOnce = 3
--- a/tunnel/gateway.go
+++ b/tunnel/gateway.go
@@ -80,28 +80,28 @@
 
 // open connects to the endpoint of a request.
 func (g *Gateway) open(ctx context.Context, q Request) (net.Conn, Reply) {
-	now := time.Now()
-	lostPaths := g.board.Paths.Count(blackboard.PathLost) > 0
-	refuse := func(c Code) (net.Conn, Reply) { return nil, Reply{Code: c, LostPaths: lostPaths} }
 	switch {
 	case g.board.Leaving():
-		return refuse(Leaving)
+		return nil, Reply{Code: Leaving}
 	case !g.knows(q):
-		return refuse(Unknown)
+		return nil, Reply{Code: Unknown}
 	case g.active.Load() > g.maxTunnels:
-		return refuse(Busy)
-	case g.board.Paths.State(q.Address, now) == blackboard.PathLost:
-		return refuse(CutOff)
+		return nil, Reply{Code: Busy}
+	case g.board.Paths.State(q.Address, time.Now()) == blackboard.PathLost:
+		return nil, Reply{Code: CutOff, LostPaths: true}
 	}
+	w := g.newWitness(ctx, q.Address)
+	defer w.stop()
 	conn, err := g.dial(ctx, "tcp", q.Address)
-	switch {
-	case err == nil:
+	if err == nil {
 		KeepAlive(conn)
-		return conn, Reply{Code: Opened, LostPaths: lostPaths}
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return refuse(Refused)
+		return conn, Reply{Code: Opened}
+	}
+	code := Silent
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		code = Refused
 	}
-	return refuse(Silent)
+	return nil, Reply{Code: code, LostPaths: !w.reached()}
 }
 
 // knows reports whether a request comes from a known host and is for a registered endpoint.
--- a/tunnel/messages.go
+++ b/tunnel/messages.go
@@ -46,8 +46,8 @@
 // Reply answers a Request.
 type Reply struct {
 	Code Code
-	// LostPaths tells that the gateway has lost links to endpoints itself, so that its failure says
-	// little about this one.
+	// LostPaths tells that the gateway may have lost its links to endpoints itself: it has reached no
+	// other one meanwhile, so that its failure says little about this one.
 	LostPaths bool
 }
 
--- a/tunnel/race.go
+++ b/tunnel/race.go
@@ -31,7 +31,7 @@
 	maxAsked      int
 	asked         []uint32 // hosts that were asked for a tunnel
 	answered      int      // of them, those that answered
-	confirmations int      // of them, those that have lost no path and don't reach the endpoint either
+	confirmations int      // of them, those that reach other endpoints and not this one
 }
 
 // outcome is the outcome of one attempt.
@@ -43,7 +43,7 @@
 	took  time.Duration
 }
 
-// confirms reports whether a gateway that has lost no path itself doesn't reach the endpoint either.
+// confirms reports whether a gateway that reaches other endpoints doesn't reach this one either.
 func (o *outcome) confirms() bool {
 	return o.host != nil && o.err == nil && !o.reply.LostPaths && (o.reply.Code == Refused || o.reply.Code == Silent)
 }
