tunnel: paths are probed without idle wake-ups; an unasked host confirms nothing

The prober woke all workers every 50 ms. It is asked for the next probe now, and woken when a path is lost. While all other hosts are known to be unable to open tunnels none is asked, and that was taken for a fleet of one host, whose refused connections need no confirmation.

--- a/blackboard/paths.go
+++ b/blackboard/paths.go
@@ -165,23 +165,27 @@
 	return !t.reachedAt.Before(since) || p != nil && !p.confirmedAt.Before(since)
 }
 
-// DueProbes returns up to max paths that have to be probed now. Lost ones are probed only while they
-// are used.
-func (t *PathTable) DueProbes(now time.Time, max int) (due []Path) {
+// DueProbes returns up to max paths that have to be probed now, and when the next ones have to be; the
+// zero time: none. Lost ones are probed only while they are used.
+func (t *PathTable) DueProbes(now time.Time, max int) (due []Path, next time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.counts[PathLost]+t.counts[PathNone] == 0 {
-		return nil
+		return nil, time.Time{}
 	}
 	for _, p := range t.paths {
-		unused := p.State == PathLost && now.Sub(p.usedAt) > lostProbedFor
-		if len(due) == max || p.State == PathDirect || unused || now.Before(p.probeAt) {
+		if p.State == PathDirect || p.State == PathLost && now.Sub(p.usedAt) > lostProbedFor {
 			continue
 		}
-		p.probeAt = now.Add(probeInterval) // until the outcome is recorded
-		due = append(due, p.Path)
+		if len(due) < max && !now.Before(p.probeAt) {
+			p.probeAt = now.Add(probeInterval) // until the outcome is recorded
+			due = append(due, p.Path)
+		}
+		if next.IsZero() || p.probeAt.Before(next) {
+			next = p.probeAt
+		}
 	}
-	return due
+	return due, next
 }
 
 // Forget drops the path to an address that no endpoint has any more.
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -73,8 +73,6 @@
 }
 
 const (
-	// proberInterval is how often due probes are looked for.
-	proberInterval = 50 * time.Millisecond
 	// maxProbes is how many probes begin at once.
 	maxProbes = 16
 	// probeGateways is how many hosts a probe asks for a tunnel.
@@ -82,16 +80,25 @@
 )
 
 // Prober returns the controller that finds paths that have become better.
-func (d *Dialer) Prober() blackboard.Controller {
-	return blackboard.Every(proberInterval, func(ctx context.Context) {
-		for _, p := range d.board.Paths.DueProbes(time.Now(), maxProbes) {
-			if d.isRegistered(p.Address) {
-				go d.probe(ctx, p)
+func (d *Dialer) Prober() blackboard.Controller { return prober{d} }
+
+type prober struct{ dialer *Dialer }
+
+// Next implements blackboard.Controller.
+func (p prober) Next(now time.Time) (func(context.Context), time.Time) {
+	due, next := p.dialer.board.Paths.DueProbes(now, maxProbes)
+	if len(due) == 0 {
+		return nil, next
+	}
+	return func(ctx context.Context) {
+		for _, path := range due {
+			if p.dialer.isRegistered(path.Address) {
+				go p.dialer.probe(ctx, path)
 			} else {
-				d.board.Paths.Forget(p.Address)
+				p.dialer.board.Paths.Forget(path.Address)
 			}
 		}
-	})
+	}, time.Time{}
 }
 
 func (d *Dialer) isRegistered(address string) (registered bool) {
@@ -144,6 +151,7 @@
 	changed, until := d.board.Paths.RecordFailure(address, time.Now(), blackboard.PathNone, confirmed)
 	d.board.Endpoints.SetNoPath(address, until)
 	if changed {
+		d.board.Wake.All()
 		d.log.Warn("no path to endpoint", zap.String("address", address), zap.Bool("confirmed", confirmed), zap.NamedError("cause", cause))
 	}
 }
@@ -156,6 +164,7 @@
 }
 
 func (d *Dialer) changed() {
+	d.board.Wake.All()
 	if d.OnChange != nil {
 		d.OnChange()
 	}
--- a/tunnel/gateways.go
+++ b/tunnel/gateways.go
@@ -43,29 +43,33 @@
 
 // gatewayState is what this host knows of another one as a gateway.
 type gatewayState struct {
-	active      int // tunnels of this host
-	incarnation uint64
-	unableUntil time.Time
-	provenUntil time.Time
+	active           int // tunnels of this host
+	incarnation      uint64
+	unableUntil      time.Time
+	unsupportedUntil time.Time // until when it counts as of a version without tunnels
+	provenUntil      time.Time
 }
 
 func newGateways(hosts *blackboard.HostTable) *gateways {
 	return &gateways{hosts: hosts, states: map[uint32]*gatewayState{}}
 }
 
-// pick returns the best host that wasn't asked yet, near ones and those with few tunnels first.
-func (g *gateways) pick(asked []uint32, now time.Time) (best blackboard.Host, found bool) {
+// pick returns the best host that wasn't asked yet, near ones and those with few tunnels first. alone
+// tells that no live host knows tunnels, whether or not it was asked.
+func (g *gateways) pick(asked []uint32, now time.Time) (best blackboard.Host, found, alone bool) {
 	self := g.hosts.Self()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	least, equal := 0, 0
+	alone = true
 	g.hosts.Each(now, func(h *blackboard.Host, live bool) {
-		if !live || h.Number == self.Number || h.Leaving || h.Unconfirmed || h.Peers == "" || slices.Contains(asked, h.Number) {
+		if !live || h.Number == self.Number || h.Leaving || h.Unconfirmed || h.Peers == "" {
 			return
 		}
-		cost, able := g.cost(&self, h, now)
+		cost, able, supported := g.cost(&self, h, now)
+		alone = alone && !supported
 		switch {
-		case !able:
+		case !able, slices.Contains(asked, h.Number):
 			return
 		case !found || cost < least:
 			best, least, equal, found = *h, cost, 1, true
@@ -76,12 +80,12 @@
 			}
 		}
 	})
-	return best, found
+	return best, found, alone
 }
 
-// cost returns the cost of a host as gateway, and whether it is to be asked at all. The caller holds
-// the lock.
-func (g *gateways) cost(self, h *blackboard.Host, now time.Time) (cost int, able bool) {
+// cost returns the cost of a host as gateway, whether it is to be asked at all now, and whether it may
+// know tunnels. The caller holds the lock.
+func (g *gateways) cost(self, h *blackboard.Host, now time.Time) (cost int, able, supported bool) {
 	switch {
 	case h.Region != self.Region:
 		cost = costOtherRegion
@@ -90,12 +94,12 @@
 	}
 	s := g.states[h.Number]
 	if s == nil || s.incarnation != h.Incarnation {
-		return cost + costUnproven, true
+		return cost + costUnproven, true, true
 	}
 	if now.After(s.provenUntil) {
 		cost += costUnproven
 	}
-	return cost + s.active, now.After(s.unableUntil)
+	return cost + s.active, now.After(s.unableUntil), now.After(s.unsupportedUntil)
 }
 
 // state returns the state of a host. The caller holds the lock.
@@ -146,6 +150,9 @@
 	defer g.mu.Unlock()
 	s := g.state(h)
 	s.unableUntil, s.provenUntil = now.Add(unable), time.Time{}
+	if errors.Is(err, ErrNotSupported) {
+		s.unsupportedUntil = s.unableUntil
+	}
 }
 
 // active returns how many tunnels this host uses.
--- a/tunnel/race.go
+++ b/tunnel/race.go
@@ -28,6 +28,7 @@
 	pending       int // attempts without an outcome
 	directPending bool
 	directErr     error // nil: the direct attempt hasn't failed
+	alone         bool  // no live host knows tunnels
 	maxAsked      int
 	asked         []uint32 // hosts that were asked for a tunnel
 	answered      int      // of them, those that answered
@@ -116,11 +117,11 @@
 		return false
 	}
 	began := time.Now()
-	h, found := r.dialer.gateways.pick(r.asked, began)
+	h, found, alone := r.dialer.gateways.pick(r.asked, began)
+	if r.alone = alone; alone {
+		r.dialer.board.Paths.RecordConfirmed(r.address, began)
+	}
 	if !found {
-		if len(r.asked) == 0 {
-			r.dialer.board.Paths.RecordConfirmed(r.address, began)
-		}
 		return false
 	}
 	r.asked = append(r.asked, h.Number)
@@ -206,7 +207,7 @@
 func (r *race) fail() error {
 	r.stopTunnels()
 	r.stopDirect()
-	if len(r.asked) == 0 {
+	if r.alone {
 		return r.directErr
 	}
 	confirmed := r.confirmations > 0
@@ -222,7 +223,7 @@
 	r.stopTunnels()
 	r.stopDirect()
 	go r.discard("")
-	if errors.Is(context.Cause(r.ctx), endpoint.ErrGivenUp) && len(r.asked) > 0 {
+	if errors.Is(context.Cause(r.ctx), endpoint.ErrGivenUp) && !r.alone {
 		r.dialer.recordNone(r.address, r.confirmations > 0, context.DeadlineExceeded)
 	}
 	return r.ctx.Err()
