--- a/blackboard/domains_test.go
+++ b/blackboard/domains_test.go
@@ -17,9 +17,18 @@
 		want  bool
 	}{
 		{"no calls", func(*DomainTable) {}, 0, false},
-		{"one is silent repeatedly", func(d *DomainTable) { d.RecordMiss("x", a, second(0), second(0)); d.RecordMiss("x", a, second(0.5), second(0.5)) }, 0.6, false},
-		{"two are silent", func(d *DomainTable) { d.RecordMiss("x", a, second(0), second(0)); d.RecordMiss("x", b, second(0.5), second(0.5)) }, 0.6, true},
-		{"two are silent at different times", func(d *DomainTable) { d.RecordMiss("x", a, second(0), second(0)); d.RecordMiss("x", b, second(1.5), second(1.5)) }, 1.6, false},
+		{"one is silent repeatedly", func(d *DomainTable) {
+			d.RecordMiss("x", a, second(0), second(0))
+			d.RecordMiss("x", a, second(0.5), second(0.5))
+		}, 0.6, false},
+		{"two are silent", func(d *DomainTable) {
+			d.RecordMiss("x", a, second(0), second(0))
+			d.RecordMiss("x", b, second(0.5), second(0.5))
+		}, 0.6, true},
+		{"two are silent at different times", func(d *DomainTable) {
+			d.RecordMiss("x", a, second(0), second(0))
+			d.RecordMiss("x", b, second(1.5), second(1.5))
+		}, 1.6, false},
 		{"an answer in between", func(d *DomainTable) {
 			d.RecordMiss("x", a, second(0), second(0))
 			d.RecordAnswer("x", second(0))
@@ -30,14 +39,23 @@
 			d.RecordMiss("x", b, second(0.5), second(0.5))
 			d.RecordAnswer("x", second(0.5))
 		}, 0.6, false},
-		{"two of different domains", func(d *DomainTable) { d.RecordMiss("x", a, second(0), second(0)); d.RecordMiss("y", b, second(0.5), second(0.5)) }, 0.6, false},
+		{"two of different domains", func(d *DomainTable) {
+			d.RecordMiss("x", a, second(0), second(0))
+			d.RecordMiss("y", b, second(0.5), second(0.5))
+		}, 0.6, false},
 		{"two are silent, but another answers meanwhile", func(d *DomainTable) {
 			d.RecordAnswer("x", second(0.4))
 			d.RecordMiss("x", a, second(0.3), second(0.5))
 			d.RecordMiss("x", b, second(0.3), second(0.5))
 		}, 0.6, false},
-		{"the own domain", func(d *DomainTable) { d.RecordMiss("self", a, second(0), second(0)); d.RecordMiss("self", b, second(0.5), second(0.5)) }, 0.6, false},
-		{"the cut expires", func(d *DomainTable) { d.RecordMiss("x", a, second(0), second(0)); d.RecordMiss("x", b, second(0.5), second(0.5)) }, 3, false},
+		{"the own domain", func(d *DomainTable) {
+			d.RecordMiss("self", a, second(0), second(0))
+			d.RecordMiss("self", b, second(0.5), second(0.5))
+		}, 0.6, false},
+		{"the cut expires", func(d *DomainTable) {
+			d.RecordMiss("x", a, second(0), second(0))
+			d.RecordMiss("x", b, second(0.5), second(0.5))
+		}, 3, false},
 		{"one more miss after it has expired", func(d *DomainTable) {
 			d.RecordMiss("x", a, second(0), second(0))
 			d.RecordMiss("x", b, second(0.5), second(0.5))
--- /dev/null
+++ b/tunnel/dialer_test.go
@@ -0,0 +1,188 @@
+package tunnel
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/endpoint"
+)
+
+const testAddress = "10.0.0.1:80"
+
+// answer is how a host answers requests for tunnels.
+type answer struct {
+	reply Reply
+	err   error
+	hangs bool
+}
+
+// stubOpener answers requests for tunnels by host name.
+type stubOpener struct {
+	answers map[string]answer
+}
+
+// OpenTunnel implements Opener.
+func (o *stubOpener) OpenTunnel(ctx context.Context, h blackboard.Host, _ Request) (net.Conn, Reply, error) {
+	a := o.answers[h.Name]
+	if a.hangs {
+		<-ctx.Done()
+		return nil, Reply{}, ctx.Err()
+	}
+	if a.reply.Code == Opened {
+		near, _ := net.Pipe()
+		return near, a.reply, nil
+	}
+	return nil, a.reply, a.err
+}
+
+// newTestBoard returns the board of a host that knows others, given as name and failure domain.
+func newTestBoard(others ...[2]string) *blackboard.Board {
+	settings := &config.Settings{Host: "self", Domain: "a", Region: "r"}
+	settings.SetDefaults()
+	b := blackboard.New(settings)
+	for i, o := range others {
+		b.Hosts.Learn(blackboard.Host{Name: o[0], Number: uint32(i + 1), Domain: o[1], Region: "r", Peers: "10.1.0.1:1", Incarnation: 1}, time.Now())
+	}
+	return b
+}
+
+var errRefused = &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+
+// refuses and hangs are direct paths that are lost.
+func refuses(context.Context, string, string) (net.Conn, error) { return nil, errRefused }
+func hangs(ctx context.Context, _, _ string) (net.Conn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+func accepts(context.Context, string, string) (net.Conn, error) {
+	near, _ := net.Pipe()
+	return near, nil
+}
+
+// TestDial connects to an endpoint with some answers of other hosts, and checks by which way it does, or
+// what its failure shows.
+func TestDial(t *testing.T) {
+	var (
+		opens       = answer{reply: Reply{Code: Opened}}
+		refused     = answer{reply: Reply{Code: Refused}}
+		refusedLost = answer{reply: Reply{Code: Refused, LostPaths: true}}
+		cutOff      = answer{reply: Reply{Code: CutOff, LostPaths: true}}
+		silent      = answer{hangs: true}
+		old         = answer{err: ErrNotSupported}
+	)
+	near, far := [2]string{"near", "a"}, [2]string{"far", "b"}
+	cases := []struct {
+		name    string
+		direct  endpoint.Dial
+		answers map[string]answer
+		hosts   [][2]string
+		gateway string // of the connection; empty: none
+		failure string // "": a connection, else "refused", "no path" or "silent"
+		state   blackboard.PathState
+	}{
+		{"direct", accepts, nil, [][2]string{near}, "", "", blackboard.PathDirect},
+		{"refused, a near host reaches it", refuses, map[string]answer{"near": opens}, [][2]string{near}, "near", "", blackboard.PathLost},
+		{"hangs, a near host reaches it", hangs, map[string]answer{"near": opens}, [][2]string{near}, "near", "", blackboard.PathLost},
+		{"hangs, a near host hangs too", hangs, map[string]answer{"near": silent, "far": opens}, [][2]string{near, far}, "far", "", blackboard.PathLost},
+		{"refused, a near host is cut off", refuses, map[string]answer{"near": cutOff, "far": opens}, [][2]string{near, far}, "far", "", blackboard.PathLost},
+		{"refused, a near host is of an older version", refuses, map[string]answer{"near": old, "far": opens}, [][2]string{near, far}, "far", "", blackboard.PathLost},
+		{"refused, no other host", refuses, nil, nil, "", "refused", blackboard.PathDirect},
+		{"refused, others are of an older version", refuses, map[string]answer{"near": old}, [][2]string{near}, "", "refused", blackboard.PathDirect},
+		{"refused, confirmed", refuses, map[string]answer{"near": refused}, [][2]string{near}, "", "refused", blackboard.PathNone},
+		{"refused, others may be cut off", refuses, map[string]answer{"near": refusedLost, "far": cutOff}, [][2]string{near, far}, "", "no path", blackboard.PathNone},
+		{"hangs, given up", hangs, map[string]answer{"near": silent}, [][2]string{near}, "", "silent", blackboard.PathNone},
+		{"hangs, no other host", hangs, nil, nil, "", "silent", blackboard.PathDirect},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestBoard(tc.hosts...)
+				d := NewDialer(b, tc.direct, &stubOpener{answers: tc.answers}, zap.NewNop())
+				ctx, cancel := context.WithTimeoutCause(context.Background(), 300*time.Millisecond, endpoint.ErrGivenUp)
+				defer cancel()
+				conn, err := d.Dial(ctx, "tcp", testAddress)
+				if got := failureOf(err); got != tc.failure {
+					t.Fatalf("failure %q (%v), want %q", got, err, tc.failure)
+				}
+				if conn != nil {
+					gateway := ""
+					if tunneled, ok := conn.(endpoint.Tunneled); ok {
+						gateway = tunneled.Gateway()
+					}
+					if gateway != tc.gateway {
+						t.Errorf("connected by way of %q, want %q", gateway, tc.gateway)
+					}
+				}
+				time.Sleep(lossAfter) // a direct attempt that hangs is given up by then
+				synctest.Wait()
+				if got := b.Paths.State(testAddress, time.Now()); got != tc.state {
+					t.Errorf("the path is %v, want %v", got, tc.state)
+				}
+			})
+		})
+	}
+}
+
+func failureOf(err error) string {
+	var noPath *endpoint.NoPathError
+	switch {
+	case err == nil:
+		return ""
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case errors.As(err, &noPath):
+		return "no path"
+	}
+	return "silent"
+}
+
+// TestKnownNoPathFailsAtOnce connects to an endpoint that nobody reached lately.
+func TestKnownNoPathFailsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBoard()
+		d := NewDialer(b, hangs, new(stubOpener), zap.NewNop())
+		b.Paths.RecordFailure(testAddress, time.Now(), blackboard.PathNone, true)
+		began := time.Now()
+		_, err := d.Dial(context.Background(), "tcp", testAddress)
+		if !endpoint.KnownUnreachable(err) || time.Since(began) > 0 {
+			t.Errorf("got %v after %v", err, time.Since(began))
+		}
+	})
+}
+
+// TestGatewaysAreShared opens tunnels by way of one near and two far hosts: near ones first, and no host
+// passes on all of them.
+func TestGatewaysAreShared(t *testing.T) {
+	b := newTestBoard([2]string{"near", "a"}, [2]string{"far-1", "b"}, [2]string{"far-2", "c"})
+	g := newGateways(b.Hosts)
+	opened := map[string]int{}
+	for i := range 30 {
+		h, found, _ := g.pick(nil, time.Now())
+		if !found {
+			t.Fatal("no host")
+		}
+		if i == 0 && h.Name != "near" {
+			t.Errorf("%s is asked first", h.Name)
+		}
+		g.recordOpened(&h, time.Now())
+		opened[h.Name]++
+	}
+	for name, n := range opened {
+		if n < 6 || n > 16 {
+			t.Errorf("%s passes on %d of 30", name, n)
+		}
+	}
+	if got := fmt.Sprint(len(opened)); got != "3" {
+		t.Errorf("%s hosts pass on", got)
+	}
+}
