tunnel, blackboard: lost paths are probed only while used, and a late direct connection counts

A probe counted as a use, so lost paths that nobody wanted were probed for ever. A direct connection that was accepted after a tunnel had won the race left the path lost.

--- a/blackboard/paths.go
+++ b/blackboard/paths.go
@@ -214,11 +214,10 @@
 	t.sweep(now)
 	p := t.paths[address]
 	if p == nil {
-		p = &pathRow{Path: Path{Address: address}}
+		p = &pathRow{Path: Path{Address: address}, usedAt: now}
 		t.paths[address] = p
 		t.counts[p.State]++
 	}
-	p.usedAt = now
 	return p
 }
 
--- a/blackboard/paths_test.go
+++ b/blackboard/paths_test.go
@@ -21,6 +21,15 @@
 		{"lost", func(p *PathTable) { p.RecordFailure(address, second(0), PathLost, false) }, 0.1, PathLost, 0},
 		{"lost, and a probe is due", func(p *PathTable) { p.RecordFailure(address, second(0), PathLost, false) }, 0.3, PathLost, 1},
 		{"lost and no longer used", func(p *PathTable) { p.RecordFailure(address, second(0), PathLost, false) }, 5, PathLost, 0},
+		{"lost, probed and not used meanwhile", func(p *PathTable) {
+			p.RecordFailure(address, second(0), PathLost, false)
+			p.RecordFailure(address, second(3), PathLost, false)
+		}, 4.5, PathLost, 0},
+		{"lost, probed and used", func(p *PathTable) {
+			p.RecordFailure(address, second(0), PathLost, false)
+			p.RecordFailure(address, second(3), PathLost, false)
+			p.Use(address, second(4))
+		}, 4.5, PathLost, 1},
 		{"lost long ago", func(p *PathTable) { p.RecordFailure(address, second(0), PathLost, false) }, 11, PathDirect, 0},
 		{"lost and restored", func(p *PathTable) {
 			p.RecordFailure(address, second(0), PathLost, false)
--- a/tunnel/race.go
+++ b/tunnel/race.go
@@ -105,9 +105,10 @@
 func (r *race) dialDirect() {
 	r.pending++
 	r.directPending = true
+	began := time.Now()
 	go func() {
 		conn, err := r.dialer.direct(r.directCtx, r.network, r.address)
-		r.results <- outcome{conn: conn, err: err}
+		r.results <- outcome{conn: conn, err: err, took: time.Since(began)}
 	}()
 }
 
@@ -166,8 +167,12 @@
 func (r *race) win(o outcome) net.Conn {
 	r.stopTunnels()
 	if o.host == nil {
-		r.dialer.recordDirect(r.address, time.Since(r.began))
-		go r.discard("")
+		r.dialer.recordDirect(r.address, o.took)
+		if r.pending == 0 {
+			r.stopDirect()
+		} else {
+			go r.discard("")
+		}
 		return o.conn
 	}
 	r.dialer.recordTunnel(r.address)
@@ -181,7 +186,8 @@
 }
 
 // discard closes the connections of the attempts that are still in progress. If a gateway reached
-// the endpoint and the direct attempt stays without an answer, the path is lost.
+// the endpoint and the direct attempt stays without an answer, the path is lost; if it is accepted
+// late, the path is direct.
 func (r *race) discard(gateway string) {
 	defer r.stopDirect()
 	if gateway == "" {
@@ -192,9 +198,13 @@
 	}
 	for ; r.pending > 0; r.pending-- {
 		o := <-r.results
+		if o.conn != nil {
+			o.conn.Close()
+		}
 		switch {
+		case o.conn != nil && o.host == nil:
+			r.dialer.recordDirect(r.address, o.took)
 		case o.conn != nil:
-			o.conn.Close()
 		case o.host == nil && gateway != "":
 			r.dialer.recordLost(r.address, gateway, o.err)
 		case o.host != nil && gateway != "" && o.took >= gatewayHeadStart:
