--- a/tunnel/witness.go
+++ b/tunnel/witness.go
@@ -33,7 +33,7 @@
 	tried   int
 }
 
-// newWitness returns a witness for an attempt to connect that begins now. The caller must call stop.
+// newWitness returns a witness for an attempt to connect that begins now. The caller must call end.
 func (g *Gateway) newWitness(ctx context.Context, address string) *witness {
 	w := &witness{gateway: g, address: address, results: make(chan bool, maxWitnesses)}
 	w.ctx, w.stop = context.WithCancel(context.WithoutCancel(ctx))
@@ -42,6 +42,12 @@
 	return w
 }
 
+// end ends the attempts.
+func (w *witness) end() {
+	w.timer.Stop()
+	w.stop()
+}
+
 // try connects to some endpoints that this host doesn't know to be unreachable.
 func (w *witness) try() {
 	var addresses []string
