--- a/blackboard/domains.go
+++ b/blackboard/domains.go
@@ -34,7 +34,8 @@
 }
 
 // RecordMiss records that a host or endpoint of a domain didn't answer a call that began at a given
-// time. The miss doesn't count if another one of the domain answered meanwhile. It returns until when the domain counts as cut off, zero if it doesn't, and whether it didn't before.
+// time. The miss doesn't count if another one of the domain answered meanwhile. It returns until
+// when the domain counts as cut off, zero if it doesn't, and whether it didn't before.
 func (t *DomainTable) RecordMiss(domain string, number uint32, began, now time.Time) (until time.Time, changed bool) {
 	if domain == t.own {
 		return time.Time{}, false
