tunnel: a gateway tries four other endpoints before it says that it may be cut off

A host that is asked whether a crashed endpoint is out of reach tries two others; where three of six had crashed, both could be down as well, the end of the process wasn't confirmed, and the request was sent to one endpoint more.

--- a/tunnel/witness.go
+++ b/tunnel/witness.go
@@ -17,7 +17,7 @@
 	// witnessTimeout bounds the wait for others.
 	witnessTimeout = 50 * time.Millisecond
 	// maxWitnesses is how many others are tried.
-	maxWitnesses = 2
+	maxWitnesses = 4
 )
 
 // witness finds out whether a gateway reaches other endpoints than one. Its methods must be called by one
