entry, owner: outcomes and conclusions from failed calls have files of their own

What judges a failed call is moved as it is: outcomeOf, failedOutcome, isSilence, callFailure and hasNoPath to entry/outcome.go, isConclusive and isSilence of polls to owner/conclusive.go.

--- a/entry/read.go
+++ b/entry/read.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/blackboard"
@@ -230,46 +229,6 @@
 	return call
 }
 
-func outcomeOf(ctx context.Context, err error) owner.Outcome {
-	switch {
-	case err == nil:
-		return owner.Done
-	case ctx.Err() != nil:
-		return owner.CallerLeft
-	case endpoint.MayHaveRun(err), endpoint.Unreachable(err):
-		return failedOutcome(err)
-	}
-	return owner.Rejected
-}
-
-// failedOutcome returns the outcome of an attempt that failed, but wasn't refused.
-func failedOutcome(err error) owner.Outcome {
-	switch {
-	case endpoint.KnownUnreachable(err):
-		return owner.Abandoned
-	case isSilence(err):
-		return owner.Silent
-	}
-	return owner.Failed
-}
-
-// isSilence reports whether err means that an endpoint sent nothing or accepted no connection in time.
-func isSilence(err error) bool {
-	var stalled *stallError
-	return endpoint.ConnectTimedOut(err) || errors.As(err, &stalled)
-}
-
-// callFailure makes a retryable of a call that failed at an endpoint.
-func (e *Entry) callFailure(spec *config.Endpoint, err error) *retryable {
-	r := &retryable{endpointName: spec.Name, mayHaveRun: endpoint.MayHaveRun(err), notSent: endpoint.KnownUnreachable(err)}
-	if r.mayHaveRun {
-		r.refusal = result.Errorf(result.AnswerBroken, "%s broke off the request", spec.Name).After(time.Second)
-		return r
-	}
-	r.refusal = result.Errorf(result.EndpointRefused, "%s refused the request", spec.Name).After(time.Second)
-	return r
-}
-
 // abort cancels an attempt at an endpoint that may hold memory for it. It doesn't wait; if
 // the call is lost, the endpoint's owner finds the attempt.
 func (e *Entry) abort(spec *config.Endpoint, a request.Attempt) {
--- a/entry/write.go
+++ b/entry/write.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/embercove/embercove/blackboard"
-	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/internal/wait"
 	"github.com/embercove/embercove/owner"
@@ -301,8 +300,3 @@
 func (s *stallError) Error() string {
 	return fmt.Sprintf("no progress in %s for %s, %s", s.phase, s.silent.Round(time.Millisecond), s.check)
 }
-
-// hasNoPath reports whether neither this host nor another one reaches an endpoint.
-func (e *Entry) hasNoPath(spec *config.Endpoint) bool {
-	return e.board.Paths.State(spec.Address, time.Now()) == blackboard.PathNone
-}
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/blackboard"
@@ -228,22 +226,6 @@
 	o.correctState(ctx, sched, st)
 }
 
-// isConclusive reports whether a failed poll says something of the endpoint, and not of this host or its
-// links.
-func (o *Owner) isConclusive(ctx context.Context, sched *Scheduler, err error, othersAnswer bool, began time.Time) bool {
-	var noPath *endpoint.NoPathError
-	if errors.As(err, &noPath) {
-		return noPath.Confirmed
-	}
-	return !isSilence(ctx, err) || othersAnswer && o.board.Paths.SilenceConclusive(sched.spec.Address, began)
-}
-
-// isSilence reports whether a call failed because nothing arrived in time.
-func isSilence(ctx context.Context, err error) bool {
-	var timeout net.Error
-	return err != nil && (ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout())
-}
-
 // recordNotice records the notices in the header of a state report. A report without a limit changes
 // nothing, as reports need not repeat it.
 func (o *Owner) recordNotice(sched *Scheduler, st *endpoint.State, err error) {
