versions, entry, peer, route: an answer goes on only at the software version that began it

Callers held streams with events of two software versions of a service. Cause: the version that an endpoint registers was read and dropped, no endpoint had one, and Resumes, which names the attempt that began a stream, was read nowhere; so each way on which an answer goes on took any endpoint.

A job is bound to the version before the first piece is passed on; one gate of all ways to an endpoint leaves out others. Which version began an answer is told to two hosts of each failure domain, which a host that is asked to go on asks; who leaves hands records over, who starts asks for them. Unknown or gone: 316 and 317 at once, not run.

--- a/config/change.go
+++ b/config/change.go
@@ -29,7 +29,7 @@
 // SameRegistration reports whether two registrations are equivalent.
 func SameRegistration(a, b *Endpoint) bool {
 	return a.Name == b.Name && a.Address == b.Address && a.Domain == b.Domain && a.Pool == b.Pool && a.Role == b.Role &&
-		a.Slots == b.Slots && a.Leaving == b.Leaving && a.Model == b.Model && a.Version == b.Version &&
+		a.Slots == b.Slots && a.Leaving == b.Leaving && a.Model == b.Model && a.Version == b.Version && a.Software == b.Software &&
 		a.Lapsed.IsZero() == b.Lapsed.IsZero() && a.Born == b.Born && sameCold(a, b)
 }
 
--- a/entry/barred.go
+++ b/entry/barred.go
@@ -34,7 +34,7 @@
 		b = route.IneligibleReason(s, &r)
 	})
 	switch b {
-	case route.ReasonGone, route.ReasonLeaving, route.ReasonUnconfirmed, route.ReasonEvacuated, route.ReasonBackoff, route.ReasonRegionNotAllowed:
+	case route.ReasonGone, route.ReasonLeaving, route.ReasonUnconfirmed, route.ReasonEvacuated, route.ReasonBackoff, route.ReasonSoftware, route.ReasonRegionNotAllowed:
 		e.reasonTotals.count(b)
 		return b
 	}
@@ -148,7 +148,7 @@
 		return result.Errorf(reasonCode(mainReason), "no %s is open: %s", what, mainReason).After(e.permitRetryAfter(numbers))
 	case route.ReasonConnections:
 		return result.Errorf(result.TooLate, "no %s is open: %s", what, mainReason).After(e.fullRetryAfter(numbers))
-	case route.ReasonDown, route.ReasonNoPath:
+	case route.ReasonDown, route.ReasonNoPath, route.ReasonSoftware:
 		return result.Errorf(result.NoEndpoint, "no %s is open: %s", what, mainReason).After(time.Second)
 	case route.ReasonRegionNotAllowed:
 		return result.Errorf(result.NoHome, "no %s is open: %s", what, mainReason).After(time.Second)
--- a/entry/call.go
+++ b/entry/call.go
@@ -25,6 +25,9 @@
 	Prompt      *Prompt         // nil: the call has none
 	TimeLeft    time.Duration   // until the caller times out; 0: unknown
 	LastEventID string          // id of the last event that the caller received; empty: none
+	// FirstAttempt is the caller's id of the attempt that brought its first event, where LastEventID is
+	// given; empty: it didn't say.
+	FirstAttempt string
 	// Sends a refusal or failure to the caller, in its protocol.
 	Refuse func(w http.ResponseWriter, err *result.Error)
 }
@@ -148,6 +151,7 @@
 		j.engineID = xxhash.Sum64String(c.Origin.ID)
 	}
 	j.work = &endpoint.Work{Origin: c.Origin, LastEventID: c.LastEventID}
+	j.firstAttempt = c.FirstAttempt
 	j.work.Priority = j.priority
 	if c.TimeLeft > 0 {
 		j.work.Deadline = clock.Now().Add(c.TimeLeft)
--- a/entry/copy.go
+++ b/entry/copy.go
@@ -78,6 +78,7 @@
 	}
 	q, number := j.criteria, route.Number(p.decodeSpec.Name)
 	q.Now = time.Now()
+	q.Continues, q.Software = true, p.decodeSpec.Software // the rest of the answer is written where its copy is
 	e.board.Endpoints.Read(func(fleet *route.Fleet) {
 		v := fleet.View
 		g, pool := j.group(fleet), v.Pools[p.decodeSpec.Pool]
@@ -219,7 +220,7 @@
 	before := j.reply.chunks()
 	w := newWatchdog(forever, forever, callControl{mayCancel: func(*watchdog) bool { return false }}) // the replica is used up
 	defer w.stop()
-	err = e.relay(j, p, c.stream, w)
+	err = e.relay(ctx, j, p, c.stream, w)
 	e.endCall(ctx, j, p.decodeSpec, c, j.reply.chunks()-before, err)
 	return err
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/retry"
+	"github.com/embercove/embercove/versions"
 )
 
 // Owners is what a request needs from endpoint owners and key holders.
@@ -39,6 +40,8 @@
 	EndProbe(f request.Fingerprint, holder uint64, settled bool)
 	AnnounceMarks(rows []quarantine.Row)
 	ReceiveLimit(spec *config.Endpoint, w pace.Report)
+	RecordVersion(ctx context.Context, r versions.Record)
+	FindVersion(ctx context.Context, answer request.Fingerprint) (r versions.Record, from string, complete bool)
 }
 
 // Entry serves callers. Use New.
@@ -66,6 +69,7 @@
 
 	WithoutPermit atomic.Uint64 // calls that got no start permit in time
 	NoticeCounts  NoticeCounts
+	Versions      VersionCounts
 }
 
 // New returns an entry over the board.
--- a/entry/job.go
+++ b/entry/job.go
@@ -22,6 +22,7 @@
 	id                request.ID
 	engineID          uint64              // hash of the id by which engines list it; 0: the attempt's id is used
 	fingerprint       request.Fingerprint // of its content; the same for every caller that sends it
+	firstAttempt      string              // of the caller, that brought the first event of the answer that it takes up
 	view              *config.View        // the revision that it was admitted under
 	route             *config.RouteView
 	pool              string         // pool of the route that it uses; empty: no pools
@@ -157,6 +158,10 @@
 		e.finish(j, refusal, false)
 		return
 	}
+	if refusal := e.bindTakenUp(ctx, j); refusal != nil {
+		e.finish(j, refusal, false)
+		return
+	}
 	if refusal := e.drawQuota(ctx, j); refusal != nil {
 		e.finish(j, refusal, false)
 		return
--- a/entry/next.go
+++ b/entry/next.go
@@ -106,6 +106,7 @@
 	n.job.reply = sentReply{sent: n.sent}
 	if w.answering.Load() {
 		n.job.reply = sentReply{sent: n.sent + 1}
+		n.bindNext()
 	}
 	if n.isSuspected() {
 		return false
@@ -165,6 +166,7 @@
 	}
 	j.opened, j.prefillName = n.opened, n.job.prefillName
 	n.logTaken(j)
+	n.job.criteria.Continues, n.job.criteria.Software = j.criteria.Continues, j.criteria.Software
 	j.pool, j.criteria, j.redirect, j.refusedRegions, j.regionLog = n.job.pool, n.job.criteria, n.job.redirect, n.job.refusedRegions, n.job.regionLog
 	j.criteria.Probe = j.probing
 	return n.plan, n.kv
--- a/entry/place_test.go
+++ b/entry/place_test.go
@@ -23,6 +23,7 @@
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
+	"github.com/embercove/embercove/versions"
 )
 
 // stubOwners answers as configured and records the calls.
@@ -83,8 +84,12 @@
 func (s *stubOwners) AcquireProbe(context.Context, quarantine.Ask) quarantine.Reply {
 	return quarantine.Reply{Verdict: quarantine.Suspect, Granted: true}
 }
-func (s *stubOwners) EndProbe(request.Fingerprint, uint64, bool) {}
-func (s *stubOwners) AnnounceMarks([]quarantine.Row)             {}
+func (s *stubOwners) EndProbe(request.Fingerprint, uint64, bool)     {}
+func (s *stubOwners) AnnounceMarks([]quarantine.Row)                 {}
+func (s *stubOwners) RecordVersion(context.Context, versions.Record) {}
+func (s *stubOwners) FindVersion(context.Context, request.Fingerprint) (versions.Record, string, bool) {
+	return versions.Record{}, "", true
+}
 func (s *stubOwners) ReceiveLimit(*config.Endpoint, pace.Report) {}
 
 func (s *stubOwners) AcquirePermit(context.Context, *config.Endpoint, peer.PermitRequest) peer.Permit {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -91,7 +91,7 @@
 		}
 	}
 	defer c.stream.Close()
-	return e.relay(j, p, c.stream, w)
+	return e.relay(ctx, j, p, c.stream, w)
 }
 
 // keepFailure keeps a failure that the endpoint answered with. The caller receives it
@@ -168,7 +168,7 @@
 
 // relay forwards the stream: each chunk once, in order, and a clean end only after a
 // complete answer.
-func (e *Entry) relay(j *job, p *plan, s endpoint.Stream, w *watchdog) error {
+func (e *Entry) relay(ctx context.Context, j *job, p *plan, s endpoint.Stream, w *watchdog) error {
 	for {
 		c, err := s.Next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
@@ -195,6 +195,9 @@
 		if c.Offset > j.reply.chunks() {
 			return brokenAnswer(p, "chunks are missing")
 		}
+		if !w.answering.Load() && !e.bindAnswer(ctx, j, p.decodeSpec) {
+			return brokenAnswer(p, "another software version began the answer")
+		}
 		if j.reply.chunks() == 0 {
 			j.markPhase(3)
 		}
--- a/entry/run.go
+++ b/entry/run.go
@@ -62,7 +62,7 @@
 // before any call was made. It reports whether the job is to be placed again, among all
 // endpoints.
 func (e *Entry) awaitCapacity(ctx context.Context, j *job, refusal *result.Error) bool {
-	if j.reply.chunks() == 0 || !isPlacementRefusal(refusal.Code) {
+	if j.reply.chunks() == 0 || !isPlacementRefusal(refusal.Code) || !e.servesVersion(j) {
 		return false
 	}
 	j.tries-- // no call was made
--- a/entry/service.go
+++ b/entry/service.go
@@ -221,6 +221,9 @@
 		return failure
 	}
 	defer ans.Body.Close()
+	if j.mayBeTakenUp() {
+		e.bindAnswer(ctx, j, spec)
+	}
 	e.retryBudgets.Earn(j.team.Name, spec.Name, j.view.Doc.Limits.RetryShare)
 	if err := j.reply.sendWhole(ans); err != nil {
 		return &endpoint.CallError{Address: spec.Address, MayHaveRun: true, Cause: err}
--- /dev/null
+++ b/entry/version.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/quarantine"
+	"github.com/embercove/embercove/request"
+	"github.com/embercove/embercove/result"
+	"github.com/embercove/embercove/route"
+	"github.com/embercove/embercove/versions"
+)
+
+// An answer that has begun goes on only at the software version that began it (package versions). The version
+// is bound to the job before the caller has the first piece, or when the caller takes the answer up, and is part
+// of the job's criteria from then on: every way to an endpoint checks them.
+
+// VersionCounts counts the answers that callers took up.
+type VersionCounts struct {
+	TakenUp atomic.Uint64 // at the software version that began them
+	Unknown atomic.Uint64 // refused, as it isn't known which version began them
+	Gone    atomic.Uint64 // refused, as no endpoint runs that version any more
+}
+
+// versionRetryAfter is the retry time of a caller whose answer's version may be known to a host that is out of
+// reach.
+const versionRetryAfter = time.Second
+
+// noEventYet is the event id that a caller without any event may state.
+const noEventYet = "0"
+
+// takesUp reports whether the caller has events of the answer from an earlier attempt.
+func (j *job) takesUp() bool { return j.work.LastEventID != "" && j.work.LastEventID != noEventYet }
+
+// answerID identifies the answer that an attempt of a caller began, on all hosts.
+func (j *job) answerID(attempt string) request.Fingerprint {
+	return request.FingerprintOf(j.team.Name, hostName(j.work.Origin.Host), "", "", []byte(attempt))
+}
+
+// bindTakenUp binds a job whose caller takes up an answer to the software version that began it. It returns the
+// refusal if that isn't known, or nothing of that version is left.
+func (e *Entry) bindTakenUp(ctx context.Context, j *job) *result.Error {
+	if !j.takesUp() {
+		return nil
+	}
+	if j.firstAttempt == "" {
+		e.Versions.Unknown.Add(1)
+		return result.Errorf(result.VersionUnknown, "the request doesn't say which attempt brought the first event, so the software version that began the answer isn't known")
+	}
+	rec, from, complete := e.owners.FindVersion(ctx, j.answerID(j.firstAttempt))
+	switch {
+	case from == "" && !complete:
+		e.Versions.Unknown.Add(1)
+		return result.Errorf(result.VersionUnknown, "no host in reach knows which software version began attempt %.40q", j.firstAttempt).After(versionRetryAfter)
+	case from == "":
+		e.Versions.Unknown.Add(1)
+		return result.Errorf(result.VersionUnknown, "no host knows which software version began attempt %.40q", j.firstAttempt)
+	case e.isReplaced(&rec):
+		e.Versions.Unknown.Add(1)
+		return result.Errorf(result.VersionUnknown, "%s, which began attempt %.40q, runs another software version now, and may have done so then", rec.Endpoint, j.firstAttempt)
+	}
+	j.criteria.Continues, j.criteria.Software = true, rec.Software
+	if !e.servesVersion(j) {
+		e.Versions.Gone.Add(1)
+		return result.Errorf(result.VersionGone, "software version %.40q, which began attempt %.40q at %s, is gone", rec.Software, j.firstAttempt, rec.Endpoint)
+	}
+	e.Versions.TakenUp.Add(1)
+	if ok, lost := e.logLimiter.admit(j.arrived, &j.logged, false); ok {
+		e.log.Info("answer is taken up", zap.Stringer("id", j.id), zap.String("caller_id", j.callerID()), zap.String("first_attempt", j.firstAttempt),
+			zap.String("software", rec.Software), zap.String("begun_at", rec.Endpoint), zap.String("known_from", from), zap.Uint64("lines_left_out", lost))
+	}
+	return nil
+}
+
+// bindAnswer binds an answer whose first piece has arrived to the software version of its endpoint, before the
+// piece is passed on. It reports whether the endpoint may write the answer: one of another version may not go on
+// with an answer that is bound already.
+func (e *Entry) bindAnswer(ctx context.Context, j *job, spec *config.Endpoint) bool {
+	if j.criteria.Continues {
+		return spec.Software == j.criteria.Software && !e.hasRestarted(ctx, spec)
+	}
+	rec := versions.Record{Software: spec.Software, Endpoint: spec.Name}
+	j.criteria.Continues, j.criteria.Software = true, spec.Software
+	if e.isReplaced(&rec) || e.hasRestarted(ctx, spec) {
+		j.criteria.Software = spec.WithUnknownSoftware().Software // either process may have written it
+		return true
+	}
+	if j.mayBeTakenUp() {
+		rec.Answer = j.answerID(j.work.Origin.ID)
+		e.owners.RecordVersion(ctx, rec)
+	}
+	return true
+}
+
+// mayBeTakenUp reports whether the caller may take up the job's answer in a later attempt.
+func (j *job) mayBeTakenUp() bool {
+	return (j.route.Streams || j.route.Resumable) && j.work.Origin != nil && j.work.Origin.ID != "" && !j.takesUp()
+}
+
+// isReplaced reports whether the endpoint that a record names is registered with another software version now.
+func (e *Entry) isReplaced(rec *versions.Record) (replaced bool) {
+	e.board.Endpoints.Find(route.Number(rec.Endpoint), func(_ *config.View, s *route.State) {
+		replaced = s.Spec.Software != rec.Software
+	})
+	return replaced
+}
+
+// hasRestarted reports whether an endpoint says that it started later than its registration states, which is late
+// then. Endpoints whose registrations state no start times have another name after each start.
+func (e *Entry) hasRestarted(ctx context.Context, spec *config.Endpoint) bool {
+	if spec.Born == 0 {
+		return false
+	}
+	evidence, _ := e.processEvidence(ctx, processOf(spec))
+	return evidence == quarantine.EvidenceRestarted
+}
+
+// servesVersion reports whether the route has an endpoint, in use now or not, that may go on with the job's
+// answer.
+func (e *Entry) servesVersion(j *job) (serves bool) {
+	e.board.Endpoints.Read(func(fleet *route.Fleet) {
+		g := j.group(fleet)
+		if g == nil {
+			return
+		}
+		for _, s := range j.answeringStates(g) {
+			serves = serves || !s.IsLeaving() && s.Spec.Software == j.criteria.Software
+		}
+	})
+	return serves
+}
+
+// answeringStates returns the endpoints of a group that may answer the job.
+func (j *job) answeringStates(g *route.Group) []*route.State {
+	if j.prompted {
+		return decodeStates(g)
+	}
+	return serviceStates(g)
+}
+
+// bindNext binds the next try of a call whose answer has begun to the software version of its engine.
+func (n *nextTry) bindNext() {
+	if !n.job.criteria.Continues {
+		n.job.criteria.Continues, n.job.criteria.Software = true, n.from.Software
+	}
+}
+
+// mayGoOnAt reports whether an endpoint may go on with the job's answer as far as its software is concerned.
+func (j *job) mayGoOnAt(spec *config.Endpoint) bool {
+	return !j.criteria.Continues || spec.Software == j.criteria.Software
+}
--- a/entry/write.go
+++ b/entry/write.go
@@ -28,6 +28,12 @@
 	p.initialExclude = j.criteria.Exclude
 	defer func() { e.releaseReplica(j, p) }()
 	for {
+		if j.opened != nil && !j.mayGoOnAt(p.decodeSpec) {
+			j.opened.abandon()
+			j.opened = nil
+			e.discardResult(j, p, kv)
+			return ineligibleFailure(p.decodeSpec, route.ReasonSoftware)
+		}
 		if j.opened == nil {
 			if ready, err := e.readyToDecode(ctx, j, p, kv, expires); err != nil {
 				return err
--- a/node/drain.go
+++ b/node/drain.go
@@ -33,6 +33,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), config.Millis(n.settings.LameDuckMillis))
 	n.Router.Announce(ctx)
 	n.Owner.HandOverAll(ctx)
+	n.Router.HandOverVersions()
 	<-ctx.Done() // meanwhile the load balancer and the peers stop sending requests here
 	cancel()
 	for time.Now().Before(deadline) && n.Board.Requests.Len()+n.Owner.QueuedRequests()+n.gateway.Active() > 0 {
--- a/node/status.go
+++ b/node/status.go
@@ -49,6 +49,7 @@
 	Role             config.Role `json:"role"`
 	Domain           string      `json:"failure_domain"`
 	Owner            string      `json:"owner"` // empty: there is no live host in its failure domain
+	Software         string      `json:"software,omitempty"` // version; "unknown": the registration states none
 	State            string      `json:"state"`
 	QueueMillis      uint32      `json:"queue_ms"`
 	FreeTokens       int32       `json:"free_tokens"`
@@ -111,7 +112,7 @@
 }
 
 func (n *Node) endpointStatus(v *config.View, st *route.State, now time.Time) EndpointStatus {
-	es := EndpointStatus{Endpoint: st.Spec.Name, Role: st.Role, Domain: st.Spec.Domain, State: stateName(st), QueueMillis: st.Digest.QueueMillis,
+	es := EndpointStatus{Endpoint: st.Spec.Name, Role: st.Role, Domain: st.Spec.Domain, Software: st.Spec.SoftwareName(), State: stateName(st), QueueMillis: st.Digest.QueueMillis,
 		FreeTokens: st.Digest.FreeTokens, FreeSlots: st.Digest.FreeSlots, SlowFactor: st.SlowFactor(), FailedPercent: st.Digest.FailPct, DigestAgeSeconds: -1, ColdSeconds: st.ColdRemaining(now).Seconds()}
 	es.PermitsGranted, es.PermitsRefused = n.Owner.Permits.Count(st.Number)
 	if limit := st.Limit.Report(); limit.Named {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -108,6 +108,7 @@
 	r.merge(*reply, now)
 	r.compareMembers(reply.Members, now)
 	r.compareMarks(ctx, h, reply.Marks, now)
+	r.learnVersions(h)
 	if !changesOnly {
 		r.requestNames(ctx, h)
 	}
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -127,6 +127,9 @@
 // rosterOf returns the roster of a reply, or nil if there is none to apply.
 func (r *Router) rosterOf(reply *FetchReply, from HostIdentity) *config.Roster {
 	if reply.Change != nil {
+		if !reply.Software {
+			forgetSoftware(reply.Change.Changed)
+		}
 		return r.board.Config.ApplyChange(reply.Change)
 	}
 	if len(reply.Whole) == 0 {
@@ -137,9 +140,19 @@
 		r.log.Warn("fetched roster is broken", zap.String("from", from.Name), zap.Error(err))
 		return nil
 	}
+	if !reply.Software {
+		forgetSoftware(ro.Endpoints)
+	}
 	return ro.Roster()
 }
 
+// forgetSoftware marks the software of endpoints as unknown.
+func forgetSoftware(list []config.Endpoint) {
+	for i := range list {
+		list[i] = list[i].WithUnknownSoftware()
+	}
+}
+
 // fetchWithRetry makes the call of a fetch. If a connection that was already open stays silent,
 // it retries over a new one: open connections may go silent for good while new ones work.
 func (r *Router) fetchWithRetry(a aheadPeer) (*FetchReply, error) {
@@ -189,6 +202,7 @@
 // applies the roster must also get every document that was published before it.
 func (r *Router) answerFetch(a *FetchArgs) (reply FetchReply, err error) {
 	whole, change := r.board.Config.RosterSince(a.Roster, time.Now())
+	reply.Software = true
 	if reply.Change = change; whole != nil {
 		if reply.Whole, err = r.packer.packRoster(whole); err != nil {
 			return reply, err
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -31,6 +31,9 @@
 	methodTrial     = "P.Trial"
 	methodTrialDone = "P.TrialDone"
 	methodTunnel    = "P.Tunnel"
+	methodVersions  = "P.Versions"
+	methodVersion   = "P.Version"
+	methodRecords   = "P.VersionsSince"
 )
 
 // Heartbeat is a host's heartbeat, as hosts forward it.
@@ -82,6 +85,7 @@
 	Document PackedDocument
 	Whole    []byte               // packed roster; empty: none newer than FetchArgs.Roster, or Change has it
 	Change   *config.RosterChange // since the roster of FetchArgs
+	Software bool                 // endpoints state their software; hosts of earlier versions leave it out
 }
 
 // ReleaseArgs carries a batch of releases.
--- a/peer/router.go
+++ b/peer/router.go
@@ -67,6 +67,7 @@
 	rosterSpreadAt  time.Time // the same for rosters
 	digestsSentAt   time.Time // when digests were last sent
 	standingSentAt  time.Time // when the own domain was last sent this host's revisions
+	versionsLearned int       // hosts that this one has asked for recent software versions of answers
 	marksComparedAt time.Time // when marks were last compared with another host's
 }
 
--- a/result/result.go
+++ b/result/result.go
@@ -49,6 +49,8 @@
 	UnderTrial      Code = 313
 	Limited         Code = 314
 	Resting         Code = 315
+	VersionUnknown  Code = 316
+	VersionGone     Code = 317
 	OutcomeUnknown  Code = 400
 	AnswerBroken    Code = 401
 	CallerGone      Code = 402
@@ -103,6 +105,8 @@
 	{UnderTrial, "under_trial", 503, true, true, "An endpoint crashed while running this request, and the same request is being probed elsewhere.", "Look at embercove suspects."},
 	{Limited, "limited", 503, true, true, "The endpoints of the request limit their requests per second, and these limits are used up.", "Look at the state limited and at limit_per_s of endpoints in embercove status: they are short of capacity."},
 	{Resting, "resting", 503, true, true, "The endpoints of the request refused requests of this host and asked it to back off.", "Look at the state resting of endpoints in embercove status: they are overloaded."},
+	{VersionUnknown, "version_unknown", 503, true, false, "It isn't known which software version began this answer, so it can't go on anywhere.", "Look for hosts that restarted together or are cut off from each other; see docs/design/VERSIONS.md."},
+	{VersionGone, "version_gone", 503, true, false, "No endpoint runs the software version that began this answer any more.", "Look at software in embercove status; keep endpoints of a version until its answers are over."},
 	{OutcomeUnknown, "outcome_unknown", 502, false, false, "The request may have run; its answer is not known.", "Look for hosts or endpoints that crashed."},
 	{AnswerBroken, "answer_broken", 502, false, true, "The answer broke off and could not be resumed.", "Look for endpoints that crashed."},
 	{CallerGone, "caller_gone", 499, false, false, "The caller left before its answer was complete.", "Nothing."},
--- a/route/gate.go
+++ b/route/gate.go
@@ -18,6 +18,7 @@
 	ReasonCutOff                  // its failure domain is cut off from this host
 	ReasonNoPath                  // neither this host nor another one that it asked reaches it
 	ReasonBackoff                 // it asked this host to back off
+	ReasonSoftware                // it runs another software version than the one that began the answer
 	ReasonRegionNotAllowed        // its region is not one of the request's allowed regions
 	ReasonRemoteRegion            // in a remote region, and the request has no reason to be redirected
 	ReasonCold                    // cold, and no start permit is available yet
@@ -51,6 +52,8 @@
 		return "neither this host nor another one reaches it"
 	case ReasonBackoff:
 		return "it asked this host to back off"
+	case ReasonSoftware:
+		return "it runs another software version than the one that began the answer"
 	case ReasonRegionNotAllowed:
 		return "its region is not allowed for the request"
 	case ReasonRemoteRegion:
@@ -79,7 +82,7 @@
 
 // Label returns the reason as a metric label.
 func (b Reason) Label() string {
-	return [reasonCount]string{"", "gone", "leaving", "doubted", "emptied", "down", "wrong_state", "cut_off", "no_path", "resting", "no_home", "other_region", "cold", "limited", "connections", "excluded", "trial"}[b]
+	return [reasonCount]string{"", "gone", "leaving", "doubted", "emptied", "down", "wrong_state", "cut_off", "no_path", "resting", "software", "no_home", "other_region", "cold", "limited", "connections", "excluded", "trial"}[b]
 }
 
 // IneligibleReason returns why a request may not be sent to an endpoint of any role now;
@@ -103,6 +106,8 @@
 		return ReasonNoPath
 	case s.IsBackingOff(r.Now):
 		return ReasonBackoff
+	case r.Continues && s.Role != config.Prefill && s.Spec.Software != r.Software:
+		return ReasonSoftware
 	case r.AllowedRegions != 0 && !r.AllowedRegions.Has(s.Region):
 		return ReasonRegionNotAllowed
 	case !(r.Region | r.RemoteRegions).Has(s.Region):
@@ -139,8 +144,8 @@
 func Eligible(s *State, r *Request) bool { return IneligibleReason(s, r) == ReasonNone }
 
 // MainReason returns the most frequent reason among endpoints of which none is eligible for a
-// request; ReasonNone: the list is empty. Being in a remote region counts only if there is no other
-// reason.
+// request; ReasonNone: the list is empty. Being in a remote region and running another software version
+// count only if there is no other reason.
 func MainReason(list []*State, r *Request) Reason {
 	var counts [reasonCount]int
 	for _, s := range list {
@@ -148,12 +153,17 @@
 	}
 	reason := ReasonNone
 	for b := ReasonGone; b < reasonCount; b++ {
-		if b != ReasonRemoteRegion && counts[b] > counts[reason] {
+		if b != ReasonRemoteRegion && b != ReasonSoftware && counts[b] > counts[reason] {
 			reason = b
 		}
 	}
-	if reason == ReasonNone && counts[ReasonRemoteRegion] > 0 {
+	switch {
+	case reason != ReasonNone:
+		return reason
+	case counts[ReasonSoftware] > 0:
+		return ReasonSoftware
+	case counts[ReasonRemoteRegion] > 0:
 		return ReasonRemoteRegion
 	}
-	return reason
+	return ReasonNone
 }
--- a/route/gate_test.go
+++ b/route/gate_test.go
@@ -39,6 +39,15 @@
 		}, ReasonBackoff},
 		{"down", func(s *State, _ *Request) { s.Digest.Flags = FlagDown }, ReasonDown},
 		{"wrong state", func(s *State, _ *Request) { s.Digest.Flags = FlagWrongState }, ReasonWrongState},
+		{"the rest of an answer of its software", func(s *State, r *Request) { s.Spec.Software, r.Continues, r.Software = "v1", true, "v1" }, ReasonNone},
+		{"the rest of an answer of other software", func(s *State, r *Request) { s.Spec.Software, r.Continues, r.Software = "v2", true, "v1" }, ReasonSoftware},
+		{"the rest of an answer whose software isn't known", func(s *State, r *Request) {
+			s.Spec.Software, r.Continues, r.Software = "v2", true, s.Spec.WithUnknownSoftware().Software
+		}, ReasonSoftware},
+		{"a prompt of an answer of other software", func(s *State, r *Request) {
+			s.Role, s.Spec.Software, r.Continues, r.Software = config.Prefill, "v2", true, "v1"
+		}, ReasonNone},
+		{"a new answer", func(s *State, r *Request) { s.Spec.Software, r.Software = "v2", "v1" }, ReasonNone},
 		{"emptied", func(s *State, _ *Request) { s.Evacuated = true }, ReasonEvacuated},
 		{"evacuated by owners' reports", func(s *State, r *Request) { s.Domain, r.EvacuatedDomains = 3, 1<<3 }, ReasonEvacuated},
 		{"another domain is evacuated by owners' reports", func(s *State, r *Request) { s.Domain, r.EvacuatedDomains = 3, 1<<2 }, ReasonNone},
--- a/route/pick.go
+++ b/route/pick.go
@@ -21,10 +21,14 @@
 	RemoteRegions    config.Regions // remote regions that it may be redirected to
 	EvacuatedDomains uint64         // failure domains, by index, that owners report as being evacuated
 	PrefillRegion    config.Regions // region of its prefill, where decode must run too; 0: not chosen yet
-	Now              time.Time
-	Hosts            int    // in the fleet, as far as this host knows
-	Probe            bool   // it may crash the endpoint: prefer those with the fewest requests in progress
-	Seed             uint64 // spreads the choices of many hosts over near-equal endpoints
+	// Continues says that the request is the rest of an answer that the software version Software began.
+	// It may go to endpoints of that version only; its prompt may be prefilled by any.
+	Continues bool
+	Software  string
+	Now       time.Time
+	Hosts     int    // in the fleet, as far as this host knows
+	Probe     bool   // it may crash the endpoint: prefer those with the fewest requests in progress
+	Seed      uint64 // spreads the choices of many hosts over near-equal endpoints
 	// FixedPrefill is the number of a prefill endpoint that has already admitted the request; 0: any.
 	FixedPrefill uint32
 	// Exclude holds the numbers of endpoints that refused or failed; 0 ends the list. It holds
--- a/tool/remote.go
+++ b/tool/remote.go
@@ -134,9 +134,9 @@
 		}
 	})
 	fmt.Fprintln(t.out)
-	t.printTable("ENDPOINT\tROLE\tDOMAIN\tOWNER\tSTATE\tQUEUE\tFREE TOKENS\tFREE SLOTS\tSLOW\tFAILING\tAGE", func(w io.Writer) {
+	t.printTable("ENDPOINT\tROLE\tDOMAIN\tOWNER\tSTATE\tQUEUE\tFREE TOKENS\tFREE SLOTS\tSLOW\tFAILING\tAGE\tSOFTWARE", func(w io.Writer) {
 		for _, e := range firstHost.Endpoints {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%dms\t%d\t%d\t%.2f\t%d%%\t%s\n", e.Endpoint, e.Role, e.Domain, e.Owner, e.State, e.QueueMillis, e.FreeTokens, e.FreeSlots, e.SlowFactor, e.FailedPercent, formatAge(e.DigestAgeSeconds))
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%dms\t%d\t%d\t%.2f\t%d%%\t%s\t%s\n", e.Endpoint, e.Role, e.Domain, e.Owner, e.State, e.QueueMillis, e.FreeTokens, e.FreeSlots, e.SlowFactor, e.FailedPercent, formatAge(e.DigestAgeSeconds), e.Software)
 		}
 	})
 	return nil
