--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -32,6 +32,7 @@
 	Keys        *KeyTable
 	Quotas      *quota.Accounts      // of the teams whose limits this host holds
 	Suspects    *quarantine.Registry // requests during which endpoints crashed
+	Parts       *quarantine.Parts    // parts of prompts that engines crashed under
 	Versions    *versions.Table      // which software version began each answer
 	Invariant   *invariant.Set
 	Pause       *Pause
@@ -52,7 +53,7 @@
 		Settings: s, Number: request.HostNumber(s.Host), Incarnation: uint64(time.Now().UnixMilli()),
 		Config: newConfigTable(inv), Evacuations: new(EvacuationTable), Domains: newDomainTable(s.Domain), Answers: new(Answers), Link: new(LinkDelay), Paths: newPathTable(), Endpoints: newEndpointTable(),
 		Regions: newRegionTable(), Requests: newRequestTable(inv),
-		Keys: newKeyTable(), Quotas: quota.NewAccounts(rand.Uint64() << 16), Suspects: quarantine.New(s.Host), Versions: versions.NewTable(), Invariant: inv, Wake: newWake(), startedAt: time.Now(),
+		Keys: newKeyTable(), Quotas: quota.NewAccounts(rand.Uint64() << 16), Suspects: quarantine.New(s.Host), Parts: quarantine.NewParts(s.Host), Versions: versions.NewTable(), Invariant: inv, Wake: newWake(), startedAt: time.Now(),
 		Pause: NewPause(config.Millis(s.PauseMillis)),
 	}
 	b.Hosts = newHostTable(Host{
--- a/entry/call.go
+++ b/entry/call.go
@@ -40,6 +40,7 @@
 	Expected  int    // answer tokens estimated by the caller; 0: none
 	Head      uint32 // identifies the prompt in cache feeds
 	HasHead   bool
+	Parts     []string // names of the parts that other prompts may have as well
 }
 
 // Serve handles a call received by another front end.
@@ -164,6 +165,7 @@
 		j.work.Model, j.work.MaxTokens = p.Model, max(1, p.MaxAnswer)
 		j.criteria.Model, j.criteria.Tokens, j.criteria.MaxAnswer = p.Model, j.tokens, j.work.MaxTokens
 		j.criteria.Head, j.criteria.HasHead = p.Head, p.HasHead
+		j.setParts(c.Origin.Host, p.Parts)
 	}
 	return j
 }
--- a/entry/ends.go
+++ b/entry/ends.go
@@ -33,13 +33,18 @@
 
 // beginRun records what is known of a request as a call to an endpoint begins.
 func (e *Entry) beginRun(j *job, spec *config.Endpoint, s quarantine.Stage) engineRun {
-	return engineRun{Run: e.board.Suspects.Begin(j.fingerprint, s, j.teamNumber), spec: spec, proc: e.crashes.process(spec), started: clock.Now(), partial: j.resumes()}
+	run := e.board.Suspects.Begin(j.fingerprint, s, j.teamNumber)
+	run.Parts = j.parts
+	return engineRun{Run: run, spec: spec, proc: e.crashes.process(spec), started: clock.Now(), partial: j.resumes()}
 }
 
 // endRun records how a call ended. chunks is how many chunks it produced. A call that
 // resumed from a part of its answer didn't run all of the request, so its success clears no
 // mark.
 func (e *Entry) endRun(ctx context.Context, j *job, r engineRun, chunks int, err error) {
+	if err == nil && r.Stage == quarantine.Running {
+		e.recordSound(r.Parts, r.started)
+	}
 	switch {
 	case err == nil && !r.partial:
 		e.announceMarks(e.board.Suspects.RecordSuccess(r.Run, clock.Now()))
@@ -228,6 +233,7 @@
 	rows := e.board.Suspects.RecordCrash(runs, process, check.spec.Name, clock.Now())
 	e.logCrash(check, runs, rows)
 	e.announceMarks(rows)
+	e.recordPartCrashes(check, runs)
 	e.endProbes(runs, holders)
 	time.AfterFunc(quarantine.ExplainWait, func() {
 		due := e.board.Suspects.DueRows(clock.Now())
@@ -272,7 +278,7 @@
 
 // endProbes ends the probes of runs, if they were any.
 func (e *Entry) endProbes(runs []quarantine.Run, holders []uint64) {
-	if e.board.Suspects.Empty() {
+	if e.noSuspects() {
 		return
 	}
 	for i, r := range runs {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,7 @@
 	AcquireProbe(ctx context.Context, a quarantine.Ask) quarantine.Reply
 	EndProbe(f request.Fingerprint, holder uint64, settled bool)
 	AnnounceMarks(rows []quarantine.Row)
+	AnnounceParts(news quarantine.PartNews)
 	ReceiveLimit(spec *config.Endpoint, w pace.Report)
 	RecordVersion(ctx context.Context, r versions.Record)
 	FindVersion(ctx context.Context, answer request.Fingerprint) (r versions.Record, from string, complete bool)
--- a/entry/job.go
+++ b/entry/job.go
@@ -10,6 +10,7 @@
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/quarantine"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/request"
 	"github.com/embercove/embercove/result"
@@ -23,6 +24,7 @@
 	engineID          uint64              // hash of the id by which engines list it; 0: the attempt's id is used
 	fingerprint       request.Fingerprint // of its content; the same for every caller that sends it
 	firstAttempt      string              // of the caller, that brought the first event of the answer that it takes up
+	parts             []quarantine.Part   // of its prompt, without the last one
 	view              *config.View        // the revision that it was admitted under
 	route             *config.RouteView
 	pool              string         // pool of the route that it uses; empty: no pools
@@ -43,22 +45,23 @@
 	teamNumber     uint32
 	quotaDrawn     float64 // from the team's quota, in its unit
 
-	possiblyRan    bool             // some call may have run at an endpoint
-	started        bool             // not repeatable: it was started
-	probing        bool             // it holds a probe, as endpoints crashed under the same request
-	settled        bool             // its answer has progressed far enough in that probe
-	probeWaited    time.Duration    // time it waited for probes: it may be late by this much, but isn't refused for it
-	crashCount     int              // endpoints that crashed as they ran it
-	crashedCalls   int              // of attempts: calls at which the endpoint crashed
-	excusedCalls   int              // of attempts: calls at which the endpoint crashed for another cause
-	wastedTokens   int              // prefilled tokens that led to no answer, so far
-	prefilledTotal int              // tokens prefilled in all
-	attempts       int              // calls that may have run at an endpoint
-	tries          int              // passes through reservation, prefill and decode
-	uncountedTries int              // passes not counted in tries, as no call was made
-	prefillCalls   int              // calls to prefill endpoints
-	decodeCalls    int              // calls to decode endpoints or services
-	phases         [5]time.Duration // for the log: time since arrived at the end of each phase
+	possiblyRan    bool                // some call may have run at an endpoint
+	started        bool                // not repeatable: it was started
+	probeKey       request.Fingerprint // of its last probe: of its request, or of a part of its prompt
+	probing        bool                // it holds a probe, as endpoints crashed under the same request
+	settled        bool                // its answer has progressed far enough in that probe
+	probeWaited    time.Duration       // time it waited for probes: it may be late by this much, but isn't refused for it
+	crashCount     int                 // endpoints that crashed as they ran it
+	crashedCalls   int                 // of attempts: calls at which the endpoint crashed
+	excusedCalls   int                 // of attempts: calls at which the endpoint crashed for another cause
+	wastedTokens   int                 // prefilled tokens that led to no answer, so far
+	prefilledTotal int                 // tokens prefilled in all
+	attempts       int                 // calls that may have run at an endpoint
+	tries          int                 // passes through reservation, prefill and decode
+	uncountedTries int                 // passes not counted in tries, as no call was made
+	prefillCalls   int                 // calls to prefill endpoints
+	decodeCalls    int                 // calls to decode endpoints or services
+	phases         [5]time.Duration    // for the log: time since arrived at the end of each phase
 	prefillName    string
 	decodeName     string
 	gateway        string           // the host that passed on the connection of its last call over a tunnel; empty: none
--- a/entry/next.go
+++ b/entry/next.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/embercove/embercove/clock"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/internal/wait"
@@ -117,12 +116,7 @@
 // isSuspected reports whether endpoints crashed under the request. Then no next try is prepared,
 // as each further engine needs a probe.
 func (n *nextTry) isSuspected() bool {
-	s := n.entry.board.Suspects
-	if s.Empty() {
-		return false
-	}
-	verdict, _ := s.Evaluate(n.job.fingerprint, clock.Now())
-	return verdict != quarantine.Free
+	return !n.entry.noSuspects() && n.entry.suspicionOf(&n.job).verdict != quarantine.Free
 }
 
 // release gives back what the next try was granted.
--- a/entry/place_test.go
+++ b/entry/place_test.go
@@ -86,6 +86,7 @@
 }
 func (s *stubOwners) EndProbe(request.Fingerprint, uint64, bool)     {}
 func (s *stubOwners) AnnounceMarks([]quarantine.Row)                 {}
+func (s *stubOwners) AnnounceParts(quarantine.PartNews)              {}
 func (s *stubOwners) RecordVersion(context.Context, versions.Record) {}
 func (s *stubOwners) FindVersion(context.Context, request.Fingerprint) (versions.Record, string, bool) {
 	return versions.Record{}, "", true
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -208,7 +208,7 @@
 		}
 		w.progress()
 		if w.answeringTime() >= quarantine.SettledAfter {
-			e.settleProbe(j)
+			e.settle(j, w)
 		}
 		inv := e.board.Invariant
 		inv.Check(c.Offset == j.reply.chunks(), invariant.TokenOnce, "request %s: chunk at offset %d after %d", j.id, c.Offset, j.reply.chunks())
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -54,7 +54,7 @@
 // runCapacity returns how many endpoints may run a request, or 0 if no request is
 // suspected.
 func (e *Entry) runCapacity(j *job) (n int) {
-	if e.board.Suspects.Empty() {
+	if e.noSuspects() {
 		return 0
 	}
 	e.board.Endpoints.Read(func(fleet *route.Fleet) {
@@ -121,34 +121,38 @@
 // requestProbe implements acquireProbe and acquireProbeAt. The caller sets all of a but the
 // request and its holder.
 func (e *Entry) requestProbe(ctx context.Context, j *job, a quarantine.Ask, maxWait time.Duration) (elsewhere bool, refusal *result.Error) {
-	if e.board.Suspects.Empty() {
+	if e.noSuspects() {
 		return false, nil
 	}
 	interval := probePollStart
 	for end := time.Now().Add(maxWait); ; interval = min(2*interval, probePollMax) {
-		verdict, retryIn := e.board.Suspects.Evaluate(j.fingerprint, clock.Now())
-		if verdict == quarantine.Free {
+		s := e.suspicionOf(j)
+		if s.verdict == quarantine.Free {
 			return false, nil
 		}
 		retryAfter := probeRetryAfter
-		if e.awaitsClearing(j, verdict) {
-			retryAfter = retryIn
-		} else if refusal := e.verdictRefusal(j, verdict, retryIn); refusal != nil {
+		if e.awaitsClearing(j, s) {
+			retryAfter = s.retryIn
+		} else if refusal := e.suspicionRefusal(j, s); refusal != nil {
 			return false, refusal
-		} else if reply := e.askProbe(ctx, j, a); reply.Granted || reply.Elsewhere {
+		} else if reply := e.askProbe(ctx, j, s, a); reply.Granted || reply.Elsewhere {
 			return reply.Elsewhere, nil
 		}
 		asked := time.Now()
 		if end.Sub(asked) < interval || !wait.For(ctx, interval/2+rand.N(interval)) {
-			return false, underProbe(j).After(retryAfter)
+			return false, underProbe(j, s).After(retryAfter)
 		}
 		j.probeWaited += time.Since(asked)
 	}
 }
 
 // askProbe asks once for a probe.
-func (e *Entry) askProbe(ctx context.Context, j *job, a quarantine.Ask) quarantine.Reply {
+func (e *Entry) askProbe(ctx context.Context, j *job, s suspicion, a quarantine.Ask) quarantine.Reply {
 	a.Request, a.Holder = j.fingerprint, j.probeHolder()
+	if s.ofPart {
+		a.Request, a.Part, a.Partly = s.part.Part.Key, true, s.part.Partly
+	}
+	j.probeKey = a.Request
 	reply := e.owners.AcquireProbe(ctx, a)
 	j.probing = j.probing || reply.Granted
 	j.criteria.Probe = j.probing
@@ -157,8 +161,8 @@
 
 // awaitsClearing reports whether a request with a verdict waits instead of being refused, as answers
 // in progress may still clear it.
-func (e *Entry) awaitsClearing(j *job, v quarantine.Verdict) bool {
-	return v == quarantine.BackingOff && e.board.Suspects.MayBeCleared(j.fingerprint, clock.Now())
+func (e *Entry) awaitsClearing(j *job, s suspicion) bool {
+	return s.verdict == quarantine.BackingOff && !s.ofPart && e.board.Suspects.MayBeCleared(j.fingerprint, clock.Now())
 }
 
 // excuseCrashes excuses the calls at which endpoints crashed, once another answer to the same request
@@ -183,31 +187,37 @@
 // quarantineRefusal returns the refusal of a request that isn't sent to any endpoint now,
 // or nil.
 func (e *Entry) quarantineRefusal(j *job) *result.Error {
-	if e.board.Suspects.Empty() {
+	if e.noSuspects() {
 		return nil
 	}
-	verdict, retryIn := e.board.Suspects.Evaluate(j.fingerprint, clock.Now())
-	if e.awaitsClearing(j, verdict) {
+	s := e.suspicionOf(j)
+	if e.awaitsClearing(j, s) {
 		return nil
 	}
-	return e.verdictRefusal(j, verdict, retryIn)
+	return e.suspicionRefusal(j, s)
 }
 
-// verdictRefusal returns the refusal for a verdict, or nil. A request that crashes are
+// suspicionRefusal returns the refusal for a suspicion, or nil. A request that crashes are
 // attributed to gets no retry time: callers should stop sending it.
-func (e *Entry) verdictRefusal(j *job, v quarantine.Verdict, retryIn time.Duration) *result.Error {
-	switch v {
-	case quarantine.Blamed:
+func (e *Entry) suspicionRefusal(j *job, s suspicion) *result.Error {
+	switch {
+	case s.verdict == quarantine.Blamed && s.ofPart:
+		e.board.Parts.CountRefused()
+		return result.Errorf(result.PartEnds, "endpoints crashed as they began to answer requests with part %q of this prompt", s.part.Part.Name)
+	case s.verdict == quarantine.Blamed:
 		e.board.Suspects.CountRefused()
 		return result.Errorf(result.EndsEndpoints, "endpoints crashed while they ran this request (%s)", j.fingerprint)
-	case quarantine.BackingOff:
-		return underProbe(j).After(retryIn)
+	case s.verdict == quarantine.BackingOff:
+		return underProbe(j, s).After(s.retryIn)
 	}
 	return nil
 }
 
 // underProbe is the refusal of a request that can't be probed yet.
-func underProbe(j *job) *result.Error {
+func underProbe(j *job, s suspicion) *result.Error {
+	if s.ofPart {
+		return result.Errorf(result.UnderTrial, "endpoints crashed as they began to answer requests with part %q of this prompt, and it can't be tried again yet", s.part.Part.Name)
+	}
 	return result.Errorf(result.UnderTrial, "an endpoint crashed while it ran this request (%s), and it can't be tried again yet", j.fingerprint)
 }
 
@@ -230,7 +240,7 @@
 		return
 	}
 	j.settled = true
-	go e.owners.EndProbe(j.fingerprint, j.probeHolder(), true)
+	go e.owners.EndProbe(j.probeKey, j.probeHolder(), true)
 }
 
 // endProbe ends the job's probe, if it has one.
@@ -239,5 +249,5 @@
 		return
 	}
 	j.probing, j.settled, j.criteria.Probe = false, false, false
-	go e.owners.EndProbe(j.fingerprint, j.probeHolder(), false)
+	go e.owners.EndProbe(j.probeKey, j.probeHolder(), false)
 }
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -29,6 +29,7 @@
 	chunks         int           // that the caller has; guarded by mu
 	eventID        string        // of the last of them; guarded by mu
 	answering      atomic.Bool   // the answer has begun
+	sound          bool          // it has progressed well; used by the goroutine that relays it
 	first          time.Time
 	last           time.Time
 	chunkGaps      int           // between the chunks of the answer so far
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -76,6 +76,8 @@
 		{"suspects_refused", "requests refused as ending endpoints", true, func() float64 { return float64(n.Board.Suspects.Counts().Refused) }},
 		{"trials_given", "trials of suspected requests that this host gave out", true, func() float64 { return float64(n.Board.Suspects.Counts().Probes) }},
 		{"suspects_evicted", "marks that were forgotten for want of room", true, func() float64 { return float64(n.Board.Suspects.Counts().Evicted) }},
+		{"part_crashes", "crashes of endpoints that are kept with the parts of prompts that were there", false, func() float64 { return float64(n.Board.Parts.Len()) }},
+		{"parts_refused", "requests refused for a part of their prompt", true, func() float64 { return float64(n.Board.Parts.Refused()) }},
 		{"versions_known", "answers of which this host knows the software version that began them", false, func() float64 { return float64(n.Board.Versions.Len()) }},
 		{"versions_evicted", "answers whose software version was forgotten for lack of room", true, func() float64 { return float64(n.Board.Versions.Counts().Evicted) }},
 		{"versions_ambiguous", "answers that several software versions were said to have begun", true, func() float64 { return float64(n.Board.Versions.Counts().Ambiguous) }},
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -10,23 +10,32 @@
 	"github.com/embercove/embercove/request"
 )
 
-// SuspectRow describes a request that endpoints crashed under, as operators see it.
+// SuspectRow describes a request that endpoints crashed under, or a part of prompts, as operators see it.
 type SuspectRow struct {
-	Request           string  `json:"fingerprint"`
-	Stage             string  `json:"stage"`
-	Team              string  `json:"team"`
-	Verdict           string  `json:"verdict"`
-	RetryAfterSeconds float64 `json:"rest_s"` // seconds until it may be tried again; 0: now, or never
-	Crashes           uint32  `json:"ends"`
-	LastEndpoint      string  `json:"endpoint"` // that crashed last
-	SeenBy            string  `json:"seen_by"`
-	AgeSeconds        float64 `json:"age_s"`
+	Request string `json:"fingerprint"`    // or that of the part
+	Part    string `json:"part,omitempty"` // its name; empty: a whole request
+	// With names the parts that were there at each crash as well and can't be told apart from it.
+	With              []string `json:"with,omitempty"`
+	Requests          int      `json:"requests,omitempty"` // different ones with the part that endpoints crashed under
+	Stage             string   `json:"stage"`
+	Team              string   `json:"team"`
+	Verdict           string   `json:"verdict"`
+	RetryAfterSeconds float64  `json:"rest_s"` // seconds until it may be tried again; 0: now, or never
+	Crashes           uint32   `json:"ends"`
+	LastEndpoint      string   `json:"endpoint"` // that crashed last
+	SeenBy            string   `json:"seen_by"`
+	AgeSeconds        float64  `json:"age_s"`
 }
 
-// suspects lists the requests with a failure mark.
+// suspects lists the requests with a failure mark and the parts that crashes count against.
 func (n *Node) suspects() []SuspectRow {
 	out := []SuspectRow{}
 	now := clock.Now()
+	for _, r := range n.Board.Parts.Rows(now) {
+		out = append(out, SuspectRow{Request: r.Part.Key.String(), Part: r.Part.Name, With: r.With, Requests: r.Requests, Stage: quarantine.Running.String(),
+			Team: n.teamName(r.Team), Verdict: r.Verdict.String(), RetryAfterSeconds: r.Backoff.Seconds(), Crashes: uint32(r.Crashes),
+			LastEndpoint: r.Endpoint, SeenBy: r.Host, AgeSeconds: r.Age.Seconds()})
+	}
 	for _, r := range n.Board.Suspects.Rows(now) {
 		if r.Mark.Ends == 0 && !r.Mark.Beside {
 			continue
@@ -46,15 +55,21 @@
 	return ""
 }
 
-// clearSuspect removes the failure mark of a request, here and on all other hosts:
-// POST ?fingerprint=F.
+// clearSuspect removes the failure mark of a request or what counts against a part, here and on all other
+// hosts: POST ?fingerprint=F.
 func (n *Node) clearSuspect(w http.ResponseWriter, r *http.Request) {
 	fingerprint, err := request.ParseFingerprint(r.URL.Query().Get("fingerprint"))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	rows := n.Board.Suspects.Clear(fingerprint, clock.Now())
+	rows, news := n.Board.Suspects.Clear(fingerprint, clock.Now()), n.Board.Parts.Clear(fingerprint, clock.Now())
+	if !news.IsEmpty() {
+		n.Router.AnnounceParts(news)
+		n.log.Info("part cleared by an operator", zap.Stringer("fingerprint", fingerprint))
+		writeJSON(w, []string{quarantine.Running.String()})
+		return
+	}
 	if len(rows) == 0 {
 		http.Error(w, "fingerprint "+fingerprint.String()+": it has no failure mark", http.StatusNotFound)
 		return
--- a/peer/marks.go
+++ b/peer/marks.go
@@ -23,12 +23,16 @@
 // MarksArgs carries failure marks.
 type MarksArgs struct {
 	Rows   []quarantine.Row
+	Parts  quarantine.PartNews
 	Onward []uint32 // hosts to which the receiver forwards the marks
 	Answer bool     // the receiver's own marks are requested
 }
 
 // MarksReply carries the marks that were requested.
-type MarksReply struct{ Rows []quarantine.Row }
+type MarksReply struct {
+	Rows  []quarantine.Row
+	Parts quarantine.PartNews
+}
 
 // TrialArgs requests a probe of a suspect request.
 type TrialArgs struct{ quarantine.Ask }
@@ -41,6 +45,7 @@
 	Holder  uint64
 	Settled bool // the run is still in progress and looks healthy
 	Known   []quarantine.Row
+	Parts   quarantine.PartNews
 }
 
 // maxMarks is how many marks are sent at once, about 90 bytes each. Hosts that lack more get them
@@ -52,22 +57,28 @@
 const marksInterval = time.Second
 
 // AnnounceMarks sends changed marks to all live hosts.
-func (r *Router) AnnounceMarks(rows []quarantine.Row) {
+func (r *Router) AnnounceMarks(rows []quarantine.Row) { r.announce(MarksArgs{Rows: rows}) }
+
+// AnnounceParts sends what is new of parts of prompts to all live hosts.
+func (r *Router) AnnounceParts(news quarantine.PartNews) { r.announce(MarksArgs{Parts: news}) }
+
+func (r *Router) announce(a MarksArgs) {
 	for _, group := range relayGroups(r.otherHosts(time.Now(), anyHost)) {
-		go r.sendMarks(context.Background(), group, rows)
+		go r.sendMarks(context.Background(), group, a)
 	}
 }
 
 func anyHost(*blackboard.Host) bool { return true }
 
 // sendMarks sends marks to the first host of a group, or to the next one if that doesn't answer.
-func (r *Router) sendMarks(ctx context.Context, group []uint32, rows []quarantine.Row) {
+func (r *Router) sendMarks(ctx context.Context, group []uint32, a MarksArgs) {
 	for i, n := range group {
 		h, _, known := r.board.Hosts.Get(n, time.Now())
 		if !known {
 			continue
 		}
-		if _, err := r.callMarks(ctx, h, &MarksArgs{Rows: rows, Onward: group[i+1:]}); err == nil {
+		a.Onward = group[i+1:]
+		if _, err := r.callMarks(ctx, h, &a); err == nil {
 			return
 		}
 	}
@@ -88,11 +99,12 @@
 // Marks merges marks from another host.
 func (s *server) Marks(a *MarksArgs, reply *MarksReply) error {
 	s.r.learnMarks(a.Rows)
+	s.r.learnParts(a.Parts)
 	for _, n := range a.Onward {
-		go s.r.sendMarks(s.ctx, []uint32{n}, a.Rows)
+		go s.r.sendMarks(s.ctx, []uint32{n}, MarksArgs{Rows: a.Rows, Parts: a.Parts})
 	}
 	if a.Answer {
-		reply.Rows = s.r.sampleMarks()
+		reply.Rows, reply.Parts = s.r.sampleMarks(), s.r.board.Parts.News(clock.Now())
 	}
 	return nil
 }
@@ -107,6 +119,19 @@
 	}
 }
 
+// learnParts merges what another host knows of parts, and announces what this host knows better.
+func (r *Router) learnParts(news quarantine.PartNews) {
+	if news.IsEmpty() {
+		return
+	}
+	if answer := r.board.Parts.Apply(news, clock.Now()); !answer.IsEmpty() {
+		r.AnnounceParts(answer)
+	}
+}
+
+// marksHash returns a hash of all marks and of what is known of parts; 0: nothing is known.
+func (r *Router) marksHash() uint64 { return r.board.Suspects.Hash() ^ r.board.Parts.Hash() }
+
 // sampleMarks returns the marks to send in one message, a random subset if there are too many.
 func (r *Router) sampleMarks() []quarantine.Row {
 	rows := r.board.Suspects.Rows(clock.Now())
@@ -119,7 +144,7 @@
 
 // compareMarks swaps marks with another host if its checksum differs from this host's.
 func (r *Router) compareMarks(ctx context.Context, h blackboard.Host, sum uint64, now time.Time) {
-	if sum == r.board.Suspects.Hash() {
+	if sum == r.marksHash() {
 		return
 	}
 	r.mu.Lock()
@@ -131,12 +156,13 @@
 	if !due {
 		return
 	}
-	reply, err := r.callMarks(ctx, h, &MarksArgs{Rows: r.sampleMarks(), Answer: true})
+	reply, err := r.callMarks(ctx, h, &MarksArgs{Rows: r.sampleMarks(), Parts: r.board.Parts.News(clock.Now()), Answer: true})
 	if err != nil {
 		r.log.Debug("failure marks not compared", zap.String("host", h.Name), zap.Error(err))
 		return
 	}
 	r.learnMarks(reply.Rows)
+	r.learnParts(reply.Parts)
 }
 
 // coordinatorKey is the rendezvous key by which the hosts that grant probes are chosen.
@@ -149,7 +175,7 @@
 // one. If it is unreachable, the next one is asked, and if none is reachable, this host decides.
 func (r *Router) AcquireProbe(ctx context.Context, a quarantine.Ask) quarantine.Reply {
 	now := clock.Now()
-	a.Known = r.board.Suspects.RowsOf(a.Request, now)
+	a.Known, a.KnownOfPart = r.board.Suspects.RowsOf(a.Request, now), r.board.Parts.NewsOf(a.Request, now)
 	for _, h := range r.probeCoordinators(time.Now()) {
 		if h.Number == r.board.Number {
 			break
@@ -157,9 +183,18 @@
 		var reply TrialReply
 		if r.noteOutcome(ctx, h, r.pool.call(ctx, h.Peers, methodTrial, &TrialArgs{a}, &reply, min(permitTimeout, r.timeout()))) == nil {
 			r.learnMarks(reply.Known)
+			r.learnParts(reply.KnownOfPart)
 			return reply.Reply
 		}
 	}
+	return r.grantProbe(a, now)
+}
+
+// grantProbe decides on a request for a probe as the host that grants them.
+func (r *Router) grantProbe(a quarantine.Ask, now time.Time) quarantine.Reply {
+	if a.Part {
+		return r.board.Parts.Grant(a, now)
+	}
 	return r.board.Suspects.Grant(a, now)
 }
 
@@ -189,7 +224,7 @@
 // EndProbe ends a probe, or reports that its run has settled. It sends along what is known of
 // the request, so that the next probe starts from that.
 func (r *Router) EndProbe(f request.Fingerprint, holder uint64, settled bool) {
-	args := &TrialDoneArgs{Holder: holder, Settled: settled, Known: r.board.Suspects.RowsOf(f, clock.Now())}
+	args := &TrialDoneArgs{Holder: holder, Settled: settled, Known: r.board.Suspects.RowsOf(f, clock.Now()), Parts: r.board.Parts.NewsOf(f, clock.Now())}
 	r.applyProbeEnd(args)
 	for _, h := range r.probeCoordinators(time.Now()) {
 		if h.Number == r.board.Number {
@@ -205,21 +240,25 @@
 func (r *Router) applyProbeEnd(a *TrialDoneArgs) {
 	if a.Settled {
 		r.board.Suspects.SettleProbe(a.Holder, clock.Now())
+		r.board.Parts.SettleProbe(a.Holder, clock.Now())
 		return
 	}
 	r.board.Suspects.EndProbe(a.Holder)
+	r.board.Parts.EndProbe(a.Holder)
 }
 
 // Trial answers another host's request for a probe.
 func (s *server) Trial(a *TrialArgs, reply *TrialReply) error {
 	s.r.learnMarks(a.Known)
-	reply.Reply = s.r.board.Suspects.Grant(a.Ask, clock.Now())
+	s.r.learnParts(a.KnownOfPart)
+	reply.Reply = s.r.grantProbe(a.Ask, clock.Now())
 	return nil
 }
 
 // TrialDone records the end of another host's probe.
 func (s *server) TrialDone(a *TrialDoneArgs, _ *Nothing) error {
 	s.r.learnMarks(a.Known)
+	s.r.learnParts(a.Parts)
 	s.r.applyProbeEnd(a)
 	return nil
 }
@@ -229,5 +268,8 @@
 
 // MarksSweeper returns the controller that removes expired marks.
 func (r *Router) MarksSweeper() blackboard.Controller {
-	return blackboard.Every(marksSweepInterval, func(context.Context) { r.board.Suspects.Sweep(clock.Now()) })
+	return blackboard.Every(marksSweepInterval, func(context.Context) {
+		r.board.Suspects.Sweep(clock.Now())
+		r.board.Parts.Sweep(clock.Now())
+	})
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -190,7 +190,7 @@
 	self := r.board.Hosts.Self()
 	a := ExchangeArgs{From: HostIdentity{self.Name, self.Domain, self.Region, self.Peers}, Revision: r.board.Config.Revision(),
 		Roster: r.board.Config.RosterRevision(), Fence: r.owner.Fence(), Heads: t.heads, News: t.changesOnly, All: t.all,
-		Beats: r.heartbeats(now, t.changesOnly, t.all), Members: r.board.Hosts.Members(now), Marks: r.board.Suspects.Hash()}
+		Beats: r.heartbeats(now, t.changesOnly, t.all), Members: r.board.Hosts.Members(now), Marks: r.marksHash()}
 	if ever {
 		a.Heard = encodeAge(age)
 	}
--- a/quarantine/mark.go
+++ b/quarantine/mark.go
@@ -97,6 +97,7 @@
 	Request   request.Fingerprint
 	Stage     Stage
 	Team      uint32
-	Old       bool // it was no longer young when it broke off (YoungFor)
-	startMark Mark // the mark when it began
+	Parts     []Part // of its prompt
+	Old       bool   // it was no longer young when it broke off (YoungFor)
+	startMark Mark   // the mark when it began
 }
--- /dev/null
+++ b/quarantine/parts.go
@@ -0,0 +1,387 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/embercove/embercove/request"
+)
+
+// A part of a prompt may crash each engine that begins to write on it, in requests of which no two are
+// alike. Parts finds such parts. It knows the crashes under runs that had just begun, each with the parts
+// of their prompts, and when each of these parts was last written on without a crash.
+//
+//   - Crashes count against a part since an engine last began to write on it and went on. So a part that
+//     sound requests share is cleared soon after each crash, and one that was sound may become deadly.
+//   - Crashes at a single moment only make it suspect, as engines also crash together for other reasons.
+//   - Requests have to differ: repeats of one request speak against that request and not its parts.
+//   - Another part explains the crashes if it was there each time and has been unsound for longer.
+//   - Parts that were there together each time and can't be told apart are refused only together.
+//     A request with some of them runs as a probe, which tells.
+
+// Bounds of a prompt's parts and of the crashes that are kept.
+const (
+	// MaxParts is how many parts of a prompt are looked at, the first ones.
+	MaxParts = 32
+	// maxPartCrashes is how many crashes are kept, some 1 MB. Beyond that the oldest of the team with the
+	// most goes first.
+	maxPartCrashes = 1024
+	// maxPartRows is how many crashes are sent at once.
+	maxPartRows = 128
+	// maxSoundParts is how many parts are remembered as sound, once to twice as many.
+	maxSoundParts = 4096
+)
+
+// PartCrash is a crash of a process under a run that had just begun, with the parts of its prompt.
+type PartCrash struct {
+	Process  Process // also by the endpoint's name, as one without start times has a new name after each start
+	Request  request.Fingerprint
+	Parts    []PartState
+	Team     uint32
+	Endpoint string
+	Host     string // that observed the crash
+	// AgeMillis is the time since the crash.
+	AgeMillis int64
+}
+
+// PartState is what a host knows of a part.
+type PartState struct {
+	Part request.Fingerprint
+	Name string // as its caller names it
+	// SoundMillis is the time since an engine last began to write on it and went on; below 0: not known.
+	SoundMillis int64
+}
+
+// PartNews is what hosts send each other of parts.
+type PartNews struct {
+	Crashes []PartCrash
+	Sound   []PartState
+}
+
+// IsEmpty reports whether there is nothing to send.
+func (n *PartNews) IsEmpty() bool { return len(n.Crashes)+len(n.Sound) == 0 }
+
+// Part is a part of a prompt.
+type Part struct {
+	Key  request.Fingerprint
+	Name string
+}
+
+// partCrash is a crash that is kept.
+type partCrash struct {
+	PartCrash
+	at time.Time
+}
+
+// has reports whether the prompt of the run had a part.
+func (c *partCrash) has(part request.Fingerprint) bool {
+	return slices.ContainsFunc(c.Parts, func(s PartState) bool { return s.Part == part })
+}
+
+// crashKey identifies a crash under a run.
+type crashKey struct {
+	process Process
+	request request.Fingerprint
+}
+
+// Parts holds what one host knows of parts.
+type Parts struct {
+	host string
+
+	mu      sync.Mutex
+	crashes map[crashKey]*partCrash
+	byPart  map[request.Fingerprint][]*partCrash
+	sound   soundParts
+	probes  probes
+	refused uint64
+}
+
+// NewParts returns an empty one for the named host.
+func NewParts(host string) *Parts {
+	return &Parts{host: host, crashes: map[crashKey]*partCrash{}, byPart: map[request.Fingerprint][]*partCrash{}, sound: newSoundParts(), probes: newProbes()}
+}
+
+// Empty reports whether no crash is known.
+func (p *Parts) Empty() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.crashes) == 0
+}
+
+// RecordCrash records that a process crashed under a run that had just begun to write on its parts. It
+// returns what to send to all hosts.
+func (p *Parts) RecordCrash(run Run, process Process, endpoint string, now time.Time) PartNews {
+	if len(run.Parts) == 0 || run.Stage != Running || run.Old {
+		return PartNews{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := PartCrash{Process: process ^ Process(xxhash.Sum64String(endpoint)), Request: run.Request, Team: run.Team, Endpoint: endpoint, Host: p.host}
+	for _, part := range run.Parts {
+		c.Parts = append(c.Parts, PartState{Part: part.Key, Name: part.Name, SoundMillis: p.sound.millisSince(part.Key, now)})
+	}
+	p.add(c, now)
+	return PartNews{Crashes: []PartCrash{c}}
+}
+
+// add adds a crash. The caller holds the lock.
+func (p *Parts) add(c PartCrash, now time.Time) {
+	k := crashKey{c.Process, c.Request}
+	at := now.Add(-time.Duration(max(0, c.AgeMillis)) * time.Millisecond)
+	for _, s := range c.Parts {
+		p.sound.addMillis(s, now)
+	}
+	if known := p.crashes[k]; known != nil {
+		known.at = earlier(known.at, at) // so that it is the same on all hosts
+		return
+	}
+	if now.Sub(at) >= blamedTTL {
+		return
+	}
+	if len(p.crashes) >= maxPartCrashes {
+		p.evictFor(c.Team)
+	}
+	kept := &partCrash{c, at}
+	p.crashes[k] = kept
+	for _, s := range c.Parts {
+		p.byPart[s.Part] = append(p.byPart[s.Part], kept)
+	}
+}
+
+// evictFor drops the oldest crash of the team with the most, counting one more of a given team. The
+// caller holds the lock.
+func (p *Parts) evictFor(team uint32) {
+	perTeam := map[uint32]int{team: 1}
+	for _, c := range p.crashes {
+		perTeam[c.Team]++
+	}
+	largest := team
+	for t, n := range perTeam {
+		if n > perTeam[largest] || n == perTeam[largest] && t < largest {
+			largest = t
+		}
+	}
+	var oldest *partCrash
+	for _, c := range p.crashes {
+		if c.Team == largest && (oldest == nil || c.at.Before(oldest.at)) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		p.drop(oldest)
+	}
+}
+
+// drop drops a crash. The caller holds the lock.
+func (p *Parts) drop(c *partCrash) {
+	delete(p.crashes, crashKey{c.Process, c.Request})
+	for _, s := range c.Parts {
+		left := slices.DeleteFunc(slices.Clone(p.byPart[s.Part]), func(o *partCrash) bool { return o == c })
+		if p.byPart[s.Part] = left; len(left) == 0 {
+			delete(p.byPart, s.Part)
+		}
+	}
+}
+
+// RecordSound records that an engine began to write on parts at a time, and went on. It returns what to
+// send to all hosts: nothing unless that clears a part.
+func (p *Parts) RecordSound(parts []Part, began, now time.Time) (news PartNews) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, part := range parts {
+		counted := len(p.counted(part.Key)) > 0
+		p.sound.add(part.Key, began, now)
+		if counted && len(p.counted(part.Key)) == 0 {
+			news.Sound = append(news.Sound, PartState{Part: part.Key, Name: part.Name, SoundMillis: max(0, now.Sub(began).Milliseconds())})
+		}
+	}
+	return news
+}
+
+// Clear clears a part on an operator's order, and returns what to send to all hosts.
+func (p *Parts) Clear(part request.Fingerprint, now time.Time) (news PartNews) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.counted(part)) == 0 {
+		return news
+	}
+	p.sound.add(part, now, now)
+	return PartNews{Sound: []PartState{{Part: part, SoundMillis: 0}}}
+}
+
+// Apply applies what another host sent. It returns what this host knows better: parts that it has seen
+// written on since the crashes that the other one reports.
+func (p *Parts) Apply(news PartNews, now time.Time) (answer PartNews) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range news.Sound {
+		p.sound.addMillis(s, now)
+	}
+	for _, c := range news.Crashes {
+		if len(c.Parts) > MaxParts || c.Request.IsZero() {
+			continue // from a later version
+		}
+		p.add(c, now)
+		for _, s := range c.Parts {
+			if len(p.counted(s.Part)) == 0 && p.sound.millisSince(s.Part, now) >= 0 {
+				answer.Sound = append(answer.Sound, PartState{Part: s.Part, Name: s.Name, SoundMillis: p.sound.millisSince(s.Part, now)})
+			}
+		}
+	}
+	return answer
+}
+
+// News returns what is known, the latest first, for a host that knows something else.
+func (p *Parts) News(now time.Time) (news PartNews) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]*partCrash, 0, len(p.crashes))
+	for _, c := range p.crashes {
+		all = append(all, c)
+	}
+	slices.SortFunc(all, func(a, b *partCrash) int { return b.at.Compare(a.at) })
+	for _, c := range all[:min(len(all), maxPartRows)] {
+		news.Crashes = append(news.Crashes, p.row(c, now))
+	}
+	return news
+}
+
+// NewsOf returns what is known of a part or a request, for the host that grants its probes.
+func (p *Parts) NewsOf(f request.Fingerprint, now time.Time) (news PartNews) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.newsOf(f, now)
+}
+
+// newsOf is like NewsOf. The caller holds the lock.
+func (p *Parts) newsOf(f request.Fingerprint, now time.Time) (news PartNews) {
+	for _, c := range p.crashes {
+		if len(news.Crashes) < maxPartRows && (c.Request == f || c.has(f)) {
+			news.Crashes = append(news.Crashes, p.row(c, now))
+		}
+	}
+	return news
+}
+
+// row returns a crash in the form sent to other hosts. The caller holds the lock.
+func (p *Parts) row(c *partCrash, now time.Time) PartCrash {
+	out := c.PartCrash
+	out.AgeMillis = max(0, now.Sub(c.at).Milliseconds())
+	out.Parts = slices.Clone(c.Parts)
+	for i := range out.Parts {
+		out.Parts[i].SoundMillis = p.sound.millisSince(out.Parts[i].Part, now)
+	}
+	return out
+}
+
+// Hash returns a hash of the crashes and of the parts that are cleared, which is equal on hosts that know
+// the same; 0: nothing is known.
+func (p *Parts) Hash() (sum uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for k := range p.crashes {
+		sum ^= xxhash.Sum64(binary.LittleEndian.AppendUint64(slices.Clone(k.request[:]), uint64(k.process)))
+	}
+	for part := range p.byPart {
+		if len(p.counted(part)) == 0 {
+			sum ^= xxhash.Sum64(part[:])
+		}
+	}
+	return sum
+}
+
+// Sweep drops what has been kept long enough.
+func (p *Parts) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.crashes {
+		if now.Sub(c.at) >= p.keptFor(c, now) {
+			p.drop(c)
+		}
+	}
+	p.probes.sweep(now)
+}
+
+// keptFor returns how long a crash is kept. The caller holds the lock.
+func (p *Parts) keptFor(c *partCrash, now time.Time) time.Duration {
+	for _, s := range c.Parts {
+		if p.judge(s.Part, now).verdict >= BackingOff {
+			return blamedTTL
+		}
+	}
+	return suspectTTL
+}
+
+// Len returns the number of crashes that are known.
+func (p *Parts) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.crashes)
+}
+
+// CountRefused counts a request that is refused for a part.
+func (p *Parts) CountRefused() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refused++
+}
+
+// Refused returns how many requests were refused for a part.
+func (p *Parts) Refused() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused
+}
+
+// soundParts remembers when engines last began to write on parts and went on. It forgets those that
+// weren't added again while maxSoundParts others were.
+type soundParts struct {
+	latest, before map[request.Fingerprint]time.Time
+}
+
+func newSoundParts() soundParts {
+	return soundParts{map[request.Fingerprint]time.Time{}, map[request.Fingerprint]time.Time{}}
+}
+
+// at returns when an engine last began to write on a part and went on; zero: not known.
+func (s *soundParts) at(part request.Fingerprint) time.Time {
+	if at, ok := s.latest[part]; ok {
+		return at
+	}
+	return s.before[part]
+}
+
+// add records that an engine began to write on a part at a time, and went on.
+func (s *soundParts) add(part request.Fingerprint, began, now time.Time) {
+	if began.After(now) {
+		began = now
+	}
+	if !s.at(part).Before(began) {
+		return
+	}
+	if len(s.latest) >= maxSoundParts {
+		s.before, s.latest = s.latest, map[request.Fingerprint]time.Time{}
+	}
+	s.latest[part] = began
+}
+
+// addMillis adds what another host knows of a part.
+func (s *soundParts) addMillis(p PartState, now time.Time) {
+	if p.SoundMillis >= 0 {
+		s.add(p.Part, now.Add(-time.Duration(p.SoundMillis)*time.Millisecond), now)
+	}
+}
+
+// millisSince returns the time since an engine last began to write on a part and went on, in ms; -1: not
+// known.
+func (s *soundParts) millisSince(part request.Fingerprint, now time.Time) int64 {
+	at := s.at(part)
+	if at.IsZero() {
+		return -1
+	}
+	return max(0, now.Sub(at).Milliseconds())
+}
--- /dev/null
+++ b/quarantine/parts_verdict.go
@@ -0,0 +1,312 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/embercove/embercove/request"
+)
+
+// Thresholds and times of verdicts on parts.
+const (
+	// blameMoments is how many moments, at least sameMoment apart, the crashes have to be at until a part is blamed:
+	// engines also crash together for other reasons.
+	blameMoments = 2
+	sameMoment   = 250 * time.Millisecond
+	// suspectRequests is how many different requests have to crash engines until their part is suspected.
+	suspectRequests = 2
+	// blameRequests is how many different requests have to do so until it is blamed.
+	blameRequests = 3
+	// blameCrashes is how many crashes do so as well, with maxPerRequest counted of each request.
+	blameCrashes  = 4
+	maxPerRequest = 2
+	// firstPartBackoff is how long a part backs off while many others crash without it. Each probe that
+	// crashes an engine makes it backoffGrowth times as long.
+	firstPartBackoff = 9 * time.Second
+	// settleBlame is the time after a part is blamed in which runs that began before may still crash engines.
+	settleBlame = 5 * time.Second
+)
+
+// PartVerdict says what a request may do because of the parts of its prompt.
+type PartVerdict struct {
+	Verdict Verdict
+	Backoff time.Duration
+	Part    Part // for which
+	Partly  bool // the prompt lacks some of the parts that can't be told apart from it
+}
+
+// judgement is what is known of a part.
+type judgement struct {
+	verdict  Verdict
+	backoff  time.Duration
+	crashes  int                   // of different processes, that count against it
+	requests int                   // different ones
+	with     []request.Fingerprint // parts that were there each time as well and can't be told apart from it
+	last     time.Time             // of the last crash
+}
+
+// Evaluate returns what a request with these parts may do now.
+func (p *Parts) Evaluate(parts []Part, now time.Time) (v PartVerdict) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.crashes) == 0 {
+		return PartVerdict{}
+	}
+	for _, part := range parts {
+		if len(p.byPart[part.Key]) == 0 {
+			continue
+		}
+		j := p.judge(part.Key, now)
+		verdict := j.verdict
+		partly := verdict != Free && !j.hasAll(parts)
+		if partly {
+			verdict = j.withoutSome()
+		}
+		if verdict > v.Verdict {
+			v = PartVerdict{verdict, j.backoff, part, partly}
+		}
+	}
+	return v
+}
+
+// hasAll reports whether a prompt has all parts that can't be told apart.
+func (j *judgement) hasAll(parts []Part) bool {
+	for _, key := range j.with {
+		if !slices.ContainsFunc(parts, func(part Part) bool { return part.Key == key }) {
+			return false
+		}
+	}
+	return true
+}
+
+// withoutSome returns the verdict on a request that lacks some of the parts that can't be told apart: it
+// runs freely, and shows which part is sound, until they are blamed; then as a probe.
+func (j *judgement) withoutSome() Verdict {
+	if j.verdict == Suspect {
+		return Free
+	}
+	return Suspect
+}
+
+// counted returns the crashes that count against a part, the earliest first. The caller holds the lock.
+func (p *Parts) counted(part request.Fingerprint) (out []*partCrash) {
+	sound := p.sound.at(part)
+	for _, c := range p.byPart[part] {
+		if c.at.After(sound) {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b *partCrash) int { return a.at.Compare(b.at) })
+	return out
+}
+
+// judge returns what is known of a part. The caller holds the lock.
+func (p *Parts) judge(part request.Fingerprint, now time.Time) (j judgement) {
+	counted := p.counted(part)
+	if len(counted) == 0 {
+		return j
+	}
+	j.last = counted[len(counted)-1].at
+	blamedAt := j.count(counted)
+	if j.requests < suspectRequests || p.isExplained(part, counted, &j) {
+		return j
+	}
+	j.verdict = Suspect
+	if blamedAt.IsZero() {
+		return j
+	}
+	probes := 0 // that crashed an engine after the part was blamed
+	for _, c := range counted {
+		if c.at.Sub(blamedAt) >= settleBlame {
+			probes++
+		}
+	}
+	others, latest := p.otherCrashes(counted)
+	switch {
+	case others >= otherCauses:
+		until := later(earlier(j.last.Add(scaled(firstPartBackoff, backoffGrowth, probes)), latest.Add(otherWindow)), j.last.Add(firstBackoff))
+		if j.backoff = until.Sub(now); j.backoff > 0 {
+			j.verdict = BackingOff
+		}
+	case probes < maxRetries && now.Sub(j.last) >= scaled(firstRetry, retryGrowth, probes):
+	default:
+		j.verdict = Blamed
+	}
+	return j
+}
+
+// count counts the processes that crashed and the requests under which they did. It returns when these were
+// enough to blame the part; zero: they aren't.
+func (j *judgement) count(counted []*partCrash) (blamedAt time.Time) {
+	perRequest := map[request.Fingerprint]int{}
+	var moment time.Time
+	score, moments := 0, 0
+	for _, same := range byProcess(counted) {
+		at, of := same[0].at, same[0].Request
+		for _, c := range same[1:] {
+			if perRequest[c.Request] < perRequest[of] {
+				of = c.Request
+			}
+		}
+		if at.Sub(moment) >= sameMoment {
+			moment = at
+			moments++
+		}
+		j.crashes++
+		perRequest[of]++
+		if perRequest[of] <= maxPerRequest {
+			score++
+		}
+		if blamedAt.IsZero() && moments >= blameMoments && (len(perRequest) >= blameRequests || score >= blameCrashes) {
+			blamedAt = at
+		}
+	}
+	j.requests = len(perRequest)
+	return blamedAt
+}
+
+// byProcess groups crashes, the earliest first, by the process that crashed.
+func byProcess(counted []*partCrash) (groups [][]*partCrash) {
+	index := map[Process]int{}
+	for _, c := range counted {
+		i, known := index[c.Process]
+		if !known {
+			i = len(groups)
+			index[c.Process], groups = i, append(groups, nil)
+		}
+		groups[i] = append(groups[i], c)
+	}
+	return groups
+}
+
+// isExplained reports whether another part was there at each crash that counts against a part, in the same prompt
+// or another one, and was written on without a crash less recently. Parts of which neither holds are noted as
+// not to be told apart from it. The caller holds the lock.
+func (p *Parts) isExplained(part request.Fingerprint, counted []*partCrash, j *judgement) bool {
+	sound := p.sound.at(part)
+	crashed := map[Process]bool{}
+	for _, c := range counted {
+		crashed[c.Process] = true
+	}
+	for other := range p.presentAtAll(crashed) {
+		switch at := p.sound.at(other); {
+		case other == part || at.After(sound):
+		case at.Before(sound):
+			return true
+		default:
+			j.with = append(j.with, other)
+		}
+	}
+	return false
+}
+
+// presentAtAll returns the parts on which some run had begun to write at the crash of each of some processes.
+// The caller holds the lock.
+func (p *Parts) presentAtAll(crashed map[Process]bool) map[request.Fingerprint]bool {
+	seen := map[request.Fingerprint]map[Process]bool{}
+	for _, c := range p.crashes {
+		if !crashed[c.Process] {
+			continue
+		}
+		for _, s := range c.Parts {
+			if seen[s.Part] == nil {
+				seen[s.Part] = map[Process]bool{}
+			}
+			seen[s.Part][c.Process] = true
+		}
+	}
+	all := map[request.Fingerprint]bool{}
+	for part, processes := range seen {
+		if len(processes) == len(crashed) {
+			all[part] = true
+		}
+	}
+	return all
+}
+
+// otherCrashes returns how many processes crashed around the time of the last of some crashes under other
+// runs than those, and when the latest of these did. The caller holds the lock.
+func (p *Parts) otherCrashes(counted []*partCrash) (n int, latest time.Time) {
+	last := counted[len(counted)-1].at
+	own, others := map[Process]bool{}, map[Process]bool{}
+	for _, c := range counted {
+		own[c.Process] = true
+	}
+	for _, c := range p.crashes {
+		if !own[c.Process] && last.Sub(c.at).Abs() < otherWindow {
+			others[c.Process] = true
+			latest = later(latest, c.at)
+		}
+	}
+	return len(others), latest
+}
+
+// Grant decides on a request for a probe of a part. One request with it runs at a time, beside no other
+// suspect.
+func (p *Parts) Grant(a Ask, now time.Time) Reply {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reply := Reply{Verdict: p.judge(a.Request, now).verdict}
+	switch {
+	case reply.Verdict == Suspect, a.Partly && reply.Verdict != Free:
+		reply.Verdict = Suspect
+		reply.Granted, reply.Elsewhere = p.probes.grant(a, true, now)
+	}
+	reply.KnownOfPart = p.newsOf(a.Request, now)
+	return reply
+}
+
+// SettleProbe records that the run of a probe has settled.
+func (p *Parts) SettleProbe(holder uint64, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.probes.settle(holder, now)
+}
+
+// EndProbe ends a probe.
+func (p *Parts) EndProbe(holder uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.probes.byHolder, holder)
+}
+
+// PartRow describes a part for operators.
+type PartRow struct {
+	Part     Part
+	Verdict  Verdict
+	Backoff  time.Duration
+	Crashes  int // since it was last written on without one
+	Requests int // different ones
+	Team     uint32
+	Endpoint string // that crashed last
+	Host     string // that observed it
+	Age      time.Duration
+	With     []string // names of parts that can't be told apart from it
+}
+
+// Rows lists the parts that crashes count against.
+func (p *Parts) Rows(now time.Time) (rows []PartRow) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := map[request.Fingerprint]string{}
+	for _, c := range p.crashes {
+		for _, s := range c.Parts {
+			names[s.Part] = s.Name
+		}
+	}
+	for key := range p.byPart {
+		counted := p.counted(key)
+		if len(counted) == 0 {
+			continue
+		}
+		j, last := p.judge(key, now), counted[len(counted)-1]
+		row := PartRow{Part: Part{key, names[key]}, Verdict: j.verdict, Backoff: max(0, j.backoff), Crashes: j.crashes, Requests: j.requests, Team: last.Team,
+			Endpoint: last.Endpoint, Host: last.Host, Age: now.Sub(last.at)}
+		for _, with := range j.with {
+			row.With = append(row.With, names[with])
+		}
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b PartRow) int { return int(b.Verdict)*1000 + b.Crashes - int(a.Verdict)*1000 - a.Crashes })
+	return rows
+}
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -14,6 +14,10 @@
 	Room     int    // endpoints that it may go to, if none is chosen yet
 	Holder   uint64 // identifies the attempt
 	Known    []Row  // what the requesting host knows of the request
+	// Part says that Request is the key of a part of a prompt, and Partly that the request lacks some of the parts
+	// that can't be told apart from it.
+	Part, Partly bool
+	KnownOfPart  PartNews
 }
 
 // Reply answers an Ask.
@@ -22,6 +26,8 @@
 	Granted   bool  // the suspect may run
 	Elsewhere bool  // it may run, but not at that endpoint
 	Known     []Row // what the granting host knows of the request
+	// KnownOfPart is the same of a part of a prompt.
+	KnownOfPart PartNews
 }
 
 // Times of probes.
@@ -115,8 +121,13 @@
 func (r *Registry) SettleProbe(holder uint64, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if cur := r.probes.byHolder[holder]; cur != nil {
-		r.probes.settled[cur.request] = now.Add(exclusiveFor)
+	r.probes.settle(holder, now)
+}
+
+// settle records that the run of a probe has settled.
+func (t *probes) settle(holder uint64, now time.Time) {
+	if cur := t.byHolder[holder]; cur != nil {
+		t.settled[cur.request] = now.Add(exclusiveFor)
 	}
 }
 
--- a/result/result.go
+++ b/result/result.go
@@ -33,6 +33,7 @@
 	BodyTooSlow     Code = 211
 	UnknownService  Code = 212
 	EndsEndpoints   Code = 213
+	PartEnds        Code = 214
 	TooLate         Code = 300
 	NoDecodeMemory  Code = 301
 	TeamLimit       Code = 302
@@ -89,6 +90,7 @@
 	{BodyTooSlow, "body_too_slow", 408, true, true, "The body did not arrive in time.", "Look for callers with half-open connections."},
 	{UnknownService, "unknown_service", 404, true, false, "No route leads to a plain service of this name.", "Check the routes' service selectors."},
 	{EndsEndpoints, "ends_endpoints", 400, false, false, "Endpoints crashed while running this request, so it is no longer sent to any. This attempt did not run; earlier ones did.", "Look at embercove suspects; fix what the request crashes, then clear it with embercove suspects -clear."},
+	{PartEnds, "part_ends_endpoints", 400, false, false, "Endpoints crashed as they began to answer requests with a part of this prompt, so no request with it is sent to any. This attempt did not run.", "Look at embercove suspects; fix what the part crashes, then clear it with embercove suspects -clear."},
 	{TooLate, "too_late", 503, true, true, "The targets can't be met with the work already queued.", "Load is above capacity: add prefill runners."},
 	{NoDecodeMemory, "no_decode_memory", 503, true, true, "No decode memory will be free in time.", "Load is above capacity: add decode runners."},
 	{TeamLimit, "team_limit", 429, true, true, "The team has too many requests in progress on this host.", "Check max_concurrent of the team."},
--- a/tool/suspects.go
+++ b/tool/suspects.go
@@ -18,7 +18,7 @@
 // first host that answers. That host informs all others.
 func (t *tool) suspects(fs *flag.FlagSet, args []string) error {
 	admin, asJSON := adminFlag(fs)
-	clear := fs.String("clear", "", "fingerprint of a request to clear")
+	clear := fs.String("clear", "", "fingerprint of a request or a part to clear")
 	if err := parse(fs, args, false); err != nil {
 		return err
 	}
@@ -32,16 +32,24 @@
 	if *asJSON {
 		return t.printJSON(all)
 	}
-	t.printTable("ADMIN\tFINGERPRINT\tSTAGE\tTEAM\tVERDICT\tREST\tENDS\tLAST ENDPOINT\tSEEN BY\tAGE", func(w io.Writer) {
+	t.printTable("ADMIN\tFINGERPRINT\tPART\tSTAGE\tTEAM\tVERDICT\tREST\tENDS\tLAST ENDPOINT\tSEEN BY\tAGE", func(w io.Writer) {
 		for _, a := range sortedKeys(all) {
 			for _, r := range all[a] {
-				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.0fs\t%d\t%s\t%s\t%.0fs\n", a, r.Request, r.Stage, r.Team, r.Verdict, r.RetryAfterSeconds, r.Crashes, r.LastEndpoint, r.SeenBy, r.AgeSeconds)
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%.0fs\t%d\t%s\t%s\t%.0fs\n", a, r.Request, partName(r), r.Stage, r.Team, r.Verdict, r.RetryAfterSeconds, r.Crashes, r.LastEndpoint, r.SeenBy, r.AgeSeconds)
 			}
 		}
 	})
 	return nil
 }
 
+// partName returns the name of a part, with those that can't be told apart from it; "whole": a request.
+func partName(r node.SuspectRow) string {
+	if r.Part == "" {
+		return "whole"
+	}
+	return strings.Join(append([]string{r.Part}, r.With...), "+")
+}
+
 // clearSuspect clears a request at the first host that answers.
 func (t *tool) clearSuspect(admin, fingerprint string) error {
 	if _, err := request.ParseFingerprint(fingerprint); err != nil {
--- a/tool/suspects_test.go
+++ b/tool/suspects_test.go
@@ -18,7 +18,7 @@
 	var cleared string
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+node.PathSuspects, func(w http.ResponseWriter, _ *http.Request) {
-		w.Write([]byte(`[{"fingerprint":"` + f + `","stage":"running","team":"press","verdict":"blamed","ends":3,"endpoint":"e-1","seen_by":"h1","age_s":5}]`))
+		w.Write([]byte(`[{"fingerprint":"` + f + `","stage":"running","team":"press","verdict":"blamed","ends":3,"endpoint":"e-1","seen_by":"h1","age_s":5},{"fingerprint":"` + f + `","part":"5c1e","with":["91bd"],"requests":3,"stage":"running","verdict":"blamed","ends":4}]`))
 	})
 	mux.HandleFunc("POST "+node.PathSuspects, func(w http.ResponseWriter, q *http.Request) {
 		if cleared != "" {
@@ -36,6 +36,7 @@
 		want string
 	}{
 		{[]string{"suspects", "-admin", admin}, ExitOK, "blamed"},
+		{[]string{"suspects", "-admin", admin}, ExitOK, "5c1e+91bd"},
 		{[]string{"suspects", "-admin", admin, "-clear", f}, ExitOK, "cleared at"},
 		{[]string{"suspects", "-admin", admin, "-clear", f}, ExitNoHost, "nothing speaks against it"},
 		{[]string{"suspects", "-admin", admin, "-clear", "zz"}, ExitUsage, `-clear: fingerprint "zz": want 32 hex digits`},
