--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -40,7 +40,9 @@
 	}
 }
 
-func (s *partScene) sound(ms int, names ...string) { s.p.RecordSound(partsOf(names...), s.at(ms), s.at(ms)) }
+func (s *partScene) sound(ms int, names ...string) {
+	s.p.RecordSound(partsOf(names...), s.at(ms), s.at(ms))
+}
 
 func (s *partScene) verdict(ms int, names ...string) Verdict {
 	return s.p.Evaluate(partsOf(names...), s.at(ms)).Verdict
