--- a/entry/write.go
+++ b/entry/write.go
@@ -128,6 +128,9 @@
 			return false, err
 		}
 	}
+	if j.criteria.Continues && e.hasRestarted(ctx, p.decodeSpec) {
+		return false, e.moveFromIneligible(ctx, j, p, kv, expires, route.ReasonSoftware)
+	}
 	elsewhere, refusal := e.acquireProbeAt(ctx, j, p.decodeSpec, quarantine.Running)
 	if refusal != nil {
 		e.discardResult(j, p, kv)
