--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"encoding/binary"
 	"slices"
 	"sync"
 	"time"
@@ -27,44 +26,11 @@
 const (
 	// MaxParts is how many parts of a prompt are looked at, the first ones.
 	MaxParts = 32
-	// maxPartCrashes is how many crashes are kept, some 1 MB. Beyond that the oldest of the team with the
+	// maxPartCrashes is how many crashes are kept, 2 MB at most. Beyond that the oldest of the team with the
 	// most goes first.
 	maxPartCrashes = 1024
-	// maxPartRows is how many crashes are sent at once.
-	maxPartRows = 128
-	// maxSoundParts is how many parts are remembered as sound, once to twice as many.
-	maxSoundParts = 4096
 )
 
-// PartCrash is a crash of a process under a run that had just begun, with the parts of its prompt.
-type PartCrash struct {
-	Process  Process // also by the endpoint's name, as one without start times has a new name after each start
-	Request  request.Fingerprint
-	Parts    []PartState
-	Team     uint32
-	Endpoint string
-	Host     string // that observed the crash
-	// AgeMillis is the time since the crash.
-	AgeMillis int64
-}
-
-// PartState is what a host knows of a part.
-type PartState struct {
-	Part request.Fingerprint
-	Name string // as its caller names it
-	// SoundMillis is the time since an engine last began to write on it and went on; below 0: not known.
-	SoundMillis int64
-}
-
-// PartNews is what hosts send each other of parts.
-type PartNews struct {
-	Crashes []PartCrash
-	Sound   []PartState
-}
-
-// IsEmpty reports whether there is nothing to send.
-func (n *PartNews) IsEmpty() bool { return len(n.Crashes)+len(n.Sound) == 0 }
-
 // Part is a part of a prompt.
 type Part struct {
 	Key  request.Fingerprint
@@ -77,11 +43,6 @@
 	at time.Time
 }
 
-// has reports whether the prompt of the run had a part.
-func (c *partCrash) has(part request.Fingerprint) bool {
-	return slices.ContainsFunc(c.Parts, func(s PartState) bool { return s.Part == part })
-}
-
 // crashKey identifies a crash under a run.
 type crashKey struct {
 	process Process
@@ -213,87 +174,6 @@
 	return PartNews{Sound: []PartState{{Part: part, SoundMillis: 0}}}
 }
 
-// Apply applies what another host sent. It returns what this host knows better: parts that it has seen
-// written on since the crashes that the other one reports.
-func (p *Parts) Apply(news PartNews, now time.Time) (answer PartNews) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, s := range news.Sound {
-		p.sound.addMillis(s, now)
-	}
-	for _, c := range news.Crashes {
-		if len(c.Parts) > MaxParts || c.Request.IsZero() {
-			continue // from a later version
-		}
-		p.add(c, now)
-		for _, s := range c.Parts {
-			if len(p.counted(s.Part)) == 0 && p.sound.millisSince(s.Part, now) >= 0 {
-				answer.Sound = append(answer.Sound, PartState{Part: s.Part, Name: s.Name, SoundMillis: p.sound.millisSince(s.Part, now)})
-			}
-		}
-	}
-	return answer
-}
-
-// News returns what is known, the latest first, for a host that knows something else.
-func (p *Parts) News(now time.Time) (news PartNews) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	all := make([]*partCrash, 0, len(p.crashes))
-	for _, c := range p.crashes {
-		all = append(all, c)
-	}
-	slices.SortFunc(all, func(a, b *partCrash) int { return b.at.Compare(a.at) })
-	for _, c := range all[:min(len(all), maxPartRows)] {
-		news.Crashes = append(news.Crashes, p.row(c, now))
-	}
-	return news
-}
-
-// NewsOf returns what is known of a part or a request, for the host that grants its probes.
-func (p *Parts) NewsOf(f request.Fingerprint, now time.Time) (news PartNews) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.newsOf(f, now)
-}
-
-// newsOf is like NewsOf. The caller holds the lock.
-func (p *Parts) newsOf(f request.Fingerprint, now time.Time) (news PartNews) {
-	for _, c := range p.crashes {
-		if len(news.Crashes) < maxPartRows && (c.Request == f || c.has(f)) {
-			news.Crashes = append(news.Crashes, p.row(c, now))
-		}
-	}
-	return news
-}
-
-// row returns a crash in the form sent to other hosts. The caller holds the lock.
-func (p *Parts) row(c *partCrash, now time.Time) PartCrash {
-	out := c.PartCrash
-	out.AgeMillis = max(0, now.Sub(c.at).Milliseconds())
-	out.Parts = slices.Clone(c.Parts)
-	for i := range out.Parts {
-		out.Parts[i].SoundMillis = p.sound.millisSince(out.Parts[i].Part, now)
-	}
-	return out
-}
-
-// Hash returns a hash of the crashes and of the parts that are cleared, which is equal on hosts that know
-// the same; 0: nothing is known.
-func (p *Parts) Hash() (sum uint64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for k := range p.crashes {
-		sum ^= xxhash.Sum64(binary.LittleEndian.AppendUint64(slices.Clone(k.request[:]), uint64(k.process)))
-	}
-	for part := range p.byPart {
-		if len(p.counted(part)) == 0 {
-			sum ^= xxhash.Sum64(part[:])
-		}
-	}
-	return sum
-}
-
 // Sweep drops what has been kept long enough.
 func (p *Parts) Sweep(now time.Time) {
 	p.mu.Lock()
@@ -336,52 +216,3 @@
 	defer p.mu.Unlock()
 	return p.refused
 }
-
-// soundParts remembers when engines last began to write on parts and went on. It forgets those that
-// weren't added again while maxSoundParts others were.
-type soundParts struct {
-	latest, before map[request.Fingerprint]time.Time
-}
-
-func newSoundParts() soundParts {
-	return soundParts{map[request.Fingerprint]time.Time{}, map[request.Fingerprint]time.Time{}}
-}
-
-// at returns when an engine last began to write on a part and went on; zero: not known.
-func (s *soundParts) at(part request.Fingerprint) time.Time {
-	if at, ok := s.latest[part]; ok {
-		return at
-	}
-	return s.before[part]
-}
-
-// add records that an engine began to write on a part at a time, and went on.
-func (s *soundParts) add(part request.Fingerprint, began, now time.Time) {
-	if began.After(now) {
-		began = now
-	}
-	if !s.at(part).Before(began) {
-		return
-	}
-	if len(s.latest) >= maxSoundParts {
-		s.before, s.latest = s.latest, map[request.Fingerprint]time.Time{}
-	}
-	s.latest[part] = began
-}
-
-// addMillis adds what another host knows of a part.
-func (s *soundParts) addMillis(p PartState, now time.Time) {
-	if p.SoundMillis >= 0 {
-		s.add(p.Part, now.Add(-time.Duration(p.SoundMillis)*time.Millisecond), now)
-	}
-}
-
-// millisSince returns the time since an engine last began to write on a part and went on, in ms; -1: not
-// known.
-func (s *soundParts) millisSince(part request.Fingerprint, now time.Time) int64 {
-	at := s.at(part)
-	if at.IsZero() {
-		return -1
-	}
-	return max(0, now.Sub(at).Milliseconds())
-}
