--- a/entry/parts.go
+++ b/entry/parts.go
@@ -80,13 +80,15 @@
 	}
 }
 
-// logPartCrash logs the parts of a run under which an endpoint crashed, and what is thought of them.
+// logPartCrash logs the parts of a run under which an endpoint crashed, and what a request with them may do now
+// because of which part.
 func (e *Entry) logPartCrash(crash quarantine.PartCrash, now time.Time) {
-	var names, verdicts []string
+	var names []string
+	var parts []quarantine.Part
 	for _, s := range crash.Parts {
-		names = append(names, s.Name)
-		verdicts = append(verdicts, e.board.Parts.Evaluate([]quarantine.Part{{Key: s.Part, Name: s.Name}}, now).Verdict.String())
+		names, parts = append(names, s.Name), append(parts, quarantine.Part{Key: s.Part, Name: s.Name})
 	}
+	v := e.board.Parts.Evaluate(parts, now)
 	e.log.Warn("endpoint ended as it began to write on parts", zap.String("endpoint", crash.Endpoint), zap.Stringer("request", crash.Request),
-		zap.Strings("parts", names), zap.Strings("verdicts", verdicts))
+		zap.Strings("parts", names), zap.Stringer("verdict", v.Verdict), zap.String("because_of", v.Part.Name))
 }
