peer: few hosts hold the software versions of answers

Found while reading: the hosts that are told which version began an answer were drawn from all hosts of a domain, by the answer's fingerprint. With hundreds of hosts each would open connections to all others over time, while 64 are kept. Up to 16 hosts of a domain hold versions now, the same for all answers, and one of them is told where a domain has more.

--- a/peer/versions.go
+++ b/peer/versions.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"net/rpc"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,7 +34,11 @@
 }
 
 const (
-	// recordersPerDomain is how many hosts of a failure domain are told of an answer's version.
+	// maxRecorders is how many hosts of a failure domain hold versions. Together with those of the other domains
+	// they stay within the connections that a host keeps open (maxKeptConns).
+	maxRecorders = 16
+	// recordersPerDomain is how many of them are told of an answer's version. In a failure domain with more hosts than
+	// maxRecorders it is one: its recorders are told of many answers.
 	recordersPerDomain = 2
 	// askedPerDomain is how many hosts of a failure domain are asked: hosts that joined or left since may have
 	// moved the ones that were told.
@@ -160,12 +166,7 @@
 			complete = false
 			continue
 		}
-		n := 0
-		for _, h := range r.board.Hosts.Order(key, d.Name, now) {
-			if n == perDomain {
-				break
-			}
-			n++
+		for _, h := range r.recorders(key, d.Name, perDomain, now) {
 			if h.Number != r.board.Number && h.Peers != "" && !h.Unconfirmed {
 				out = append(out, h)
 			}
@@ -174,20 +175,30 @@
 	return out, complete
 }
 
+// recorderKey is the rendezvous key by which the hosts that hold versions are chosen.
+const recorderKey = 0x7265_636f_7264
+
+// recorders returns the hosts of a failure domain that hold an answer's version, at most n, in rendezvous order by
+// the answer's key.
+func (r *Router) recorders(key uint64, domain string, n int, now time.Time) []blackboard.Host {
+	hosts := r.board.Hosts.Order(recorderKey, domain, now)
+	if len(hosts) > maxRecorders {
+		hosts = hosts[:maxRecorders]
+		n = max(1, n-1)
+	}
+	slices.SortFunc(hosts, func(a, b blackboard.Host) int {
+		return cmp.Compare(blackboard.Rendezvous(key, b.Number), blackboard.Rendezvous(key, a.Number))
+	})
+	return hosts[:min(n, len(hosts))]
+}
+
 // HandOverVersions sends the recent records of a host that is leaving to the hosts that take its place.
 func (r *Router) HandOverVersions() {
 	rows := map[string][]versions.Record{}
 	hosts := map[string]blackboard.Host{}
 	for _, rec := range r.board.Versions.Since(recentVersions, maxVersionRows*recordersPerDomain, clock.Now()) {
-		n := 0
-		for _, h := range r.board.Hosts.Order(xxhash.Sum64(rec.Answer[:]), r.board.Settings.Domain, time.Now()) {
-			if h.Number == r.board.Number || h.Peers == "" || h.Unconfirmed {
-				continue
-			}
-			if n++; n > recordersPerDomain {
-				break
-			}
-			if len(rows[h.Name]) < maxVersionRows {
+		for _, h := range r.recorders(xxhash.Sum64(rec.Answer[:]), r.board.Settings.Domain, recordersPerDomain, time.Now()) {
+			if h.Number != r.board.Number && h.Peers != "" && !h.Unconfirmed && len(rows[h.Name]) < maxVersionRows {
 				rows[h.Name], hosts[h.Name] = append(rows[h.Name], rec), h
 			}
 		}
