node, tool, quarantine: versions by pool in status, parts in explain; a cleared part clears those beside it

Operators see how many endpoints of a pool run which version, and what speaks against a part by its name. Clearing a part made another one, that sound requests share, blamed for the same crashes next: of 20 requests after a clear none was answered (TestDeadlyPartIsShown), now all are. Last-Event-Id of a request whose route has no streams is no longer taken for an answer that is taken up.

--- a/entry/version.go
+++ b/entry/version.go
@@ -33,8 +33,13 @@
 // noEventYet is the event id that a caller without any event may state.
 const noEventYet = "0"
 
+// streams reports whether the job's answer may be a stream.
+func (j *job) streams() bool { return j.route.Streams || j.route.Resumable }
+
 // takesUp reports whether the caller has events of the answer from an earlier attempt.
-func (j *job) takesUp() bool { return j.work.LastEventID != "" && j.work.LastEventID != noEventYet }
+func (j *job) takesUp() bool {
+	return j.streams() && j.work.LastEventID != "" && j.work.LastEventID != noEventYet
+}
 
 // answerID identifies the answer that an attempt of a caller began, on all hosts.
 func (j *job) answerID(attempt string) request.Fingerprint {
@@ -98,7 +103,7 @@
 
 // mayBeTakenUp reports whether the caller may take up the job's answer in a later attempt.
 func (j *job) mayBeTakenUp() bool {
-	return (j.route.Streams || j.route.Resumable) && j.work.Origin != nil && j.work.Origin.ID != "" && !j.takesUp()
+	return j.streams() && j.work.Origin != nil && j.work.Origin.ID != "" && !j.takesUp()
 }
 
 // isReplaced reports whether the endpoint that a record names is registered with another software version now.
--- a/node/admin.go
+++ b/node/admin.go
@@ -115,9 +115,11 @@
 	// Regions says of each other region whether the request would be redirected to it if its
 	// own region refused it now.
 	Regions []entry.RegionChoice `json:"regions,omitempty"`
+	// Parts says what crashes of endpoints speak against the parts of the prompt that were asked for.
+	Parts []SuspectRow `json:"parts,omitempty"`
 }
 
-// explain answers for ?team=…&model=…&tokens=…&max_tokens=…&labels=k=v,k=v.
+// explain answers for ?team=…&model=…&tokens=…&max_tokens=…&labels=k=v,k=v&parts=a,b.
 func (n *Node) explain(w http.ResponseWriter, r *http.Request) {
 	v := n.Board.Config.View()
 	if v == nil {
@@ -138,7 +140,9 @@
 	}
 	tokens, _ := strconv.Atoi(query.Get("tokens"))
 	maxTokens, _ := strconv.Atoi(query.Get("max_tokens"))
-	writeJSON(w, n.Explain(v, labels, tokens, maxTokens))
+	ex := n.Explain(v, labels, tokens, maxTokens)
+	ex.Parts = n.suspectParts(strings.Split(query.Get("parts"), ","))
+	writeJSON(w, ex)
 }
 
 // Explain computes where a request with the labels would be routed now.
--- a/node/status.go
+++ b/node/status.go
@@ -21,6 +21,7 @@
 	Config             blackboard.ConfigStatus `json:"config"`
 	Hosts              []HostStatus            `json:"hosts"`
 	Endpoints          []EndpointStatus        `json:"endpoints"`
+	Versions           []VersionStatus         `json:"versions,omitempty"` // of endpoints' software, by pool
 	Evacuations        []EvacuationStatus      `json:"evacuations,omitempty"`
 	Paths              EndpointPaths           `json:"paths"`
 	Quotas             []QuotaStatus           `json:"quotas"`
@@ -106,6 +107,7 @@
 		for st := range fleet.All() {
 			s.Endpoints = append(s.Endpoints, n.endpointStatus(fleet.View, st, now))
 		}
+		s.Versions = versionStatus(fleet)
 	})
 	s.Evacuations = n.evacuations(now)
 	return s
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -47,6 +48,16 @@
 	return out
 }
 
+// suspectParts lists the parts with some names that crashes count against.
+func (n *Node) suspectParts(names []string) (out []SuspectRow) {
+	for _, r := range n.suspects() {
+		if r.Part != "" && slices.Contains(names, r.Part) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // teamName returns the name of the team with a number, or "" if the configuration doesn't have it.
 func (n *Node) teamName(teamNumber uint32) string {
 	if v := n.Board.Config.View(); v != nil && v.TeamByNumber[teamNumber] != nil {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -163,15 +163,28 @@
 	return news
 }
 
-// Clear clears a part on an operator's order, and returns what to send to all hosts.
+// Clear clears a part on an operator's order, and returns what to send to all hosts. It clears the other parts that
+// were there at its crashes as well, or these would be blamed for them next.
 func (p *Parts) Clear(part request.Fingerprint, now time.Time) (news PartNews) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.counted(part)) == 0 {
+	counted := p.counted(part)
+	if len(counted) == 0 {
 		return news
 	}
-	p.sound.add(part, now, now)
-	return PartNews{Sound: []PartState{{Part: part, SoundMillis: 0}}}
+	crashed := map[Process]bool{}
+	for _, c := range counted {
+		crashed[c.Process] = true
+	}
+	for _, c := range p.crashes {
+		for _, s := range c.Parts {
+			if crashed[c.Process] && p.sound.at(s.Part).Before(now) {
+				p.sound.add(s.Part, now, now)
+				news.Sound = append(news.Sound, PartState{Part: s.Part, Name: s.Name, SoundMillis: 0})
+			}
+		}
+	}
+	return news
 }
 
 // Sweep drops what has been kept long enough.
--- a/tool/remote.go
+++ b/tool/remote.go
@@ -133,6 +133,7 @@
 			fmt.Fprintf(w, "%s\t%s\t%s\t%.1fs\n", h.Host, h.Domain, hostState(h), h.SilentSeconds)
 		}
 	})
+	t.printVersions(firstHost)
 	fmt.Fprintln(t.out)
 	t.printTable("ENDPOINT\tROLE\tDOMAIN\tOWNER\tSTATE\tQUEUE\tFREE TOKENS\tFREE SLOTS\tSLOW\tFAILING\tAGE\tSOFTWARE", func(w io.Writer) {
 		for _, e := range firstHost.Endpoints {
@@ -142,6 +143,19 @@
 	return nil
 }
 
+// printVersions prints how many endpoints of each pool run which version of their software, as one host sees it.
+func (t *tool) printVersions(s node.Status) {
+	if len(s.Versions) == 0 {
+		return
+	}
+	fmt.Fprintln(t.out)
+	t.printTable("POOL\tROLE\tSOFTWARE\tENDPOINTS\tLEAVING", func(w io.Writer) {
+		for _, v := range s.Versions {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\n", v.Pool, v.Role, v.Software, v.Endpoints, v.Leaving)
+		}
+	})
+}
+
 // printPaths prints the hosts that don't reach all endpoints directly, and those that pass on
 // connections of others.
 func (t *tool) printPaths(statuses map[string]node.Status) {
@@ -206,6 +220,7 @@
 	team, model := fs.String("team", "", "team of the request"), fs.String("model", "", "model or adapter")
 	tokens, answer := fs.Int("tokens", 1000, "tokens of the prompt"), fs.Int("max-tokens", 100, "tokens of the answer")
 	labels := fs.String("labels", "", "further labels, key=value,key=value")
+	parts := fs.String("parts", "", "parts of the prompt, by the names that callers give them, part,part")
 	if err := parse(fs, args, false); err != nil {
 		return err
 	}
@@ -213,7 +228,7 @@
 	if err != nil {
 		return err
 	}
-	q := url.Values{"team": {*team}, "model": {*model}, "labels": {*labels}, "tokens": {fmt.Sprint(*tokens)}, "max_tokens": {fmt.Sprint(*answer)}}
+	q := url.Values{"team": {*team}, "model": {*model}, "labels": {*labels}, "tokens": {fmt.Sprint(*tokens)}, "max_tokens": {fmt.Sprint(*answer)}, "parts": {*parts}}
 	var explanation node.Explanation
 	if err := fetch(addrs[0], node.PathExplain+"?"+q.Encode(), &explanation); err != nil {
 		return errors.Wrap(errNoReply, err.Error())
@@ -225,6 +240,9 @@
 	if explanation.Refusal != "" {
 		fmt.Fprintf(t.out, "would be refused: %s\n", explanation.Refusal)
 	}
+	for _, r := range explanation.Parts {
+		fmt.Fprintf(t.out, "part %s: %s; %d endpoints ended under %d requests with it, %s last, %.0fs ago\n", partName(r), r.Verdict, r.Crashes, r.Requests, r.LastEndpoint, r.AgeSeconds)
+	}
 	if explanation.Prefill != "" {
 		fmt.Fprintf(t.out, "would go to %s, then %s: wait %.3fs + read %.3fs + move %.3fs, target %.3fs\n", explanation.Prefill, explanation.Decode, explanation.QueueSeconds, explanation.PrefillSeconds, explanation.TransferSeconds, explanation.TTFTTargetSeconds)
 	}
