quarantine: a crash with a more suspicious cause doesn't count against a part

Each crash is explained by itself now, by a part that crashes engines in different requests and has been unsound for longer, or by another request that is blamed as a whole. Causes that are known no longer count as other causes either. TestDeadlyPart: 3 to 9 engines end, nothing is sent late.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -53,9 +53,10 @@
 		Settings: s, Number: request.HostNumber(s.Host), Incarnation: uint64(time.Now().UnixMilli()),
 		Config: newConfigTable(inv), Evacuations: new(EvacuationTable), Domains: newDomainTable(s.Domain), Answers: new(Answers), Link: new(LinkDelay), Paths: newPathTable(), Endpoints: newEndpointTable(),
 		Regions: newRegionTable(), Requests: newRequestTable(inv),
-		Keys: newKeyTable(), Quotas: quota.NewAccounts(rand.Uint64() << 16), Suspects: quarantine.New(s.Host), Parts: quarantine.NewParts(s.Host), Versions: versions.NewTable(), Invariant: inv, Wake: newWake(), startedAt: time.Now(),
+		Keys: newKeyTable(), Quotas: quota.NewAccounts(rand.Uint64() << 16), Suspects: quarantine.New(s.Host), Versions: versions.NewTable(), Invariant: inv, Wake: newWake(), startedAt: time.Now(),
 		Pause: NewPause(config.Millis(s.PauseMillis)),
 	}
+	b.Parts = quarantine.NewParts(s.Host, b.Suspects)
 	b.Hosts = newHostTable(Host{
 		Name: s.Host, Number: b.Number, Domain: s.Domain, Region: s.Region, Peers: s.PeersAddress(),
 		Incarnation: b.Incarnation, ChangedAt: time.Now(),
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -18,7 +18,8 @@
 //     sound requests share is cleared soon after each crash, and one that was sound may become deadly.
 //   - Crashes at a single moment only make it suspect, as engines also crash together for other reasons.
 //   - Requests have to differ: repeats of one request speak against that request and not its parts.
-//   - Another part explains the crashes if it was there each time and has been unsound for longer.
+//   - A crash doesn't count if a more suspicious cause was there: a part that crashes engines in different requests
+//     and has been unsound for longer, or another request that is blamed as a whole.
 //   - Parts that were there together each time and can't be told apart are refused only together.
 //     A request with some of them runs as a probe, which tells.
 
@@ -51,19 +52,22 @@
 
 // Parts holds what one host knows of parts.
 type Parts struct {
-	host string
+	host     string
+	requests *Registry // what is known of whole requests
 
-	mu      sync.Mutex
-	crashes map[crashKey]*partCrash
-	byPart  map[request.Fingerprint][]*partCrash
-	sound   soundParts
-	probes  probes
-	refused uint64
+	mu        sync.Mutex // taken before that of requests
+	crashes   map[crashKey]*partCrash
+	byPart    map[request.Fingerprint][]*partCrash
+	byProcess map[Process][]*partCrash
+	sound     soundParts
+	probes    probes
+	refused   uint64
 }
 
-// NewParts returns an empty one for the named host.
-func NewParts(host string) *Parts {
-	return &Parts{host: host, crashes: map[crashKey]*partCrash{}, byPart: map[request.Fingerprint][]*partCrash{}, sound: newSoundParts(), probes: newProbes()}
+// NewParts returns an empty one for the named host, beside what is known of whole requests.
+func NewParts(host string, requests *Registry) *Parts {
+	return &Parts{host: host, requests: requests, crashes: map[crashKey]*partCrash{}, byPart: map[request.Fingerprint][]*partCrash{},
+		byProcess: map[Process][]*partCrash{}, sound: newSoundParts(), probes: newProbes()}
 }
 
 // Empty reports whether no crash is known.
@@ -81,7 +85,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := PartCrash{Process: process ^ Process(xxhash.Sum64String(endpoint)), Request: run.Request, Team: run.Team, Endpoint: endpoint, Host: p.host}
+	c := PartCrash{Process: process ^ Process(xxhash.Sum64String(endpoint)), Start: process, Request: run.Request, Team: run.Team, Endpoint: endpoint, Host: p.host}
 	for _, part := range run.Parts {
 		c.Parts = append(c.Parts, PartState{Part: part.Key, Name: part.Name, SoundMillis: p.sound.millisSince(part.Key, now)})
 	}
@@ -108,6 +112,7 @@
 	}
 	kept := &partCrash{c, at}
 	p.crashes[k] = kept
+	p.byProcess[c.Process] = append(p.byProcess[c.Process], kept)
 	for _, s := range c.Parts {
 		p.byPart[s.Part] = append(p.byPart[s.Part], kept)
 	}
@@ -140,11 +145,17 @@
 // drop drops a crash. The caller holds the lock.
 func (p *Parts) drop(c *partCrash) {
 	delete(p.crashes, crashKey{c.Process, c.Request})
+	removeCrash(p.byProcess, c.Process, c)
 	for _, s := range c.Parts {
-		left := slices.DeleteFunc(slices.Clone(p.byPart[s.Part]), func(o *partCrash) bool { return o == c })
-		if p.byPart[s.Part] = left; len(left) == 0 {
-			delete(p.byPart, s.Part)
-		}
+		removeCrash(p.byPart, s.Part, c)
+	}
+}
+
+// removeCrash removes a crash from an index.
+func removeCrash[K comparable](index map[K][]*partCrash, k K, c *partCrash) {
+	left := slices.DeleteFunc(slices.Clone(index[k]), func(o *partCrash) bool { return o == c })
+	if index[k] = left; len(left) == 0 {
+		delete(index, k)
 	}
 }
 
@@ -172,15 +183,13 @@
 	if len(counted) == 0 {
 		return news
 	}
-	crashed := map[Process]bool{}
-	for _, c := range counted {
-		crashed[c.Process] = true
-	}
-	for _, c := range p.crashes {
-		for _, s := range c.Parts {
-			if crashed[c.Process] && p.sound.at(s.Part).Before(now) {
-				p.sound.add(s.Part, now, now)
-				news.Sound = append(news.Sound, PartState{Part: s.Part, Name: s.Name, SoundMillis: 0})
+	for _, crash := range counted {
+		for _, c := range p.byProcess[crash.Process] {
+			for _, s := range c.Parts {
+				if p.sound.at(s.Part).Before(now) {
+					p.sound.add(s.Part, now, now)
+					news.Sound = append(news.Sound, PartState{Part: s.Part, Name: s.Name, SoundMillis: 0})
+				}
 			}
 		}
 	}
--- a/quarantine/parts_news.go
+++ b/quarantine/parts_news.go
@@ -16,6 +16,7 @@
 // PartCrash is a crash of a process under a run that had just begun, with the parts of its prompt.
 type PartCrash struct {
 	Process  Process // also by the endpoint's name, as one without start times has a new name after each start
+	Start    Process // as ProcessOf names it
 	Request  request.Fingerprint
 	Parts    []PartState
 	Team     uint32
--- a/quarantine/parts_verdict.go
+++ b/quarantine/parts_verdict.go
@@ -102,16 +102,16 @@
 
 // judge returns what is known of a part. The caller holds the lock.
 func (p *Parts) judge(part request.Fingerprint, now time.Time) (j judgement) {
-	counted := p.counted(part)
+	counted := slices.DeleteFunc(p.counted(part), func(c *partCrash) bool { return p.isExplained(part, c, now) })
 	if len(counted) == 0 {
 		return j
 	}
 	j.last = counted[len(counted)-1].at
 	blamedAt := j.count(counted)
-	if j.requests < suspectRequests || p.isExplained(part, counted, &j) {
+	if j.requests < suspectRequests {
 		return j
 	}
-	j.verdict = Suspect
+	j.verdict, j.with = Suspect, p.inseparable(part, counted)
 	if blamedAt.IsZero() {
 		return j
 	}
@@ -121,7 +121,7 @@
 			probes++
 		}
 	}
-	others, latest := p.otherCrashes(counted)
+	others, latest := p.otherCrashes(counted, now)
 	switch {
 	case others >= otherCauses:
 		until := later(earlier(j.last.Add(scaled(firstPartBackoff, backoffGrowth, probes)), latest.Add(otherWindow)), j.last.Add(firstBackoff))
@@ -179,64 +179,88 @@
 	return groups
 }
 
-// isExplained reports whether another part was there at each crash that counts against a part, in the same prompt
-// or another one, and was written on without a crash less recently. Parts of which neither holds are noted as
-// not to be told apart from it. The caller holds the lock.
-func (p *Parts) isExplained(part request.Fingerprint, counted []*partCrash, j *judgement) bool {
+// isExplained reports whether a crash has a more suspicious cause than a part: another part that crashes engines in
+// different requests and was written on without a crash less recently, in the same prompt or another one, or another
+// request that is blamed as a whole. The caller holds the lock.
+func (p *Parts) isExplained(part request.Fingerprint, crash *partCrash, now time.Time) bool {
 	sound := p.sound.at(part)
-	crashed := map[Process]bool{}
-	for _, c := range counted {
-		crashed[c.Process] = true
-	}
-	for other := range p.presentAtAll(crashed) {
-		switch at := p.sound.at(other); {
-		case other == part || at.After(sound):
-		case at.Before(sound):
-			return true
-		default:
-			j.with = append(j.with, other)
+	for _, c := range p.byProcess[crash.Process] {
+		for _, s := range c.Parts {
+			if s.Part != part && p.sound.at(s.Part).Before(sound) && p.requestsOf(s.Part) >= suspectRequests {
+				return true
+			}
 		}
 	}
-	return false
+	return p.requests != nil && p.requests.causedByOther(crash.Start, crash.Request, now)
 }
 
-// presentAtAll returns the parts on which some run had begun to write at the crash of each of some processes.
-// The caller holds the lock.
-func (p *Parts) presentAtAll(crashed map[Process]bool) map[request.Fingerprint]bool {
-	seen := map[request.Fingerprint]map[Process]bool{}
-	for _, c := range p.crashes {
-		if !crashed[c.Process] {
-			continue
+// requestsOf returns under how many different requests the crashes were that may count against a part. The caller
+// holds the lock.
+func (p *Parts) requestsOf(part request.Fingerprint) int {
+	sound := p.sound.at(part)
+	var different []request.Fingerprint
+	for _, c := range p.byPart[part] {
+		if c.at.After(sound) && !slices.Contains(different, c.Request) {
+			different = append(different, c.Request)
 		}
-		for _, s := range c.Parts {
-			if seen[s.Part] == nil {
-				seen[s.Part] = map[Process]bool{}
+		if len(different) == blameRequests {
+			break // more make no difference
+		}
+	}
+	return len(different)
+}
+
+// inseparable returns the other parts on which some run had begun to write at each of some crashes, and that were
+// written on without a crash no less and no more recently than a part. The caller holds the lock.
+func (p *Parts) inseparable(part request.Fingerprint, counted []*partCrash) (with []request.Fingerprint) {
+	sound := p.sound.at(part)
+	for _, first := range p.byProcess[counted[0].Process] {
+		for _, s := range first.Parts {
+			if s.Part != part && p.sound.at(s.Part).Equal(sound) && !slices.Contains(with, s.Part) && p.presentAtAll(s.Part, counted) {
+				with = append(with, s.Part)
 			}
-			seen[s.Part][c.Process] = true
 		}
 	}
-	all := map[request.Fingerprint]bool{}
-	for part, processes := range seen {
-		if len(processes) == len(crashed) {
-			all[part] = true
+	return with
+}
+
+// presentAtAll reports whether some run had begun to write on a part at each of some crashes. The caller holds the
+// lock.
+func (p *Parts) presentAtAll(part request.Fingerprint, crashes []*partCrash) bool {
+	for _, crash := range crashes {
+		if !slices.ContainsFunc(p.byProcess[crash.Process], func(c *partCrash) bool { return c.has(part) }) {
+			return false
 		}
 	}
-	return all
+	return true
 }
 
 // otherCrashes returns how many processes crashed around the time of the last of some crashes under other
-// runs than those, and when the latest of these did. The caller holds the lock.
-func (p *Parts) otherCrashes(counted []*partCrash) (n int, latest time.Time) {
+// runs than those, and when the latest of these did. Crashes whose cause is known don't count. The caller holds the
+// lock.
+func (p *Parts) otherCrashes(counted []*partCrash, now time.Time) (n int, latest time.Time) {
 	last := counted[len(counted)-1].at
 	own, others := map[Process]bool{}, map[Process]bool{}
 	for _, c := range counted {
 		own[c.Process] = true
 	}
 	for _, c := range p.crashes {
-		if !own[c.Process] && last.Sub(c.at).Abs() < otherWindow {
+		if !own[c.Process] && !others[c.Process] && last.Sub(c.at).Abs() < otherWindow && !p.isCauseKnown(c, now) {
 			others[c.Process] = true
 			latest = later(latest, c.at)
 		}
 	}
 	return len(others), latest
 }
+
+// isCauseKnown reports whether a request that is blamed as a whole, or a part that crashes engines in enough requests to
+// be blamed, was there at a crash. The caller holds the lock.
+func (p *Parts) isCauseKnown(crash *partCrash, now time.Time) bool {
+	enough := func(s PartState) bool { return p.requestsOf(s.Part) >= blameRequests }
+	for _, c := range p.byProcess[crash.Process] {
+		if slices.ContainsFunc(c.Parts, enough) {
+			return true
+		}
+	}
+	return p.requests != nil && p.requests.causedByOther(crash.Start, request.Fingerprint{}, now)
+}
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -98,6 +98,23 @@
 	return rows
 }
 
+// causedByOther reports whether a request other than f had just begun where a process crashed and crashes are
+// attributed to it.
+func (r *Registry) causedByOther(p Process, f request.Fingerprint, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.events.byProcess[p]
+	if e == nil {
+		return false
+	}
+	for k, s := range e.suspects {
+		if v, _ := r.evaluate(k.request, now); s.young && k.request != f && v >= BackingOff {
+			return true
+		}
+	}
+	return false
+}
+
 // explained reports whether a young run of a crash is still suspected. The caller holds the lock.
 func (r *Registry) explained(e *event) bool {
 	for k, who := range e.suspects {
