entry: an answer isn't bound to the version of an endpoint that doesn't confirm its registration

It has to confirm now, asked twice; else the version counts as unknown, or the rest goes elsewhere. Platforms that state no start times give each start a new name; nothing is asked there.

--- a/entry/version.go
+++ b/entry/version.go
@@ -86,11 +86,11 @@
 // with an answer that is bound already.
 func (e *Entry) bindAnswer(ctx context.Context, j *job, spec *config.Endpoint) bool {
 	if j.criteria.Continues {
-		return spec.Software == j.criteria.Software && !e.hasRestarted(ctx, spec)
+		return spec.Software == j.criteria.Software && e.isRegistered(ctx, spec)
 	}
 	rec := versions.Record{Software: spec.Software, Endpoint: spec.Name}
 	j.criteria.Continues, j.criteria.Software = true, spec.Software
-	if e.isReplaced(&rec) || e.hasRestarted(ctx, spec) {
+	if e.isReplaced(&rec) || !e.isRegistered(ctx, spec) {
 		j.criteria.Software = spec.WithUnknownSoftware().Software // either process may have written it
 		return true
 	}
@@ -114,14 +114,25 @@
 	return replaced
 }
 
-// hasRestarted reports whether an endpoint says that it started later than its registration states, which is late
-// then. Endpoints whose registrations state no start times have another name after each start.
-func (e *Entry) hasRestarted(ctx context.Context, spec *config.Endpoint) bool {
+// maxStartAsks is how often an endpoint is asked when it started, as a single answer may be lost.
+const maxStartAsks = 2
+
+// isRegistered reports whether an endpoint confirms that it is the process that its registration states, which may be
+// late. Endpoints whose registrations state no start times have another name after each start.
+func (e *Entry) isRegistered(ctx context.Context, spec *config.Endpoint) bool {
 	if spec.Born == 0 {
-		return false
+		return true
+	}
+	for range maxStartAsks {
+		switch evidence, started := e.processEvidence(ctx, processOf(spec)); evidence {
+		case quarantine.EvidenceAlive:
+			return true
+		case quarantine.EvidenceRestarted:
+			e.crashes.recordStart(spec.Address, started)
+			return false
+		}
 	}
-	evidence, _ := e.processEvidence(ctx, processOf(spec))
-	return evidence == quarantine.EvidenceRestarted
+	return false
 }
 
 // servesVersion reports whether the route has an endpoint, in use now or not, that may go on with the job's
--- a/entry/write.go
+++ b/entry/write.go
@@ -128,7 +128,7 @@
 			return false, err
 		}
 	}
-	if j.criteria.Continues && e.hasRestarted(ctx, p.decodeSpec) {
+	if j.criteria.Continues && !e.isRegistered(ctx, p.decodeSpec) {
 		return false, e.moveFromIneligible(ctx, j, p, kv, expires, route.ReasonSoftware)
 	}
 	elsewhere, refusal := e.acquireProbeAt(ctx, j, p.decodeSpec, quarantine.Running)
