--- a/entry/relay.go
+++ b/entry/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,14 +35,17 @@
 	}
 	limited, cancel := c.ctx, c.cancel
 	defer cancel()
-	at := processOf(p.decodeSpec) // a stopped watchdog may still run its liveness check
+	called := new(atomic.Pointer[process]) // a stopped watchdog may still run its liveness check
+	at := processOf(p.decodeSpec)
+	called.Store(&at)
 	next := e.newNextDecode(ctx, j, p)
 	w := newWatchdog(e.firstStallLimit(j, p), e.maxSilence(j), callControl{
-		checkLiveness: func() livenessCheck { return e.checkLiveness(limited, at) },
+		checkLiveness: func() livenessCheck { return e.checkLiveness(limited, *called.Load()) },
 		mayCancel:     func(w *watchdog) bool { return !e.cancelsOnlyPrepared(j, w) || next.prepare(limited, w) },
 		cancel:        cancel,
 	})
 	defer w.stop()
+	w.called = called
 	w.setDelivered(j.reply.chunks(), j.reply.lastEventID())
 	number := route.Number(p.decodeSpec.Name)
 	e.owners.AddCalls(number, 1)
@@ -202,6 +206,10 @@
 			j.markPhase(3)
 		}
 		if !w.answering.Load() {
+			if w.called != nil {
+				at := e.crashes.process(p.decodeSpec) // a later one than the registration states, if it said so just now
+				w.called.Store(&at)
+			}
 			w.answerBegun(e.laterStallLimit(j, p))
 			w.checksLiveness.Store(e.traits.DisconnectAborts)
 			e.setPhase(j, blackboard.PhaseDecode, nil)
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -25,11 +25,12 @@
 	lastProgress   atomic.Int64 // Unix time in ns
 	checksLiveness atomic.Bool  // before it cancels, it asks the engine whether it is alive
 	fired          atomic.Bool
-	check          livenessCheck // the last one; guarded by mu
-	chunks         int           // that the caller has; guarded by mu
-	eventID        string        // of the last of them; guarded by mu
-	answering      atomic.Bool   // the answer has begun
-	sound          bool          // it has progressed well; used by the goroutine that relays it
+	check          livenessCheck            // the last one; guarded by mu
+	chunks         int                      // that the caller has; guarded by mu
+	eventID        string                   // of the last of them; guarded by mu
+	answering      atomic.Bool              // the answer has begun
+	sound          bool                     // it has progressed well; used by the goroutine that relays it
+	called         *atomic.Pointer[process] // that answers the call; nil: not used
 	first          time.Time
 	last           time.Time
 	chunkGaps      int           // between the chunks of the answer so far
