peer: the hosts that hold versions are chosen four times a second

The choice looked at all hosts and sorted them for each answer; the hosts of a domain that hold versions are kept for 250 ms now.

--- a/peer/router.go
+++ b/peer/router.go
@@ -47,6 +47,9 @@
 
 	viewMu sync.Mutex // held while the tables are updated; taken before all other locks
 
+	recordersMu  sync.Mutex             // taken before the lock of the host table
+	recorderSets map[string]recorderSet // by failure domain
+
 	fetcher fetcher
 	joins   joinExchanges
 	packer  packer
@@ -74,7 +77,7 @@
 // NewRouter returns a router over the board and this host's own owner. If dial is nil, it dials
 // TCP.
 func NewRouter(b *blackboard.Board, o *owner.Owner, dial Dial, log *zap.Logger) *Router {
-	r := &Router{board: b, owner: o, log: log, releases: map[string][]owner.Release{}, unnamed: map[uint32]bool{}, listed: map[uint32]bool{}, missedPings: map[uint32]int{}, membersDiffer: true}
+	r := &Router{board: b, owner: o, log: log, releases: map[string][]owner.Release{}, recorderSets: map[string]recorderSet{}, unnamed: map[uint32]bool{}, listed: map[uint32]bool{}, missedPings: map[uint32]int{}, membersDiffer: true}
 	r.pool = newPool(dial, &r.Traffic, &r.PurposeTraffic)
 	r.bulk = newPool(dial, &r.Traffic, &r.PurposeTraffic)
 	r.pool.answers = b.Answers
--- a/peer/versions.go
+++ b/peer/versions.go
@@ -181,9 +181,8 @@
 // recorders returns the hosts of a failure domain that hold an answer's version, at most n, in rendezvous order by
 // the answer's key.
 func (r *Router) recorders(key uint64, domain string, n int, now time.Time) []blackboard.Host {
-	hosts := r.board.Hosts.Order(recorderKey, domain, now)
-	if len(hosts) > maxRecorders {
-		hosts = hosts[:maxRecorders]
+	hosts, isLarge := r.allRecorders(domain, now)
+	if isLarge {
 		n = max(1, n-1)
 	}
 	slices.SortFunc(hosts, func(a, b blackboard.Host) int {
@@ -192,6 +191,29 @@
 	return hosts[:min(n, len(hosts))]
 }
 
+// recorderSet holds the hosts of a failure domain that hold versions.
+type recorderSet struct {
+	hosts   []blackboard.Host
+	isLarge bool // the failure domain has more hosts
+	at      time.Time
+}
+
+// recordersKept is how long a recorderSet is used: choosing it looks at all hosts.
+const recordersKept = 250 * time.Millisecond
+
+// allRecorders returns the hosts of a failure domain that hold versions, and whether the domain has more hosts.
+func (r *Router) allRecorders(domain string, now time.Time) (hosts []blackboard.Host, isLarge bool) {
+	r.recordersMu.Lock()
+	defer r.recordersMu.Unlock()
+	set, known := r.recorderSets[domain]
+	if !known || now.Sub(set.at) > recordersKept || r.board.Leaving() {
+		all := r.board.Hosts.Order(recorderKey, domain, now)
+		set = recorderSet{all[:min(len(all), maxRecorders)], len(all) > maxRecorders, now}
+		r.recorderSets[domain] = set
+	}
+	return slices.Clone(set.hosts), set.isLarge
+}
+
 // HandOverVersions sends the recent records of a host that is leaving to the hosts that take its place.
 func (r *Router) HandOverVersions() {
 	rows := map[string][]versions.Record{}
