--- a/entry/ends.go
+++ b/entry/ends.go
@@ -125,13 +125,6 @@
 	return at
 }
 
-// recordStart records a start time that a report showed and that is later than the registered one.
-func (s *crashTracker) recordStart(address string, started int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.startTimes[address] = started
-}
-
 // track adds a call that broke off to the check of its process, and starts the check if
 // there is none.
 func (s *crashTracker) track(r engineRun, holder uint64) *crashCheck {
@@ -217,7 +210,9 @@
 		}
 	})
 	if started > check.proc.started {
-		e.crashes.recordStart(check.proc.address, started)
+		e.crashes.mu.Lock()
+		e.crashes.startTimes[check.proc.address] = started
+		e.crashes.mu.Unlock()
 	}
 	return evidence.Evaluate(check.planned)
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -199,17 +199,19 @@
 		if c.Offset > j.reply.chunks() {
 			return brokenAnswer(p, "chunks are missing")
 		}
-		if !w.answering.Load() && !e.bindAnswer(ctx, j, p.decodeSpec) {
-			return brokenAnswer(p, "another software version began the answer")
+		if !w.answering.Load() {
+			at, mayWrite := e.bindAnswer(ctx, j, p.decodeSpec)
+			if !mayWrite {
+				return brokenAnswer(p, "another software version began the answer")
+			}
+			if w.called != nil {
+				w.called.Store(&at)
+			}
 		}
 		if j.reply.chunks() == 0 {
 			j.markPhase(3)
 		}
 		if !w.answering.Load() {
-			if w.called != nil {
-				at := e.crashes.process(p.decodeSpec) // a later one than the registration states, if it said so just now
-				w.called.Store(&at)
-			}
 			w.answerBegun(e.laterStallLimit(j, p))
 			w.checksLiveness.Store(e.traits.DisconnectAborts)
 			e.setPhase(j, blackboard.PhaseDecode, nil)
--- a/entry/version.go
+++ b/entry/version.go
@@ -82,23 +82,24 @@
 }
 
 // bindAnswer binds an answer whose first piece has arrived to the software version of its endpoint, before the
-// piece is passed on. It reports whether the endpoint may write the answer: one of another version may not go on
-// with an answer that is bound already.
-func (e *Entry) bindAnswer(ctx context.Context, j *job, spec *config.Endpoint) bool {
+// piece is passed on. It returns the process that answers, and reports whether it may write the answer: one of another
+// version may not go on with an answer that is bound already.
+func (e *Entry) bindAnswer(ctx context.Context, j *job, spec *config.Endpoint) (at process, mayWrite bool) {
+	at, registered := e.answeringProcess(ctx, spec)
 	if j.criteria.Continues {
-		return spec.Software == j.criteria.Software && e.isRegistered(ctx, spec)
+		return at, registered && spec.Software == j.criteria.Software
 	}
 	rec := versions.Record{Software: spec.Software, Endpoint: spec.Name}
 	j.criteria.Continues, j.criteria.Software = true, spec.Software
-	if e.isReplaced(&rec) || !e.isRegistered(ctx, spec) {
+	if !registered || e.isReplaced(&rec) {
 		j.criteria.Software = spec.WithUnknownSoftware().Software // either process may have written it
-		return true
+		return at, true
 	}
 	if j.mayBeTakenUp() {
 		rec.Answer = j.answerID(j.work.Origin.ID)
 		e.owners.RecordVersion(ctx, rec)
 	}
-	return true
+	return at, true
 }
 
 // mayBeTakenUp reports whether the caller may take up the job's answer in a later attempt.
@@ -117,22 +118,29 @@
 // maxStartAsks is how often an endpoint is asked when it started, as a single answer may be lost.
 const maxStartAsks = 2
 
-// isRegistered reports whether an endpoint confirms that it is the process that its registration states, which may be
-// late. Endpoints whose registrations state no start times have another name after each start.
-func (e *Entry) isRegistered(ctx context.Context, spec *config.Endpoint) bool {
+// answeringProcess returns the process of an endpoint that answers calls now, without a start time if it doesn't confirm
+// one, and whether it is the one that its registration states, which may be late. Endpoints whose registrations state no
+// start times have another name after each start.
+func (e *Entry) answeringProcess(ctx context.Context, spec *config.Endpoint) (at process, registered bool) {
+	at = processOf(spec)
 	if spec.Born == 0 {
-		return true
+		return at, true
 	}
 	for range maxStartAsks {
-		switch evidence, started := e.processEvidence(ctx, processOf(spec)); evidence {
+		switch evidence, started := e.processEvidence(ctx, at); evidence {
 		case quarantine.EvidenceAlive:
-			return true
+			return at, true
 		case quarantine.EvidenceRestarted:
-			e.crashes.recordStart(spec.Address, started)
-			return false
+			return process{spec.Address, started}, false
 		}
 	}
-	return false
+	return process{address: spec.Address}, false
+}
+
+// isRegistered reports whether an endpoint confirms that it is the process that its registration states.
+func (e *Entry) isRegistered(ctx context.Context, spec *config.Endpoint) bool {
+	_, registered := e.answeringProcess(ctx, spec)
+	return registered
 }
 
 // servesVersion reports whether the route has an endpoint, in use now or not, that may go on with the job's
