route, entry: an answer of the only software version goes on without a record

A version is known as the only one if the endpoints of the route's pool run it and this host has seen no other there for twice the route's time-out, the time that an answer may have lasted over two attempts.

--- a/entry/version.go
+++ b/entry/version.go
@@ -52,12 +52,17 @@
 	if !j.takesUp() {
 		return nil
 	}
-	if j.firstAttempt == "" {
-		e.Versions.Unknown.Add(1)
-		return result.Errorf(result.VersionUnknown, "the request doesn't say which attempt brought the first event, so the software version that began the answer isn't known")
+	rec, from, complete := versions.Record{}, "", true
+	if j.firstAttempt != "" {
+		rec, from, complete = e.owners.FindVersion(ctx, j.answerID(j.firstAttempt))
 	}
-	rec, from, complete := e.owners.FindVersion(ctx, j.answerID(j.firstAttempt))
+	software, sole := e.soleSoftware(j)
 	switch {
+	case from == "" && sole:
+		rec.Software, from = software, "the only version"
+	case j.firstAttempt == "":
+		e.Versions.Unknown.Add(1)
+		return result.Errorf(result.VersionUnknown, "the request doesn't say which attempt brought the first event, so the software version that began the answer isn't known")
 	case from == "" && !complete:
 		e.Versions.Unknown.Add(1)
 		return result.Errorf(result.VersionUnknown, "no host in reach knows which software version began attempt %.40q", j.firstAttempt).After(versionRetryAfter)
@@ -102,6 +107,25 @@
 	return at, true
 }
 
+// attemptsOfAnswer is how many attempts, each held for the route's time-out at most, an answer that is taken up may have
+// lasted for.
+const attemptsOfAnswer = 2
+
+// soleSoftware returns the software version that began an answer that the job's caller takes up, if the endpoints of the
+// route have run no other one for as long as the answer may have lasted.
+func (e *Entry) soleSoftware(j *job) (software string, ok bool) {
+	timeout := j.route.Timeout()
+	if timeout == 0 || e.board.Config.Behind(time.Now()) > 0 {
+		return "", false
+	}
+	e.board.Endpoints.Read(func(fleet *route.Fleet) {
+		if g := j.group(fleet); g != nil {
+			software, ok = fleet.SoleSoftware(j.answeringStates(g), attemptsOfAnswer*timeout, time.Now())
+		}
+	})
+	return software, ok
+}
+
 // mayBeTakenUp reports whether the caller may take up the job's answer in a later attempt.
 func (j *job) mayBeTakenUp() bool {
 	return j.streams() && j.work.Origin != nil && j.work.Origin.ID != "" && !j.takesUp()
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -13,7 +13,8 @@
 type Fleet struct {
 	View       *config.View
 	states     map[uint32]*State
-	addresses  map[string][]uint32  // endpoints by address; another one may take over the address of one that left
+	addresses  map[string][]uint32 // endpoints by address; another one may take over the address of one that left
+	software   softwareWatch
 	started    []string             // addresses at which a process has started since the view before
 	pools      map[string]*Group    // endpoints of pools
 	routes     map[string]*Group    // endpoints of routes with selectors
@@ -131,6 +132,9 @@
 		return nil
 	}
 	f.View, f.started = v, nil
+	if f.software.since.IsZero() && v.Endpoints.Len() > 0 {
+		f.software.begin(now)
+	}
 	if !v.SharesLayout(old) {
 		f.rebuild(now)
 		return f.started
@@ -166,6 +170,7 @@
 		f.addresses[e.Address] = append(f.addresses[e.Address], number)
 	}
 	for number, s := range before {
+		f.software.replaced(s.Spec, f.View.Endpoints.Get(number), now)
 		if f.states[number] == nil {
 			f.removed.add(number, s.Spec, f.View.RosterRevision.Era(), now)
 		}
@@ -195,6 +200,7 @@
 func (f *Fleet) replace(number uint32, e *config.Endpoint, now time.Time) {
 	old := f.states[number]
 	if old != nil {
+		f.software.replaced(old.Spec, e, now)
 		f.removeFromLists(old)
 		f.removeAddress(old)
 		f.heads.update(number, old.Digest.Heads, nil)
@@ -386,6 +392,7 @@
 		s.DigestAt = time.Time{}
 	}
 	clear(f.wrongState)
+	f.software.begin(time.Now()) // versions may have come and gone unseen
 }
 
 // SetCutOff sets until when the endpoints of a failure domain count as cut off from this host.
