--- a/config/document.go
+++ b/config/document.go
@@ -5,10 +5,7 @@
 // hosts agree on whether a revision is valid. The package does no I/O.
 package config
 
-import (
-	"strings"
-	"time"
-)
+import "time"
 
 // Document is one revision of the published configuration.
 type Document struct {
@@ -130,25 +127,6 @@
 	return e.Born != 0 && other.Born != 0 && e.Born < other.Born
 }
 
-// WithUnknownSoftware returns the endpoint with a software version that no other endpoint runs, as its own
-// isn't known.
-func (e *Endpoint) WithUnknownSoftware() Endpoint {
-	out := *e
-	out.Software = unknownSoftware + e.Name
-	return out
-}
-
-// SoftwareName returns the version of the endpoint's software as operators see it.
-func (e *Endpoint) SoftwareName() string {
-	if strings.HasPrefix(e.Software, unknownSoftware) {
-		return "unknown"
-	}
-	return e.Software
-}
-
-// unknownSoftware begins the versions that stand for unknown ones. No registration states such a version.
-const unknownSoftware = "\x00"
-
 // TokensPerEvent returns the number of tokens in one event of the endpoint's streams.
 func (e *Endpoint) TokensPerEvent() int { return max(1, e.TokensPerPiece) }
 
