--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -147,12 +147,12 @@
 }
 
 // recordNone records that an endpoint was reached neither directly nor by way of another host.
-func (d *Dialer) recordNone(address string, confirmed bool, cause error) {
+func (d *Dialer) recordNone(address string, confirmed bool, cause error, heard *evidence) {
 	changed, until := d.board.Paths.RecordFailure(address, time.Now(), blackboard.PathNone, confirmed)
 	d.board.Endpoints.SetNoPath(address, until)
 	if changed {
 		d.board.Wake.All()
-		d.log.Warn("no path to endpoint", zap.String("address", address), zap.Bool("confirmed", confirmed), zap.NamedError("cause", cause))
+		d.log.Warn("no path to endpoint", zap.String("address", address), zap.Bool("confirmed", confirmed), zap.Stringer("asked", heard), zap.NamedError("cause", cause))
 	}
 }
 
--- a/tunnel/race.go
+++ b/tunnel/race.go
@@ -33,6 +33,7 @@
 	asked         []uint32 // hosts that were asked for a tunnel
 	answered      int      // of them, those that answered
 	confirmations int      // of them, those that reach other endpoints and not this one
+	evidence      *evidence
 }
 
 // outcome is the outcome of one attempt.
@@ -56,7 +57,7 @@
 // newRace returns an attempt over a path that begins now. It asks up to maxAsked hosts for a tunnel.
 func (d *Dialer) newRace(ctx context.Context, network string, p *blackboard.Path, maxAsked int) *race {
 	now := time.Now()
-	r := &race{dialer: d, ctx: ctx, network: network, address: p.Address, began: now, maxAsked: maxAsked, results: make(chan outcome, 1+maxAsked)}
+	r := &race{dialer: d, ctx: ctx, network: network, address: p.Address, began: now, maxAsked: maxAsked, results: make(chan outcome, 1+maxAsked), evidence: newEvidence()}
 	r.headStart = directHeadStart
 	if d.board.Paths.Count(blackboard.PathLost) > 0 {
 		r.headStart = suspectHeadStart
@@ -126,6 +127,7 @@
 		return false
 	}
 	r.asked = append(r.asked, h.Number)
+	r.evidence.recordAsked(h.Domain)
 	r.pending++
 	go func() {
 		q := Request{From: r.dialer.board.Number, Address: r.address}
@@ -144,6 +146,7 @@
 		return
 	}
 	r.recordUnable(o)
+	r.evidence.record(&o)
 	if o.err == nil {
 		r.answered++
 		r.dialer.board.RecordAnswer(o.host.Domain)
@@ -221,7 +224,7 @@
 		return r.directErr
 	}
 	confirmed := r.confirmations > 0
-	r.dialer.recordNone(r.address, confirmed, r.directErr)
+	r.dialer.recordNone(r.address, confirmed, r.directErr, r.evidence)
 	if confirmed || !errors.Is(r.directErr, syscall.ECONNREFUSED) {
 		return r.directErr
 	}
@@ -234,7 +237,7 @@
 	r.stopDirect()
 	go r.discard("")
 	if errors.Is(context.Cause(r.ctx), endpoint.ErrGivenUp) && !r.alone {
-		r.dialer.recordNone(r.address, r.confirmations > 0, context.DeadlineExceeded)
+		r.dialer.recordNone(r.address, r.confirmations > 0, context.DeadlineExceeded, r.evidence)
 	}
 	return r.ctx.Err()
 }
