tunnel: hosts that fail together are one witness, and are asked by turns with others

What callers saw: where a whole failure domain with more than eight hosts lost its links to endpoints, all its callers were refused though every other host reached them (first tries 0 of 288, 0 of 576 with two domains of three; 265 to 280 of 856 with all hosts but one).

Cause: a host asked up to eight hosts for a tunnel, those of its own domain first, and concluded from them that nobody reaches the endpoint. Two hosts that reach other endpoints were even enough to confirm that, whichever hosts they were. Evidence: the field "asked" of the log line names hosts of the own domain alone.

Change: hosts are asked by turns of failure domains; those that are cut off or busy are replaced, up to 32; whoever is cut off itself refers to the gateway that it uses. Status shows the domains that are cut off and the gateways in use.

Weighed: hosts that tell in heartbeats whether they reach endpoints; a heartbeat is seconds old when the first calls are lost.

--- a/node/node.go
+++ b/node/node.go
@@ -153,8 +153,8 @@
 	if n.engineDial == nil {
 		n.engineDial = endpoint.DefaultDial()
 	}
-	n.gateway = tunnel.NewGateway(n.Board, n.engineDial)
 	n.tunnels = tunnel.NewDialer(n.Board, n.engineDial, tunnelOpener{n}, n.log)
+	n.gateway = tunnel.NewGateway(n.tunnels)
 	n.Client = endpoint.NewClient(n.tunnels.Dial, n.engineDial)
 	n.engine = n.Client
 	if n.newEngine != nil {
--- a/node/paths.go
+++ b/node/paths.go
@@ -9,15 +9,21 @@
 
 // EndpointPaths says how a host reaches endpoints.
 type EndpointPaths struct {
-	Lost          []string `json:"lost,omitempty"`  // addresses reached only by way of another host
-	None          []string `json:"none,omitempty"`  // addresses reached neither directly nor by way of another host
-	TunnelsUsed   int      `json:"tunnels_used"`    // open connections that other hosts pass on for this one
-	TunnelsPassed int      `json:"tunnels_relayed"` // open connections that this host passes on for others
+	Lost []string `json:"lost,omitempty"` // addresses reached only by way of another host
+	None []string `json:"none,omitempty"` // addresses reached neither directly nor by way of another host
+	// CutOffDomains are the failure domains whose hosts said lately that they have lost their links to endpoints too.
+	CutOffDomains []string       `json:"domains_cut_off,omitempty"`
+	Gateways      map[string]int `json:"gateways,omitempty"` // open connections that other hosts pass on for this one, by host
+	TunnelsUsed   int            `json:"tunnels_used"`       // their number
+	TunnelsPassed int            `json:"tunnels_relayed"`    // open connections that this host passes on for others
 }
 
 // pathStatus returns how this host reaches endpoints.
 func (n *Node) pathStatus(now time.Time) EndpointPaths {
-	s := EndpointPaths{TunnelsUsed: n.tunnels.Active(), TunnelsPassed: n.gateway.Active()}
+	s := EndpointPaths{CutOffDomains: n.tunnels.CutOffDomains(now), Gateways: n.tunnels.Gateways(), TunnelsPassed: n.gateway.Active()}
+	for _, count := range s.Gateways {
+		s.TunnelsUsed += count
+	}
 	for _, p := range n.Board.Paths.NotDirect(now) {
 		if p.State == blackboard.PathLost {
 			s.Lost = append(s.Lost, p.Address)
--- a/peer/tunnel_test.go
+++ b/peer/tunnel_test.go
@@ -30,7 +30,7 @@
 }
 
 // newTunnelEnds starts a host that passes on connections to one endpoint, and one that asks it to.
-func newTunnelEnds(t *testing.T) *tunnelEnds {
+func newTunnelEnds(t testing.TB) *tunnelEnds {
 	l := listenLoopback(t)
 	e := &tunnelEnds{endpoint: listenLoopback(t), other: listenLoopback(t)}
 	document := fmt.Sprintf(`{"failure_domains": [{"name": "a", "region": "r"}], "targets": {"ttft_ms": 900, "tpot_ms": 40},
@@ -45,7 +45,7 @@
 	e.passing.board.Endpoints.ApplyView(view)
 	e.gateway = e.passing.board.Hosts.Self()
 	e.passing.board.Hosts.Learn(e.asking.board.Hosts.Self(), time.Now())
-	e.passing.Tunnels = tunnel.NewGateway(e.passing.board, endpoint.DefaultDial())
+	e.passing.Tunnels = tunnel.NewGateway(tunnel.NewDialer(e.passing.board, endpoint.DefaultDial(), e.passing, zap.NewNop()))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -67,7 +67,7 @@
 	return r
 }
 
-func listenLoopback(t *testing.T) net.Listener {
+func listenLoopback(t testing.TB) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -82,7 +82,7 @@
 }
 
 // accept opens a tunnel and returns its ends.
-func (e *tunnelEnds) accept(t *testing.T) (near, far net.Conn) {
+func (e *tunnelEnds) accept(t testing.TB) (near, far net.Conn) {
 	near, reply, err := e.open(context.Background())
 	if err != nil || reply.Code != tunnel.Opened {
 		t.Fatalf("no tunnel: %v, %v", reply.Code, err)
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -233,6 +233,14 @@
 // HasAddress reports whether an endpoint has an address.
 func (f *Fleet) HasAddress(address string) bool { return len(f.addresses[address]) > 0 }
 
+// DomainAt returns the failure domain of the endpoints at an address; empty: there are none.
+func (f *Fleet) DomainAt(address string) string {
+	for s := range f.statesOf(slices.Values(f.addresses[address])) {
+		return s.Spec.Domain
+	}
+	return ""
+}
+
 // SetNoPath sets until when the endpoints at an address count as out of reach. The zero time ends it.
 func (f *Fleet) SetNoPath(address string, until time.Time) {
 	for s := range f.statesOf(slices.Values(f.addresses[address])) {
--- a/tool/remote.go
+++ b/tool/remote.go
@@ -166,10 +166,11 @@
 		return
 	}
 	fmt.Fprintln(t.out)
-	t.printTable("HOST\tDOMAIN\tPATHS LOST\tNO PATH\tTUNNELS USED\tRELAYED", func(w io.Writer) {
+	t.printTable("HOST\tDOMAIN\tPATHS LOST\tNO PATH\tTUNNELS USED\tGATEWAYS\tRELAYED\tDOMAINS CUT OFF", func(w io.Writer) {
 		for _, a := range sortedKeys(statuses) {
 			if s := statuses[a]; affected(s.Paths) {
-				fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", s.Host, s.Domain, len(s.Paths.Lost), len(s.Paths.None), s.Paths.TunnelsUsed, s.Paths.TunnelsPassed)
+				p := s.Paths
+				fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", s.Host, s.Domain, len(p.Lost), len(p.None), p.TunnelsUsed, len(p.Gateways), p.TunnelsPassed, strings.Join(p.CutOffDomains, ","))
 			}
 		}
 	})
--- a/tool/tool_test.go
+++ b/tool/tool_test.go
@@ -105,7 +105,7 @@
 		Hosts:       []node.HostStatus{{Host: "is-a-1", Domain: "is-a", Live: true}, {Host: "is-b-1", Domain: "is-b", Live: false, SilentSeconds: 12}, {Host: "is-c-1", Domain: "is-c", Live: true, Leaving: true}},
 		Quotas:      []node.QuotaStatus{{Team: "press", Rate: 29_000, Free: -150, AdmittedPerSecond: 9_000, RequestedPerSecond: 31_000, UsedShare: 0.97, UnreachableDomains: []string{"is-b"}}},
 		Evacuations: []node.EvacuationStatus{{Domain: "is-b", KnownSeconds: 12.5, Revision: 41, From: "peer is-c-1", Running: 3}, {Domain: "is-c", KnownSeconds: 2, Revision: 44, From: "store"}},
-		Paths:       node.EndpointPaths{Lost: []string{"10.0.0.4:80", "10.0.0.5:80"}, None: []string{"10.0.0.6:80"}, TunnelsUsed: 3, TunnelsPassed: 0},
+		Paths:       node.EndpointPaths{Lost: []string{"10.0.0.4:80", "10.0.0.5:80"}, None: []string{"10.0.0.6:80"}, CutOffDomains: []string{"hafnarfjordur"}, Gateways: map[string]int{"entry-2": 2, "entry-3": 1}, TunnelsUsed: 3, TunnelsPassed: 0},
 		Versions:    []node.VersionStatus{{Pool: "llm", Role: config.Decode, Software: "v1", Endpoints: 4, Leaving: 1}, {Pool: "llm", Role: config.Decode, Software: "v2", Endpoints: 2}},
 		Endpoints: []node.EndpointStatus{{Endpoint: "docket-prefill-1", Role: config.Prefill, Domain: "is-a", Owner: "is-a-1", Software: "v1", State: "ok", QueueMillis: 120, SlowFactor: 1, DigestAgeSeconds: 0.2},
 			{Endpoint: "docket-decode-1", Role: config.Decode, Domain: "is-b", State: "down", SlowFactor: 1.5, FailedPercent: 40, DigestAgeSeconds: -1}}}
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -23,11 +23,13 @@
 	gatewayHeadStart = 20 * time.Millisecond
 	// lossAfter is how long a direct connection must go unanswered until the path counts as lost.
 	lossAfter = 100 * time.Millisecond
-	// maxGateways is how many hosts are asked for one connection.
+	// askedPerRound is how many further hosts are asked each time after it.
+	askedPerRound = 2
+	// maxGateways is how many hosts are asked for one connection, besides those that are cut off from
+	// endpoints themselves or busy.
 	maxGateways = 8
-	// askedAtOnce is how many of them are asked at once if the endpoint refuses the direct
-	// connection: whether its process is gone has to be known soon.
-	askedAtOnce = 3
+	// maxAsked is how many hosts are asked in all.
+	maxAsked = 32
 	// probeTimeout bounds a check whether a path is better than recorded.
 	probeTimeout = 300 * time.Millisecond
 )
@@ -62,6 +64,12 @@
 // Active returns how many tunnels this host uses now.
 func (d *Dialer) Active() int { return d.gateways.active() }
 
+// Gateways returns the hosts that pass on connections for this one, by name, and how many each.
+func (d *Dialer) Gateways() map[string]int { return d.gateways.activeByHost() }
+
+// CutOffDomains returns the failure domains whose hosts said lately that they are cut off from endpoints, in order.
+func (d *Dialer) CutOffDomains(now time.Time) []string { return d.gateways.cutOffDomains(now) }
+
 // Dial connects to an endpoint. A refused connection is returned as such only if another host
 // confirms it.
 func (d *Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
@@ -69,7 +77,7 @@
 	if p.State == blackboard.PathNone {
 		return nil, &endpoint.NoPathError{Address: address, Known: true, Confirmed: p.Confirmed}
 	}
-	return d.newRace(ctx, network, &p, maxGateways).run(p.State == blackboard.PathDirect)
+	return d.newRace(ctx, network, &p, maxAsked).run(p.State == blackboard.PathDirect)
 }
 
 const (
@@ -106,6 +114,12 @@
 	return registered
 }
 
+// domainOf returns the failure domain of the endpoint at an address; empty: there is none.
+func (d *Dialer) domainOf(address string) (domain string) {
+	d.board.Endpoints.Read(func(fleet *route.Fleet) { domain = fleet.DomainAt(address) })
+	return domain
+}
+
 // probe checks whether a path is better than its state.
 func (d *Dialer) probe(ctx context.Context, p blackboard.Path) {
 	ctx, cancel := context.WithTimeoutCause(ctx, probeTimeout, endpoint.ErrGivenUp)
--- a/tunnel/dialer_test.go
+++ b/tunnel/dialer_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -29,11 +31,17 @@
 // stubOpener answers requests for tunnels by host name.
 type stubOpener struct {
 	answers map[string]answer
+	others  answer // of hosts without an answer of their own
+	asked   atomic.Int64
 }
 
 // OpenTunnel implements Opener.
 func (o *stubOpener) OpenTunnel(ctx context.Context, h blackboard.Host, _ Request) (net.Conn, Reply, error) {
-	a := o.answers[h.Name]
+	o.asked.Add(1)
+	a, ok := o.answers[h.Name]
+	if !ok {
+		a = o.others
+	}
 	if a.hangs {
 		<-ctx.Done()
 		return nil, Reply{}, ctx.Err()
@@ -77,10 +85,14 @@
 		refused     = answer{reply: Reply{Code: Refused}}
 		refusedLost = answer{reply: Reply{Code: Refused, LostPaths: true}}
 		cutOff      = answer{reply: Reply{Code: CutOff, LostPaths: true}}
+		referral    = answer{reply: Reply{Code: CutOff, LostPaths: true, Via: 4}}
+		busy        = answer{reply: Reply{Code: Busy}}
 		silent      = answer{hangs: true}
 		old         = answer{err: ErrNotSupported}
 	)
 	near, far := [2]string{"near", "a"}, [2]string{"far", "b"}
+	nears := [][2]string{near, {"near-2", "a"}, {"near-3", "a"}}
+	farOnly, fartherOnly := [][2]string{far}, [][2]string{{"farther", "c"}}
 	cases := []struct {
 		name    string
 		direct  endpoint.Dial
@@ -102,6 +114,12 @@
 		{"refused, others may be cut off", refuses, map[string]answer{"near": refusedLost, "far": cutOff}, [][2]string{near, far}, "", "no path", blackboard.PathNone},
 		{"hangs, given up", hangs, map[string]answer{"near": silent}, [][2]string{near}, "", "silent", blackboard.PathNone},
 		{"hangs, no other host", hangs, nil, nil, "", "silent", blackboard.PathDirect},
+		{"refused, the near ones confirm it and a far one reaches it", refuses, map[string]answer{"near": refused, "near-2": refused, "near-3": refused, "far": opens}, slices.Concat(nears, farOnly), "far", "", blackboard.PathLost},
+		{"refused, the near ones and one far one confirm it, another far one reaches it", refuses, map[string]answer{"near": refused, "near-2": refused, "near-3": refused, "far": refused, "farther": opens}, slices.Concat(nears, farOnly, fartherOnly), "farther", "", blackboard.PathLost},
+		{"refused, all confirm it", refuses, map[string]answer{"near": refused, "near-2": refused, "near-3": refused, "far": refused, "farther": refused}, slices.Concat(nears, farOnly, fartherOnly), "", "refused", blackboard.PathNone},
+		{"refused, the near ones confirm it and the far ones are cut off", refuses, map[string]answer{"near": refused, "near-2": refused, "near-3": refused, "far": cutOff, "farther": cutOff}, slices.Concat(nears, farOnly, fartherOnly), "", "refused", blackboard.PathNone},
+		{"refused, a host reaches endpoints by way of another", refuses, map[string]answer{"near": referral, "near-2": cutOff, "near-3": cutOff, "far": opens}, slices.Concat(nears, farOnly), "far", "", blackboard.PathLost},
+		{"refused, a busy host reaches endpoints", refuses, map[string]answer{"near": busy}, [][2]string{near}, "", "no path", blackboard.PathDirect},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -167,10 +185,11 @@
 	g := newGateways(b.Hosts)
 	opened := map[string]int{}
 	for i := range 30 {
-		h, found, _ := g.pick(nil, time.Now())
-		if !found {
+		c := g.pick(&search{evidence: newEvidence()}, time.Now())
+		if !c.found {
 			t.Fatal("no host")
 		}
+		h := c.host
 		if i == 0 && h.Name != "near" {
 			t.Errorf("%s is asked first", h.Name)
 		}
@@ -186,3 +205,106 @@
 		t.Errorf("%s hosts pass on", got)
 	}
 }
+
+// largeFleet are 300 hosts in three failure domains.
+func largeFleet() (hosts [][2]string) {
+	for i := range 300 {
+		hosts = append(hosts, [2]string{fmt.Sprint("h", i), string("abc"[i%3])})
+	}
+	return hosts
+}
+
+// TestSearchAmongHostsThatAreCutOff has all hosts of the own failure domain, and all but one elsewhere, cut off
+// from endpoints. Requests soon find the one that isn't.
+func TestSearchAmongHostsThatAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBoard(largeFleet()...)
+		o := &stubOpener{answers: map[string]answer{"h100": {reply: Reply{Code: Opened}}}, others: answer{reply: Reply{Code: CutOff, LostPaths: true}}}
+		d := NewDialer(b, refuses, o, zap.NewNop())
+		began := time.Now()
+		for i := 0; ; i++ {
+			conn, err := d.Dial(context.Background(), "tcp", fmt.Sprintf("10.0.0.%d:80", i+1))
+			if err == nil {
+				conn.Close()
+				break
+			}
+		}
+		if took := time.Since(began); took > 4*time.Second {
+			t.Errorf("found after %v and %d requests to hosts", took, o.asked.Load())
+		}
+	})
+}
+
+// TestFleetThatLostAllLinksStaysQuiet has all of 300 hosts cut off from 42 endpoints that callers go on to want.
+// Each host asks each other one once, and few of them again.
+func TestFleetThatLostAllLinksStaysQuiet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const span, endpoints, hosts = 20 * time.Second, 42, 300
+		b := newTestBoard(largeFleet()...)
+		o := &stubOpener{others: answer{reply: Reply{Code: CutOff, LostPaths: true}}}
+		d := NewDialer(b, refuses, o, zap.NewNop())
+		for i := range int(span / (10 * time.Millisecond)) {
+			go d.Dial(context.Background(), "tcp", fmt.Sprintf("10.0.0.%d:80", i%endpoints+1))
+			time.Sleep(10 * time.Millisecond)
+		}
+		synctest.Wait()
+		if got, most := int(o.asked.Load()), hosts+maxRepeatsAtOnce+int(span.Seconds()*repeatsPerSecond); got > most {
+			t.Errorf("%d requests for tunnels, want at most %d", got, most)
+		}
+	})
+}
+
+// TestDomainsThatAreCutOffAreAskedLast has hosts of the own failure domain say that they are cut off. For the next
+// connection hosts of other domains are asked before them.
+func TestDomainsThatAreCutOffAreAskedLast(t *testing.T) {
+	b := newTestBoard(largeFleet()...)
+	g, now := newGateways(b.Hosts), time.Now()
+	for _, number := range []uint32{1, 4} { // of domain a
+		h, _, _ := b.Hosts.Get(number, now)
+		g.recordUnable(&h, Reply{Code: Silent, LostPaths: true}, nil, now)
+	}
+	if c := g.pick(&search{evidence: newEvidence()}, now); c.host.Domain == "a" {
+		t.Errorf("%s in a is asked first", c.host.Name)
+	}
+	if got := fmt.Sprint(g.cutOffDomains(now)); got != "[a]" {
+		t.Errorf("cut off: %s, want [a]", got)
+	}
+	if c := g.pick(&search{evidence: newEvidence()}, now.Add(cutOffDomainFor)); c.host.Domain != "a" {
+		t.Errorf("%s in %s is asked first after %v", c.host.Name, c.host.Domain, cutOffDomainFor)
+	}
+}
+
+// TestHostsThatFailTogetherAreOneWitness has all hosts of the own failure domain, more than are asked for one
+// connection, confirm that an endpoint is out of reach. Those of other domains reach it.
+func TestHostsThatFailTogetherAreOneWitness(t *testing.T) {
+	for name, direct := range map[string]endpoint.Dial{"refused": refuses, "hangs": hangs} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := &stubOpener{answers: map[string]answer{}, others: answer{reply: Reply{Code: Opened}}}
+				for _, h := range largeFleet() {
+					if h[1] == "a" {
+						o.answers[h[0]] = answer{reply: Reply{Code: Refused}}
+					}
+				}
+				d := NewDialer(newTestBoard(largeFleet()...), direct, o, zap.NewNop())
+				conn, err := d.Dial(t.Context(), "tcp", testAddress)
+				if err != nil {
+					t.Fatal(err)
+				}
+				conn.Close()
+				time.Sleep(lossAfter) // the direct attempt ends
+			})
+		})
+	}
+}
+
+// TestReferredGatewayIsAsked has 300 hosts that are cut off tell of the one that isn't.
+func TestReferredGatewayIsAsked(t *testing.T) {
+	b := newTestBoard(largeFleet()...)
+	o := &stubOpener{answers: map[string]answer{"h100": {reply: Reply{Code: Opened}}}, others: answer{reply: Reply{Code: CutOff, LostPaths: true, Via: 101}}}
+	conn, err := NewDialer(b, refuses, o, zap.NewNop()).Dial(t.Context(), "tcp", testAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+}
--- a/tunnel/gateway.go
+++ b/tunnel/gateway.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/embercove/embercove/blackboard"
-	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/meter"
 	"github.com/embercove/embercove/route"
 )
@@ -32,14 +31,16 @@
 	Traffic meter.Traffic // passed on, in both directions
 
 	board      *blackboard.Board
-	dial       endpoint.Dial
+	dialer     *Dialer // of this host
 	maxTunnels int64
 	active     atomic.Int64
+	cutOffAt   atomic.Pointer[time.Time] // when no endpoint was reached; nil: one was reached since
 }
 
-// NewGateway returns a gateway that connects to endpoints by dial, over this host's own link.
-func NewGateway(b *blackboard.Board, dial endpoint.Dial) *Gateway {
-	g := &Gateway{board: b, dial: dial, maxTunnels: defaultMaxTunnels}
+// NewGateway returns a gateway that connects to endpoints over this host's own link, as d does.
+func NewGateway(d *Dialer) *Gateway {
+	b := d.board
+	g := &Gateway{board: b, dialer: d, maxTunnels: defaultMaxTunnels}
 	if d := b.Settings.Descriptors; d > 0 {
 		g.maxTunnels = int64(descriptorShare * d / 2)
 	}
@@ -86,20 +87,80 @@
 	case g.active.Load() > g.maxTunnels:
 		return nil, Reply{Code: Busy}
 	case g.board.Paths.State(q.Address, time.Now()) == blackboard.PathLost:
-		return nil, Reply{Code: CutOff, LostPaths: true}
+		return nil, g.lost(CutOff)
+	case g.isCutOff(time.Now()):
+		return nil, g.lost(Silent)
 	}
-	w := g.newWitness(ctx, q.Address)
+	return g.connect(ctx, q.Address)
+}
+
+// connect connects to an endpoint. Without a connection the reply tells whether another endpoint was reached.
+func (g *Gateway) connect(ctx context.Context, address string) (net.Conn, Reply) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := g.newWitness(ctx, address)
 	defer w.end()
-	conn, err := g.dial(ctx, "tcp", q.Address)
-	if err == nil {
-		KeepAlive(conn)
-		return conn, Reply{Code: Opened}
+	dialed := make(chan dialResult, 1)
+	go func() {
+		conn, err := g.dialer.direct(ctx, "tcp", address)
+		dialed <- dialResult{conn, err}
+	}()
+	select {
+	case d := <-dialed:
+		if d.err == nil {
+			g.cutOffAt.Store(nil)
+			KeepAlive(d.conn)
+			return d.conn, Reply{Code: Opened}
+		}
+		code := Silent
+		if errors.Is(d.err, syscall.ECONNREFUSED) {
+			code = Refused
+		}
+		if w.reached() {
+			return nil, Reply{Code: code}
+		}
+		g.recordCutOff()
+		return nil, g.lost(code)
+	case <-w.failed:
+		cancel()
+		go discardDialed(dialed)
+		g.recordCutOff()
+		return nil, g.lost(Silent)
 	}
-	code := Silent
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		code = Refused
+}
+
+// dialResult is the outcome of an attempt to connect.
+type dialResult struct {
+	conn net.Conn
+	err  error
+}
+
+// discardDialed closes the connection of an attempt that isn't wanted any more.
+func discardDialed(dialed <-chan dialResult) {
+	if d := <-dialed; d.err == nil {
+		d.conn.Close()
 	}
-	return nil, Reply{Code: code, LostPaths: !w.reached()}
+}
+
+// lost returns the reply of a host that may have lost its links to endpoints.
+func (g *Gateway) lost(c Code) Reply {
+	via, _ := g.dialer.gateways.proven(time.Now())
+	return Reply{Code: c, LostPaths: true, Via: via}
+}
+
+// cutOffFor is how long a gateway that reached no endpoint doesn't try again.
+const cutOffFor = 200 * time.Millisecond
+
+// isCutOff reports whether this host has just reached no endpoint.
+func (g *Gateway) isCutOff(now time.Time) bool {
+	at := g.cutOffAt.Load()
+	return at != nil && now.Sub(*at) < cutOffFor
+}
+
+// recordCutOff records that this host has reached no endpoint.
+func (g *Gateway) recordCutOff() {
+	now := time.Now()
+	g.cutOffAt.Store(&now)
 }
 
 // knows reports whether a request comes from a known host and is for a registered endpoint.
--- a/tunnel/messages.go
+++ b/tunnel/messages.go
@@ -49,6 +49,8 @@
 	// LostPaths tells that the gateway may have lost its links to endpoints itself: it has reached no
 	// other one meanwhile, so that its failure says little about this one.
 	LostPaths bool
+	// Via is the number of a host by way of which the gateway reaches endpoints; 0: it knows none.
+	Via uint32
 }
 
 // Opener asks other hosts for tunnels.
--- a/tunnel/race.go
+++ b/tunnel/race.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -28,12 +29,13 @@
 	pending       int // attempts without an outcome
 	directPending bool
 	directErr     error // nil: the direct attempt hasn't failed
-	alone         bool  // no live host knows tunnels
+	search        search
 	maxAsked      int
-	asked         []uint32 // hosts that were asked for a tunnel
-	answered      int      // of them, those that answered
-	confirmations int      // of them, those that reach other endpoints and not this one
-	evidence      *evidence
+	answered      int             // hosts that answered
+	busy          int             // of them, those that reach endpoints and can't open a further tunnel
+	alone         bool            // no live host knows tunnels
+	exhausted     bool            // there is no host left to ask
+	open          map[string]bool // failure domains with hosts that weren't asked
 }
 
 // outcome is the outcome of one attempt.
@@ -50,14 +52,11 @@
 	return o.host != nil && o.err == nil && !o.reply.LostPaths && (o.reply.Code == Refused || o.reply.Code == Silent)
 }
 
-// enoughConfirmations is how many hosts have to confirm that an endpoint is out of reach until no
-// further one is asked.
-const enoughConfirmations = 2
-
 // newRace returns an attempt over a path that begins now. It asks up to maxAsked hosts for a tunnel.
 func (d *Dialer) newRace(ctx context.Context, network string, p *blackboard.Path, maxAsked int) *race {
 	now := time.Now()
-	r := &race{dialer: d, ctx: ctx, network: network, address: p.Address, began: now, maxAsked: maxAsked, results: make(chan outcome, 1+maxAsked), evidence: newEvidence()}
+	r := &race{dialer: d, ctx: ctx, network: network, address: p.Address, began: now, maxAsked: maxAsked, results: make(chan outcome, 1+maxAsked)}
+	r.search = search{domain: d.domainOf(p.Address), evidence: newEvidence()}
 	r.headStart = directHeadStart
 	if d.board.Paths.Count(blackboard.PathLost) > 0 {
 		r.headStart = suspectHeadStart
@@ -76,7 +75,7 @@
 	if directFirst {
 		r.dialDirect()
 		next.Reset(r.headStart)
-	} else if !r.askNext() {
+	} else if r.ask(1) == 0 {
 		r.dialDirect()
 	}
 	for {
@@ -87,18 +86,18 @@
 				return r.win(o), nil
 			}
 			r.lose(o)
-			if r.pending == 0 {
-				return nil, r.fail()
-			}
 		case <-next.C:
 			if r.directErr == nil && !r.directPending {
 				r.dialDirect()
 			}
-			r.askNext()
+			r.ask(askedPerRound)
 			next.Reset(gatewayHeadStart)
 		case <-r.ctx.Done():
 			return nil, r.giveUp()
 		}
+		if r.pending == 0 && !r.mayAsk() {
+			return nil, r.fail()
+		}
 	}
 }
 
@@ -113,49 +112,85 @@
 	}()
 }
 
-// askNext asks one more host for a tunnel. It reports false if there is none.
-func (r *race) askNext() bool {
-	if len(r.asked) == r.maxAsked || r.confirmations >= enoughConfirmations {
-		return false
+// mayAsk reports whether a further host may be asked for a tunnel. Hosts that are cut off or busy are
+// replaced by others.
+func (r *race) mayAsk() bool {
+	n := len(r.search.asked)
+	return !r.exhausted && n < r.maxAsked && n-r.search.evidence.cutOff()-r.busy < maxGateways && !r.isConclusive()
+}
+
+// isConclusive reports whether nobody reaches the endpoint, as far as other hosts can tell.
+func (r *race) isConclusive() bool { return r.search.evidence.isConclusive(r.open, time.Now()) }
+
+// ask asks up to n more hosts for a tunnel. It returns how many it has asked.
+func (r *race) ask(n int) (asked int) {
+	for ; asked < n && r.mayAsk(); asked++ {
+		now := time.Now()
+		c := r.dialer.gateways.pick(&r.search, now)
+		r.open = c.open
+		if r.alone = c.alone; c.alone {
+			r.dialer.board.Paths.RecordConfirmed(r.address, now)
+		}
+		if !c.found {
+			r.exhausted = true
+			return asked
+		}
+		r.askHost(c.host)
 	}
+	return asked
+}
+
+// askHost asks a host for a tunnel.
+func (r *race) askHost(h blackboard.Host) {
 	began := time.Now()
-	h, found, alone := r.dialer.gateways.pick(r.asked, began)
-	if r.alone = alone; alone {
-		r.dialer.board.Paths.RecordConfirmed(r.address, began)
-	}
-	if !found {
-		return false
-	}
-	r.asked = append(r.asked, h.Number)
-	r.evidence.recordAsked(h.Domain)
+	r.search.asked = append(r.search.asked, h.Number)
+	r.search.evidence.recordAsked(h.Domain, began)
 	r.pending++
 	go func() {
 		q := Request{From: r.dialer.board.Number, Address: r.address}
 		conn, reply, err := r.dialer.opener.OpenTunnel(r.tunnelsCtx, h, q)
 		r.results <- outcome{conn: conn, err: err, host: &h, reply: reply, took: time.Since(began)}
 	}()
-	return true
+}
+
+// askReferral asks the host by way of which another one reaches endpoints.
+func (r *race) askReferral(number uint32) {
+	if number == 0 || len(r.search.asked) >= r.maxAsked || slices.Contains(r.search.asked, number) {
+		return
+	}
+	self := r.dialer.board.Hosts.Self()
+	if h, live, _ := r.dialer.board.Hosts.Get(number, time.Now()); live && mayPassOn(&h, &self) {
+		r.askHost(h)
+	}
 }
 
 // lose handles an attempt that failed.
 func (r *race) lose(o outcome) {
 	if o.host == nil {
 		r.directPending, r.directErr = false, o.err
-		for n := len(r.asked); n < askedAtOnce && r.askNext(); n++ {
-		}
+		r.ask(maxWitnessDomains - len(r.search.asked))
 		return
 	}
 	r.recordUnable(o)
-	r.evidence.record(&o)
+	r.search.evidence.record(&o)
+	r.exhausted = false // as far as is known
 	if o.err == nil {
 		r.answered++
 		r.dialer.board.RecordAnswer(o.host.Domain)
 	}
-	if o.confirms() {
-		r.confirmations++
+	if o.err == nil && o.reply.Code == Busy {
+		r.busy++
+	}
+	if r.isConclusive() {
 		r.dialer.board.Paths.RecordConfirmed(r.address, time.Now())
 	}
-	if !r.askNext() && r.directErr == nil && !r.directPending {
+	r.askReferral(o.reply.Via)
+	// Beyond some hosts that are cut off, further ones are asked by rounds: some find a gateway meanwhile, and
+	// refer others to it.
+	if r.search.evidence.cutOff() <= maxGateways {
+		r.ask(1)
+	}
+	if r.pending == 0 && r.directErr == nil && !r.directPending {
 		r.dialDirect()
 	}
 }
@@ -223,12 +258,21 @@
 	if r.alone {
 		return r.directErr
 	}
-	confirmed := r.confirmations > 0
-	r.dialer.recordNone(r.address, confirmed, r.directErr, r.evidence)
+	confirmed := r.isConclusive()
+	r.recordNone(r.directErr)
 	if confirmed || !errors.Is(r.directErr, syscall.ECONNREFUSED) {
 		return r.directErr
 	}
-	return &endpoint.NoPathError{Address: r.address, Cause: errors.Errorf("%v; %d of %d other hosts answered", r.directErr, r.answered, len(r.asked))}
+	return &endpoint.NoPathError{Address: r.address, Cause: errors.Errorf("%v; %d of %d other hosts answered", r.directErr, r.answered, len(r.search.asked))}
+}
+
+// recordNone records that there is no path, unless hosts that may reach the endpoint weren't heard.
+func (r *race) recordNone(cause error) {
+	confirmed := r.isConclusive()
+	if !confirmed && (r.busy > 0 || r.mayAsk()) {
+		return
+	}
+	r.dialer.recordNone(r.address, confirmed, cause, r.search.evidence)
 }
 
 // giveUp returns the error of a race that the caller ended.
@@ -237,7 +281,7 @@
 	r.stopDirect()
 	go r.discard("")
 	if errors.Is(context.Cause(r.ctx), endpoint.ErrGivenUp) && !r.alone {
-		r.dialer.recordNone(r.address, r.confirmations > 0, context.DeadlineExceeded, r.evidence)
+		r.recordNone(context.DeadlineExceeded)
 	}
 	return r.ctx.Err()
 }
--- a/tunnel/witness.go
+++ b/tunnel/witness.go
@@ -20,8 +20,7 @@
 	maxWitnesses = 4
 )
 
-// witness finds out whether a gateway reaches other endpoints than one. Its methods must be called by one
-// goroutine.
+// witness finds out whether a gateway reaches other endpoints than one.
 type witness struct {
 	gateway *Gateway
 	address string // of the endpoint that isn't tried
@@ -29,15 +28,15 @@
 	stop    context.CancelFunc
 	timer   *time.Timer
 	begin   func()
-	results chan bool
-	tried   int
+	done    chan struct{} // closed once it is known whether another endpoint is reached
+	failed  chan struct{} // closed if none is
 }
 
 // newWitness returns a witness for an attempt to connect that begins now. The caller must call end.
 func (g *Gateway) newWitness(ctx context.Context, address string) *witness {
-	w := &witness{gateway: g, address: address, results: make(chan bool, maxWitnesses)}
+	w := &witness{gateway: g, address: address, done: make(chan struct{}), failed: make(chan struct{})}
 	w.ctx, w.stop = context.WithCancel(context.WithoutCancel(ctx))
-	w.begin = sync.OnceFunc(w.try)
+	w.begin = sync.OnceFunc(func() { go w.try() })
 	w.timer = time.AfterFunc(witnessDelay, w.begin)
 	return w
 }
@@ -50,6 +49,7 @@
 
 // try connects to some endpoints that this host doesn't know to be unreachable.
 func (w *witness) try() {
+	defer close(w.done)
 	var addresses []string
 	w.gateway.board.Endpoints.Read(func(fleet *route.Fleet) {
 		for _, s := range fleet.SampleReachable(maxWitnesses+1, time.Now()) {
@@ -58,26 +58,27 @@
 			}
 		}
 	})
-	w.tried = len(addresses)
+	results := make(chan bool, len(addresses))
 	for _, a := range addresses {
 		go func() {
-			conn, err := w.gateway.dial(w.ctx, "tcp", a)
+			conn, err := w.gateway.dialer.direct(w.ctx, "tcp", a)
 			if err == nil {
 				conn.Close()
 			}
-			w.results <- err == nil
+			results <- err == nil
 		}()
 	}
+	if !anyReached(results, len(addresses)) {
+		close(w.failed)
+	}
 }
 
-// reached reports whether another endpoint was reached, or there is none to try.
-func (w *witness) reached() bool {
-	w.timer.Stop()
-	w.begin()
+// anyReached reports whether one of n attempts succeeds soon, or there is none.
+func anyReached(results <-chan bool, n int) bool {
 	timeout := time.After(witnessTimeout)
-	for range w.tried {
+	for range n {
 		select {
-		case reached := <-w.results:
+		case reached := <-results:
 			if reached {
 				return true
 			}
@@ -85,5 +86,18 @@
 			return false
 		}
 	}
-	return w.tried == 0
+	return n == 0
+}
+
+// reached reports whether another endpoint was reached, or there is none to try.
+func (w *witness) reached() bool {
+	w.timer.Stop()
+	w.begin()
+	<-w.done
+	select {
+	case <-w.failed:
+		return false
+	default:
+		return true
+	}
 }
