tunnel: tests notice each mechanism of the search for a gateway

Three mutants survived: a late answer of the only domain that reaches the endpoint, hosts that are cut off and replaced, and the rate of repeats, which only probes bring up.

--- a/tunnel/dialer_test.go
+++ b/tunnel/dialer_test.go
@@ -26,6 +26,7 @@
 	reply Reply
 	err   error
 	hangs bool
+	delay time.Duration
 }
 
 // stubOpener answers requests for tunnels by host name.
@@ -42,6 +43,7 @@
 	if !ok {
 		a = o.others
 	}
+	time.Sleep(a.delay)
 	if a.hangs {
 		<-ctx.Done()
 		return nil, Reply{}, ctx.Err()
@@ -87,6 +89,7 @@
 		cutOff      = answer{reply: Reply{Code: CutOff, LostPaths: true}}
 		referral    = answer{reply: Reply{Code: CutOff, LostPaths: true, Via: 4}}
 		busy        = answer{reply: Reply{Code: Busy}}
+		opensLate   = answer{reply: Reply{Code: Opened}, delay: 10 * time.Millisecond}
 		silent      = answer{hangs: true}
 		old         = answer{err: ErrNotSupported}
 	)
@@ -114,8 +117,8 @@
 		{"refused, others may be cut off", refuses, map[string]answer{"near": refusedLost, "far": cutOff}, [][2]string{near, far}, "", "no path", blackboard.PathNone},
 		{"hangs, given up", hangs, map[string]answer{"near": silent}, [][2]string{near}, "", "silent", blackboard.PathNone},
 		{"hangs, no other host", hangs, nil, nil, "", "silent", blackboard.PathDirect},
-		{"refused, the near ones confirm it and a far one reaches it", refuses, map[string]answer{"near": refused, "near-2": refused, "near-3": refused, "far": opens}, slices.Concat(nears, farOnly), "far", "", blackboard.PathLost},
-		{"refused, the near ones and one far one confirm it, another far one reaches it", refuses, map[string]answer{"near": refused, "near-2": refused, "near-3": refused, "far": refused, "farther": opens}, slices.Concat(nears, farOnly, fartherOnly), "farther", "", blackboard.PathLost},
+		{"refused, the near ones confirm it and a far one reaches it", refuses, map[string]answer{"near": refused, "near-2": refused, "near-3": refused, "far": opensLate}, slices.Concat(nears, farOnly), "far", "", blackboard.PathLost},
+		{"refused, the near ones and one far one confirm it, another far one reaches it", refuses, map[string]answer{"near": refused, "near-2": refused, "near-3": refused, "far": refused, "farther": opensLate}, slices.Concat(nears, farOnly, fartherOnly), "farther", "", blackboard.PathLost},
 		{"refused, all confirm it", refuses, map[string]answer{"near": refused, "near-2": refused, "near-3": refused, "far": refused, "farther": refused}, slices.Concat(nears, farOnly, fartherOnly), "", "refused", blackboard.PathNone},
 		{"refused, the near ones confirm it and the far ones are cut off", refuses, map[string]answer{"near": refused, "near-2": refused, "near-3": refused, "far": cutOff, "farther": cutOff}, slices.Concat(nears, farOnly, fartherOnly), "", "refused", blackboard.PathNone},
 		{"refused, a host reaches endpoints by way of another", refuses, map[string]answer{"near": referral, "near-2": cutOff, "near-3": cutOff, "far": opens}, slices.Concat(nears, farOnly), "far", "", blackboard.PathLost},
@@ -235,6 +238,16 @@
 	})
 }
 
+// TestHostsThatAreCutOffAreReplaced has all but one of 30 hosts cut off: the first connection finds the one.
+func TestHostsThatAreCutOffAreReplaced(t *testing.T) {
+	o := &stubOpener{answers: map[string]answer{"h20": {reply: Reply{Code: Opened}}}, others: answer{reply: Reply{Code: CutOff, LostPaths: true}}}
+	conn, err := NewDialer(newTestBoard(largeFleet()[:30]...), refuses, o, zap.NewNop()).Dial(t.Context(), "tcp", testAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+}
+
 // TestFleetThatLostAllLinksStaysQuiet has all of 300 hosts cut off from 42 endpoints that callers go on to want.
 // Each host asks each other one once, and few of them again.
 func TestFleetThatLostAllLinksStaysQuiet(t *testing.T) {
@@ -245,6 +258,10 @@
 		d := NewDialer(b, refuses, o, zap.NewNop())
 		for i := range int(span / (10 * time.Millisecond)) {
 			go d.Dial(context.Background(), "tcp", fmt.Sprintf("10.0.0.%d:80", i%endpoints+1))
+			due, _ := b.Paths.DueProbes(time.Now(), maxProbes)
+			for _, path := range due {
+				go d.probe(context.Background(), path)
+			}
 			time.Sleep(10 * time.Millisecond)
 		}
 		synctest.Wait()
