tunnel: a test of hosts that confirm each other before others are asked

Where the direct attempt hangs, hosts are asked one after the other, so the first ones to confirm ended the search.

--- a/tunnel/dialer_test.go
+++ b/tunnel/dialer_test.go
@@ -89,6 +89,7 @@
 		cutOff      = answer{reply: Reply{Code: CutOff, LostPaths: true}}
 		referral    = answer{reply: Reply{Code: CutOff, LostPaths: true, Via: 4}}
 		busy        = answer{reply: Reply{Code: Busy}}
+		unanswered  = answer{reply: Reply{Code: Silent}}
 		opensLate   = answer{reply: Reply{Code: Opened}, delay: 10 * time.Millisecond}
 		silent      = answer{hangs: true}
 		old         = answer{err: ErrNotSupported}
@@ -119,6 +120,7 @@
 		{"hangs, no other host", hangs, nil, nil, "", "silent", blackboard.PathDirect},
 		{"refused, the near ones confirm it and a far one reaches it", refuses, map[string]answer{"near": refused, "near-2": refused, "near-3": refused, "far": opensLate}, slices.Concat(nears, farOnly), "far", "", blackboard.PathLost},
 		{"refused, the near ones and one far one confirm it, another far one reaches it", refuses, map[string]answer{"near": refused, "near-2": refused, "near-3": refused, "far": refused, "farther": opensLate}, slices.Concat(nears, farOnly, fartherOnly), "farther", "", blackboard.PathLost},
+		{"hangs, the near ones confirm it and a far one reaches it", hangs, map[string]answer{"near": unanswered, "near-2": unanswered, "near-3": unanswered, "far": opens}, slices.Concat(nears, farOnly), "far", "", blackboard.PathLost},
 		{"refused, all confirm it", refuses, map[string]answer{"near": refused, "near-2": refused, "near-3": refused, "far": refused, "farther": refused}, slices.Concat(nears, farOnly, fartherOnly), "", "refused", blackboard.PathNone},
 		{"refused, the near ones confirm it and the far ones are cut off", refuses, map[string]answer{"near": refused, "near-2": refused, "near-3": refused, "far": cutOff, "farther": cutOff}, slices.Concat(nears, farOnly, fartherOnly), "", "refused", blackboard.PathNone},
 		{"refused, a host reaches endpoints by way of another", refuses, map[string]answer{"near": referral, "near-2": cutOff, "near-3": cutOff, "far": opens}, slices.Concat(nears, farOnly), "far", "", blackboard.PathLost},
