--- a/tunnel/race.go
+++ b/tunnel/race.go
@@ -90,7 +90,7 @@
 			if r.directErr == nil && !r.directPending {
 				r.dialDirect()
 			}
-			r.ask(askedPerRound)
+			r.ask(r.roundSize())
 			next.Reset(gatewayHeadStart)
 		case <-r.ctx.Done():
 			return nil, r.giveUp()
@@ -140,6 +140,14 @@
 	return asked
 }
 
+// roundSize returns how many hosts are asked in the next round: one at first, as the endpoint may only be slow.
+func (r *race) roundSize() int {
+	if len(r.search.asked) == 0 {
+		return 1
+	}
+	return askedPerRound
+}
+
 // askHost asks a host for a tunnel.
 func (r *race) askHost(h blackboard.Host) {
 	began := time.Now()
