entry: engines that name a limit aren't asked which process began an answer

Cause: before the first piece of an answer is passed on, the engine is asked for its start time, since a late registration may state another software version. That question came with each answer, beside the permits.

Change: engines that name a limit aren't asked. The version of their answers counts as unknown, and a further try of such an answer goes on where its route has had one version only (resolveVersion). Weighed: permits for the questions halve what such an engine serves; one shared question in some seconds for each host goes over the limit with tens of hosts.

Where several versions serve, an answer that a limited engine breaks off isn't resumed.

--- a/config/software.go
+++ b/config/software.go
@@ -12,11 +12,14 @@
 
 // SoftwareName returns the version of the endpoint's software as operators see it.
 func (e *Endpoint) SoftwareName() string {
-	if strings.HasPrefix(e.Software, unknownSoftware) {
+	if IsUnknownSoftware(e.Software) {
 		return "unknown"
 	}
 	return e.Software
 }
 
+// IsUnknownSoftware reports whether a version stands for an unknown one.
+func IsUnknownSoftware(software string) bool { return strings.HasPrefix(software, unknownSoftware) }
+
 // unknownSoftware begins the versions that stand for unknown ones. No registration states such a version.
 const unknownSoftware = "\x00"
--- a/entry/run.go
+++ b/entry/run.go
@@ -34,6 +34,7 @@
 				return refusal
 			}
 		}
+		e.resolveVersion(j)
 		e.board.Invariant.Check(j.tries <= j.view.Doc.Limits.MaxAttempts, invariant.RetriesWithinBudget, "request %s: try %d", j.id, j.tries)
 		err := e.try(ctx, j)
 		if err == nil {
--- a/entry/version.go
+++ b/entry/version.go
@@ -90,6 +90,10 @@
 // piece is passed on. It returns the process that answers, and reports whether it may write the answer: one of another
 // version may not go on with an answer that is bound already.
 func (e *Entry) bindAnswer(ctx context.Context, j *job, spec *config.Endpoint) (at process, mayWrite bool) {
+	if !j.criteria.Continues && e.permitReason(spec) == route.ReasonLimited {
+		j.criteria.Continues, j.criteria.Software = true, spec.WithUnknownSoftware().Software // the question would count against its limit
+		return process{address: spec.Address}, true
+	}
 	at, registered := e.answeringProcess(ctx, spec)
 	if j.criteria.Continues {
 		return at, registered && spec.Software == j.criteria.Software
@@ -167,6 +171,17 @@
 	return registered
 }
 
+// resolveVersion binds an answer that goes on, and whose software version isn't known, to the only version that may have
+// begun it, if there is one.
+func (e *Entry) resolveVersion(j *job) {
+	if !j.criteria.Continues || !config.IsUnknownSoftware(j.criteria.Software) {
+		return
+	}
+	if software, sole := e.soleSoftware(j); sole {
+		j.criteria.Software = software
+	}
+}
+
 // servesVersion reports whether the route has an endpoint, in use now or not, that may go on with the job's
 // answer.
 func (e *Entry) servesVersion(j *job) (serves bool) {
