blackboard: a lost path is probed until it is direct again, used or not

What callers saw: nothing.

Cause: lost paths were probed for 3 s after their last use and counted as lost for 10. Evidence: the path that the test names was last used before the links were back.

Change: a lost path is probed as long as it counts as lost, which ends 10 s after its last use in any case, so probes end too. The rows of TestPathTable that stated the gap expect the probe now, and one states the end; they fail on the code before.

--- a/blackboard/paths.go
+++ b/blackboard/paths.go
@@ -28,10 +28,9 @@
 	slowProbeInterval = time.Second
 	// noPathFor is how long an endpoint counts as out of reach after a failure to reach it.
 	noPathFor = 3 * time.Second
-	// lostPathFor is how long a path counts as lost after a failure to connect directly.
+	// lostPathFor is how long a path counts as lost after a failure to connect directly, and after its last use.
+	// Until then it is probed.
 	lostPathFor = 10 * time.Second
-	// lostProbedFor is how long after its last use a lost path is probed.
-	lostProbedFor = 3 * time.Second
 	// pathKeptFor is how long the row of an unused path is kept.
 	pathKeptFor = time.Minute
 )
@@ -75,8 +74,8 @@
 	if p == nil {
 		return Path{Address: address}
 	}
-	p.usedAt = now
 	t.expire(p, now)
+	p.usedAt = now
 	return p.Path
 }
 
@@ -98,11 +97,16 @@
 	if p.State == PathNone {
 		kept = noPathFor
 	}
-	if now.Sub(p.failedAt) > kept {
+	if now.Sub(p.failedAt) > kept || p.isUnused(now) {
 		t.change(p, PathDirect, now)
 	}
 }
 
+// isUnused reports whether a path is lost and no connection has been wanted for long.
+func (p *pathRow) isUnused(now time.Time) bool {
+	return p.State == PathLost && now.Sub(p.usedAt) > lostPathFor
+}
+
 // connectTimeWeight divides the weight of the latest connection in the usual time.
 const connectTimeWeight = 4
 
@@ -175,7 +179,7 @@
 }
 
 // DueProbes returns up to max paths that have to be probed now, and when the next ones have to be; the
-// zero time: none. Lost ones are probed only while they are used.
+// zero time: none.
 func (t *PathTable) DueProbes(now time.Time, max int) (due []Path, next time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -183,7 +187,7 @@
 		return nil, time.Time{}
 	}
 	for _, p := range t.paths {
-		if p.State == PathDirect || p.State == PathLost && now.Sub(p.usedAt) > lostProbedFor {
+		if p.State == PathDirect || p.isUnused(now) {
 			continue
 		}
 		if len(due) < max && !now.Before(p.probeAt) {
--- a/blackboard/paths_test.go
+++ b/blackboard/paths_test.go
@@ -20,11 +20,15 @@
 		{"nothing", func(*PathTable) {}, 0, PathDirect, 0},
 		{"lost", func(p *PathTable) { p.RecordFailure(address, second(0), PathLost, false) }, 0.1, PathLost, 0},
 		{"lost, and a probe is due", func(p *PathTable) { p.RecordFailure(address, second(0), PathLost, false) }, 0.3, PathLost, 1},
-		{"lost and no longer used", func(p *PathTable) { p.RecordFailure(address, second(0), PathLost, false) }, 5, PathLost, 0},
-		{"lost, probed and not used meanwhile", func(p *PathTable) {
+		{"lost and no longer used, still probed", func(p *PathTable) { p.RecordFailure(address, second(0), PathLost, false) }, 5, PathLost, 1},
+		{"lost, probed and not used meanwhile, probed again", func(p *PathTable) {
 			p.RecordFailure(address, second(0), PathLost, false)
 			p.RecordFailure(address, second(3), PathLost, false)
-		}, 4.5, PathLost, 0},
+		}, 4.5, PathLost, 1},
+		{"lost, probed and not used for long", func(p *PathTable) {
+			p.RecordFailure(address, second(0), PathLost, false)
+			p.RecordFailure(address, second(9), PathLost, false)
+		}, 10.5, PathDirect, 0},
 		{"lost, probed and used", func(p *PathTable) {
 			p.RecordFailure(address, second(0), PathLost, false)
 			p.RecordFailure(address, second(3), PathLost, false)
