proof: a failing test of hosts that only their watchers don't reach

Sixty hosts; the links between five of them and the two hosts that watch each are cut. All others reach them. The two watchers lie in the watched host's failure domain, and their word is taken for that of all, as that of gateways was.

--- a/proof/hundreds_test.go
+++ b/proof/hundreds_test.go
@@ -46,11 +46,18 @@
 
 // startOneRegion starts a fleet with the given number of hosts and the endpoints of oneRegion.
 func startOneRegion(t *testing.T, hosts int) *harness {
+	t.Helper()
+	return startOneRegionIn(t, hosts, nil)
+}
+
+// startOneRegionIn is startOneRegion with the network zones of the hosts; nil: their failure domains.
+func startOneRegionIn(t *testing.T, hosts int, zone func(s *config.Settings) string) *harness {
 	t.Helper()
 	s := &harness{t: t, net: fake.NewNetwork(), stopped: map[int]bool{}}
 	c, err := trial.Start(trial.Options{
 		Document: examples.Domaskra, Hosts: hosts, Network: s.net, Change: oneRegion, Fatal: s.fail,
 		Settings: func(s *config.Settings) { s.PollMillis = config.DefaultPollMillis },
+		Zone:     zone,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -232,3 +239,42 @@
 		}
 	})
 }
+
+// TestHostThatItsWatchersLostIsNotGone cuts the links between some hosts and those that watch them. All other hosts reach
+// them, so nobody may count them as gone.
+func TestHostThatItsWatchersLostIsNotGone(t *testing.T) {
+	const (
+		hosts  = 60
+		lost   = 5 // hosts that their watchers don't reach
+		window = 12 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		s := startOneRegionIn(t, hosts, func(s *config.Settings) string { return s.Host })
+		defer s.shutDown()
+		time.Sleep(8 * time.Second)
+		watched := map[uint32]bool{}
+		for _, n := range s.Nodes[:lost] {
+			watched[n.Board.Number] = true
+		}
+		for _, n := range s.Nodes {
+			for _, h := range n.Board.Hosts.Watched(2, time.Now()) {
+				if watched[h.Number] {
+					s.net.Cut(n.Board.Settings.Host, h.Name, true)
+				}
+			}
+		}
+		gone := 0
+		for end := time.Now().Add(window); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			for _, n := range s.Nodes {
+				for number := range watched {
+					if _, live, known := n.Board.Hosts.Get(number, time.Now()); known && !live {
+						gone++
+					}
+				}
+			}
+		}
+		if gone > 0 {
+			t.Errorf("hosts that all but two reach counted as gone %d times, in %d hosts each 0.1 s of %v", gone, hosts, window)
+		}
+	})
+}
