peer, blackboard: a host counts as gone once hosts of other failure domains miss it too

What callers saw: nothing on record. A host whose two watchers had lost their links to it counted as gone everywhere, again and again, though all others reached it: 22111 of 36000 looks in TestHostThatItsWatchersLostIsNotGone. Its endpoints changed owners each time, and nobody asked it for a tunnel.

Cause: watchers are neighbours in the host's own failure domain, and their word was taken for that of all. Evidence: nothing but the links to the two watchers is cut in the test.

Change: before a watcher announces a host as gone it asks three hosts to ping it, drawn by turns from other failure domains (HostTable.Spread, new method P.PingFor). Hosts of earlier versions answer that they don't know the method, which counts as a miss, as before. Where none can be asked, the watcher's word counts as before.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -185,7 +185,7 @@
 		return meter.Quotas
 	case methodKeyBegin, methodKeyEnd:
 		return meter.Keys
-	case methodPing:
+	case methodPing, methodPingFor:
 		return meter.Pings
 	case methodTunnel:
 		return meter.Tunnels
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -23,6 +23,7 @@
 	methodKeyBegin  = "P.KeyBegin"
 	methodKeyEnd    = "P.KeyEnd"
 	methodPing      = "P.Ping"
+	methodPingFor   = "P.PingFor"
 	methodKept      = "P.Kept"
 	methodDraw      = "P.Draw"
 	methodSettle    = "P.Settle"
@@ -44,6 +45,15 @@
 	Leaving     bool
 }
 
+// PingForArgs asks a host to ping another one.
+type PingForArgs struct{ Number uint32 }
+
+// PingForReply answers PingForArgs.
+type PingForReply struct {
+	Reached   bool
+	Heartbeat Heartbeat // of the host that was pinged, if it was reached
+}
+
 // HostIdentity introduces a host that the receiver knows only by number, or not at all.
 type HostIdentity struct {
 	Name, Domain, Region, Peers string
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -12,7 +12,8 @@
 
 // Heartbeats travel through other hosts, and take longer the more hosts there are. So each host
 // is also watched by its two neighbours in a ring, which ping it directly every watchInterval and
-// announce at once what they detect. The time to detect a dead host doesn't grow with the fleet,
+// announce at once what they detect. Neighbours lie in the host's failure domain and may have lost their links
+// to it together, so hosts of other domains must have missed it too. The time to detect a dead host doesn't grow with the fleet,
 // and neither does the cost.
 
 const (
@@ -20,6 +21,8 @@
 	watchers       = 2                // hosts that ping each host
 	maxMissedPings = 2                // pings in a row before a host counts as gone
 	goneSendFor    = 30 * time.Second // how long exchanges report a host as gone
+	// confirmers is how many hosts are asked whether they reach a host before it counts as gone.
+	confirmers = 3
 )
 
 // Watcher returns the controller that pings the watched hosts, and repeats announcements of
@@ -42,13 +45,11 @@
 // that was itself paused suspects nobody.
 func (r *Router) ping(ctx context.Context, h blackboard.Host) {
 	b, err := r.pingHeartbeat(ctx, h)
-	now := time.Now()
 	if err == nil {
 		r.mu.Lock()
 		delete(r.missedPings, h.Number)
 		r.mu.Unlock()
-		h.Incarnation, h.Heartbeat, h.Leaving = b.Incarnation, b.Beat, b.Leaving
-		r.board.Hosts.Learn(h, now)
+		r.learnHeartbeat(h, b)
 		return
 	}
 	if ctx.Err() != nil || r.board.Pause.Check() || errors.Is(err, errNobodyAnswers) {
@@ -61,13 +62,67 @@
 		delete(r.missedPings, h.Number)
 	}
 	r.mu.Unlock()
-	if gone && h.Incarnation != 0 && r.board.Hosts.Suspect(h.Number, h.Incarnation, r.lastPossibleHeartbeat(h), now) {
+	if !gone || h.Incarnation == 0 {
+		return
+	}
+	if b, by, reached := r.pingByOthers(ctx, h); reached {
+		r.log.Info("host is reached by others", zap.String("watched", h.Name), zap.String("by", by), zap.Error(err))
+		r.learnHeartbeat(h, b)
+		return
+	}
+	if r.board.Hosts.Suspect(h.Number, h.Incarnation, r.lastPossibleHeartbeat(h), time.Now()) {
 		r.log.Warn("host is gone", zap.String("gone", h.Name), zap.Error(err))
 		r.board.Wake.All()
 		r.announceChanges()
 	}
 }
 
+// learnHeartbeat records the heartbeat of a host that was just pinged.
+func (r *Router) learnHeartbeat(h blackboard.Host, b Heartbeat) {
+	h.Incarnation, h.Heartbeat, h.Leaving = b.Incarnation, b.Beat, b.Leaving
+	r.board.Hosts.Learn(h, time.Now())
+}
+
+// pingByOthers asks hosts of several failure domains to ping a host. It returns the heartbeat that the first of
+// them that reaches the host got, and that one's name.
+func (r *Router) pingByOthers(ctx context.Context, h blackboard.Host) (b Heartbeat, by string, reached bool) {
+	others := r.board.Hosts.Spread(confirmers, &h, time.Now())
+	type result struct {
+		reply PingForReply
+		by    string
+	}
+	results := make(chan result, len(others))
+	for _, o := range others {
+		go func() {
+			var reply PingForReply
+			if err := r.pool.call(ctx, o.Peers, methodPingFor, &PingForArgs{h.Number}, &reply, 2*r.timeout()); err != nil {
+				results <- result{} // a late reply may still be written to reply
+				return
+			}
+			results <- result{reply, o.Name}
+		}()
+	}
+	for range others {
+		if got := <-results; got.reply.Reached {
+			return got.reply.Heartbeat, got.by, true
+		}
+	}
+	return Heartbeat{}, "", false
+}
+
+// PingFor pings a host for another one, which doesn't reach it.
+func (s *server) PingFor(a *PingForArgs, reply *PingForReply) error {
+	h, _, known := s.r.board.Hosts.Get(a.Number, time.Now())
+	if !known || h.Peers == "" {
+		return nil
+	}
+	b, err := s.r.pingHeartbeat(context.Background(), h)
+	if err == nil {
+		reply.Reached, reply.Heartbeat = true, b
+	}
+	return nil
+}
+
 // pingHeartbeat requests a host's heartbeat. After a missed ping it uses a new connection: if all
 // open connections have gone silent, both pings would fail on the same one and hosts would
 // consider each other gone.
