tunnel: hosts that haven't answered yet are no evidence that nobody reaches an endpoint

Cause: an attempt to connect that was given up after 0.3 s counted the endpoint as reached by nobody, though the eight hosts that were asked hadn't answered yet; and hosts that were merely slower than another one weren't asked for a second, until none was left to ask.

Change: without a conclusive answer an endpoint counts as reached by nobody only if all hosts that were asked have answered, or all that there are have been asked and didn't answer in 0.1 s. Hosts that are out of reach are replaced like those that are cut off. What hosts answer after the attempt is heard for a second more: one that opens the tunnel late is asked first next time.

Result: TestSlowHostsAreNoEvidence (fails before); the tests of lost links pass, 21 of 21 rows.

--- a/tunnel/dialer_test.go
+++ b/tunnel/dialer_test.go
@@ -151,6 +151,7 @@
 				if got := b.Paths.State(testAddress, time.Now()); got != tc.state {
 					t.Errorf("the path is %v, want %v", got, tc.state)
 				}
+				time.Sleep(learnFor) // the hosts that were asked have been heard
 			})
 		})
 	}
@@ -317,6 +318,38 @@
 	}
 }
 
+// TestSlowHostsAreNoEvidence has all hosts answer after a connection is given up. That says nothing of the endpoint, and
+// those that answer late are known as gateways for the next connection.
+func TestSlowHostsAreNoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBoard(largeFleet()...)
+		o := &stubOpener{others: answer{reply: Reply{Code: Opened}, delay: 500 * time.Millisecond}}
+		d := NewDialer(b, hangs, o, zap.NewNop())
+		dial := func() (net.Conn, error) {
+			ctx, cancel := context.WithTimeoutCause(t.Context(), 300*time.Millisecond, endpoint.ErrGivenUp)
+			defer cancel()
+			return d.Dial(ctx, "tcp", testAddress)
+		}
+		if _, err := dial(); err == nil {
+			t.Fatal("connected, want a failure")
+		}
+		if state := b.Paths.State(testAddress, time.Now()); state != blackboard.PathDirect {
+			t.Errorf("the path is %v after hosts didn't answer", state)
+		}
+		time.Sleep(learnFor)
+		if state := b.Paths.State(testAddress, time.Now()); state != blackboard.PathLost {
+			t.Errorf("the path is %v after hosts opened tunnels late, want %v", state, blackboard.PathLost)
+		}
+		o.others.delay = 0
+		conn, err := dial()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.Close()
+		time.Sleep(learnFor)
+	})
+}
+
 // TestReferredGatewayIsAsked has 300 hosts that are cut off tell of the one that isn't.
 func TestReferredGatewayIsAsked(t *testing.T) {
 	b := newTestBoard(largeFleet()...)
--- a/tunnel/evidence.go
+++ b/tunnel/evidence.go
@@ -85,6 +85,32 @@
 	return n
 }
 
+// unable returns how many hosts are cut off themselves, or out of reach.
+func (e *evidence) unable() (n int) {
+	for _, d := range e.domains {
+		n += d.cutOff + d.silent
+	}
+	return n
+}
+
+// pending returns how many hosts haven't answered yet.
+func (e *evidence) pending() (n int) {
+	for _, d := range e.domains {
+		n += d.pending
+	}
+	return n
+}
+
+// isMute reports whether hosts that haven't answered were all asked some time ago.
+func (e *evidence) isMute(now time.Time) bool {
+	for _, d := range e.domains {
+		if d.pending > 0 && now.Sub(d.askedAt) < muteAfter {
+			return false
+		}
+	}
+	return true
+}
+
 // isConclusive reports whether nobody reaches the endpoint as far as hosts that don't fail together can tell:
 // one that reaches others confirms it, and no failure domain has more to say, of up to maxWitnessDomains. open are
 // the failure domains with hosts that haven't been asked.
--- a/tunnel/race.go
+++ b/tunnel/race.go
@@ -112,11 +112,11 @@
 	}()
 }
 
-// mayAsk reports whether a further host may be asked for a tunnel. Hosts that are cut off or busy are
+// mayAsk reports whether a further host may be asked for a tunnel. Hosts that are cut off, busy or out of reach are
 // replaced by others.
 func (r *race) mayAsk() bool {
 	n := len(r.search.asked)
-	return !r.exhausted && n < r.maxAsked && n-r.search.evidence.cutOff()-r.busy < maxGateways && !r.isConclusive()
+	return !r.exhausted && n < r.maxAsked && n-r.search.evidence.unable()-r.busy < maxGateways && !r.isConclusive()
 }
 
 // isConclusive reports whether nobody reaches the endpoint, as far as other hosts can tell.
@@ -253,7 +253,7 @@
 		case o.conn != nil:
 		case o.host == nil && gateway != "":
 			r.dialer.recordLost(r.address, gateway, o.err)
-		case o.host != nil && gateway != "" && o.took >= gatewayHeadStart:
+		case o.host != nil && gateway != "" && o.took >= muteAfter:
 			r.recordUnable(o) // another gateway was faster
 		}
 	}
@@ -276,20 +276,62 @@
 
 // recordNone records that there is no path, unless hosts that may reach the endpoint weren't heard.
 func (r *race) recordNone(cause error) {
-	confirmed := r.isConclusive()
-	if !confirmed && (r.busy > 0 || r.mayAsk()) {
-		return
+	if r.isHopeless() {
+		r.dialer.recordNone(r.address, r.isConclusive(), cause, r.search.evidence)
 	}
-	r.dialer.recordNone(r.address, confirmed, cause, r.search.evidence)
+}
+
+// isHopeless reports whether no host that is known reaches the endpoint, as far as those can tell that were asked.
+func (r *race) isHopeless() bool {
+	switch {
+	case r.isConclusive():
+		return true
+	case r.busy > 0 || r.mayAsk():
+		return false
+	case r.search.evidence.pending() == 0:
+		return true
+	}
+	return (r.exhausted || len(r.search.asked) == r.maxAsked) && r.search.evidence.isMute(time.Now())
 }
 
 // giveUp returns the error of a race that the caller ended.
 func (r *race) giveUp() error {
-	r.stopTunnels()
-	r.stopDirect()
-	go r.discard("")
 	if errors.Is(context.Cause(r.ctx), endpoint.ErrGivenUp) && !r.alone {
 		r.recordNone(context.DeadlineExceeded)
+		go r.learn()
+		return r.ctx.Err()
 	}
+	r.stopTunnels()
+	r.stopDirect()
+	go r.discard("")
 	return r.ctx.Err()
 }
+
+// learnFor is how long the hosts that were asked for an attempt that was given up may still answer.
+const learnFor = time.Second
+
+// learn hears the attempts of a race that was given up, for later ones: a gateway that opens the tunnel late reaches
+// the endpoint, and this host doesn't.
+func (r *race) learn() {
+	r.stopDirect()
+	timer := time.AfterFunc(learnFor, r.stopTunnels)
+	defer timer.Stop()
+	for ; r.pending > 0; r.pending-- {
+		o := <-r.results
+		if o.conn != nil {
+			o.conn.Close()
+		}
+		switch {
+		case o.host == nil && o.conn != nil:
+			r.dialer.recordDirect(r.address, o.took)
+		case o.host == nil:
+		case o.conn != nil:
+			r.dialer.recordTunnel(r.address)
+			r.dialer.gateways.recordOpened(o.host, time.Now())()
+			r.dialer.recordLost(r.address, o.host.Name, context.DeadlineExceeded)
+		default:
+			r.recordUnable(o)
+		}
+	}
+	r.stopTunnels()
+}
