entry: engines that name a limit are asked which process began an answer while several versions serve

Cause: doesn't ask limited engines at all, so the version of their answers is unknown, and where several versions serve nobody may go on with them, copies included.

Change: an engine that names a limit isn't asked only while the endpoints of its route are registered with one version; a takeover by a copy looks for the only version first, as a further try does.

While several versions serve, limited engines are asked beyond their limit, as before.

--- a/entry/version.go
+++ b/entry/version.go
@@ -90,10 +90,11 @@
 // piece is passed on. It returns the process that answers, and reports whether it may write the answer: one of another
 // version may not go on with an answer that is bound already.
 func (e *Entry) bindAnswer(ctx context.Context, j *job, spec *config.Endpoint) (at process, mayWrite bool) {
-	if !j.criteria.Continues && e.permitReason(spec) == route.ReasonLimited {
-		j.criteria.Continues, j.criteria.Software = true, spec.WithUnknownSoftware().Software // the question would count against its limit
+	if !j.criteria.Continues && e.mayResolveLater(j, spec) {
+		j.criteria.Continues, j.criteria.Software = true, spec.WithUnknownSoftware().Software
 		return process{address: spec.Address}, true
 	}
+	e.resolveVersion(j)
 	at, registered := e.answeringProcess(ctx, spec)
 	if j.criteria.Continues {
 		return at, registered && spec.Software == j.criteria.Software
@@ -171,6 +172,22 @@
 	return registered
 }
 
+// mayResolveLater reports whether an endpoint needn't be asked which process began an answer: the question would count
+// against the limit that it names, and resolveVersion finds the version if the answer has to go on.
+func (e *Entry) mayResolveLater(j *job, spec *config.Endpoint) bool {
+	return e.permitReason(spec) == route.ReasonLimited && e.runsOneVersion(j)
+}
+
+// runsOneVersion reports whether the endpoints that may answer the job are registered with one software version.
+func (e *Entry) runsOneVersion(j *job) (one bool) {
+	e.board.Endpoints.Read(func(fleet *route.Fleet) {
+		if g := j.group(fleet); g != nil {
+			_, one = fleet.SoleSoftware(j.answeringStates(g), 0, time.Now())
+		}
+	})
+	return one
+}
+
 // resolveVersion binds an answer that goes on, and whose software version isn't known, to the only version that may have
 // begun it, if there is one.
 func (e *Entry) resolveVersion(j *job) {
