--- a/tunnel/evidence.go
+++ b/tunnel/evidence.go
@@ -112,18 +112,18 @@
 }
 
 // isConclusive reports whether nobody reaches the endpoint as far as hosts that don't fail together can tell:
-// one that reaches others confirms it, and no failure domain has more to say, of up to maxWitnessDomains. open are
+// one that reaches others confirms it, and no failure domain has more to say, of up to maxWitnessDomains. askable are
 // the failure domains with hosts that haven't been asked.
-func (e *evidence) isConclusive(open map[string]bool, now time.Time) bool {
+func (e *evidence) isConclusive(askable map[string]bool, now time.Time) bool {
 	heard, unheard, confirmed := 0, 0, 0
-	for name := range open {
+	for name := range askable {
 		if e.domains[name] == nil {
 			unheard++
 		}
 	}
 	for name, d := range e.domains {
 		confirmed += d.confirmed
-		if d.isHeard(open[name], now) {
+		if d.isHeard(askable[name], now) {
 			heard++
 		} else {
 			unheard++
--- a/tunnel/gateways.go
+++ b/tunnel/gateways.go
@@ -94,10 +94,10 @@
 
 // choice is the result of gateways.pick.
 type choice struct {
-	host  blackboard.Host // to be asked
-	found bool
-	alone bool            // no live host knows tunnels, whether or not it was asked
-	open  map[string]bool // failure domains with hosts that weren't asked
+	host    blackboard.Host // to be asked
+	found   bool
+	alone   bool            // no live host knows tunnels, whether or not it was asked
+	askable map[string]bool // failure domains with hosts that weren't asked
 }
 
 // pick returns the best host that wasn't asked yet, by its cost.
@@ -105,7 +105,7 @@
 	self := g.hosts.Self()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := choice{alone: true, open: map[string]bool{}}
+	c := choice{alone: true, askable: map[string]bool{}}
 	mayRepeat := g.repeats.TokensAt(now) >= 1
 	least, equal := 0, 0
 	g.hosts.Each(now, func(h *blackboard.Host, live bool) {
@@ -117,7 +117,7 @@
 		if !now.After(s.unableUntil) || s.isRepeat(now) && !mayRepeat || slices.Contains(q.asked, h.Number) {
 			return
 		}
-		c.open[h.Domain] = true
+		c.askable[h.Domain] = true
 		cost := g.cost(q, &self, h, s, now)
 		switch {
 		case !c.found || cost < least:
--- a/tunnel/race.go
+++ b/tunnel/race.go
@@ -4,13 +4,9 @@
 	"context"
 	"net"
 	"slices"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/embercove/embercove/blackboard"
-	"github.com/embercove/embercove/endpoint"
 )
 
 // race is one attempt to connect to an endpoint, directly and over tunnels. The first connection
@@ -35,7 +31,7 @@
 	busy          int             // of them, those that reach endpoints and can't open a further tunnel
 	alone         bool            // no live host knows tunnels
 	exhausted     bool            // there is no host left to ask
-	open          map[string]bool // failure domains with hosts that weren't asked
+	askable       map[string]bool // failure domains with hosts that weren't asked
 }
 
 // outcome is the outcome of one attempt.
@@ -95,12 +91,17 @@
 		case <-r.ctx.Done():
 			return nil, r.giveUp()
 		}
-		if r.pending == 0 && !r.mayAsk() {
+		if r.isLost() {
 			return nil, r.fail()
 		}
 	}
 }
 
+// isLost reports whether no attempt can succeed any more, as far as others can tell.
+func (r *race) isLost() bool {
+	return r.pending == 0 && !r.mayAsk() || r.directErr != nil && r.isConclusive()
+}
+
 // dialDirect begins the direct attempt.
 func (r *race) dialDirect() {
 	r.pending++
@@ -120,14 +121,14 @@
 }
 
 // isConclusive reports whether nobody reaches the endpoint, as far as other hosts can tell.
-func (r *race) isConclusive() bool { return r.search.evidence.isConclusive(r.open, time.Now()) }
+func (r *race) isConclusive() bool { return r.search.evidence.isConclusive(r.askable, time.Now()) }
 
 // ask asks up to n more hosts for a tunnel. It returns how many it has asked.
 func (r *race) ask(n int) (asked int) {
 	for ; asked < n && r.mayAsk(); asked++ {
 		now := time.Now()
 		c := r.dialer.gateways.pick(&r.search, now)
-		r.open = c.open
+		r.askable = c.askable
 		if r.alone = c.alone; c.alone {
 			r.dialer.board.Paths.RecordConfirmed(r.address, now)
 		}
@@ -208,130 +209,3 @@
 	r.dialer.Counts.Refused.Add(1)
 	r.dialer.gateways.recordUnable(o.host, o.reply, o.err, time.Now())
 }
-
-// win returns the connection of the attempt that succeeded first.
-func (r *race) win(o outcome) net.Conn {
-	r.stopTunnels()
-	if o.host == nil {
-		r.dialer.recordDirect(r.address, o.took)
-		if r.pending == 0 {
-			r.stopDirect()
-		} else {
-			go r.discard("")
-		}
-		return o.conn
-	}
-	r.dialer.recordTunnel(r.address)
-	r.dialer.board.RecordAnswer(o.host.Domain)
-	closed := r.dialer.gateways.recordOpened(o.host, time.Now())
-	if r.directErr != nil {
-		r.dialer.recordLost(r.address, o.host.Name, r.directErr)
-	}
-	go r.discard(o.host.Name)
-	return &tunneledConn{Conn: o.conn, gateway: o.host.Name, closed: closed}
-}
-
-// discard closes the connections of the attempts that are still in progress. If a gateway reached
-// the endpoint and the direct attempt stays without an answer, the path is lost; if it is accepted
-// late, the path is direct.
-func (r *race) discard(gateway string) {
-	defer r.stopDirect()
-	if gateway == "" {
-		r.stopDirect()
-	} else if r.directPending {
-		timer := time.AfterFunc(lossAfter-time.Since(r.began), r.stopDirect)
-		defer timer.Stop()
-	}
-	for ; r.pending > 0; r.pending-- {
-		o := <-r.results
-		if o.conn != nil {
-			o.conn.Close()
-		}
-		switch {
-		case o.conn != nil && o.host == nil:
-			r.dialer.recordDirect(r.address, o.took)
-		case o.conn != nil:
-		case o.host == nil && gateway != "":
-			r.dialer.recordLost(r.address, gateway, o.err)
-		case o.host != nil && gateway != "" && o.took >= muteAfter:
-			r.recordUnable(o) // another gateway was faster
-		}
-	}
-}
-
-// fail returns the error of a race that all attempts lost.
-func (r *race) fail() error {
-	r.stopTunnels()
-	r.stopDirect()
-	if r.alone {
-		return r.directErr
-	}
-	confirmed := r.isConclusive()
-	r.recordNone(r.directErr)
-	if confirmed || !errors.Is(r.directErr, syscall.ECONNREFUSED) {
-		return r.directErr
-	}
-	return &endpoint.NoPathError{Address: r.address, Cause: errors.Errorf("%v; %d of %d other hosts answered", r.directErr, r.answered, len(r.search.asked))}
-}
-
-// recordNone records that there is no path, unless hosts that may reach the endpoint weren't heard.
-func (r *race) recordNone(cause error) {
-	if r.isHopeless() {
-		r.dialer.recordNone(r.address, r.isConclusive(), cause, r.search.evidence)
-	}
-}
-
-// isHopeless reports whether no host that is known reaches the endpoint, as far as those can tell that were asked.
-func (r *race) isHopeless() bool {
-	switch {
-	case r.isConclusive():
-		return true
-	case r.busy > 0 || r.mayAsk():
-		return false
-	case r.search.evidence.pending() == 0:
-		return true
-	}
-	return (r.exhausted || len(r.search.asked) == r.maxAsked) && r.search.evidence.isMute(time.Now())
-}
-
-// giveUp returns the error of a race that the caller ended.
-func (r *race) giveUp() error {
-	if errors.Is(context.Cause(r.ctx), endpoint.ErrGivenUp) && !r.alone {
-		r.recordNone(context.DeadlineExceeded)
-		go r.learn()
-		return r.ctx.Err()
-	}
-	r.stopTunnels()
-	r.stopDirect()
-	go r.discard("")
-	return r.ctx.Err()
-}
-
-// learnFor is how long the hosts that were asked for an attempt that was given up may still answer.
-const learnFor = time.Second
-
-// learn hears the attempts of a race that was given up, for later ones: a gateway that opens the tunnel late reaches
-// the endpoint, and this host doesn't.
-func (r *race) learn() {
-	r.stopDirect()
-	timer := time.AfterFunc(learnFor, r.stopTunnels)
-	defer timer.Stop()
-	for ; r.pending > 0; r.pending-- {
-		o := <-r.results
-		if o.conn != nil {
-			o.conn.Close()
-		}
-		switch {
-		case o.host == nil && o.conn != nil:
-			r.dialer.recordDirect(r.address, o.took)
-		case o.host == nil:
-		case o.conn != nil:
-			r.dialer.recordTunnel(r.address)
-			r.dialer.gateways.recordOpened(o.host, time.Now())()
-			r.dialer.recordLost(r.address, o.host.Name, context.DeadlineExceeded)
-		default:
-			r.recordUnable(o)
-		}
-	}
-	r.stopTunnels()
-}
