--- a/entry/call.go
+++ b/entry/call.go
@@ -67,7 +67,7 @@
 	j := e.newCallJob(v, r, team, c)
 	j.setFingerprint(q, src)
 	if e.stopsBeforeEnd(j) {
-		e.refuse(w, q, result.Errorf(result.Draining, "this host stops before the answer would be complete").After(drainRetryAfter), from)
+		e.refuse(w, q, result.Errorf(result.Draining, "this host stops before the answer would be complete").After(elsewhereRetryAfter), from)
 		return
 	}
 	j.reply = newPassthrough(w, c.Refuse)
@@ -78,8 +78,8 @@
 	e.execute(q.Context(), j, 0, run)
 }
 
-// drainRetryAfter is the retry time of a request that another host can take at once.
-const drainRetryAfter = 50 * time.Millisecond
+// elsewhereRetryAfter is the retry time of a request that another host can take at once.
+const elsewhereRetryAfter = 50 * time.Millisecond
 
 // stopsBeforeEnd reports whether the process is likely to stop before a job's answer is
 // complete. Such jobs are refused, so that their callers try another host.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -179,7 +179,7 @@
 		e.refuse(w, q, refusal, c)
 		return nil, nil, false
 	}
-	return v, src, true
+	return e.board.Config.View(), src, true // a body may take seconds, in which a later revision came
 }
 
 func (e *Entry) listModels(w http.ResponseWriter, q *http.Request) {
