peer: the age of what other hosts report includes the time on the way

Messages now say when they were sent by the clock of their process. The receiver adds by how much one came later than the fastest recent one of the same process (peer/transit.go); answers to its own calls count as of the beginning of the call. Messages of earlier versions don't say it and count as before.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -105,7 +105,7 @@
 	}
 	now := time.Now()
 	r.noteRoundTrip(h, now.Sub(began))
-	r.merge(*reply, now)
+	r.merge(*reply, now, began)
 	r.compareMembers(reply.Members, now)
 	r.compareMarks(ctx, h, reply.Marks, now)
 	r.learnVersions(h)
@@ -187,9 +187,9 @@
 	return out
 }
 
-// merge merges the state received from another host. It returns the ages of the digests that the
-// host has.
-func (r *Router) merge(e ExchangeReply, now time.Time) digestAges {
+// merge merges the state of another host, as it was at a time or later. It returns the ages of the digests
+// that the host has.
+func (r *Router) merge(e ExchangeReply, now, at time.Time) digestAges {
 	r.introduce(e.From, now)
 	r.owner.ObserveFence(e.Fence)
 	for _, n := range e.Names {
@@ -227,7 +227,7 @@
 		r.board.Endpoints.Learn(d, now)
 		peerAges[d.Number] = d.AgeMillis
 	}
-	r.applyStanding(aheadPeer{from: e.From, revision: e.Revision, roster: e.Roster}, e.Heard, now)
+	r.applyStanding(aheadPeer{from: e.From, revision: e.Revision, roster: e.Roster}, e.Heard, at)
 	if changed {
 		r.board.Wake.All()
 	}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -77,6 +77,7 @@
 	Regions  []byte         // packed region summaries
 	Marks    uint64         // checksum of the failure marks; 0: none
 	Heard    uint32         // 1 + ms since the platform confirmed what the sender knows; 0: it never did
+	Sent     SentAt
 }
 
 // ExchangeReply is the answer to ExchangeArgs.
--- a/peer/router.go
+++ b/peer/router.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/clock"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/internal/wait"
 	"github.com/embercove/embercove/meter"
@@ -50,9 +51,11 @@
 	recordersMu  sync.Mutex             // taken before the lock of the host table
 	recorderSets map[string]recorderSet // by failure domain
 
-	fetcher fetcher
-	joins   joinExchanges
-	packer  packer
+	fetcher   fetcher
+	joins     joinExchanges
+	startedAt time.Time // by package clock
+	transits  transits
+	packer    packer
 
 	mu              sync.Mutex
 	releases        map[string][]owner.Release // by peer address
@@ -77,7 +80,7 @@
 // NewRouter returns a router over the board and this host's own owner. If dial is nil, it dials
 // TCP.
 func NewRouter(b *blackboard.Board, o *owner.Owner, dial Dial, log *zap.Logger) *Router {
-	r := &Router{board: b, owner: o, log: log, releases: map[string][]owner.Release{}, recorderSets: map[string]recorderSet{}, unnamed: map[uint32]bool{}, listed: map[uint32]bool{}, missedPings: map[uint32]int{}, membersDiffer: true}
+	r := &Router{board: b, owner: o, log: log, startedAt: clock.Now(), releases: map[string][]owner.Release{}, recorderSets: map[string]recorderSet{}, unnamed: map[uint32]bool{}, listed: map[uint32]bool{}, missedPings: map[uint32]int{}, membersDiffer: true}
 	r.pool = newPool(dial, &r.Traffic, &r.PurposeTraffic)
 	r.bulk = newPool(dial, &r.Traffic, &r.PurposeTraffic)
 	r.pool.answers = b.Answers
--- a/peer/server.go
+++ b/peer/server.go
@@ -12,6 +12,7 @@
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/owner"
+	"github.com/embercove/embercove/request"
 )
 
 // server serves the remote methods to other hosts.
@@ -56,7 +57,9 @@
 }
 
 func (s *server) Exchange(a *ExchangeArgs, reply *ExchangeReply) error {
-	peerAges := s.r.merge(ExchangeReply(*a), time.Now())
+	now := time.Now()
+	delay := s.r.transits.delay(request.HostNumber(a.From.Name), a.Sent, s.r.uptime())
+	peerAges := s.r.merge(ExchangeReply(*a), now, now.Add(-delay))
 	*reply = ExchangeReply(s.r.buildExchange(sendOptions{to: a.From, want: a.Want, heads: a.Heads, changesOnly: a.News, all: a.All, peerAges: peerAges}))
 	return nil
 }
@@ -192,7 +195,7 @@
 		Roster: r.board.Config.RosterRevision(), Fence: r.owner.Fence(), Heads: t.heads, News: t.changesOnly, All: t.all,
 		Beats: r.heartbeats(now, t.changesOnly, t.all), Members: r.board.Hosts.Members(now), Marks: r.marksHash()}
 	if ever {
-		a.Heard = encodeAge(age)
+		a.Heard, a.Sent = encodeAge(age), r.sentNow()
 	}
 	for _, h := range r.board.Hosts.Suspected(now, goneSendFor) {
 		a.Gone = append(a.Gone, heartbeatOf(&h))
--- a/peer/standing.go
+++ b/peer/standing.go
@@ -19,7 +19,8 @@
 	Number   uint32 // of the reporting host
 	Revision uint64
 	Roster   config.Position
-	Heard    uint32   // as in ExchangeArgs
+	Heard    uint32 // as in ExchangeArgs
+	Sent     SentAt
 	Onward   []uint32 // hosts to which the receiver forwards the report
 }
 
@@ -94,7 +95,7 @@
 			continue
 		}
 		args := &StandingArgs{Number: r.board.Number, Revision: r.board.Config.Revision(), Roster: r.board.Config.RosterRevision(),
-			Heard: encodeAge(age), Onward: group[i+1:]}
+			Heard: encodeAge(age), Sent: r.sentNow(), Onward: group[i+1:]}
 		if r.sendStanding(ctx, h.Peers, args) {
 			return
 		}
@@ -116,7 +117,7 @@
 	now := time.Now()
 	if h, _, known := s.r.board.Hosts.Get(a.Number, now); known {
 		peer := aheadPeer{from: HostIdentity{h.Name, h.Domain, h.Region, h.Peers}, revision: a.Revision, roster: a.Roster}
-		s.r.applyStanding(peer, a.Heard, now)
+		s.r.applyStanding(peer, a.Heard, now.Add(-s.r.transits.delay(a.Number, a.Sent, s.r.uptime())))
 		if !s.r.isBehind(peer) { // otherwise it is announced once it is in force here
 			for _, n := range a.Onward {
 				go s.r.sendStandingToGroup(s.ctx, []uint32{n})
@@ -129,15 +130,16 @@
 // encodeAge returns the age of the platform's last answer in the form of ExchangeArgs.Heard.
 func encodeAge(age time.Duration) uint32 { return 1 + uint32(max(0, age).Milliseconds()) }
 
-// applyStanding records which revisions another host has in force and how fresh they are (0:
-// unknown), and fetches what this host lacks.
-func (r *Router) applyStanding(peer aheadPeer, age uint32, now time.Time) {
+// applyStanding records which revisions another host has in force and how old its knowledge was at a time
+// (0: unknown), and fetches what this host lacks.
+func (r *Router) applyStanding(peer aheadPeer, age uint32, at time.Time) {
+	now := time.Now()
 	if r.board.Config.ObserveRevisions(peer.revision, peer.roster, now) {
 		r.log.Info("later revision heard of", zap.Uint64("revision", peer.revision), zap.Uint64("in_force", r.board.Config.Revision()), zap.String("from", peer.from.Name))
 	}
 	// Skip this if the process was paused: the message may have arrived long before now.
 	if age > 0 && !r.isBehind(peer) && r.board.Pause.RanSince(now.Add(-r.timeout())) {
-		r.board.Config.RecordReportedAnswer(now.Add(-config.Millis(int(age - 1))))
+		r.board.Config.RecordReportedAnswer(at.Add(-config.Millis(int(age - 1))))
 	}
 	r.catchUp(peer)
 }
