entry: a body that can't be complete in time is refused when that is known

Callers whose bodies came slowly got 408 after 5 s, also where their own time was over after 4 s, and a body that took seconds didn't count against the caller's time: endpoints were told of time that had passed.

A body has 0.8 of its caller's time at the most, and is given up once its pace shows that it would take twice as long as that. What it took is subtracted from the caller's time.

--- /dev/null
+++ b/entry/body.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/result"
+)
+
+// bodyTimeShare is the share of a caller's time in which its body has to arrive. The rest is for the answer.
+const bodyTimeShare = 0.8
+
+// bodyTime returns how long a body may take. timeLeft is the caller's time; 0: unknown.
+func bodyTime(l config.Limits, timeLeft time.Duration) time.Duration {
+	limit := config.Millis(l.BodyReadMillis)
+	if timeLeft > 0 {
+		limit = min(limit, time.Duration(bodyTimeShare*float64(timeLeft)))
+	}
+	return limit
+}
+
+// readBody reads a body within the limits of size and time. A caller that sends too slowly
+// is cut off, so that it doesn't hold memory for long.
+func readBody(w http.ResponseWriter, q *http.Request, l config.Limits, timeLeft time.Duration) ([]byte, *result.Error) {
+	limit := bodyTime(l, timeLeft)
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(limit))
+	arriving := &arrivingBody{Reader: http.MaxBytesReader(w, q.Body, l.BodyBytes), length: q.ContentLength, limit: limit, began: time.Now()}
+	src, err := io.ReadAll(arriving)
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+		return src, nil
+	}
+	leaveUnread(w)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, result.Errorf(result.BodyTooLarge, "body: more than %d bytes", l.BodyBytes)
+	}
+	return nil, result.Errorf(result.BodyTooSlow, "body: not complete within %d ms", limit.Milliseconds()).After(time.Second)
+}
+
+// leaveUnread has the connection closed after the answer, without the rest of the body: net/http would read
+// that first.
+func leaveUnread(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+}
+
+// errBodyTooSlow is returned for a body that can't be complete in time.
+var errBodyTooSlow = errors.New("the body arrives too slowly")
+
+const (
+	// bodyPaceAfter is after how long the pace of a body tells when it will be complete.
+	bodyPaceAfter = 500 * time.Millisecond
+	// bodyPaceMargin is how many times its limit a body would have to take at its pace to be given up.
+	bodyPaceMargin = 2
+)
+
+// arrivingBody is a body that is given up once it is clear that it won't be complete in time.
+type arrivingBody struct {
+	io.Reader
+	length int64 // in bytes; below 0: unknown
+	limit  time.Duration
+	began  time.Time
+	read   int64
+}
+
+// Read implements io.Reader.
+func (b *arrivingBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.read += int64(n)
+	took := time.Since(b.began)
+	if err == nil && b.length > 0 && took > bodyPaceAfter && float64(took)*float64(b.length) > bodyPaceMargin*float64(b.limit)*float64(b.read) {
+		return n, errBodyTooSlow
+	}
+	return n, err
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -48,12 +48,16 @@
 	if e.board.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	from := caller{c.Origin.ID, c.Refuse}
+	from := caller{c.Origin.ID, c.TimeLeft, c.Refuse}
+	received := clock.Now()
 	v, src, ok := e.receiveCall(w, q, from)
 	if !ok {
 		return
 	}
 	c.Origin.Body = src
+	if c.TimeLeft > 0 {
+		c.TimeLeft = max(minTimeLeft, c.TimeLeft-clock.Now().Sub(received))
+	}
 	r := v.RouteFor(hostName(q.Host), q.URL.Path)
 	if r == nil {
 		e.refuse(w, q, result.Errorf(result.NoRoute, "no route of host %q matches path %q", q.Host, q.URL.Path), from)
@@ -78,6 +82,9 @@
 	e.execute(q.Context(), j, 0, run)
 }
 
+// minTimeLeft is the least time of a caller, as 0 stands for an unknown one.
+const minTimeLeft = time.Millisecond
+
 // elsewhereRetryAfter is the retry time of a request that another host can take at once.
 const elsewhereRetryAfter = 50 * time.Millisecond
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -158,7 +158,8 @@
 
 // caller is the sender of a call that is not yet a job.
 type caller struct {
-	id string // the caller's own id of the call; empty: none
+	id       string        // the caller's own id of the call; empty: none
+	timeLeft time.Duration // until the caller times out; 0: unknown
 	// Sends a refusal to the caller, in its protocol.
 	refuse func(w http.ResponseWriter, err *result.Error)
 }
@@ -174,7 +175,7 @@
 		e.refuse(w, q, refusal, c)
 		return nil, nil, false
 	}
-	src, refusal := readBody(w, q, v.Doc.Limits)
+	src, refusal := readBody(w, q, v.Doc.Limits, c.timeLeft)
 	if refusal != nil {
 		e.refuse(w, q, refusal, c)
 		return nil, nil, false
--- a/entry/parse.go
+++ b/entry/parse.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -86,29 +85,6 @@
 	return s.String()
 }
 
-// readBody reads a body within the limits of size and time. A caller that sends too slowly
-// is cut off, so that it doesn't hold memory for long.
-func readBody(w http.ResponseWriter, q *http.Request, l config.Limits) ([]byte, *result.Error) {
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(config.Millis(l.BodyReadMillis)))
-	src, err := io.ReadAll(http.MaxBytesReader(w, q.Body, l.BodyBytes))
-	if err == nil {
-		_ = rc.SetReadDeadline(time.Time{})
-	} else {
-		// The deadline stays set: net/http reads the rest of the body before it sends the
-		// refusal, and would wait for it.
-		w.Header().Set("Connection", "close")
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, result.Errorf(result.BodyTooLarge, "body: more than %d bytes", l.BodyBytes)
-	case err != nil:
-		return nil, result.Errorf(result.BodyTooSlow, "body: not complete within %d ms", l.BodyReadMillis).After(time.Second)
-	}
-	return src, nil
-}
-
 // headers are the parsed embercove headers of a call.
 type headers struct {
 	team       *config.Team
