intake: callers are held off while calls of their host wait

What callers send shares a host's link with all that the host hears. Cause: everything was taken in, so time limits of 150 ms ended each call to other hosts and to the store, and what was ended began anew.

Package intake measures, whenever something is late, how much longer calls to other hosts take than their fastest round trip. Over 100 ms it closes the listener for callers and refuses bodies that are still to come (319, host_overloaded), until the delay is 50 ms; then a window bounds how many requests arrive at a time, as with TCP.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/intake"
 	"github.com/embercove/embercove/invariant"
 	"github.com/embercove/embercove/quarantine"
 	"github.com/embercove/embercove/quota"
@@ -25,6 +26,7 @@
 	Domains     *DomainTable
 	Answers     *Answers
 	Link        *LinkDelay
+	Intake      *intake.Gate // holds callers off while calls of this host wait
 	Paths       *PathTable
 	Endpoints   *EndpointTable
 	Regions     *RegionTable
@@ -51,7 +53,7 @@
 	inv := new(invariant.Set)
 	b := &Board{
 		Settings: s, Number: request.HostNumber(s.Host), Incarnation: uint64(time.Now().UnixMilli()),
-		Config: newConfigTable(inv), Evacuations: new(EvacuationTable), Domains: newDomainTable(s.Domain), Answers: new(Answers), Link: new(LinkDelay), Paths: newPathTable(), Endpoints: newEndpointTable(),
+		Config: newConfigTable(inv), Evacuations: new(EvacuationTable), Domains: newDomainTable(s.Domain), Answers: new(Answers), Link: new(LinkDelay), Intake: intake.NewGate(), Paths: newPathTable(), Endpoints: newEndpointTable(),
 		Regions: newRegionTable(), Requests: newRequestTable(inv),
 		Keys: newKeyTable(), Quotas: quota.NewAccounts(rand.Uint64() << 16), Suspects: quarantine.New(s.Host), Versions: versions.NewTable(), Invariant: inv, Wake: newWake(), startedAt: time.Now(),
 		Pause: NewPause(config.Millis(s.PauseMillis)),
--- a/entry/body.go
+++ b/entry/body.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/intake"
 	"github.com/embercove/embercove/result"
 )
 
@@ -25,11 +26,11 @@
 
 // readBody reads a body within the limits of size and time. A caller that sends too slowly
 // is cut off, so that it doesn't hold memory for long.
-func readBody(w http.ResponseWriter, q *http.Request, l config.Limits, timeLeft time.Duration) ([]byte, *result.Error) {
+func readBody(w http.ResponseWriter, q *http.Request, l config.Limits, timeLeft time.Duration, gate *intake.Gate) ([]byte, *result.Error) {
 	limit := bodyTime(l, timeLeft)
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(limit))
-	arriving := &arrivingBody{Reader: http.MaxBytesReader(w, q.Body, l.BodyBytes), length: q.ContentLength, limit: limit, began: time.Now()}
+	arriving := &arrivingBody{Reader: http.MaxBytesReader(w, q.Body, l.BodyBytes), length: q.ContentLength, limit: limit, gate: gate, began: time.Now()}
 	src, err := io.ReadAll(arriving)
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
@@ -40,6 +41,10 @@
 	if errors.As(err, &tooLarge) {
 		return nil, result.Errorf(result.BodyTooLarge, "body: more than %d bytes", l.BodyBytes)
 	}
+	if errors.Is(err, errHeldOff) {
+		gate.CountRefused()
+		return nil, heldOff()
+	}
 	return nil, result.Errorf(result.BodyTooSlow, "body: not complete within %d ms", limit.Milliseconds()).After(time.Second)
 }
 
@@ -50,8 +55,12 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 }
 
-// errBodyTooSlow is returned for a body that can't be complete in time.
-var errBodyTooSlow = errors.New("the body arrives too slowly")
+var (
+	// errBodyTooSlow is returned for a body that can't be complete in time.
+	errBodyTooSlow = errors.New("the body arrives too slowly")
+	// errHeldOff is returned for a body that is given up so that others arrive.
+	errHeldOff = errors.New("callers are held off")
+)
 
 const (
 	// bodyPaceAfter is after how long the pace of a body tells when it will be complete.
@@ -65,6 +74,7 @@
 	io.Reader
 	length int64 // in bytes; below 0: unknown
 	limit  time.Duration
+	gate   *intake.Gate
 	began  time.Time
 	read   int64
 }
@@ -74,8 +84,34 @@
 	n, err := b.Reader.Read(p)
 	b.read += int64(n)
 	took := time.Since(b.began)
+	b.gate.NoteDelay(took)
+	if err == nil && 2*b.read < b.length && b.gate.Overfull() {
+		return n, errHeldOff
+	}
 	if err == nil && b.length > 0 && took > bodyPaceAfter && float64(took)*float64(b.length) > bodyPaceMargin*float64(b.limit)*float64(b.read) {
 		return n, errBodyTooSlow
 	}
 	return n, err
 }
+
+// smallBody is the size up to which a body mostly arrives together with its head, in bytes.
+const smallBody = 4 << 10
+
+// receiveBody reads the body of a call. While callers are held off, it refuses a call whose body is still to
+// come; what has arrived already is served.
+func (e *Entry) receiveBody(w http.ResponseWriter, q *http.Request, l config.Limits, timeLeft time.Duration) ([]byte, *result.Error) {
+	arrived := q.ContentLength >= 0 && q.ContentLength <= smallBody
+	place := e.board.Intake.PlaceOf(q.Context())
+	if !place.Acquire(arrived) {
+		e.board.Intake.CountRefused()
+		leaveUnread(w)
+		return nil, heldOff()
+	}
+	defer place.Release()
+	return readBody(w, q, l, timeLeft, e.board.Intake)
+}
+
+// heldOff returns the refusal of a call while callers are held off.
+func heldOff() *result.Error {
+	return result.Errorf(result.HostOverloaded, "callers send this host more than it carries").After(elsewhereRetryAfter)
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -45,9 +45,6 @@
 
 // Serve handles a call received by another front end.
 func (e *Entry) Serve(w http.ResponseWriter, q *http.Request, c *Call) {
-	if e.board.Leaving() {
-		w.Header().Set("Connection", "close")
-	}
 	from := caller{c.Origin.ID, c.TimeLeft, c.Refuse}
 	received := clock.Now()
 	v, src, ok := e.receiveCall(w, q, from)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -175,7 +175,10 @@
 		e.refuse(w, q, refusal, c)
 		return nil, nil, false
 	}
-	src, refusal := readBody(w, q, v.Doc.Limits, c.timeLeft)
+	if e.board.Leaving() || e.board.Intake.Bounded() {
+		w.Header().Set("Connection", "close")
+	}
+	src, refusal := e.receiveBody(w, q, v.Doc.Limits, c.timeLeft)
 	if refusal != nil {
 		e.refuse(w, q, refusal, c)
 		return nil, nil, false
--- a/node/admin.go
+++ b/node/admin.go
@@ -56,11 +56,19 @@
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 	case n.Board.Config.View() == nil:
 		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	case n.isOutdatedByLoad():
+		http.Error(w, "callers hold up what this host hears of the platform", http.StatusServiceUnavailable)
 	default:
 		w.Write([]byte("ready\n"))
 	}
 }
 
+// isOutdatedByLoad reports whether callers are or were just held off, and the configuration may still be out of
+// date. A host that is cut off isn't held up by callers, and goes on serving what it can.
+func (n *Node) isOutdatedByLoad() bool {
+	return n.Board.Intake.Bounded() && n.Board.Config.Outdated(time.Now(), config.FractionMillis(n.settings.ChangeMillis))
+}
+
 // RequestRow describes a request in progress.
 type RequestRow struct {
 	ID           string  `json:"id"`
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/embercove/embercove/copies"
 	"github.com/embercove/embercove/endpoint"
 	"github.com/embercove/embercove/entry"
+	"github.com/embercove/embercove/intake"
 	"github.com/embercove/embercove/meter"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/peer"
@@ -121,7 +122,7 @@
 		o(n)
 	}
 	n.log = n.log.With(zap.String("host", s.Host))
-	n.Board.Invariant.Log = n.log
+	n.Board.Invariant.Log, n.Board.Intake.Log = n.log, n.log
 	n.connectEngine()
 	n.Owner = owner.New(n.Board, n.engine, n.log)
 	n.Router = peer.NewRouter(n.Board, n.Owner, peer.Dial(n.dial), n.log)
@@ -197,7 +198,7 @@
 		return errors.Wrap(err, "peers_address")
 	}
 	n.goRun(func() error { return n.Router.Serve(ctx, peers) })
-	if err := n.serve(n.settings.Callers, "callers_address", n.newHandler(n.entry)); err != nil {
+	if err := n.serveCallers(); err != nil {
 		return err
 	}
 	if err := n.serve(n.settings.Admin, "admin_address", n.admin()); err != nil {
@@ -208,6 +209,7 @@
 			return err
 		}
 	}
+	n.goRun(func() error { n.Board.Intake.Run(ctx); return nil })
 	n.goRun(func() error { n.Router.ContactSeeds(ctx, n.settings.Seeds); return nil })
 	if n.feed != nil {
 		n.goRun(func() error { n.feed.Follow(ctx, feedSink{n, ctx}); return nil })
@@ -243,8 +245,27 @@
 		n.cancel()
 		return errors.Wrap(err, field)
 	}
+	n.serveOn(l, field, entry.NewServer(h, n.settings.MaxHeaderBytes))
+	return nil
+}
+
+// serveCallers serves callers, as far as they aren't held off.
+func (n *Node) serveCallers() error {
+	l, err := intake.NewListener(n.Board.Intake, func() (net.Listener, error) { return n.listen(n.settings.Callers) })
+	if err != nil {
+		n.cancel()
+		return errors.Wrap(err, "callers_address")
+	}
+	srv := entry.NewServer(n.newHandler(n.entry), n.settings.MaxHeaderBytes)
+	arrivals := intake.NewArrivals(n.Board.Intake)
+	srv.ConnContext, srv.ConnState = arrivals.ConnContext, arrivals.ConnState
+	n.serveOn(l, "callers_address", srv)
+	return nil
+}
+
+// serveOn runs a server on a listener until it is closed.
+func (n *Node) serveOn(l net.Listener, field string, srv *http.Server) {
 	l = netutil.LimitListener(l, n.settings.MaxConnections)
-	srv := entry.NewServer(h, n.settings.MaxHeaderBytes)
 	n.servers = append(n.servers, srv)
 	n.goRun(func() error {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -252,5 +273,4 @@
 		}
 		return nil
 	})
-	return nil
 }
--- a/node/status.go
+++ b/node/status.go
@@ -6,6 +6,7 @@
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/clock"
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/intake"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/route"
@@ -24,6 +25,7 @@
 	Versions           []VersionStatus         `json:"versions,omitempty"` // of endpoints' software, by pool
 	Evacuations        []EvacuationStatus      `json:"evacuations,omitempty"`
 	Paths              EndpointPaths           `json:"paths"`
+	Intake             intake.Status           `json:"intake"`
 	Quotas             []QuotaStatus           `json:"quotas"`
 	Regions            []RegionStatus          `json:"regions,omitempty"` // remote ones
 	Totals             report.Totals           `json:"sum"`
@@ -89,7 +91,7 @@
 	for name, c := range n.Board.Invariant.Counts() {
 		s.BrokenInvariants[string(name)] = c
 	}
-	s.Paths = n.pathStatus(now)
+	s.Paths, s.Intake = n.pathStatus(now), n.Board.Intake.Status(now)
 	for _, h := range n.Board.Hosts.List() {
 		s.Hosts = append(s.Hosts, HostStatus{h.Name, h.Domain, n.Board.Hosts.Live(h, now), h.Leaving, h.Unconfirmed, now.Sub(h.HeartbeatAt).Seconds()})
 	}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/embercove/embercove/blackboard"
+	"github.com/embercove/embercove/intake"
 	"github.com/embercove/embercove/meter"
 )
 
@@ -30,6 +31,7 @@
 	traffic  *meter.Traffic
 	purposes *meter.PurposeTraffic
 	answers  *blackboard.Answers // records whose calls are answered; nil: not used
+	gate     *intake.Gate        // notes late answers; nil: not used
 
 	mu     sync.Mutex
 	conns  map[string]*rpc.Client
@@ -215,12 +217,21 @@
 type witnessed struct {
 	answers *blackboard.Answers
 	witness *blackboard.Witness
+	gate    *intake.Gate
 	began   time.Time
 }
 
+// answersAtOnce reports whether a method is answered without waiting for anything.
+func answersAtOnce(method string) bool {
+	return method == methodPing || method == methodExchange || method == methodStanding
+}
+
 // witness returns a witness for a call that begins now. The caller must call stop.
-func (p *pool) witness(timeout time.Duration) *witnessed {
+func (p *pool) witness(method string, timeout time.Duration) *witnessed {
 	w := &witnessed{answers: p.answers, began: time.Now()}
+	if answersAtOnce(method) {
+		w.gate = p.gate
+	}
 	if p.answers != nil {
 		w.witness = p.answers.Witness(timeout / 4)
 	}
@@ -232,6 +243,14 @@
 	if w.answers != nil {
 		w.answers.Record(w.began)
 	}
+	w.noteDelay()
+}
+
+// noteDelay notes how long the call has taken so far.
+func (w *witnessed) noteDelay() {
+	if w.gate != nil {
+		w.gate.NoteDelay(time.Since(w.began))
+	}
 }
 
 // stop ends the witness, and reports whether a time-out of the call says something about its callee.
@@ -246,7 +265,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	defer p.beginCall(addr)()
-	w := p.witness(timeout)
+	w := p.witness(method, timeout)
 	defer w.stop()
 	for try := 0; ; try++ {
 		c, err := p.get(ctx, addr)
@@ -273,6 +292,7 @@
 			return errors.Wrap(call.Error, "peer")
 		case <-ctx.Done():
 			if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+				w.noteDelay()
 				if !w.stop() {
 					return errNobodyAnswers
 				}
@@ -303,7 +323,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	defer p.beginCall(addr)()
-	w := p.witness(timeout)
+	w := p.witness(method, timeout)
 	defer w.stop()
 	p.mu.Lock()
 	old := p.conns[addr]
--- a/peer/router.go
+++ b/peer/router.go
@@ -51,11 +51,12 @@
 	recordersMu  sync.Mutex             // taken before the lock of the host table
 	recorderSets map[string]recorderSet // by failure domain
 
-	fetcher   fetcher
-	joins     joinExchanges
-	startedAt time.Time // by package clock
-	transits  transits
-	packer    packer
+	fetcher    fetcher
+	joins      joinExchanges
+	startedAt  time.Time // by package clock
+	transits   transits
+	roundTrips roundTrips
+	packer     packer
 
 	mu              sync.Mutex
 	releases        map[string][]owner.Release // by peer address
@@ -83,7 +84,8 @@
 	r := &Router{board: b, owner: o, log: log, startedAt: clock.Now(), releases: map[string][]owner.Release{}, recorderSets: map[string]recorderSet{}, unnamed: map[uint32]bool{}, listed: map[uint32]bool{}, missedPings: map[uint32]int{}, membersDiffer: true}
 	r.pool = newPool(dial, &r.Traffic, &r.PurposeTraffic)
 	r.bulk = newPool(dial, &r.Traffic, &r.PurposeTraffic)
-	r.pool.answers = b.Answers
+	r.pool.answers, r.pool.gate = b.Answers, b.Intake
+	b.Intake.Probe = r.measureDelay
 	o.SetPeers(r)
 	b.Answers.Ping = r.pingWitnesses
 	return r
--- a/result/result.go
+++ b/result/result.go
@@ -53,6 +53,7 @@
 	VersionUnknown  Code = 316
 	VersionGone     Code = 317
 	ConfigOutdated  Code = 318
+	HostOverloaded  Code = 319
 	OutcomeUnknown  Code = 400
 	AnswerBroken    Code = 401
 	CallerGone      Code = 402
@@ -111,6 +112,7 @@
 	{VersionUnknown, "version_unknown", 503, true, false, "It isn't known which software version began this answer, so it can't go on anywhere.", "Look for hosts that restarted together or are cut off from each other; see docs/design/VERSIONS.md."},
 	{VersionGone, "version_gone", 503, true, false, "No endpoint runs the software version that began this answer any more.", "Look at software in embercove status; keep endpoints of a version until its answers are over."},
 	{ConfigOutdated, "config_outdated", 503, true, true, "This host's configuration may be out of date, so it can't tell whether the request is allowed.", "Look at platform_silent_s and intake in embercove status of the host: it is cut off, or overloaded."},
+	{HostOverloaded, "host_overloaded", 503, true, true, "Callers send this host more than its link or processor carries.", "Look at intake in embercove status: add hosts, or find out why the load balancer prefers this one."},
 	{OutcomeUnknown, "outcome_unknown", 502, false, false, "The request may have run; its answer is not known.", "Look for hosts or endpoints that crashed."},
 	{AnswerBroken, "answer_broken", 502, false, true, "The answer broke off and could not be resumed.", "Look for endpoints that crashed."},
 	{CallerGone, "caller_gone", 499, false, false, "The caller left before its answer was complete.", "Nothing."},
