--- a/endpoint/connect.go
+++ b/endpoint/connect.go
@@ -56,6 +56,18 @@
 	return text
 }
 
+// freshKey is the key of WithFreshAttempt in a context.
+type freshKey struct{}
+
+// WithFreshAttempt returns a context for a call that connects even if it was found lately that no path leads to
+// the endpoint: that says nothing about what has happened since.
+func WithFreshAttempt(ctx context.Context) context.Context {
+	return context.WithValue(ctx, freshKey{}, true)
+}
+
+// IsFreshAttempt reports whether a context is one of WithFreshAttempt.
+func IsFreshAttempt(ctx context.Context) bool { return ctx.Value(freshKey{}) != nil }
+
 // Connecting is the attempt of one call to connect to its endpoint. The caller may end it until
 // the endpoint accepts the connection; nothing was sent then. Its methods are safe for concurrent
 // use.
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -74,7 +74,7 @@
 // confirms it.
 func (d *Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	p := d.board.Paths.Use(address, time.Now())
-	if p.State == blackboard.PathNone {
+	if p.State == blackboard.PathNone && !endpoint.IsFreshAttempt(ctx) {
 		return nil, &endpoint.NoPathError{Address: address, Known: true, Confirmed: p.Confirmed}
 	}
 	return d.newRace(ctx, network, &p, maxAsked).run(p.State == blackboard.PathDirect)
--- a/tunnel/dialer_test.go
+++ b/tunnel/dialer_test.go
@@ -185,6 +185,24 @@
 	})
 }
 
+// TestFreshAttemptsFindEndedProcesses has an endpoint's process end while no path to it is known. A call that looks
+// for evidence tries again, and gets a refused connection.
+func TestFreshAttemptsFindEndedProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		board := newTestBoard([2]string{"x", "b"})
+		o := &stubOpener{others: answer{reply: Reply{Code: Refused}}}
+		d := NewDialer(board, refuses, o, zap.NewNop())
+		board.Paths.Use(testAddress, time.Now())
+		board.Paths.RecordFailure(testAddress, time.Now(), blackboard.PathNone, true)
+		if _, err := d.Dial(context.Background(), "tcp", testAddress); errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("a call was refused: %v, want no attempt", err)
+		}
+		if _, err := d.Dial(endpoint.WithFreshAttempt(context.Background()), "tcp", testAddress); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("a fresh attempt failed by %v, want a refused connection", err)
+		}
+	})
+}
+
 // TestGatewaysAreShared opens tunnels by way of one near and two far hosts: near ones first, and no host
 // passes on all of them.
 func TestGatewaysAreShared(t *testing.T) {
