--- a/tool/remote.go
+++ b/tool/remote.go
@@ -126,6 +126,7 @@
 	t.printQuotas(statuses)
 	t.printEvacuations(statuses)
 	t.printPaths(statuses)
+	t.printIntake(statuses)
 	firstHost := statuses[sortedKeys(statuses)[0]]
 	fmt.Fprintf(t.out, "\nas %s sees it:\n", firstHost.Host)
 	t.printTable("HOST\tDOMAIN\tSTATE\tSILENT", func(w io.Writer) {
--- a/tool/tool_test.go
+++ b/tool/tool_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/intake"
 	"github.com/embercove/embercove/examples"
 	"github.com/embercove/embercove/node"
 	"github.com/embercove/embercove/report"
@@ -106,6 +107,7 @@
 		Quotas:      []node.QuotaStatus{{Team: "press", Rate: 29_000, Free: -150, AdmittedPerSecond: 9_000, RequestedPerSecond: 31_000, UsedShare: 0.97, UnreachableDomains: []string{"is-b"}}},
 		Evacuations: []node.EvacuationStatus{{Domain: "is-b", KnownSeconds: 12.5, Revision: 41, From: "peer is-c-1", Running: 3}, {Domain: "is-c", KnownSeconds: 2, Revision: 44, From: "store"}},
 		Paths:       node.EndpointPaths{Lost: []string{"10.0.0.4:80", "10.0.0.5:80"}, None: []string{"10.0.0.6:80"}, CutOffDomains: []string{"hafnarfjordur"}, Gateways: map[string]int{"entry-2": 2, "entry-3": 1}, TunnelsUsed: 3, TunnelsPassed: 0},
+		Intake:      intake.Status{Shut: true, DelayMillis: 140, ShutCount: 31, ShutSeconds: 4.2, Refused: 18, Window: 12, Arriving: 12},
 		Versions:    []node.VersionStatus{{Pool: "llm", Role: config.Decode, Software: "v1", Endpoints: 4, Leaving: 1}, {Pool: "llm", Role: config.Decode, Software: "v2", Endpoints: 2}},
 		Endpoints: []node.EndpointStatus{{Endpoint: "docket-prefill-1", Role: config.Prefill, Domain: "is-a", Owner: "is-a-1", Software: "v1", State: "ok", QueueMillis: 120, SlowFactor: 1, DigestAgeSeconds: 0.2},
 			{Endpoint: "docket-decode-1", Role: config.Decode, Domain: "is-b", State: "down", SlowFactor: 1.5, FailedPercent: 40, DigestAgeSeconds: -1}}}
