--- a/tool/tool_test.go
+++ b/tool/tool_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
-	"github.com/embercove/embercove/intake"
 	"github.com/embercove/embercove/examples"
+	"github.com/embercove/embercove/intake"
 	"github.com/embercove/embercove/node"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/result"
