peer: a network that becomes slower for good is no delay

The fastest round trip to a host never expired, so a longer path to all hosts would have held callers off for 1 s of 1.5 for good. It counts for two periods of five minutes now, as the offsets of clocks do (recentLeast). TestSlowerNetworkIsNoDelayForGood.

--- a/peer/delay.go
+++ b/peer/delay.go
@@ -12,27 +12,26 @@
 // some may be what is slow.
 const delayHosts = 3
 
-// roundTrips holds the fastest round trip of a ping to each host. The zero value is ready to use.
+// roundTrips holds the fastest recent round trip of a ping to each host. The zero value is ready to use.
 type roundTrips struct {
 	mu      sync.Mutex
-	fastest map[uint32]time.Duration
+	fastest map[uint32]*recentLeast
 }
 
-// excess returns how much longer a round trip took than the fastest one of the same host.
-func (t *roundTrips) excess(host uint32, took time.Duration) time.Duration {
+// excess returns how much longer a round trip at an uptime took than the fastest recent one to the same host. Before
+// there was one, all of it counts.
+func (t *roundTrips) excess(host uint32, took, uptime time.Duration) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.fastest == nil {
-		t.fastest = map[uint32]time.Duration{}
-	}
-	fastest, known := t.fastest[host]
-	if !known || took < fastest {
-		t.fastest[host] = took
+	if l := t.fastest[host]; l != nil {
+		return l.excess(took, uptime)
 	}
-	if !known {
-		return took
+	if t.fastest == nil {
+		t.fastest = map[uint32]*recentLeast{}
 	}
-	return max(0, took-fastest)
+	t.fastest[host] = new(recentLeast)
+	t.fastest[host].excess(took, uptime)
+	return took
 }
 
 // measureDelay pings some hosts of several failure domains and returns the delay of the first answer beyond the
@@ -58,5 +57,5 @@
 	if err := r.pool.call(ctx, h.Peers, methodPing, &Nothing{}, new(Heartbeat), time.Until(deadline)); err != nil {
 		return -1
 	}
-	return r.roundTrips.excess(h.Number, time.Since(began))
+	return r.roundTrips.excess(h.Number, time.Since(began), r.uptime())
 }
--- a/peer/transit.go
+++ b/peer/transit.go
@@ -16,6 +16,12 @@
 	Millis      int64  // since the process started; 0: unknown, as from hosts of earlier versions
 }
 
+// uptime returns how long the process has run.
+func (r *Router) uptime() time.Duration { return clock.Now().Sub(r.startedAt) }
+
+// sentNow returns the SentAt of a message that is sent now.
+func (r *Router) sentNow() SentAt { return SentAt{r.board.Incarnation, 1 + r.uptime().Milliseconds()} }
+
 // transits estimates how long messages were on their way: longer than the fastest recent one of the same
 // process by the difference of their offsets between the two clocks. The zero value is ready to use.
 type transits struct {
@@ -23,24 +29,12 @@
 	offsets map[uint32]*clockOffset // by host
 }
 
-// clockOffset is the least difference between the clocks of two processes that messages have shown.
+// clockOffset is the offset between the clocks of two processes that messages have shown.
 type clockOffset struct {
-	incarnation  uint64
-	least        time.Duration // in the current period
-	leastBefore  time.Duration // in the period before
-	periodEndsAt time.Duration // since this process started
-	hasBefore    bool          // leastBefore is set
+	incarnation uint64
+	least       recentLeast
 }
 
-// offsetPeriod is for how long a least offset is used at least. Clocks drift apart by some 20 ms in it.
-const offsetPeriod = 5 * time.Minute
-
-// uptime returns how long the process has run.
-func (r *Router) uptime() time.Duration { return clock.Now().Sub(r.startedAt) }
-
-// sentNow returns the SentAt of a message that is sent now.
-func (r *Router) sentNow() SentAt { return SentAt{r.board.Incarnation, 1 + r.uptime().Milliseconds()} }
-
 // delay returns how much longer than the fastest recent one of its process a message was on its way that is
 // read at an uptime of this process.
 func (t *transits) delay(from uint32, sent SentAt, uptime time.Duration) time.Duration {
@@ -49,22 +43,41 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	offset := uptime - time.Duration(sent.Millis)*time.Millisecond
 	o := t.offsets[from]
 	if o == nil || o.incarnation != sent.Incarnation {
 		if t.offsets == nil {
 			t.offsets = map[uint32]*clockOffset{}
 		}
-		o = &clockOffset{incarnation: sent.Incarnation, least: offset, periodEndsAt: uptime + offsetPeriod}
+		o = &clockOffset{incarnation: sent.Incarnation}
 		t.offsets[from] = o
 	}
-	if uptime > o.periodEndsAt {
-		o.leastBefore, o.least, o.hasBefore, o.periodEndsAt = o.least, offset, true, uptime+offsetPeriod
+	return o.least.excess(uptime-time.Duration(sent.Millis)*time.Millisecond, uptime)
+}
+
+// leastPeriod is for how long a least value counts at least. Clocks drift apart by some 20 ms in it.
+const leastPeriod = 5 * time.Minute
+
+// recentLeast is the least of recent values: of the current period and the one before. The zero value is ready to
+// use.
+type recentLeast struct {
+	current, before time.Duration
+	hasBefore       bool
+	endsAt          time.Duration // of the current period; 0: there was no value yet
+}
+
+// excess adds a value at a time and returns how much greater it is than the least one.
+func (l *recentLeast) excess(value, at time.Duration) time.Duration {
+	switch {
+	case l.endsAt == 0:
+		l.current, l.endsAt = value, at+leastPeriod
+	case at > l.endsAt:
+		l.before, l.hasBefore = l.current, true
+		l.current, l.endsAt = value, at+leastPeriod
 	}
-	o.least = min(o.least, offset)
-	least := o.least
-	if o.hasBefore {
-		least = min(least, o.leastBefore)
+	l.current = min(l.current, value)
+	least := l.current
+	if l.hasBefore {
+		least = min(least, l.before)
 	}
-	return offset - least
+	return value - least
 }
--- a/peer/transit_test.go
+++ b/peer/transit_test.go
@@ -37,3 +37,21 @@
 		})
 	}
 }
+
+// TestSlowerNetworkIsNoDelayForGood has the round trip to a host become longer for good, as by another path.
+func TestSlowerNetworkIsNoDelayForGood(t *testing.T) {
+	const host, before, after = 7, time.Millisecond, 150 * time.Millisecond
+	var table roundTrips
+	if got := table.excess(host, before, 0); got != before {
+		t.Errorf("excess %v of the first round trip, want all of it", got)
+	}
+	if got := table.excess(host, after, time.Second); got != after-before {
+		t.Errorf("excess %v at once, want %v", got, after-before)
+	}
+	for uptime := leastPeriod + time.Minute; uptime < 3*leastPeriod; uptime += time.Minute {
+		table.excess(host, after, uptime)
+	}
+	if got := table.excess(host, after, 3*leastPeriod); got != 0 {
+		t.Errorf("excess %v after %v, want none", got, 3*leastPeriod)
+	}
+}
