intake: callers are held off only where enough of their requests arrive

Refused connections cost their callers a retry, and for 10 s the window stayed bounded at 4 and answers closed their connections.

The gate shuts only while 4 requests or more arrive, and the window becomes bounded from 8 on.

--- a/intake/gate.go
+++ b/intake/gate.go
@@ -33,6 +33,8 @@
 	probeInterval = 25 * time.Millisecond
 	// shutRounds is how many measurements in a row have to show a delay: a collection of garbage delays one.
 	shutRounds = 2
+	// minArriving is how many requests have to arrive for what callers send to be the cause of a delay.
+	minArriving = 4
 	// restInterval is the least time between two series of measurements, which cost three calls each.
 	restInterval = 100 * time.Millisecond
 	// maxShut bounds how long callers are held off at a time, so that a delay which has another cause ends no
@@ -217,7 +219,8 @@
 func (g *Gate) decide(now time.Time, delay time.Duration, late bool) {
 	g.mu.Lock()
 	g.delay, g.measuredAt = delay, now
-	shut, tooLong, mayShut := g.shut, now.Sub(g.changedAt) > maxShut, !now.Before(g.heldOpen)
+	shut, tooLong := g.shut, now.Sub(g.changedAt) > maxShut
+	mayShut := !now.Before(g.heldOpen) && g.window.arriving >= minArriving
 	if shut && tooLong {
 		g.heldOpen = now.Add(minOpen)
 	}
--- a/intake/window.go
+++ b/intake/window.go
@@ -14,7 +14,10 @@
 }
 
 const (
-	minWindow    = 4
+	minWindow = 4
+	// minBounded is how many requests have to arrive for a window to be bounded: fewer at once may have arrived by
+	// chance as something else delayed them.
+	minBounded   = 8
 	shrinkFactor = 0.5
 	// shrinkInterval is the least time in which it shrinks again: what was refused has to show first.
 	shrinkInterval = 200 * time.Millisecond
@@ -55,6 +58,9 @@
 	if size == 0 {
 		size = float64(w.arriving)
 	}
+	if w.size == 0 && w.arriving < minBounded {
+		return
+	}
 	w.size, w.fullAt, w.shrunkAt = max(minWindow, shrinkFactor*size), now, now
 }
 
