--- a/entry/body.go
+++ b/entry/body.go
@@ -85,7 +85,7 @@
 	b.read += int64(n)
 	took := time.Since(b.began)
 	b.gate.NoteDelay(took)
-	if err == nil && 2*b.read < b.length && b.gate.Overfull() {
+	if err == nil && 2*b.read < b.length && b.gate.IsOverfull() {
 		return n, errHeldOff
 	}
 	if err == nil && b.length > 0 && took > bodyPaceAfter && float64(took)*float64(b.length) > bodyPaceMargin*float64(b.limit)*float64(b.read) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -175,7 +175,7 @@
 		e.refuse(w, q, refusal, c)
 		return nil, nil, false
 	}
-	if e.board.Leaving() || e.board.Intake.Bounded() {
+	if e.board.Leaving() || e.board.Intake.IsBounded() {
 		w.Header().Set("Connection", "close")
 	}
 	src, refusal := e.receiveBody(w, q, v.Doc.Limits, c.timeLeft)
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -102,17 +102,17 @@
 	return g.window.arriving
 }
 
-// Overfull reports whether more requests arrive than the window has room for, since it has shrunk.
-func (g *Gate) Overfull() bool {
+// IsOverfull reports whether more requests arrive than the window has room for, since it has shrunk.
+func (g *Gate) IsOverfull() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.shut && g.window.isOverfull()
 }
 
-// Bounded reports whether the window is bounded, as callers were held off a short time ago. Answers then close
+// IsBounded reports whether the window is bounded, as callers were held off a short time ago. Answers then close
 // their connections: a request on an open one costs part of its body even if it is refused, and on their way back
 // callers may find another host.
-func (g *Gate) Bounded() bool {
+func (g *Gate) IsBounded() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.window.size > 0
@@ -261,27 +261,3 @@
 		g.Log.Info("callers are admitted again", zap.Duration("delay", delay), zap.Duration("after", lasted))
 	}
 }
-
-// Status is the state of a gate as operators see it.
-type Status struct {
-	Shut        bool    `json:"shut"`
-	DelayMillis float64 `json:"delay_ms"` // of calls to other hosts; 0: none, or not measured recently
-	ShutCount   uint64  `json:"shut_count"`
-	ShutSeconds float64 `json:"shut_s"`  // in total
-	Refused     uint64  `json:"refused"` // requests whose connection was open
-	Window      int     `json:"window"`  // how many requests may arrive at a time; 0: any number
-	Arriving    int     `json:"arriving"`
-}
-
-// Status returns the state shown to operators.
-func (g *Gate) Status(now time.Time) Status {
-	delay := g.Delay(now)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	total := g.shutFor
-	if g.shut {
-		total += now.Sub(g.changedAt)
-	}
-	return Status{Shut: g.shut, DelayMillis: float64(delay) / float64(time.Millisecond), ShutCount: g.shutCount, ShutSeconds: total.Seconds(), Refused: g.refused.Load(),
-		Window: int(g.window.size), Arriving: g.window.arriving}
-}
--- a/intake/window.go
+++ b/intake/window.go
@@ -6,11 +6,11 @@
 // the same moment. It shrinks whenever the gate shuts and grows with each request that has arrived, like the
 // window of a TCP connection. The zero value has no bound.
 type window struct {
-	size      float64 // 0: no bound
-	arriving  int
-	fullAt    time.Time // when it was last full
-	shrunkAt  time.Time
-	wasClosed bool // it was full, and hasn't had room for reopenShare of its size since
+	size     float64 // 0: no bound
+	arriving int
+	fullAt   time.Time // when it was last full
+	shrunkAt time.Time
+	closed   bool // it was full, and hasn't emptied to reopenShare of its size since
 }
 
 const (
@@ -39,14 +39,14 @@
 	}
 	switch {
 	case float64(w.arriving) >= w.size:
-		w.wasClosed, w.fullAt = true, now
+		w.closed, w.fullAt = true, now
 	case float64(w.arriving) <= reopenShare*w.size:
-		w.wasClosed = false
+		w.closed = false
 	}
-	if !w.wasClosed && now.Sub(w.fullAt) > windowExpiry {
+	if !w.closed && now.Sub(w.fullAt) > windowExpiry {
 		w.size = 0
 	}
-	return w.wasClosed
+	return w.closed
 }
 
 // shrink makes the window smaller than what arrives now.
@@ -56,11 +56,11 @@
 	}
 	size := w.size
 	if size == 0 {
+		if w.arriving < minBounded {
+			return
+		}
 		size = float64(w.arriving)
 	}
-	if w.size == 0 && w.arriving < minBounded {
-		return
-	}
 	w.size, w.fullAt, w.shrunkAt = max(minWindow, shrinkFactor*size), now, now
 }
 
--- a/node/admin.go
+++ b/node/admin.go
@@ -66,7 +66,7 @@
 // isOutdatedByLoad reports whether callers are or were just held off, and the configuration may still be out of
 // date. A host that is cut off isn't held up by callers, and goes on serving what it can.
 func (n *Node) isOutdatedByLoad() bool {
-	return n.Board.Intake.Bounded() && n.Board.Config.Outdated(time.Now(), config.FractionMillis(n.settings.ChangeMillis))
+	return n.Board.Intake.IsBounded() && n.Board.Config.Outdated(time.Now(), config.FractionMillis(n.settings.ChangeMillis))
 }
 
 // RequestRow describes a request in progress.
