--- a/intake/listener_test.go
+++ b/intake/listener_test.go
@@ -19,7 +19,6 @@
 	gate    *Gate
 	network *fake.Network
 	client  *http.Client
-	begun   int
 }
 
 const serverAddress = "10.1.0.1:80"
