entry: only the first check of a broken process connects whatever was found before

The first check is the one that decides whether the request is tried again, and the one that the traced plays needed.

--- a/entry/ends.go
+++ b/entry/ends.go
@@ -155,7 +155,9 @@
 // poll checks an endpoint until it is known what became of its process, or for
 // quarantine.PollFor.
 func (s *crashTracker) poll(check *crashCheck) {
-	ctx := context.Background()
+	// The first check connects whatever was found before. If the endpoint is silent, more of that would ask many hosts
+	// for tunnels again and again.
+	ctx := endpoint.WithFreshAttempt(context.Background())
 	first := true
 	for {
 		finding := s.entry.checkProcess(ctx, check)
@@ -171,6 +173,7 @@
 		if over {
 			break
 		}
+		ctx = context.Background()
 		wait.For(ctx, quarantine.NextPoll(since))
 	}
 	if s.findingOf(check) == quarantine.FindingCrashed {
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -263,7 +263,7 @@
 // processEvidence asks an endpoint for its report once. It returns what that shows of a
 // process, and the start time in the report if that is a later process's, else 0.
 func (e *Entry) processEvidence(ctx context.Context, at process) (evidence quarantine.Evidence, started int64) {
-	limited, cancel := context.WithTimeout(endpoint.WithFreshAttempt(ctx), reportTimeout)
+	limited, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	began := time.Now()
 	st, err := e.engine.State(limited, at.address)
