intake: the timer of a place is set under its lock

The race detector reported it: the timer's function read the field that ConnContext wrote after starting the timer. It fires a second later, so no caller could notice. go test -race ./intake passes now, and failed in TestPlaces before.

--- a/intake/arrivals.go
+++ b/intake/arrivals.go
@@ -48,7 +48,9 @@
 // ConnContext is the hook of an http.Server for new connections.
 func (a *Arrivals) ConnContext(ctx context.Context, c net.Conn) context.Context {
 	p := &Place{gate: a.gate, held: true, awaits: true, began: time.Now()}
+	p.mu.Lock()
 	p.expires = time.AfterFunc(idleAfter, p.Release)
+	p.mu.Unlock()
 	a.gate.begin()
 	a.mu.Lock()
 	defer a.mu.Unlock()
