--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -26,6 +27,8 @@
 	// freezeAfter is from the sending of the request to the freeze: longer than the users' window of contact,
 	// so that the lost packet is no excuse any more.
 	freezeAfter = 3200 * time.Millisecond
+	// lookAfter is from the sending of the request until it is known how the host is connected.
+	lookAfter = 500 * time.Millisecond
 	// handOver is how long the earlier runner may still work on a request that goes on elsewhere.
 	handOver = 400 * time.Millisecond
 )
@@ -176,8 +179,8 @@
 }
 
 // stream is a client that reads one stream, event by event.
-func (p *play) stream(address, attempt, mostOut string) (events int, whole bool, err error) {
-	q, err := http.NewRequest(http.MethodPost, "http://"+address+"/answer/1", strings.NewReader("question"))
+func (p *play) stream(ctx context.Context, address, attempt, mostOut string) (events int, whole bool, err error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/answer/1", strings.NewReader("question"))
 	if err != nil {
 		return 0, false, err
 	}
@@ -232,18 +235,25 @@
 		attempt = fmt.Sprintf("stream-%d", i)
 		p.record.logf("client: request %s is sent to %s", attempt, h.name)
 		done := make(chan struct{})
+		ctx, leave := context.WithCancel(context.Background())
+		sent := time.Now()
 		go func() {
 			defer close(done)
-			events, whole, err := p.stream(h.address(portCallers), attempt, strconv.Itoa(streamEvents))
+			events, whole, err := p.stream(ctx, h.address(portCallers), attempt, strconv.Itoa(streamEvents))
 			p.record.logf("client: request %s ends with %d events, whole %v, error %v", attempt, events, whole, err)
 		}()
-		time.Sleep(freezeAfter)
+		time.Sleep(lookAfter)
 		gateway = p.gatewayOf(h, attempt)
-		if gateway != nil && p.trouble {
+		switch {
+		case gateway != nil && p.trouble:
 			p.record.logf("%s is connected by way of %s for request %s", h.name, gateway.name, attempt)
+			time.Sleep(time.Until(sent.Add(freezeAfter)))
 			p.freeze(gateway)
+		case p.trouble:
+			leave() // the packet wasn't lost
 		}
 		<-done
+		leave()
 		if gateway != nil || !p.trouble {
 			break
 		}
--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -274,7 +274,10 @@
 }
 
 // register writes the entry of a runner of the plain service.
-func (f *fleet) register(id, address, zone string) {
-	f.store.put("servers/"+id, map[string]any{"service": "web", "address": address, "zone": zone, "version": "v1", "slots": 6,
+func (f *fleet) register(id, address, zone string) { f.registerAs("web", id, address, zone) }
+
+// registerAs writes the entry of a runner of a service that is no model.
+func (f *fleet) registerAs(service, id, address, zone string) {
+	f.store.put("servers/"+id, map[string]any{"service": service, "address": address, "zone": zone, "version": "v1", "slots": 6,
 		"runnerState": "ready", words["coldField"]: 0, "sequenceNumber": 0})
 }
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -36,6 +36,7 @@
 	"gateway-killed":   playGatewayKilled,
 	"gateway-frozen":   playGatewayFrozen,
 	"unbounded-answer": playUnboundedAnswer,
+	"model-name":       playModelName,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand-2/tunnel.go
+++ b/review/stand-2/tunnel.go
@@ -159,7 +159,12 @@
 
 // get is a client that sends one request for a page and reads the answer.
 func (p *play) get(address, attempt string) (status int, body, signature string, err error) {
-	q, err := http.NewRequest(http.MethodPost, "http://"+address+"/page/1", strings.NewReader("order"))
+	return p.post(address, "/page/1", attempt)
+}
+
+// post is a client that sends one request to a path and reads the answer.
+func (p *play) post(address, path, attempt string) (status int, body, signature string, err error) {
+	q, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("order"))
 	if err != nil {
 		return 0, "", "", err
 	}
--- a/review/stand-2/unbounded.go
+++ b/review/stand-2/unbounded.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -121,7 +122,7 @@
 	for i, h := range []*host{p.fleet.hosts[0], p.fleet.hosts[len(zoneNames)]} {
 		attempt := fmt.Sprintf("stream-%d", i)
 		p.record.logf("client: request %s is sent to %s, with %s tokens out at the most", attempt, h.name, mostOut)
-		events, whole, err := p.stream(h.address(portCallers), attempt, mostOut)
+		events, whole, err := p.stream(context.Background(), h.address(portCallers), attempt, mostOut)
 		p.record.logf("client: request %s ends with %d events, whole %v, error %v", attempt, events, whole, err)
 		if err == nil {
 			break
