--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -20,6 +20,9 @@
 	streamEvents = 170
 	eventStep    = 45 * time.Millisecond
 	prefillTime  = 20 * time.Millisecond
+	// eventTokens is how many tokens an event holds, and streamTokens the most out of a request.
+	eventTokens  = 63
+	streamTokens = streamEvents * eventTokens
 	// capacityTokens is the memory of a model runner.
 	capacityTokens = 89474
 	// frozenFor is the longest freeze of the users' site.
@@ -104,11 +107,11 @@
 	runs := [][]any{}
 	for attempt, run := range m.runs {
 		if run.ended.IsZero() {
-			runs = append(runs, []any{attempt, 1000 + run.lastWrote, run.lastWrote, 2})
+			runs = append(runs, []any{attempt, 1000 + eventTokens*run.lastWrote, run.lastWrote, 2})
 		}
 	}
 	_ = json.NewEncoder(w).Encode(map[string]any{words["stageField"]: m.stage, "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}},
-		"utilization": false, "sequenceNumber": 0, "queuedRequests": 0, "activeRequests": len(runs), "kvUsedTokens": 1000 * len(runs), "kvTotalTokens": capacityTokens,
+		"utilization": false, "sequenceNumber": 0, "queuedRequests": 0, "activeRequests": len(runs), "kvUsedTokens": streamTokens * len(runs), "kvTotalTokens": capacityTokens,
 		"kvHandles": 0, "runnerState": "ready", "runs": runs})
 }
 
@@ -167,7 +170,7 @@
 			"timeoutMs": 14000, "targetLatencyMs": 900, "itlTargetMs": 300, "priority": 1, "maxAttempts": 2, "resumable": true}},
 		"services": []any{pageService(), map[string]any{"name": "llm", "connectionLimit": 360, "healthPath": "/health",
 			"inferenceEngine": map[string]any{"slots": 64, "kvCapacityTokens": capacityTokens, "kvTokenBytes": 18432, "linkBandwidthMbps": 700000, "kvRetentionS": 0.5,
-				"roleSwitchS": 6, "models": []any{map[string]any{"name": "m"}}}}},
+				"stride": eventTokens, "roleSwitchS": 6, "models": []any{map[string]any{"name": "m"}}}}},
 		"limits": limits,
 	})
 }
@@ -239,7 +242,7 @@
 		sent := time.Now()
 		go func() {
 			defer close(done)
-			events, whole, err := p.stream(ctx, h.address(portCallers), attempt, strconv.Itoa(streamEvents))
+			events, whole, err := p.stream(ctx, h.address(portCallers), attempt, strconv.Itoa(streamTokens))
 			p.record.logf("client: request %s ends with %d events, whole %v, error %v", attempt, events, whole, err)
 		}()
 		time.Sleep(lookAfter)
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -32,7 +32,6 @@
 
 // cases are the cases by name.
 var cases = map[string]func(p *play) (broken bool, err error){
-	"slow-upload":      playSlowUpload,
 	"gateway-killed":   playGatewayKilled,
 	"gateway-frozen":   playGatewayFrozen,
 	"unbounded-answer": playUnboundedAnswer,
@@ -98,6 +97,9 @@
 	}()
 }
 
+// settle is how long the deployment runs before the clients come.
+const settle = 6 * time.Second
+
 // start starts the hosts and waits until they are ready and have met each other.
 func (p *play) start() error {
 	if err := p.fleet.startHosts(); err != nil {
--- a/review/stand-2/unbounded.go
+++ b/review/stand-2/unbounded.go
@@ -19,7 +19,7 @@
 	// unboundedTokens is the most out of the request without a bound, and boundedTokens that of an
 	// ordinary one.
 	unboundedTokens = "9223372036854775807"
-	boundedTokens   = "170"
+	boundedTokens   = "10710"
 	// pagesBefore and pagesAfter are how long the others ask before and after the request.
 	pagesBefore = 2 * time.Second
 	pagesAfter  = 3 * time.Second
