review: stand-ins hold back packets for other times on later tries, and take one more name from the list

On a busy machine a host's first packet may come later than 12 ms after the request, so later tries of the cases gateway-killed and gateway-frozen hold it back for 16, 9 and 20 ms.

--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -112,7 +112,7 @@
 	}
 	_ = json.NewEncoder(w).Encode(map[string]any{words["stageField"]: m.stage, "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}},
 		"utilization": false, "sequenceNumber": 0, "queuedRequests": 0, "activeRequests": len(runs), "kvUsedTokens": streamTokens * len(runs), "kvTotalTokens": capacityTokens,
-		"kvHandles": 0, "runnerState": "ready", "runs": runs})
+		words["handlesField"]: 0, "runnerState": "ready", "runs": runs})
 }
 
 func (m *modelRunner) decode(w http.ResponseWriter, q *http.Request, attempt string) {
@@ -229,13 +229,14 @@
 	if err := p.start(); err != nil {
 		return false, err
 	}
+	tries := 0
 	if p.trouble {
-		lose = func(a string) { p.dropAt(listeners) }
+		lose = func(string) { p.dropAt(listeners, heldFor[tries%len(heldFor)]) }
 	}
 	h := p.fleet.hosts[0]
 	var gateway *host
-	for i := range maxTries {
-		attempt = fmt.Sprintf("stream-%d", i)
+	for ; tries < maxTries; tries++ {
+		attempt = fmt.Sprintf("stream-%d", tries)
 		p.record.logf("client: request %s is sent to %s", attempt, h.name)
 		done := make(chan struct{})
 		ctx, leave := context.WithCancel(context.Background())
@@ -268,12 +269,12 @@
 	return p.worksTwice(decodes, attempt), nil
 }
 
-// dropAt drops the opening packets of connections to all of the runners for a moment that begins now.
-func (p *play) dropAt(listeners []*lossyListener) {
+// dropAt drops the opening packets of connections to all of the runners for the time held, from now on.
+func (p *play) dropAt(listeners []*lossyListener, held time.Duration) {
 	ready := make(chan struct{}, len(listeners))
 	for _, l := range listeners {
 		go func() {
-			if err := l.drop(func() { ready <- struct{}{} }); err != nil {
+			if err := l.drop(held, func() { ready <- struct{}{} }); err != nil {
 				p.record.logf("no packet lost: %v", err)
 				ready <- struct{}{}
 			}
--- a/review/stand-2/tunnel.go
+++ b/review/stand-2/tunnel.go
@@ -21,9 +21,6 @@
 const (
 	// halfPause is from the first half of an answer to the second.
 	halfPause = 700 * time.Millisecond
-	// heldFor is how long a runner's queue of new connections stays full, so that one opening packet is
-	// dropped: shorter than a host waits before it asks another one.
-	heldFor = 12 * time.Millisecond
 	// killAfter is from the head of an answer to the kill.
 	killAfter = 200 * time.Millisecond
 	// maxTries is how many requests are sent until one is passed on by another host.
@@ -31,6 +28,11 @@
 	firstHalf, secondHalf = "the first half of the page;", " the second half of the page"
 )
 
+// heldFor is how long a runner's queue of new connections stays full, so that one opening packet is dropped:
+// shorter than a host waits before it asks another one. Later tries hold it for other times, as the host's
+// packet may come later on a busy machine.
+var heldFor = []time.Duration{12 * time.Millisecond, 16 * time.Millisecond, 9 * time.Millisecond, 20 * time.Millisecond}
+
 // lossyListener is a listener that can drop the opening packets of new connections for a moment, as a
 // lossy link does: its queue of new connections is full then.
 type lossyListener struct {
@@ -75,8 +77,8 @@
 	}
 }
 
-// drop drops the opening packets of new connections while f runs, and for heldFor after it.
-func (l *lossyListener) drop(f func()) error {
+// drop drops the opening packets of new connections while f runs, and for the time held after it.
+func (l *lossyListener) drop(held time.Duration, f func()) error {
 	l.accepting.Lock()
 	defer l.accepting.Unlock()
 	filler, err := net.DialTimeout("tcp", l.Addr().String(), time.Second)
@@ -85,7 +87,7 @@
 	}
 	defer filler.Close()
 	f()
-	time.Sleep(heldFor)
+	time.Sleep(held)
 	return nil
 }
 
@@ -196,7 +198,7 @@
 	}
 	h := p.fleet.hosts[0]
 	for i := range maxTries {
-		wrong, viaOther, err := p.tryGateway(h, u, fmt.Sprintf("page-%d", i))
+		wrong, viaOther, err := p.tryGateway(h, u, fmt.Sprintf("page-%d", i), heldFor[i%len(heldFor)])
 		if err != nil || wrong {
 			return wrong, err
 		}
@@ -211,9 +213,9 @@
 	return false, nil
 }
 
-// tryGateway sends one request. With trouble, its first opening packet is lost, and the host that passes
+// tryGateway sends one request. With trouble, opening packets are lost for the time held, and the host that passes
 // it on is killed in the middle of the answer.
-func (p *play) tryGateway(h *host, u *unframedRunner, attempt string) (wrong, viaOther bool, err error) {
+func (p *play) tryGateway(h *host, u *unframedRunner, attempt string, held time.Duration) (wrong, viaOther bool, err error) {
 	type answer struct {
 		status          int
 		body, signature string
@@ -229,7 +231,7 @@
 		}()
 	}
 	if p.trouble {
-		err = u.listener.drop(send)
+		err = u.listener.drop(held, send)
 	} else {
 		send()
 	}
