--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -219,8 +219,9 @@
 		go func() { _ = srv.Serve(l) }()
 		defer srv.Close()
 		decodes, listeners = append(decodes, m), append(listeners, l)
-		p.fleet.registerModel(m, zoneNames[i])
+		p.fleet.registerModel(m, zoneNames[1+i%2]) // the links between zones lose packets
 	}
+	p.fleet.perZone = 4
 	if prefill.address, err = p.fleet.serve(prefill); err != nil {
 		return false, err
 	}
--- a/review/stand-2/tunnel.go
+++ b/review/stand-2/tunnel.go
@@ -191,7 +191,8 @@
 	defer l.Close()
 	u := &unframedRunner{id: "i-web-0", record: p.record, listener: l, began: map[string]time.Time{}}
 	go u.serve()
-	p.fleet.register(u.id, l.Addr().String(), zoneNames[0])
+	p.fleet.register(u.id, l.Addr().String(), zoneNames[1]) // the links between zones lose packets
+	p.fleet.perZone = 4
 	p.fleet.putConfig()
 	if err := p.start(); err != nil {
 		return false, err
