entry: a plain stream that ends within an event has broken off

Callers saw: a 200, framed as whole, whose last event is cut: a plain service streams events without a length, and its connection ends within one of them.

Cause: the end of a body without a length is the close of its connection, which is the same for a service that ends its answer and for one that breaks off. Streams of engines are checked for a whole last event (platform/stream.go); those of plain services were copied as bytes.

Change: the answer says whether its body ends by a close, and a stream that does so within an event is broken off. A body with a length or in chunks is as long as its service says, so it is left as it is.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -213,7 +213,7 @@
 	if res.StatusCode == http.StatusServiceUnavailable {
 		return nil, parseProblem(call.Address, res)
 	}
-	return &Answer{AnswerHead: AnswerHead{Status: res.StatusCode, Header: res.Header}, Length: res.ContentLength, Body: BoundBody(res.Body, res.ContentLength)}, nil
+	return NewAnswer(res), nil
 }
 
 // controlCall gets or posts a small JSON document.
--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -89,7 +89,15 @@
 type Answer struct {
 	AnswerHead
 	Length int64 // -1: unknown
-	Body   io.ReadCloser
+	// EndsByClose tells that the body ends where the endpoint closes its connection, as it does too if the endpoint breaks off.
+	EndsByClose bool
+	Body        io.ReadCloser
+}
+
+// NewAnswer returns the answer in a response.
+func NewAnswer(res *http.Response) *Answer {
+	return &Answer{AnswerHead: AnswerHead{Status: res.StatusCode, Header: res.Header}, Length: res.ContentLength,
+		EndsByClose: res.ContentLength < 0 && len(res.TransferEncoding) == 0, Body: BoundBody(res.Body, res.ContentLength)}
 }
 
 // Stream is a streamed answer.
--- a/entry/buffer.go
+++ b/entry/buffer.go
@@ -47,11 +47,14 @@
 // pieceSize is how much of a stream is forwarded at once, in bytes.
 const pieceSize = 4 << 10
 
-// streamBody writes a stream of events to a caller, each piece as it comes.
-func streamBody(w io.Writer, flush func() error, body io.Reader) error {
+// streamBody writes a stream of events to a caller, each piece as it comes. A stream that ends by the close of its connection
+// has broken off if it ends within an event.
+func streamBody(w io.Writer, flush func() error, ans *endpoint.Answer) error {
+	var events eventBoundary
 	piece := make([]byte, pieceSize)
 	for {
-		n, err := body.Read(piece)
+		n, err := ans.Body.Read(piece)
+		events.advance(piece[:n])
 		if n > 0 {
 			if _, werr := w.Write(piece[:n]); werr != nil {
 				return werr
@@ -60,7 +63,10 @@
 				return ferr
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if err == io.EOF && ans.EndsByClose && events.isWithinEvent() {
+			return io.ErrUnexpectedEOF
+		}
+		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
@@ -69,6 +75,32 @@
 	}
 }
 
+// eventBoundary tells where in a stream of server-sent events the bytes so far end. The zero value is the start of a stream.
+type eventBoundary struct {
+	hasField  bool // the event has a line that isn't a comment
+	inLine    bool // the line has begun
+	isComment bool // the line is a comment
+}
+
+// advance continues with the next bytes of the stream.
+func (b *eventBoundary) advance(piece []byte) {
+	for _, c := range piece {
+		switch {
+		case c == '\r':
+		case c == '\n' && !b.inLine:
+			b.hasField = false
+		case c == '\n':
+			b.hasField = b.hasField || !b.isComment
+			b.inLine = false
+		case !b.inLine:
+			b.inLine, b.isComment = true, c == ':'
+		}
+	}
+}
+
+// isWithinEvent reports whether an event has begun and not ended.
+func (b *eventBoundary) isWithinEvent() bool { return b.hasField || b.inLine && !b.isComment }
+
 // bufferedBody is a body whose beginning was read ahead.
 type bufferedBody struct {
 	io.Reader
--- /dev/null
+++ b/entry/buffer_test.go
@@ -0,0 +1,36 @@
+package entry
+
+import "testing"
+
+// TestEventBoundary guards against streams that end within an event and count as whole.
+func TestEventBoundary(t *testing.T) {
+	cases := []struct {
+		stream string
+		within bool
+	}{
+		{"", false},
+		{"\n", false},
+		{"id: 1", true},
+		{"id: 1\n", true},
+		{"id: 1\ndata: x\n", true},
+		{"id: 1\ndata: x\n\n", false},
+		{"id: 1\r\ndata: x\r\n\r\n", false},
+		{"id: 1\r\ndata: x\r\n\r", true},
+		{": a comment", false},
+		{": a comment\n", false},
+		{"id: 1\n: a comment\n", true},
+		{"id: 1\n\n: a comment\nid: 2", true},
+		{"id: 1\n\nid: 2\n\n", false},
+	}
+	for _, tc := range cases {
+		for size := 1; size <= len(tc.stream)+1; size++ {
+			var b eventBoundary
+			for rest := tc.stream; rest != ""; rest = rest[min(size, len(rest)):] {
+				b.advance([]byte(rest[:min(size, len(rest))]))
+			}
+			if b.isWithinEvent() != tc.within {
+				t.Errorf("%q in pieces of %d: within an event %v, want %v", tc.stream, size, b.isWithinEvent(), tc.within)
+			}
+		}
+	}
+}
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -88,7 +88,7 @@
 	}
 	p.sendHead(&a.AnswerHead)
 	if isEventStream(a) {
-		return streamBody(p.w, p.controller.Flush, a.Body)
+		return streamBody(p.w, p.controller.Flush, a)
 	}
 	return copyBody(p.w, a.Body)
 }
