tunnel: the end of a gateway without frames isn't that of an answer

Cause: a host that gets no frames read the gateway's bytes as they are, and took their end for that of the endpoint.

Evidence: TestEndOverOlderGateways asks for a tunnel without frames and ends the endpoint or the gateway; before, both read as a clean end.

Change: over such a gateway each end counts as one that broke off. Answers that state a length or come in chunks are whole before it, so these still pass.

--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -36,9 +36,9 @@
 	}
 	tunnel.KeepAlive(conn)
 	if reply.Framed {
-		opened = tunnel.NewFramedConn(opened)
+		return tunnel.NewFramedConn(opened), reply, nil
 	}
-	return opened, reply, nil
+	return tunnel.NewUnframedConn(opened), reply, nil
 }
 
 // requestTunnel makes the call that begins a tunnel, and returns the connection for the bytes after
--- a/peer/tunnel_test.go
+++ b/peer/tunnel_test.go
@@ -212,6 +212,36 @@
 	}
 }
 
+// TestEndOverOlderGateways guards against answers that end with a gateway's process and look whole, by way of a host of a version
+// that knows no frames.
+func TestEndOverOlderGateways(t *testing.T) {
+	const text = "half of an answer"
+	for _, ends := range []string{"endpoint", "gateway"} {
+		e := newTunnelEnds(t)
+		near, reply, err := e.asking.OpenTunnel(context.Background(), e.gateway, tunnel.Request{From: e.asking.board.Number, Address: e.endpoint.Addr().String()})
+		if err != nil || reply.Code != tunnel.Opened {
+			t.Fatalf("no tunnel: %v, %v", reply.Code, err)
+		}
+		defer near.Close()
+		far, err := e.endpoint.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer far.Close()
+		far.Write([]byte(text))
+		got := make([]byte, len(text))
+		io.ReadFull(near, got)
+		if ends == "gateway" {
+			e.stop()
+		} else {
+			far.Close()
+		}
+		if n, err := near.Read(make([]byte, 1)); err == nil || err == io.EOF || string(got) != text {
+			t.Errorf("the %s ends: got %q, then %d bytes, %v, want a broken connection", ends, got, n, err)
+		}
+	}
+}
+
 // TestTunnelBesideCalls makes an ordinary call to a host that passes on connections.
 func TestTunnelBesideCalls(t *testing.T) {
 	e := newTunnelEnds(t)
--- a/tunnel/frame.go
+++ b/tunnel/frame.go
@@ -46,6 +46,19 @@
 	return n, unexpected(err)
 }
 
+// unframedConn is the connection of a host over a gateway of a version that knows no frames.
+type unframedConn struct{ net.Conn }
+
+// NewUnframedConn returns the connection of a host over a gateway that passes on bytes as they are. Its end tells nothing of
+// the endpoint's, so an answer over it is whole only if it states its length.
+func NewUnframedConn(conn net.Conn) net.Conn { return &unframedConn{conn} }
+
+// Read implements net.Conn. It returns io.ErrUnexpectedEOF at the end of the connection.
+func (c *unframedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	return n, unexpected(err)
+}
+
 func (c *framedConn) readHeader() error {
 	var header [frameHeader]byte
 	if _, err := io.ReadFull(c.Conn, header[:]); err != nil {
