owner, request, route: numbers in the messages of other hosts are bounded

Callers would see: requests of others lost as the hosts that schedule engines end, one after the other.

The owner, which computes with it and where nothing recovers a panic, trusted the message. A time of many years made a timeline of as many steps.

Evidence: TestExtremeMessagesEndNoProcess sets each number of each message between hosts to extremes, alone and together, at engines of each kind. Before: "makeslice: len out of range" for MaxAnswer at two kinds of engine, and "out of memory: cannot allocate-byte block" for InMillis and Slack of 2^40 ms. Now no message of the 24 methods panics.

Change: messages are bounded where they arrive: tokens to 2^24, reservations to ten minutes ahead, which is the longest target of a document. LinkTime no longer depends on how a processor converts a float that doesn't fit.

--- a/entry/call.go
+++ b/entry/call.go
@@ -165,8 +165,8 @@
 	j.pool = share.Pool.Name
 	j.prompted = share.Pool.HasEngines()
 	if p := c.Prompt; p != nil && j.prompted {
-		j.tokens, j.expected = clampTokens(p.Tokens), min(p.Expected, maxTokens)
-		j.work.Model, j.work.MaxTokens = p.Model, clampTokens(p.MaxAnswer)
+		j.tokens, j.expected = max(1, request.BoundTokens(p.Tokens)), request.BoundTokens(p.Expected)
+		j.work.Model, j.work.MaxTokens = p.Model, max(1, request.BoundTokens(p.MaxAnswer))
 		j.criteria.Model, j.criteria.Tokens, j.criteria.MaxAnswer = p.Model, j.tokens, j.work.MaxTokens
 		j.criteria.Head, j.criteria.HasHead = p.Head, p.HasHead
 		j.setParts(c.Origin.Host, p.Parts)
@@ -194,9 +194,3 @@
 	j.pool = share.Pool.Name
 	return fleet.Group(r, j.pool)
 }
-
-// maxTokens bounds what a request says of its tokens, far above the memory of any engine: forecasts multiply them with times.
-const maxTokens = 1 << 24
-
-// clampTokens returns a number of tokens that a request states, from 1 to maxTokens.
-func clampTokens(n int) int { return min(max(1, n), maxTokens) }
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -105,6 +105,7 @@
 		return
 	}
 	for _, r := range h.Rows {
+		r = r.bounded()
 		req := ledger.Request{Attempt: r.Attempt, Team: r.Team, Tokens: r.Tokens - r.MaxAnswer, MaxAnswer: r.MaxAnswer, Expected: r.Expected, IDHash: r.Mark}
 		s.ledger.Accept(ledger.Row{Request: req, Start: now.Add(duration(r.Start)), TransferEnd: now.Add(duration(r.Moved)), Lease: now.Add(duration(r.Lease)), Seen: r.Seen})
 	}
--- a/owner/messages.go
+++ b/owner/messages.go
@@ -124,4 +124,8 @@
 	return int((d + time.Millisecond - 1) / time.Millisecond)
 }
 
-func duration(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+// duration converts a time in ms, which may lie in the past.
+func duration(ms int) time.Duration {
+	limit := int(maxSpan.Milliseconds())
+	return time.Duration(min(max(-limit, ms), limit)) * time.Millisecond
+}
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -11,6 +11,7 @@
 // Reserve handles a ReserveArgs from this or another host.
 func (o *Owner) Reserve(ctx context.Context, a ReserveArgs) (ReserveReply, error) {
 	o.board.Pause.Check()
+	a = a.bounded()
 	sched, err := o.scheduler(ctx, a.Endpoint)
 	if err != nil {
 		return ReserveReply{}, err
@@ -41,6 +42,7 @@
 // for the request, or as soon as it is clear that it won't be in time.
 func (o *Owner) Enqueue(ctx context.Context, a EnqueueArgs) (EnqueueReply, error) {
 	o.board.Pause.Check()
+	a = a.bounded()
 	sched, err := o.scheduler(ctx, a.Endpoint)
 	if err != nil {
 		return EnqueueReply{}, err
@@ -116,6 +118,7 @@
 func (o *Owner) Release(rs []Release) {
 	now := time.Now()
 	for _, r := range rs {
+		r = r.bounded()
 		o.mu.Lock()
 		sched := o.schedulers[r.Endpoint]
 		o.mu.Unlock()
--- a/route/state.go
+++ b/route/state.go
@@ -239,7 +239,11 @@
 	return max(1, min(n, e.Slots))
 }
 
+// maxLinkTime bounds the forecast of a transfer.
+const maxLinkTime = 24 * time.Hour
+
 // LinkTime returns the time to send bytes over the link into the endpoint.
 func LinkTime(e *config.Endpoint, bytes int64) time.Duration {
-	return time.Duration(float64(bytes) / float64(e.LinkBytesPerSecond) * float64(time.Second))
+	seconds := float64(bytes) / float64(max(1, e.LinkBytesPerSecond))
+	return time.Duration(min(seconds, maxLinkTime.Seconds()) * float64(time.Second))
 }
