config, entry: the host of a route is compared as a host name

Callers saw: 404 no_route for each request on a route whose host the operator wrote in capitals or with a port, though the version that adds it is in force.

Change: HostName has moved to config and is used for both.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -151,3 +151,22 @@
 		}
 	}
 }
+
+// TestRoutesByHost guards against routes that no request matches because their host is written in capitals or with a port.
+func TestRoutesByHost(t *testing.T) {
+	v := &View{Doc: &Document{Domains: []Domain{{Name: "a", Region: "r"}}, Pools: []Pool{{Name: "web"}}}}
+	for _, host := range []string{"plain.example", "Capitals.Example", "port.example:8144", "[2001:DB8::1]:80"} {
+		v.Doc.Routes = append(v.Doc.Routes, Route{Name: host, Host: host, PathPrefix: "/a/", Pools: []PoolShare{{"web", 1}}})
+	}
+	v.index()
+	for asked, want := range map[string]string{"plain.example": "plain.example", "PLAIN.example:80": "plain.example", "capitals.example": "Capitals.Example",
+		"port.example": "port.example:8144", "port.example:8144": "port.example:8144", "[2001:db8::1]:80": "[2001:DB8::1]:80", "other.example": ""} {
+		got := ""
+		if r := v.RouteFor(HostName(asked), "/a/x"); r != nil {
+			got = r.Name
+		}
+		if got != want {
+			t.Errorf("a request to %q goes by route %q, want %q", asked, got, want)
+		}
+	}
+}
--- a/config/view.go
+++ b/config/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"net"
 	"slices"
 	"strings"
 
@@ -99,7 +100,7 @@
 		v.Routes[i] = v.routeView(&d.Routes[i])
 		v.byName[d.Routes[i].Name] = &v.Routes[i]
 		if d.Routes[i].PathPrefix != "" {
-			v.byPath[d.Routes[i].Host+d.Routes[i].PathPrefix] = &v.Routes[i]
+			v.byPath[HostName(d.Routes[i].Host)+d.Routes[i].PathPrefix] = &v.Routes[i]
 		}
 	}
 	v.layout = &layout{d.Pools, d.Domains, d.Endpoints}
@@ -161,7 +162,15 @@
 // RouteByName returns the named route, or nil.
 func (v *View) RouteByName(name string) *RouteView { return v.byName[name] }
 
-// RouteFor returns the route of a host with the longest matching path prefix, or nil.
+// HostName returns a Host header, or the host of a route, without its port and in lower case.
+func HostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// RouteFor returns the route of a host, as HostName returns it, with the longest matching path prefix, or nil.
 func (v *View) RouteFor(host, path string) *RouteView {
 	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
 		if r := v.byPath[host+path[:end+1]]; r != nil {
--- a/entry/call.go
+++ b/entry/call.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,7 +53,7 @@
 	if c.TimeLeft > 0 {
 		c.TimeLeft = max(minTimeLeft, c.TimeLeft-clock.Now().Sub(received))
 	}
-	r := v.RouteFor(hostName(q.Host), q.URL.Path)
+	r := v.RouteFor(config.HostName(q.Host), q.URL.Path)
 	if r == nil {
 		e.refuse(w, q, result.Errorf(result.NoRoute, "no route of host %q matches path %q", q.Host, q.URL.Path), from)
 		return
@@ -137,14 +135,6 @@
 // typicalBatch is how many answers an engine is assumed to decode at once.
 const typicalBatch = 10
 
-// hostName returns a Host header without its port, in lower case.
-func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	return strings.ToLower(host)
-}
-
 // newCallJob makes a job of a call.
 func (e *Entry) newCallJob(v *config.View, r *config.RouteView, team *config.Team, c *Call) *job {
 	hd := headers{team: team, priority: teamPriority(team, r), deadline: c.TimeLeft, repeatable: r.Repeatable()}
--- a/entry/job.go
+++ b/entry/job.go
@@ -156,7 +156,7 @@
 
 // setFingerprint sets the fingerprint of the job's request.
 func (j *job) setFingerprint(q *http.Request, body []byte) {
-	j.fingerprint = request.FingerprintOf(j.team.Name, hostName(q.Host), q.Method, q.URL.RequestURI(), body)
+	j.fingerprint = request.FingerprintOf(j.team.Name, config.HostName(q.Host), q.Method, q.URL.RequestURI(), body)
 }
 
 // execute takes a job from its row in the request table to its result.
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/clock"
+	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/quarantine"
 	"github.com/embercove/embercove/request"
 )
@@ -14,7 +15,7 @@
 // is known of a part holds for one team, host name and pool: a caller can't have the parts of others refused.
 func (j *job) setParts(host string, names []string) {
 	for _, name := range names[:min(len(names), quarantine.MaxParts)] {
-		key := request.FingerprintOf(j.team.Name, hostName(host), j.pool, "part", []byte(name))
+		key := request.FingerprintOf(j.team.Name, config.HostName(host), j.pool, "part", []byte(name))
 		j.parts = append(j.parts, quarantine.Part{Key: key, Name: name[:min(len(name), maxPartName)]})
 	}
 }
--- a/entry/version.go
+++ b/entry/version.go
@@ -44,7 +44,7 @@
 
 // answerID identifies the answer that an attempt of a caller began, on all hosts.
 func (j *job) answerID(attempt string) request.Fingerprint {
-	return request.FingerprintOf(j.team.Name, hostName(j.work.Origin.Host), "", "", []byte(attempt))
+	return request.FingerprintOf(j.team.Name, config.HostName(j.work.Origin.Host), "", "", []byte(attempt))
 }
 
 // bindTakenUp binds a job whose caller takes up an answer to the software version that began it. It returns the
