config, platform: one odd row of a version keeps no other row out of force

Callers saw: the old service runs the requests of a moved route, and 404 refuses an added one, on all hosts and for good, once the operator's version holds something that this system has no place for: a tenant named "Dómaskrá Samfélagsins", a weight of 20,000, a retention of 15 minutes, an engine of 20 million tokens, a region that the settings don't name, a number of another type.

The store has accepted a version, so it is in force for the operator; the document that it was translated to was still accepted or rejected as a whole, by ranges that the operator can't know.

Change: numbers are brought into their ranges (Document.Fit), rows that stay invalid are left out and named in the log ("published item left out"), and a request that such a row may allow gets 503 config_partial (320), never 404. A version without odd rows is translated to the same bytes as before. If a team is left out, callers still need a key.

--- a/config/document.go
+++ b/config/document.go
@@ -19,6 +19,17 @@
 	Weights   Weights    `json:"weights"`
 	Limits    Limits     `json:"limits"`
 	Policy    Policy     `json:"policy"`
+	// Omitted counts the rows that the platform has accepted and this document can't hold.
+	Omitted Omitted `json:"omitted,omitzero"`
+}
+
+// Omitted counts the rows of each list that were left out of a document.
+type Omitted struct {
+	Models    int `json:"models,omitempty"`
+	Pools     int `json:"pools,omitempty"`
+	Endpoints int `json:"endpoints,omitempty"`
+	Routes    int `json:"routes,omitempty"`
+	Teams     int `json:"teams,omitempty"`
 }
 
 // Domain is a failure domain and its region.
--- a/config/region.go
+++ b/config/region.go
@@ -74,18 +74,40 @@
 }
 
 // regions checks the region names of a route or a team.
-func (c *checker) regions(field string, names []string, known []Domain) {
+func (c *checker) regions(field string, list *[]string, known []Domain) {
+	c.dropUnknownRegions(field, list, known)
 	seen := map[string]bool{}
-	for i, name := range names {
+	for i, name := range *list {
 		f := index(field, i)
 		c.unique(seen, f, name)
-		if slices.ContainsFunc(known, func(d Domain) bool { return d.Region == name }) {
+		if isRegion(name, known) {
 			continue
 		}
 		c.fail(f, strconv.Quote(name), "is no region of failure_domains"+suggestRegion(name, known))
 	}
 }
 
+// isRegion reports whether a failure domain is in the named region.
+func isRegion(name string, known []Domain) bool {
+	return slices.ContainsFunc(known, func(d Domain) bool { return d.Region == name })
+}
+
+// dropUnknownRegions leaves out the unknown regions of a row that is fitted, and those that repeat. If none is left, all stay, as
+// no region would mean any.
+func (c *checker) dropUnknownRegions(field string, list *[]string, known []Domain) {
+	var kept []string
+	for _, name := range *list {
+		if isRegion(name, known) && !slices.Contains(kept, name) {
+			kept = append(kept, name)
+		}
+	}
+	if !c.fits || len(kept) == 0 || len(kept) == len(*list) {
+		return
+	}
+	c.adjusted = append(c.adjusted, &FieldError{Field: field, Value: fmt.Sprint(*list), Cause: "names a region twice, or one of no failure domain"})
+	*list = kept
+}
+
 // suggestRegion returns a hint at the region whose name is most similar to a mistyped one, or "".
 func suggestRegion(name string, known []Domain) string {
 	var names []string
--- a/config/team.go
+++ b/config/team.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"strconv"
 )
 
@@ -70,8 +71,8 @@
 	}
 }
 
-// HasKeys reports whether any team has keys, so that callers need one.
-func (v *View) HasKeys() bool { return len(v.teamByKey) > 0 }
+// HasKeys reports whether any team has keys, so that callers need one. A team that was left out of the document may have some.
+func (v *View) HasKeys() bool { return len(v.teamByKey) > 0 || v.Doc.Omitted.Teams > 0 }
 
 // TeamOfKey returns the team that holds a key, or nil.
 func (v *View) TeamOfKey(key string) *Team { return v.teamByKey[sha256.Sum256([]byte(key))] }
@@ -84,23 +85,25 @@
 
 func (c *checker) teams(rows []Team, domains []Domain) {
 	seen, holders := map[string]bool{}, map[string]string{}
-	for i, r := range rows {
+	for i := range rows {
+		r := &rows[i]
 		f := index("teams", i)
-		c.name(f+".name", r.Name)
+		c.text(f+".name", r.Name)
 		c.unique(seen, f+".name", r.Name)
-		c.within(f+".weight", float64(r.Weight), 1, 1e6)
-		c.within(f+".max_concurrent", float64(r.MaxConcurrent), 0, 1e6)
+		within(c, f+".weight", &r.Weight, 1, 1e6)
+		within(c, f+".max_concurrent", &r.MaxConcurrent, 0, 1e6)
 		if r.Priority != nil {
-			c.within(f+".priority", float64(*r.Priority), 0, 9)
+			within(c, f+".priority", r.Priority, 0, 9)
 		}
-		c.regions(f+".regions", r.Regions, domains)
+		c.regions(f+".regions", &r.Regions, domains)
 		c.keys(holders, f+".keys_sha256", r)
-		c.quota(f+".quota", r.Quota)
+		c.quota(f+".quota", &r.Quota)
 	}
 }
 
 // keys checks a team's keys. holders maps the keys checked so far to their teams.
-func (c *checker) keys(holders map[string]string, field string, t Team) {
+func (c *checker) keys(holders map[string]string, field string, t *Team) {
+	c.dropTakenKeys(holders, field, t)
 	for i, key := range t.KeysSHA256 {
 		f := index(field, i)
 		b, err := hex.DecodeString(key)
@@ -116,11 +119,26 @@
 	}
 }
 
-func (c *checker) quota(field string, q Quota) {
+// dropTakenKeys leaves out the keys of a team that is fitted which another one holds already.
+func (c *checker) dropTakenKeys(holders map[string]string, field string, t *Team) {
+	if !c.fits {
+		return
+	}
+	t.KeysSHA256 = slices.DeleteFunc(t.KeysSHA256, func(key string) bool {
+		b, _ := hex.DecodeString(key)
+		holder, taken := holders[string(b)]
+		if taken {
+			c.adjusted = append(c.adjusted, &FieldError{Field: field, Value: strconv.Quote(key), Cause: "is a key of team " + holder + " already"})
+		}
+		return taken
+	})
+}
+
+func (c *checker) quota(field string, q *Quota) {
 	c.oneOf(field+".unit", string(q.Unit), "", string(QuotaRequests), string(QuotaTokens))
-	c.within(field+".rate", q.Rate, 0, 1e12)
-	c.within(field+".burst", q.Burst, 0, 1e12)
-	c.within(field+".plain_tokens", float64(q.PlainTokens), 0, maxRequestTokens)
+	within(c, field+".rate", &q.Rate, 0, 1e12)
+	within(c, field+".burst", &q.Burst, 0, 1e12)
+	within(c, field+".plain_tokens", &q.PlainTokens, 0, maxRequestTokens)
 	if q.Rate == 0 && q.Burst > 0 {
 		c.fail(field+".burst", fmt.Sprint(q.Burst), "needs a rate")
 	}
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -13,7 +13,7 @@
 // refuse answers a call that never became a job. Its key, if it has one, was not looked up,
 // so an earlier attempt may have run.
 func (e *Entry) refuse(w http.ResponseWriter, q *http.Request, err *result.Error, c caller) {
-	err = e.orOutdated(err)
+	err = e.orUncertain(err)
 	err.Unsure = q.Header.Get(HeaderKey) != ""
 	e.board.Requests.CountRefused(err.Code)
 	e.recorder.Record(report.Outcome{Code: err.Code, Team: unknownTeam}, time.Now())
--- a/result/result.go
+++ b/result/result.go
@@ -54,6 +54,7 @@
 	VersionGone     Code = 317
 	ConfigOutdated  Code = 318
 	HostOverloaded  Code = 319
+	ConfigPartial   Code = 320
 	OutcomeUnknown  Code = 400
 	AnswerBroken    Code = 401
 	CallerGone      Code = 402
@@ -113,6 +114,7 @@
 	{VersionGone, "version_gone", 503, true, false, "No endpoint runs the software version that began this answer any more.", "Look at software in embercove status; keep endpoints of a version until its answers are over."},
 	{ConfigOutdated, "config_outdated", 503, true, true, "This host's configuration may be out of date, so it can't tell whether the request is allowed.", "Look at platform_silent_s and intake in embercove status of the host: it is cut off, or overloaded."},
 	{HostOverloaded, "host_overloaded", 503, true, true, "Callers send this host more than its link or processor carries.", "Look at intake in embercove status: add hosts, or find out why the load balancer prefers this one."},
+	{ConfigPartial, "config_partial", 503, true, true, "A part of the configuration that may allow the request can't be read by this host.", "Look for published item left out in the host's log: it names the field and the cause. Publish a version that mends it."},
 	{OutcomeUnknown, "outcome_unknown", 502, false, false, "The request may have run; its answer is not known.", "Look for hosts or endpoints that crashed."},
 	{AnswerBroken, "answer_broken", 502, false, true, "The answer broke off and could not be resumed.", "Look for endpoints that crashed."},
 	{CallerGone, "caller_gone", 499, false, false, "The caller left before its answer was complete.", "Nothing."},
