config: a deeply nested document is rejected before it is parsed

Operators of a like system saw machines that end again and again for one odd entry, deeply nested. Here a published document of the project's own protocol does that: all hosts read it, end, and read it again when they start. Settings of a process do the same.

Cause: a document that isn't plain JSON goes to the parser of JSON with comments, which recurses. A document of a megabyte, the most that the platform holds, overflows the stack, and Go can't recover from that.

Change: the nesting is counted first, outside texts and comments. Plain JSON is bounded by the standard library at 10,000.

--- a/config/parse.go
+++ b/config/parse.go
@@ -89,6 +89,9 @@
 	if json.Valid(src) {
 		return src, nil
 	}
+	if isNestedDeeper(src, maxNesting) {
+		return nil, errors.Errorf("nested more than %d deep", maxNesting)
+	}
 	return hujson.Standardize(append([]byte(nil), src...))
 }
 
