--- a/config/check_fleet.go
+++ b/config/check_fleet.go
@@ -11,8 +11,8 @@
 	for i := range rows {
 		r := &rows[i]
 		f := index("failure_domains", i)
-		c.name(f+".name", r.Name)
-		c.name(f+".region", r.Region)
+		c.text(f+".name", r.Name)
+		c.text(f+".region", r.Region)
 		c.unique(seen, f+".name", r.Name)
 		within(c, f+".link_bytes_per_second", &r.LinkBytesPerSecond, 0, 1e15)
 	}
--- a/config/roster.go
+++ b/config/roster.go
@@ -112,9 +112,9 @@
 // provides them.
 func CheckRegistered(e *Endpoint) error {
 	var c checker
-	c.name("name", e.Name)
-	c.address("address", e.Address)
-	c.name("failure_domain", e.Domain)
+	c.text("name", e.Name)
+	c.peerAddress("address", e.Address)
+	c.text("failure_domain", e.Domain)
 	c.text("pool", e.Pool)
 	c.oneOf("role", string(e.Role), string(Prefill), string(Decode), string(Service))
 	if len(c.errs) > 0 {
--- a/config/settings.go
+++ b/config/settings.go
@@ -153,9 +153,9 @@
 // Check returns all errors in s.
 func (s *Settings) Check() FieldErrors {
 	c := new(checker)
-	c.name("host", s.Host)
-	c.name("failure_domain", s.Domain)
-	c.name("region", s.Region)
+	c.text("host", s.Host)
+	c.text("failure_domain", s.Domain)
+	c.text("region", s.Region)
 	c.address("callers_address", s.Callers)
 	c.address("peers_address", s.Peers)
 	if s.PeersAnnounced != "" {
@@ -184,8 +184,8 @@
 	within(c, "stall_ms", &s.StallMillis, 10, 60_000)
 	c.oneOf("protocol", s.Protocol, ProtocolOwn, ProtocolPlatform)
 	for i, d := range s.Domains {
-		c.name(index("failure_domains", i)+".name", d.Name)
-		c.name(index("failure_domains", i)+".region", d.Region)
+		c.text(index("failure_domains", i)+".name", d.Name)
+		c.text(index("failure_domains", i)+".region", d.Region)
 	}
 	within(c, "retry_budget.share", &s.RetryBudget.Share, 0, 100)
 	within(c, "retry_budget.window_s", &s.RetryBudget.Seconds, 0, 3600)
