entry: answers on streaming routes of plain services go on as they come

Callers saw: a stream on a route that the operator marks as streaming comes all at once at its end, or its caller leaves after its longest gap, if the service gives no Content-Type, one of lines of JSON or one with a broken parameter.

Cause: what an answer is was read from its head alone. The route says it.

Change: an answer is forwarded piece by piece if its route streams or its head says events. On other routes it is held up to 64 KB as before, so that one that breaks off can be asked for again.

--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -91,6 +91,7 @@
 	Length int64 // -1: unknown
 	// EndsByClose tells that the body ends where the endpoint closes its connection, as it does too if the endpoint breaks off.
 	EndsByClose bool
+	Streams     bool // each piece is forwarded as it comes
 	Body        io.ReadCloser
 }
 
--- a/entry/buffer.go
+++ b/entry/buffer.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"io"
-	"mime"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -25,9 +25,9 @@
 	return nil
 }
 
-// readAhead reads what is held of an answer before it is forwarded: of a stream of events only what comes first.
+// readAhead reads what is held of an answer before it is forwarded: of a stream only what comes first.
 func readAhead(ans *endpoint.Answer) ([]byte, error) {
-	if !isEventStream(ans) {
+	if !ans.Streams {
 		return io.ReadAll(io.LimitReader(ans.Body, maxBuffered))
 	}
 	head := make([]byte, pieceSize)
@@ -38,17 +38,17 @@
 	return head[:n], err
 }
 
-// isEventStream reports whether an answer is a stream of events, each of which is forwarded as it comes.
+// isEventStream reports whether an answer is a stream of server-sent events by its head.
 func isEventStream(ans *endpoint.Answer) bool {
-	kind, _, err := mime.ParseMediaType(ans.Header.Get("Content-Type"))
-	return err == nil && kind == "text/event-stream"
+	kind, _, _ := strings.Cut(ans.Header.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
 }
 
 // pieceSize is how much of a stream is forwarded at once, in bytes.
 const pieceSize = 4 << 10
 
-// streamBody writes a stream of events to a caller, each piece as it comes. A stream that ends by the close of its connection
-// has broken off if it ends within an event.
+// streamBody writes a stream to a caller, each piece as it comes. A stream of events that ends by the close of its connection has
+// broken off if it ends within one.
 func streamBody(w io.Writer, flush func() error, ans *endpoint.Answer) error {
 	var events eventBoundary
 	piece := make([]byte, pieceSize)
@@ -63,7 +63,7 @@
 				return ferr
 			}
 		}
-		if err == io.EOF && ans.EndsByClose && events.isWithinEvent() {
+		if err == io.EOF && ans.EndsByClose && isEventStream(ans) && events.isWithinEvent() {
 			return io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -87,7 +87,7 @@
 		p.w.Header().Set("Content-Length", itoa(a.Length))
 	}
 	p.sendHead(&a.AnswerHead)
-	if isEventStream(a) {
+	if a.Streams {
 		return streamBody(p.w, p.controller.Flush, a)
 	}
 	return copyBody(p.w, a.Body)
--- a/entry/service.go
+++ b/entry/service.go
@@ -211,6 +211,7 @@
 		}
 		return err
 	}
+	ans.Streams = j.route.Streams || isEventStream(ans)
 	if err := bufferBody(ans); err != nil {
 		ans.Body.Close()
 		return &endpoint.CallError{Address: spec.Address, Status: ans.Status, MayHaveRun: true, Cause: err}
