peer: a host that lacks a descriptor for a connection serves on

Callers would see: all requests in progress at a host lost, as its process ends when it has no descriptor or no memory for one more connection of another host.

The servers for callers try again, as net/http does.

Change: the listener tries again after 5 ms to 1 s, and logs it, unless it is closed.

--- a/peer/server.go
+++ b/peer/server.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
+	"github.com/embercove/embercove/internal/wait"
 	"github.com/embercove/embercove/owner"
 	"github.com/embercove/embercove/request"
 )
@@ -123,7 +125,7 @@
 	})
 	defer stop()
 	for {
-		c, err := l.Accept()
+		c, err := r.accept(ctx, l)
 		if err != nil {
 			wg.Wait()
 			if ctx.Err() != nil {
@@ -148,6 +150,24 @@
 	}
 }
 
+// Pauses after a connection that couldn't be accepted, which double up to the longest.
+const (
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
+// accept accepts a connection. A process that lacks descriptors or memory for one tries again: its requests in progress free some.
+func (r *Router) accept(ctx context.Context, l net.Listener) (net.Conn, error) {
+	for pause := minAcceptPause; ; pause = min(2*pause, maxAcceptPause) {
+		c, err := l.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return c, err
+		}
+		r.log.Warn("a host's connection can't be accepted", zap.Error(err))
+		wait.For(ctx, pause)
+	}
+}
+
 // serveConn answers the calls on a connection. If the first one asks for a tunnel, the connection
 // becomes that.
 func (r *Router) serveConn(ctx context.Context, srv *rpc.Server, c net.Conn) {
