entry, intake: a broken answer to a caller of HTTP/1.0 doesn't look whole

Callers saw: half of an answer as a whole 200, if they speak HTTP/1.0, the endpoint states no length, and the answer breaks off or the host stops within it.

Cause: such an answer ends by the close of the connection, and net/http closes it cleanly when a handler gives up.

Change: the connection is set to reset on close while such an answer is under way, which also holds for the end of the process, and no longer once it is whole. For that the listener for callers keeps the limit of connections itself, as the library's hides the socket (TestMaxConnections).

--- a/entry/call.go
+++ b/entry/call.go
@@ -69,7 +69,7 @@
 		e.refuse(w, q, result.Errorf(result.Draining, "this host stops before the answer would be complete").After(elsewhereRetryAfter), from)
 		return
 	}
-	j.reply = newPassthrough(w, c.Refuse)
+	j.reply = newPassthroughTo(w, q, c.Refuse)
 	run := func(ctx context.Context) *result.Error { return e.runService(ctx, j) }
 	if j.prompted {
 		run = func(ctx context.Context) *result.Error { return e.run(ctx, j) }
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -61,7 +61,9 @@
 	defer j.lastFailure.Body.Close()
 	if j.reply.sendWhole(j.lastFailure) != nil {
 		j.reply.fail(err)
+		return
 	}
+	j.reply.end()
 }
 
 // NewServer returns a server for h with the limits that hold for every caller.
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/intake"
 	"github.com/embercove/embercove/result"
 )
 
@@ -38,6 +39,9 @@
 	w          http.ResponseWriter
 	controller *http.ResponseController
 	refuse     func(w http.ResponseWriter, err *result.Error)
+	// unframed is the connection of a caller whose answers have no end of their own unless they state their length; nil: it knows
+	// chunks.
+	unframed *intake.Conn
 
 	opened  bool
 	sent    int
@@ -50,6 +54,15 @@
 	return &passthrough{w: w, controller: http.NewResponseController(w), refuse: refuse}
 }
 
+// newPassthroughTo returns the passthrough of the answer to a request.
+func newPassthroughTo(w http.ResponseWriter, q *http.Request, refuse func(w http.ResponseWriter, err *result.Error)) *passthrough {
+	p := newPassthrough(w, refuse)
+	if !q.ProtoAtLeast(1, 1) {
+		p.unframed = intake.ConnOf(q.Context())
+	}
+	return p
+}
+
 func (p *passthrough) chunks() int         { return p.sent }
 func (p *passthrough) lastEventID() string { return p.eventID }
 func (p *passthrough) complete() bool      { return p.opened }
@@ -63,6 +76,9 @@
 	for k, vs := range forwardedHeaders(h.Header) {
 		head[k] = vs
 	}
+	if p.unframed != nil && head.Get("Content-Length") == "" {
+		p.unframed.ResetOnClose(true)
+	}
 	p.w.WriteHeader(h.Status)
 }
 
@@ -93,7 +109,11 @@
 	return copyBody(p.w, a.Body)
 }
 
-func (p *passthrough) end() {}
+func (p *passthrough) end() {
+	if p.unframed != nil {
+		p.unframed.ResetOnClose(false)
+	}
+}
 
 func (p *passthrough) fail(err *result.Error) {
 	if p.opened {
--- a/entry/service.go
+++ b/entry/service.go
@@ -50,7 +50,7 @@
 	j := e.newJob(v, r, hd)
 	j.work = &endpoint.Work{Origin: &request.Origin{Method: q.Method, URL: target, Host: q.Host, Header: forwardedHeaders(q.Header), Body: src}}
 	j.setFingerprint(q, src)
-	j.reply = newPassthrough(w, writeError)
+	j.reply = newPassthroughTo(w, q, writeError)
 	e.execute(q.Context(), j, xxhash.Sum64(src), func(ctx context.Context) *result.Error { return e.runService(ctx, j) })
 }
 
--- a/intake/arrivals.go
+++ b/intake/arrivals.go
@@ -55,6 +55,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.places[c] = p
+	if conn, ok := c.(*Conn); ok {
+		ctx = context.WithValue(ctx, connKey{}, conn)
+	}
 	return context.WithValue(ctx, placeKey{}, p)
 }
 
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -14,6 +14,8 @@
 	gate   *Gate
 	listen func() (net.Listener, error)
 	addr   net.Addr
+	slots  chan struct{} // holds a value for each open connection
+	done   chan struct{} // closed with the listener
 
 	mu      sync.Mutex
 	inner   net.Listener // nil while the gate admits nobody
@@ -27,13 +29,14 @@
 	relistenInterval = 20 * time.Millisecond
 )
 
-// NewListener returns a listener that listens by the given function.
-func NewListener(g *Gate, listen func() (net.Listener, error)) (*Listener, error) {
+// NewListener returns a listener that listens by the given function. It has at most maxConnections open ones.
+func NewListener(g *Gate, maxConnections int, listen func() (net.Listener, error)) (*Listener, error) {
 	inner, err := listen()
 	if err != nil {
 		return nil, err
 	}
-	l := &Listener{gate: g, listen: listen, addr: inner.Addr(), inner: inner, changed: make(chan struct{})}
+	l := &Listener{gate: g, listen: listen, addr: inner.Addr(), inner: inner, changed: make(chan struct{}),
+		slots: make(chan struct{}, maxConnections), done: make(chan struct{})}
 	g.onEachChange(l.onGate)
 	return l, nil
 }
@@ -56,8 +59,24 @@
 	l.changed = make(chan struct{})
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. The connection is a Conn.
 func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+	release := func() { <-l.slots }
+	c, err := l.accept()
+	if err != nil {
+		release()
+		return nil, err
+	}
+	return &Conn{Conn: c, release: release}, nil
+}
+
+// accept accepts a connection while the gate admits any.
+func (l *Listener) accept() (net.Conn, error) {
 	for {
 		inner, err := l.awaitOpen()
 		if err != nil {
@@ -133,6 +152,7 @@
 		return nil
 	}
 	l.closed = true
+	close(l.done)
 	l.wake()
 	if l.inner == nil {
 		return nil
--- a/intake/listener_test.go
+++ b/intake/listener_test.go
@@ -25,7 +25,7 @@
 
 func startServer(t *testing.T) *server {
 	s := &server{gate: NewGate(), network: fake.NewNetwork()}
-	l, err := NewListener(s.gate, func() (net.Listener, error) { return s.network.Listen("a", serverAddress), nil })
+	l, err := NewListener(s.gate, 100, func() (net.Listener, error) { return s.network.Listen("a", serverAddress), nil })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -135,7 +135,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g, network := NewGate(), fake.NewNetwork()
 				worksFrom := time.Now()
-				l, err := NewListener(g, func() (net.Listener, error) {
+				l, err := NewListener(g, 100, func() (net.Listener, error) {
 					if time.Now().Before(worksFrom) {
 						return nil, errors.New("address in use")
 					}
@@ -172,3 +172,57 @@
 		})
 	}
 }
+
+// TestMaxConnections guards against a listener that has more open connections than its limit, or never accepts one again after it.
+func TestMaxConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := fake.NewNetwork()
+		l, err := NewListener(NewGate(), 2, func() (net.Listener, error) { return network.Listen("a", serverAddress), nil })
+		if err != nil {
+			t.Fatal(err)
+		}
+		accepted := make(chan net.Conn, 10)
+		ended := make(chan error, 1)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					ended <- err
+					return
+				}
+				accepted <- c
+			}
+		}()
+		callers := make(chan net.Conn, 4)
+		for range 4 {
+			go func() {
+				if c, err := network.Dialer("callers")(context.Background(), "tcp", serverAddress); err == nil {
+					callers <- c
+				}
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		if n := len(accepted); n != 2 {
+			t.Errorf("%d connections are open, want 2", n)
+		}
+		for want := range 2 {
+			c := <-accepted
+			c.Close()
+			c.Close() // a server closes some twice
+			time.Sleep(100 * time.Millisecond)
+			if n := len(accepted); n != 2 {
+				t.Errorf("%d connections after %d have ended, want 2", n, want+1)
+			}
+		}
+		l.Close()
+		if err := <-ended; !errors.Is(err, net.ErrClosed) {
+			t.Errorf("a closed listener returns %v", err)
+		}
+		for range 2 {
+			(<-accepted).Close()
+		}
+		for range 4 {
+			(<-callers).Close()
+		}
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -248,13 +248,13 @@
 		n.cancel()
 		return errors.Wrap(err, field)
 	}
-	n.serveOn(l, field, entry.NewServer(h, n.settings.MaxHeaderBytes))
+	n.serveOn(netutil.LimitListener(l, n.settings.MaxConnections), field, entry.NewServer(h, n.settings.MaxHeaderBytes))
 	return nil
 }
 
 // serveCallers serves callers, as far as they aren't held off.
 func (n *Node) serveCallers() error {
-	l, err := intake.NewListener(n.Board.Intake, func() (net.Listener, error) { return n.listen(n.settings.Callers) })
+	l, err := intake.NewListener(n.Board.Intake, n.settings.MaxConnections, func() (net.Listener, error) { return n.listen(n.settings.Callers) })
 	if err != nil {
 		n.cancel()
 		return errors.Wrap(err, "callers_address")
@@ -278,7 +278,6 @@
 
 // serveOn runs a server on a listener until it is closed.
 func (n *Node) serveOn(l net.Listener, field string, srv *http.Server) {
-	l = netutil.LimitListener(l, n.settings.MaxConnections)
 	n.servers = append(n.servers, srv)
 	n.goRun(func() error {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
