config, platform: no other route takes the requests of one that was left out

Callers would see: a service runs requests that no version lets go to it.

Cause: the document said that routes are missing, not which.

Change: the paths of routes that are left out stay in the document and lead to no route.

--- a/config/document.go
+++ b/config/document.go
@@ -21,6 +21,14 @@
 	Policy    Policy     `json:"policy"`
 	// Omitted counts the rows that the platform has accepted and this document can't hold.
 	Omitted Omitted `json:"omitted,omitzero"`
+	// OmittedPaths are the paths of the routes among them: no other route takes their requests.
+	OmittedPaths []RoutePath `json:"omitted_paths,omitempty"`
+}
+
+// RoutePath is what a route is selected by.
+type RoutePath struct {
+	Host       string `json:"host"`
+	PathPrefix string `json:"path_prefix"`
 }
 
 // Omitted counts the rows of each list that were left out of a document.
--- a/config/fit.go
+++ b/config/fit.go
@@ -41,13 +41,15 @@
 	omitRows("models", errs, &d.Models, &d.Omitted.Models)
 	omitRows("pools", errs, &d.Pools, &d.Omitted.Pools)
 	omitRows("endpoints", errs, &d.Endpoints, &d.Omitted.Endpoints)
-	omitRows("routes", errs, &d.Routes, &d.Omitted.Routes)
+	for _, r := range omitRows("routes", errs, &d.Routes, &d.Omitted.Routes) {
+		d.OmittedPaths = append(d.OmittedPaths, RoutePath{r.Host, r.PathPrefix})
+	}
 	omitRows("teams", errs, &d.Teams, &d.Omitted.Teams)
 	return d.Omitted != before
 }
 
-// omitRows leaves out the rows of one list that the errors are about, and counts them.
-func omitRows[T any](list string, errs FieldErrors, rows *[]T, count *int) {
+// omitRows leaves out the rows of one list that the errors are about, counts and returns them.
+func omitRows[T any](list string, errs FieldErrors, rows *[]T, count *int) (omitted []T) {
 	invalid := map[int]bool{}
 	for _, e := range errs {
 		if at, ok := rowOf(e.Field, list); ok {
@@ -56,12 +58,15 @@
 	}
 	var kept []T
 	for i, row := range *rows {
-		if !invalid[i] {
+		if invalid[i] {
+			omitted = append(omitted, row)
+		} else {
 			kept = append(kept, row)
 		}
 	}
-	*count += len(*rows) - len(kept)
+	*count += len(omitted)
 	*rows = kept
+	return omitted
 }
 
 // rowOf returns the index of the row of a list that a field such as routes[3].name is in.
--- a/config/view.go
+++ b/config/view.go
@@ -37,7 +37,7 @@
 	roster   *Roster     // nil: none
 	byDomain []Endpoints // by the index of the failure domain
 	byName   map[string]*RouteView
-	byPath   map[string]*RouteView // by host and prefix
+	byPath   map[string]*RouteView // by host and prefix; nil: the route was left out of the document
 }
 
 // Share is the share of a route's requests that goes to a pool.
@@ -103,10 +103,21 @@
 			v.byPath[HostName(d.Routes[i].Host)+d.Routes[i].PathPrefix] = &v.Routes[i]
 		}
 	}
+	v.indexOmittedPaths()
 	v.layout = &layout{d.Pools, d.Domains, d.Endpoints}
 	v.indexEndpoints()
 }
 
+// indexOmittedPaths enters the paths of the routes that were left out, as those of no route.
+func (v *View) indexOmittedPaths() {
+	for _, p := range v.Doc.OmittedPaths {
+		key := HostName(p.Host) + p.PathPrefix
+		if v.byPath[key] == nil {
+			v.byPath[key] = nil
+		}
+	}
+}
+
 // routeView parses a route's selectors or resolves its pools.
 func (v *View) routeView(r *Route) RouteView {
 	rv := RouteView{Route: r}
@@ -173,7 +184,7 @@
 // RouteFor returns the route of a host, as HostName returns it, with the longest matching path prefix, or nil.
 func (v *View) RouteFor(host, path string) *RouteView {
 	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
-		if r := v.byPath[host+path[:end+1]]; r != nil {
+		if r, known := v.byPath[host+path[:end+1]]; known {
 			return r
 		}
 	}
