entry, platform: a stream without an event that ends by a close has broken off

Callers saw: an empty 200, framed as whole, from an endpoint that sends the head of a stream of events without a length and closes; the next request went there again.

Cause: a body without a length ends by a close, and an engine's stream that ends between two events is whole. So one that ends before the first event was.

Change: such a stream counts as broken off: it is asked for again where that is allowed, the engine gets a failure, and others get no success. A stream in chunks may be empty, as its endpoint says that it ends.

--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -95,10 +95,15 @@
 	Body        io.ReadCloser
 }
 
+// EndsByClose reports whether a response states neither a length nor chunks.
+func EndsByClose(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
+
 // NewAnswer returns the answer in a response.
 func NewAnswer(res *http.Response) *Answer {
 	return &Answer{AnswerHead: AnswerHead{Status: res.StatusCode, Header: res.Header}, Length: res.ContentLength,
-		EndsByClose: res.ContentLength < 0 && len(res.TransferEncoding) == 0, Body: BoundBody(res.Body, res.ContentLength)}
+		EndsByClose: EndsByClose(res), Body: BoundBody(res.Body, res.ContentLength)}
 }
 
 // Stream is a streamed answer.
--- a/entry/buffer.go
+++ b/entry/buffer.go
@@ -21,6 +21,9 @@
 	if err != nil {
 		return err
 	}
+	if len(head) == 0 && ans.EndsByClose && isEventStream(ans) {
+		return io.ErrUnexpectedEOF
+	}
 	ans.Body = &bufferedBody{Reader: io.MultiReader(bytes.NewReader(head), ans.Body), Closer: ans.Body}
 	return nil
 }
@@ -48,7 +51,7 @@
 const pieceSize = 4 << 10
 
 // streamBody writes a stream to a caller, each piece as it comes. A stream of events that ends by the close of its connection has
-// broken off if it ends within one.
+// broken off if it ends within one, or before the first.
 func streamBody(w io.Writer, flush func() error, ans *endpoint.Answer) error {
 	var events eventBoundary
 	piece := make([]byte, pieceSize)
@@ -63,7 +66,7 @@
 				return ferr
 			}
 		}
-		if err == io.EOF && ans.EndsByClose && isEventStream(ans) && events.isWithinEvent() {
+		if err == io.EOF && ans.EndsByClose && isEventStream(ans) && events.isBrokenOff() {
 			return io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
@@ -77,6 +80,7 @@
 
 // eventBoundary tells where in a stream of server-sent events the bytes so far end. The zero value is the start of a stream.
 type eventBoundary struct {
+	any       bool // an event has ended
 	hasField  bool // the event has a line that isn't a comment
 	inLine    bool // the line has begun
 	isComment bool // the line is a comment
@@ -88,6 +92,7 @@
 		switch {
 		case c == '\r':
 		case c == '\n' && !b.inLine:
+			b.any = b.any || b.hasField
 			b.hasField = false
 		case c == '\n':
 			b.hasField = b.hasField || !b.isComment
@@ -98,8 +103,8 @@
 	}
 }
 
-// isWithinEvent reports whether an event has begun and not ended.
-func (b *eventBoundary) isWithinEvent() bool { return b.hasField || b.inLine && !b.isComment }
+// isBrokenOff reports whether a stream that ends here lacks a part of an event, or has none.
+func (b *eventBoundary) isBrokenOff() bool { return !b.any || b.hasField || b.inLine && !b.isComment }
 
 // bufferedBody is a body whose beginning was read ahead.
 type bufferedBody struct {
--- a/entry/buffer_test.go
+++ b/entry/buffer_test.go
@@ -2,22 +2,24 @@
 
 import "testing"
 
-// TestEventBoundary guards against streams that end within an event and count as whole.
+// TestEventBoundary guards against streams that end within an event, or before the first, and count as whole.
 func TestEventBoundary(t *testing.T) {
 	cases := []struct {
 		stream string
-		within bool
+		broken bool
 	}{
-		{"", false},
-		{"\n", false},
+		{"", true},
+		{"\n", true},
 		{"id: 1", true},
 		{"id: 1\n", true},
 		{"id: 1\ndata: x\n", true},
 		{"id: 1\ndata: x\n\n", false},
 		{"id: 1\r\ndata: x\r\n\r\n", false},
 		{"id: 1\r\ndata: x\r\n\r", true},
-		{": a comment", false},
-		{": a comment\n", false},
+		{": a comment", true},
+		{": a comment\n", true},
+		{": a comment\n\nid: 1\n\n", false},
+		{"id: 1\n\n: a comment", false},
 		{"id: 1\n: a comment\n", true},
 		{"id: 1\n\n: a comment\nid: 2", true},
 		{"id: 1\n\nid: 2\n\n", false},
@@ -28,8 +30,8 @@
 			for rest := tc.stream; rest != ""; rest = rest[min(size, len(rest)):] {
 				b.advance([]byte(rest[:min(size, len(rest))]))
 			}
-			if b.isWithinEvent() != tc.within {
-				t.Errorf("%q in pieces of %d: within an event %v, want %v", tc.stream, size, b.isWithinEvent(), tc.within)
+			if b.isBrokenOff() != tc.broken {
+				t.Errorf("%q in pieces of %d: broken off %v, want %v", tc.stream, size, b.isBrokenOff(), tc.broken)
 			}
 		}
 	}
