--- a/config/document.go
+++ b/config/document.go
@@ -25,21 +25,6 @@
 	OmittedPaths []RoutePath `json:"omitted_paths,omitempty"`
 }
 
-// RoutePath is what a route is selected by.
-type RoutePath struct {
-	Host       string `json:"host"`
-	PathPrefix string `json:"path_prefix"`
-}
-
-// Omitted counts the rows of each list that were left out of a document.
-type Omitted struct {
-	Models    int `json:"models,omitempty"`
-	Pools     int `json:"pools,omitempty"`
-	Endpoints int `json:"endpoints,omitempty"`
-	Routes    int `json:"routes,omitempty"`
-	Teams     int `json:"teams,omitempty"`
-}
-
 // Domain is a failure domain and its region.
 type Domain struct {
 	Name   string `json:"name"`
--- a/config/fit.go
+++ b/config/fit.go
@@ -6,6 +6,21 @@
 	"strings"
 )
 
+// RoutePath is what a route is selected by.
+type RoutePath struct {
+	Host       string `json:"host"`
+	PathPrefix string `json:"path_prefix"`
+}
+
+// Omitted counts the rows of each list that were left out of a document.
+type Omitted struct {
+	Models    int `json:"models,omitempty"`
+	Pools     int `json:"pools,omitempty"`
+	Endpoints int `json:"endpoints,omitempty"`
+	Routes    int `json:"routes,omitempty"`
+	Teams     int `json:"teams,omitempty"`
+}
+
 // Fit makes a document valid that a platform has accepted: numbers are brought into their ranges, and rows that stay invalid are
 // left out and counted in Omitted. It returns what it changed. The error lists what it can't mend.
 func (d *Document) Fit() (changes FieldErrors, err error) {
