blackboard: the allowed silence falls slowly

What callers saw: nothing directly.

Cause: the silence after which a host counts as gone follows the time between exchanges, and that follows the size of the last exchange. In a fleet of 48 hosts the limit changed between 13.4 s and 23 s within a second, so a heartbeat of 15 s was within it and overdue after the next short exchange.

Evidence: a trial that logs the limits and who counts as gone, in a healthy fleet. TestShorterRoundMakesNoHostGone failed with the old rule.

Change: a longer time between exchanges applies at once, a shorter one by and by. A heartbeat on its way was sent in the rounds before, so the limit that it is held to is theirs.

--- a/blackboard/hosts.go
+++ b/blackboard/hosts.go
@@ -29,16 +29,17 @@
 // heartbeats that hosts forward to each other.
 type HostTable struct {
 	minSuspect time.Duration // silence allowed in a small fleet
-	suspect    time.Duration
-	round      time.Duration
+	minRound   time.Duration
 
-	mu    sync.RWMutex
-	self  Host
-	hosts map[uint32]*Host
+	mu      sync.RWMutex
+	round   time.Duration // time between exchanges; see SetRound
+	roundAt time.Time     // when round was set
+	self    Host
+	hosts   map[uint32]*Host
 }
 
 func newHostTable(self Host, suspect, heartbeatInterval time.Duration) *HostTable {
-	t := &HostTable{minSuspect: suspect, suspect: suspect, round: heartbeatInterval, self: self, hosts: map[uint32]*Host{}}
+	t := &HostTable{minSuspect: suspect, minRound: heartbeatInterval, round: heartbeatInterval, self: self, hosts: map[uint32]*Host{}}
 	t.hosts[self.Number] = &t.self
 	return t
 }
@@ -51,16 +52,26 @@
 	t.self.HeartbeatAt = now
 }
 
-// SetRound sets the time between exchanges, from which the allowed silence is computed.
-func (t *HostTable) SetRound(d time.Duration) {
+// SetRound sets the time between exchanges, from which the allowed silence is computed. A longer time applies at once and
+// a shorter one by and by: heartbeats that are on their way were sent in the longer rounds before.
+func (t *HostTable) SetRound(d time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.suspect = max(t.minSuspect, suspectRounds*d)
-	t.round = d
+	t.round = max(d, t.shortestRound(now))
+	t.roundAt = now
 }
 
-// suspectRounds is the number of rounds for which a host may be silent.
-const suspectRounds = 5
+// shortestRound returns the shortest time between exchanges that may apply at a time.
+func (t *HostTable) shortestRound(at time.Time) time.Duration {
+	return max(t.minRound, t.round-at.Sub(t.roundAt)/roundFall)
+}
+
+const (
+	// suspectRounds is the number of rounds for which a host may be silent.
+	suspectRounds = 5
+	// roundFall is the least time in which the time between exchanges falls by one unit.
+	roundFall = 16
+)
 
 // SetLeaving marks this host as leaving, so that its endpoints move to other owners.
 func (t *HostTable) SetLeaving() {
@@ -148,14 +159,15 @@
 	}
 }
 
-// silenceLimit returns the silence after which a host counts as gone. Heartbeats are forwarded by
-// other hosts and take a number of rounds that grows with the logarithm of the number of hosts.
-func (t *HostTable) silenceLimit() time.Duration {
-	return t.suspect + t.round*time.Duration(bits.Len(uint(len(t.hosts)))/2)
+// silenceLimit returns the silence after which a host counts as gone, for a time between exchanges. Heartbeats are
+// forwarded by other hosts and take a number of rounds that grows with the logarithm of the number of hosts.
+func (t *HostTable) silenceLimit(round time.Duration) time.Duration {
+	hops := time.Duration(bits.Len(uint(len(t.hosts))) / 2)
+	return max(t.minSuspect, suspectRounds*round) + hops*round
 }
 
 func (t *HostTable) live(h *Host, now time.Time) bool {
-	return h.Number == t.self.Number || h.SuspectedAt.IsZero() && now.Sub(h.HeartbeatAt) <= t.silenceLimit()
+	return h.Number == t.self.Number || h.SuspectedAt.IsZero() && now.Sub(h.HeartbeatAt) <= t.silenceLimit(t.round)
 }
 
 // Suspect records that a watcher could not reach a host whose last known heartbeat is heartbeat. A
--- a/blackboard/hosts_test.go
+++ b/blackboard/hosts_test.go
@@ -89,6 +89,23 @@
 	}
 }
 
+// TestShorterRoundMakesNoHostGone guards against hosts that count as gone because this host's last exchange was short
+// and the silence it allows fell at once.
+func TestShorterRoundMakesNoHostGone(t *testing.T) {
+	h := testHosts("x")
+	x := request.HostNumber("x")
+	h.SetRound(2*time.Second, start)
+	h.SetRound(500*time.Millisecond, start.Add(8*time.Second))
+	if _, live, _ := h.Get(x, start.Add(8*time.Second)); !live {
+		t.Error("a host whose heartbeat was on its way in long rounds counts as gone after a short one")
+	}
+	h.SetRound(500*time.Millisecond, start.Add(40*time.Second))
+	h.Learn(hostNamed("x", 5, 9), start.Add(40*time.Second))
+	if _, live, _ := h.Get(x, start.Add(44*time.Second)); live {
+		t.Error("a silent host is live long after rounds became short")
+	}
+}
+
 // TestOwnership checks that First and Order agree, that ownership is spread evenly, and that only
 // the keys of a leaving host move.
 func TestOwnership(t *testing.T) {
--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -118,7 +118,7 @@
 				from = config.Prefill
 			}
 			o := testOwner(t, "b", "a")
-			o.board.Hosts.SetRound(time.Second)
+			o.board.Hosts.SetRound(time.Second, time.Now())
 			offer := func(revision config.Position, role config.Role) {
 				row := config.Endpoint{Name: "e", Address: "127.0.0.1:9", Domain: "d", Pool: "p", Role: role}
 				if _, err := o.board.Config.OfferRoster((&config.RosterList{Revision: revision, Endpoints: []config.Endpoint{row}}).Roster(), time.Now()); err != nil {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -28,7 +28,7 @@
 		}
 		next = now.Add(r.roundInterval() - r.heartbeatInterval()/2)
 		r.board.Hosts.Tick(now)
-		r.board.Hosts.SetRound(r.heartbeatRound())
+		r.board.Hosts.SetRound(r.heartbeatRound(), now)
 		r.board.Hosts.Forget(now, forgetAfter, r.isListed)
 		r.mu.Lock()
 		r.round++
