peer: a host whose heartbeat is nearly overdue is pinged before it counts as gone

Cause: heartbeats travel by partners drawn at random, so of many a few take a multiple of the usual time, whatever the limit.

Change: the watcher also pings hosts that would count as gone before it runs again, at most 8 at a time, those silent for longest first.

--- a/blackboard/hosts.go
+++ b/blackboard/hosts.go
@@ -167,7 +167,12 @@
 }
 
 func (t *HostTable) live(h *Host, now time.Time) bool {
-	return h.Number == t.self.Number || h.SuspectedAt.IsZero() && now.Sub(h.HeartbeatAt) <= t.silenceLimit(t.round)
+	return t.liveWithin(h, now, t.silenceLimit(t.round))
+}
+
+// liveWithin reports whether a host is live if it may be silent for the given time.
+func (t *HostTable) liveWithin(h *Host, now time.Time, limit time.Duration) bool {
+	return h.Number == t.self.Number || h.SuspectedAt.IsZero() && now.Sub(h.HeartbeatAt) <= limit
 }
 
 // Suspect records that a watcher could not reach a host whose last known heartbeat is heartbeat. A
@@ -220,6 +225,22 @@
 	return ring[:min(n, len(ring))]
 }
 
+// NearlyOverdue returns up to n live hosts that will count as gone within lead unless a heartbeat arrives. Those that
+// have been silent for longest come first.
+func (t *HostTable) NearlyOverdue(lead time.Duration, n int, now time.Time) []Host {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	limit := t.silenceLimit(t.shortestRound(now.Add(lead)))
+	var out []Host
+	for _, h := range t.hosts {
+		if h.Incarnation != 0 && h.Peers != "" && t.live(h, now) && !t.liveWithin(h, now.Add(lead), limit) {
+			out = append(out, *h)
+		}
+	}
+	slices.SortFunc(out, func(a, b Host) int { return a.HeartbeatAt.Compare(b.HeartbeatAt) })
+	return out[:min(n, len(out))]
+}
+
 // Get returns a host's row and whether it is live.
 func (t *HostTable) Get(number uint32, now time.Time) (h Host, live, known bool) {
 	t.mu.RLock()
--- a/blackboard/hosts_test.go
+++ b/blackboard/hosts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -106,6 +107,28 @@
 	}
 }
 
+// TestNearlyOverdue checks which hosts are about to count as gone.
+func TestNearlyOverdue(t *testing.T) {
+	h := testHosts("gone", "older", "old", "fresh", "suspected")
+	h.Learn(Host{Name: "listed", Number: request.HostNumber("listed"), Domain: "a", Peers: "127.0.0.1:1"}, start)
+	for i, name := range []string{"older", "old", "suspected", "fresh"} {
+		h.Learn(hostNamed(name, 5, 9), start.Add(time.Duration(i+1)*time.Second))
+	}
+	h.Suspect(request.HostNumber("suspected"), 5, 9, start.Add(3*time.Second))
+	names := func(n int) (out []string) {
+		for _, o := range h.NearlyOverdue(1500*time.Millisecond, n, start.Add(4*time.Second)) {
+			out = append(out, o.Name)
+		}
+		return out
+	}
+	if got, want := names(8), []string{"older", "old"}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	if got, want := names(1), []string{"older"}; !slices.Equal(got, want) {
+		t.Errorf("of at most one: got %v, want %v", got, want)
+	}
+}
+
 // TestOwnership checks that First and Order agree, that ownership is spread evenly, and that only
 // the keys of a leaving host move.
 func TestOwnership(t *testing.T) {
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -25,8 +25,8 @@
 	confirmers = 3
 )
 
-// Watcher returns the controller that pings the watched hosts, and repeats announcements of
-// recent changes.
+// Watcher returns the controller that pings the watched hosts and those that have been silent for long, and repeats
+// announcements of recent changes.
 func (r *Router) Watcher() blackboard.Controller {
 	return blackboard.Every(watchInterval, func(ctx context.Context) {
 		r.mu.Lock()
@@ -38,6 +38,7 @@
 		for _, h := range r.board.Hosts.Watched(watchers, time.Now()) {
 			go r.ping(ctx, h)
 		}
+		r.checkSilentHosts(ctx)
 	})
 }
 
