entry: a next try is bound to the software version that the answer is bound to

What callers saw: a stream that may be repeated was cut when its engine fell silent for a while, although the engine would have gone on.

Cause: an answer whose engine hasn't confirmed its process is bound to an unknown version. The next try that is prepared while an engine is silent was bound to the version that the engine is registered with instead. A copy or another engine of that version was called, the silent engine was canceled, and then the new one might not write, as its version isn't the answer's.

Change: the watchdog keeps the version that the answer was bound to as it began, and what is asked about it since. The next try takes that, resolved as far as it is known by then. Where it isn't known, no engine fits, and the silent one is waited for.

--- a/entry/next.go
+++ b/entry/next.go
@@ -111,7 +111,7 @@
 	n.job.reply = sentReply{sent: n.sent}
 	if w.answering.Load() {
 		n.job.reply = sentReply{sent: n.sent + 1}
-		n.bindNext()
+		n.bindNext(w.answerVersion())
 	}
 	if n.isSuspected() {
 		return false
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -218,7 +218,7 @@
 			j.markPhase(3)
 		}
 		if !w.answering.Load() {
-			w.answerBegun(e.laterStallLimit(j, p))
+			w.answerBegun(e.laterStallLimit(j, p), j.answerVersion())
 			w.checksLiveness.Store(e.traits.DisconnectAborts)
 			e.setPhase(j, blackboard.PhaseDecode, nil)
 		}
--- a/entry/version.go
+++ b/entry/version.go
@@ -294,11 +294,22 @@
 	return serviceStates(g)
 }
 
-// bindNext binds the next try of a call whose answer has begun to the software version of its engine.
-func (n *nextTry) bindNext() {
-	if !n.job.criteria.Continues {
-		n.job.criteria.Continues, n.job.criteria.Software = true, n.from.Software
-	}
+// answerVersion is the software version that an answer is bound to.
+type answerVersion struct {
+	software    string
+	unconfirmed *lateVersion // nil: the endpoint confirmed its process, or isn't asked
+}
+
+// answerVersion returns the software version that the job's answer is bound to.
+func (j *job) answerVersion() answerVersion {
+	return answerVersion{j.criteria.Software, j.unconfirmed}
+}
+
+// bindNext binds the next try of a call whose answer has begun to the software version of the answer, as far as that is known
+// by now. The version that the engine is registered with may be another one.
+func (n *nextTry) bindNext(v answerVersion) {
+	n.job.criteria.Continues, n.job.criteria.Software, n.job.unconfirmed = true, v.software, v.unconfirmed
+	n.entry.resolveVersion(&n.job)
 }
 
 // mayGoOnAt reports whether an endpoint may go on with the job's answer as far as its software is concerned.
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -29,6 +29,7 @@
 	chunks         int                      // that the caller has; guarded by mu
 	eventID        string                   // of the last of them; guarded by mu
 	answering      atomic.Bool              // the answer has begun
+	version        answerVersion            // of the answer, once it has begun; guarded by mu
 	sound          bool                     // it has progressed well; used by the goroutine that relays it
 	called         *atomic.Pointer[process] // that answers the call; nil: not used
 	first          time.Time
@@ -75,14 +76,21 @@
 	return w
 }
 
-// answerBegun sets the limit that holds once the answer has begun.
-func (w *watchdog) answerBegun(limit time.Duration) {
+// answerBegun sets the limit that holds once the answer has begun, and the software version that the answer is bound to.
+func (w *watchdog) answerBegun(limit time.Duration, v answerVersion) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.limit, w.first, w.last = limit, time.Now(), time.Time{}
+	w.limit, w.first, w.last, w.version = limit, time.Now(), time.Time{}, v
 	w.answering.Store(true)
 }
 
+// answerVersion returns the software version that the answer is bound to.
+func (w *watchdog) answerVersion() answerVersion {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version
+}
+
 func (w *watchdog) progress() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
