entry: a copy goes on at an engine that is registered late

Cause: the engine that kept the copy had started again, and its new registration wasn't read yet. So its report named a later process than the registration, whose software isn't known, and the answer was broken off at once.

Evidence: TestCopiesGoOnAtEndpointsRegisteredLate failed before: 3 of the 3 answers that had a copy at such an engine were broken off.

Change: an answer that can go on nowhere else waits for the registration of the process that writes it, for the 2 s that it waits for one that is slow to confirm its process, and goes on if that states the same software version. With another version it ends as before: the test's second case.

--- a/entry/version.go
+++ b/entry/version.go
@@ -196,16 +196,32 @@
 )
 
 // confirmedProcess is like answeringProcess for an endpoint that has begun to go on with an answer. That is lost without a
-// confirmation, so one that is slow to answer is asked again.
+// confirmation, so an endpoint that is slow to answer is asked again, and the registration of a later process is waited for
+// and has to state the same software version.
 func (e *Entry) confirmedProcess(ctx context.Context, spec *config.Endpoint) (at process, registered bool) {
 	for end := time.Now().Add(maxConfirmWait); ; {
-		at, registered = e.answeringProcess(ctx, spec)
-		if registered || at.started > 0 || time.Now().After(end) || !wait.For(ctx, reportTimeout) {
+		latest := e.latestRegistration(spec)
+		if latest.Software != spec.Software {
+			return at, false
+		}
+		at, registered = e.answeringProcess(ctx, latest)
+		if registered || time.Now().After(end) || !wait.For(ctx, reportTimeout) {
 			return at, registered
 		}
 	}
 }
 
+// latestRegistration returns an endpoint as it is registered now, or as given if it isn't registered at that address any more.
+func (e *Entry) latestRegistration(spec *config.Endpoint) *config.Endpoint {
+	latest := spec
+	e.board.Endpoints.Find(route.Number(spec.Name), func(_ *config.View, s *route.State) {
+		if s.Spec.Address == spec.Address {
+			latest = s.Spec
+		}
+	})
+	return latest
+}
+
 // lateVersion is the software version of an answer whose endpoint didn't confirm its process as it began.
 type lateVersion struct {
 	record    versions.Record
