route: notices belong to the process that gave them

Cause: a notice was recorded with the start time that the endpoint is registered with. If the process that gave it had started later and wasn't registered yet, because its registration was late or the store had come back from an older copy, the notice was dropped as one of an earlier start as soon as the real one was read. Rests that an endpoint asks for ended likewise.

Change: on the first notice to leave or rest, the host asks the endpoint for its report, which names its start time and says as well whether it leaves. The owner, who reads the reports anyway, uses that time too. Until the later start is registered, notices in answers to calls made as to the registered one count for it.

--- a/entry/heard.go
+++ b/entry/heard.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,7 +73,11 @@
 	if n.UnreadableBackoff != "" {
 		e.recordUnreadable(&e.NoticeCounts.BadBackoffs, "endpoint asks for a rest that can't be read", spec, n.UnreadableBackoff)
 	}
-	c := e.board.Endpoints.ObserveNotice(route.Number(spec.Name), route.Notice{Leaving: n.Leaving, Backoff: n.Backoff, Started: spec.Born, CalledAt: sent, ReceivedAt: time.Now()})
+	notice := route.Notice{Leaving: n.Leaving, Backoff: n.Backoff, Started: spec.Born, CalledAt: sent, ReceivedAt: time.Now()}
+	c := e.board.Endpoints.ObserveNotice(route.Number(spec.Name), notice)
+	if c.NewlyLeaving || c.NewBackoff {
+		go e.attributeNotice(spec, notice)
+	}
 	if c.NewlyLeaving {
 		e.log.Info("endpoint says that it leaves", zap.String("endpoint", spec.Name), zap.String("address", spec.Address))
 	}
@@ -81,6 +86,27 @@
 	}
 }
 
+// attributeNotice asks an endpoint whether a later process than the registered one has given a notice, and records that. As a
+// notice of the registered process it would end when the later one is registered.
+func (e *Entry) attributeNotice(spec *config.Endpoint, notice route.Notice) {
+	if spec.Born == 0 || e.permitReason(spec) == route.ReasonLimited {
+		return // the question would count against the limit that it names
+	}
+	for range maxStartAsks {
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		st, err := e.engine.State(ctx, spec.Address)
+		cancel()
+		if err != nil {
+			continue
+		}
+		notice.Started = int64(st.Incarnation)
+		if notice.Started > spec.Born && (st.Notice.Leaving || !notice.Leaving) {
+			e.board.Endpoints.ObserveNotice(route.Number(spec.Name), notice)
+		}
+		return
+	}
+}
+
 // recordUnreadable counts and logs a notice that can't be parsed. The values received
 // before stay in force: an overloaded endpoint isn't sent the full load because of a
 // malformed notice.
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -241,7 +241,8 @@
 	sched.mu.Lock()
 	spec := sched.spec
 	sched.mu.Unlock()
-	o.board.Endpoints.ObserveNotice(sched.number, route.Notice{Leaving: st.Notice.Leaving, Started: spec.Born, ReceivedAt: time.Now()})
+	started := max(spec.Born, int64(st.Incarnation)) // its registration may be late
+	o.board.Endpoints.ObserveNotice(sched.number, route.Notice{Leaving: st.Notice.Leaving, Started: started, ReceivedAt: time.Now()})
 	if !st.Notice.Limit.Named || o.peers == nil {
 		return
 	}
--- a/route/notices.go
+++ b/route/notices.go
@@ -91,7 +91,12 @@
 	s := f.states[number]
 	n := f.noticesFor(number, notice.Started)
 	announces := notice.Leaving || notice.Backoff > 0
-	if s != nil && notice.Started < s.Spec.Born || n != nil && notice.Started < n.started || n == nil && !announces {
+	if n == nil && !announces || s != nil && notice.Started < s.Spec.Born {
+		return NoticeChange{}
+	}
+	// A process whose start isn't registered yet is called as the registered one.
+	calledAsRegistered := s != nil && notice.Started == s.Spec.Born
+	if n != nil && notice.Started < n.started && !calledAsRegistered {
 		return NoticeChange{}
 	}
 	if n == nil {
--- a/route/notices_test.go
+++ b/route/notices_test.go
@@ -143,6 +143,26 @@
 	}
 }
 
+// TestNoticesOfUnregisteredStartAreKept guards against notices that are dropped when the start of the process that gave them
+// is registered late.
+func TestNoticesOfUnregisteredStartAreKept(t *testing.T) {
+	const registered, running = 5, 6 // start times
+	f := NewFleet(viewOfServices(t, registered, "e"))
+	number := Number("e")
+	f.ObserveNotice(number, Notice{Leaving: true, Started: registered, ReceivedAt: noticeTime})
+	f.ObserveNotice(number, Notice{Leaving: true, Started: running, ReceivedAt: noticeTime})
+	f.ObserveNotice(number, Notice{Backoff: 10 * time.Second, Started: registered, ReceivedAt: noticeTimeAt(1)})
+	f.SetView(viewOfServices(t, running, "e"), noticeTimeAt(2))
+	if s := f.Find(number); !s.IsLeaving() || !s.IsBackingOff(noticeTimeAt(2)) {
+		t.Errorf("leaving %v, backing off %v; want both", s.IsLeaving(), s.IsBackingOff(noticeTimeAt(2)))
+	}
+	f.SetView(viewOfServices(t, running+1, "e"), noticeTimeAt(3))
+	f.ObserveNotice(number, Notice{Leaving: true, Started: registered, ReceivedAt: noticeTimeAt(3)})
+	if s := f.Find(number); s.IsLeaving() || s.IsBackingOff(noticeTimeAt(3)) {
+		t.Errorf("a later start: leaving %v, backing off %v; want neither", s.IsLeaving(), s.IsBackingOff(noticeTimeAt(3)))
+	}
+}
+
 // TestNoticesAreForgotten replaces leaving endpoints for hours and checks that notices stay bounded
 // and none of a registered endpoint is dropped.
 func TestNoticesAreForgotten(t *testing.T) {
