owner: notices in reports keep an unknown start

Evidence: by reading, before any caller saw it; no test fails without this. The tests of owner, route and entry and those of notices pass.

--- a/blackboard/hosts.go
+++ b/blackboard/hosts.go
@@ -53,7 +53,7 @@
 }
 
 // SetRound sets the time between exchanges, from which the allowed silence is computed. A longer time applies at once and
-// a shorter one by and by: heartbeats that are on their way were sent in the longer rounds before.
+// a shorter one gradually: heartbeats that are on their way were sent in the longer rounds before.
 func (t *HostTable) SetRound(d time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -69,7 +69,7 @@
 const (
 	// suspectRounds is the number of rounds for which a host may be silent.
 	suspectRounds = 5
-	// roundFall is the least time in which the time between exchanges falls by one unit.
+	// roundFall is the share, as one in this many, of the time that passes by which rounds become shorter at most.
 	roundFall = 16
 )
 
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -241,7 +241,10 @@
 	sched.mu.Lock()
 	spec := sched.spec
 	sched.mu.Unlock()
-	started := max(spec.Born, int64(st.Incarnation)) // its registration may be late
+	started := spec.Born
+	if started > 0 {
+		started = max(started, int64(st.Incarnation)) // a later start may not be registered yet
+	}
 	o.board.Endpoints.ObserveNotice(sched.number, route.Notice{Leaving: st.Notice.Leaving, Started: started, ReceivedAt: time.Now()})
 	if !st.Notice.Limit.Named || o.peers == nil {
 		return
