entry: endpoints with a limit are asked whose notice to leave it was

Change: an endpoint that leaves is asked in any case. It gets no further requests, so its limit has nothing to ration.

--- a/entry/heard.go
+++ b/entry/heard.go
@@ -89,8 +89,12 @@
 // attributeNotice asks an endpoint whether a later process than the registered one has given a notice, and records that. As a
 // notice of the registered process it would end when the later one is registered.
 func (e *Entry) attributeNotice(spec *config.Endpoint, notice route.Notice) {
-	if spec.Born == 0 || e.permitReason(spec) == route.ReasonLimited {
-		return // the question would count against the limit that it names
+	if spec.Born == 0 {
+		return
+	}
+	// The question counts against the limit that an endpoint names, which matters to one that doesn't leave.
+	if !notice.Leaving && e.permitReason(spec) == route.ReasonLimited {
+		return
 	}
 	for range maxStartAsks {
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
