blackboard, entry: the silence of hosts and late registrations have files of their own

Change: what a host's silence means moves to blackboard/silence.go, and how the process that answers is found to entry/confirm.go; nothing else changes.

--- a/blackboard/hosts.go
+++ b/blackboard/hosts.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/bits"
 	"slices"
 	"sort"
 	"sync"
@@ -52,27 +51,6 @@
 	t.self.HeartbeatAt = now
 }
 
-// SetRound sets the time between exchanges, from which the allowed silence is computed. A longer time applies at once and
-// a shorter one gradually: heartbeats that are on their way were sent in the longer rounds before.
-func (t *HostTable) SetRound(d time.Duration, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.round = max(d, t.shortestRound(now))
-	t.roundAt = now
-}
-
-// shortestRound returns the shortest time between exchanges that may apply at a time.
-func (t *HostTable) shortestRound(at time.Time) time.Duration {
-	return max(t.minRound, t.round-at.Sub(t.roundAt)/roundFall)
-}
-
-const (
-	// suspectRounds is the number of rounds for which a host may be silent.
-	suspectRounds = 5
-	// roundFall is the share, as one in this many, of the time that passes by which rounds become shorter at most.
-	roundFall = 16
-)
-
 // SetLeaving marks this host as leaving, so that its endpoints move to other owners.
 func (t *HostTable) SetLeaving() {
 	t.mu.Lock()
@@ -159,22 +137,6 @@
 	}
 }
 
-// silenceLimit returns the silence after which a host counts as gone, for a time between exchanges. Heartbeats are
-// forwarded by other hosts and take a number of rounds that grows with the logarithm of the number of hosts.
-func (t *HostTable) silenceLimit(round time.Duration) time.Duration {
-	hops := time.Duration(bits.Len(uint(len(t.hosts))) / 2)
-	return max(t.minSuspect, suspectRounds*round) + hops*round
-}
-
-func (t *HostTable) live(h *Host, now time.Time) bool {
-	return t.liveWithin(h, now, t.silenceLimit(t.round))
-}
-
-// liveWithin reports whether a host is live if it may be silent for the given time.
-func (t *HostTable) liveWithin(h *Host, now time.Time, limit time.Duration) bool {
-	return h.Number == t.self.Number || h.SuspectedAt.IsZero() && now.Sub(h.HeartbeatAt) <= limit
-}
-
 // Suspect records that a watcher could not reach a host whose last known heartbeat is heartbeat. A
 // later heartbeat clears the host again; earlier ones that still arrive by way of other hosts
 // don't. It reports whether the host was not suspected before. If this host itself is
@@ -225,22 +187,6 @@
 	return ring[:min(n, len(ring))]
 }
 
-// NearlyOverdue returns up to n live hosts that will count as gone within lead unless a heartbeat arrives. Those that
-// have been silent for longest come first.
-func (t *HostTable) NearlyOverdue(lead time.Duration, n int, now time.Time) []Host {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	limit := t.silenceLimit(t.shortestRound(now.Add(lead)))
-	var out []Host
-	for _, h := range t.hosts {
-		if h.Incarnation != 0 && h.Peers != "" && t.live(h, now) && !t.liveWithin(h, now.Add(lead), limit) {
-			out = append(out, *h)
-		}
-	}
-	slices.SortFunc(out, func(a, b Host) int { return a.HeartbeatAt.Compare(b.HeartbeatAt) })
-	return out[:min(n, len(out))]
-}
-
 // Get returns a host's row and whether it is live.
 func (t *HostTable) Get(number uint32, now time.Time) (h Host, live, known bool) {
 	t.mu.RLock()
