entry: calls that their heads deny are denied without their bodies

What callers saw: a caller without a key, with an unknown one, without a route or with a body that states more than the limit was denied only once its body was there; one that stopped short got 408 after five seconds. Until then the host held what had come of it, up to the largest legal body, for a caller that it would never serve.

Cause: the body was read before the route, the team and the length were looked at.

Change: receiveCall asks whether the head alone denies the call, before it reads the body; the revision in force when the body is there decides as before. A small body that has come with its head is passed over so that the connection can stay open, a larger one closes it. A body that states more than the limit is refused by its length.

TestSlowBody sent half a body without a team and awaited code 211. Such a call is now denied by its head (203), so the test names a team; its check is as strict as before.

--- a/entry/body.go
+++ b/entry/body.go
@@ -39,7 +39,7 @@
 	leaveUnread(w)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, result.Errorf(result.BodyTooLarge, "body: more than %d bytes", l.BodyBytes)
+		return nil, bodyTooLarge(l)
 	}
 	if errors.Is(err, errHeldOff) {
 		gate.CountRefused()
@@ -48,6 +48,10 @@
 	return nil, result.Errorf(result.BodyTooSlow, "body: not complete within %d ms", limit.Milliseconds()).After(time.Second)
 }
 
+func bodyTooLarge(l config.Limits) *result.Error {
+	return result.Errorf(result.BodyTooLarge, "body: more than %d bytes", l.BodyBytes)
+}
+
 // leaveUnread has the connection closed after the answer, without the rest of the body: net/http would read
 // that first.
 func leaveUnread(w http.ResponseWriter) {
@@ -55,6 +59,18 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 }
 
+// discardTime is how long a small body that isn't needed may take, so that its connection can stay open.
+const discardTime = 500 * time.Millisecond
+
+// discardBody prepares the answer to a call whose body isn't needed. A small one has mostly arrived with its head.
+func discardBody(w http.ResponseWriter, q *http.Request) {
+	if q.ContentLength < 0 || q.ContentLength > smallBody {
+		leaveUnread(w)
+		return
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTime))
+}
+
 var (
 	// errBodyTooSlow is returned for a body that can't be complete in time.
 	errBodyTooSlow = errors.New("the body arrives too slowly")
@@ -100,6 +116,10 @@
 // receiveBody reads the body of a call. While callers are held off, it refuses a call whose body is still to
 // come; what has arrived already is served.
 func (e *Entry) receiveBody(w http.ResponseWriter, q *http.Request, l config.Limits, timeLeft time.Duration) ([]byte, *result.Error) {
+	if q.ContentLength > l.BodyBytes {
+		leaveUnread(w)
+		return nil, bodyTooLarge(l)
+	}
 	arrived := q.ContentLength >= 0 && q.ContentLength <= smallBody
 	place := e.board.Intake.PlaceOf(q.Context())
 	if !place.Acquire(arrived) {
--- a/entry/call.go
+++ b/entry/call.go
@@ -45,7 +45,10 @@
 func (e *Entry) Serve(w http.ResponseWriter, q *http.Request, c *Call) {
 	from := caller{c.Origin.ID, c.TimeLeft, c.Refuse}
 	received := clock.Now()
-	v, src, ok := e.receiveCall(w, q, from)
+	v, src, ok := e.receiveCall(w, q, from, func(v *config.View) *result.Error {
+		_, _, refusal := routeAndTeam(v, q, c)
+		return refusal
+	})
 	if !ok {
 		return
 	}
@@ -53,12 +56,7 @@
 	if c.TimeLeft > 0 {
 		c.TimeLeft = max(minTimeLeft, c.TimeLeft-clock.Now().Sub(received))
 	}
-	r := v.RouteFor(config.HostName(q.Host), q.URL.Path)
-	if r == nil {
-		e.refuse(w, q, result.Errorf(result.NoRoute, "no route of host %q matches path %q", q.Host, q.URL.Path), from)
-		return
-	}
-	team, refusal := callTeam(v, r, c.Keys)
+	r, team, refusal := routeAndTeam(v, q, c)
 	if refusal != nil {
 		e.refuse(w, q, refusal, from)
 		return
@@ -77,6 +75,16 @@
 	e.execute(q.Context(), j, 0, run)
 }
 
+// routeAndTeam returns the route and the team of a call, by its head alone.
+func routeAndTeam(v *config.View, q *http.Request, c *Call) (*config.RouteView, *config.Team, *result.Error) {
+	r := v.RouteFor(config.HostName(q.Host), q.URL.Path)
+	if r == nil {
+		return nil, nil, result.Errorf(result.NoRoute, "no route of host %q matches path %q", q.Host, q.URL.Path)
+	}
+	team, refusal := callTeam(v, r, c.Keys)
+	return r, team, refusal
+}
+
 // minTimeLeft is the least time of a caller, as 0 stands for an unknown one.
 const minTimeLeft = time.Millisecond
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -168,9 +168,9 @@
 // apiCaller is a caller of embercove's own protocol, in which callers send no ids.
 var apiCaller = caller{refuse: writeError}
 
-// receiveCall returns the revision that a call falls under, and its body. If it returns
-// false, it has answered the call itself.
-func (e *Entry) receiveCall(w http.ResponseWriter, q *http.Request, c caller) (*config.View, []byte, bool) {
+// receiveCall returns the revision that a call falls under, and its body. The body of a call that is denied by its head isn't
+// awaited. If it returns false, it has answered the call itself.
+func (e *Entry) receiveCall(w http.ResponseWriter, q *http.Request, c caller, denial func(v *config.View) *result.Error) (*config.View, []byte, bool) {
 	v, refusal := e.ready(q.Context())
 	if refusal != nil {
 		e.refuse(w, q, refusal, c)
@@ -179,6 +179,11 @@
 	if e.board.Leaving() || e.board.Intake.IsBounded() {
 		w.Header().Set("Connection", "close")
 	}
+	if refusal := denial(v); refusal != nil {
+		discardBody(w, q)
+		e.refuse(w, q, refusal, c)
+		return nil, nil, false
+	}
 	src, refusal := e.receiveBody(w, q, v.Doc.Limits, c.timeLeft)
 	if refusal != nil {
 		e.refuse(w, q, refusal, c)
--- a/entry/job.go
+++ b/entry/job.go
@@ -98,7 +98,10 @@
 
 // completions serves both completion paths.
 func (e *Entry) completions(w http.ResponseWriter, q *http.Request) {
-	v, src, ok := e.receiveCall(w, q, apiCaller)
+	v, src, ok := e.receiveCall(w, q, apiCaller, func(v *config.View) *result.Error {
+		_, refusal := parseHeaders(v, q.Header)
+		return refusal
+	})
 	if !ok {
 		return
 	}
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -30,7 +30,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{\"model\"")
+	fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\n%s: press\r\nContent-Length: 100\r\n\r\n{\"model\"", entry.HeaderTeam)
 	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		t.Fatal(err)
--- a/entry/service.go
+++ b/entry/service.go
@@ -25,22 +25,19 @@
 
 // service forwards a call to a plain service.
 func (e *Entry) service(w http.ResponseWriter, q *http.Request) {
-	v, src, ok := e.receiveCall(w, q, apiCaller)
+	v, src, ok := e.receiveCall(w, q, apiCaller, func(v *config.View) *result.Error {
+		_, _, refusal := serviceRoute(v, q)
+		return refusal
+	})
 	if !ok {
 		return
 	}
-	hd, refusal := parseHeaders(v, q.Header)
+	r, hd, refusal := serviceRoute(v, q)
 	if refusal != nil {
 		e.refuse(w, q, refusal, apiCaller)
 		return
 	}
 	name := q.PathValue("name")
-	hd.labels["team"], hd.labels["service"] = hd.team.Name, name
-	r := v.Match(hd.labels, true)
-	if r == nil {
-		e.refuse(w, q, result.Errorf(result.UnknownService, "no route leads to service %q", name), apiCaller)
-		return
-	}
 	path := "/" + strings.TrimPrefix(q.URL.RequestURI(), "/services/"+name+"/")
 	target, err := url.ParseRequestURI(path)
 	if err != nil {
@@ -54,6 +51,21 @@
 	e.execute(q.Context(), j, xxhash.Sum64(src), func(ctx context.Context) *result.Error { return e.runService(ctx, j) })
 }
 
+// serviceRoute returns the route of a call to a plain service, and its headers.
+func serviceRoute(v *config.View, q *http.Request) (*config.RouteView, headers, *result.Error) {
+	hd, refusal := parseHeaders(v, q.Header)
+	if refusal != nil {
+		return nil, hd, refusal
+	}
+	name := q.PathValue("name")
+	hd.labels["team"], hd.labels["service"] = hd.team.Name, name
+	r := v.Match(hd.labels, true)
+	if r == nil {
+		return nil, hd, result.Errorf(result.UnknownService, "no route leads to service %q", name)
+	}
+	return r, hd, nil
+}
+
 // hopByHop are headers that belong to a single connection, and those that are for embercove
 // itself.
 var hopByHop = []string{"Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
