entry: bodies that no handler reads have a time limit

What callers could do: a request with a body to a path that reads none, or a call that is refused before its body, kept its connection open for good if the body never came. net/http reads up to 256 KB of such a body itself, without a time limit, before it writes the answer.

Change: NewServer has each body arrive within five seconds, unless the handler sets another limit, as receiveBody does.

TestUnreadBodiesEndTheirConnections: with a length the connection was still open after a minute of virtual time on; it ends now.

--- a/entry/finish.go
+++ b/entry/finish.go
@@ -68,11 +68,23 @@
 
 // NewServer returns a server for h with the limits that hold for every caller.
 func NewServer(h http.Handler, headerBytes int) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
+	return &http.Server{Handler: boundBodies(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
 }
 
 // Limits on how long a caller may hold a connection without sending a request.
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// bodyTimeout bounds the time for a body whose handler reads none: net/http reads it before the next request.
+	bodyTimeout = 5 * time.Second
 )
+
+// boundBodies has the body of each request arrive within bodyTimeout, unless its handler sets another limit.
+func boundBodies(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+		}
+		h.ServeHTTP(w, q)
+	})
+}
