intake: what callers make a host hold is bounded

What callers saw: a host's process ran out of memory and ended, with all the requests in progress there, when a crowd of callers sent many large bodies of legal size, or bodies in chunks, and stopped just short of their end; or it answered nobody, when connections that rest took all its places.

Cause: a host bounded the size of one body and the time for it, and the number of connections by its descriptors, but not what all callers make it hold together: buffers that double, heads of short fields that take twenty times their bytes, copies of bodies in JSON, and all of that while an answer isn't read.

Change: intake.Memory counts what each connection makes the host hold, from its first byte to the end of its answer, and bounds the sum by the new setting caller_memory_mb, a quarter of memory_mb by default.

--- a/config/settings.go
+++ b/config/settings.go
@@ -60,7 +60,10 @@
 	// force on all hosts; 0: unknown. It and the sizes below come from the platform,
 	// which may state them with fractions.
 	ChangeMillis    float64 `json:"change_ms"`
-	MemoryMegabytes float64 `json:"memory_mb"`        // memory limit of the process; 0: DefaultMemoryMegabytes
+	MemoryMegabytes float64 `json:"memory_mb"` // memory limit of the process; 0: DefaultMemoryMegabytes
+	// CallerMegabytes is the memory that callers may make the process hold, from a connection's first byte to the end of its
+	// answer; 0: a quarter of memory_mb.
+	CallerMegabytes float64 `json:"caller_memory_mb"`
 	Descriptors     float64 `json:"file_descriptors"` // limit of open file descriptors; 0: unknown
 }
 
@@ -131,6 +134,9 @@
 	if s.MemoryMegabytes == 0 {
 		s.MemoryMegabytes = DefaultMemoryMegabytes
 	}
+	if s.CallerMegabytes == 0 {
+		s.CallerMegabytes = callerMemoryShare * s.MemoryMegabytes
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
@@ -196,6 +202,7 @@
 	within(c, "stop_grace_s", &s.GraceSeconds, 0, 86_400)
 	within(c, "change_ms", &s.ChangeMillis, 0, 86_400_000)
 	within(c, "memory_mb", &s.MemoryMegabytes, 16, 1<<20)
+	within(c, "caller_memory_mb", &s.CallerMegabytes, 1, s.MemoryMegabytes)
 	within(c, "file_descriptors", &s.Descriptors, 0, 1<<24)
 	c.oneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
 	return c.errs
@@ -205,6 +212,9 @@
 // is needed for calls to endpoints and peers.
 const callersDescriptorShare = 0.5
 
+// callerMemoryShare is the share of memory_mb that callers may make the process hold by default.
+const callerMemoryShare = 0.25
+
 // Millis converts milliseconds to a duration.
 func Millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/intake"
 	"github.com/embercove/embercove/result"
 )
 
@@ -20,6 +21,7 @@
 type answer struct {
 	w            http.ResponseWriter
 	controller   *http.ResponseController
+	conn         *intake.Conn // of the caller
 	id           string
 	model        string
 	chat         bool
@@ -34,8 +36,8 @@
 	last   time.Time
 }
 
-func newAnswer(w http.ResponseWriter, j *job, isChat bool) *answer {
-	return &answer{w: w, controller: http.NewResponseController(w), id: j.id.String(), model: j.work.Model, chat: isChat,
+func newAnswer(w http.ResponseWriter, j *job, isChat bool, conn *intake.Conn) *answer {
+	return &answer{w: w, controller: http.NewResponseController(w), conn: conn, id: j.id.String(), model: j.work.Model, chat: isChat,
 		stream: j.work.Stream, promptTokens: j.tokens}
 }
 
@@ -127,6 +129,7 @@
 		a.finish = "" // tokens are missing
 	}
 	if !a.stream {
+		a.conn.Hold(len(text))
 		a.text.WriteString(text)
 		return nil
 	}
--- a/entry/body.go
+++ b/entry/body.go
@@ -31,19 +31,25 @@
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(limit))
 	arriving := &arrivingBody{Reader: http.MaxBytesReader(w, q.Body, l.BodyBytes), length: q.ContentLength, limit: limit, gate: gate, began: time.Now()}
-	src, err := io.ReadAll(arriving)
+	conn := intake.ConnOf(q.Context())
+	src, err := collect(conn, arriving, q.ContentLength)
+	if err == nil && !conn.BodyArrived() {
+		err = errNoRoom
+	}
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 		return src, nil
 	}
 	leaveUnread(w)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, bodyTooLarge(l)
-	}
-	if errors.Is(err, errHeldOff) {
+	case errors.Is(err, errHeldOff):
 		gate.CountRefused()
 		return nil, heldOff()
+	case errors.Is(err, errNoRoom), conn.IsEvicted():
+		return nil, noRoom()
 	}
 	return nil, result.Errorf(result.BodyTooSlow, "body: not complete within %d ms", limit.Milliseconds()).After(time.Second)
 }
@@ -52,6 +58,49 @@
 	return result.Errorf(result.BodyTooLarge, "body: more than %d bytes", l.BodyBytes)
 }
 
+// firstPiece is the size of the buffer in which a body begins to be collected, in bytes.
+const firstPiece = 16 << 10
+
+// collect reads a body of a length, below 0 if that is unknown. Its connection holds the buffers that it takes.
+func collect(conn *intake.Conn, body io.Reader, length int64) ([]byte, error) {
+	var buf []byte
+	for {
+		room := buf[len(buf):cap(buf)]
+		if isWhole := int64(len(buf)) == length; isWhole {
+			room = make([]byte, 1) // for a reader that tells the end apart
+		} else if len(room) == 0 {
+			grown, err := grow(conn, buf, length)
+			if err != nil {
+				return nil, err
+			}
+			buf, room = grown, grown[len(grown):cap(grown)]
+		}
+		n, err := body.Read(room)
+		buf = buf[:len(buf)+n]
+		if err == io.EOF {
+			return buf, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// grow returns a larger buffer with the content of one that is full.
+func grow(conn *intake.Conn, buf []byte, length int64) ([]byte, error) {
+	size := max(firstPiece, 2*cap(buf))
+	if length >= 0 {
+		size = int(min(int64(size), length))
+	}
+	if !conn.Acquire(size) {
+		return nil, errNoRoom
+	}
+	grown := make([]byte, len(buf), size)
+	copy(grown, buf)
+	conn.Release(cap(buf))
+	return grown, nil
+}
+
 // leaveUnread has the connection closed after the answer, without the rest of the body: net/http would read
 // that first.
 func leaveUnread(w http.ResponseWriter) {
@@ -76,6 +125,8 @@
 	errBodyTooSlow = errors.New("the body arrives too slowly")
 	// errHeldOff is returned for a body that is given up so that others arrive.
 	errHeldOff = errors.New("callers are held off")
+	// errNoRoom is returned for a body that there is no memory for.
+	errNoRoom = errors.New("callers hold all memory that there is for them")
 )
 
 const (
@@ -113,13 +164,17 @@
 // smallBody is the size up to which a body mostly arrives together with its head, in bytes.
 const smallBody = 4 << 10
 
-// receiveBody reads the body of a call. While callers are held off, it refuses a call whose body is still to
-// come; what has arrived already is served.
+// receiveBody reads the body of a call. It refuses a call for which there is no memory and, while callers are held off, one
+// whose body is still to come; what has arrived already is served.
 func (e *Entry) receiveBody(w http.ResponseWriter, q *http.Request, l config.Limits, timeLeft time.Duration) ([]byte, *result.Error) {
 	if q.ContentLength > l.BodyBytes {
 		leaveUnread(w)
 		return nil, bodyTooLarge(l)
 	}
+	if !intake.ConnOf(q.Context()).BeginRequest(q) {
+		leaveUnread(w)
+		return nil, noRoom()
+	}
 	arrived := q.ContentLength >= 0 && q.ContentLength <= smallBody
 	place := e.board.Intake.PlaceOf(q.Context())
 	if !place.Acquire(arrived) {
@@ -131,6 +186,11 @@
 	return readBody(w, q, l, timeLeft, e.board.Intake)
 }
 
+// noRoom returns the refusal of a call for which there is no memory.
+func noRoom() *result.Error {
+	return result.Errorf(result.HostOverloaded, "%v", errNoRoom).After(elsewhereRetryAfter)
+}
+
 // heldOff returns the refusal of a call while callers are held off.
 func heldOff() *result.Error {
 	return result.Errorf(result.HostOverloaded, "callers send this host more than it carries").After(elsewhereRetryAfter)
--- a/entry/buffer.go
+++ b/entry/buffer.go
@@ -14,18 +14,18 @@
 // off can be requested from another endpoint. Longer bodies are forwarded as they arrive.
 const maxBuffered = 64 << 10
 
-// bufferBody reads an answer's body up to maxBuffered. It returns an error if the body
+// bufferBody reads an answer's body up to maxBuffered, and returns how many bytes it has read. It returns an error if the body
 // breaks off before that.
-func bufferBody(ans *endpoint.Answer) error {
+func bufferBody(ans *endpoint.Answer) (int, error) {
 	head, err := readAhead(ans)
 	if err != nil {
-		return err
+		return len(head), err
 	}
 	if len(head) == 0 && ans.EndsByClose && isEventStream(ans) {
-		return io.ErrUnexpectedEOF
+		return 0, io.ErrUnexpectedEOF
 	}
 	ans.Body = &bufferedBody{Reader: io.MultiReader(bytes.NewReader(head), ans.Body), Closer: ans.Body}
-	return nil
+	return len(head), nil
 }
 
 // readAhead reads what is held of an answer before it is forwarded: of a stream only what comes first.
--- a/entry/job.go
+++ b/entry/job.go
@@ -10,6 +10,7 @@
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/intake"
 	"github.com/embercove/embercove/quarantine"
 	"github.com/embercove/embercove/report"
 	"github.com/embercove/embercove/request"
@@ -105,6 +106,11 @@
 	if !ok {
 		return
 	}
+	conn := intake.ConnOf(q.Context())
+	if !conn.Acquire(parsedCopies * len(src)) {
+		e.refuse(w, q, noRoom(), apiCaller)
+		return
+	}
 	chat := q.URL.Path == "/v1/chat/completions"
 	j, refusal := e.admit(v, q.Header, src, chat)
 	if refusal != nil {
@@ -112,10 +118,14 @@
 		return
 	}
 	j.setFingerprint(q, src)
-	j.reply = newAnswer(w, j, chat)
+	j.reply = newAnswer(w, j, chat, conn)
 	e.execute(q.Context(), j, xxhash.Sum64(src), func(ctx context.Context) *result.Error { return e.run(ctx, j) })
 }
 
+// parsedCopies is how many times its size a body in JSON takes up besides itself: as its fields, as one prompt, and as the body
+// of a call to an engine.
+const parsedCopies = 3
+
 // admit checks a call and makes a job of it.
 func (e *Entry) admit(v *config.View, h http.Header, src []byte, chat bool) (*job, *result.Error) {
 	hd, refusal := parseHeaders(v, h)
--- a/entry/service.go
+++ b/entry/service.go
@@ -14,6 +14,7 @@
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/intake"
 	"github.com/embercove/embercove/internal/wait"
 	"github.com/embercove/embercove/invariant"
 	"github.com/embercove/embercove/quarantine"
@@ -224,7 +225,9 @@
 		return err
 	}
 	ans.Streams = j.route.Streams || isEventStream(ans)
-	if err := bufferBody(ans); err != nil {
+	buffered, err := bufferBody(ans)
+	intake.ConnOf(ctx).Hold(buffered)
+	if err != nil {
 		ans.Body.Close()
 		return &endpoint.CallError{Address: spec.Address, Status: ans.Status, MayHaveRun: true, Cause: err}
 	}
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -54,8 +54,9 @@
 //
 // Its methods are safe for concurrent use.
 type Gate struct {
-	Probe Probe       // set before Run
-	Log   *zap.Logger // set before Run
+	Probe  Probe       // set before Run
+	Log    *zap.Logger // set before Run
+	Memory *Memory     // that callers make the host hold
 
 	suspected chan struct{}
 	refused   atomic.Uint64
@@ -74,7 +75,9 @@
 }
 
 // NewGate returns an open gate.
-func NewGate() *Gate { return &Gate{suspected: make(chan struct{}, 1), Log: zap.NewNop()} }
+func NewGate() *Gate {
+	return &Gate{suspected: make(chan struct{}, 1), Log: zap.NewNop(), Memory: NewMemory()}
+}
 
 // NoteDelay notes how long a call, or something that callers sent, took beyond what it should have. If that is
 // long, the delay of calls to other hosts is measured.
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -59,20 +59,45 @@
 	l.changed = make(chan struct{})
 }
 
-// Accept implements net.Listener. The connection is a Conn.
+// Accept implements net.Listener. The connection is a Conn. One for which there is no room is closed.
 func (l *Listener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.done:
-		return nil, net.ErrClosed
+	if err := l.acquireSlot(); err != nil {
+		return nil, err
 	}
 	release := func() { <-l.slots }
-	c, err := l.accept()
-	if err != nil {
-		release()
-		return nil, err
+	for {
+		inner, err := l.accept()
+		if err != nil {
+			release()
+			return nil, err
+		}
+		if c := newConn(inner, l.gate.Memory, release); l.gate.Memory.admit(c) {
+			return c, nil
+		}
+		inner.Close()
+	}
+}
+
+// evictInterval is the time between two looks for a connection that can be closed for a new one.
+const evictInterval = 100 * time.Millisecond
+
+// acquireSlot waits until there may be one more connection. Those that callers don't need are closed for it.
+func (l *Listener) acquireSlot() error {
+	for {
+		select {
+		case l.slots <- struct{}{}:
+			return nil
+		default:
+		}
+		l.gate.Memory.EvictOne()
+		select {
+		case l.slots <- struct{}{}:
+			return nil
+		case <-l.done:
+			return net.ErrClosed
+		case <-time.After(evictInterval):
+		}
 	}
-	return &Conn{Conn: c, release: release}, nil
 }
 
 // accept accepts a connection while the gate admits any.
--- a/intake/listener_test.go
+++ b/intake/listener_test.go
@@ -21,11 +21,14 @@
 	client  *http.Client
 }
 
-const serverAddress = "10.1.0.1:80"
+const (
+	serverAddress      = "10.1.0.1:80"
+	maxTestConnections = 100
+)
 
 func startServer(t *testing.T) *server {
 	s := &server{gate: NewGate(), network: fake.NewNetwork()}
-	l, err := NewListener(s.gate, 100, func() (net.Listener, error) { return s.network.Listen("a", serverAddress), nil })
+	l, err := NewListener(s.gate, maxTestConnections, func() (net.Listener, error) { return s.network.Listen("a", serverAddress), nil })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -124,7 +124,8 @@
 		o(n)
 	}
 	n.log = n.log.With(zap.String("host", s.Host))
-	n.Board.Invariant.Log, n.Board.Intake.Log = n.log, n.log
+	n.Board.Invariant.Log, n.Board.Intake.Log, n.Board.Intake.Memory.Log = n.log, n.log, n.log
+	n.Board.Intake.Memory.SetLimit(int64(s.CallerMegabytes * (1 << 20)))
 	n.connectEngine()
 	n.Owner = owner.New(n.Board, n.engine, n.log)
 	n.Router = peer.NewRouter(n.Board, n.Owner, peer.Dial(n.dial), n.log)
@@ -272,6 +273,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		n.calls.Add(1)
 		defer n.calls.Add(-1)
+		defer intake.ConnOf(q.Context()).EndRequest()
 		h.ServeHTTP(w, q)
 	})
 }
