node: what callers may hold follows what the tables leave

What callers may see: on a host whose tables of hosts, endpoints and routes take most of its memory, a quarter of it for callers is too much, and a crowd still ends the process.

Change: the daemon reckons each second what is live besides what callers hold, and lowers their limit to what that leaves of the garbage collector's limit, down to a quarter of caller_memory_mb. In tests and trials, where nodes share a process, the limit stays as it is set.

That a large table ended a process beside a crowd was not played: this is by reckoning.

--- a/cmd/embercoved/main.go
+++ b/cmd/embercoved/main.go
@@ -33,9 +33,6 @@
 // stdinPath is the path that stands for standard input.
 const stdinPath = "-"
 
-// memoryLimitShare is the share of memory_mb that is set as the garbage collector's memory limit.
-const memoryLimitShare = 0.7
-
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -60,7 +57,7 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
-	debug.SetMemoryLimit(int64(memoryLimitShare * s.MemoryMegabytes * (1 << 20)))
+	debug.SetMemoryLimit(int64(config.CollectorShare * s.MemoryMegabytes * (1 << 20)))
 	sink := logsink.New(os.Stdout, 0)
 	defer func() {
 		select {
@@ -114,7 +111,7 @@
 	hup := notifyHangup()
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	opts := []node.Option{node.WithLog(log), node.WithLogCounter(sink)}
+	opts := []node.Option{node.WithLog(log), node.WithLogCounter(sink), node.WithOwnProcess()}
 	if s.Protocol == config.ProtocolPlatform {
 		opts = append(opts, node.WithProtocol(platform.New(s, log, nil)))
 	}
--- a/config/settings.go
+++ b/config/settings.go
@@ -62,7 +62,7 @@
 	ChangeMillis    float64 `json:"change_ms"`
 	MemoryMegabytes float64 `json:"memory_mb"` // memory limit of the process; 0: DefaultMemoryMegabytes
 	// CallerMegabytes is the memory that callers may make the process hold, from a connection's first byte to the end of its
-	// answer; 0: a quarter of memory_mb.
+	// answer; 0: a quarter of memory_mb. The daemon lowers it to what its tables leave.
 	CallerMegabytes float64 `json:"caller_memory_mb"`
 	Descriptors     float64 `json:"file_descriptors"` // limit of open file descriptors; 0: unknown
 }
@@ -212,6 +212,10 @@
 // is needed for calls to endpoints and peers.
 const callersDescriptorShare = 0.5
 
+// CollectorShare is the share of memory_mb that is set as the garbage collector's memory limit. The rest is for what isn't the
+// collector's: the program itself, and memory that is about to be collected.
+const CollectorShare = 0.7
+
 // callerMemoryShare is the share of memory_mb that callers may make the process hold by default.
 const callerMemoryShare = 0.25
 
--- a/intake/memory.go
+++ b/intake/memory.go
@@ -65,8 +65,12 @@
 	return &Memory{Log: zap.NewNop(), conns: map[*Conn]struct{}{}, released: make(chan struct{})}
 }
 
-// SetLimit sets the limit in bytes; 0: none. It is set before connections are accepted.
-func (m *Memory) SetLimit(n int64) { m.limit = n }
+// SetLimit sets the limit in bytes; 0: none. What is held beyond a lower limit stays.
+func (m *Memory) SetLimit(n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.limit = n
+}
 
 // admit has a new connection hold what it takes. It reports whether there is room, or will be soon.
 func (m *Memory) admit(c *Conn) bool {
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,7 @@
 	entry         *entry.Entry
 	metrics       *metrics
 	logCounter    LogCounter // nil: log lines aren't counted
+	ownProcess    bool       // the memory of the process is this node's
 	replicaPolicy copies.Policy
 	log           *zap.Logger
 	calls         atomic.Int64 // of callers, that are being served
@@ -83,6 +84,9 @@
 // WithLogCounter exports the counts of log lines as metrics.
 func WithLogCounter(l LogCounter) Option { return func(n *Node) { n.logCounter = l } }
 
+// WithOwnProcess says that the process runs nothing else, so that its memory is that of the node.
+func WithOwnProcess() Option { return func(n *Node) { n.ownProcess = true } }
+
 // WithNetwork sets how the node listens and dials. By default it uses TCP.
 func WithNetwork(listen func(address string) (net.Listener, error), dial endpoint.Dial) Option {
 	return func(n *Node) { n.listen, n.dial = listen, dial }
@@ -125,7 +129,7 @@
 	}
 	n.log = n.log.With(zap.String("host", s.Host))
 	n.Board.Invariant.Log, n.Board.Intake.Log, n.Board.Intake.Memory.Log = n.log, n.log, n.log
-	n.Board.Intake.Memory.SetLimit(int64(s.CallerMegabytes * (1 << 20)))
+	n.Board.Intake.Memory.SetLimit(int64(s.CallerMegabytes * megabyte))
 	n.connectEngine()
 	n.Owner = owner.New(n.Board, n.engine, n.log)
 	n.Router = peer.NewRouter(n.Board, n.Owner, peer.Dial(n.dial), n.log)
@@ -144,7 +148,11 @@
 	}
 	n.metrics = m
 	n.Router.OnAccepted, n.Router.OnEvacuated = func(v *config.View) { n.Recorder.SetTargets(v.Doc.Targets) }, n.Owner.RefuseEvacuated
-	n.pool = blackboard.NewPool(n.Board, n.Router.Flusher(), n.Owner.Poller(), n.Router.Exchanger(), n.Router.Watcher(), n.Router.KeySweeper(), n.Router.Seeder(), n.Router.RegistrationExpirer(), n.Router.RecoveryChecker(), n.Owner.Balancer(), n.Owner.VoteController(), n.Router.Settler(), n.Router.MarksSweeper(), n.tunnels.Prober(), n.processLogger())
+	controllers := []blackboard.Controller{n.Router.Flusher(), n.Owner.Poller(), n.Router.Exchanger(), n.Router.Watcher(), n.Router.KeySweeper(), n.Router.Seeder(), n.Router.RegistrationExpirer(), n.Router.RecoveryChecker(), n.Owner.Balancer(), n.Owner.VoteController(), n.Router.Settler(), n.Router.MarksSweeper(), n.tunnels.Prober(), n.processLogger()}
+	if n.ownProcess {
+		controllers = append(controllers, n.callerLimiter())
+	}
+	n.pool = blackboard.NewPool(n.Board, controllers...)
 	n.Board.Pause.OnWake(n.dropStaleState)
 	return n, nil
 }
