intake: what refused callers send on isn't kept

What a crowd could do: callers whose large bodies are refused go on sending until their connection is closed, half a second later, and return. What they send meanwhile waits in the kernel's buffers, which had grown while the body was read; on the users' platform it counts toward the process's memory.

Change: a connection whose body is left unread keeps 4 KB more at the most.

--- a/entry/body.go
+++ b/entry/body.go
@@ -40,7 +40,7 @@
 		_ = rc.SetReadDeadline(time.Time{})
 		return src, nil
 	}
-	leaveUnread(w)
+	leaveUnread(w, q)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -103,9 +103,10 @@
 
 // leaveUnread has the connection closed after the answer, without the rest of the body: net/http would read
 // that first.
-func leaveUnread(w http.ResponseWriter) {
+func leaveUnread(w http.ResponseWriter, q *http.Request) {
 	w.Header().Set("Connection", "close")
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	intake.ConnOf(q.Context()).LimitUnread()
 }
 
 // discardTime is how long a small body that isn't needed may take, so that its connection can stay open.
@@ -114,7 +115,7 @@
 // discardBody prepares the answer to a call whose body isn't needed. A small one has mostly arrived with its head.
 func discardBody(w http.ResponseWriter, q *http.Request) {
 	if q.ContentLength < 0 || q.ContentLength > smallBody {
-		leaveUnread(w)
+		leaveUnread(w, q)
 		return
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTime))
@@ -168,18 +169,18 @@
 // whose body is still to come; what has arrived already is served.
 func (e *Entry) receiveBody(w http.ResponseWriter, q *http.Request, l config.Limits, timeLeft time.Duration) ([]byte, *result.Error) {
 	if q.ContentLength > l.BodyBytes {
-		leaveUnread(w)
+		leaveUnread(w, q)
 		return nil, bodyTooLarge(l)
 	}
 	if !intake.ConnOf(q.Context()).BeginRequest(q) {
-		leaveUnread(w)
+		leaveUnread(w, q)
 		return nil, noRoom()
 	}
 	arrived := q.ContentLength >= 0 && q.ContentLength <= smallBody
 	place := e.board.Intake.PlaceOf(q.Context())
 	if !place.Acquire(arrived) {
 		e.board.Intake.CountRefused()
-		leaveUnread(w)
+		leaveUnread(w, q)
 		return nil, heldOff()
 	}
 	defer place.Release()
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -58,6 +58,9 @@
 // writeTimeout bounds one write to a caller that doesn't read.
 const writeTimeout = 30 * time.Second
 
+// unreadBytes is the size of the kernel's buffer for what is received on a connection and isn't read soon.
+const unreadBytes = 4 << 10
+
 // errNoRoom is returned to the reader of a head for which there is no room. It is a time-out, so that net/http closes the
 // connection without an answer.
 var errNoRoom = &net.OpError{Op: "read", Net: "tcp", Err: os.ErrDeadlineExceeded}
@@ -249,6 +252,16 @@
 	_ = c.Conn.Close()
 }
 
+// LimitUnread limits what the kernel keeps of what the caller sends on and nobody reads.
+func (c *Conn) LimitUnread() {
+	if c == nil {
+		return
+	}
+	if tcp, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = tcp.SetReadBuffer(unreadBytes)
+	}
+}
+
 // ResetOnClose sets whether the connection is reset where it is closed, also by the end of the process. An answer that ends by the
 // close of its connection looks whole otherwise.
 func (c *Conn) ResetOnClose(resets bool) {
--- a/internal/fake/crowd.go
+++ b/internal/fake/crowd.go
@@ -31,6 +31,8 @@
 	Withheld int
 	// Idles has the caller send a whole request, read the answer and rest.
 	Idles bool
+	// Returns has the caller come back whenever its connection is closed, until the crowd is.
+	Returns bool
 }
 
 // CallerMark stands for the caller's number in the head of a Misbehavior.
@@ -48,45 +50,85 @@
 	m       Misbehavior
 	rest    []byte // of each request, behind its head
 
-	mu   sync.Mutex
-	open []net.Conn
+	returning sync.WaitGroup
+
+	mu     sync.Mutex
+	open   map[net.Conn]struct{}
+	closed bool
 }
 
 // StartCrowd has n callers send what they will, and returns once they all have, or were turned away as often as they try.
 // Connections that the host leaves open stay open until Close.
 func StartCrowd(address string, n int, m Misbehavior) *Crowd {
-	c := &Crowd{address: address, m: m, rest: m.rest()}
+	c := &Crowd{address: address, m: m, rest: m.rest(), open: map[net.Conn]struct{}{}}
 	var callers sync.WaitGroup
 	for i := range n {
 		callers.Go(func() {
 			for range crowdAttempts {
-				if c.call(i) == nil {
+				if _, err := c.call(i); err == nil {
 					return
 				}
 			}
 		})
 	}
 	callers.Wait()
+	if m.Returns {
+		for i := range n {
+			c.returning.Go(func() { c.callAgain(i) })
+		}
+	}
 	return c
 }
 
-// call makes one attempt of a caller.
-func (c *Crowd) call(caller int) error {
+// returnPause is the time until a caller comes back.
+const returnPause = 20 * time.Millisecond
+
+// callAgain has a caller come back until the crowd is closed.
+func (c *Crowd) callAgain(caller int) {
+	for !c.isClosed() {
+		if conn, err := c.call(caller); err == nil {
+			_, _ = io.Copy(io.Discard, conn) // ends when the host closes the connection
+			c.drop(conn)
+		}
+		time.Sleep(returnPause)
+	}
+}
+
+// drop closes a connection that the host has closed.
+func (c *Crowd) drop(conn net.Conn) {
+	conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, conn)
+}
+
+// call makes one attempt of a caller, and returns its connection.
+func (c *Crowd) call(caller int) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", c.address, crowdWriteTimeout)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	c.keep(conn)
+	if err := c.sendRequest(conn, caller); err != nil {
+		c.drop(conn)
+		return nil, err
+	}
+	return conn, nil
+}
+
+// sendRequest sends what a caller sends of its request.
+func (c *Crowd) sendRequest(conn net.Conn, caller int) error {
 	head := strings.ReplaceAll(c.m.Head, CallerMark, strconv.Itoa(caller))
 	for _, part := range [][]byte{[]byte(head), c.rest} {
 		if err := c.send(conn, part); err != nil {
 			return err
 		}
 	}
-	if c.m.Idles {
-		_ = conn.SetReadDeadline(time.Now().Add(crowdWriteTimeout))
-		_, err = io.ReadAtLeast(conn, make([]byte, 1<<10), 1)
+	if !c.m.Idles {
+		return nil
 	}
+	_ = conn.SetReadDeadline(time.Now().Add(crowdWriteTimeout))
+	_, err := io.ReadAtLeast(conn, make([]byte, 1<<10), 1)
 	return err
 }
 
@@ -110,16 +152,28 @@
 func (c *Crowd) keep(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.open = append(c.open, conn)
+	if c.closed {
+		conn.Close()
+		return
+	}
+	c.open[conn] = struct{}{}
 }
 
-// Close closes all connections.
+// Close closes all connections, and ends the callers that return.
 func (c *Crowd) Close() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, conn := range c.open {
+	c.closed = true
+	for conn := range c.open {
 		conn.Close()
 	}
+	c.mu.Unlock()
+	c.returning.Wait()
+}
+
+func (c *Crowd) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
 }
 
 // rest returns what a caller sends behind the head.
--- a/internal/fake/usage.go
+++ b/internal/fake/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"os"
 	"strconv"
 	"strings"
@@ -45,3 +46,29 @@
 		time.Sleep(peakRest)
 	}
 }
+
+// SocketBytes returns how many bytes wait unread in the sockets of an IPv4 address and port of this machine.
+func SocketBytes(address netip.AddrPort) (total int64, err error) {
+	src, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0, err
+	}
+	ip := address.Addr().As4()
+	local := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], address.Port())
+	for line := range strings.Lines(string(src)) {
+		fields := strings.Fields(line)
+		if len(fields) < 5 || fields[1] != local || fields[3] == stateListen {
+			continue
+		}
+		_, unread, _ := strings.Cut(fields[4], ":")
+		n, err := strconv.ParseInt(unread, 16, 64)
+		if err != nil {
+			return total, errors.Wrapf(err, "/proc/net/tcp: %q", line)
+		}
+		total += n
+	}
+	return total, nil
+}
+
+// stateListen is the state of a listening socket, whose queues count connections.
+const stateListen = "0A"
