entry: a body is read in pieces that grow

Cause: read the first 16 KB of a body at once. A body is given up for others only between two reads, while less than half of it has come, so bodies of some kilobytes were never given up, and all went on slowly together.

Change: the first read takes 512 bytes, and each further one as much as has come.

--- a/entry/body.go
+++ b/entry/body.go
@@ -58,8 +58,12 @@
 	return result.Errorf(result.BodyTooLarge, "body: more than %d bytes", l.BodyBytes)
 }
 
-// firstPiece is the size of the buffer in which a body begins to be collected, in bytes.
-const firstPiece = 16 << 10
+const (
+	// firstBuffer is the size of the buffer in which a body begins to be collected, in bytes.
+	firstBuffer = 16 << 10
+	// firstRead is the most that is read of a body at first, in bytes: each read decides whether the rest is given up.
+	firstRead = 512
+)
 
 // collect reads a body of a length, below 0 if that is unknown. Its connection holds the buffers that it takes.
 func collect(conn *intake.Conn, body io.Reader, length int64) ([]byte, error) {
@@ -75,7 +79,7 @@
 			}
 			buf, room = grown, grown[len(grown):cap(grown)]
 		}
-		n, err := body.Read(room)
+		n, err := body.Read(room[:min(len(room), max(firstRead, len(buf)))])
 		buf = buf[:len(buf)+n]
 		if err == io.EOF {
 			return buf, nil
@@ -88,7 +92,7 @@
 
 // grow returns a larger buffer with the content of one that is full.
 func grow(conn *intake.Conn, buf []byte, length int64) ([]byte, error) {
-	size := max(firstPiece, 2*cap(buf))
+	size := max(firstBuffer, 2*cap(buf))
 	if length >= 0 {
 		size = int(min(int64(size), length))
 	}
