node: listeners of operators take fewer connections

The listeners of admin_address and metrics_address each took as many connections as that of callers, half of the descriptors, so that the three together could take more than the process has, and calls to endpoints and hosts had none left. Each takes 64 now: the load balancer asks once a second and operators come one at a time. By reading; no test plays a crowd there.

--- a/node/node.go
+++ b/node/node.go
@@ -251,13 +251,17 @@
 // Failed delivers the error of a listener that failed.
 func (n *Node) Failed() <-chan error { return n.failed }
 
+// maxOperatorConnections bounds the connections of operators and the load balancer, so that all connections to this host together
+// stay within its descriptors.
+const maxOperatorConnections = 64
+
 func (n *Node) serve(address, field string, h http.Handler) error {
 	l, err := n.listen(address)
 	if err != nil {
 		n.cancel()
 		return errors.Wrap(err, field)
 	}
-	n.serveOn(netutil.LimitListener(l, n.settings.MaxConnections), field, entry.NewServer(h, n.settings.MaxHeaderBytes))
+	n.serveOn(netutil.LimitListener(l, min(n.settings.MaxConnections, maxOperatorConnections)), field, entry.NewServer(h, n.settings.MaxHeaderBytes))
 	return nil
 }
 
