--- a/intake/memory_test.go
+++ b/intake/memory_test.go
@@ -139,14 +139,11 @@
 func TestSmallRequestsHaveRoomBesideLargeOnes(t *testing.T) {
 	m := NewMemory()
 	m.SetLimit(testLimit)
-	for i := 0; ; i++ {
-		c := open(t, m)
-		if !c.Acquire(2 * smallHolding) {
-			if i < 2 {
-				t.Errorf("room for %d large holdings", i)
-			}
-			break
-		}
+	first, second := open(t, m), open(t, m)
+	if !first.Acquire(2*smallHolding) || !second.Acquire(2*smallHolding) {
+		t.Error("no room for two large holdings")
+	}
+	for first.Acquire(1 << 10) {
 	}
 	if !open(t, m).Acquire(smallHolding / 2) {
 		t.Error("no room for a small holding beside large ones")
@@ -218,7 +215,10 @@
 	if !open(t, m).Acquire(2 * smallHolding) {
 		t.Fatal("no room for another caller")
 	}
-	go fmt.Fprint(c.caller, strings.Repeat(head, 3))
+	go func() {
+		fmt.Fprint(c.caller, strings.Repeat(head, 3))
+		c.caller.Close()
+	}()
 	for {
 		n, err := c.Read(make([]byte, 512))
 		if err == nil {
@@ -245,6 +245,7 @@
 			resting = append(resting, c)
 		}
 		time.Sleep(2 * restedAfter)
+		s.client.Timeout = time.Minute
 		if got := s.get(t, s.client); got != http.StatusOK {
 			t.Errorf("status %d beside %d connections that rest, want 200", got, len(resting))
 		}
