entry: the next try's version is kept with its call

What callers may see: a stream that may run once is cut as its copy begins to go on, "another software version began the answer".

Cause, by reading: an answer whose engine hasn't confirmed its process is bound to no version; its next try is bound to the only version that may have written it and placed by that. When its call is taken over, the job is still bound to none and asks again. The question is answered only while no later configuration is known to be in force elsewhere, so that a version published between the two has the answer cut, although its version was known.

Change: the job takes over the version together with the call, from a copy and at another pair. What told the version is of the past and doesn't change.

TestNextTryKeepsTheVersionItWasPlacedBy failed in 2 of its 8 cases before.

--- a/entry/copy.go
+++ b/entry/copy.go
@@ -161,6 +161,7 @@
 	}
 	end := copies.End{Replicated: p.replica != nil, CallerGone: ctx.Err() != nil, MayHaveRun: endpoint.MayHaveRun(err), MayStillRun: endpoint.Abandoned(err), DecodeTime: j.answerAge()}
 	if j.next != nil {
+		j.next.keepVersion(j)
 		j.opened, j.next = j.next.opened, nil
 		return true
 	}
--- a/entry/next.go
+++ b/entry/next.go
@@ -167,6 +167,7 @@
 	}
 	j.opened, j.prefillName = n.opened, n.job.prefillName
 	n.logTaken(j)
+	n.keepVersion(j)
 	n.job.criteria.Continues, n.job.criteria.Software = j.criteria.Continues, j.criteria.Software
 	j.pool, j.criteria, j.redirect, j.refusedRegions, j.regionLog = n.job.pool, n.job.criteria, n.job.redirect, n.job.refusedRegions, n.job.regionLog
 	j.criteria.Probe = j.probing
--- a/entry/version.go
+++ b/entry/version.go
@@ -234,6 +234,15 @@
 	n.entry.resolveVersion(&n.job)
 }
 
+// keepVersion binds a job whose answer's software version isn't known to the one that its next try was placed by. What told that
+// version may be out of date by now, as a later configuration has come.
+func (n *nextTry) keepVersion(j *job) {
+	placed := &n.job.criteria
+	if j.criteria.Continues && config.IsUnknownSoftware(j.criteria.Software) && placed.Continues {
+		j.criteria.Software = placed.Software
+	}
+}
+
 // mayGoOnAt reports whether an endpoint may go on with the job's answer as far as its software is concerned.
 func (j *job) mayGoOnAt(spec *config.Endpoint) bool {
 	return !j.criteria.Continues || spec.Software == j.criteria.Software
