endpoint: a reset that a write is told of ends no answer

Callers got a part of an answer as the whole: a runner answered a long upload without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: the kernel reports the loss of a connection once. If a write asks first, the next read returns end of file, as at the end of an answer without a length. The same in a gateway of tunnels, which passed that end on.

At the end of file a read learns whether a write was told of a loss, and fails then. It works as the write that was told has returned, or returns as soon as it is interrupted; a write that wasn't told goes on.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -36,7 +36,7 @@
 const dialTimeout = 2 * time.Second
 
 // DefaultDial returns a dial function over TCP.
-func DefaultDial() Dial { return (&net.Dialer{Timeout: dialTimeout}).DialContext }
+func DefaultDial() Dial { return ReportLosses((&net.Dialer{Timeout: dialTimeout}).DialContext) }
 
 // NewClient returns a client that connects by dial, and for orders by orderDial. A nil dial uses TCP,
 // a nil orderDial is dial.
--- a/peer/tunnel_test.go
+++ b/peer/tunnel_test.go
@@ -259,3 +259,29 @@
 		t.Errorf("an unknown method: %v", err)
 	}
 }
+
+// TestResetDuringUploadIsNoEndOfTunnel guards against an answer that an endpoint resets, and that looks whole by way of another
+// host: a write of what the endpoint is sent is told of the reset there in place of the read.
+func TestResetDuringUploadIsNoEndOfTunnel(t *testing.T) {
+	const plays = 150
+	e := newTunnelEnds(t)
+	upload, whole := make([]byte, 8<<20), 0
+	for range plays {
+		near, far := e.accept(t)
+		go func() { _, _ = near.Write(upload) }()
+		if _, err := io.ReadFull(far, make([]byte, 4<<10)); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(far, "a part")
+		time.Sleep(time.Millisecond)
+		_ = far.(*net.TCPConn).SetLinger(0)
+		far.Close()
+		if _, err := io.ReadAll(near); err == nil {
+			whole++
+		}
+		near.Close()
+	}
+	if whole > 0 {
+		t.Errorf("%d of %d answers that were reset count as whole", whole, plays)
+	}
+}
