internal/answer: an answer without a status is a failure

Callers got no answer at all for status 000: the connection was closed, also for calls that may be repeated, and the request stayed in the table as in progress, so that a planned stop waited for it. Status 600 or 999, 101, and answers of other versions of HTTP reached callers as they were.

Cause: net/http's client takes three characters that parse as a number for a status. Passing one below 100 on panics in net/http's server, which stood in for a check; the panic skipped the end of the request.

Change: answer.Transport, used by all clients of endpoints and stores, fails a call whose final answer isn't one of HTTP/1 with a status from 200 to 599. It works as nothing is passed on before the transport has returned: the call counts as one that may have run and failed, as for an answer that breaks off.

--- a/publish/client.go
+++ b/publish/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/embercove/embercove/internal/answer"
 )
 
 // Paths of the platform's read interface.
@@ -58,7 +60,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	}
-	return &Client{addr: addr, hc: &http.Client{Transport: &http.Transport{DialContext: dial, IdleConnTimeout: 90 * time.Second}}}
+	return &Client{addr: addr, hc: &http.Client{Transport: answer.Transport{Transport: &http.Transport{DialContext: dial, IdleConnTimeout: 90 * time.Second}}}}
 }
 
 // Close drops idle connections.
