internal/answer: a field name with a blank makes an answer a failure

Callers got answers in whose heads the name of a field held a blank. The line was left out, and where it would have been the length or the coding of the body, they got another body than the runner's as a whole answer.

Cause: net/http's client refuses all bytes that names can't hold but the blank, and keeps such a name, which then means nothing to it. Its server drops it. Heads of interim answers are read and forgotten.

Names with control bytes, delimiters or other bytes held already; their rows stay.

Change: answer.Transport records the heads of an answer on its connection and checks the names of all of them, and those of trailers at the end of a body. It works as what is checked are the bytes that arrived, before the answer is returned. The heads of the store's answers have a bound now, as those of endpoints had.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -57,10 +57,10 @@
 
 func newHTTP(dial Dial) *http.Client {
 	return &http.Client{
-		Transport: answer.Transport{Transport: &http.Transport{
+		Transport: answer.NewTransport(&http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second,
 			DisableCompression: true, MaxResponseHeaderBytes: MaxHead,
-		}},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/answer/transport.go
+++ b/internal/answer/transport.go
@@ -2,7 +2,9 @@
 package answer
 
 import (
+	"io"
 	"net/http"
+	"net/http/httptrace"
 
 	"github.com/pkg/errors"
 )
@@ -19,18 +21,53 @@
 	return errors.As(err, &malformed)
 }
 
-// Transport is an http.Transport whose calls fail for malformed answers, some of which net/http lets pass.
+// Transport makes calls that fail for malformed answers, some of which net/http lets pass.
 type Transport struct{ *http.Transport }
 
+// NewTransport returns a transport of these settings, which must have DialContext and MaxResponseHeaderBytes.
+func NewTransport(settings *http.Transport) Transport {
+	settings.DialContext = recordHeads(settings.DialContext)
+	return Transport{settings}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(q *http.Request) (*http.Response, error) {
-	res, err := t.Transport.RoundTrip(q)
+	var conn *recorder
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		conn = i.Conn.(*recorder)
+		conn.start(int(t.MaxResponseHeaderBytes))
+	}}
+	res, err := t.Transport.RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := checkStatusLine(res); err != nil {
+	record := conn.stop()
+	if err = checkStatusLine(res); err == nil {
+		err = checkHeads(record)
+	}
+	if err != nil {
 		res.Body.Close()
 		return nil, err
 	}
+	if len(res.TransferEncoding) > 0 {
+		res.Body = &chunkedBody{res.Body, res}
+	}
 	return res, nil
 }
+
+// chunkedBody is a body whose trailer is checked at its end.
+type chunkedBody struct {
+	io.ReadCloser
+	res *http.Response
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if malformed := checkNames(b.res.Trailer); malformed != nil {
+			err = malformed
+		}
+	}
+	return n, err
+}
--- a/publish/client.go
+++ b/publish/client.go
@@ -49,6 +49,9 @@
 	Hosts   []Host `json:"hosts"`
 }
 
+// maxHead bounds the head of an answer, in bytes.
+const maxHead = 64 << 10
+
 // Client reads from a platform at one address.
 type Client struct {
 	addr string
@@ -60,7 +63,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	}
-	return &Client{addr: addr, hc: &http.Client{Transport: answer.Transport{Transport: &http.Transport{DialContext: dial, IdleConnTimeout: 90 * time.Second}}}}
+	return &Client{addr: addr, hc: &http.Client{Transport: answer.NewTransport(&http.Transport{DialContext: dial, IdleConnTimeout: 90 * time.Second, MaxResponseHeaderBytes: maxHead})}}
 }
 
 // Close drops idle connections.
