internal/answer: a head that states two ends makes an answer a failure

Callers got the bytes of an answer's chunks as its whole body, where it came in chunks and in HTTP/1.0; and a body in chunks whatever length its head stated beside them.

Cause: net/http's client drops one of the two fields without a word.

Change: answer.Transport reads both fields in the recorded head. It works as the record has the bytes that arrived.

--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -41,11 +41,25 @@
 			return err
 		}
 		if !isInterim(line) {
-			return nil
+			return checkFraming(line, http.Header(head))
 		}
 	}
 }
 
+// checkFraming checks that a head doesn't state its body's end in two ways. Chunks are unknown to HTTP/1.0.
+func checkFraming(statusLine string, h http.Header) error {
+	if h["Transfer-Encoding"] == nil {
+		return nil
+	}
+	if h["Content-Length"] != nil {
+		return &MalformedError{"a length beside chunks"}
+	}
+	if strings.HasPrefix(statusLine, "HTTP/1.0") {
+		return &MalformedError{"chunks in HTTP/1.0"}
+	}
+	return nil
+}
+
 // isInterim reports whether a status line that net/http has accepted is that of an interim answer.
 func isInterim(line string) bool {
 	_, status, _ := strings.Cut(line, " ")
