--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -14,7 +14,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/embercove/embercove/internal/answer"
+	"github.com/embercove/embercove/internal/strict"
 	"github.com/embercove/embercove/meter"
 )
 
@@ -57,7 +57,7 @@
 
 func newHTTP(dial Dial) *http.Client {
 	return &http.Client{
-		Transport: answer.NewTransport(&http.Transport{
+		Transport: strict.NewTransport(&http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second,
 			DisableCompression: true, MaxResponseHeaderBytes: MaxHead,
 		}),
@@ -91,7 +91,7 @@
 	}
 	res, err := hc.Do(req)
 	if err != nil {
-		return nil, &CallError{Address: addr, MayHaveRun: sent.Load(), Abandoned: answer.IsMalformed(err), Cause: err}
+		return nil, &CallError{Address: addr, MayHaveRun: sent.Load(), Abandoned: strict.IsMalformed(err), Cause: err}
 	}
 	return res, nil
 }
--- a/internal/answer/recorder.go
+++ b/internal/strict/recorder.go
@@ -1,4 +1,4 @@
-package answer
+package strict
 
 import (
 	"context"
--- a/internal/answer/transport.go
+++ b/internal/strict/transport.go
@@ -1,5 +1,5 @@
-// Package answer makes calls over HTTP whose answers are passed on or relied on only if they are whole and well-formed.
-package answer
+// Package strict makes calls over HTTP whose answers are passed on or relied on only if they are whole and well-formed.
+package strict
 
 import (
 	"io"
--- a/publish/client.go
+++ b/publish/client.go
@@ -16,7 +16,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/embercove/embercove/internal/answer"
+	"github.com/embercove/embercove/internal/strict"
 )
 
 // Paths of the platform's read interface.
@@ -63,7 +63,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	}
-	return &Client{addr: addr, hc: &http.Client{Transport: answer.NewTransport(&http.Transport{DialContext: dial, IdleConnTimeout: 90 * time.Second, MaxResponseHeaderBytes: maxHead})}}
+	return &Client{addr: addr, hc: &http.Client{Transport: strict.NewTransport(&http.Transport{DialContext: dial, IdleConnTimeout: 90 * time.Second, MaxResponseHeaderBytes: maxHead})}}
 }
 
 // Close drops idle connections.
