internal/strict: a document without its end isn't relied on

Hosts relied on reports, lists, prefill answers, listings and watches that were shorter than their length, lacked their last chunk or were followed by other bytes; on null as the report of an idle endpoint or a listing without endpoints; on {} as a watch that confirms what is known; and on a cut refusal that said that nothing ran. Orders and discards counted as done.

Cause: json.Decoder reads one value and looks no further.

It works as an answer that fails is handled as one that broke off.

--- a/endpoint/bounds.go
+++ b/endpoint/bounds.go
@@ -3,7 +3,7 @@
 import (
 	"io"
 
-	"github.com/pkg/errors"
+	"github.com/embercove/embercove/internal/strict"
 )
 
 // Bounds of what is read of an endpoint's answers, in bytes. An endpoint in trouble may send without end, in a head or a
@@ -19,28 +19,13 @@
 	MaxUnsized = 8 << 20
 )
 
-// ErrTooLong is returned for an answer that is longer than its bound.
-var ErrTooLong = errors.New("the answer is too long")
-
-// BoundBody returns a body that fails with ErrTooLong if it is of unknown length and longer than MaxUnsized.
+// BoundBody returns a body that fails with strict.ErrTooLong if it is of unknown length and longer than MaxUnsized.
 func BoundBody(body io.ReadCloser, length int64) io.ReadCloser {
 	if length >= 0 {
 		return body
 	}
-	return &boundedBody{ReadCloser: body, left: MaxUnsized}
-}
-
-type boundedBody struct {
-	io.ReadCloser
-	left int64
-}
-
-// Read implements io.Reader.
-func (b *boundedBody) Read(p []byte) (n int, err error) {
-	if b.left <= 0 {
-		return 0, ErrTooLong
-	}
-	n, err = b.ReadCloser.Read(p[:min(int64(len(p)), b.left)])
-	b.left -= int64(n)
-	return n, err
+	return struct {
+		io.Reader
+		io.Closer
+	}{&strict.Bounded{Reader: body, Left: MaxUnsized}, body}
 }
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -99,11 +99,12 @@
 // parseProblem reads an error response.
 func parseProblem(addr string, res *http.Response) error {
 	defer res.Body.Close()
-	body, _ := io.ReadAll(io.LimitReader(res.Body, maxProblem))
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxProblem))
 	p := Problem{}
 	if json.Unmarshal(body, &p) != nil {
 		p.Error = string(body)
 	}
+	p.NotRun = p.NotRun && err == nil
 	return &CallError{Address: addr, Status: res.StatusCode, MayHaveRun: !p.NotRun, Cause: errors.New(p.Error)}
 }
 
@@ -188,7 +189,7 @@
 	}
 	defer res.Body.Close()
 	ans := new(PrefillAnswer)
-	if err := json.NewDecoder(io.LimitReader(res.Body, MaxReply)).Decode(ans); err != nil {
+	if err := strict.DecodeObject(res.Body, MaxReply, ans); err != nil {
 		return nil, &CallError{Address: call.Address, Status: res.StatusCode, MayHaveRun: true, Cause: err}
 	}
 	if ans.ID != call.Attempt || ans.Transfer == nil {
@@ -238,10 +239,9 @@
 		s.Notice = parseNotice(res)
 	}
 	if out == nil {
-		_, err = io.Copy(io.Discard, io.LimitReader(res.Body, MaxReply))
-		return errors.Wrap(err, path)
+		return errors.Wrap(strict.Discard(res.Body, MaxReply), path)
 	}
-	return errors.Wrap(json.NewDecoder(io.LimitReader(res.Body, MaxReply)).Decode(out), path)
+	return errors.Wrap(strict.DecodeObject(res.Body, MaxReply, out), path)
 }
 
 // State implements Engine.
--- a/endpoint/stream.go
+++ b/endpoint/stream.go
@@ -9,6 +9,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"github.com/embercove/embercove/internal/strict"
 )
 
 // tokenStream is an answer that a decode engine is streaming.
@@ -75,7 +77,7 @@
 		}
 		return c, nil
 	}
-	return nil, s.callError(ErrTooLong)
+	return nil, s.callError(strict.ErrTooLong)
 }
 
 // readLongLine reads the rest of a line that doesn't fit into the buffer.
@@ -88,7 +90,7 @@
 			return line, err
 		}
 	}
-	return nil, ErrTooLong
+	return nil, strict.ErrTooLong
 }
 
 func (s *tokenStream) callError(err error) error {
--- a/publish/client.go
+++ b/publish/client.go
@@ -7,9 +7,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -99,7 +97,7 @@
 		return false, errors.Errorf("status %d", res.StatusCode)
 	}
 	guard.Begin()
-	err = json.NewDecoder(guard.Reader(io.LimitReader(res.Body, 2*MaxValue))).Decode(v)
+	err = strict.DecodeObject(guard.Reader(res.Body), 2*MaxValue, v)
 	return err == nil, err
 }
 
--- a/publish/client_test.go
+++ b/publish/client_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -36,3 +39,19 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestDocumentsThatArentWhole guards against revisions and lists of hosts that are relied on though their end is missing.
+func TestDocumentsThatArentWhole(t *testing.T) {
+	const document = `{"revision":2,"document":"{}"}`
+	for missing, whole := range []bool{true, false} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(len(document)+missing))
+			_, _ = io.WriteString(w, document)
+		}))
+		_, err := publish.NewClient(strings.TrimPrefix(srv.URL, "http://"), nil).Config(t.Context(), 1, time.Second)
+		srv.Close()
+		if whole != (err == nil) {
+			t.Errorf("%d bytes are missing: error %v", missing, err)
+		}
+	}
+}
