entry: a failure that its endpoint answers with is held whole

Callers of streams whose decode engine answered with a failure got its status and a part of its body, then a closed connection: 4,035 to 20,000 bytes of 40,000.

Cause: the failure is kept in case no other try does better, and its call ends meanwhile, which closes the connection under the unread body.

Change: the body is read while the call lasts, up to 64 kB and for 500 ms. It works as the body no longer needs its connection.

--- a/entry/buffer.go
+++ b/entry/buffer.go
@@ -2,12 +2,16 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/intake"
+	"github.com/embercove/embercove/internal/strict"
 )
 
 // maxBuffered is the largest body that is held until it is whole, so that one that breaks
@@ -41,6 +45,30 @@
 	return head[:n], err
 }
 
+// failureTimeout bounds how long the body of a failure is waited for: another endpoint may serve the request.
+const failureTimeout = 500 * time.Millisecond
+
+// holdFailure reads the whole body of a failure that an endpoint answered with, as its call ends before the caller may get it. A
+// failure that isn't whole, in time and short is no answer to a caller.
+func holdFailure(ctx context.Context, err error) error {
+	var ce *endpoint.CallError
+	if !errors.As(err, &ce) || ce.Answer == nil {
+		return err
+	}
+	ans := ce.Answer
+	defer ans.Body.Close()
+	timer := time.AfterFunc(failureTimeout, func() { ans.Body.Close() })
+	defer timer.Stop()
+	body, readErr := io.ReadAll(&strict.Bounded{Reader: ans.Body, Left: maxBuffered})
+	if readErr != nil {
+		return &endpoint.CallError{Address: ce.Address, Status: ce.Status, MayHaveRun: ce.MayHaveRun, Abandoned: ce.Abandoned, Cause: readErr}
+	}
+	intake.ConnOf(ctx).Hold(len(body))
+	held := *ce
+	held.Answer = &endpoint.Answer{AnswerHead: ans.AnswerHead, Length: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body))}
+	return &held
+}
+
 // isEventStream reports whether an answer is a stream of server-sent events by its head.
 func isEventStream(ans *endpoint.Answer) bool {
 	kind, _, _ := strings.Cut(ans.Header.Get("Content-Type"), ";")
--- a/entry/opened.go
+++ b/entry/opened.go
@@ -40,9 +40,10 @@
 // callDecode makes a decode call, up to the beginning of its answer.
 func (e *Entry) callDecode(ctx context.Context, j *job, spec *config.Endpoint, c *openedCall, call endpoint.Call, work *endpoint.Work) (endpoint.Stream, error) {
 	call.OnGateway = func(host string) { c.tunneled.Store(host != "") }
-	return connectAndCall(ctx, e, j, spec, call, func(call endpoint.Call) (endpoint.Stream, error) {
+	s, err := connectAndCall(ctx, e, j, spec, call, func(call endpoint.Call) (endpoint.Stream, error) {
 		return e.engine.Decode(ctx, call, work)
 	})
+	return s, holdFailure(ctx, err)
 }
 
 // endCall records how a decode call ended, after a number of chunks.
