internal/strict: redirects aren't followed

Reports, cache lists, listings and watches that were answered by a redirect were taken from the address that it named, and orders and discards were sent on there.

Cause: net/http's client follows redirects by default.

Change: clients of endpoints and of the store are made by strict.NewClient, which follows none, so that a redirect is a failure.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -56,13 +56,10 @@
 }
 
 func newHTTP(dial Dial) *http.Client {
-	return &http.Client{
-		Transport: strict.NewTransport(&http.Transport{
-			DialContext: dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second,
-			DisableCompression: true, MaxResponseHeaderBytes: MaxHead,
-		}),
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	return strict.NewClient(&http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second,
+		DisableCompression: true, MaxResponseHeaderBytes: MaxHead,
+	})
 }
 
 // CloseIdle closes idle connections.
--- a/internal/strict/transport.go
+++ b/internal/strict/transport.go
@@ -30,6 +30,15 @@
 	return Transport{settings}
 }
 
+// NewClient returns a client over a transport of these settings. It follows no redirect, as an answer stands for the address that was
+// called.
+func NewClient(settings *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     NewTransport(settings),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(q *http.Request) (*http.Response, error) {
 	var conn *recorder
--- a/publish/client.go
+++ b/publish/client.go
@@ -61,7 +61,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	}
-	return &Client{addr: addr, hc: &http.Client{Transport: strict.NewTransport(&http.Transport{DialContext: dial, IdleConnTimeout: 90 * time.Second, MaxResponseHeaderBytes: maxHead})}}
+	return &Client{addr: addr, hc: strict.NewClient(&http.Transport{DialContext: dial, IdleConnTimeout: 90 * time.Second, MaxResponseHeaderBytes: maxHead})}
 }
 
 // Close drops idle connections.
