entry, node: a planned stop answers what its host has read

In a planned stop of a host, in calm, requests that came late in the grace were taken and passed on, and cut without an answer at its end, among them some that may not be repeated.

Cause: whether an answer fits in what is left was asked on arrival, for prompts alone and by a forecast; at the end connections were closed under the rest.

Change: what comes after the lame-duck time is taken if its time-out ends before the host does, also calls to plain services, and is asked again before it is passed on. At the end of the stop the rest is refused as not run, or gets a 502 if it may have run. It works as a late caller reaches another host at once, and as a request is ended with what is known of it before its connection is closed. Streams that have begun are still cut off at the end; the rows hold none that came after the lame-duck time.

--- a/entry/barred.go
+++ b/entry/barred.go
@@ -94,6 +94,9 @@
 // admitCall returns why a call may not be made, or nil. It is the last check before each
 // call.
 func (e *Entry) admitCall(j *job, spec *config.Endpoint) *retryable {
+	if j.prefillCalls+j.decodeCalls == 0 && !j.possiblyRan && e.stopsBeforeEnd(j) {
+		return &retryable{endpointName: spec.Name, notSent: true, final: true, refusal: stopRefusal()}
+	}
 	b := e.ineligibleReason(j, spec)
 	if b == route.ReasonNone && !e.board.Endpoints.AdmitCall(route.Number(spec.Name), time.Now()) {
 		b = route.ReasonBackoff
--- a/entry/call.go
+++ b/entry/call.go
@@ -63,10 +63,6 @@
 	}
 	j := e.newCallJob(v, r, team, c)
 	j.setFingerprint(q, src)
-	if e.stopsBeforeEnd(j) {
-		e.refuse(w, q, result.Errorf(result.Draining, "this host stops before the answer would be complete").After(elsewhereRetryAfter), from)
-		return
-	}
 	j.reply = newPassthroughTo(w, q, c.Refuse)
 	run := func(ctx context.Context) *result.Error { return e.runService(ctx, j) }
 	if j.prompted {
@@ -88,32 +84,6 @@
 // minTimeLeft is the least time of a caller, as 0 stands for an unknown one.
 const minTimeLeft = time.Millisecond
 
-// elsewhereRetryAfter is the retry time of a request that another host can take at once.
-const elsewhereRetryAfter = 50 * time.Millisecond
-
-// stopsBeforeEnd reports whether the process is likely to stop before a job's answer is
-// complete. Such jobs are refused, so that their callers try another host.
-func (e *Entry) stopsBeforeEnd(j *job) bool {
-	if !j.prompted {
-		return false
-	}
-	tokens := answerLengthMargin * float64(j.expected)
-	if j.expected == 0 {
-		tokens = float64(j.work.MaxTokens) / 2
-	}
-	if e.board.LeavingFor() > config.Millis(e.board.Settings.LameDuckMillis) {
-		// By now callers' load balancers send nothing new, and a caller that still holds a
-		// connection reaches another host at once. So no answer may be cut off: the longest
-		// possible one counts.
-		tokens = float64(j.work.MaxTokens)
-	}
-	return e.board.StopsWithin(j.target() + time.Duration(tokens*float64(e.typicalStep(j))))
-}
-
-// answerLengthMargin scales the estimated length of an answer: estimates are right in the
-// median and often far off.
-const answerLengthMargin = 1.5
-
 // maxSampled is how many engines are sampled for the typical step time.
 const maxSampled = 64
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -66,6 +66,9 @@
 	reasonTotals  reasonCounts
 	crashes       crashTracker
 	deadlines     deadlines
+	requests      context.Context // ends with all requests
+	endRequests   context.CancelCauseFunc
+	cutAtStop     atomic.Int64
 	preparations  chan struct{} // holds a value for each job that places its next try beside a silent call
 	unreadableLog logThrottle
 
@@ -77,6 +80,7 @@
 // New returns an entry over the board.
 func New(b *blackboard.Board, g endpoint.Engine, o Owners, rec *report.Recorder, log *zap.Logger) *Entry {
 	e := &Entry{board: b, engine: g, traits: g.Traits(), owners: o, recorder: rec, log: log, retryBudgets: retry.NewBudgets(b.Settings.RetryBudget, b.Hosts.Len), logLimiter: newLineLimiter(), retryTimes: retry.NewDelay(), started: time.Now()}
+	e.requests, e.endRequests = context.WithCancelCause(context.Background())
 	e.preparations = make(chan struct{}, maxPreparations)
 	e.deadlines.byID = map[request.ID]pendingDeadline{}
 	e.crashes = crashTracker{entry: e, checks: map[process]*crashCheck{}, startTimes: map[string]int64{}}
--- a/entry/job.go
+++ b/entry/job.go
@@ -174,6 +174,14 @@
 
 // execute takes a job from its row in the request table to its result.
 func (e *Entry) execute(ctx context.Context, j *job, bodyHash uint64, run func(ctx context.Context) *result.Error) {
+	ctx, forget := e.withStop(ctx)
+	defer forget()
+	if e.stopsBeforeEnd(j) {
+		refusal := stopRefusal()
+		refusal.Unsure = j.key != ""
+		e.finish(j, refusal, false)
+		return
+	}
 	row := blackboard.Request{ID: j.id, Team: j.team.Name, Model: j.work.Model, Phase: blackboard.PhaseReserve, Since: j.arrived, PhaseSince: j.arrived, Tokens: j.tokens}
 	if refusal := e.quarantineRefusal(j); refusal != nil {
 		e.finish(j, refusal, false)
@@ -221,6 +229,8 @@
 		return err
 	}
 	switch context.Cause(ctx) {
+	case errStopped:
+		return e.stoppedResult(j)
 	case context.Canceled:
 		return result.Errorf(result.CallerGone, "the caller left")
 	case context.DeadlineExceeded:
--- a/entry/likely_test.go
+++ b/entry/likely_test.go
@@ -28,20 +28,26 @@
 		slow      uint16        // step time of the pool's engines relative to the configured one, in percent; 0: unknown
 		leaving   time.Duration // for how long; below 0: no stop is planned
 		stopIn    time.Duration
+		deadline  time.Duration // of the caller; 0: none
 		refused   bool
 	}{
-		{"no stop", true, 8_000, 10_880, 100, -1, 0, false},
-		{"a short answer", true, 1_000, 10_880, 100, 0, 6 * time.Second, false},
-		{"the same, speed unknown", true, 1_000, 10_880, 0, 0, 6 * time.Second, false},
-		{"a long answer", true, 6_000, 10_880, 100, 0, 6 * time.Second, true},
-		{"a long answer, far from the end", true, 6_000, 10_880, 100, 0, 15 * time.Second, false},
-		{"no estimate", true, 0, 10_880, 100, 0, 6 * time.Second, true},
-		{"a plain call", false, 0, 0, 100, 0, 2 * time.Second, false},
-		{"short at a slow engine", true, 700, 1_530, 700, 0, 6 * time.Second, true},
-		{"short, and leaving for long", true, 500, 1_530, 700, 4 * time.Second, 3 * time.Second, true},
-		{"estimated very short, and leaving for long", true, 100, 1_530, 700, 4 * time.Second, 3 * time.Second, true},
-		{"the same, and leaving just now", true, 100, 1_530, 700, 0, 3 * time.Second, false},
-		{"short in any case, and leaving for long", true, 200, 300, 700, 4 * time.Second, 4 * time.Second, false},
+		{"no stop", true, 8_000, 10_880, 100, -1, 0, 0, false},
+		{"a short answer", true, 1_000, 10_880, 100, 0, 6 * time.Second, 0, false},
+		{"the same, speed unknown", true, 1_000, 10_880, 0, 0, 6 * time.Second, 0, false},
+		{"a long answer", true, 6_000, 10_880, 100, 0, 6 * time.Second, 0, true},
+		{"a long answer, far from the end", true, 6_000, 10_880, 100, 0, 15 * time.Second, 0, false},
+		{"no estimate", true, 0, 10_880, 100, 0, 6 * time.Second, 0, true},
+		{"a plain call", false, 0, 0, 100, 0, 2 * time.Second, 0, false},
+		{"a plain call, leaving for long", false, 0, 0, 100, 4 * time.Second, 2 * time.Second, 3 * time.Second, true},
+		{"a plain call with less time, leaving for long", false, 0, 0, 100, 4 * time.Second, 2 * time.Second, 1500 * time.Millisecond, false},
+		{"a plain call without a deadline, leaving for long", false, 0, 0, 100, 4 * time.Second, 2 * time.Second, 0, false},
+		{"a plain call, leaving just now", false, 0, 0, 100, 0, 2 * time.Second, 3 * time.Second, false},
+		{"a plain call, just before the end", false, 0, 0, 100, 0, 500 * time.Millisecond, 3 * time.Second, true},
+		{"short at a slow engine", true, 700, 1_530, 700, 0, 6 * time.Second, 0, true},
+		{"short, and leaving for long", true, 500, 1_530, 700, 4 * time.Second, 3 * time.Second, 0, true},
+		{"estimated very short, and leaving for long", true, 100, 1_530, 700, 4 * time.Second, 3 * time.Second, 0, true},
+		{"the same, and leaving just now", true, 100, 1_530, 700, 0, 3 * time.Second, 0, false},
+		{"short in any case, and leaving for long", true, 200, 300, 700, 4 * time.Second, 4 * time.Second, 0, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -65,7 +71,8 @@
 					time.Sleep(tc.leaving)
 					b.SetStop(time.Now().Add(tc.stopIn))
 				}
-				j := &job{prompted: tc.prompted, expected: tc.expected, pool: "p", work: new(endpoint.Work), view: v, route: v.RouteFor("h", "/x")}
+				j := &job{arrived: time.Now(), prompted: tc.prompted, expected: tc.expected, pool: "p", work: new(endpoint.Work), view: v, route: v.RouteFor("h", "/x")}
+				j.deadline = tc.deadline
 				j.work.MaxTokens = tc.maxTokens
 				if got := (&Entry{board: b}).stopsBeforeEnd(j); got != tc.refused {
 					t.Errorf("refused %v, want %v", got, tc.refused)
--- a/entry/run.go
+++ b/entry/run.go
@@ -105,6 +105,7 @@
 	notSent      bool         // no permit, or a backoff: no call was made
 	reason       route.Reason // why the endpoint was ineligible before the call; ReasonNone: it was eligible
 	mayHaveRun   bool
+	final        bool          // no try of this host is better
 	refusal      *result.Error // sent to the caller if there is no further try
 }
 
@@ -130,7 +131,7 @@
 		e.excuseCrashes(ctx, j)
 	}
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, r.final:
 		return r.refusal
 	case r.mayHaveRun && !j.repeatable:
 		j.noRetry = "not repeatable"
--- a/node/drain.go
+++ b/node/drain.go
@@ -12,14 +12,15 @@
 const drainPollInterval = 20 * time.Millisecond
 
 // shutdownReserve is how long before the process would be killed a stopping node
-// abandons the requests in progress. The steps after that take up to 0.85 s, and
+// abandons the requests in progress. The steps after that take up to 0.95 s, and
 // writing the last log lines up to 0.2 s; the rest is a margin for a slow host.
 const shutdownReserve = 1250 * time.Millisecond
 
 // Drain performs a planned stop: the node reports that it isn't ready, hands over
 // the endpoints that it owns, waits for requests in progress and for tunnels of other hosts, and then stops. It
-// returns how many requests were cut off, which is 0 unless the time ran out:
-// drain_s, or stop_grace_s where that is set.
+// returns how many requests were cut off without a whole answer, which is 0 unless the time ran out:
+// drain_s, or stop_grace_s where that is set. Requests that are in progress then are answered that their outcome is unknown, or
+// that they did not run.
 func (n *Node) Drain() int {
 	deadline := time.Now().Add(config.Millis(n.settings.LameDuckMillis) + time.Duration(n.settings.DrainSeconds)*time.Second)
 	refuseAt := time.Now().Add(config.Millis(n.settings.LameDuckMillis))
@@ -46,7 +47,11 @@
 	for time.Now().Before(deadline) && n.isBusy() { // calls that came just before
 		time.Sleep(drainPollInterval)
 	}
-	left := n.Board.Requests.Len()
+	n.entry.EndRequests()
+	for end := time.Now().Add(endTimeout); time.Now().Before(end) && n.hasRequests(); {
+		time.Sleep(drainPollInterval)
+	}
+	left := n.Board.Requests.Len() + n.entry.CutAtStop()
 	n.Board.Invariant.Check(left == 0, invariant.DrainComplete, "%d requests in progress after drain_s", left)
 	ctx, cancel = context.WithTimeout(context.Background(), flushTimeout)
 	n.Router.Flush(ctx)
@@ -56,9 +61,12 @@
 	return left
 }
 
+// hasRequests reports whether requests of callers are in progress.
+func (n *Node) hasRequests() bool { return n.calls.Load() > 0 || n.Board.Requests.Len() > 0 }
+
 // isBusy reports whether anything is in progress that a planned stop waits for.
 func (n *Node) isBusy() bool {
-	return n.calls.Load() > 0 || n.Board.Requests.Len()+n.Owner.QueuedRequests()+n.gateway.Active() > 0
+	return n.hasRequests() || n.Owner.QueuedRequests()+n.gateway.Active() > 0
 }
 
 // stopWithin calls Stop, but waits no longer than timeout for it. Goroutines that
@@ -78,6 +86,7 @@
 
 // Time limits of the steps of a planned stop.
 const (
+	endTimeout   = 100 * time.Millisecond  // of answering the requests that are ended
 	flushTimeout = 150 * time.Millisecond  // of sending the last releases to owners
 	stopTimeout  = 300 * time.Millisecond  // of Stop
 	refuseLead   = 1500 * time.Millisecond // before the deadline that stop_grace_s sets, new requests are refused
