--- a/entry/likely_test.go
+++ b/entry/likely_test.go
@@ -8,6 +8,7 @@
 	"github.com/embercove/embercove/blackboard"
 	"github.com/embercove/embercove/config"
 	"github.com/embercove/embercove/endpoint"
+	"github.com/embercove/embercove/result"
 	"github.com/embercove/embercove/route"
 )
 
@@ -52,20 +53,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := &config.Settings{Host: "h", Domain: "a", Region: "r"}
-				s.SetDefaults()
-				b := blackboard.New(s)
-				if _, err := b.Config.Offer(1, []byte(engineDocument)); err != nil {
-					t.Fatal(err)
-				}
-				roster := &config.RosterList{Revision: 1, Endpoints: []config.Endpoint{
-					{Name: "d", Address: "10.0.0.1:1", Domain: "a", Pool: "p", Role: config.Decode, Model: "m", Version: "1"}}}
-				if _, err := b.Config.OfferRoster(roster.Roster(), time.Now()); err != nil {
-					t.Fatal(err)
-				}
-				v := b.Config.View()
-				b.Endpoints.ApplyView(v)
-				b.Endpoints.Learn(route.Digest{Number: route.Number("d"), SlowPct: tc.slow}, time.Now())
+				b, v := boardOfOneEngine(t, tc.slow)
 				if tc.leaving >= 0 {
 					b.SetLeaving()
 					time.Sleep(tc.leaving)
@@ -81,3 +69,60 @@
 		})
 	}
 }
+
+// boardOfOneEngine returns a board with one decode engine, and its view. The step time of the engine is slow percent of the
+// configured one; 0: unknown.
+func boardOfOneEngine(t *testing.T, slow uint16) (*blackboard.Board, *config.View) {
+	s := &config.Settings{Host: "h", Domain: "a", Region: "r"}
+	s.SetDefaults()
+	b := blackboard.New(s)
+	if _, err := b.Config.Offer(1, []byte(engineDocument)); err != nil {
+		t.Fatal(err)
+	}
+	roster := &config.RosterList{Revision: 1, Endpoints: []config.Endpoint{
+		{Name: "d", Address: "10.0.0.1:1", Domain: "a", Pool: "p", Role: config.Decode, Model: "m", Version: "1"}}}
+	if _, err := b.Config.OfferRoster(roster.Roster(), time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	v := b.Config.View()
+	b.Endpoints.ApplyView(v)
+	b.Endpoints.Learn(route.Digest{Number: route.Number("d"), SlowPct: slow}, time.Now())
+	return b, v
+}
+
+// TestJobsThatWaitedTooLongAreNotSent guards against requests that fit into what was left of a stop as they came, and are passed on
+// after a wait although they no longer fit.
+func TestJobsThatWaitedTooLongAreNotSent(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		waited   time.Duration
+		prefills int // calls made already
+		refused  bool
+	}{
+		{"no wait", 0, 0, false},
+		{"a short wait", time.Second, 0, false},
+		{"a long wait", 3 * time.Second, 0, true},
+		{"a long wait after a prefill", 3 * time.Second, 1, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, v := boardOfOneEngine(t, 100)
+				e := &Entry{board: b}
+				b.SetLeaving()
+				b.SetStop(time.Now().Add(4 * time.Second))
+				j := &job{arrived: time.Now(), prompted: true, expected: 1_000, pool: "p", work: new(endpoint.Work), view: v, route: v.RouteFor("h", "/x")}
+				j.team = new(config.Team)
+				if e.stopsBeforeEnd(j) {
+					t.Fatal("refused as it came")
+				}
+				time.Sleep(tc.waited)
+				j.prefillCalls = tc.prefills
+				r := e.admitCall(j, &config.Endpoint{Name: "d"})
+				refused := r != nil && r.final && r.refusal.Code == result.Draining && r.refusal.Code.NotRun()
+				if refused != tc.refused {
+					t.Errorf("refused %v, want %v: %+v", refused, tc.refused, r)
+				}
+			})
+		})
+	}
+}
