--- a/endpoint/client_test.go
+++ b/endpoint/client_test.go
@@ -79,6 +79,8 @@
 			if !MayHaveRun(err) {
 				t.Errorf("err %v: want an error after which the call may have run", err)
 			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			if f.calls != 2 {
 				t.Errorf("%d calls arrived, want 2", f.calls)
 			}
