--- a/entry/run.go
+++ b/entry/run.go
@@ -105,7 +105,7 @@
 	notSent      bool         // no permit, or a backoff: no call was made
 	reason       route.Reason // why the endpoint was ineligible before the call; ReasonNone: it was eligible
 	mayHaveRun   bool
-	final        bool          // no try of this host is better
+	final        bool          // a further try on this host would fail too
 	refusal      *result.Error // sent to the caller if there is no further try
 }
 
