--- a/internal/strict/transport_test.go
+++ b/internal/strict/transport_test.go
@@ -107,3 +107,36 @@
 		t.Errorf("%q, %v on a new connection", got, err)
 	}
 }
+
+// TestMalformedAnswersLeaveNoConnection guards against connections that stay open for good after an answer that isn't passed on.
+func TestMalformedAnswersLeaveNoConnection(t *testing.T) {
+	for name, a := range map[string]string{
+		"no status":        "HTTP/1.1 000 Trouble\r\n\r\n",
+		"another protocol": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
+		"an odd name":      "HTTP/1.1 200 OK\r\nX-Odd : 1\r\nContent-Length: 4\r\n\r\nbody",
+		"two ends":         "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			defer far.Close()
+			hc := NewClient(&http.Transport{MaxResponseHeaderBytes: 64 << 10, DialContext: func(context.Context, string, string) (net.Conn, error) { return near, nil }})
+			ended := make(chan error, 1)
+			go func() {
+				r := bufio.NewReader(far)
+				if _, err := http.ReadRequest(r); err != nil {
+					ended <- err
+					return
+				}
+				_, _ = io.WriteString(far, a)
+				_, err := r.ReadByte() // returns once the connection is closed
+				ended <- err
+			}()
+			if got, err := call(hc, "10.0.0.1:80"); !IsMalformed(err) {
+				t.Errorf("%q, %v, want a malformed answer", got, err)
+			}
+			if err := <-ended; err != io.EOF {
+				t.Errorf("the connection ended with %v, want %v", err, io.EOF)
+			}
+		})
+	}
+}
